Serve a request from end to end through separate processes

The thin whole path: an operator publishes a TOML configuration through the platform's log, every daemon folds it, a caller asks any daemon for addresses, and its request is forwarded to a backend server and answered. The decisions (ServiceRouter, fold, Membership, steering) take events and a clock value and do no input or output.

Not there yet: everything else.

--- /dev/null
+++ b/cloverhook/dispatch.py
@@ -0,0 +1,132 @@
+"""Carries the decisions of the routers out: requests wait here until their router starts them.
+
+Layer: coordination.  There is one `ServiceRouter` for each service in force.  `Dispatcher.admit`
+returns the address of the endpoint to use, or raises the request's final answer.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+from cloverhook.errors import ErrorKind, RequestError
+from cloverhook.fleet import Policy, Service
+from cloverhook.fold import State
+from cloverhook.routing import (
+    Action,
+    Arrival,
+    AttemptEnded,
+    CallerGone,
+    EndpointsChanged,
+    Event,
+    Refuse,
+    ServiceRouter,
+    Start,
+    Tick,
+)
+
+__all__ = ["Dispatcher", "Target"]
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """The service that a host name belongs to, and the policy in force for it."""
+
+    brand: str
+    service: Service
+    policy: Policy
+
+    @property
+    def key(self) -> str:
+        """The service's name across brands."""
+        return f"{self.brand}/{self.service.name}"
+
+
+class Dispatcher:
+    """The routers of this daemon and the requests that wait for them."""
+
+    def __init__(self, source: random.Random) -> None:
+        self._random = source
+        self._targets: dict[bytes, Target] = {}
+        self._routers: dict[str, ServiceRouter] = {}
+        self._waiting: dict[str, asyncio.Future[str]] = {}
+
+    def configure(self, state: State, now_ms: float) -> None:
+        """Put a folded state in force."""
+        targets: dict[bytes, Target] = {}
+        for item in state.brands.values():
+            for service in item.brand.services:
+                target = Target(item.brand.name, service, service.policy(item.preset))
+                for host in service.hosts:
+                    targets[host.encode()] = target
+        self._targets = targets
+        self._update_routers(now_ms)
+
+    def targets(self) -> tuple[Target, ...]:
+        """Return the services in force."""
+        return tuple({target.key: target for target in self._targets.values()}.values())
+
+    def target_for(self, host: bytes) -> Target:
+        """Return the service for a host name.  Raises `RequestError` when there is none."""
+        target = self._targets.get(host.partition(b":")[0].lower())
+        if target is None:
+            raise RequestError(ErrorKind.UNKNOWN_HOST, "no service has this host name")
+        return target
+
+    async def admit(self, target: Target, arrival: Arrival, now_ms: float) -> str:
+        """Wait until the request may start and return the endpoint's address.
+
+        Raises `RequestError` with its final answer when it may not.
+        """
+        return await self._wait(target, arrival.request_id, arrival, now_ms)
+
+    async def retry(self, target: Target, ended: AttemptEnded, now_ms: float) -> str:
+        """Wait until another attempt may start.  Raises `RequestError` when none may."""
+        return await self._wait(target, ended.request_id, ended, now_ms)
+
+    def ended(self, target: Target, ended: AttemptEnded, now_ms: float) -> None:
+        """Report the end of a request's last attempt."""
+        self._drive(target.key, ended, now_ms)
+
+    def tick(self, now_ms: float) -> None:
+        """Let time pass for all routers."""
+        for key in tuple(self._routers):
+            self._drive(key, Tick(), now_ms)
+
+    async def _wait(self, target: Target, request_id: str, event: Event, now_ms: float) -> str:
+        future: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        self._waiting[request_id] = future
+        self._drive(target.key, event, now_ms)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._drive(target.key, CallerGone(request_id), now_ms)
+            raise
+        finally:
+            self._waiting.pop(request_id, None)
+
+    def _drive(self, key: str, event: Event, now_ms: float) -> None:
+        router = self._routers.get(key)
+        if router is None:
+            return
+        for action in router.handle(event, now_ms):
+            self._perform(action)
+
+    def _perform(self, action: Action) -> None:
+        future = self._waiting.get(action.request_id)
+        if future is None or future.done():
+            return
+        match action:
+            case Start(_, address):
+                future.set_result(address)
+            case Refuse(_, kind, retry_after_ms):
+                future.set_exception(RequestError(kind, retry_after_ms=retry_after_ms))
+
+    def _update_routers(self, now_ms: float) -> None:
+        wanted = {target.key: target for target in self.targets()}
+        for key in set(self._routers) - set(wanted):
+            self._drive(key, EndpointsChanged((), Policy()), now_ms)
+            del self._routers[key]
+        for key, target in wanted.items():
+            if key not in self._routers:
+                self._routers[key] = ServiceRouter(random.Random(self._random.random()))
+            self._drive(key, EndpointsChanged(target.service.endpoints, target.policy), now_ms)
--- /dev/null
+++ b/cloverhook/headers.py
@@ -0,0 +1,108 @@
+"""The HTTP headers that cloverhook reads, adds and drops.
+
+Layer: protocol.  Headers are lists of pairs of bytes with lower-case names, so repeated headers and
+their order are kept.
+"""
+
+import uuid
+from collections.abc import Iterable
+
+from cloverhook.errors import ErrorKind, Outcome, RequestError
+
+__all__ = [
+    "DEADLINE",
+    "ERROR",
+    "IDEMPOTENCY_KEY",
+    "LOAD",
+    "OUTCOME",
+    "REQUEST_ID",
+    "Headers",
+    "end_to_end",
+    "find",
+    "load_of",
+    "outcome_of",
+    "request_id_of",
+    "timeout_ms_of",
+]
+
+Headers = list[tuple[bytes, bytes]]
+
+REQUEST_ID = b"x-request-id"
+DEADLINE = b"cloverhook-timeout-ms"
+OUTCOME = b"cloverhook-outcome"
+ERROR = b"cloverhook-error"
+LOAD = b"cloverhook-load"
+IDEMPOTENCY_KEY = b"idempotency-key"
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    )
+)
+MAX_REQUEST_ID_BYTES = 128
+MAX_TIMEOUT_DIGITS = 9
+
+
+def find(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
+    """Return the first value of a header, or None."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Return the headers without hop-by-hop ones and those that `Connection` names."""
+    headers = list(headers)
+    named = {
+        token.strip().lower()
+        for key, value in headers
+        if key == b"connection"
+        for token in value.split(b",")
+    }
+    dropped = HOP_BY_HOP | named if named else HOP_BY_HOP
+    return [pair for pair in headers if pair[0] not in dropped]
+
+
+def request_id_of(headers: Iterable[tuple[bytes, bytes]]) -> str:
+    """Return the caller's request identifier, or a new one where it sent none that is usable."""
+    value = find(headers, REQUEST_ID)
+    if value and len(value) <= MAX_REQUEST_ID_BYTES and value.isascii():
+        return value.decode("ascii")
+    return uuid.uuid4().hex
+
+
+def timeout_ms_of(headers: Iterable[tuple[bytes, bytes]], default_ms: float) -> float:
+    """Return the caller's timeout in milliseconds, at most `default_ms`.
+
+    Raises `RequestError` for a header that is no whole number.
+    """
+    value = find(headers, DEADLINE)
+    if value is None:
+        return default_ms
+    if not value.isdigit() or len(value) > MAX_TIMEOUT_DIGITS:
+        raise RequestError(ErrorKind.BAD_REQUEST, "the timeout header is not a whole number")
+    return min(float(value), default_ms)
+
+
+def load_of(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
+    """Return the requests in flight that a backend server reports on its answer, or None."""
+    value = find(headers, LOAD)
+    return int(value) if value is not None and value.isdigit() else None
+
+
+def outcome_of(headers: Iterable[tuple[bytes, bytes]]) -> Outcome | None:
+    """Return what a backend server says of the request it answers, or None."""
+    value = find(headers, OUTCOME)
+    if value == Outcome.NOT_RUN.value.encode():
+        return Outcome.NOT_RUN
+    return None
--- /dev/null
+++ b/cloverhook/platform_http.py
@@ -0,0 +1,73 @@
+"""The platform over HTTP and JSON.
+
+Layer: transport.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+import aiohttp
+
+from cloverhook.errors import PlatformError, PlatformSilentError
+from cloverhook.platform_api import ListedVm, LogSlice, VmPhase
+
+__all__ = ["HttpPlatform"]
+
+
+class HttpPlatform:
+    """The platform over HTTP and JSON."""
+
+    def __init__(self, base_url: str, timeout_ms: float = 2_000) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._timeout_ms = timeout_ms
+        self._session: aiohttp.ClientSession | None = None
+
+    async def append(self, stream: str, record: Mapping[str, Any]) -> int:
+        """Append a record and return its offset."""
+        path = f"/v1/streams/{stream}/records"
+        data = await self._call("POST", path, self._timeout_ms, json=record)
+        return int(data["offset"])
+
+    async def read(self, stream: str, from_offset: int, wait_ms: float = 0) -> LogSlice:
+        """Read records from an offset; with nothing there, wait up to `wait_ms` for one."""
+        path = f"/v1/streams/{stream}/records"
+        params = {"from": str(from_offset), "wait_ms": str(int(wait_ms))}
+        data = await self._call("GET", path, self._timeout_ms + wait_ms, params=params)
+        return LogSlice(
+            data["first_offset"], data["next_offset"], data["from_offset"], tuple(data["records"])
+        )
+
+    async def list_vms(self) -> tuple[ListedVm, ...]:
+        """Return the platform's list of VMs."""
+        data = await self._call("GET", "/v1/vms", self._timeout_ms)
+        return tuple(
+            ListedVm(
+                item["vm"],
+                VmPhase(item["phase"]),
+                item["data_center"],
+                item["caller_address"],
+                item["peer_address"],
+            )
+            for item in data["vms"]
+        )
+
+    async def close(self) -> None:
+        """Close the connections to the platform."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _call(self, method: str, path: str, timeout_ms: float, **options: Any) -> Any:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
+        url = self._base_url + path
+        try:
+            async with self._session.request(method, url, timeout=timeout, **options) as answer:
+                data = await answer.json()
+                if answer.status >= 400:
+                    raise PlatformError(f"{method} {path}: status {answer.status}")
+                return data
+        except aiohttp.ClientConnectorError as error:
+            raise PlatformError(f"{method} {path}: {error}") from error
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            raise PlatformSilentError(f"{method} {path}: {error!r}") from error
--- /dev/null
+++ b/cloverhook/server.py
@@ -0,0 +1,74 @@
+"""Runs ASGI applications on uvicorn, several in one event loop.
+
+Layer: transport.  The loop is named as asyncio's own: uvicorn's automatic choice may take
+uvloop, which opens an io_uring.
+"""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+__all__ = ["Listener"]
+
+
+class _CallerProtocol(HttpToolsProtocol):
+    """HTTP/1.1 that never writes a parser's error into the answer of an earlier request."""
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer a request that can't be parsed, unless another answer is under way."""
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.transport.abort()
+            return
+        super().send_400_response(msg)
+
+
+class _Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave the process's signal handlers alone."""
+        yield
+
+
+class Listener:
+    """One listening address and the application behind it."""
+
+    def __init__(self, app: Any, address: str, idle_ms: int = 30_000) -> None:
+        host, _, port = address.rpartition(":")
+        self._socket = socket.create_server((host, int(port)), backlog=2_048, reuse_port=False)
+        self._socket.setblocking(False)
+        config = uvicorn.Config(
+            app,
+            loop="asyncio",
+            http=_CallerProtocol,
+            ws="none",
+            lifespan="off",
+            access_log=False,
+            log_config=None,
+            log_level="critical",
+            server_header=False,
+            date_header=False,
+            proxy_headers=False,
+            timeout_keep_alive=max(1, idle_ms // 1000),
+        )
+        self._server = _Server(config)
+        self._task: asyncio.Task[None] | None = None
+        self.address = "{}:{}".format(*self._socket.getsockname())
+
+    async def start(self) -> None:
+        """Start to accept connections."""
+        self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
+        while not self._server.started:
+            await asyncio.sleep(0.005)
+
+    async def stop(self) -> None:
+        """Stop accepting, let requests in flight end, and close."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
--- /dev/null
+++ b/cloverhook_emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what stands around cloverhook: the platform, backend servers and callers."""
--- /dev/null
+++ b/cloverhook_emulator/fleet_runner.py
@@ -0,0 +1,203 @@
+"""Starts a small fleet on loopback: a platform, backend servers and daemons, each a process.
+
+The bench, the demo and the features share it.  Ports are ephemeral: a process takes any free
+port and tells it on its standard output.  Only processes that were started here are ended, by
+their pid.
+"""
+
+import asyncio
+import json
+import os
+import re
+import signal
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+
+__all__ = ["DaemonProcess", "Fleet", "Process"]
+
+PEER_KEY = "peer-key-for-loopback"
+OPERATOR_TOKEN = "operator-token-for-loopback"
+START_TIMEOUT_S = 30
+STOP_TIMEOUT_S = 30
+LISTENING = re.compile(r"^[a-z ]+: listening on (\S+)$", re.MULTILINE)
+
+
+@dataclass(slots=True)
+class Process:
+    """A process that was started here."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    log: Path
+    addresses: list[str] = field(default_factory=list)
+
+    @classmethod
+    async def start(cls, name: str, folder: Path, module: str, *arguments: str) -> "Process":
+        """Start a Python module as a process of its own, with its output in a file."""
+        log = folder / f"{name}.log"
+        environment = os.environ | {
+            "CLOVERHOOK_PEER_KEY": PEER_KEY,
+            "CLOVERHOOK_OPERATOR_TOKEN": OPERATOR_TOKEN,
+        }
+        with log.open("wb") as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                module,
+                *arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env=environment,
+            )
+        return cls(name, process, log)
+
+    async def listening(self, count: int = 1) -> list[str]:
+        """Wait until the process has told `count` addresses and return them."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                self.addresses = LISTENING.findall(self.log.read_text())
+                if len(self.addresses) >= count:
+                    return self.addresses
+                if self.process.returncode is not None:
+                    raise RuntimeError(f"{self.name} has ended:\n{self.log.read_text()}")
+                await asyncio.sleep(0.02)
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal unless the process has ended."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def stop(self, number: signal.Signals = signal.SIGTERM) -> int:
+        """Send a signal, wait for the end and return the exit code."""
+        self.send(number)
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                return await self.process.wait()
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            return await self.process.wait()
+
+
+@dataclass(slots=True)
+class DaemonProcess:
+    """A daemon's process and the addresses it listens on."""
+
+    vm: str
+    data_center: str
+    process: Process
+    caller_address: str
+    operator_address: str
+    peer_address: str
+
+
+class Fleet:
+    """The processes of one run.  Use it as an asynchronous context manager."""
+
+    def __init__(self) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix="cloverhook-")
+        self.folder = Path(self._folder.name)
+        self.platform: Process | None = None
+        self.platform_url = ""
+        self.backends: list[Process] = []
+        self.daemons: dict[str, DaemonProcess] = {}
+
+    async def __aenter__(self) -> "Fleet":
+        self.platform = await Process.start(
+            "platform", self.folder, "cloverhook_emulator.platform_server", "--address=127.0.0.1:0"
+        )
+        self.platform_url = f"http://{(await self.platform.listening())[0]}"
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        processes = [daemon.process for daemon in self.daemons.values()]
+        processes += self.backends
+        if self.platform is not None:
+            processes.append(self.platform)
+        for process in processes:
+            process.send(signal.SIGCONT)
+        await asyncio.gather(*(process.stop(signal.SIGKILL) for process in processes))
+        self._folder.cleanup()
+
+    async def start_backend(self, *arguments: str, count: int = 1) -> list[str]:
+        """Start a process with `count` backend servers and return their addresses."""
+        addresses = ",".join(["127.0.0.1:0"] * count)
+        name = f"backend-{len(self.backends)}"
+        process = await Process.start(
+            name,
+            self.folder,
+            "cloverhook_emulator.backend_server",
+            f"--addresses={addresses}",
+            *arguments,
+        )
+        self.backends.append(process)
+        return await process.listening(count)
+
+    async def start_daemon(self, vm: str, data_center: str, **settings: object) -> DaemonProcess:
+        """Start a daemon and wait until it listens."""
+        values = {
+            "vm": vm,
+            "data_center": data_center,
+            "caller_address": "127.0.0.1:0",
+            "operator_address": "127.0.0.1:0",
+            "peer_address": "127.0.0.1:0",
+            "platform_url": self.platform_url,
+            **settings,
+        }
+        path = self.folder / f"{vm}.toml"
+        path.write_text("".join(f"{key} = {json.dumps(value)}\n" for key, value in values.items()))
+        process = await Process.start(
+            vm, self.folder, "cloverhook.daemon", f"--settings={path}", "--stderrthreshold=info"
+        )
+        callers, operators, peers = (await process.listening(3))[:3]
+        daemon = DaemonProcess(vm, data_center, process, callers, operators, peers)
+        self.daemons[vm] = daemon
+        return daemon
+
+    async def list_vms(self, leaving: frozenset[str] = frozenset()) -> None:
+        """Put the daemons that were started on the platform's list."""
+        vms = [
+            {
+                "vm": daemon.vm,
+                "phase": "leaving" if daemon.vm in leaving else "live",
+                "data_center": daemon.data_center,
+                "caller_address": daemon.caller_address,
+                "peer_address": daemon.peer_address,
+            }
+            for daemon in self.daemons.values()
+        ]
+        async with (
+            aiohttp.ClientSession() as session,
+            session.put(f"{self.platform_url}/v1/vms", json={"vms": vms}) as answer,
+        ):
+            answer.raise_for_status()
+
+    async def tool(self, *arguments: str) -> tuple[int, str, str]:
+        """Run the command-line tool; return its exit code, output and errors."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "cloverhook.cli",
+            *arguments,
+            f"--platform={self.platform_url}",
+            f"--daemons={','.join(d.operator_address for d in self.daemons.values())}",
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+            env=os.environ | {"CLOVERHOOK_OPERATOR_TOKEN": OPERATOR_TOKEN},
+        )
+        output, errors = await process.communicate()
+        return process.returncode, output.decode(), errors.decode()
+
+    async def status(self, vm: str) -> dict:
+        """Return a daemon's status."""
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        address = self.daemons[vm].operator_address
+        async with (
+            aiohttp.ClientSession(headers=headers) as session,
+            session.get(f"http://{address}/v1/status") as answer,
+        ):
+            return await answer.json()
--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Behaviour tests, run by behave; `python -m features.run` runs them all."""
