--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -55,7 +55,7 @@
         self._platform = platform
         self._incarnation = time.time_ns() // 1_000_000
         self._time_line = TimeLine(settings.vm)
-        self._dispatcher = Dispatcher(random.Random())
+        self._dispatcher = Dispatcher(random.Random(), self)
         self._pool = UpstreamPool()
         self._follower = Follower(platform, self._on_folded)
         self._stopping = asyncio.Event()
@@ -150,6 +150,14 @@
         """Return this daemon's part of the time line."""
         return [event.to_document() for event in self._time_line.events()]
 
+    def tell(self, vm: str, message: Message) -> None:
+        """Send a message to another VM; it may be lost."""
+        self._links.send(vm, message)
+
+    def probe(self, target: Target, address: str) -> None:
+        """Ask an endpoint for its load and report the answer to its router."""
+        del target, address
+
     async def _start_peering(self) -> None:
         settings = self._settings
         hello = Hello(
--- a/cloverhook/dispatch.py
+++ b/cloverhook/dispatch.py
@@ -7,10 +7,12 @@
 import asyncio
 import random
 from dataclasses import dataclass
+from typing import Protocol
 
 from cloverhook.errors import ErrorKind, RequestError
 from cloverhook.fleet import Policy, Service
 from cloverhook.fold import State
+from cloverhook.messages import Message
 from cloverhook.routing import (
     Action,
     Arrival,
@@ -18,13 +20,18 @@
     CallerGone,
     EndpointsChanged,
     Event,
+    HomesChanged,
+    PeerSaid,
+    Probe,
+    ProbeEnded,
     Refuse,
     ServiceRouter,
     Start,
+    Tell,
     Tick,
 )
 
-__all__ = ["Dispatcher", "Target"]
+__all__ = ["Dispatcher", "Outlet", "Target"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,12 +48,24 @@
         return f"{self.brand}/{self.service.name}"
 
 
+class Outlet(Protocol):
+    """What the daemon does for the routers beside starting requests."""
+
+    def tell(self, vm: str, message: Message) -> None:
+        """Send a message to another VM; it may be lost."""
+
+    def probe(self, target: Target, address: str) -> None:
+        """Ask an endpoint for its load and report it by `Dispatcher.probe_ended`."""
+
+
 class Dispatcher:
     """The routers of this daemon and the requests that wait for them."""
 
-    def __init__(self, source: random.Random) -> None:
+    def __init__(self, source: random.Random, outlet: Outlet) -> None:
         self._random = source
+        self._outlet = outlet
         self._targets: dict[bytes, Target] = {}
+        self._target_of: dict[str, Target] = {}
         self._routers: dict[str, ServiceRouter] = {}
         self._waiting: dict[str, asyncio.Future[str]] = {}
 
@@ -63,7 +82,7 @@
 
     def targets(self) -> tuple[Target, ...]:
         """Return the services in force."""
-        return tuple({target.key: target for target in self._targets.values()}.values())
+        return tuple(self._target_of.values())
 
     def target_for(self, host: bytes) -> Target:
         """Return the service for a host name.  Raises `RequestError` when there is none."""
@@ -87,6 +106,18 @@
         """Report the end of a request's last attempt."""
         self._drive(target.key, ended, now_ms)
 
+    def homes_changed(self, key: str, own_vm: str, homes: tuple[str, ...], now_ms: float) -> None:
+        """Take the VMs that a service's callers gather on now."""
+        self._drive(key, HomesChanged(own_vm, homes), now_ms)
+
+    def peer_said(self, key: str, vm: str, message: Message, now_ms: float) -> None:
+        """Take another VM's message about a service."""
+        self._drive(key, PeerSaid(vm, message), now_ms)
+
+    def probe_ended(self, key: str, ended: ProbeEnded, now_ms: float) -> None:
+        """Take the end of a probe."""
+        self._drive(key, ended, now_ms)
+
     def tick(self, now_ms: float) -> None:
         """Let time pass for all routers."""
         for key in tuple(self._routers):
@@ -109,20 +140,30 @@
         if router is None:
             return
         for action in router.handle(event, now_ms):
-            self._perform(action)
+            self._perform(key, action)
 
-    def _perform(self, action: Action) -> None:
-        future = self._waiting.get(action.request_id)
-        if future is None or future.done():
-            return
+    def _perform(self, key: str, action: Action) -> None:
         match action:
-            case Start(_, address):
-                future.set_result(address)
-            case Refuse(_, kind, retry_after_ms):
-                future.set_exception(RequestError(kind, retry_after_ms=retry_after_ms))
+            case Tell(vm, message):
+                self._outlet.tell(vm, message)
+            case Probe(address):
+                self._outlet.probe(self._target_of[key], address)
+            case Start(request_id, address):
+                future = self._pending(request_id)
+                if future is not None:
+                    future.set_result(address)
+            case Refuse(request_id, kind, retry_after_ms):
+                future = self._pending(request_id)
+                if future is not None:
+                    future.set_exception(RequestError(kind, retry_after_ms=retry_after_ms))
+
+    def _pending(self, request_id: str) -> asyncio.Future[str] | None:
+        future = self._waiting.get(request_id)
+        return None if future is None or future.done() else future
 
     def _update_routers(self, now_ms: float) -> None:
-        wanted = {target.key: target for target in self.targets()}
+        wanted = {target.key: target for target in self._targets.values()}
+        self._target_of = wanted
         for key in set(self._routers) - set(wanted):
             self._drive(key, EndpointsChanged((), Policy()), now_ms)
             del self._routers[key]
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -21,6 +21,7 @@
 
 from cloverhook.errors import ErrorKind
 from cloverhook.fleet import Endpoint, Policy, Priority
+from cloverhook.messages import Message
 
 __all__ = [
     "Action",
@@ -30,9 +31,14 @@
     "CallerGone",
     "EndpointsChanged",
     "Event",
+    "HomesChanged",
+    "PeerSaid",
+    "Probe",
+    "ProbeEnded",
     "Refuse",
     "ServiceRouter",
     "Start",
+    "Tell",
     "Tick",
 ]
 
@@ -105,7 +111,41 @@
     """Time has passed: deadlines and limits of waiting are looked at."""
 
 
-Event = Arrival | AttemptEnded | CallerGone | EndpointsChanged | Tick
+@dataclass(frozen=True, slots=True)
+class HomesChanged:
+    """The VMs that the service's callers gather on have changed; `own_vm` is this daemon's name."""
+
+    own_vm: str
+    homes: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSaid:
+    """Another VM has sent a message about this service."""
+
+    vm: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeEnded:
+    """A probe has ended after `latency_ms`; `load` is None when it gave no answer."""
+
+    address: str
+    load: int | None
+    latency_ms: float
+
+
+Event = (
+    Arrival
+    | AttemptEnded
+    | CallerGone
+    | EndpointsChanged
+    | HomesChanged
+    | PeerSaid
+    | ProbeEnded
+    | Tick
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +165,22 @@
     retry_after_ms: float = 0
 
 
-Action = Start | Refuse
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Ask an endpoint for its load."""
+
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Send a message about this service to another VM."""
+
+    vm: str
+    message: Message
+
+
+Action = Start | Refuse | Probe | Tell
 
 
 @dataclass(slots=True)
@@ -198,6 +253,18 @@
                 self._endpoints[address] = _EndpointState(endpoint)
         return self._start_waiting(now_ms)
 
+    @handle.register
+    def _(self, event: HomesChanged, now_ms: float) -> tuple[Action, ...]:
+        return ()
+
+    @handle.register
+    def _(self, event: PeerSaid, now_ms: float) -> tuple[Action, ...]:
+        return ()
+
+    @handle.register
+    def _(self, event: ProbeEnded, now_ms: float) -> tuple[Action, ...]:
+        return ()
+
     @handle.register
     def _(self, event: Tick, now_ms: float) -> tuple[Action, ...]:
         late: list[Action] = []
