Let tests set faults of the platform's stand-in over HTTP

The features have to bring about an outage, a slow store, lost answers, refused appends, retention that cut the head, and a stream that starts over. The faults stand in one class that works in process and behind the HTTP stand-in.

HttpPlatform told a 5xx answer as 'no effect'. A server that fails after it has stored the record answers the same, so only 400 to 499 say that now; everything else is silent.

--- a/cloverhook/platform_api.py
+++ b/cloverhook/platform_api.py
@@ -17,6 +17,9 @@
 __all__ = ["ListedVm", "LogSlice", "MemoryPlatform", "Platform", "VmPhase"]
 
 
+MAX_RECORDS_READ = 500
+
+
 class VmPhase(Enum):
     """What the platform's list says of a VM."""
 
@@ -88,7 +91,8 @@
             await self._wait(stream, from_offset, wait_ms)
         first = self.first_offsets.get(stream, 0)
         start = max(from_offset, first)
-        records = tuple(self.streams.get(stream, [])[start - first :])
+        kept = self.streams.get(stream, [])
+        records = tuple(kept[start - first : start - first + MAX_RECORDS_READ])
         return LogSlice(first, self._next_offset(stream), start, records)
 
     async def list_vms(self) -> tuple[ListedVm, ...]:
@@ -101,8 +105,9 @@
     def truncate(self, stream: str, first_offset: int) -> None:
         """Drop the records before an offset, as the platform's retention does."""
         first = self.first_offsets.get(stream, 0)
-        self.streams[stream] = self.streams.get(stream, [])[first_offset - first :]
-        self.first_offsets[stream] = first_offset
+        cut = min(max(first_offset, first), self._next_offset(stream))
+        self.streams[stream] = self.streams.get(stream, [])[cut - first :]
+        self.first_offsets[stream] = cut
 
     def _next_offset(self, stream: str) -> int:
         return self.first_offsets.get(stream, 0) + len(self.streams.get(stream, []))
--- a/cloverhook/platform_http.py
+++ b/cloverhook/platform_http.py
@@ -1,6 +1,7 @@
 """The platform over HTTP and JSON.
 
-Layer: transport.
+Layer: transport.  An answer from 400 to 499 says that the call had no effect.  After any other
+failure but a connection that was never made, the call may have had its effect.
 """
 
 from collections.abc import Mapping
@@ -13,6 +14,9 @@
 
 __all__ = ["HttpPlatform"]
 
+CALL_REFUSED = 400
+SERVER_FAULT = 500
+
 
 class HttpPlatform:
     """The platform over HTTP and JSON."""
@@ -63,10 +67,11 @@
         url = self._base_url + path
         try:
             async with self._session.request(method, url, timeout=timeout, **options) as answer:
-                data = await answer.json()
-                if answer.status >= 400:
+                if answer.status >= SERVER_FAULT:
+                    raise PlatformSilentError(f"{method} {path}: status {answer.status}")
+                if answer.status >= CALL_REFUSED:
                     raise PlatformError(f"{method} {path}: status {answer.status}")
-                return data
+                return await answer.json()
         except aiohttp.ClientConnectorError as error:
             raise PlatformError(f"{method} {path}: {error}") from error
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
--- a/cloverhook_emulator/platform_server.py
+++ b/cloverhook_emulator/platform_server.py
@@ -1,24 +1,41 @@
-"""A stand-in for the platform: the append-only log and the list of VMs, over HTTP and JSON."""
+"""A stand-in for the platform: the append-only log and the list of VMs, over HTTP and JSON.
+
+Beside what a platform offers, tests set faults: `PUT /v1/faults` takes the fields of
+`PlatformFaults`, `POST /v1/streams/{stream}/truncate` drops the records before `first_offset`,
+and `POST /v1/streams/{stream}/reset` loses a stream.
+"""
 
 import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import asdict
+from typing import Any
 
 import falcon
 import falcon.asgi
 from absl import app, flags
 
-from cloverhook.platform_api import ListedVm, MemoryPlatform, VmPhase
+from cloverhook.errors import PlatformError, PlatformSilentError
+from cloverhook.platform_api import ListedVm, VmPhase
 from cloverhook.server import Listener
+from cloverhook_emulator.faulty_platform import (
+    DEFAULT_APPENDS_PER_S,
+    FaultyPlatform,
+    PlatformFaults,
+)
 
 __all__ = ["platform_app"]
 
 FLAGS = flags.FLAGS
 flags.DEFINE_string("address", "127.0.0.1:7000", "The address to listen on.")
+flags.DEFINE_integer("appends_per_s", DEFAULT_APPENDS_PER_S, "The limit of appends a second.")
 
 
-class _Records:
-    def __init__(self, platform: MemoryPlatform) -> None:
+class _Resource:
+    def __init__(self, platform: FaultyPlatform) -> None:
         self._platform = platform
 
+
+class _Records(_Resource):
     async def on_post(
         self, request: falcon.asgi.Request, response: falcon.asgi.Response, stream: str
     ) -> None:
@@ -41,11 +58,26 @@
         }
 
 
-class _Vms:
-    def __init__(self, platform: MemoryPlatform) -> None:
-        self._platform = platform
+class _Truncate(_Resource):
+    async def on_post(
+        self, request: falcon.asgi.Request, response: falcon.asgi.Response, stream: str
+    ) -> None:
+        data = await request.get_media()
+        self._platform.truncate(stream, data["first_offset"])
+        response.media = {}
+
+
+class _Reset(_Resource):
+    async def on_post(
+        self, request: falcon.asgi.Request, response: falcon.asgi.Response, stream: str
+    ) -> None:
+        self._platform.reset(stream)
+        response.media = {}
+
 
+class _Vms(_Resource):
     async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        listed = await self._platform.list_vms()
         response.media = {
             "vms": [
                 {
@@ -55,7 +87,7 @@
                     "caller_address": item.caller_address,
                     "peer_address": item.peer_address,
                 }
-                for item in self._platform.vms
+                for item in listed
             ]
         }
 
@@ -67,16 +99,63 @@
         response.media = {}
 
 
-def platform_app(platform: MemoryPlatform) -> falcon.asgi.App:
+class _Faults(_Resource):
+    async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        response.media = {
+            **asdict(self._platform.faults),
+            "appends": self._platform.appends,
+            "refused_appends": self._platform.refused_appends,
+        }
+
+    async def on_put(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        try:
+            self._platform.set_faults(PlatformFaults(**await request.get_media()))
+        except TypeError as error:
+            raise falcon.HTTPBadRequest(title="unknown fault", description=str(error)) from error
+        response.media = {}
+
+
+async def _refuse(
+    request: falcon.asgi.Request,
+    response: falcon.asgi.Response,
+    error: PlatformError,
+    params: dict[str, Any],
+) -> None:
+    response.status = falcon.HTTP_429
+    response.media = {"error": str(error)}
+
+
+async def _cut(
+    request: falcon.asgi.Request,
+    response: falcon.asgi.Response,
+    error: PlatformSilentError,
+    params: dict[str, Any],
+) -> None:
+    """Cut the connection in place of the answer's body."""
+    response.content_length = 1
+    response.stream = _broken_stream()
+
+
+async def _broken_stream() -> AsyncIterator[bytes]:
+    raise ConnectionResetError
+    yield b""
+
+
+def platform_app(platform: FaultyPlatform) -> falcon.asgi.App:
     """Return the stand-in's application over a platform in memory."""
     application = falcon.asgi.App()
+    application.add_error_handler(PlatformError, _refuse)
+    application.add_error_handler(PlatformSilentError, _cut)
     application.add_route("/v1/streams/{stream}/records", _Records(platform))
+    application.add_route("/v1/streams/{stream}/truncate", _Truncate(platform))
+    application.add_route("/v1/streams/{stream}/reset", _Reset(platform))
     application.add_route("/v1/vms", _Vms(platform))
+    application.add_route("/v1/faults", _Faults(platform))
     return application
 
 
 async def _serve() -> None:
-    listener = Listener(platform_app(MemoryPlatform()), FLAGS.address)
+    listener = Listener(platform_app(FaultyPlatform(FLAGS.appends_per_s)), FLAGS.address)
     await listener.start()
     print(f"platform: listening on {listener.address}", flush=True)
     await asyncio.Event().wait()
