--- /dev/null
+++ b/cloverhook/checking.py
@@ -0,0 +1,308 @@
+"""Checks documents (parsed TOML, JSON or CBOR) against a description of what is allowed.
+
+Layer: state.  A description is built of kinds: a `Table` has named fields, `Items` is a list, and
+the others are single values.  `faults_of` reports every fault of a document at once, each with its
+key, what was found and what is allowed.  For example:
+
+>>> kind = Table({"slots": Integer(1, 100)}, required=frozenset({"slots"}))
+>>> for fault in faults_of(kind, "", {"slots": 0, "color": "red"}):
+...     print(fault)
+slots: found 0; allowed: an integer from 1 to 100
+color: found 'red'; allowed: one of: slots
+"""
+
+import ipaddress
+import math
+import re
+from collections.abc import Iterator, Mapping
+from dataclasses import MISSING, dataclass, field, fields
+from functools import singledispatch
+from typing import Any
+
+from cloverhook.errors import Fault
+
+__all__ = [
+    "HOST",
+    "NAME",
+    "Address",
+    "Anything",
+    "Choice",
+    "Flag",
+    "Integer",
+    "Items",
+    "Kind",
+    "MapOf",
+    "Number",
+    "Table",
+    "Text",
+    "duplicates",
+    "faults_of",
+    "kind_field",
+    "table_of",
+]
+
+SHOWN_CHARS = 80
+MAX_PORT = 65_535
+MAX_INTEGER = 2**53
+
+
+@dataclass(frozen=True, slots=True)
+class Text:
+    """A string that a pattern matches whole."""
+
+    allowed: str = "a non-empty string"
+    pattern: str = r"[^\x00-\x1f]{1,4096}"
+
+
+@dataclass(frozen=True, slots=True)
+class Integer:
+    """A whole number within bounds."""
+
+    minimum: int = 0
+    maximum: int = MAX_INTEGER
+
+    @property
+    def allowed(self) -> str:
+        """What is allowed, for a fault."""
+        return f"an integer from {self.minimum} to {self.maximum}"
+
+
+@dataclass(frozen=True, slots=True)
+class Number:
+    """A finite number within bounds, whole or not."""
+
+    minimum: float = 0
+    maximum: float = MAX_INTEGER
+
+    @property
+    def allowed(self) -> str:
+        """What is allowed, for a fault."""
+        return f"a number from {self.minimum:g} to {self.maximum:g}"
+
+
+@dataclass(frozen=True, slots=True)
+class Flag:
+    """True or false."""
+
+    allowed: str = "true or false"
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """One of a few strings."""
+
+    values: tuple[str, ...]
+
+    @property
+    def allowed(self) -> str:
+        """What is allowed, for a fault."""
+        return f"one of: {', '.join(self.values)}"
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IPv4 address and a port; port 0 only where any free port will do."""
+
+    minimum_port: int = 1
+
+    @property
+    def allowed(self) -> str:
+        """What is allowed, for a fault."""
+        return f"ip:port, such as 10.0.0.1:8080, the port from {self.minimum_port} to {MAX_PORT}"
+
+
+@dataclass(frozen=True, slots=True)
+class Anything:
+    """A table that is checked elsewhere."""
+
+    allowed: str = "a table"
+
+
+@dataclass(frozen=True, slots=True)
+class Items:
+    """A list whose items are all of one kind."""
+
+    item: "Kind"
+    minimum: int = 0
+
+    @property
+    def allowed(self) -> str:
+        """What is allowed, for a fault."""
+        return f"a list of at least {self.minimum}" if self.minimum else "a list"
+
+
+@dataclass(frozen=True, slots=True)
+class MapOf:
+    """A table with free keys whose values are all of one kind."""
+
+    value: "Kind"
+    allowed: str = "a table"
+
+
+@dataclass(frozen=True, slots=True)
+class Table:
+    """A table with known keys; further keys are faults unless it is `open`."""
+
+    fields: Mapping[str, "Kind"]
+    required: frozenset[str] = frozenset()
+    open: bool = False
+    allowed: str = "a table"
+
+
+Value = Text | Integer | Number | Flag | Choice | Address | Anything
+Kind = Value | Items | MapOf | Table
+
+NAME = Text(
+    "lower-case letters, digits and hyphens, at most 63", r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?"
+)
+HOST = Text("a lower-case host name without a port", r"(?=.{1,253}$)[a-z0-9]([a-z0-9.-]*[a-z0-9])?")
+DEFAULT_KINDS: dict[type, Kind] = {
+    int: Integer(),
+    float: Number(),
+    bool: Flag(),
+    str: Text("a string", r"(?s).*"),
+}
+
+
+def kind_field(kind: Kind, default: Any = MISSING) -> Any:
+    """Return a data class field whose metadata say what is allowed in it."""
+    return field(default=default, metadata={"kind": kind})
+
+
+def table_of(data_class: type) -> Table:
+    """Return the table that describes a data class; fields without a default are required."""
+    return Table(
+        {item.name: _kind_of(item) for item in fields(data_class)},
+        frozenset(item.name for item in fields(data_class) if item.default is MISSING),
+    )
+
+
+def faults_of(kind: Kind, key: str, value: Any) -> tuple[Fault, ...]:
+    """Return every fault of a value; `key` is its path in the document, empty for the whole."""
+    return tuple(_faults(kind, key, value))
+
+
+def duplicates(keyed: list[tuple[str, str]], what: str) -> tuple[Fault, ...]:
+    """Return a fault for each (key, value) whose value an earlier one has."""
+    first: dict[str, str] = {}
+    found: list[Fault] = []
+    for key, value in keyed:
+        if value in first:
+            found.append(Fault(key, repr(value), f"a {what} that {first[value]} does not have"))
+        first.setdefault(value, key)
+    return tuple(found)
+
+
+def _kind_of(item: Any) -> Kind:
+    return item.metadata.get("kind") or DEFAULT_KINDS[item.type]
+
+
+def _fault(kind: Kind, key: str, value: Any) -> Fault:
+    shown = repr(value)
+    if len(shown) > SHOWN_CHARS:
+        shown = shown[:SHOWN_CHARS] + "..."
+    return Fault(key or "the document", shown, kind.allowed)
+
+
+def _join(key: str, name: str) -> str:
+    return f"{key}.{name}" if key else name
+
+
+@singledispatch
+def _faults(kind: Value, key: str, value: Any) -> Iterator[Fault]:
+    if not _accepts(kind, value):
+        yield _fault(kind, key, value)
+
+
+@_faults.register
+def _(kind: Items, key: str, value: Any) -> Iterator[Fault]:
+    if not isinstance(value, list | tuple) or len(value) < kind.minimum:
+        yield _fault(kind, key, value)
+        return
+    for index, item in enumerate(value):
+        yield from _faults(kind.item, f"{key}[{index}]", item)
+
+
+@_faults.register
+def _(kind: MapOf, key: str, value: Any) -> Iterator[Fault]:
+    if not _is_table(value):
+        yield _fault(kind, key, value)
+        return
+    for name, item in value.items():
+        yield from _faults(kind.value, _join(key, name), item)
+
+
+@_faults.register
+def _(kind: Table, key: str, value: Any) -> Iterator[Fault]:
+    if not _is_table(value):
+        yield _fault(kind, key, value)
+        return
+    for name, field_kind in kind.fields.items():
+        if name in value:
+            yield from _faults(field_kind, _join(key, name), value[name])
+        elif name in kind.required:
+            yield Fault(_join(key, name), "nothing", field_kind.allowed)
+    if not kind.open:
+        yield from _unknown_keys(kind, key, value)
+
+
+def _unknown_keys(kind: Table, key: str, value: Mapping[str, Any]) -> Iterator[Fault]:
+    known = Choice(tuple(kind.fields))
+    for name in value:
+        if name not in kind.fields:
+            yield _fault(known, _join(key, name), value[name])
+
+
+def _is_table(value: Any) -> bool:
+    return isinstance(value, Mapping) and all(isinstance(name, str) for name in value)
+
+
+@singledispatch
+def _accepts(kind: Value, value: Any) -> bool:
+    raise TypeError(f"no check for {kind!r}")
+
+
+@_accepts.register
+def _(kind: Text, value: Any) -> bool:
+    return isinstance(value, str) and re.fullmatch(kind.pattern, value) is not None
+
+
+@_accepts.register
+def _(kind: Integer, value: Any) -> bool:
+    return type(value) is int and kind.minimum <= value <= kind.maximum
+
+
+@_accepts.register
+def _(kind: Number, value: Any) -> bool:
+    if type(value) not in (int, float):
+        return False
+    return math.isfinite(value) and kind.minimum <= value <= kind.maximum
+
+
+@_accepts.register
+def _(kind: Flag, value: Any) -> bool:
+    return isinstance(value, bool)
+
+
+@_accepts.register
+def _(kind: Choice, value: Any) -> bool:
+    return isinstance(value, str) and value in kind.values
+
+
+@_accepts.register
+def _(kind: Anything, value: Any) -> bool:
+    return _is_table(value)
+
+
+@_accepts.register
+def _(kind: Address, value: Any) -> bool:
+    if not isinstance(value, str):
+        return False
+    host, _, port = value.rpartition(":")
+    if re.fullmatch(r"[0-9]{1,5}", port) is None:
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return kind.minimum_port <= int(port) <= MAX_PORT
--- a/cloverhook/fleet.py
+++ b/cloverhook/fleet.py
@@ -5,15 +5,32 @@
 faults at once.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 from typing import Any
 
+from cloverhook.checking import (
+    HOST,
+    NAME,
+    Address,
+    Choice,
+    Integer,
+    Items,
+    Number,
+    Table,
+    Text,
+    duplicates,
+    faults_of,
+    kind_field,
+    table_of,
+)
 from cloverhook.errors import ConfigError, Fault
 
 __all__ = ["Brand", "Endpoint", "Policy", "Preset", "Priority", "Route", "Service"]
 
+HOUR_MS = 3_600_000
+
 
 class Preset(Enum):
     """The three presets; exactly one is in force for a brand at a time."""
@@ -57,12 +74,12 @@
     `measuring_ms_per_s` is the measuring budget: the time of probes, all VMs together, per second.
     """
 
-    timeout_ms: float = 10_000
-    wait_limit_ms: float = 1_000
-    retry_ratio: float = 0.1
-    measuring_ms_per_s: float = 60
-    lifetime_ms: float = 5_000
-    home_vms: int = 3
+    timeout_ms: float = kind_field(Number(1, HOUR_MS), 10_000)
+    wait_limit_ms: float = kind_field(Number(0, HOUR_MS), 1_000)
+    retry_ratio: float = kind_field(Number(0, 1), 0.1)
+    measuring_ms_per_s: float = kind_field(Number(0, 1_000_000), 60)
+    lifetime_ms: float = kind_field(Number(100, HOUR_MS), 5_000)
+    home_vms: int = kind_field(Integer(1, 10_000), 3)
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,44 +125,106 @@
 
         Raises `ConfigError` with every fault of the document.
         """
-        faults: list[Fault] = []
-        name = document.get("brand")
-        if not isinstance(name, str) or not name:
-            faults.append(Fault("brand", repr(name), "a non-empty string"))
-        services = tuple(
-            _service(f"services[{index}]", item, faults)
-            for index, item in enumerate(document.get("services", ()))
-        )
+        faults = faults_of(BRAND, "", document) or _duplicates(document)
         if faults:
-            raise ConfigError(tuple(faults))
-        return cls(name, services)
-
-
-def _service(key: str, item: Mapping[str, Any], faults: list[Fault]) -> Service:
-    endpoints = tuple(
-        Endpoint(
-            address, place["data_center"], place.get("slots", 4), place.get("connections", 200)
-        )
-        for place in item.get("places", ())
-        for address in place["endpoints"]
-    )
-    routes = tuple(
-        Route(route["path_prefix"], Priority[route["priority"].upper()])
-        for route in item.get("routes", ())
-    )
-    if not item.get("hosts"):
-        faults.append(Fault(f"{key}.hosts", repr(item.get("hosts")), "at least one host name"))
-    policies = {
-        preset: Policy(
-            **{**item.get("policy", {}), **item.get("presets", {}).get(preset.value, {})}
-        )
-        for preset in Preset
-    }
+            raise ConfigError(faults)
+        services = tuple(_service(item) for item in document.get("services", ()))
+        return cls(document["brand"], services)
+
+    def hosts(self) -> frozenset[str]:
+        """Return the host names of all services."""
+        return frozenset(host for service in self.services for host in service.hosts)
+
+
+ROUTE = Table(
+    {
+        "path_prefix": Text("a path that starts with /", r"/[^\s?#]{0,1023}"),
+        "priority": Choice(tuple(priority.name.lower() for priority in Priority)),
+    },
+    required=frozenset(("path_prefix", "priority")),
+)
+PLACE = Table(
+    {
+        "data_center": NAME,
+        "endpoints": Items(Address(), minimum=1),
+        "slots": Integer(1, 100_000),
+        "connections": Integer(1, 1_000_000),
+        "leaving": Items(Address()),
+    },
+    required=frozenset(("data_center", "endpoints")),
+)
+POLICY = table_of(Policy)
+SERVICE = Table(
+    {
+        "name": NAME,
+        "hosts": Items(HOST, minimum=1),
+        "priority": ROUTE.fields["priority"],
+        "places": Items(PLACE),
+        "routes": Items(ROUTE),
+        "policy": POLICY,
+        "presets": Table({preset.value: POLICY for preset in Preset}),
+    },
+    required=frozenset(("name", "hosts")),
+)
+BRAND = Table({"brand": NAME, "services": Items(SERVICE)}, required=frozenset(("brand",)))
+
+
+def _duplicates(document: Mapping[str, Any]) -> tuple[Fault, ...]:
+    services = list(enumerate(document.get("services", ())))
+    names = [(f"services[{index}].name", item["name"]) for index, item in services]
+    hosts = [
+        (f"services[{index}].hosts[{place}]", host)
+        for index, item in services
+        for place, host in enumerate(item["hosts"])
+    ]
+    faults = list(duplicates(names, "service name"))
+    faults.extend(duplicates(hosts, "host name"))
+    for index, item in services:
+        faults.extend(_place_faults(f"services[{index}]", item.get("places", ())))
+        prefixes = [
+            (f"services[{index}].routes[{place}].path_prefix", route["path_prefix"])
+            for place, route in enumerate(item.get("routes", ()))
+        ]
+        faults.extend(duplicates(prefixes, "path prefix"))
+    return tuple(faults)
+
+
+def _place_faults(key: str, places: Sequence[Mapping[str, Any]]) -> Iterator[Fault]:
+    endpoints = [
+        (f"{key}.places[{index}].endpoints[{item}]", address)
+        for index, place in enumerate(places)
+        for item, address in enumerate(place["endpoints"])
+    ]
+    yield from duplicates(endpoints, "address")
+    for index, place in enumerate(places):
+        for item, address in enumerate(place.get("leaving", ())):
+            if address not in place["endpoints"]:
+                name = f"{key}.places[{index}].leaving[{item}]"
+                yield Fault(name, repr(address), "one of this place's endpoints")
+
+
+def _service(item: Mapping[str, Any]) -> Service:
+    presets = item.get("presets", {})
     return Service(
-        name=item.get("name", ""),
-        hosts=tuple(item.get("hosts", ())),
-        endpoints=endpoints,
+        name=item["name"],
+        hosts=tuple(item["hosts"]),
+        endpoints=tuple(
+            endpoint for place in item.get("places", ()) for endpoint in _endpoints(place)
+        ),
         priority=Priority[item.get("priority", "normal").upper()],
-        routes=routes,
-        policies=policies,
+        routes=tuple(
+            Route(route["path_prefix"], Priority[route["priority"].upper()])
+            for route in item.get("routes", ())
+        ),
+        policies={
+            preset: Policy(**{**item.get("policy", {}), **presets.get(preset.value, {})})
+            for preset in Preset
+        },
     )
+
+
+def _endpoints(place: Mapping[str, Any]) -> Iterator[Endpoint]:
+    limits = {name: place[name] for name in ("slots", "connections") if name in place}
+    leaving = place.get("leaving", ())
+    for address in place["endpoints"]:
+        yield Endpoint(address, place["data_center"], leaving=address in leaving, **limits)
--- a/cloverhook/records.py
+++ b/cloverhook/records.py
@@ -9,11 +9,22 @@
 from dataclasses import dataclass
 from typing import Any
 
+from cloverhook.checking import (
+    NAME,
+    Anything,
+    Choice,
+    Integer,
+    Table,
+    Text,
+    faults_of,
+)
 from cloverhook.errors import MessageError
 from cloverhook.fleet import Preset
 
 __all__ = [
+    "CHANGE_ID",
     "CONFIG_STREAM",
+    "Action",
     "Change",
     "Publish",
     "Record",
@@ -52,13 +63,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """An operator's change of one brand, which builds on `base_version` of that brand."""
+    """An operator's change of one brand, which builds on `base_version` of that brand.
+
+    `at_ms` is when it was made by the operator's clock; nothing is decided by it.
+    """
 
     change_id: str
     brand: str
     base_version: int
     operator: str
     action: Action
+    at_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +104,7 @@
         "base_version": record.base_version,
         "operator": record.operator,
         "action": _encode_action(record.action),
+        "at_ms": record.at_ms,
     }
 
 
@@ -102,30 +118,74 @@
             return {"type": "remove-brand"}
 
 
-def decode_record(data: Mapping[str, Any]) -> Record:
-    """Return the record for a JSON object.  Raises `MessageError` for one that can't be read."""
-    try:
-        if data["format"] != FORMAT:
-            raise MessageError(f"record format {data['format']!r}")
-        if data["type"] == "snapshot":
-            return Snapshot(data["next_offset"], data["state"])
-        return Change(
-            data["change_id"],
-            data["brand"],
-            data["base_version"],
-            data["operator"],
-            _decode_action(data["action"]),
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        raise MessageError(f"record: {error!r}") from error
+CHANGE_ID = Text("an identifier of at most 64 characters", r"[A-Za-z0-9_.:-]{1,64}")
+RECORD = Table(
+    {"format": Integer(FORMAT, FORMAT), "type": Choice(("change", "snapshot"))},
+    frozenset(("format", "type")),
+    open=True,
+)
+CHANGE = Table(
+    {
+        "change_id": CHANGE_ID,
+        "brand": NAME,
+        "base_version": Integer(),
+        "operator": Text(),
+        "action": Anything(),
+        "at_ms": Integer(),
+    },
+    frozenset(("change_id", "brand", "base_version", "operator", "action")),
+    open=True,
+)
+SNAPSHOT = Table(
+    {"next_offset": Integer(), "state": Anything()},
+    frozenset(("next_offset", "state")),
+    open=True,
+)
+ACTION = Table(
+    {"type": Choice(("publish", "switch-preset", "remove-brand"))}, frozenset(("type",)), open=True
+)
+PUBLISH = Table({"document": Anything()}, frozenset(("document",)), open=True)
+SWITCH_PRESET = Table(
+    {"preset": Choice(tuple(preset.value for preset in Preset))},
+    frozenset(("preset",)),
+    open=True,
+)
+
+
+def decode_record(data: Any) -> Record:
+    """Return the record for a JSON object.  Raises `MessageError` for one that can't be read.
+
+    Keys that this version does not know are dropped.
+    """
+    _require(RECORD, data)
+    if data["type"] == "snapshot":
+        _require(SNAPSHOT, data)
+        return Snapshot(data["next_offset"], data["state"])
+    _require(CHANGE, data)
+    return Change(
+        data["change_id"],
+        data["brand"],
+        data["base_version"],
+        data["operator"],
+        _decode_action(data["action"]),
+        data.get("at_ms", 0),
+    )
 
 
 def _decode_action(data: Mapping[str, Any]) -> Action:
+    _require(ACTION, data)
     match data["type"]:
         case "publish":
+            _require(PUBLISH, data)
             return Publish(data["document"])
         case "switch-preset":
+            _require(SWITCH_PRESET, data)
             return SwitchPreset(Preset(data["preset"]))
-        case "remove-brand":
+        case _:
             return RemoveBrand()
-    raise MessageError(f"action {data['type']!r}")
+
+
+def _require(table: Table, data: Any) -> None:
+    faults = faults_of(table, "", data)
+    if faults:
+        raise MessageError("; ".join(str(fault) for fault in faults))
--- a/cloverhook/settings.py
+++ b/cloverhook/settings.py
@@ -8,14 +8,29 @@
 import os
 import tomllib
 from collections.abc import Mapping
-from dataclasses import MISSING, dataclass, fields
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from cloverhook.checking import (
+    NAME,
+    Address,
+    Choice,
+    Integer,
+    Text,
+    faults_of,
+    kind_field,
+    table_of,
+)
 from cloverhook.errors import Fault, SettingsError
 
 __all__ = ["DaemonSettings"]
 
+HOUR_MS = 3_600_000
+MEBIBYTE = 1_048_576
+LISTENER = Address(minimum_port=0)
+URL = Text("an http:// or https:// address", r"https?://[^\s]{1,1024}")
+
 
 @dataclass(frozen=True, slots=True)
 class DaemonSettings:
@@ -26,20 +41,20 @@
     `CLOVERHOOK_PEER_KEY` or `CLOVERHOOK_OPERATOR_TOKEN`.
     """
 
-    vm: str
-    data_center: str
-    caller_address: str
-    operator_address: str
-    peer_address: str
-    platform_url: str
+    vm: str = kind_field(NAME)
+    data_center: str = kind_field(NAME)
+    caller_address: str = kind_field(LISTENER)
+    operator_address: str = kind_field(LISTENER)
+    peer_address: str = kind_field(LISTENER)
+    platform_url: str = kind_field(URL)
     peer_key_file: str = ""
     operator_token_file: str = ""
-    header_limit_bytes: int = 32_768
-    body_limit_bytes: int = 1_073_741_824
-    caller_idle_ms: int = 30_000
-    heartbeat_ms: int = 250
-    drain_ms: int = 6_000
-    log_format: str = "text"
+    header_limit_bytes: int = kind_field(Integer(1_024, MEBIBYTE), 32_768)
+    body_limit_bytes: int = kind_field(Integer(0), 1_073_741_824)
+    caller_idle_ms: int = kind_field(Integer(1_000, HOUR_MS), 30_000)
+    heartbeat_ms: int = kind_field(Integer(10, 10_000), 250)
+    drain_ms: int = kind_field(Integer(0, HOUR_MS), 6_000)
+    log_format: str = kind_field(Choice(("text", "json")), "text")
 
     @classmethod
     def from_file(cls, path: str) -> "DaemonSettings":
@@ -53,20 +68,9 @@
     @classmethod
     def from_document(cls, document: Mapping[str, Any]) -> "DaemonSettings":
         """Build settings from parsed TOML.  Raises `SettingsError` with every fault."""
-        known = {field.name: field for field in fields(cls)}
-        faults = [
-            Fault(key, repr(value), f"one of: {', '.join(known)}")
-            for key, value in document.items()
-            if key not in known
-        ]
-        for name, field in known.items():
-            if name not in document:
-                if field.default is MISSING:
-                    faults.append(Fault(name, "nothing", f"a value ({field.type.__name__})"))
-            elif type(document[name]) is not field.type:
-                faults.append(Fault(name, repr(document[name]), f"a value ({field.type.__name__})"))
+        faults = faults_of(table_of(cls), "", document)
         if faults:
-            raise SettingsError(tuple(faults))
+            raise SettingsError(faults)
         return cls(**document)
 
     def peer_key(self) -> bytes:
