Give the stand-in backend server slots, a queue, faults and a record of what ran

One process runs many servers, on a lean httptools protocol, since it shares its machine with the load. Faults are set through a control port while it runs; the record of runs is read there.

--- a/cloverhook_emulator/backend_server.py
+++ b/cloverhook_emulator/backend_server.py
@@ -1,57 +1,294 @@
-"""A stand-in backend server: slots, work that takes time, a record of what ran."""
+"""A stand-in backend server: slots, a queue, work that takes time, and a record of what ran.
+
+One process runs many servers, one port each, and one control port for all of them:
+
+    GET  /control/ran?server=ip:port     what ran (of all servers when none is named)
+    PUT  /control?server=ip:port         change faults, for example {"slow_factor": 5}
+    GET  /control                        the faults in force, by server
+
+See `Faults` for what can be set.
+"""
 
 import asyncio
+import json
+import math
 import random
+import time
+from collections import deque
+from dataclasses import dataclass
 
 from absl import app, flags
 
-from cloverhook.server import Listener
+from cloverhook_emulator.backend_control import control_app
+from cloverhook_emulator.faults import Faults
+from cloverhook_emulator.http_server import HttpServer, IncomingRequest
+from cloverhook_emulator.run_record import RunOutcome, RunRecord
 
-__all__ = ["BackendServer"]
+__all__ = ["BackendServer", "ServerSettings"]
 
 FLAGS = flags.FLAGS
 flags.DEFINE_list("addresses", ["127.0.0.1:0"], "The addresses to listen on, one server each.")
+flags.DEFINE_string("control_address", "127.0.0.1:0", "The address for control.")
+flags.DEFINE_string("brand", "", "The brand whose servers these are; told in every answer.")
 flags.DEFINE_integer("slots", 4, "Requests that are worked on at once; others wait.")
+flags.DEFINE_integer("queue", 100, "Requests that may wait for a slot; others are refused.")
+flags.DEFINE_integer("connections", 200, "Connections that may be open; others are closed.")
 flags.DEFINE_float("work_ms", 20.0, "The mean work of a request.")
+flags.DEFINE_float("work_sigma", 0.8, "The sigma of the work's log-normal distribution.")
+flags.DEFINE_float("probe_ms", 6.0, "What an answer to a health or load request takes.")
+flags.DEFINE_integer("seed", 1, "The seed of the work's random source.")
+
+LAG_SAMPLE_MS = 10
+LAG_SAMPLES = 1_000
+NOT_RUN = (b"cloverhook-outcome", b"not-run")
+RETRY_AFTER = (b"retry-after", b"1")
+JSON_TYPE = (b"content-type", b"application/json")
+
+
+@dataclass(frozen=True, slots=True)
+class ServerSettings:
+    """What a server can do.  Times are milliseconds."""
+
+    brand: str = ""
+    slots: int = 4
+    queue: int = 100
+    connections: int = 200
+    work_ms: float = 20.0
+    work_sigma: float = 0.8
+    probe_ms: float = 6.0
+
+    @classmethod
+    def from_flags(cls) -> "ServerSettings":
+        """Return the settings that the command line gives."""
+        names = ("brand", "slots", "queue", "connections", "work_ms", "work_sigma", "probe_ms")
+        return cls(**{name: FLAGS[name].value for name in names})
+
+
+@dataclass(eq=False, slots=True)
+class _Work:
+    """A request that waits for a slot or is worked on."""
+
+    request: IncomingRequest
+    deadline_ms: float
+    record: RunRecord | None = None
+    work_ms: float = 0.0
+    timer: asyncio.TimerHandle | None = None
+    over: bool = False
 
 
 class BackendServer:
-    """An ASGI application that works on at most `slots` requests at once."""
+    """One server: an address, its slots and its record."""
 
-    def __init__(self, slots: int, work_ms: float, source: random.Random) -> None:
-        self._slots = asyncio.Semaphore(slots)
-        self._work_ms = work_ms
+    def __init__(self, settings: ServerSettings, source: random.Random) -> None:
+        self._settings = settings
         self._random = source
-        self.in_flight = 0
-        self.ran: list[str] = []
-
-    async def __call__(self, scope, receive, send) -> None:
-        """Serve one request."""
-        headers = dict(scope["headers"])
-        while (await receive()).get("more_body"):
-            pass
-        self.in_flight += 1
-        try:
-            async with self._slots:
-                self.ran.append(headers.get(b"x-request-id", b"").decode())
-                await asyncio.sleep(self._work_ms / 1000 * self._random.uniform(0.5, 1.5))
-        finally:
-            self.in_flight -= 1
-        body = headers.get(b"x-request-id", b"")
-        answer = [
-            (b"content-length", str(len(body)).encode()),
-            (b"cloverhook-load", str(self.in_flight).encode()),
+        self._loop = asyncio.get_running_loop()
+        self._http = HttpServer(self._on_request, settings.connections)
+        self._working: set[_Work] = set()
+        self._queue: deque[_Work] = deque()
+        self._loads: deque[int] = deque(maxlen=LAG_SAMPLES)
+        self.faults = Faults()
+        self.ran: list[RunRecord] = []
+        self.refused = 0
+
+    @property
+    def address(self) -> str:
+        """The address the server listens on."""
+        return self._http.address
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are worked on or wait for a slot."""
+        return len(self._working) + len(self._queue)
+
+    async def start(self, address: str) -> None:
+        """Listen, and sample the load for reports that lag."""
+        await self._http.start(address)
+        self._sample_load()
+
+    def set_faults(self, faults: Faults) -> None:
+        """Put other faults in force; work that hung goes on when it hangs no longer."""
+        hung = self.faults.hang and not faults.hang
+        self.faults = faults
+        if hung:
+            for work in tuple(self._working):
+                if work.timer is None:
+                    work.timer = self._loop.call_later(0, self._work_done, work)
+
+    def counts(self) -> dict[str, int]:
+        """Return how much this server has done and refused."""
+        return {
+            "in_flight": self.in_flight,
+            "waiting": len(self._queue),
+            "ran": len(self.ran),
+            "refused": self.refused,
+            "connections": len(self._http.connections),
+            "refused_connections": self._http.refused_connections,
+        }
+
+    def _on_request(self, request: IncomingRequest) -> None:
+        if request.path == "/health":
+            self._report(request, 503 if self.faults.drain else 200, self._health())
+        elif request.path == "/load":
+            self._report(request, 200, self._load())
+        else:
+            self._take(request)
+
+    def _take(self, request: IncomingRequest) -> None:
+        if self._has_no_room():
+            self._refuse(request)
+            return
+        timeout = request.headers.get(b"cloverhook-timeout-ms", b"")
+        limit_ms = float(timeout) if timeout.isdigit() else math.inf
+        work = _Work(request, self._now_ms() + limit_ms)
+        request.on_gone = lambda: self._gone(work)
+        if len(self._working) < self._settings.slots:
+            self._start(work)
+        else:
+            self._queue.append(work)
+
+    def _has_no_room(self) -> bool:
+        if self.faults.drain or self._random.random() < self.faults.shed_ratio:
+            return True
+        slots_taken = len(self._working) >= self._settings.slots
+        return slots_taken and len(self._queue) >= self._settings.queue
+
+    def _refuse(self, request: IncomingRequest) -> None:
+        self.refused += 1
+        headers = [NOT_RUN, RETRY_AFTER, self._load_header(), self._brand_header()]
+        request.respond(503, headers, b"")
+
+    def _start(self, work: _Work) -> None:
+        request = work.request
+        now_ms = self._now_ms()
+        work.record = RunRecord(
+            self.address,
+            self._settings.brand,
+            request.text(b"x-request-id"),
+            request.text(b"idempotency-key"),
+            request.method,
+            now_ms,
+        )
+        self.ran.append(work.record)
+        self._working.add(work)
+        if self.faults.hang:
+            return
+        work.work_ms = self._work_time_ms()
+        left_ms = work.deadline_ms - now_ms
+        if left_ms < work.work_ms:
+            work.timer = self._loop.call_later(left_ms / 1000, self._deadline_passed, work)
+        else:
+            work.timer = self._loop.call_later(work.work_ms / 1000, self._work_done, work)
+
+    def _work_time_ms(self) -> float:
+        faults = self.faults
+        if faults.fail_fast:
+            return faults.fail_ms
+        sigma = self._settings.work_sigma
+        mean = math.log(self._settings.work_ms) - sigma * sigma / 2
+        factor = faults.slow_factor
+        if len(self.ran) <= faults.cold_requests:
+            factor *= faults.cold_factor
+        return self._random.lognormvariate(mean, sigma) * factor
+
+    def _work_done(self, work: _Work) -> None:
+        if self.faults.cut:
+            self._end(work, RunOutcome.CUT)
+            work.request.connection.cut()
+        elif self.faults.fail_fast:
+            self._end(work, RunOutcome.FAILED)
+            self._answer(work, 500)
+        else:
+            self._end(work, RunOutcome.DONE)
+            self._answer(work, 200)
+
+    def _deadline_passed(self, work: _Work) -> None:
+        self._end(work, RunOutcome.STOPPED)
+        self._answer(work, 504)
+
+    def _gone(self, work: _Work) -> None:
+        if work.record is None:
+            work.over = True
+            self._queue.remove(work)
+        elif not work.over:
+            self._end(work, RunOutcome.CANCELLED)
+
+    def _end(self, work: _Work, outcome: RunOutcome) -> None:
+        work.over = True
+        if work.timer is not None:
+            work.timer.cancel()
+        record = work.record
+        record.end_ms = self._now_ms()
+        record.outcome = outcome
+        record.result = record.request_id if outcome is RunOutcome.DONE else ""
+        self._working.discard(work)
+        self._start_waiting()
+
+    def _start_waiting(self) -> None:
+        while self._queue and len(self._working) < self._settings.slots:
+            work = self._queue.popleft()
+            if work.deadline_ms <= self._now_ms():
+                work.over = True
+                self._refuse(work.request)
+            else:
+                self._start(work)
+
+    def _answer(self, work: _Work, status: int) -> None:
+        headers = [
+            self._load_header(),
+            self._brand_header(),
+            (b"emulator-work-ms", b"%.3f" % work.work_ms),
         ]
-        await send({"type": "http.response.start", "status": 200, "headers": answer})
-        await send({"type": "http.response.body", "body": body, "more_body": False})
+        work.request.respond(status, headers, work.record.request_id.encode())
+
+    def _load_header(self) -> tuple[bytes, bytes]:
+        return (b"cloverhook-load", b"%d" % self._reported_load(0))
+
+    def _brand_header(self) -> tuple[bytes, bytes]:
+        return (b"emulator-brand", self._settings.brand.encode())
+
+    def _reported_load(self, lag_ms: float) -> int:
+        if self.faults.mislead >= 0:
+            return self.faults.mislead
+        if lag_ms and self._loads:
+            steps = min(len(self._loads), max(1, round(lag_ms / LAG_SAMPLE_MS)))
+            return self._loads[-steps]
+        return self.in_flight
+
+    def _health(self) -> dict[str, object]:
+        return {"healthy": not self.faults.drain, "draining": self.faults.drain}
+
+    def _load(self) -> dict[str, object]:
+        load = self._reported_load(self.faults.report_lag_ms)
+        return {"in_flight": load, "slots": self._settings.slots}
+
+    def _report(self, request: IncomingRequest, status: int, document: dict[str, object]) -> None:
+        if self.faults.hang:
+            return
+        body = json.dumps(document).encode()
+        delay_s = self._settings.probe_ms / 1000
+        self._loop.call_later(delay_s, request.respond, status, [JSON_TYPE], body)
+
+    def _sample_load(self) -> None:
+        self._loads.append(self.in_flight)
+        self._loop.call_later(LAG_SAMPLE_MS / 1000, self._sample_load)
+
+    @staticmethod
+    def _now_ms() -> float:
+        return time.time() * 1000
 
 
 async def _serve() -> None:
-    for address in FLAGS.addresses:
-        server = BackendServer(FLAGS.slots, FLAGS.work_ms, random.Random(address))
-        listener = Listener(server, address)
-        await listener.start()
-        print(f"backend server: listening on {listener.address}", flush=True)
+    servers: dict[str, BackendServer] = {}
+    for index, address in enumerate(FLAGS.addresses):
+        server = BackendServer(
+            ServerSettings.from_flags(), random.Random(FLAGS.seed * 1009 + index)
+        )
+        await server.start(address)
+        servers[server.address] = server
+        print(f"backend server: listening on {server.address}", flush=True)
+    listener = await control_app(servers, FLAGS.control_address)
+    print(f"control: listening on {listener.address}", flush=True)
     await asyncio.Event().wait()
 
 
--- a/cloverhook_emulator/fleet_runner.py
+++ b/cloverhook_emulator/fleet_runner.py
@@ -12,11 +12,14 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import aiohttp
 
+from cloverhook_emulator.run_record import RunRecord
+
 __all__ = ["DaemonProcess", "Fleet", "Process"]
 
 PEER_KEY = "peer-key-for-loopback"
@@ -135,7 +138,29 @@
             *arguments,
         )
         self.backends.append(process)
-        return await process.listening(count)
+        return (await process.listening(count + 1))[:count]
+
+    async def set_faults(self, faults: dict[str, object], servers: Sequence[str] = ()) -> None:
+        """Give faults to backend servers by their addresses, or to all."""
+        async with aiohttp.ClientSession() as session:
+            for process in self.backends:
+                named = [address for address in process.addresses[:-1] if address in servers]
+                if servers and not named:
+                    continue
+                url = f"http://{process.addresses[-1]}/control?server={','.join(named)}"
+                async with session.put(url, json=faults) as answer:
+                    answer.raise_for_status()
+
+    async def ran(self) -> list[RunRecord]:
+        """Return what the backend servers have run."""
+        records: list[RunRecord] = []
+        async with aiohttp.ClientSession() as session:
+            for process in self.backends:
+                url = f"http://{process.addresses[-1]}/control/ran"
+                async with session.get(url) as answer:
+                    found = (await answer.json())["ran"]
+                records += [RunRecord.from_document(document) for document in found]
+        return records
 
     async def start_daemon(self, vm: str, data_center: str, **settings: object) -> DaemonProcess:
         """Start a daemon and wait until it listens."""
--- /dev/null
+++ b/cloverhook_emulator/run_record.py
@@ -0,0 +1,86 @@
+"""What backend servers keep of the requests they ran, and callers of what they were told.
+
+Both are JSON objects outside the process, so that `invariants.check` can compare them.
+"""
+
+from dataclasses import asdict, dataclass
+from enum import Enum
+from typing import Any
+
+__all__ = ["RunOutcome", "RunRecord", "ToldRecord"]
+
+
+class RunOutcome(Enum):
+    """How a run ended.
+
+    `UNFINISHED` is work that still goes on; `CUT` is work whose connection the server itself
+    closed after the work.
+    """
+
+    UNFINISHED = "unfinished"
+    DONE = "done"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    STOPPED = "stopped"
+    CUT = "cut"
+
+
+@dataclass(slots=True)
+class RunRecord:
+    """One run of a request at a backend server.  Times are milliseconds of the wall clock."""
+
+    server: str
+    brand: str
+    request_id: str
+    idempotency_key: str
+    method: str
+    start_ms: float
+    end_ms: float = 0.0
+    outcome: RunOutcome = RunOutcome.UNFINISHED
+    result: str = ""
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the record as a JSON object."""
+        return asdict(self) | {"outcome": self.outcome.value}
+
+    @classmethod
+    def from_document(cls, document: dict[str, Any]) -> "RunRecord":
+        """Build a record from a JSON object."""
+        return cls(**{**document, "outcome": RunOutcome(document["outcome"])})
+
+
+@dataclass(frozen=True, slots=True)
+class ToldRecord:
+    """What a caller was told in answer to one request that it sent.
+
+    `status` is 0 when there was no answer, and `error` then says why; else `error` is the value of
+    the error header, and `outcome` that of the outcome header.  `answer_id` and `answer_brand` are
+    the request identifier in the answer's body and the brand that the backend server named.
+    `intended_ms` is the wall-clock time at which the call was due, `latency_ms` counts from it,
+    and `work_ms` is the work itself as the backend server told it.  `sent` is False when no byte
+    of the request left the caller.
+    """
+
+    request_id: str
+    idempotency_key: str
+    method: str
+    brand: str
+    address: str
+    intended_ms: float
+    latency_ms: float
+    status: int
+    outcome: str = ""
+    answer_id: str = ""
+    answer_brand: str = ""
+    work_ms: float = 0.0
+    error: str = ""
+    sent: bool = True
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the record as a JSON object."""
+        return asdict(self)
+
+    @classmethod
+    def from_document(cls, document: dict[str, Any]) -> "ToldRecord":
+        """Build a record from a JSON object."""
+        return cls(**document)
