Add the load tool, lean callers and the invariant checker

A run that failed or was cancelled counts as a run of a request that is not idempotent: nobody can tell how far it came.

--- /dev/null
+++ b/cloverhook_emulator/caller.py
@@ -0,0 +1,195 @@
+"""A caller: asks a daemon which addresses to use, keeps the answer for its lifetime, and calls.
+
+It repeats a request only as an ordinary caller would: at the next address when no byte of it was
+sent, after the time that a "not run" answer gives, and after a cut when it is a read or carries
+an idempotency key.  A write without a key is never repeated when it may have run.
+"""
+
+import asyncio
+import json
+import random
+import time
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cloverhook_emulator.http_client import CallError, ClientPool, HttpAnswer
+from cloverhook_emulator.run_record import ToldRecord
+
+__all__ = ["Call", "Caller", "now_ms"]
+
+ADDRESSES_PATH = "/.well-known/cloverhook/addresses"
+ADDRESSES_TIMEOUT_S = 2
+NOT_RUN = "not-run"
+LONGEST_WAIT_S = 2.0
+
+
+def now_ms() -> float:
+    """Return the wall-clock time in milliseconds."""
+    return time.time() * 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """What a caller wants: one logical call, which may take several requests."""
+
+    method: str
+    path: str
+    intended_ms: float
+    timeout_ms: int
+    keyed: bool = False
+
+    @property
+    def is_read(self) -> bool:
+        """Whether the call only reads."""
+        return self.method == "GET"
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a repeat is safe although the call may have run."""
+        return self.is_read or self.keyed
+
+
+class Caller:
+    """One caller of a service.
+
+    `seeds` are addresses of daemons that it may ask first.  It uses the first of the addresses it
+    is told, or any of them at random with `spread`.  `stale_ms` keeps an answer about addresses
+    for longer than its lifetime.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        brand: str,
+        seeds: list[str],
+        source: random.Random,
+        told: Callable[[ToldRecord], None],
+        repeats: int = 2,
+        stale_ms: float = 0.0,
+        spread: bool = False,
+    ) -> None:
+        self._host = host
+        self._brand = brand
+        self._seeds = list(seeds)
+        self._random = source
+        self._told = told
+        self._repeats = repeats
+        self._stale_ms = stale_ms
+        self._spread = spread
+        self._addresses: list[str] = []
+        self._fresh_until_ms = 0.0
+        self._asking: asyncio.Task[None] | None = None
+        self._pool = ClientPool()
+
+    async def call(self, call: Call) -> ToldRecord:
+        """Make a call with its repeats and return what was told last."""
+        key = uuid.uuid4().hex if call.keyed else ""
+        for attempt in range(self._repeats + 1):
+            record, wait_s = await self._once(call, key, attempt)
+            self._told(record)
+            if wait_s is None or attempt == self._repeats:
+                return record
+            if now_ms() + wait_s * 1000 > call.intended_ms + call.timeout_ms:
+                return record
+            await asyncio.sleep(wait_s)
+        raise AssertionError("a call ends in its last attempt")
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.close()
+
+    async def _once(self, call: Call, key: str, attempt: int) -> tuple[ToldRecord, float | None]:
+        request_id = uuid.uuid4().hex
+        address = ""
+        try:
+            address = await self._address(attempt)
+            answer = await self._pool.call(
+                address, self._request(call, request_id, key), call.timeout_ms / 1000 + 1
+            )
+        except CallError as error:
+            wait_s = 0.0 if not error.sent or call.may_repeat else None
+            self._fresh_until_ms = 0.0
+            record = self._record(call, request_id, key, address, None, error)
+            return record, wait_s
+        record = self._record(call, request_id, key, address, answer, None)
+        return record, self._repeat_after(answer)
+
+    def _repeat_after(self, answer: HttpAnswer) -> float | None:
+        if answer.status != 503 or answer.text(b"cloverhook-outcome") != NOT_RUN:
+            return None
+        seconds = answer.text(b"retry-after")
+        base_s = float(seconds) if seconds.isdigit() else 1.0
+        return min(LONGEST_WAIT_S, base_s * self._random.uniform(1.0, 1.25))
+
+    def _record(
+        self,
+        call: Call,
+        request_id: str,
+        key: str,
+        address: str,
+        answer: HttpAnswer | None,
+        error: CallError | None,
+    ) -> ToldRecord:
+        found = answer or HttpAnswer()
+        return ToldRecord(
+            request_id,
+            key,
+            call.method,
+            self._brand,
+            address,
+            call.intended_ms,
+            now_ms() - call.intended_ms,
+            found.status,
+            found.text(b"cloverhook-outcome"),
+            found.body.decode("latin-1") if found.status == 200 else "",
+            found.text(b"emulator-brand"),
+            float(found.headers.get(b"emulator-work-ms", b"0")),
+            str(error) if error is not None else found.text(b"cloverhook-error"),
+            error is None or error.sent,
+        )
+
+    def _request(self, call: Call, request_id: str, key: str) -> bytes:
+        lines = [
+            f"{call.method} {call.path} HTTP/1.1",
+            f"host: {self._host}",
+            f"x-request-id: {request_id}",
+            f"cloverhook-timeout-ms: {call.timeout_ms}",
+        ]
+        if key:
+            lines.append(f"idempotency-key: {key}")
+        body = "" if call.is_read else json.dumps({"order": request_id})
+        if body:
+            lines.append(f"content-length: {len(body)}")
+        return ("\r\n".join(lines) + "\r\n\r\n" + body).encode()
+
+    async def _address(self, attempt: int) -> str:
+        if now_ms() >= self._fresh_until_ms or not self._addresses:
+            await self._refresh()
+        if not self._addresses:
+            raise CallError("no daemon tells addresses", sent=False)
+        if self._spread:
+            return self._random.choice(self._addresses)
+        return self._addresses[attempt % len(self._addresses)]
+
+    async def _refresh(self) -> None:
+        if self._asking is None or self._asking.done():
+            self._asking = asyncio.create_task(self._ask())
+        await asyncio.shield(self._asking)
+
+    async def _ask(self) -> None:
+        known = [*self._addresses, *self._random.sample(self._seeds, len(self._seeds))]
+        request = f"GET {ADDRESSES_PATH} HTTP/1.1\r\nhost: {self._host}\r\n\r\n".encode()
+        for address in known:
+            try:
+                answer = await self._pool.call(address, request, ADDRESSES_TIMEOUT_S)
+            except CallError:
+                continue
+            if answer.status == 200:
+                self._take(json.loads(answer.body))
+                return
+
+    def _take(self, document: dict) -> None:
+        self._addresses = document["addresses"]
+        lifetime_ms = max(document["lifetime_ms"], self._stale_ms)
+        self._fresh_until_ms = now_ms() + lifetime_ms
--- /dev/null
+++ b/cloverhook_emulator/invariants.py
@@ -0,0 +1,129 @@
+"""Compares what backend servers ran with what callers were told.
+
+Free of input and output.  For example, a booking that ran twice:
+
+>>> from cloverhook_emulator.run_record import RunOutcome, RunRecord, ToldRecord
+>>> run = RunRecord("s1", "b", "r1", "", "POST", 0.0, 5.0, RunOutcome.DONE, "r1")
+>>> told = ToldRecord("r1", "", "POST", "b", "vm-1", 0.0, 6.0, 200, "ran", "r1", "b")
+>>> check([run, run], [told]).doubled
+('r1',)
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, fields
+
+from cloverhook_emulator.run_record import RunOutcome, RunRecord, ToldRecord
+
+__all__ = ["Report", "check"]
+
+IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"))
+OK = 200
+RAN = "ran"
+NOT_RUN = "not-run"
+CONNECTION_CUT = "connection-cut"
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """The violations that were found, each as the request identifiers or keys concerned.
+
+    `lost`: told as run with no run on record, or left without any final answer.  `doubled`: a
+    request that is not idempotent, or an idempotency key, that was started more than once; a run
+    that was cancelled or failed counts, since nobody can tell how far it came.  `crossed`: an
+    answer that is not the request's own, or comes from another brand.  `cut`: a request that a
+    broken connection ended; only failures that were not planned excuse it.  `false_not_run`: told
+    "not run", but it ran.
+    """
+
+    lost: tuple[str, ...] = ()
+    doubled: tuple[str, ...] = ()
+    crossed: tuple[str, ...] = ()
+    cut: tuple[str, ...] = ()
+    false_not_run: tuple[str, ...] = ()
+
+    @property
+    def holds(self) -> bool:
+        """Whether there is no violation."""
+        return not any(getattr(self, field.name) for field in fields(self))
+
+    def joined(self, other: "Report") -> "Report":
+        """Return the violations of both reports."""
+        names = [field.name for field in fields(self)]
+        return Report(*(getattr(self, name) + getattr(other, name) for name in names))
+
+
+def check(ran: Sequence[RunRecord], told: Sequence[ToldRecord], sent: Iterable[str] = ()) -> Report:
+    """Compare records and return the violations.
+
+    `sent` holds the identifiers of all requests that callers sent, to find those that were never
+    told anything.
+    """
+    runs: dict[str, list[RunRecord]] = defaultdict(list)
+    for record in ran:
+        runs[record.request_id].append(record)
+    keys = {(record.brand, record.idempotency_key) for record in ran}
+    known = {item.request_id for item in told}
+    without_run = (item.request_id for item in told if not _is_borne_out(item, runs, keys))
+    without_answer = (request_id for request_id in sent if request_id not in known)
+    return Report(
+        lost=(*without_run, *without_answer),
+        doubled=_doubled_requests(runs) + _doubled_keys(ran),
+        crossed=tuple(item.request_id for item in told if _is_crossed(item, runs)),
+        cut=tuple(item.request_id for item in told if _is_cut(item)),
+        false_not_run=tuple(
+            item.request_id for item in told if item.outcome == NOT_RUN and item.request_id in runs
+        ),
+    )
+
+
+def _is_borne_out(
+    item: ToldRecord, runs: dict[str, list[RunRecord]], keys: set[tuple[str, str]]
+) -> bool:
+    """Return whether a request that was told as run has a run on record.
+
+    A repeat under an idempotency key is told what became of the key's first run.
+    """
+    if item.status == OK:
+        records = runs.get(item.answer_id, ()) if item.idempotency_key else ()
+        records = (*records, *runs.get(item.request_id, ()))
+        return any(record.outcome is RunOutcome.DONE for record in records)
+    if item.outcome != RAN:
+        return True
+    keyed = bool(item.idempotency_key) and (item.brand, item.idempotency_key) in keys
+    return keyed or item.request_id in runs
+
+
+def _doubled_requests(runs: dict[str, list[RunRecord]]) -> tuple[str, ...]:
+    return tuple(
+        request_id
+        for request_id, records in runs.items()
+        if len(records) > 1 and records[0].method not in IDEMPOTENT_METHODS
+    )
+
+
+def _doubled_keys(ran: Sequence[RunRecord]) -> tuple[str, ...]:
+    requests_of: dict[tuple[str, str], set[str]] = defaultdict(set)
+    for record in ran:
+        if record.idempotency_key:
+            requests_of[(record.brand, record.idempotency_key)].add(record.request_id)
+    return tuple(key for (_, key), requests in requests_of.items() if len(requests) > 1)
+
+
+def _is_cut(item: ToldRecord) -> bool:
+    if item.status == 0:
+        return item.sent
+    return item.error == CONNECTION_CUT
+
+
+def _is_crossed(item: ToldRecord, runs: dict[str, list[RunRecord]]) -> bool:
+    if item.status != OK:
+        return False
+    if item.answer_brand != item.brand:
+        return True
+    if item.answer_id == item.request_id:
+        return False
+    return not any(
+        item.idempotency_key and record.idempotency_key == item.idempotency_key
+        for record in runs.get(item.answer_id, ())
+    )
--- /dev/null
+++ b/cloverhook_emulator/load.py
@@ -0,0 +1,287 @@
+"""An open-loop load tool: arrivals are Poisson and do not wait for answers.
+
+Latency counts from the time at which a call was due, so that a stall of the system, or of this
+tool, is not hidden.  How late the tool itself was is reported as `lag_ms`.
+
+    python -m cloverhook_emulator.load --daemons=127.0.0.1:8080 --host=orders.saltbush.example
+        --caller_brand=saltbush --phases=200:5,400:0.2,200:5 --report=load.json
+"""
+
+import asyncio
+import itertools
+import json
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from absl import app, flags
+from hdrh.histogram import HdrHistogram
+
+from cloverhook_emulator.caller import Call, Caller, now_ms
+from cloverhook_emulator.run_record import ToldRecord
+
+__all__ = ["CallMix", "LoadPlan", "LoadResult", "Phase", "PhaseResult", "run_load"]
+
+FLAGS = flags.FLAGS
+flags.DEFINE_list("daemons", [], "Daemons' addresses for callers; a caller asks one of them first.")
+flags.DEFINE_string("host", "", "The host name of the service.")
+flags.DEFINE_string("caller_brand", "", "The brand that the callers belong to.")
+flags.DEFINE_list("phases", ["100:5"], "The phases of the load, calls_per_s:seconds each.")
+flags.DEFINE_list("paths", ["/"], "The paths that calls ask for, in equal parts.")
+flags.DEFINE_integer("callers", 20, "How many callers there are.")
+flags.DEFINE_bool("unequal", False, "One caller in ten sends half of the load.")
+flags.DEFINE_float("stale_ratio", 0.0, "The part of callers that keep addresses for 30 s.")
+flags.DEFINE_bool("spread", False, "Callers use any address they are told, not the first.")
+flags.DEFINE_float("write_ratio", 0.3, "The part of calls that are writes.")
+flags.DEFINE_float("keyed_ratio", 0.5, "The part of writes with an idempotency key.")
+flags.DEFINE_integer("timeout_ms", 5_000, "The deadline of a call.")
+flags.DEFINE_integer("repeats", 2, "How often a caller repeats a call at most.")
+flags.DEFINE_integer("load_seed", 1, "The seed of arrivals and choices.")
+flags.DEFINE_float("start_at_ms", 0, "The wall-clock time to start at; 0: at once.")
+flags.DEFINE_bool("spin", False, "Spin for exact starts; takes a whole core.")
+flags.DEFINE_string("report", None, "The file for the report, with all records.")
+
+LONGEST_US = 120_000_000
+STALE_MS = 30_000.0
+DIGITS = 3
+SPIN_S = 0.002
+HEAVY_PART = 10
+PERCENTILES = {"p50": 50.0, "p99": 99.0, "p999": 99.9}
+
+
+@dataclass(frozen=True, slots=True)
+class Phase:
+    """A time with a steady rate of calls."""
+
+    calls_per_s: float
+    duration_s: float
+
+    @classmethod
+    def from_text(cls, text: str) -> "Phase":
+        """Read `calls_per_s:seconds`.
+
+        >>> Phase.from_text("200:0.5")
+        Phase(calls_per_s=200.0, duration_s=0.5)
+        """
+        rate, _, seconds = text.partition(":")
+        return cls(float(rate), float(seconds))
+
+
+@dataclass(frozen=True, slots=True)
+class CallMix:
+    """What callers ask for; ratios are 0 to 1."""
+
+    write_ratio: float = 0.3
+    keyed_ratio: float = 0.5
+    paths: tuple[str, ...] = ("/",)
+    timeout_ms: int = 5_000
+
+    def call(self, intended_ms: float, source: random.Random) -> Call:
+        """Return the next call."""
+        path = source.choice(self.paths)
+        if source.random() >= self.write_ratio:
+            return Call("GET", path, intended_ms, self.timeout_ms)
+        keyed = source.random() < self.keyed_ratio
+        return Call("POST", path, intended_ms, self.timeout_ms, keyed)
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """A load on one service.
+
+    With `unequal`, one caller in ten sends half of the calls; `stale_ratio` of the callers keep
+    the addresses they were told for 30 s; `spread` lets callers use any address they are told.
+    """
+
+    host: str
+    brand: str
+    daemons: tuple[str, ...]
+    phases: tuple[Phase, ...]
+    mix: CallMix = CallMix()
+    callers: int = 20
+    unequal: bool = False
+    stale_ratio: float = 0.0
+    spread: bool = False
+    repeats: int = 2
+    seed: int = 1
+    start_at_ms: float = 0.0
+    spin: bool = False
+
+    @classmethod
+    def from_flags(cls) -> "LoadPlan":
+        """Return the plan that the command line gives."""
+        return cls(
+            FLAGS.host,
+            FLAGS.caller_brand,
+            tuple(FLAGS.daemons),
+            tuple(Phase.from_text(text) for text in FLAGS.phases),
+            CallMix(FLAGS.write_ratio, FLAGS.keyed_ratio, tuple(FLAGS.paths), FLAGS.timeout_ms),
+            FLAGS.callers,
+            FLAGS.unequal,
+            FLAGS.stale_ratio,
+            FLAGS.spread,
+            FLAGS.repeats,
+            FLAGS.load_seed,
+            FLAGS.start_at_ms,
+            FLAGS.spin,
+        )
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, LONGEST_US, DIGITS)
+
+
+def _percentiles(histogram: HdrHistogram) -> dict[str, float]:
+    return {
+        name: histogram.get_value_at_percentile(percentile) / 1000
+        for name, percentile in PERCENTILES.items()
+    }
+
+
+@dataclass(slots=True)
+class PhaseResult:
+    """What became of the calls that were due in one phase; only good answers count in latency."""
+
+    phase: Phase
+    latency: HdrHistogram = field(default_factory=_histogram)
+    waiting: HdrHistogram = field(default_factory=_histogram)
+    lag: HdrHistogram = field(default_factory=_histogram)
+    calls: int = 0
+    good: int = 0
+    outcomes: Counter[str] = field(default_factory=Counter)
+
+    def add(self, record: ToldRecord) -> None:
+        """Count the end of a call."""
+        self.outcomes[f"{record.status} {record.outcome} {record.error}".strip()] += 1
+        if record.status != 200:
+            return
+        self.good += 1
+        waiting_ms = record.latency_ms - record.work_ms
+        self.latency.record_value(max(1, int(record.latency_ms * 1000)))
+        self.waiting.record_value(max(1, int(waiting_ms * 1000)))
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the figures; times are milliseconds."""
+        return {
+            "calls_per_s": self.phase.calls_per_s,
+            "duration_s": self.phase.duration_s,
+            "calls": self.calls,
+            "good": self.good,
+            "outcomes": dict(self.outcomes),
+            "latency_ms": _percentiles(self.latency),
+            "waiting_ms": _percentiles(self.waiting),
+            "lag_ms": _percentiles(self.lag),
+        }
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """What became of a load: the figures of each phase, and every record."""
+
+    phases: list[PhaseResult]
+    told: list[ToldRecord] = field(default_factory=list)
+
+    @property
+    def calls(self) -> int:
+        """Logical calls, each of which may have taken several requests."""
+        return sum(phase.calls for phase in self.phases)
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the report, with all records."""
+        return {
+            "calls": self.calls,
+            "phases": [phase.to_document() for phase in self.phases],
+            "told": [record.to_document() for record in self.told],
+        }
+
+
+class _Load:
+    """A load under way."""
+
+    def __init__(self, plan: LoadPlan) -> None:
+        self._plan = plan
+        self._random = random.Random(plan.seed)
+        self.result = LoadResult([PhaseResult(phase) for phase in plan.phases])
+        self._callers = [self._caller(index) for index in range(plan.callers)]
+        heavy = max(1, plan.callers // HEAVY_PART)
+        weights = [1.0] * plan.callers
+        if plan.unequal and heavy < plan.callers:
+            weights[:heavy] = [(plan.callers - heavy) / heavy] * heavy
+        self._cumulative_weights = list(itertools.accumulate(weights))
+        self._calls: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> LoadResult:
+        start_ms = max(self._plan.start_at_ms, now_ms())
+        for result in self.result.phases:
+            end_ms = start_ms + result.phase.duration_s * 1000
+            await self._run_phase(result, start_ms, end_ms)
+            start_ms = end_ms
+        while self._calls:
+            await asyncio.wait(tuple(self._calls))
+        for caller in self._callers:
+            caller.close()
+        return self.result
+
+    async def _run_phase(self, result: PhaseResult, start_ms: float, end_ms: float) -> None:
+        due_ms = start_ms + self._gap_ms(result.phase)
+        while due_ms < end_ms:
+            await self._wait_until(due_ms)
+            result.lag.record_value(max(1, int((now_ms() - due_ms) * 1000)))
+            task = asyncio.create_task(self._call(result, due_ms))
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
+            result.calls += 1
+            due_ms += self._gap_ms(result.phase)
+
+    async def _wait_until(self, due_ms: float) -> None:
+        ahead_s = (due_ms - now_ms()) / 1000
+        if self._plan.spin:
+            if ahead_s > SPIN_S:
+                await asyncio.sleep(ahead_s - SPIN_S)
+            while now_ms() < due_ms:
+                await asyncio.sleep(0)
+        elif ahead_s > 0:
+            await asyncio.sleep(ahead_s)
+
+    async def _call(self, result: PhaseResult, due_ms: float) -> None:
+        call = self._plan.mix.call(due_ms, self._random)
+        caller = self._random.choices(self._callers, cum_weights=self._cumulative_weights)[0]
+        result.add(await caller.call(call))
+
+    def _gap_ms(self, phase: Phase) -> float:
+        if phase.calls_per_s <= 0:
+            return phase.duration_s * 1000
+        return self._random.expovariate(phase.calls_per_s) * 1000
+
+    def _caller(self, index: int) -> Caller:
+        plan = self._plan
+        stale = index >= plan.callers * (1 - plan.stale_ratio)
+        return Caller(
+            plan.host,
+            plan.brand,
+            list(plan.daemons),
+            random.Random(plan.seed * 10_007 + index),
+            self.result.told.append,
+            plan.repeats,
+            STALE_MS if stale else 0.0,
+            plan.spread,
+        )
+
+
+async def run_load(plan: LoadPlan) -> LoadResult:
+    """Carry a plan out and return what became of it, once every call has ended."""
+    return await _Load(plan).run()
+
+
+def _main(arguments: list[str]) -> None:
+    del arguments
+    document = asyncio.run(run_load(LoadPlan.from_flags())).to_document()
+    if FLAGS.report is not None:
+        Path(FLAGS.report).write_text(json.dumps(document))
+    print(json.dumps({"calls": document["calls"], "phases": document["phases"]}))
+
+
+if __name__ == "__main__":
+    app.run(_main)
