--- a/cloverhook_emulator/fleet_runner.py
+++ b/cloverhook_emulator/fleet_runner.py
@@ -108,31 +108,37 @@
         self.platform_url = ""
         self.backends: list[Process] = []
         self.daemons: dict[str, DaemonProcess] = {}
+        self._processes: list[Process] = []
 
     async def __aenter__(self) -> "Fleet":
-        self.platform = await Process.start(
-            "platform", self.folder, "cloverhook_emulator.platform_server", "--address=127.0.0.1:0"
-        )
-        self.platform_url = f"http://{(await self.platform.listening())[0]}"
+        try:
+            self.platform = await self.start_process(
+                "platform", "cloverhook_emulator.platform_server", "--address=127.0.0.1:0"
+            )
+            self.platform_url = f"http://{(await self.platform.listening())[0]}"
+        except BaseException:
+            await self.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *exception: object) -> None:
-        processes = [daemon.process for daemon in self.daemons.values()]
-        processes += self.backends
-        if self.platform is not None:
-            processes.append(self.platform)
-        for process in processes:
-            process.send(signal.SIGCONT)
-        await asyncio.gather(*(process.stop(signal.SIGKILL) for process in processes))
+        for process in self._processes:
+            process.send(signal.SIGKILL)
+        await asyncio.gather(*(process.stop(signal.SIGKILL) for process in self._processes))
         self._folder.cleanup()
 
+    async def start_process(self, name: str, module: str, *arguments: str) -> Process:
+        """Start a Python module as a process that ends with the fleet."""
+        process = await Process.start(name, self.folder, module, *arguments)
+        self._processes.append(process)
+        return process
+
     async def start_backend(self, *arguments: str, count: int = 1) -> list[str]:
         """Start a process with `count` backend servers and return their addresses."""
         addresses = ",".join(["127.0.0.1:0"] * count)
         name = f"backend-{len(self.backends)}"
-        process = await Process.start(
+        process = await self.start_process(
             name,
-            self.folder,
             "cloverhook_emulator.backend_server",
             f"--addresses={addresses}",
             *arguments,
@@ -162,8 +168,15 @@
                 records += [RunRecord.from_document(document) for document in found]
         return records
 
-    async def start_daemon(self, vm: str, data_center: str, **settings: object) -> DaemonProcess:
-        """Start a daemon and wait until it listens."""
+    async def start_daemon(
+        self,
+        vm: str,
+        data_center: str,
+        module: str = "cloverhook.daemon",
+        arguments: Sequence[str] = (),
+        **settings: object,
+    ) -> DaemonProcess:
+        """Start a daemon, or a module that stands in for it, and wait until it listens."""
         values = {
             "vm": vm,
             "data_center": data_center,
@@ -175,8 +188,8 @@
         }
         path = self.folder / f"{vm}.toml"
         path.write_text("".join(f"{key} = {json.dumps(value)}\n" for key, value in values.items()))
-        process = await Process.start(
-            vm, self.folder, "cloverhook.daemon", f"--settings={path}", "--stderrthreshold=info"
+        process = await self.start_process(
+            vm, module, f"--settings={path}", "--stderrthreshold=info", *arguments
         )
         callers, operators, peers = (await process.listening(3))[:3]
         daemon = DaemonProcess(vm, data_center, process, callers, operators, peers)
@@ -214,7 +227,11 @@
             stderr=asyncio.subprocess.PIPE,
             env=os.environ | {"CLOVERHOOK_OPERATOR_TOKEN": OPERATOR_TOKEN},
         )
-        output, errors = await process.communicate()
+        try:
+            output, errors = await process.communicate()
+        finally:
+            if process.returncode is None:
+                process.kill()
         return process.returncode, output.decode(), errors.decode()
 
     async def status(self, vm: str) -> dict:
--- a/cloverhook_emulator/load.py
+++ b/cloverhook_emulator/load.py
@@ -178,10 +178,14 @@
 
 @dataclass(slots=True)
 class LoadResult:
-    """What became of a load: the figures of each phase, and every record."""
+    """What became of a load.
+
+    `told` holds a record for every request, and `ends` the last one of every call.
+    """
 
     phases: list[PhaseResult]
     told: list[ToldRecord] = field(default_factory=list)
+    ends: list[ToldRecord] = field(default_factory=list)
 
     @property
     def calls(self) -> int:
@@ -248,7 +252,9 @@
     async def _call(self, result: PhaseResult, due_ms: float) -> None:
         call = self._plan.mix.call(due_ms, self._random)
         caller = self._random.choices(self._callers, cum_weights=self._cumulative_weights)[0]
-        result.add(await caller.call(call))
+        end = await caller.call(call)
+        result.add(end)
+        self.result.ends.append(end)
 
     def _gap_ms(self, phase: Phase) -> float:
         if phase.calls_per_s <= 0:
