--- a/cloverhook/dispatch.py
+++ b/cloverhook/dispatch.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -14,6 +15,7 @@
 from cloverhook.fold import State
 from cloverhook.messages import Message
 from cloverhook.routing import (
+    PEER_BYTES_PER_S,
     Action,
     Arrival,
     AttemptEnded,
@@ -30,6 +32,7 @@
     Tell,
     Tick,
 )
+from cloverhook.token_bucket import TokenBucket
 
 __all__ = ["Dispatcher", "Outlet", "Target"]
 
@@ -64,6 +67,7 @@
     def __init__(self, source: random.Random, outlet: Outlet) -> None:
         self._random = source
         self._outlet = outlet
+        self._peer_bytes = TokenBucket(PEER_BYTES_PER_S, PEER_BYTES_PER_S)
         self._targets: dict[bytes, Target] = {}
         self._target_of: dict[str, Target] = {}
         self._routers: dict[str, ServiceRouter] = {}
@@ -106,9 +110,19 @@
         """Report the end of a request's last attempt."""
         self._drive(target.key, ended, now_ms)
 
-    def homes_changed(self, key: str, own_vm: str, homes: tuple[str, ...], now_ms: float) -> None:
-        """Take the VMs that a service's callers gather on now."""
-        self._drive(key, HomesChanged(own_vm, homes), now_ms)
+    def homes_changed(
+        self,
+        key: str,
+        own_vm: str,
+        homes: tuple[str, ...],
+        now_ms: float,
+        data_centers: Mapping[str, str] | None = None,
+    ) -> None:
+        """Take the VMs that a service's callers gather on now.
+
+        `data_centers` gives the data centre of each of them and of this daemon's own VM.
+        """
+        self._drive(key, HomesChanged(own_vm, homes, data_centers or {}), now_ms)
 
     def peer_said(self, key: str, vm: str, message: Message, now_ms: float) -> None:
         """Take another VM's message about a service."""
@@ -169,5 +183,7 @@
             del self._routers[key]
         for key, target in wanted.items():
             if key not in self._routers:
-                self._routers[key] = ServiceRouter(random.Random(self._random.random()))
+                self._routers[key] = ServiceRouter(
+                    random.Random(self._random.random()), key, self._peer_bytes
+                )
             self._drive(key, EndpointsChanged(target.service.endpoints, target.policy), now_ms)
--- /dev/null
+++ b/cloverhook/endpoint_table.py
@@ -0,0 +1,193 @@
+"""The endpoints of a service as one VM sees them: those it owns, those with room, those in doubt.
+
+Layer: coordination.  The healthy endpoints that this VM owns lie in one pool, slow ones in a second
+that is used only while waiting would take longer than being slow.  Endpoints on probation get
+trial requests when those fall due.
+"""
+
+import heapq
+from collections.abc import Iterable, Sequence
+
+from cloverhook.endpoint_stats import FAILING_AT, EndpointStats, Trouble
+from cloverhook.fleet import Endpoint
+from cloverhook.latency_model import LatencyModel
+from cloverhook.routing_events import AttemptEnded, AttemptResult
+from cloverhook.slot_pool import SlotPool
+
+__all__ = ["EndpointTable"]
+
+FAILING_SHARE = 1 / 3
+
+
+class EndpointTable:
+    """All endpoints of one service."""
+
+    def __init__(self) -> None:
+        self.model = LatencyModel()
+        self._all: dict[str, EndpointStats] = {}
+        self._owned: frozenset[str] = frozenset()
+        self._pool = SlotPool()
+        self._slow = SlotPool()
+        self._trials: list[tuple[float, str]] = []
+        self.total_slots = 0
+
+    @property
+    def slots(self) -> int:
+        """The slots of the owned endpoints that can be used, slow ones among them."""
+        return self._pool.slots + self._slow.slots
+
+    @property
+    def owned_count(self) -> int:
+        """How many endpoints this VM owns."""
+        return len(self._owned)
+
+    def present(self) -> list[Endpoint]:
+        """Return the endpoints that are configured and may take work."""
+        return [stats.endpoint for stats in self._all.values() if stats.takes_work]
+
+    def get(self, address: str) -> EndpointStats | None:
+        """Return what is known of an endpoint."""
+        return self._all.get(address)
+
+    def configure(self, endpoints: Sequence[Endpoint]) -> None:
+        """Take the endpoints in force; those that are gone stay until their requests have ended."""
+        proven = not self._all
+        fresh = {endpoint.address: endpoint for endpoint in endpoints}
+        for address, stats in tuple(self._all.items()):
+            stats.gone = address not in fresh
+            if stats.gone and not stats.used:
+                del self._all[address]
+        for address, endpoint in fresh.items():
+            if address in self._all:
+                self._all[address].endpoint = endpoint
+                self._all[address].limit = min(self._all[address].limit, endpoint.slots)
+            else:
+                self._all[address] = EndpointStats.from_endpoint(endpoint, proven)
+
+    def own(self, addresses: Iterable[str], data_center: str, now_ms: float) -> None:
+        """Take the endpoints that this VM owns now."""
+        self._owned = frozenset(addresses)
+        self.total_slots = sum(endpoint.slots for endpoint in self.present())
+        self._pool = SlotPool(data_center)
+        self._slow = SlotPool(data_center)
+        self._trials = []
+        for address in self._owned:
+            self._sort_in(self._all[address], now_ms)
+
+    def owned(self) -> list[EndpointStats]:
+        """Return the endpoints that this VM owns."""
+        return [self._all[address] for address in self._owned if address in self._all]
+
+    def choose(self, now_ms: float, wait_ms: float, avoid: str = "") -> EndpointStats | None:
+        """Return the owned endpoint for a request that would else wait `wait_ms`, or None."""
+        trial = self._due_trial(now_ms)
+        if trial is not None:
+            return trial
+        while (stats := self._pool.first(avoid)) is not None:
+            if not stats.looks_slow(self.model, now_ms):
+                return stats
+            self._suspect(stats, Trouble.SLOW, now_ms)
+        if wait_ms + self.model.mean_ms > self.model.slow_mean_ms:
+            return self._slow.first(avoid)
+        return None
+
+    def spare(self) -> EndpointStats | None:
+        """Return a healthy owned endpoint with a slot to lend, or None."""
+        return self._pool.first()
+
+    def any_unowned(self, addresses: Sequence[str]) -> str:
+        """Return which of these endpoints has the fewest requests of this VM's in flight."""
+        return min(addresses, key=lambda address: self._load_of(self._all[address]))
+
+    def begin(self, request_id: str, address: str, now_ms: float) -> None:
+        """Count a request that starts."""
+        stats = self._all[address]
+        stats.begin(request_id, now_ms)
+        self.update(stats, now_ms)
+
+    def end(self, event: AttemptEnded, now_ms: float) -> None:
+        """Take the end of a request and what it says of its endpoint."""
+        stats = self._all.get(event.address)
+        if stats is None:
+            return
+        stats.end(event.request_id, event.result, event.latency_ms, self.model)
+        if event.result is AttemptResult.ANSWERED:
+            self.model.observe(event.latency_ms)
+            stats.evidence_ms = now_ms
+            stats.grow()
+        if event.load is not None:
+            stats.hear(event.load, now_ms)
+        self._judge(stats, event.result, now_ms)
+        self.update(stats, now_ms)
+        if stats.gone and not stats.used:
+            del self._all[event.address]
+
+    def lend(self, stats: EndpointStats, now_ms: float) -> None:
+        """Count a slot that another VM uses from now on."""
+        stats.lent += 1
+        self.update(stats, now_ms)
+
+    def take_back(self, address: str, suspicion: float, now_ms: float) -> None:
+        """Count a lent slot as free again."""
+        stats = self._all.get(address)
+        if stats is None:
+            return
+        stats.lent = max(0, stats.lent - 1)
+        stats.blame(suspicion)
+        self.update(stats, now_ms)
+
+    def update(self, stats: EndpointStats, now_ms: float) -> None:
+        """Put an endpoint where it belongs after a change."""
+        self._pool.update(stats, now_ms)
+        self._slow.update(stats, now_ms)
+
+    def _judge(self, stats: EndpointStats, result: AttemptResult, now_ms: float) -> None:
+        if stats.trouble:
+            if stats.clear():
+                stats.acquit()
+                self._sort_in(stats, now_ms)
+        elif result is AttemptResult.NOT_SENT:
+            self._suspect(stats, Trouble.UNREACHABLE, now_ms)
+        elif stats.failures >= FAILING_AT:
+            self._suspect(stats, Trouble.FAILING, now_ms)
+        elif stats.looks_slow(self.model, now_ms):
+            self._suspect(stats, Trouble.SLOW, now_ms)
+
+    def _suspect(self, stats: EndpointStats, trouble: int, now_ms: float) -> None:
+        if trouble == Trouble.FAILING and not self._may_eject():
+            return
+        stats.suspect(trouble, now_ms)
+        if stats.endpoint.address in self._owned:
+            self._sort_in(stats, now_ms)
+
+    def _may_eject(self) -> bool:
+        failing = sum(stats.trouble == Trouble.FAILING for stats in self.owned())
+        return failing + 1 <= max(1, len(self._owned) * FAILING_SHARE)
+
+    def _sort_in(self, stats: EndpointStats, now_ms: float) -> None:
+        address = stats.endpoint.address
+        self._pool.remove(address)
+        self._slow.remove(address)
+        if address not in self._owned or not stats.takes_work:
+            return
+        if stats.trouble:
+            heapq.heappush(self._trials, (stats.next_trial_ms, address))
+        if stats.trouble == Trouble.SLOW:
+            self._slow.add(stats, now_ms)
+        elif not stats.trouble:
+            self._pool.add(stats, now_ms)
+
+    def _due_trial(self, now_ms: float) -> EndpointStats | None:
+        while self._trials and self._trials[0][0] <= now_ms:
+            _, address = heapq.heappop(self._trials)
+            stats = self._all.get(address)
+            if stats is None or not stats.trouble or address not in self._owned:
+                continue
+            if stats.trial_due(now_ms) and stats.room(now_ms) > 0:
+                heapq.heappush(self._trials, (now_ms + stats.trial_ms, address))
+                return stats
+            heapq.heappush(self._trials, (max(stats.next_trial_ms, now_ms + 5.0), address))
+        return None
+
+    def _load_of(self, stats: EndpointStats) -> tuple[bool, int]:
+        return (bool(stats.trouble), stats.used)
--- /dev/null
+++ b/cloverhook/lending.py
@@ -0,0 +1,145 @@
+"""Slots that VMs lend each other: what is asked for, granted, borrowed and returned.
+
+Layer: coordination.  A VM whose requests wait tells the owners how many and how long; each owner
+ranks that among its own waiting requests.  Everything here is about capacity only: an ask, a grant
+or a return that is lost, late or doubled can leave a slot unused or used twice for a moment, and
+each of them lapses by itself.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from cloverhook.messages import SlotAsk
+
+__all__ = ["Ask", "Borrowed", "Lent", "Peer"]
+
+ASK_LIFETIME_MS = 100.0
+LOAN_MS = 500.0
+LENT_LIFETIME_MS = 2_000.0
+FIRST_ROUND_TRIP_MS = 3.0
+ROUND_TRIP_RATE = 0.1
+
+
+@dataclass(slots=True)
+class Ask:
+    """What another VM waits for: `waiting` requests, the first of which has waited `oldest_ms`."""
+
+    vm: str
+    priority: int
+    waiting: int
+    oldest_ms: float
+    received_ms: float
+    granted: int = 0
+
+    @classmethod
+    def from_message(cls, vm: str, message: SlotAsk, now_ms: float) -> "Ask":
+        """Return the ask that a message stands for."""
+        return cls(vm, message.priority, message.waiting, message.oldest_ms, now_ms)
+
+    def stands(self, now_ms: float) -> bool:
+        """Return whether there is something left to grant."""
+        return self.granted < self.waiting and now_ms - self.received_ms < ASK_LIFETIME_MS
+
+    def waited_ms(self, now_ms: float) -> float:
+        """Return how long its next request has waited, if they came evenly."""
+        told_ms = self.oldest_ms * (1.0 - self.granted / self.waiting)
+        return told_ms + now_ms - self.received_ms
+
+
+@dataclass(slots=True)
+class Peer:
+    """Another VM of the service: what it has asked for, and whether it answers."""
+
+    vm: str
+    ask: Ask | None = None
+    asked_ms: float | None = None
+    sent_ms: float = -1e12
+    sent_waiting: int = 0
+    round_trip_ms: float = FIRST_ROUND_TRIP_MS
+    silent: bool = False
+    working: bool = True
+
+    def heard(self, now_ms: float) -> None:
+        """Take an answer to an ask."""
+        if self.asked_ms is not None:
+            took_ms = now_ms - self.asked_ms
+            self.round_trip_ms += ROUND_TRIP_RATE * (took_ms - self.round_trip_ms)
+            self.asked_ms = None
+
+
+@dataclass(slots=True)
+class Borrowed:
+    """Slots of other owners that this VM may use; idle ones can be taken at once."""
+
+    idle: deque[tuple[str, str, float, float]] = field(default_factory=deque)
+    in_use: dict[str, tuple[str, float]] = field(default_factory=dict)
+
+    @property
+    def count(self) -> int:
+        """The number of slots borrowed."""
+        return len(self.idle) + len(self.in_use)
+
+    def put(self, address: str, owner: str, ends_ms: float, now_ms: float) -> None:
+        """Add an idle slot."""
+        self.idle.append((address, owner, ends_ms, now_ms))
+
+    def take(self, request_id: str) -> str | None:
+        """Use an idle slot for a request and return its address, or None."""
+        if not self.idle:
+            return None
+        address, owner, ends_ms, _ = self.idle.popleft()
+        self.in_use[request_id] = (owner, ends_ms)
+        return address
+
+    def release(self, request_id: str) -> tuple[str, float] | None:
+        """Return the owner and the end of the loan that a request has used, or None."""
+        return self.in_use.pop(request_id, None)
+
+    def uses_of(self, owner: str) -> bool:
+        """Return whether any slot of this owner is borrowed now."""
+        in_use = any(vm == owner for vm, _ in self.in_use.values())
+        return in_use or any(item[1] == owner for item in self.idle)
+
+    def idle_since(self, limit_ms: float) -> list[tuple[str, str]]:
+        """Take out and return address and owner of the slots that are idle since then."""
+        given_up: list[tuple[str, str]] = []
+        while self.idle and self.idle[0][3] <= limit_ms:
+            address, owner, _, _ = self.idle.popleft()
+            given_up.append((address, owner))
+        return given_up
+
+
+class Lent:
+    """Slots that this VM has granted to others and that are not back yet."""
+
+    def __init__(self) -> None:
+        self._out: dict[tuple[str, str], deque[float]] = {}
+
+    def add(self, vm: str, address: str, now_ms: float) -> None:
+        """Count a slot that is granted."""
+        self._out.setdefault((vm, address), deque()).append(now_ms + LENT_LIFETIME_MS)
+
+    def to_vm(self, vm: str) -> bool:
+        """Return whether the VM has any slot of this one."""
+        return any(name == vm for name, _ in self._out)
+
+    def back(self, vm: str, address: str) -> bool:
+        """Count a slot that is returned; return False for one that was not out."""
+        ends = self._out.get((vm, address))
+        if not ends:
+            return False
+        ends.popleft()
+        if not ends:
+            del self._out[(vm, address)]
+        return True
+
+    def lapsed(self, now_ms: float) -> list[str]:
+        """Take back and return the addresses of slots that have been out for too long."""
+        late: list[str] = []
+        for (vm, address), ends in tuple(self._out.items()):
+            while ends and ends[0] <= now_ms:
+                ends.popleft()
+                late.append(address)
+            if not ends:
+                self._out.pop((vm, address), None)
+        return late
--- a/cloverhook/messages.py
+++ b/cloverhook/messages.py
@@ -22,6 +22,9 @@
     "Hello",
     "Message",
     "RecordsPassedOn",
+    "SlotAsk",
+    "SlotGrant",
+    "SlotReturn",
     "decode",
     "encode",
 ]
@@ -63,12 +66,54 @@
     records: tuple[dict[str, Any], ...]
 
 
-Message = Hello | Heartbeat | RecordsPassedOn
+@dataclass(frozen=True, slots=True)
+class SlotAsk:
+    """The sender has requests waiting and would use slots that the receiver owns.
+
+    `oldest_ms` is how long the first of the `waiting` requests has waited, and `priority` the most
+    important priority among them.  It stands for a short time; `waiting` 0 takes it back.
+    """
+
+    service: str
+    priority: int
+    waiting: int
+    oldest_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlotGrant:
+    """The receiver may use one slot of each address until it returns it; the answer to an ask.
+
+    An address may stand twice.  With none, the sender has no slot to spare now; `working` is False
+    when none of the endpoints it owns can be reached.
+    """
+
+    service: str
+    addresses: tuple[str, ...]
+    working: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class SlotReturn:
+    """Slots that were granted are no longer used.
+
+    `suspicion` tells for each address how much evidence of trouble the sender has seen there.
+    """
+
+    service: str
+    addresses: tuple[str, ...]
+    suspicion: tuple[int, ...]
+
+
+Message = Hello | Heartbeat | RecordsPassedOn | SlotAsk | SlotGrant | SlotReturn
 
 TAGS: dict[str, type] = {
     "hello": Hello,
     "heartbeat": Heartbeat,
     "records": RecordsPassedOn,
+    "ask": SlotAsk,
+    "grant": SlotGrant,
+    "return": SlotReturn,
 }
 TAG_OF = {kind: tag for tag, kind in TAGS.items()}
 FIELDS = {kind: tuple(field.name for field in fields(kind)) for kind in TAG_OF}
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -14,16 +14,42 @@
 """
 
 import random
-from collections import deque
-from dataclasses import dataclass
-from enum import Enum
+from collections.abc import Iterable
 from functools import singledispatchmethod
 
+from cloverhook.endpoint_table import EndpointTable
 from cloverhook.errors import ErrorKind
-from cloverhook.fleet import Endpoint, Policy, Priority
-from cloverhook.messages import Message
+from cloverhook.fleet import Endpoint, Policy
+from cloverhook.lending import Ask
+from cloverhook.measuring import MeasuringBudget
+from cloverhook.messages import SlotAsk, SlotGrant, SlotReturn
+from cloverhook.ownership import owners
+from cloverhook.retry_after import ReturnTimes
+from cloverhook.retry_budget import RetryBudget
+from cloverhook.routing_events import (
+    NOT_RUN_RESULTS,
+    Action,
+    Arrival,
+    AttemptEnded,
+    AttemptResult,
+    CallerGone,
+    EndpointsChanged,
+    Event,
+    HomesChanged,
+    PeerSaid,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    Start,
+    Tell,
+    Tick,
+)
+from cloverhook.slot_exchange import IDLE_LOAN_MS, SlotExchange
+from cloverhook.token_bucket import TokenBucket
+from cloverhook.waiting import Request, WaitingLine
 
 __all__ = [
+    "PEER_BYTES_PER_S",
     "Action",
     "Arrival",
     "AttemptEnded",
@@ -43,173 +69,35 @@
 ]
 
 MAX_ATTEMPTS = 3
+PEER_BYTES_PER_S = 15_000
+STALE_EVIDENCE_MS = 5_000.0
+LOOK_FOR_PROBES_MS = 250.0
 
 
-class AttemptResult(Enum):
-    """How an attempt at a backend server ended.
-
-    `NOT_SENT` and `REFUSED` are the only ones after which it is certain that the request did not
-    run.
-    """
-
-    ANSWERED = "answered"
-    FAILED = "failed"
-    REFUSED = "refused"
-    NOT_SENT = "not-sent"
-    CUT = "cut"
-    TIMED_OUT = "timed-out"
-    CANCELLED = "cancelled"
-
-
-NOT_RUN_RESULTS = frozenset((AttemptResult.REFUSED, AttemptResult.NOT_SENT))
-
-
-@dataclass(frozen=True, slots=True)
-class Arrival:
-    """A request has arrived; `deadline_ms` is a point on the router's clock."""
-
-    request_id: str
-    priority: Priority
-    deadline_ms: float
-    idempotent: bool
-
-
-@dataclass(frozen=True, slots=True)
-class AttemptEnded:
-    """An attempt has ended, after `latency_ms`.
+class ServiceRouter:
+    """The decisions for one service.
 
-    `load` is the number of requests in flight that the answer carried.  With `again`, the
-    request has not been answered yet and wants another attempt, which the router starts only
-    where the result allows it.
+    `service` is its name in messages to other VMs; `peer_bytes` bounds the bytes of those messages
+    and may be shared by the routers of a daemon.
     """
 
-    request_id: str
-    address: str
-    result: AttemptResult
-    latency_ms: float
-    load: int | None = None
-    again: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class CallerGone:
-    """The caller of a waiting request has gone."""
-
-    request_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class EndpointsChanged:
-    """The configuration in force gives the service these endpoints and this policy."""
-
-    endpoints: tuple[Endpoint, ...]
-    policy: Policy
-
-
-@dataclass(frozen=True, slots=True)
-class Tick:
-    """Time has passed: deadlines and limits of waiting are looked at."""
-
-
-@dataclass(frozen=True, slots=True)
-class HomesChanged:
-    """The VMs that the service's callers gather on have changed; `own_vm` is this daemon's name."""
-
-    own_vm: str
-    homes: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class PeerSaid:
-    """Another VM has sent a message about this service."""
-
-    vm: str
-    message: Message
-
-
-@dataclass(frozen=True, slots=True)
-class ProbeEnded:
-    """A probe has ended after `latency_ms`; `load` is None when it gave no answer."""
-
-    address: str
-    load: int | None
-    latency_ms: float
-
-
-Event = (
-    Arrival
-    | AttemptEnded
-    | CallerGone
-    | EndpointsChanged
-    | HomesChanged
-    | PeerSaid
-    | ProbeEnded
-    | Tick
-)
-
-
-@dataclass(frozen=True, slots=True)
-class Start:
-    """Send a request to an endpoint."""
-
-    request_id: str
-    address: str
-
-
-@dataclass(frozen=True, slots=True)
-class Refuse:
-    """Give a request its final answer without running it (again)."""
-
-    request_id: str
-    kind: ErrorKind
-    retry_after_ms: float = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Probe:
-    """Ask an endpoint for its load."""
-
-    address: str
-
-
-@dataclass(frozen=True, slots=True)
-class Tell:
-    """Send a message about this service to another VM."""
-
-    vm: str
-    message: Message
-
-
-Action = Start | Refuse | Probe | Tell
-
-
-@dataclass(slots=True)
-class _EndpointState:
-    endpoint: Endpoint
-    in_flight: int = 0
-    gone: bool = False
-
-    @property
-    def has_room(self) -> bool:
-        return not self.gone and not self.endpoint.leaving and self.in_flight < self.endpoint.slots
-
-
-@dataclass(slots=True)
-class _Request:
-    arrival: Arrival
-    arrived_ms: float
-    attempts: int = 0
-
-
-class ServiceRouter:
-    """The decisions for one service."""
-
-    def __init__(self, source: random.Random) -> None:
+    def __init__(
+        self, source: random.Random, service: str = "", peer_bytes: TokenBucket | None = None
+    ) -> None:
         self._random = source
         self._policy = Policy()
-        self._endpoints: dict[str, _EndpointState] = {}
-        self._requests: dict[str, _Request] = {}
-        self._waiting: dict[Priority, deque[str]] = {priority: deque() for priority in Priority}
+        self._table = EndpointTable()
+        own_bytes = TokenBucket(PEER_BYTES_PER_S, PEER_BYTES_PER_S)
+        self._exchange = SlotExchange(service, peer_bytes or own_bytes)
+        self._line = WaitingLine()
+        self._requests: dict[str, Request] = {}
+        self._retries = RetryBudget()
+        self._returns = ReturnTimes(source)
+        self._measuring = MeasuringBudget()
+        self._homes = HomesChanged("", ())
+        self._probing: set[str] = set()
+        self._next_probes_ms = 0.0
+        self._present: list[Endpoint] = []
 
     @singledispatchmethod
     def handle(self, event: Event, now_ms: float) -> tuple[Action, ...]:
@@ -218,121 +106,277 @@
 
     @handle.register
     def _(self, event: Arrival, now_ms: float) -> tuple[Action, ...]:
-        request = _Request(event, now_ms)
+        request = Request(event, now_ms)
         self._requests[event.request_id] = request
-        return self._place(request, now_ms)
+        if event.attempt == 1:
+            self._retries.earn(self._policy.retry_ratio)
+        return tuple(self._place(request, now_ms))
 
     @handle.register
     def _(self, event: AttemptEnded, now_ms: float) -> tuple[Action, ...]:
-        state = self._endpoints.get(event.address)
-        if state is not None:
-            state.in_flight -= 1
-        actions: list[Action] = []
+        self._table.end(event, now_ms)
+        actions = self._release_loan(event, now_ms)
         if event.again:
             actions.extend(self._retry(event, now_ms))
         else:
             self._requests.pop(event.request_id, None)
-        actions.extend(self._start_waiting(now_ms))
+        actions.extend(self._share_out(now_ms))
         return tuple(actions)
 
     @handle.register
     def _(self, event: CallerGone, now_ms: float) -> tuple[Action, ...]:
-        self._requests.pop(event.request_id, None)
+        request = self._requests.pop(event.request_id, None)
+        if request is not None:
+            self._line.remove(request)
         return ()
 
     @handle.register
     def _(self, event: EndpointsChanged, now_ms: float) -> tuple[Action, ...]:
         self._policy = event.policy
-        fresh = {endpoint.address: endpoint for endpoint in event.endpoints}
-        for address, state in self._endpoints.items():
-            state.gone = address not in fresh
-        for address, endpoint in fresh.items():
-            if address in self._endpoints:
-                self._endpoints[address].endpoint = endpoint
-            else:
-                self._endpoints[address] = _EndpointState(endpoint)
-        return self._start_waiting(now_ms)
+        self._table.configure(event.endpoints)
+        self._divide(now_ms)
+        if not self._present:
+            return tuple(self._refuse_all_waiting(ErrorKind.NO_BACKEND_SERVER, now_ms))
+        return tuple(self._share_out(now_ms))
 
     @handle.register
     def _(self, event: HomesChanged, now_ms: float) -> tuple[Action, ...]:
-        return ()
+        self._homes = event
+        self._divide(now_ms)
+        return tuple(self._share_out(now_ms))
 
     @handle.register
     def _(self, event: PeerSaid, now_ms: float) -> tuple[Action, ...]:
+        if self._exchange.heard(event.vm, now_ms):
+            self._divide(now_ms)
+        match event.message:
+            case SlotAsk():
+                return tuple(self._answer_ask(event.vm, event.message, now_ms))
+            case SlotGrant():
+                return tuple(self._take_grant(event.vm, event.message, now_ms))
+            case SlotReturn(_, addresses, suspicion):
+                for address, evidence in zip(addresses, suspicion, strict=False):
+                    if self._exchange.lent.back(event.vm, address):
+                        self._table.take_back(address, evidence, now_ms)
+                return tuple(self._share_out(now_ms))
         return ()
 
     @handle.register
     def _(self, event: ProbeEnded, now_ms: float) -> tuple[Action, ...]:
-        return ()
+        self._probing.discard(event.address)
+        stats = self._table.get(event.address)
+        if stats is not None and event.load is not None:
+            stats.evidence_ms = now_ms
+            stats.hear(event.load, now_ms)
+            self._table.update(stats, now_ms)
+        return tuple(self._share_out(now_ms))
 
     @handle.register
     def _(self, event: Tick, now_ms: float) -> tuple[Action, ...]:
-        late: list[Action] = []
-        for queue in self._waiting.values():
-            for request_id in tuple(queue):
-                refusal = self._refusal(request_id, now_ms)
-                if refusal is not None:
-                    queue.remove(request_id)
-                    del self._requests[request_id]
-                    late.append(refusal)
-        return tuple(late)
-
-    def _place(self, request: _Request, now_ms: float) -> tuple[Action, ...]:
-        if all(state.gone for state in self._endpoints.values()):
-            del self._requests[request.arrival.request_id]
-            return (Refuse(request.arrival.request_id, ErrorKind.NO_BACKEND_SERVER, 1_000),)
-        state = self._choose()
-        if state is not None:
-            return (self._start(request, state),)
-        self._waiting[request.arrival.priority].append(request.arrival.request_id)
-        return ()
-
-    def _choose(self) -> _EndpointState | None:
-        free = [state for state in self._endpoints.values() if state.has_room]
-        if not free:
-            return None
-        least = min(state.in_flight for state in free)
-        return self._random.choice([state for state in free if state.in_flight == least])
+        if self._exchange.find_silent(now_ms):
+            self._divide(now_ms)
+        actions: list[Action] = []
+        for request in self._line.overdue(now_ms, self._requests):
+            actions.append(self._refuse_overdue(request, now_ms))
+        for address in self._exchange.lent.lapsed(now_ms):
+            self._table.take_back(address, 0, now_ms)
+        if len(self._line) and self._nothing_works():
+            actions.extend(self._refuse_all_waiting(ErrorKind.NO_BACKEND_SERVER, now_ms))
+        actions.extend(self._share_out(now_ms))
+        if now_ms >= self._next_probes_ms:
+            self._next_probes_ms = now_ms + LOOK_FOR_PROBES_MS
+            actions.extend(self._probes(now_ms))
+        return tuple(actions)
 
-    def _start(self, request: _Request, state: _EndpointState) -> Start:
+    def _divide(self, now_ms: float) -> None:
+        """Work out which endpoints this VM owns, as far as the other homes can be reached."""
+        self._present = self._table.present()
+        own = self._homes.own_vm
+        others = [vm for vm in self._homes.homes if vm != own]
+        self._exchange.set_owners(others)
+        silent = self._exchange.silent()
+        homes = [vm for vm in self._homes.homes if vm not in silent]
+        if homes:
+            owner_of = owners(self._present, homes, self._homes.data_centers)
+            mine = [address for address, vm in owner_of.items() if vm == own]
+        else:
+            mine = [endpoint.address for endpoint in self._present]
+        self._table.own(mine, self._homes.data_centers.get(own, ""), now_ms)
+        self._measuring.set_share(
+            self._policy.measuring_ms_per_s, len(mine), len(self._present), now_ms
+        )
+
+    def _place(self, request: Request, now_ms: float, avoid: str = "") -> list[Action]:
+        request_id = request.arrival.request_id
+        if not self._present or self._nothing_works():
+            stats = self._table.choose(now_ms, 0.0) if self._present else None
+            if stats is None:
+                return [self._refuse(request, ErrorKind.NO_BACKEND_SERVER, 0.0)]
+            return [self._start(request, stats.endpoint.address, now_ms)]
+        if not len(self._line):
+            address = self._slot_for(request_id, now_ms, avoid)
+            if address is not None:
+                return [self._start(request, address, now_ms)]
+        wait_ms = self._wait_ms(self._line.ahead_of(request.arrival.priority))
+        if now_ms + wait_ms + self._table.model.mean_ms / 2 > request.arrival.deadline_ms:
+            return [self._refuse(request, ErrorKind.OVERLOADED, wait_ms)]
+        give_up_ms = min(
+            request.arrival.deadline_ms, request.arrived_ms + self._policy.wait_limit_ms
+        )
+        self._line.add(request, give_up_ms)
+        return [*self._share_out(now_ms), *self._shed(now_ms)]
+
+    def _slot_for(self, request_id: str, now_ms: float, avoid: str = "") -> str | None:
+        wait_ms = self._wait_ms(len(self._line))
+        stats = self._table.choose(now_ms, wait_ms, avoid)
+        if stats is not None:
+            return stats.endpoint.address
+        return self._exchange.borrowed.take(request_id)
+
+    def _start(self, request: Request, address: str, now_ms: float) -> Start:
         request.attempts += 1
-        state.in_flight += 1
-        return Start(request.arrival.request_id, state.endpoint.address)
+        self._returns.admitted()
+        self._table.begin(request.arrival.request_id, address, now_ms)
+        return Start(request.arrival.request_id, address)
 
-    def _retry(self, event: AttemptEnded, now_ms: float) -> tuple[Action, ...]:
+    def _share_out(self, now_ms: float) -> list[Action]:
+        """Give free slots to the waiting requests and to other VMs' asks, in their order."""
+        actions: list[Action] = []
+        grants: dict[str, list[str]] = {}
+        lending = True
+        while True:
+            ask = self._exchange.best_ask(now_ms) if lending else None
+            if ask is not None and self._exchange.goes_first(ask, self._line, now_ms):
+                lending = self._grant_one(ask, grants, now_ms)
+                continue
+            request = self._line.first()
+            if request is None:
+                break
+            address = self._slot_for(request.arrival.request_id, now_ms)
+            if address is None:
+                break
+            self._line.remove(request)
+            actions.append(self._start(request, address, now_ms))
+        for vm, addresses in grants.items():
+            actions.append(self._exchange.grant(vm, addresses, True))
+        if not len(self._line):
+            idle = self._exchange.borrowed.idle_since(now_ms - IDLE_LOAN_MS)
+            actions.extend(self._exchange.give_back(idle, {}))
+        actions.extend(self._ask_or_withdraw(now_ms))
+        return actions
+
+    def _grant_one(self, ask: Ask, grants: dict[str, list[str]], now_ms: float) -> bool:
+        stats = self._table.spare()
+        if stats is None or not self._exchange.may_grant(now_ms):
+            return False
+        ask.granted += 1
+        address = stats.endpoint.address
+        self._table.lend(stats, now_ms)
+        self._exchange.lent.add(ask.vm, address, now_ms)
+        grants.setdefault(ask.vm, []).append(address)
+        return True
+
+    def _ask_or_withdraw(self, now_ms: float) -> list[Action]:
+        if not len(self._line):
+            return list(self._exchange.withdraw())
+        wait_ms = self._own_wait_ms(len(self._line))
+        tells = self._exchange.asks(self._line, wait_ms, now_ms)
+        return list(tells)
+
+    def _answer_ask(self, vm: str, message: SlotAsk, now_ms: float) -> list[Action]:
+        self._exchange.take_ask(vm, message, now_ms)
+        actions = self._share_out(now_ms)
+        answered = any(isinstance(item, Tell) and item.vm == vm for item in actions)
+        if message.waiting and not answered:
+            actions.append(self._exchange.grant(vm, (), self._owns_working()))
+        return actions
+
+    def _take_grant(self, vm: str, message: SlotGrant, now_ms: float) -> list[Action]:
+        known = tuple(item for item in message.addresses if self._table.get(item) is not None)
+        unknown = [(item, vm) for item in message.addresses if item not in known]
+        self._exchange.take_grant(vm, message, known, now_ms)
+        return [*self._exchange.give_back(unknown, {}), *self._share_out(now_ms)]
+
+    def _release_loan(self, event: AttemptEnded, now_ms: float) -> list[Action]:
+        loan = self._exchange.borrowed.release(event.request_id)
+        if loan is None:
+            return []
+        owner, ends_ms = loan
+        wanted_back = self._exchange.wants_back(owner, now_ms)
+        good = event.result is AttemptResult.ANSWERED
+        if good and now_ms < ends_ms and not wanted_back:
+            self._exchange.borrowed.put(event.address, owner, ends_ms, now_ms)
+            return []
+        stats = self._table.get(event.address)
+        evidence = int(max(stats.slowness, stats.failures)) if stats is not None else 0
+        return list(self._exchange.give_back(((event.address, owner),), {event.address: evidence}))
+
+    def _retry(self, event: AttemptEnded, now_ms: float) -> list[Action]:
         request = self._requests.get(event.request_id)
         if request is None:
-            return ()
+            return []
         may_run_again = event.result in NOT_RUN_RESULTS or request.arrival.idempotent
-        if may_run_again and request.attempts < MAX_ATTEMPTS:
-            return self._place(request, now_ms)
-        del self._requests[event.request_id]
-        return (Refuse(event.request_id, _kind_of(event.result), 1_000),)
+        allowed = request.attempts < MAX_ATTEMPTS and request.arrival.attempt == 1
+        if may_run_again and allowed and self._retries.take():
+            return self._place(request, now_ms, event.address)
+        return [self._refuse(request, _kind_of(event.result), 0.0)]
 
-    def _start_waiting(self, now_ms: float) -> tuple[Action, ...]:
+    def _shed(self, now_ms: float) -> list[Action]:
+        """Refuse the least important requests at once while the line is too long."""
         actions: list[Action] = []
-        for queue in self._waiting.values():
-            while queue:
-                request = self._requests.get(queue[0])
-                if request is None:
-                    queue.popleft()
-                    continue
-                state = self._choose()
-                if state is None:
-                    return tuple(actions)
-                queue.popleft()
-                actions.append(self._start(request, state))
-        return tuple(actions)
+        while len(self._line) and self._wait_ms(len(self._line)) > self._policy.wait_limit_ms:
+            request = self._line.least()
+            self._line.remove(request)
+            actions.append(self._refuse(request, ErrorKind.OVERLOADED, self._policy.wait_limit_ms))
+        return actions
 
-    def _refusal(self, request_id: str, now_ms: float) -> Refuse | None:
-        request = self._requests.get(request_id)
-        if request is None:
-            return None
+    def _refuse_overdue(self, request: Request, now_ms: float) -> Refuse:
         if now_ms >= request.arrival.deadline_ms:
-            return Refuse(request_id, ErrorKind.DEADLINE_BEFORE_RUN)
-        if now_ms - request.arrived_ms >= self._policy.wait_limit_ms:
-            return Refuse(request_id, ErrorKind.OVERLOADED, 1_000)
-        return None
+            return self._refuse(request, ErrorKind.DEADLINE_BEFORE_RUN, 0.0)
+        return self._refuse(request, ErrorKind.OVERLOADED, self._policy.wait_limit_ms)
+
+    def _refuse_all_waiting(self, kind: ErrorKind, now_ms: float) -> Iterable[Refuse]:
+        while (request := self._line.first()) is not None:
+            self._line.remove(request)
+            yield self._refuse(request, kind, 0.0)
+
+    def _refuse(self, request: Request, kind: ErrorKind, wait_ms: float) -> Refuse:
+        del self._requests[request.arrival.request_id]
+        return Refuse(request.arrival.request_id, kind, self._returns.refused(wait_ms))
+
+    def _own_wait_ms(self, count: int) -> float:
+        slots = self._table.slots + self._exchange.borrowed.count
+        if not slots:
+            return float("inf")
+        return count * self._table.model.mean_ms / slots
+
+    def _wait_ms(self, count: int) -> float:
+        slots = self._table.slots + self._exchange.borrowed.count
+        if not self._table.owned_count:
+            slots = self._table.total_slots
+        return count * self._table.model.mean_ms / max(1, slots)
+
+    def _owns_working(self) -> bool:
+        return self._table.slots > 0
+
+    def _nothing_works(self) -> bool:
+        if self._owns_working() or self._exchange.borrowed.count:
+            return False
+        return not self._exchange.peers_working()
+
+    def _probes(self, now_ms: float) -> list[Action]:
+        probes: list[Action] = []
+        for stats in self._table.owned():
+            address = stats.endpoint.address
+            fresh = now_ms - stats.evidence_ms < STALE_EVIDENCE_MS
+            if fresh or stats.used or address in self._probing:
+                continue
+            if not self._measuring.take_probe(now_ms):
+                break
+            stats.evidence_ms = now_ms
+            self._probing.add(address)
+            probes.append(Probe(address))
+        return probes
 
 
 def _kind_of(result: AttemptResult) -> ErrorKind:
--- /dev/null
+++ b/cloverhook/slot_exchange.py
@@ -0,0 +1,192 @@
+"""Lending between the VMs of one service: whom to ask, what to grant, what to give back.
+
+Layer: coordination, free of input and output: methods return `Tell` actions.  The bytes that all
+services of a daemon send for this are bounded by one token bucket; when it is empty, nothing is
+asked or granted and requests wait for the VM's own slots.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from cloverhook.lending import LOAN_MS, Ask, Borrowed, Lent, Peer
+from cloverhook.messages import SlotAsk, SlotGrant, SlotReturn
+from cloverhook.routing_events import Tell
+from cloverhook.token_bucket import TokenBucket
+from cloverhook.waiting import WaitingLine
+
+__all__ = ["SlotExchange"]
+
+SILENT_MS = 60.0
+ASK_AGAIN_MS = 40.0
+ASK_PACE_MS = 8.0
+IDLE_LOAN_MS = 0.0
+MESSAGE_BYTES = 40
+ADDRESS_BYTES = 16
+FAR_LONGER_MS = 150.0
+ASK_AT_ROUND_TRIPS = 2.0
+
+
+class SlotExchange:
+    """The lending of one service in one VM."""
+
+    def __init__(self, service: str, peer_bytes: TokenBucket) -> None:
+        self._service = service
+        self._peer_bytes = peer_bytes
+        self._peers: dict[str, Peer] = {}
+        self._others: dict[str, Peer] = {}
+        self.borrowed = Borrowed()
+        self.lent = Lent()
+
+    def set_owners(self, vms: Iterable[str]) -> None:
+        """Take the other VMs that own endpoints of the service."""
+        self._peers = {vm: self._peers.get(vm, Peer(vm)) for vm in vms}
+
+    def silent(self) -> set[str]:
+        """Return the owners that don't answer."""
+        return {peer.vm for peer in self._peers.values() if peer.silent}
+
+    def peers_working(self) -> bool:
+        """Return whether any other owner may have an endpoint that works."""
+        return any(peer.working and not peer.silent for peer in self._peers.values())
+
+    def has_peers(self) -> bool:
+        """Return whether another owner can be asked."""
+        return any(not peer.silent for peer in self._peers.values())
+
+    def find_silent(self, now_ms: float) -> bool:
+        """Return whether an owner has become silent: an ask stays without an answer."""
+        found = False
+        for peer in self._peers.values():
+            late = peer.asked_ms is not None and now_ms - peer.asked_ms > SILENT_MS
+            if late and not peer.silent:
+                peer.silent = True
+                found = True
+        return found
+
+    def heard(self, vm: str, now_ms: float) -> bool:
+        """Take any message of a VM; return whether an owner that was silent speaks again."""
+        peer = self._peers.get(vm)
+        if peer is None:
+            return False
+        was_silent, peer.silent = peer.silent, False
+        return was_silent
+
+    def take_ask(self, vm: str, message: SlotAsk, now_ms: float) -> None:
+        """Take what another VM waits for."""
+        peer = self._others.setdefault(vm, Peer(vm))
+        peer.ask = Ask.from_message(vm, message, now_ms) if message.waiting else None
+
+    def take_grant(
+        self, vm: str, message: SlotGrant, addresses: Iterable[str], now_ms: float
+    ) -> None:
+        """Take the answer to an ask; `addresses` are those of its slots that are known here."""
+        peer = self._peers.get(vm)
+        if peer is not None:
+            peer.heard(now_ms)
+            peer.working = message.working
+        for address in addresses:
+            self.borrowed.put(address, vm, now_ms + LOAN_MS, now_ms)
+
+    def best_ask(self, now_ms: float) -> Ask | None:
+        """Return the ask that comes first: the most important, then the longest waiting."""
+        best: Ask | None = None
+        for peer in self._others.values():
+            if peer.ask is None:
+                continue
+            if not peer.ask.stands(now_ms):
+                peer.ask = None
+            elif self.borrowed.uses_of(peer.vm):
+                continue
+            elif best is None or _rank(peer.ask, now_ms) < _rank(best, now_ms):
+                best = peer.ask
+        return best
+
+    def wants_back(self, owner: str, now_ms: float) -> bool:
+        """Return whether a slot borrowed from this owner should go back after its use."""
+        peer = self._others.get(owner)
+        asks = peer is not None and peer.ask is not None and peer.ask.stands(now_ms)
+        return asks or self.lent.to_vm(owner)
+
+    def goes_first(self, ask: Ask, line: WaitingLine, now_ms: float) -> bool:
+        """Return whether an ask comes before this VM's own waiting requests.
+
+        A slot that is lent stands idle on the way there and back.  So an owner that has requests
+        of its own waiting lends to another owner only for a more important one or a far longer
+        wait.  A VM that owns nothing has no other way, so its requests take their turn by age.
+        """
+        own = line.first()
+        if own is None:
+            return True
+        if own.arrival.priority != ask.priority:
+            return ask.priority < own.arrival.priority
+        margin_ms = FAR_LONGER_MS if ask.vm in self._peers else 0.0
+        return ask.waited_ms(now_ms) > now_ms - own.arrived_ms + margin_ms
+
+    def asks(self, line: WaitingLine, wait_ms: float, now_ms: float) -> list[Tell]:
+        """Return the asks that the waiting requests call for now.
+
+        `wait_ms` is how long the last of them would wait for a slot of this VM's own.
+        """
+        first = line.first()
+        if first is None:
+            return []
+        tells: list[Tell] = []
+        for peer in self._peers.values():
+            if not peer.silent and wait_ms > ASK_AT_ROUND_TRIPS * peer.round_trip_ms:
+                tells.extend(self._ask(peer, line, first.arrived_ms, now_ms))
+        return tells
+
+    def withdraw(self) -> list[Tell]:
+        """Return the messages that take back asks once nothing waits any longer."""
+        tells: list[Tell] = []
+        for peer in self._peers.values():
+            if peer.sent_waiting:
+                peer.sent_waiting = 0
+                tells.append(Tell(peer.vm, SlotAsk(self._service, 0, 0, 0)))
+        return tells
+
+    def grant(self, vm: str, addresses: Iterable[str], working: bool) -> Tell:
+        """Return the answer to an ask."""
+        return Tell(vm, SlotGrant(self._service, tuple(addresses), working))
+
+    def may_grant(self, now_ms: float) -> bool:
+        """Return whether there are bytes left for a grant."""
+        return self._peer_bytes.take(MESSAGE_BYTES + ADDRESS_BYTES, now_ms)
+
+    def give_back(
+        self, slots: Iterable[tuple[str, str]], suspicion: Mapping[str, int]
+    ) -> list[Tell]:
+        """Return the messages that give slots, each an address and its owner, back."""
+        by_owner: dict[str, list[str]] = {}
+        for address, owner in slots:
+            by_owner.setdefault(owner, []).append(address)
+        return [
+            Tell(
+                owner,
+                SlotReturn(
+                    self._service,
+                    tuple(addresses),
+                    tuple(suspicion.get(address, 0) for address in addresses),
+                ),
+            )
+            for owner, addresses in by_owner.items()
+        ]
+
+    def _ask(self, peer: Peer, line: WaitingLine, first_ms: float, now_ms: float) -> list[Tell]:
+        since_ms = now_ms - peer.sent_ms
+        grown = len(line) > 2 * peer.sent_waiting
+        if since_ms < ASK_PACE_MS or (since_ms < ASK_AGAIN_MS and not grown):
+            return []
+        if not self._peer_bytes.take(MESSAGE_BYTES, now_ms):
+            return []
+        peer.sent_ms = now_ms
+        peer.sent_waiting = len(line)
+        if peer.asked_ms is None:
+            peer.asked_ms = now_ms
+        first = line.first()
+        oldest_ms = int(now_ms - first_ms)
+        message = SlotAsk(self._service, int(first.arrival.priority), len(line), oldest_ms)
+        return [Tell(peer.vm, message)]
+
+
+def _rank(ask: Ask, now_ms: float) -> tuple[int, float]:
+    return (ask.priority, -ask.waited_ms(now_ms))
