Give each request one answer, its own, with a certain outcome

Cause: the thin path answered a request, but not safely: an answer with surplus bytes ran on into its own body, HEAD cost a connection, trailers could pose as headers, `Connection: content-length` could strip a request of its framing, two requests with one identifier met in the dispatcher, a caller that left was noticed only through its body, a refused POST could not be sent again, and a GET that may have run at one backend server was told "not run" after another had refused it.

The callers' side is now a stricter subclass of uvicorn's httptools protocol with a request cycle of its own (limits and timeouts while parsing, refusals after the answers that came before, a reset when an answer breaks after its head). A caller that goes away cancels its request's task, which costs nothing on the way of others; watching `receive()` in a second task was ruled out for its cost on every request. Small bodies are kept for another attempt. An idle connection to a backend server is polled for input in the moment before it is used again.

What a caller sends in methods that llhttp does not know, `OPTIONS *` and tunnels get 400.

--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -15,6 +15,7 @@
 from aioprometheus import Counter, Registry
 
 from cloverhook.caller_app import CallerApp
+from cloverhook.caller_protocol import Limits
 from cloverhook.dispatch import Dispatcher, Target
 from cloverhook.errors import SettingsError
 from cloverhook.fold import FoldResult, Verdict
@@ -56,7 +57,7 @@
         self._incarnation = time.time_ns() // 1_000_000
         self._time_line = TimeLine(settings.vm)
         self._dispatcher = Dispatcher(random.Random(), self)
-        self._pool = UpstreamPool()
+        self._pool = UpstreamPool(settings.header_limit_bytes)
         self._follower = Follower(platform, self._on_folded)
         self._stopping = asyncio.Event()
         self._leaving = False
@@ -87,7 +88,19 @@
             lambda: self._refused_operators.inc({}),
         )
         settings = self._settings
-        self._callers = Listener(self._caller_app, settings.caller_address, settings.caller_idle_ms)
+        self._callers = Listener(
+            self._caller_app,
+            settings.caller_address,
+            settings.caller_idle_ms,
+            Limits(
+                settings.header_limit_bytes,
+                settings.header_limit_count,
+                settings.url_limit_bytes,
+                settings.body_limit_bytes,
+                settings.header_timeout_ms,
+                settings.body_timeout_ms,
+            ),
+        )
         self._operators = Listener(operators, settings.operator_address)
         await self._start_peering()
         await self._callers.start()
--- a/cloverhook/errors.py
+++ b/cloverhook/errors.py
@@ -44,6 +44,9 @@
     """The closed list of reasons for which a request ends without its backend server's answer."""
 
     BAD_REQUEST = "bad-request"
+    BAD_REQUEST_IN_RUN = "bad-request-in-run"
+    HEADERS_TIMED_OUT = "headers-timed-out"
+    BODY_TIMED_OUT = "body-timed-out"
     UNKNOWN_HOST = "unknown-host"
     FORBIDDEN = "forbidden"
     BODY_TOO_LARGE = "body-too-large"
@@ -78,6 +81,9 @@
 
 ANSWERS: dict[ErrorKind, Answer] = {
     ErrorKind.BAD_REQUEST: Answer(400, Outcome.NOT_RUN),
+    ErrorKind.BAD_REQUEST_IN_RUN: Answer(400, Outcome.UNKNOWN),
+    ErrorKind.HEADERS_TIMED_OUT: Answer(408, Outcome.NOT_RUN),
+    ErrorKind.BODY_TIMED_OUT: Answer(408, Outcome.UNKNOWN),
     ErrorKind.UNKNOWN_HOST: Answer(404, Outcome.NOT_RUN),
     ErrorKind.FORBIDDEN: Answer(403, Outcome.NOT_RUN),
     ErrorKind.BODY_TOO_LARGE: Answer(413, Outcome.NOT_RUN),
@@ -152,11 +158,13 @@
     """An exchange with a backend server that failed.
 
     `sent` is False only when it is certain that no byte of the request left this process.
+    `bad_answer` says that the backend server's answer was not valid HTTP.
     """
 
-    def __init__(self, reason: str, sent: bool) -> None:
+    def __init__(self, reason: str, sent: bool, bad_answer: bool = False) -> None:
         super().__init__(reason)
         self.sent = sent
+        self.bad_answer = bad_answer
 
 
 class RequestError(CloverhookError):
--- /dev/null
+++ b/cloverhook/exchange.py
@@ -0,0 +1,162 @@
+"""One caller's request on its way through this daemon, and its attempts at backend servers.
+
+Layer: transport.  A request's body is taken from its caller once.  While it is small it is kept,
+so that another attempt can send it again.
+"""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+from cloverhook import headers as h
+from cloverhook.dispatch import Target
+from cloverhook.errors import ErrorKind, Outcome, RequestError
+from cloverhook.upstream import AnswerHead, RequestHead, UpstreamConnection, UpstreamPool
+
+__all__ = ["Exchange", "Receive", "RefusedError", "RequestBody", "Send"]
+
+REFUSAL_STATUS = 503
+FAILURE_STATUSES = 500
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+
+class RefusedError(Exception):
+    """The backend server refused the request before it did any work."""
+
+
+class RequestBody:
+    """The body of a caller's request; its first `limit_bytes` are kept."""
+
+    def __init__(self, receive: Receive, limit_bytes: int) -> None:
+        self._receive = receive
+        self._limit_bytes = limit_bytes
+        self._kept: list[bytes] = []
+        self._kept_bytes = 0
+        self.ended = False
+        self.repeatable = True
+
+    async def begin(self) -> bytes:
+        """Return what is at hand for a new attempt; wait where that is nothing."""
+        if self._kept or self.ended:
+            return b"".join(self._kept)
+        return await self._take()
+
+    async def rest(self) -> AsyncIterator[bytes]:
+        """Yield what the caller still has to send."""
+        while not self.ended:
+            yield await self._take()
+
+    async def _take(self) -> bytes:
+        message = await self._receive()
+        if message["type"] == "http.disconnect":
+            raise RequestError(ErrorKind.CALLER_GONE)
+        part: bytes = message["body"]
+        self.ended = not message["more_body"]
+        self._keep(part)
+        return part
+
+    def _keep(self, part: bytes) -> None:
+        self._kept_bytes += len(part)
+        if self._kept_bytes > self._limit_bytes:
+            self.repeatable = False
+            self._kept.clear()
+        elif part:
+            self._kept.append(part)
+
+
+@dataclass(slots=True)
+class Exchange:
+    """A request with what is known of its attempts.
+
+    `sent` says whether a byte of the attempt under way may have left this process, and
+    `maybe_ran` whether an earlier attempt may have run.
+    """
+
+    request_id: str
+    target: Target
+    head: RequestHead
+    deadline_ms: float
+    idempotent: bool
+    body: RequestBody | None
+    send: Send
+    sent: bool = False
+    maybe_ran: bool = False
+    bad_answer: bool = False
+    answer_started: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether another attempt could send the same request and its answer would be the first."""
+        return not self.answer_started and (self.body is None or self.body.repeatable)
+
+    async def attempt(
+        self, address: str, pool: UpstreamPool, now_ms: Callable[[], float], closing: bool
+    ) -> AnswerHead:
+        """Send the request to an endpoint and its answer to the caller.
+
+        Raises `UpstreamError` when the exchange with the backend server fails, `RefusedError`
+        when it refuses the request, and `RequestError` when the request's body fails.
+        """
+        self.sent = False
+        connection = await pool.acquire(address)
+        try:
+            answer = await self._send_request(connection, now_ms)
+            outcome = h.outcome_of(answer.headers)
+            if answer.status == REFUSAL_STATUS and outcome is Outcome.NOT_RUN:
+                raise RefusedError
+            await self._send_answer(answer, connection, closing)
+        except RefusedError:
+            raise
+        except BaseException:
+            connection.close()
+            raise
+        finally:
+            pool.release(address, connection)
+        return answer
+
+    async def _send_request(
+        self, connection: UpstreamConnection, now_ms: Callable[[], float]
+    ) -> AnswerHead:
+        first = b"" if self.body is None else await self.body.begin()
+        rest = None if self.body is None or self.body.ended else self.body.rest()
+        head = self._head(self.deadline_ms - now_ms())
+        if connection.usable:
+            self.sent = True
+        return await connection.send(head, first, rest)
+
+    def _head(self, remaining_ms: float) -> RequestHead:
+        headers = [
+            *self.head.headers,
+            (h.REQUEST_ID, self.request_id.encode()),
+            (h.DEADLINE, str(max(1, int(remaining_ms))).encode()),
+        ]
+        head = self.head
+        return RequestHead(head.method, head.target, headers, head.has_body, head.chunked)
+
+    async def _send_answer(
+        self, answer: AnswerHead, connection: UpstreamConnection, closing: bool
+    ) -> None:
+        headers = h.end_to_end(answer.headers)
+        headers.append((h.REQUEST_ID, self.request_id.encode()))
+        headers.append((h.OUTCOME, _outcome(answer).value.encode()))
+        if closing:
+            headers.append((b"connection", b"close"))
+        self.answer_started = True
+        start = {"type": "http.response.start", "status": answer.status, "headers": headers}
+        await self.send(start)
+        more = True
+        if not connection.has_answer_bytes:
+            await self.send({"type": "http.response.body", "body": b"", "more_body": True})
+        while more:
+            part, more = await connection.read()
+            await self.send({"type": "http.response.body", "body": part, "more_body": more})
+
+
+def _outcome(answer: AnswerHead) -> Outcome:
+    """Return what an answer shows of its request: a failure may stand for a gateway's guess."""
+    if answer.status < FAILURE_STATUSES:
+        return Outcome.RAN
+    told = h.outcome_of(answer.headers)
+    return Outcome.RAN if told is Outcome.RAN else Outcome.UNKNOWN
--- a/cloverhook/headers.py
+++ b/cloverhook/headers.py
@@ -4,6 +4,7 @@
 their order are kept.
 """
 
+import re
 import uuid
 from collections.abc import Iterable
 
@@ -16,6 +17,7 @@
     "LOAD",
     "OUTCOME",
     "REQUEST_ID",
+    "RETRY_AFTER_MS",
     "Headers",
     "end_to_end",
     "find",
@@ -31,6 +33,7 @@
 DEADLINE = b"cloverhook-timeout-ms"
 OUTCOME = b"cloverhook-outcome"
 ERROR = b"cloverhook-error"
+RETRY_AFTER_MS = b"cloverhook-retry-after-ms"
 LOAD = b"cloverhook-load"
 IDEMPOTENCY_KEY = b"idempotency-key"
 
@@ -48,8 +51,11 @@
         b"expect",
     )
 )
-MAX_REQUEST_ID_BYTES = 128
+KEPT_ALWAYS = frozenset((b"content-length", b"host"))
+CONTROL_PREFIX = b"cloverhook-"
+USABLE_REQUEST_ID = re.compile(rb"[\x21-\x7e]{1,128}")
 MAX_TIMEOUT_DIGITS = 9
+OUTCOMES = {outcome.value.encode(): outcome for outcome in Outcome}
 
 
 def find(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
@@ -61,7 +67,12 @@
 
 
 def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
-    """Return the headers without hop-by-hop ones and those that `Connection` names."""
+    """Return the headers that go on to the other side.
+
+    Left out are hop-by-hop headers, those that `Connection` names, and cloverhook's own, which
+    each side gets from this daemon alone.  A sender can't name away the headers that frame and
+    address a message.
+    """
     headers = list(headers)
     named = {
         token.strip().lower()
@@ -69,15 +80,15 @@
         if key == b"connection"
         for token in value.split(b",")
     }
-    dropped = HOP_BY_HOP | named if named else HOP_BY_HOP
-    return [pair for pair in headers if pair[0] not in dropped]
+    dropped = HOP_BY_HOP | (named - KEPT_ALWAYS) if named else HOP_BY_HOP
+    return [pair for pair in headers if pair[0] not in dropped and not _is_own(pair[0])]
 
 
 def request_id_of(headers: Iterable[tuple[bytes, bytes]]) -> str:
     """Return the caller's request identifier, or a new one where it sent none that is usable."""
-    value = find(headers, REQUEST_ID)
-    if value and len(value) <= MAX_REQUEST_ID_BYTES and value.isascii():
-        return value.decode("ascii")
+    values = [value for key, value in headers if key == REQUEST_ID]
+    if len(values) == 1 and USABLE_REQUEST_ID.fullmatch(values[0]):
+        return values[0].decode("ascii")
     return uuid.uuid4().hex
 
 
@@ -103,6 +114,8 @@
 def outcome_of(headers: Iterable[tuple[bytes, bytes]]) -> Outcome | None:
     """Return what a backend server says of the request it answers, or None."""
     value = find(headers, OUTCOME)
-    if value == Outcome.NOT_RUN.value.encode():
-        return Outcome.NOT_RUN
-    return None
+    return OUTCOMES.get(value) if value is not None else None
+
+
+def _is_own(name: bytes) -> bool:
+    return name == REQUEST_ID or name.startswith(CONTROL_PREFIX)
--- a/cloverhook/server.py
+++ b/cloverhook/server.py
@@ -11,20 +11,10 @@
 from typing import Any
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-__all__ = ["Listener"]
-
-
-class _CallerProtocol(HttpToolsProtocol):
-    """HTTP/1.1 that never writes a parser's error into the answer of an earlier request."""
+from cloverhook.caller_protocol import CallerProtocol, Limits
 
-    def send_400_response(self, msg: str) -> None:
-        """Answer a request that can't be parsed, unless another answer is under way."""
-        if self.cycle is not None and not self.cycle.response_complete:
-            self.transport.abort()
-            return
-        super().send_400_response(msg)
+__all__ = ["Listener"]
 
 
 class _Server(uvicorn.Server):
@@ -39,14 +29,16 @@
 class Listener:
     """One listening address and the application behind it."""
 
-    def __init__(self, app: Any, address: str, idle_ms: int = 30_000) -> None:
+    def __init__(
+        self, app: Any, address: str, idle_ms: int = 30_000, limits: Limits | None = None
+    ) -> None:
         host, _, port = address.rpartition(":")
         self._socket = socket.create_server((host, int(port)), backlog=2_048, reuse_port=False)
         self._socket.setblocking(False)
         config = uvicorn.Config(
             app,
             loop="asyncio",
-            http=_CallerProtocol,
+            http=_protocol(limits or Limits()),
             ws="none",
             lifespan="off",
             access_log=False,
@@ -72,3 +64,7 @@
         self._server.should_exit = True
         if self._task is not None:
             await self._task
+
+
+def _protocol(limits: Limits) -> type[CallerProtocol]:
+    return type("LimitedCallerProtocol", (CallerProtocol,), {"limits": limits})
--- a/cloverhook/settings.py
+++ b/cloverhook/settings.py
@@ -35,7 +35,12 @@
     peer_key_file: str = ""
     operator_token_file: str = ""
     header_limit_bytes: int = 32_768
+    header_limit_count: int = 100
+    url_limit_bytes: int = 8_192
     body_limit_bytes: int = 1_073_741_824
+    kept_body_bytes: int = 65_536
+    header_timeout_ms: int = 10_000
+    body_timeout_ms: int = 30_000
     caller_idle_ms: int = 30_000
     heartbeat_ms: int = 250
     drain_ms: int = 6_000
--- a/cloverhook/upstream.py
+++ b/cloverhook/upstream.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import select
 from collections import deque
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
@@ -18,7 +19,13 @@
 
 __all__ = ["AnswerHead", "RequestHead", "UpstreamConnection", "UpstreamPool"]
 
+BODILESS_STATUSES = frozenset((204, 304))
 BUFFER_LIMIT_BYTES = 256 * 1024
+END_OF_HEAD = b"\r\n\r\n"
+HEADER_FRAMING_BYTES = 4
+HEADER_LIMIT_BYTES = 32_768
+LAST_CHUNK = b"0\r\n\r\n"
+SWITCHING_PROTOCOLS = 101
 CONNECT_TIMEOUT_MS = 1_000
 IDLE_LIMIT_MS = 3_000
 
@@ -55,32 +62,45 @@
 class UpstreamConnection(asyncio.Protocol):
     """One connection to a backend server."""
 
-    def __init__(self) -> None:
+    def __init__(self, header_limit_bytes: int = HEADER_LIMIT_BYTES) -> None:
         self._loop = asyncio.get_running_loop()
+        self._header_limit_bytes = header_limit_bytes
         self._transport: asyncio.Transport | None = None
         self._exchange: _Exchange | None = None
-        self._last: _Exchange | None = None
+        self._open = False
         self._can_write = asyncio.Event()
         self._can_write.set()
+        self._poll = select.poll()
         self.closed = False
         self.idle_since_ms = 0.0
 
     @property
     def usable(self) -> bool:
         """Whether a new exchange may start on this connection."""
-        return not self.closed and self._exchange is None
+        return not self.closed and not self._open
+
+    @property
+    def has_input(self) -> bool:
+        """Whether bytes, or the end of the connection, wait to be read at this moment."""
+        return bool(self._poll.poll(0))
+
+    @property
+    def has_answer_bytes(self) -> bool:
+        """Whether `read` would return at once."""
+        return self._exchange.readable
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport = transport
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the open exchange, if there is one."""
         self.closed = True
         self._can_write.set()
-        exchange, self._exchange = self._exchange, None
-        if exchange is not None:
-            exchange.on_eof()
+        if self._open:
+            self._open = False
+            self._exchange.on_eof()
 
     def pause_writing(self) -> None:
         """Make the sender of a request's body wait."""
@@ -92,10 +112,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the open exchange; close the connection when there is none."""
-        if self._exchange is None:
+        if self._open:
+            self._exchange.feed(data)
+        else:
             self.close()
-            return
-        self._exchange.feed(data)
 
     def close(self) -> None:
         """Close the connection at once; an open exchange ends as cut."""
@@ -103,61 +123,54 @@
         if self._transport is not None:
             self._transport.abort()
 
-    async def send(self, head: RequestHead, body: AsyncIterator[bytes] | None) -> AnswerHead:
+    async def send(
+        self, head: RequestHead, first: bytes = b"", rest: AsyncIterator[bytes] | None = None
+    ) -> AnswerHead:
         """Send a request and return the head of its answer.
 
+        `first` is the part of the body that is at hand, and `rest` what is still to come.
         Raises `UpstreamError`, whose `sent` says whether a byte may have left.
         """
         if not self.usable or self._transport is None or self._transport.is_closing():
             raise UpstreamError("the connection was closed before use", sent=False)
-        self._exchange = exchange = _Exchange(self, head.method == b"HEAD")
-        self._transport.write(head.to_bytes())
-        if body is None:
-            return await exchange.head
-        sender = self._loop.create_task(self._send_body(body, head.chunked))
-        try:
-            await asyncio.wait({sender, exchange.head}, return_when=asyncio.FIRST_COMPLETED)
-            if sender.done():
-                sender.result()
-            return await exchange.head
-        finally:
-            exchange.sender = sender
-            if not exchange.head.done():
-                sender.cancel()
-
-    async def read(self) -> AsyncIterator[bytes]:
-        """Yield the body of the answer.  Raises `UpstreamError` when it is cut."""
-        exchange = self._exchange or self._last
-        while True:
-            chunk = await exchange.next_chunk()
-            if chunk is None:
-                return
-            yield chunk
+        exchange = _Exchange(self, head.method == b"HEAD", self._header_limit_bytes)
+        self._exchange = exchange
+        self._open = True
+        body = _framed(first, head.chunked, last=rest is None and head.has_body)
+        self._transport.write(head.to_bytes() + body)
+        if rest is not None:
+            exchange.sender = self._loop.create_task(self._send_rest(rest, head.chunked))
+            exchange.sender.add_done_callback(exchange.on_sender_done)
+        return await exchange.head
+
+    async def read(self) -> tuple[bytes, bool]:
+        """Return the next part of the answer's body, and whether more follows.
+
+        Raises `UpstreamError` when the answer is cut.
+        """
+        return await self._exchange.next_part()
 
     def stop_sending(self) -> None:
         """Stop sending the body of a request whose answer is not wanted or is whole already."""
-        exchange = self._exchange or self._last
-        if exchange is not None and exchange.sender is not None:
-            exchange.sender.cancel()
+        sender = self._exchange.sender if self._exchange is not None else None
+        if sender is not None:
+            sender.cancel()
 
-    async def _send_body(self, body: AsyncIterator[bytes], chunked: bool) -> None:
-        async for chunk in body:
-            if not chunk:
-                continue
+    async def _send_rest(self, rest: AsyncIterator[bytes], chunked: bool) -> None:
+        async for part in rest:
+            await self._can_write.wait()
             if self.closed:
                 return
-            self._transport.write(b"%x\r\n%b\r\n" % (len(chunk), chunk) if chunked else chunk)
-            await self._can_write.wait()
+            if part:
+                self._transport.write(_framed(part, chunked))
         if chunked and not self.closed:
-            self._transport.write(b"0\r\n\r\n")
+            self._transport.write(LAST_CHUNK)
 
     def _finish(self, exchange: "_Exchange", reusable: bool) -> None:
-        self._last = exchange
-        self._exchange = None
+        self._open = False
         body_sent = exchange.sender is None or exchange.sender.done()
         if not (reusable and body_sent):
             self.close()
-        self.idle_since_ms = self._loop.time() * 1000
 
     def _pause_reading(self) -> None:
         self._transport.pause_reading()
@@ -170,44 +183,74 @@
 class _Exchange:
     """One request and its answer; the parser calls its `on_` methods."""
 
-    def __init__(self, connection: UpstreamConnection, head_only: bool) -> None:
+    def __init__(
+        self, connection: UpstreamConnection, head_only: bool, header_limit_bytes: int
+    ) -> None:
         self._connection = connection
         self._head_only = head_only
+        self._header_room_bytes = header_limit_bytes
         self._parser = httptools.HttpResponseParser(self)
         self._answer: AnswerHead | None = None
         self._headers: Headers = []
-        self._chunks: deque[bytes] = deque()
+        self._parts: list[bytes] = []
         self._buffered_bytes = 0
         self._paused = False
         self._wakeup: asyncio.Future[None] | None = None
-        self._error: UpstreamError | None = None
+        self._error: BaseException | None = None
         self._until_close = False
-        self.complete = False
+        self._complete = False
+        self._surplus = False
         self.sender: asyncio.Task[None] | None = None
         self.head: asyncio.Future[AnswerHead] = connection._loop.create_future()
 
+    @property
+    def readable(self) -> bool:
+        return bool(self._parts) or self._complete or self._error is not None
+
     def feed(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._fail(f"the answer can't be read: {error!r}")
+            self._surplus = True
+            if not self._complete and not (self._head_only and self._answer is not None):
+                self._fail(UpstreamError(f"the answer is not HTTP: {error!r}", True, True))
+        if self._head_only and self._answer is not None and not self._complete:
+            self._end(reusable=data.endswith(END_OF_HEAD) and self._parser.should_keep_alive())
+        if self._surplus:
             self._connection.close()
 
+    def on_message_begin(self) -> None:
+        if self._answer is not None:
+            self._surplus = True
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value.strip()))
+        if self._answer is not None:
+            return
+        self._header_room_bytes -= len(name) + len(value) + HEADER_FRAMING_BYTES
+        if self._header_room_bytes < 0:
+            raise ValueError("the head is too long")
+        self._headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
+        if self._answer is not None:
+            return
         status = self._parser.get_status_code()
         if status < 200:
+            if status == SWITCHING_PROTOCOLS:
+                raise ValueError("another protocol that nobody asked for")
             self._headers = []
             return
+        self._check_framing()
         self._answer = AnswerHead(status, self._headers)
         self._until_close = self._ends_at_close(status)
         if not self.head.done():
             self.head.set_result(self._answer)
 
     def on_body(self, body: bytes) -> None:
-        self._chunks.append(body)
+        if self._complete or self._head_only or self._surplus:
+            self._surplus = True
+            return
+        self._parts.append(body)
         self._buffered_bytes += len(body)
         if self._buffered_bytes > BUFFER_LIMIT_BYTES and not self._paused:
             self._paused = True
@@ -215,54 +258,65 @@
         self._wake()
 
     def on_message_complete(self) -> None:
-        if self._answer is None:
-            return
-        self._complete(reusable=self._parser.should_keep_alive() and not self._head_only)
+        if self._answer is not None and not self._head_only:
+            self._end(reusable=self._parser.should_keep_alive())
 
     def on_eof(self) -> None:
-        if self.complete:
+        if self._complete:
             return
         if self._until_close and self._answer is not None:
-            self.complete = True
+            self._complete = True
             self._wake()
             return
-        self._fail("the connection was cut")
+        self._fail(UpstreamError("the connection was cut", sent=True))
+
+    def on_sender_done(self, sender: asyncio.Task[None]) -> None:
+        if sender.cancelled():
+            return
+        error = sender.exception()
+        if error is not None and not self._complete:
+            self._fail(error)
+            self._connection.close()
 
-    async def next_chunk(self) -> bytes | None:
-        while not self._chunks:
+    async def next_part(self) -> tuple[bytes, bool]:
+        while not self._parts:
             if self._error is not None:
                 raise self._error
-            if self.complete or self._head_only:
-                self._end_head_only()
-                return None
+            if self._complete:
+                return b"", False
             self._wakeup = self._connection._loop.create_future()
             await self._wakeup
-        chunk = self._chunks.popleft()
-        self._buffered_bytes -= len(chunk)
-        if self._paused and self._buffered_bytes < BUFFER_LIMIT_BYTES / 2:
+        part = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
+        self._parts.clear()
+        self._buffered_bytes = 0
+        if self._paused:
             self._paused = False
             self._connection._resume_reading()
-        return chunk
+        return part, not self._complete
+
+    def _check_framing(self) -> None:
+        codings = [value for name, value in self._headers if name == b"transfer-encoding"]
+        if not codings:
+            return
+        if self._parser.get_http_version() != "1.1" or codings[0].lower() != b"chunked":
+            raise ValueError("a transfer coding other than chunked")
 
     def _ends_at_close(self, status: int) -> bool:
-        if self._head_only or status in (204, 304):
+        if self._head_only or status in BODILESS_STATUSES:
             return False
         names = {name for name, _ in self._headers}
         return b"content-length" not in names and b"transfer-encoding" not in names
 
-    def _end_head_only(self) -> None:
-        if self._head_only and not self.complete:
-            self._complete(reusable=False)
-
-    def _complete(self, reusable: bool) -> None:
-        if self.complete:
+    def _end(self, reusable: bool) -> None:
+        if self._complete:
             return
-        self.complete = True
+        self._complete = True
         self._connection._finish(self, reusable)
         self._wake()
 
-    def _fail(self, reason: str) -> None:
-        self._error = UpstreamError(reason, sent=True)
+    def _fail(self, error: BaseException) -> None:
+        if self._error is None:
+            self._error = error
         if not self.head.done():
             self.head.set_exception(self._error)
             self.head.exception()
@@ -273,10 +327,18 @@
             self._wakeup.set_result(None)
 
 
+def _framed(part: bytes, chunked: bool, last: bool = False) -> bytes:
+    if not chunked:
+        return part
+    chunk = b"%x\r\n%b\r\n" % (len(part), part) if part else b""
+    return chunk + LAST_CHUNK if last else chunk
+
+
 class UpstreamPool:
     """Idle connections to backend servers, by address."""
 
-    def __init__(self) -> None:
+    def __init__(self, header_limit_bytes: int = HEADER_LIMIT_BYTES) -> None:
+        self._header_limit_bytes = header_limit_bytes
         self._idle: dict[str, deque[UpstreamConnection]] = {}
 
     async def acquire(self, address: str) -> UpstreamConnection:
@@ -290,21 +352,26 @@
             connection = idle.pop()
             if not connection.usable:
                 continue
-            if loop.time() * 1000 - connection.idle_since_ms < IDLE_LIMIT_MS:
+            idle_ms = loop.time() * 1000 - connection.idle_since_ms
+            if idle_ms < IDLE_LIMIT_MS and not connection.has_input:
                 return connection
             connection.close()
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
-                _, connection = await loop.create_connection(UpstreamConnection, host, int(port))
+                _, connection = await loop.create_connection(self._connection, host, int(port))
         except (OSError, TimeoutError) as error:
             raise UpstreamError(f"no connection to {address}: {error!r}", sent=False) from error
         return connection
 
+    def _connection(self) -> UpstreamConnection:
+        return UpstreamConnection(self._header_limit_bytes)
+
     def release(self, address: str, connection: UpstreamConnection) -> None:
         """Give a connection back; it is kept only if its exchange was whole."""
         connection.stop_sending()
         if connection.usable:
+            connection.idle_since_ms = asyncio.get_running_loop().time() * 1000
             self._idle.setdefault(address, deque()).append(connection)
         else:
             connection.close()
