--- a/cloverhook/settings.py
+++ b/cloverhook/settings.py
@@ -50,7 +50,12 @@
     peer_key_file: str = ""
     operator_token_file: str = ""
     header_limit_bytes: int = kind_field(Integer(1_024, MEBIBYTE), 32_768)
+    header_limit_count: int = kind_field(Integer(1, 10_000), 100)
+    url_limit_bytes: int = kind_field(Integer(64, MEBIBYTE), 8_192)
     body_limit_bytes: int = kind_field(Integer(0), 1_073_741_824)
+    kept_body_bytes: int = kind_field(Integer(0, 16 * MEBIBYTE), 65_536)
+    header_timeout_ms: int = kind_field(Integer(10, HOUR_MS), 10_000)
+    body_timeout_ms: int = kind_field(Integer(10, HOUR_MS), 30_000)
     caller_idle_ms: int = kind_field(Integer(1_000, HOUR_MS), 30_000)
     heartbeat_ms: int = kind_field(Integer(10, 10_000), 250)
     drain_ms: int = kind_field(Integer(0, HOUR_MS), 6_000)
