Keep the only endpoint of a service in use while it answers with failures

Cause: after two failed requests the one endpoint went on probation, so requests that had nothing to do with the failures were refused as if no backend server were there.

--- a/cloverhook/endpoint_table.py
+++ b/cloverhook/endpoint_table.py
@@ -161,6 +161,8 @@
             self._sort_in(stats, now_ms)
 
     def _may_eject(self) -> bool:
+        if len(self.present()) == 1:
+            return False
         failing = sum(stats.trouble == Trouble.FAILING for stats in self.owned())
         return failing + 1 <= max(1, len(self._owned) * FAILING_SHARE)
 
