Make the scenario of leaving callers say which request leaves first

The waiting callers now leave first and the daemon answers three requests before the running ones go; what is asserted is unchanged.

--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -384,8 +384,13 @@
             _, writer = await open_to(context.address)
             writer.write(request("POST", "/hang", b"X-Request-Id: left-%d" % index))
             writers.append(writer)
-        await context.backend.wait_for("/hang", 4)
-        for writer in writers:
+            if index == 3:
+                await context.backend.wait_for("/hang", 4)
+        for writer in writers[4:]:
+            writer.close()
+        for _ in range(3):
+            await call(context.address, request("GET", "/.well-known/cloverhook/addresses"))
+        for writer in writers[:4]:
             writer.close()
 
     run(context, leave())
