Judge membership by gossip over a bounded overlay, and pass records on by offer

Until now every daemon linked to every other one and judged a peer by its own link alone. That costs N heartbeats a beat, and takes a one-way cut for a lost VM. Now a daemon keeps links to its neighbours on three hashed rings (six links however many VMs), pings and asks three others before it suspects, and a suspected VM refutes with a higher sequence number. Changes go over the links at once; digests repair what a closing link lost.

A new configuration offset is told to the linked peers at once; one that is behind asks for the records, or gets the whole state when the records are kept no longer. Pushing the records themselves was ruled out: each would cross every link, six times its size in each daemon.

The proof on a link is bound to the role, both nonces, the whole greeting and the VM that is meant; before, a daemon's own proof sent back to it was accepted if the nonces were. Messages wait in one bounded queue for each peer with one writer in place of a task for each message.

Durations come from the monotonic clock; a jump between two looks at it is taken for a pause, after which links are reset, and answers are short-lived until a peer has confirmed what is known.

Home VMs are computed as members change and handed to the routers; address answers start with them. A planned stop serves for the answers' lifetime and a margin, bounded by drain_ms, and never cuts; its second signal changes nothing.

--- a/cloverhook/caller_app.py
+++ b/cloverhook/caller_app.py
@@ -10,10 +10,12 @@
 import uuid
 from collections.abc import Callable
 from typing import Any
+from urllib.parse import parse_qs
 
 from absl import logging
 
 from cloverhook import headers as h
+from cloverhook.clock import wall_ms
 from cloverhook.dispatch import Dispatcher, Target
 from cloverhook.errors import ErrorKind, Outcome, RequestError, UpstreamError, answer_for
 from cloverhook.exchange import Exchange, Receive, RefusedError, RequestBody, Send
@@ -29,7 +31,7 @@
 NOT_RUN_RESULTS = frozenset((AttemptResult.REFUSED, AttemptResult.NOT_SENT))
 DEFAULT_RETRY_AFTER_MS = 1_000
 
-Addresses = Callable[[Target], dict[str, Any]]
+Addresses = Callable[[Target, str, str], dict[str, Any]]
 
 
 class CallerApp:
@@ -85,7 +87,7 @@
         try:
             target = self._dispatcher.target_for(h.find(scope["headers"], b"host") or b"")
             if scope["path"] == ADDRESSES_PATH:
-                await self._send_json(send, self._addresses(target))
+                await self._send_addresses(scope, send, target)
                 return
             exchange = self._open(scope, receive, send, request_id, target)
             await self._forward(exchange, scope["path"])
@@ -94,6 +96,14 @@
                 raise UpstreamError(f"after the answer's head: {error}", sent=True) from error
             await self._send_error(send, error, request_id, exchange)
 
+    async def _send_addresses(self, scope: dict[str, Any], send: Send, target: Target) -> None:
+        query = parse_qs(scope["query_string"].decode("latin-1"))
+        data_center = query.get("data_center", [""])[0]
+        unreachable = query.get("unreachable", [""])[0]
+        close = [(b"connection", b"close")] if self.leaving else None
+        document = self._addresses(target, data_center, unreachable)
+        await self._send_json(send, document, extra=close)
+
     def _open(
         self,
         scope: dict[str, Any],
@@ -239,7 +249,7 @@
         await send({"type": "http.response.body", "body": data, "more_body": False})
 
     def _note(self, name: str, request_id: str, address: str = "") -> None:
-        self._time_line.add(self._clock_ms(), name, request_id=request_id, address=address)
+        self._time_line.add(wall_ms(), name, request_id=request_id, address=address)
 
 
 def _retry_after(retry_after_ms: float) -> h.Headers:
--- /dev/null
+++ b/cloverhook/cluster.py
@@ -0,0 +1,278 @@
+"""A daemon's place among its peers: links, membership, records passed on, and home VMs.
+
+Layer: transport.  `Cluster` carries out what the sans-I/O parts decide: messages and links become
+events of `Membership`, and its actions become messages and links.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from absl import logging
+
+from cloverhook.address_answers import AddressAnswers
+from cloverhook.catch_up import CatchUp
+from cloverhook.clock import PauseWatch, monotonic_ms
+from cloverhook.dispatch import Dispatcher, Target
+from cloverhook.errors import ConfigError, PlatformError
+from cloverhook.follower import Follower
+from cloverhook.member_events import (
+    CallerReport,
+    ConfigFolded,
+    Dial,
+    Leave,
+    LinkLost,
+    LinkOpened,
+    ListRead,
+    MemberEvent,
+    MessageHeard,
+    Replaced,
+    Send,
+    Stopped,
+    Tick,
+    Woke,
+)
+from cloverhook.members import Member
+from cloverhook.membership import Membership
+from cloverhook.messages import (
+    Heartbeat,
+    Hello,
+    Message,
+    RecordsPassedOn,
+    RecordsWanted,
+    StatePassedOn,
+)
+from cloverhook.peering import PeerLinks
+from cloverhook.platform_api import Platform
+from cloverhook.settings import DaemonSettings
+from cloverhook.state import State
+
+__all__ = ["Cluster"]
+
+TICK_MS = 50
+LIST_EVERY_MS = 1_000
+SEED_EVERY_MS = 1_000
+RECORDS_IN_MESSAGE = 64
+
+
+class Cluster:
+    """The links to the peers and what is known of them."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        incarnation: int,
+        platform: Platform,
+        follower: Follower,
+        dispatcher: Dispatcher,
+        on_replaced: Callable[[], None],
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._platform = platform
+        self._follower = follower
+        self._dispatcher = dispatcher
+        self._on_replaced = on_replaced
+        self._random = random.Random()
+        self._catch_up = CatchUp()
+        self._answers = AddressAnswers(self._random)
+        self._answered: tuple[int, tuple[Target, ...]] = (-1, ())
+        self._pauses = PauseWatch(monotonic_ms())
+        self._next_seed_ms = 0.0
+        self._tasks: list[asyncio.Task[None]] = []
+        self.pauses = 0
+        self.links = PeerLinks(self._greeting, settings.peer_key(), self, monotonic_ms)
+
+    async def start(self, caller_address: str) -> None:
+        """Listen for peers and begin to talk."""
+        settings = self._settings
+        await self.links.start(settings.peer_address)
+        now_ms = monotonic_ms()
+        own = Member(
+            settings.vm,
+            settings.data_center,
+            caller_address,
+            self.links.address,
+            self._incarnation,
+            since_ms=now_ms,
+        )
+        self.membership = Membership(own, self._random, now_ms, settings.heartbeat_ms)
+        self._tasks = [asyncio.create_task(loop) for loop in (self._ticks(), self._watch_list())]
+
+    async def close(self) -> None:
+        """Say that this daemon is gone and close the links."""
+        for task in self._tasks:
+            task.cancel()
+        self._handle(Stopped())
+        await self.links.close()
+
+    def leave(self) -> None:
+        """Tell the peers that this daemon is leaving."""
+        self._handle(Leave())
+        self._update_homes()
+
+    def tell(self, vm: str, message: Message) -> None:
+        """Send a message to another VM; it may be lost."""
+        member = self.membership.table.get(vm)
+        self.links.send(vm, message, "" if member is None else member.peer_address)
+
+    def addresses(
+        self, target: Target, data_center: str = "", unreachable: str = ""
+    ) -> dict[str, Any]:
+        """Return what a caller is told of a service's addresses.
+
+        The caller may name its data centre, and an address that it could not connect to.
+        """
+        self._observe_pause()
+        if unreachable:
+            self._handle(CallerReport(unreachable))
+        self._update_homes()
+        return self._answers.answer(
+            target.key,
+            target.service.name,
+            target.policy.lifetime_ms,
+            data_center,
+            self.membership.doubtful,
+        )
+
+    def config_changed(self) -> None:
+        """Offer what has just been folded to the linked peers."""
+        self._handle(ConfigFolded(self._follower.state.next_offset))
+        self._update_homes()
+
+    def status(self) -> dict[str, Any]:
+        """Return what operators see of the peers."""
+        return {
+            "members": [member.vm for member in self.membership.serving()],
+            "linked": self.links.linked(),
+            "neighbours": self.membership.neighbours(),
+            "refused_strangers": self.links.refused_strangers,
+            "dropped_messages": self.links.dropped_messages,
+            "pauses": self.pauses,
+        }
+
+    def link_opened(self, hello: Hello) -> None:
+        """Take the greeting of a peer that has proved itself."""
+        self._handle(LinkOpened(hello))
+
+    def link_lost(self, vm: str) -> None:
+        """Note that there is no link to a VM any more."""
+        self._catch_up.lost(vm)
+        self._handle(LinkLost(vm))
+
+    def stranger_refused(self) -> None:
+        """Do nothing: the links count the strangers."""
+
+    def message_heard(self, vm: str, message: Message) -> None:
+        """Take a peer's message, unless it has waited through a pause of this process."""
+        if self._observe_pause():
+            return
+        now_ms = monotonic_ms()
+        self._handle(MessageHeard(vm, message))
+        match message:
+            case Heartbeat():
+                self._catch_up.offered(vm, message.config_offset, now_ms)
+            case RecordsWanted(from_offset):
+                self._pass_on(vm, from_offset)
+            case RecordsPassedOn(from_offset, records):
+                self._catch_up.answered(vm)
+                if from_offset <= self._follower.state.next_offset:
+                    self._follower.take(from_offset, records)
+            case StatePassedOn(document):
+                self._catch_up.answered(vm)
+                self._adopt(vm, document)
+            case _ if hasattr(message, "service"):
+                self._dispatcher.peer_said(message.service, vm, message, now_ms)
+
+    def _greeting(self) -> Hello:
+        own = self.membership.table.own
+        return Hello(
+            own.vm,
+            own.data_center,
+            own.caller_address,
+            own.peer_address,
+            own.incarnation,
+            sequence=own.sequence,
+            leaving=own.leaving,
+        )
+
+    def _handle(self, event: MemberEvent) -> None:
+        for action in self.membership.handle(event, monotonic_ms()):
+            match action:
+                case Send(vm, message):
+                    self.tell(vm, message)
+                case Dial(vm):
+                    member = self.membership.table.get(vm)
+                    if member is not None:
+                        self.links.open(vm, member.peer_address)
+                case Replaced():
+                    logging.warning("cluster: another process has taken this VM's name.")
+                    self._on_replaced()
+
+    def _pass_on(self, vm: str, from_offset: int) -> None:
+        records = self._follower.records_from(from_offset)
+        if records is None:
+            self.tell(vm, StatePassedOn(self._follower.state.to_document()))
+        elif records:
+            self.tell(vm, RecordsPassedOn(from_offset, records[:RECORDS_IN_MESSAGE]))
+
+    def _adopt(self, vm: str, document: dict[str, Any]) -> None:
+        try:
+            self._follower.adopt(State.from_document(document))
+        except ConfigError as error:
+            logging.warning("cluster: dropped a state of %s: %s.", vm, error)
+
+    def _observe_pause(self) -> bool:
+        """Notice a pause before anything that dates from before it is used."""
+        if not self._pauses.observe(monotonic_ms()):
+            return False
+        logging.warning("cluster: this process was paused; what it knows has to be confirmed.")
+        self.pauses += 1
+        self.links.reset()
+        self._catch_up = CatchUp()
+        self._handle(Woke())
+        return True
+
+    def _update_homes(self) -> None:
+        """Tell the routers whose home VMs have changed."""
+        targets = self._dispatcher.targets()
+        if self._answered == (self.membership.version, targets):
+            return
+        self._answered = (self.membership.version, targets)
+        counts = {target.key: target.policy.home_vms for target in targets}
+        for key in self._answers.update(counts, self.membership.serving()):
+            homes = self._answers.home_names(key)
+            self._dispatcher.homes_changed(key, self._settings.vm, homes, monotonic_ms())
+
+    async def _ticks(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_MS / 1000)
+            self._observe_pause()
+            self._tick(monotonic_ms())
+
+    def _tick(self, now_ms: float) -> None:
+        self._handle(ConfigFolded(self._follower.state.next_offset))
+        self._handle(Tick())
+        self.links.tick(self.membership.neighbours(), now_ms)
+        self._update_homes()
+        vm = self._catch_up.due(self._follower.state.next_offset, now_ms)
+        if vm is not None:
+            self.tell(vm, RecordsWanted(self._follower.state.next_offset))
+        if not self.membership.linked and now_ms >= self._next_seed_ms:
+            self._next_seed_ms = now_ms + SEED_EVERY_MS
+            self._dial_seeds()
+
+    def _dial_seeds(self) -> None:
+        """Open links to the peers that the settings name, for want of any other."""
+        for address in self._settings.peer_addresses.split(","):
+            if address.strip() and address.strip() != self.links.address:
+                self.links.open("", address.strip())
+
+    async def _watch_list(self) -> None:
+        while True:
+            try:
+                self._handle(ListRead(await self._platform.list_vms()))
+            except PlatformError as error:
+                logging.warning("cluster: the list of VMs can't be read: %s.", error)
+            await asyncio.sleep(LIST_EVERY_MS / 1000)
--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -16,38 +16,35 @@
 
 from cloverhook.caller_app import CallerApp
 from cloverhook.caller_protocol import Limits
+from cloverhook.clock import monotonic_ms, wall_ms
+from cloverhook.cluster import Cluster
 from cloverhook.dispatch import Dispatcher, Target
+from cloverhook.drain import DrainPlan
 from cloverhook.errors import SettingsError
 from cloverhook.fold import FoldResult, Verdict
 from cloverhook.follower import Follower
-from cloverhook.members import Member, Membership
-from cloverhook.messages import Heartbeat, Hello, Message, RecordsPassedOn
+from cloverhook.messages import Message
 from cloverhook.operator_app import operator_app
-from cloverhook.peering import PeerLinks
 from cloverhook.platform_api import Platform
 from cloverhook.platform_http import HttpPlatform
 from cloverhook.records import Record, Snapshot
 from cloverhook.server import Listener
 from cloverhook.settings import DaemonSettings
-from cloverhook.steering import home_vms, ranked
+from cloverhook.state import State
 from cloverhook.timeline import TimeLine
 from cloverhook.upstream import UpstreamPool
 
 __all__ = ["Daemon", "run"]
 
 TICK_MS = 10
-LIST_EVERY_MS = 1_000
 LOG_RETRY_MS = 500
 EXIT_SETTINGS = 2
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 FLAGS = flags.FLAGS
 flags.DEFINE_string("settings", None, "The TOML file with the daemon's settings.")
 
 
-def _now_ms() -> float:
-    return time.time() * 1000
-
-
 class Daemon:
     """One daemon on one VM."""
 
@@ -58,8 +55,12 @@
         self._time_line = TimeLine(settings.vm)
         self._dispatcher = Dispatcher(random.Random(), self)
         self._pool = UpstreamPool(settings.header_limit_bytes)
-        self._follower = Follower(platform, self._on_folded)
+        self._follower = Follower(platform, self._on_folded, self._on_adopted)
+        self._cluster = Cluster(
+            settings, self._incarnation, platform, self._follower, self._dispatcher, self.drain
+        )
         self._stopping = asyncio.Event()
+        self._drain_plan = DrainPlan(0.0, 0.0)
         self._leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         self._registry = Registry()
@@ -78,8 +79,8 @@
             self._dispatcher,
             self._pool,
             self._time_line,
-            _now_ms,
-            self._addresses,
+            monotonic_ms,
+            self._cluster.addresses,
         )
         operators = operator_app(
             self,
@@ -102,48 +103,70 @@
             ),
         )
         self._operators = Listener(operators, settings.operator_address)
-        await self._start_peering()
+        await self._cluster.start(self._callers.address)
         await self._callers.start()
         await self._operators.start()
-        loops = (self._follow(), self._tick(), self._beat(), self._watch_list())
+        loops = (self._follow(), self._tick())
         self._tasks = [asyncio.create_task(loop) for loop in loops]
+        logging.info("daemon: %s has started.", settings.vm)
+
+    def announce(self) -> None:
+        """Print the addresses that this daemon listens on."""
         for name, address in (
             ("callers", self._callers.address),
             ("operators", self._operators.address),
-            ("peers", self._links.address),
+            ("peers", self._cluster.links.address),
         ):
             print(f"{name}: listening on {address}", flush=True)
-        logging.info("daemon: %s has started.", settings.vm)
 
     async def run_until_stopped(self) -> None:
         """Serve until a planned stop has ended."""
         await self._stopping.wait()
         logging.info("daemon: %s is leaving.", self._settings.vm)
-        await asyncio.sleep(self._settings.drain_ms / 1000)
-        await self._callers.stop()
+        await asyncio.sleep(self._drain_plan.remaining_ms(monotonic_ms()) / 1000)
+        await self._finish_requests()
         for task in self._tasks:
             task.cancel()
-        await self._links.close()
+        await self._cluster.close()
         await self._operators.stop()
         self._pool.close()
         await self._platform.close()
         logging.info("daemon: %s has stopped.", self._settings.vm)
 
     def drain(self) -> None:
-        """Begin a planned stop: leave the addresses handed out, serve on, then stop."""
+        """Begin a planned stop: leave the addresses handed out, serve on, then stop.
+
+        A second call changes nothing, so a second signal cuts no request either.
+        """
+        if self._leaving:
+            return
         self._leaving = True
         self._caller_app.leaving = True
-        self._members.update_own(self._follower.state.next_offset, leaving=True)
-        self._send_heartbeats()
+        self._cluster.leave()
+        lifetimes = [target.policy.lifetime_ms for target in self._dispatcher.targets()]
+        self._drain_plan = DrainPlan.from_lifetimes(
+            monotonic_ms(), lifetimes, self._settings.drain_ms
+        )
         self._stopping.set()
 
+    async def _finish_requests(self) -> None:
+        """Let the requests in flight end; report those that take longer than the limit."""
+        stop = asyncio.create_task(self._callers.stop())
+        limit_s = self._settings.drain_in_flight_ms / 1000
+        while not (await asyncio.wait({stop}, timeout=limit_s))[0]:
+            logging.warning(
+                "daemon: %s still has %d requests in flight.",
+                self._settings.vm,
+                self._callers.in_flight(),
+            )
+        await stop
+
     def ready(self) -> bool:
         """Return whether the daemon has a configuration and takes requests."""
         return bool(self._follower.state.brands) and not self._leaving
 
     def status(self) -> dict[str, Any]:
         """Return what operators see of this daemon."""
-        now_ms = _now_ms()
         return {
             "vm": self._settings.vm,
             "data_center": self._settings.data_center,
@@ -154,9 +177,7 @@
                 name: {"version": item.version, "preset": item.preset.value}
                 for name, item in self._follower.state.brands.items()
             },
-            "members": [member.vm for member in self._members.serving(now_ms)],
-            "linked": self._links.linked(),
-            "refused_strangers": self._links.refused_strangers,
+            **self._cluster.status(),
         }
 
     def events(self) -> list[dict[str, Any]]:
@@ -165,75 +186,22 @@
 
     def tell(self, vm: str, message: Message) -> None:
         """Send a message to another VM; it may be lost."""
-        self._links.send(vm, message)
+        self._cluster.tell(vm, message)
 
     def probe(self, target: Target, address: str) -> None:
         """Ask an endpoint for its load and report the answer to its router."""
         del target, address
 
-    async def _start_peering(self) -> None:
-        settings = self._settings
-        hello = Hello(
-            settings.vm,
-            settings.data_center,
-            self._callers.address,
-            "",
-            self._incarnation,
-            b"",
-            b"",
-        )
-        self._links = PeerLinks(hello, settings.peer_key(), self._on_message)
-        await self._links.start(settings.peer_address)
-        own = Member(
-            settings.vm,
-            settings.data_center,
-            self._callers.address,
-            self._links.address,
-            self._incarnation,
-        )
-        self._members = Membership(own)
-
-    def _addresses(self, target: Target) -> dict[str, Any]:
-        serving = self._members.serving(_now_ms())
-        homes = home_vms(target.key, serving, target.policy.home_vms)
-        others = [member for member in ranked(target.key, serving) if member not in homes]
-        return {
-            "service": target.service.name,
-            "lifetime_ms": target.policy.lifetime_ms,
-            "addresses": [member.caller_address for member in (*homes, *others)],
-        }
-
     def _on_folded(self, record: Record, result: FoldResult) -> None:
         if isinstance(record, Snapshot):
             return
-        self._time_line.add(_now_ms(), f"change-{result.verdict.value}", change_id=record.change_id)
+        self._time_line.add(wall_ms(), f"change-{result.verdict.value}", change_id=record.change_id)
         if result.verdict is Verdict.ACCEPTED:
-            self._dispatcher.configure(result.state, _now_ms())
-
-    def _on_message(self, vm: str, message: Message) -> None:
-        now_ms = _now_ms()
-        match message:
-            case Hello():
-                self._members.greeted(message, now_ms)
-            case Heartbeat():
-                self._members.heard(message, now_ms)
-                self._help(vm, message)
-            case RecordsPassedOn(from_offset, records) if (
-                from_offset <= self._follower.state.next_offset
-            ):
-                self._follower.take(from_offset, records)
-
-    def _help(self, vm: str, beat: Heartbeat) -> None:
-        records = self._follower.records_from(beat.config_offset)
-        if records:
-            self._links.send(vm, RecordsPassedOn(beat.config_offset, records))
-
-    def _send_heartbeats(self) -> None:
-        beat = Heartbeat(
-            self._settings.vm, self._incarnation, self._follower.state.next_offset, self._leaving
-        )
-        for vm in self._links.linked():
-            self._links.send(vm, beat)
+            self._on_adopted(result.state)
+
+    def _on_adopted(self, state: State) -> None:
+        self._dispatcher.configure(state, monotonic_ms())
+        self._cluster.config_changed()
 
     async def _follow(self) -> None:
         while True:
@@ -243,33 +211,20 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_MS / 1000)
-            self._dispatcher.tick(_now_ms())
-
-    async def _beat(self) -> None:
-        while True:
-            await asyncio.sleep(self._settings.heartbeat_ms / 1000)
-            self._members.update_own(self._follower.state.next_offset, self._leaving)
-            for member in self._members.all():
-                if member.vm > self._settings.vm:
-                    self._links.open(member.vm, member.peer_address)
-            self._send_heartbeats()
-
-    async def _watch_list(self) -> None:
-        while True:
-            try:
-                self._members.listed(await self._platform.list_vms(), _now_ms())
-            except Exception as error:
-                logging.warning("daemon: the list of VMs can't be read: %s.", error)
-            await asyncio.sleep(LIST_EVERY_MS / 1000)
+            self._dispatcher.tick(monotonic_ms())
 
 
 async def _main(settings: DaemonSettings) -> None:
     daemon = Daemon.from_settings(settings)
     await daemon.start()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in STOP_SIGNALS:
         loop.add_signal_handler(number, daemon.drain)
+    daemon.announce()
     await daemon.run_until_stopped()
+    for number in STOP_SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 def _start(arguments: list[str]) -> None:
--- a/cloverhook/follower.py
+++ b/cloverhook/follower.py
@@ -11,9 +11,10 @@
 from absl import logging
 
 from cloverhook.errors import MessageError, PlatformError
-from cloverhook.fold import FoldResult, State, Verdict, fold
+from cloverhook.fold import FoldResult, Verdict, fold
 from cloverhook.platform_api import Platform
 from cloverhook.records import CONFIG_STREAM, Record, Snapshot, decode_record
+from cloverhook.state import State
 
 __all__ = ["Follower"]
 
@@ -26,9 +27,15 @@
 class Follower:
     """This daemon's copy of the state in force."""
 
-    def __init__(self, platform: Platform, on_folded: OnFolded) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        on_folded: OnFolded,
+        on_adopted: Callable[[State], None] = lambda state: None,
+    ) -> None:
         self._platform = platform
         self._on_folded = on_folded
+        self._on_adopted = on_adopted
         self.state = State()
         self.kept: deque[tuple[int, Mapping[str, Any]]] = deque(maxlen=KEPT_RECORDS)
 
@@ -52,6 +59,15 @@
             taken += 1
         return taken
 
+    def adopt(self, state: State) -> bool:
+        """Take a peer's whole state if it is further on; return whether it was."""
+        if state.next_offset <= self.state.next_offset:
+            return False
+        self.state = self.state.join(state)
+        self.kept.clear()
+        self._on_adopted(self.state)
+        return True
+
     def records_from(self, offset: int) -> tuple[Mapping[str, Any], ...] | None:
         """Return the kept records from an offset on, or None when they are kept no longer."""
         if offset >= self.state.next_offset:
--- /dev/null
+++ b/cloverhook/member_events.py
@@ -0,0 +1,127 @@
+"""What `Membership` is told and what it asks for.
+
+Layer: coordination.
+"""
+
+from dataclasses import dataclass
+
+from cloverhook.messages import Hello, Message
+from cloverhook.platform_api import ListedVm
+
+__all__ = [
+    "CallerReport",
+    "ConfigFolded",
+    "Dial",
+    "Leave",
+    "LinkLost",
+    "LinkOpened",
+    "ListRead",
+    "MemberAction",
+    "MemberEvent",
+    "MessageHeard",
+    "Replaced",
+    "Send",
+    "Stopped",
+    "Tick",
+    "Woke",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class ListRead:
+    """The platform's list has been read."""
+
+    vms: tuple[ListedVm, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LinkOpened:
+    """A link to a peer that has proved itself is open."""
+
+    hello: Hello
+
+
+@dataclass(frozen=True, slots=True)
+class LinkLost:
+    """The link to a peer has closed or has gone silent."""
+
+    vm: str
+
+
+@dataclass(frozen=True, slots=True)
+class MessageHeard:
+    """A peer has sent a message."""
+
+    vm: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class CallerReport:
+    """A caller could not connect to an address that it had been given."""
+
+    caller_address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigFolded:
+    """The configuration has been folded up to an offset."""
+
+    next_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class Woke:
+    """This process was paused for longer than its peers wait."""
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """This daemon begins a planned stop."""
+
+
+@dataclass(frozen=True, slots=True)
+class Stopped:
+    """This daemon has ended its planned stop and is about to exit."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+MemberEvent = (
+    CallerReport
+    | ConfigFolded
+    | Leave
+    | LinkLost
+    | LinkOpened
+    | ListRead
+    | MessageHeard
+    | Stopped
+    | Tick
+    | Woke
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send a message to a peer, over a new link if there is none."""
+
+    vm: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Dial:
+    """Open a link to a peer unless there is one."""
+
+    vm: str
+
+
+@dataclass(frozen=True, slots=True)
+class Replaced:
+    """Another process has taken this VM's name: this one has to leave."""
+
+
+MemberAction = Send | Dial | Replaced
--- a/cloverhook/messages.py
+++ b/cloverhook/messages.py
@@ -5,8 +5,11 @@
 goes to the end and has a default, so that older and newer daemons understand each other during a
 rolling replacement.
 
->>> decode(encode(Heartbeat("vm-1", 7, 12)))
-Heartbeat(vm='vm-1', incarnation=7, config_offset=12, leaving=False)
+>>> decode(encode(RecordsWanted(12)))
+RecordsWanted(from_offset=12)
+
+A message about one service has a field `service`, the service's key across brands; the daemon
+passes it to that service's router.
 """
 
 from dataclasses import dataclass, fields
@@ -20,11 +23,19 @@
     "PROTOCOL_VERSION",
     "Heartbeat",
     "Hello",
+    "MemberDigests",
+    "MemberUpdate",
+    "MemberUpdates",
     "Message",
+    "Ping",
+    "ProbeRequest",
     "RecordsPassedOn",
+    "RecordsWanted",
+    "Seen",
     "SlotAsk",
     "SlotGrant",
     "SlotReturn",
+    "StatePassedOn",
     "decode",
     "encode",
 ]
@@ -34,15 +45,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """The first message on a link: who speaks, and the proof that it holds the shared key."""
+    """The first message on a link: who speaks, and the proof that it holds the shared key.
+
+    `target` is the VM that the speaker means to reach; the side that dials may leave it empty
+    when it knows only an address.
+    """
 
     vm: str
     data_center: str
     caller_address: str
     peer_address: str
     incarnation: int
-    nonce: bytes
-    proof: bytes
+    proof: bytes = b""
+    target: str = ""
+    sequence: int = 0
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,12 +67,71 @@
     """A daemon is alive.
 
     `incarnation` grows with each start; `config_offset` is the offset of the record it takes next.
+    `sequence` counts what the daemon has said of itself in this incarnation, and `digest` sums up
+    the members it knows, so that two daemons notice when they differ.
     """
 
     vm: str
     incarnation: int
     config_offset: int
     leaving: bool = False
+    sequence: int = 0
+    digest: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class MemberUpdate:
+    """What a daemon knows of a member; `status` is a value of `members.Status`."""
+
+    vm: str
+    data_center: str
+    caller_address: str
+    peer_address: str
+    incarnation: int
+    sequence: int
+    status: int
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class MemberUpdates:
+    """Members that have changed, or that the receiver lacks."""
+
+    updates: tuple[MemberUpdate, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class MemberDigests:
+    """One digest for each bucket of members; the receiver sends the buckets that differ."""
+
+    buckets: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Asks for a heartbeat at once."""
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeRequest:
+    """Asks whether the receiver can reach a VM that the sender no longer hears."""
+
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """Answers a probe request: the sender has heard from the VM itself."""
+
+    target: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsWanted:
+    """Asks for the configuration records from an offset on."""
+
+    from_offset: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,23 +181,55 @@
     suspicion: tuple[int, ...]
 
 
-Message = Hello | Heartbeat | RecordsPassedOn | SlotAsk | SlotGrant | SlotReturn
+@dataclass(frozen=True, slots=True)
+class StatePassedOn:
+    """The whole folded state, as `fold.State.to_document` gives it, for a peer far behind."""
+
+    state: dict[str, Any]
+
+
+Message = (
+    Hello
+    | Heartbeat
+    | MemberDigests
+    | MemberUpdates
+    | Ping
+    | ProbeRequest
+    | RecordsPassedOn
+    | RecordsWanted
+    | Seen
+    | SlotAsk
+    | SlotGrant
+    | SlotReturn
+    | StatePassedOn
+)
 
 TAGS: dict[str, type] = {
     "hello": Hello,
     "heartbeat": Heartbeat,
+    "digests": MemberDigests,
+    "members": MemberUpdates,
+    "ping": Ping,
+    "probe": ProbeRequest,
     "records": RecordsPassedOn,
     "ask": SlotAsk,
     "grant": SlotGrant,
     "return": SlotReturn,
+    "wanted": RecordsWanted,
+    "seen": Seen,
+    "state": StatePassedOn,
 }
 TAG_OF = {kind: tag for tag, kind in TAGS.items()}
 FIELDS = {kind: tuple(field.name for field in fields(kind)) for kind in TAG_OF}
+UPDATE_FIELDS = tuple(field.name for field in fields(MemberUpdate))
 
 
 def encode(message: Message) -> bytes:
     """Return the CBOR form of a message."""
     kind = type(message)
+    if kind is MemberUpdates:
+        rows = [[getattr(item, name) for name in UPDATE_FIELDS] for item in message.updates]
+        return cbor2.dumps([PROTOCOL_VERSION, TAG_OF[kind], rows])
     values = [getattr(message, name) for name in FIELDS[kind]]
     return cbor2.dumps([PROTOCOL_VERSION, TAG_OF[kind], *values])
 
@@ -134,7 +242,14 @@
     try:
         _version, tag, *values = cbor2.loads(data)
         kind = TAGS[tag]
+        if kind is MemberUpdates:
+            return _decode_updates(values[0])
         known = values[: len(FIELDS[kind])]
         return kind(*(tuple(value) if isinstance(value, list) else value for value in known))
-    except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError) as error:
+    except (cbor2.CBORDecodeError, IndexError, KeyError, TypeError, ValueError) as error:
         raise MessageError(f"message: {error!r}") from error
+
+
+def _decode_updates(rows: list[list[Any]]) -> MemberUpdates:
+    known = len(UPDATE_FIELDS)
+    return MemberUpdates(tuple(MemberUpdate(*row[:known]) for row in rows))
--- /dev/null
+++ b/cloverhook/outbox.py
@@ -0,0 +1,53 @@
+"""A bounded queue of the messages that wait for one link.
+
+Layer: coordination.  A slow link must not grow a daemon's memory.  A heartbeat replaces the one
+that still waits; when the queue is full its oldest heartbeat goes, or else the new message.
+"""
+
+import asyncio
+from collections import deque
+
+from cloverhook.messages import Heartbeat, Message
+
+__all__ = ["Outbox"]
+
+OUTBOX_LIMIT = 256
+
+
+class Outbox:
+    """The messages for one peer, with one reader."""
+
+    def __init__(self, limit: int = OUTBOX_LIMIT) -> None:
+        self._limit = limit
+        self._messages: deque[Message] = deque()
+        self._filled = asyncio.Event()
+        self.dropped = 0
+
+    def __len__(self) -> int:
+        return len(self._messages)
+
+    def put(self, message: Message) -> bool:
+        """Add a message; return whether it was kept."""
+        if isinstance(message, Heartbeat):
+            self._drop_heartbeat()
+        if len(self._messages) >= self._limit and not self._drop_heartbeat():
+            self.dropped += 1
+            return False
+        self._messages.append(message)
+        self._filled.set()
+        return True
+
+    async def get(self) -> Message:
+        """Wait for the next message and remove it."""
+        while not self._messages:
+            self._filled.clear()
+            await self._filled.wait()
+        return self._messages.popleft()
+
+    def _drop_heartbeat(self) -> bool:
+        for message in self._messages:
+            if isinstance(message, Heartbeat):
+                self._messages.remove(message)
+                self.dropped += 1
+                return True
+        return False
--- /dev/null
+++ b/cloverhook/overlay.py
@@ -0,0 +1,47 @@
+"""Which peers a daemon keeps links to: its neighbours on a few rings, however many VMs there are.
+
+Layer: coordination, free of input and output.  Each ring orders all members by a hash of its own,
+and a daemon dials the one after it on each ring.  The union of a few such random rings has a small
+diameter with high probability (about log N to the base of the degree less one), every daemon has
+the same degree, and a member that comes or goes changes only the links beside it.
+"""
+
+from collections.abc import Sequence
+from functools import lru_cache
+
+import xxhash
+
+__all__ = ["RINGS", "neighbours", "successors"]
+
+RINGS = 3
+PLACES_KEPT = 8_192
+
+
+def successors(own_vm: str, vms: Sequence[str]) -> tuple[str, ...]:
+    """Return the VMs that a daemon dials: the next one on each ring."""
+    return _beside(own_vm, vms, 1)
+
+
+def neighbours(own_vm: str, vms: Sequence[str]) -> tuple[str, ...]:
+    """Return the VMs beside a daemon on any ring, at most twice as many as there are rings."""
+    return tuple(sorted({*_beside(own_vm, vms, 1), *_beside(own_vm, vms, -1)}))
+
+
+def _beside(own_vm: str, vms: Sequence[str], step: int) -> tuple[str, ...]:
+    found: set[str] = set()
+    others = [vm for vm in vms if vm != own_vm]
+    for ring in range(RINGS):
+        if others:
+            found.add(_next(own_vm, others, ring, step))
+    return tuple(sorted(found))
+
+
+def _next(own_vm: str, others: Sequence[str], ring: int, step: int) -> str:
+    own = _place(own_vm, ring)
+    after = [vm for vm in others if step * _place(vm, ring) > step * own]
+    return min(after or others, key=lambda vm: step * _place(vm, ring))
+
+
+@lru_cache(maxsize=PLACES_KEPT)
+def _place(vm: str, ring: int) -> int:
+    return xxhash.xxh3_64_intdigest(vm.encode(), seed=ring)
--- a/cloverhook/peering.py
+++ b/cloverhook/peering.py
@@ -1,16 +1,15 @@
 """Links between daemons: websockets that carry CBOR messages.
 
-Layer: transport.  A link is opened by the side whose name sorts first.  Each side proves with its
-greeting that it holds the shared key; a stranger's link is closed and counted.
+Layer: transport.  A link is opened by whichever side needs it.  Each side proves with its greeting
+that it holds the shared key; a stranger's link is closed and counted.  A link that goes silent is
+aborted, and one that was opened on demand is closed when it is idle.
 """
 
 import asyncio
 import contextlib
-import hashlib
-import hmac
-import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Coroutine
 from dataclasses import replace
+from typing import Any, Protocol
 
 import websockets
 from absl import logging
@@ -18,46 +17,107 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 
 from cloverhook.errors import AuthenticationError, MessageError
-from cloverhook.messages import Hello, Message, decode, encode
+from cloverhook.greeting import Greeting, Role
+from cloverhook.messages import Heartbeat, Hello, Message, decode, encode
+from cloverhook.outbox import Outbox
 
-__all__ = ["PeerLinks"]
+__all__ = ["LinkEvents", "PeerLinks"]
 
-GREETING_TIMEOUT_MS = 1_000
-NONCE_BYTES = 16
+GREETING_TIMEOUT_MS = 3_000
+CLOSE_TIMEOUT_MS = 500
+FLUSH_TIMEOUT_MS = 500
+SILENT_LINK_MS = 1_500
+IDLE_LINK_MS = 10_000
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+OPTIONS: dict[str, Any] = {
+    "compression": None,
+    "max_size": MAX_MESSAGE_BYTES,
+    "ping_interval": None,
+    "close_timeout": CLOSE_TIMEOUT_MS / 1000,
+}
 
 Connection = websockets.asyncio.connection.Connection
-OnMessage = Callable[[str, Message], None]
+
+
+class LinkEvents(Protocol):
+    """What the links tell the daemon."""
+
+    def link_opened(self, hello: Hello) -> None:
+        """Take the greeting of a peer that has proved itself."""
+
+    def link_lost(self, vm: str) -> None:
+        """Note that there is no link to a VM any more."""
+
+    def message_heard(self, vm: str, message: Message) -> None:
+        """Take a peer's message."""
+
+    def stranger_refused(self) -> None:
+        """Count a link whose other side did not prove itself."""
+
+
+class _Link:
+    """An open link: `dialler` is the VM that opened it."""
+
+    def __init__(self, connection: Connection, dialler: str, now_ms: float) -> None:
+        self.connection = connection
+        self.dialler = dialler
+        self.received_ms = now_ms
+        self.used_ms = now_ms
+
+    def silent(self, now_ms: float) -> bool:
+        """Return whether nothing has come for too long."""
+        return now_ms - self.received_ms > SILENT_LINK_MS
+
+    def abort(self) -> None:
+        """Close the connection without a word."""
+        self.connection.transport.abort()
 
 
 class PeerLinks:
-    """This daemon's links to its peers, by VM name."""
+    """This daemon's links to its peers, by VM name.
+
+    `greeting` gives what this daemon says of itself when a link opens.
+    """
 
-    def __init__(self, greeting: Hello, key: bytes, on_message: OnMessage) -> None:
+    def __init__(
+        self,
+        greeting: Callable[[], Hello],
+        key: bytes,
+        events: LinkEvents,
+        clock_ms: Callable[[], float],
+    ) -> None:
         self._greeting = greeting
         self._key = key
-        self._on_message = on_message
-        self._links: dict[str, Connection] = {}
+        self._events = events
+        self._clock_ms = clock_ms
+        self._links: dict[str, _Link] = {}
+        self._outboxes: dict[str, Outbox] = {}
+        self._dialling: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: Server | None = None
         self.refused_strangers = 0
+        self.dropped_messages = 0
         self.address = ""
 
     async def start(self, address: str) -> None:
         """Listen for peers."""
         host, _, port = address.rpartition(":")
-        self._server = await serve(
-            self._accept, host, int(port), compression=None, max_size=MAX_MESSAGE_BYTES
-        )
+        self._server = await serve(self._accept, host, int(port), **OPTIONS)
         self.address = "{}:{}".format(*self._server.sockets[0].getsockname())
-        self._greeting = replace(self._greeting, peer_address=self.address)
 
     async def close(self) -> None:
-        """Close every link and stop listening."""
+        """Send what waits, as far as that goes quickly; then close every link."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FLUSH_TIMEOUT_MS / 1000):
+                while any(len(self._outboxes[vm]) for vm in self._links):
+                    await asyncio.sleep(0.01)
+        if self._server is not None:
+            self._server.close()
+        closing = [link.connection.close() for link in self._links.values()]
+        await asyncio.gather(*closing, return_exceptions=True)
         for task in self._tasks:
             task.cancel()
         if self._server is not None:
-            self._server.close()
             await self._server.wait_closed()
 
     def linked(self) -> tuple[str, ...]:
@@ -65,88 +125,162 @@
         return tuple(sorted(self._links))
 
     def open(self, vm: str, address: str) -> None:
-        """Open a link to a peer unless there is one."""
-        if vm not in self._links:
+        """Open a link to a peer unless there is one or one is being opened."""
+        if vm not in self._links and address not in self._dialling:
             self._spawn(self._dial(vm, address))
 
-    def send(self, vm: str, message: Message) -> bool:
-        """Send a message; return False when there is no link to the VM."""
-        link = self._links.get(vm)
-        if link is None:
+    def send(self, vm: str, message: Message, address: str = "") -> bool:
+        """Queue a message; return False when it was dropped.
+
+        With no link to the VM, one is opened to `address` if that is given.
+        """
+        if vm not in self._links and not address:
             return False
-        self._spawn(self._send(link, encode(message)))
-        return True
+        outbox = self._outboxes.setdefault(vm, Outbox())
+        before = outbox.dropped
+        kept = outbox.put(message)
+        self.dropped_messages += outbox.dropped - before
+        if vm in self._links:
+            if not isinstance(message, Heartbeat):
+                self._links[vm].used_ms = self._clock_ms()
+        else:
+            self.open(vm, address)
+        return kept
+
+    def tick(self, kept: Collection[str], now_ms: float) -> None:
+        """Abort silent links; close idle ones that this side opened and `kept` does not name."""
+        for vm, link in tuple(self._links.items()):
+            if link.silent(now_ms):
+                logging.info("peering: the link to %s has gone silent.", vm)
+                link.abort()
+                self._remove(vm, link)
+            elif link.dialler != vm and vm not in kept and now_ms - link.used_ms > IDLE_LINK_MS:
+                self._spawn(self._close(link))
+
+    def reset(self) -> None:
+        """Abort every link and drop what waits: all of it dates from before a pause."""
+        self._outboxes.clear()
+        for vm, link in tuple(self._links.items()):
+            link.abort()
+            del self._links[vm]
 
     async def _dial(self, vm: str, address: str) -> None:
+        self._dialling.add(address)
         try:
             async with connect(
                 f"ws://{address}/",
-                compression=None,
-                max_size=MAX_MESSAGE_BYTES,
+                proxy=None,
                 open_timeout=GREETING_TIMEOUT_MS / 1000,
-            ) as link:
-                await self._converse(link)
+                **OPTIONS,
+            ) as connection:
+                await self._converse(connection, Role.CLIENT, vm, address)
         except (OSError, TimeoutError, websockets.WebSocketException) as error:
-            logging.debug("peering: no link to %s: %r.", vm, error)
+            logging.debug("peering: no link to %s: %r.", vm or address, error)
+        finally:
+            self._dialling.discard(address)
+            if vm not in self._links:
+                self._outboxes.pop(vm, None)
 
-    async def _accept(self, link: ServerConnection) -> None:
-        await self._converse(link)
+    async def _accept(self, connection: ServerConnection) -> None:
+        with contextlib.suppress(websockets.ConnectionClosed):
+            await self._converse(connection, Role.SERVER)
 
-    async def _converse(self, link: Connection) -> None:
+    async def _converse(
+        self, connection: Connection, role: Role, target: str = "", address: str = ""
+    ) -> None:
         try:
-            peer = await self._greet(link)
+            async with asyncio.timeout(GREETING_TIMEOUT_MS / 1000):
+                peer = await self._greet(connection, role, target)
         except (AuthenticationError, MessageError, TimeoutError) as error:
             self.refused_strangers += 1
+            self._events.stranger_refused()
             logging.warning("peering: refused a stranger: %s.", error)
-            await link.close()
+            await connection.close()
             return
-        if peer.vm in self._links:
-            await link.close()
+        self._dialling.discard(address)
+        dialler = self._greeting().vm if role is Role.CLIENT else peer.vm
+        link = _Link(connection, dialler, self._clock_ms())
+        if not self._prefers(peer.vm, link):
+            await connection.close()
             return
+        await self._serve(peer, link)
+
+    async def _serve(self, peer: Hello, link: _Link) -> None:
+        replaced = self._links.get(peer.vm)
         self._links[peer.vm] = link
+        if replaced is not None:
+            replaced.abort()
+        outbox = self._outboxes.setdefault(peer.vm, Outbox())
+        writer = self._spawn(self._write(link, outbox))
         try:
-            self._on_message(peer.vm, peer)
+            self._events.link_opened(peer)
             await self._receive(peer.vm, link)
         finally:
-            del self._links[peer.vm]
-
-    async def _greet(self, link: Connection) -> Hello:
-        nonce = secrets.token_bytes(NONCE_BYTES)
-        await link.send(nonce)
-        async with asyncio.timeout(GREETING_TIMEOUT_MS / 1000):
-            their_nonce = await link.recv()
-            if not isinstance(their_nonce, bytes) or len(their_nonce) != NONCE_BYTES:
-                raise AuthenticationError("no nonce")
-            await link.send(encode(self._proved(their_nonce)))
-            hello = decode(await link.recv())
-        if not isinstance(hello, Hello):
-            raise AuthenticationError("no greeting")
-        expected = self._proof(hello.vm, hello.incarnation, nonce)
-        if hello.nonce != nonce or not hmac.compare_digest(hello.proof, expected):
-            raise AuthenticationError("a wrong proof")
-        return hello
-
-    def _proved(self, nonce: bytes) -> Hello:
-        proof = self._proof(self._greeting.vm, self._greeting.incarnation, nonce)
-        return replace(self._greeting, nonce=nonce, proof=proof)
-
-    def _proof(self, vm: str, incarnation: int, nonce: bytes) -> bytes:
-        signed = b"\0".join((vm.encode(), str(incarnation).encode(), nonce))
-        return hmac.new(self._key, signed, hashlib.sha256).digest()
-
-    async def _receive(self, vm: str, link: Connection) -> None:
+            writer.cancel()
+            self._remove(peer.vm, link)
+
+    def _prefers(self, vm: str, link: _Link) -> bool:
+        """Return whether a new link takes the place of the one there is.
+
+        When both sides dial at once, both keep the link that the lower name has dialled.
+        """
+        present = self._links.get(vm)
+        if present is None or present.dialler == link.dialler:
+            return True
+        if present.silent(self._clock_ms()):
+            return True
+        return link.dialler < present.dialler
+
+    async def _greet(self, connection: Connection, role: Role, target: str) -> Hello:
+        nonce = Greeting.new_nonce()
+        if role is Role.CLIENT:
+            await connection.send(nonce)
+            greeting = Greeting.from_nonces(self._key, role, nonce, await connection.recv())
+            await self._send_greeting(connection, greeting, target)
+            return await self._receive_greeting(connection, greeting)
+        peer_nonce = await connection.recv()
+        await connection.send(nonce)
+        greeting = Greeting.from_nonces(self._key, role, nonce, peer_nonce)
+        peer = await self._receive_greeting(connection, greeting)
+        await self._send_greeting(connection, greeting, peer.vm)
+        return peer
+
+    async def _send_greeting(self, connection: Connection, greeting: Greeting, vm: str) -> None:
+        await connection.send(encode(greeting.prove(replace(self._greeting(), target=vm))))
+
+    async def _receive_greeting(self, connection: Connection, greeting: Greeting) -> Hello:
+        return greeting.check(decode(await connection.recv()), self._greeting().vm)
+
+    async def _receive(self, vm: str, link: _Link) -> None:
         with contextlib.suppress(websockets.ConnectionClosed):
-            async for data in link:
+            async for data in link.connection:
+                link.received_ms = self._clock_ms()
                 try:
-                    self._on_message(vm, decode(data))
+                    message = decode(data)
                 except MessageError as error:
                     logging.warning("peering: dropped a message of %s: %s.", vm, error)
+                    continue
+                if not isinstance(message, Heartbeat):
+                    link.used_ms = link.received_ms
+                if self._links.get(vm) is link:
+                    self._events.message_heard(vm, message)
 
-    async def _send(self, link: Connection, data: bytes) -> None:
+    async def _write(self, link: _Link, outbox: Outbox) -> None:
         with contextlib.suppress(websockets.ConnectionClosed):
-            await link.send(data)
+            while True:
+                await link.connection.send(encode(await outbox.get()))
+
+    async def _close(self, link: _Link) -> None:
+        await link.connection.close()
+
+    def _remove(self, vm: str, link: _Link) -> None:
+        if self._links.get(vm) is link:
+            del self._links[vm]
+            self._outboxes.pop(vm, None)
+            self._events.link_lost(vm)
 
-    def _spawn(self, work: "asyncio.coroutines.CoroutineType") -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
--- a/cloverhook/server.py
+++ b/cloverhook/server.py
@@ -59,6 +59,10 @@
         while not self._server.started:
             await asyncio.sleep(0.005)
 
+    def in_flight(self) -> int:
+        """Return how many requests are being served."""
+        return len(self._server.server_state.tasks)
+
     async def stop(self) -> None:
         """Stop accepting, let requests in flight end, and close."""
         self._server.should_exit = True
--- a/cloverhook/settings.py
+++ b/cloverhook/settings.py
@@ -39,6 +39,10 @@
     Addresses are `ip:port`; port 0 takes any free one.  A secret is read from the file that
     `peer_key_file` or `operator_token_file` names, or else from the environment variable
     `CLOVERHOOK_PEER_KEY` or `CLOVERHOOK_OPERATOR_TOKEN`.
+
+    `drain_ms` bounds how long a planned stop goes on taking requests; requests still in flight
+    `drain_in_flight_ms` after that are reported, and not cut.  `peer_addresses` names peers,
+    divided by commas, for a start at which the platform's list can't be read.
     """
 
     vm: str = kind_field(NAME)
@@ -58,7 +62,9 @@
     body_timeout_ms: int = kind_field(Integer(10, HOUR_MS), 30_000)
     caller_idle_ms: int = kind_field(Integer(1_000, HOUR_MS), 30_000)
     heartbeat_ms: int = kind_field(Integer(10, 10_000), 250)
-    drain_ms: int = kind_field(Integer(0, HOUR_MS), 6_000)
+    drain_ms: int = kind_field(Integer(0, HOUR_MS), 30_000)
+    drain_in_flight_ms: int = kind_field(Integer(10, HOUR_MS), 10_000)
+    peer_addresses: str = ""
     log_format: str = kind_field(Choice(("text", "json")), "text")
 
     @classmethod
