--- a/cloverhook/membership.py
+++ b/cloverhook/membership.py
@@ -53,6 +53,7 @@
 SEARCH_MS = 1_000
 SEARCHED = 3
 START_MS = 5_000
+ENOUGH_NEIGHBOURS = 2
 CONFIRM_MS = 1_500
 FORGET_MS = 60_000
 
@@ -113,9 +114,14 @@
     def handle(self, event: MemberEvent, now_ms: float) -> tuple[MemberAction, ...]:
         """Take an event and return the actions it calls for."""
         actions = list(self._take(event, now_ms))
-        actions.extend(self._gossip.flush(sorted(self.linked)))
+        actions.extend(self._gossip.flush(self._told()))
         return tuple(actions)
 
+    def _told(self) -> list[str]:
+        """Return the peers that changes go to: the neighbours, or all while few are linked."""
+        near = [vm for vm in self.neighbours() if vm in self.linked]
+        return near if len(near) >= ENOUGH_NEIGHBOURS else sorted(self.linked)
+
     @singledispatchmethod
     def _take(self, event: MemberEvent, now_ms: float) -> tuple[MemberAction, ...]:
         raise TypeError(f"not an event: {event!r}")
--- a/cloverhook/peering.py
+++ b/cloverhook/peering.py
@@ -18,7 +18,18 @@
 
 from cloverhook.errors import AuthenticationError, MessageError
 from cloverhook.greeting import Greeting, Role
-from cloverhook.messages import Heartbeat, Hello, Message, decode, encode
+from cloverhook.messages import (
+    Heartbeat,
+    Hello,
+    MemberDigests,
+    MemberUpdates,
+    Message,
+    Ping,
+    ProbeRequest,
+    Seen,
+    decode,
+    encode,
+)
 from cloverhook.outbox import Outbox
 
 __all__ = ["LinkEvents", "PeerLinks"]
@@ -29,6 +40,7 @@
 SILENT_LINK_MS = 1_500
 IDLE_LINK_MS = 10_000
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+UPKEEP = (Heartbeat, MemberDigests, MemberUpdates, Ping, ProbeRequest, Seen)
 OPTIONS: dict[str, Any] = {
     "compression": None,
     "max_size": MAX_MESSAGE_BYTES,
@@ -141,7 +153,7 @@
         kept = outbox.put(message)
         self.dropped_messages += outbox.dropped - before
         if vm in self._links:
-            if not isinstance(message, Heartbeat):
+            if not isinstance(message, UPKEEP):
                 self._links[vm].used_ms = self._clock_ms()
         else:
             self.open(vm, address)
@@ -260,7 +272,7 @@
                 except MessageError as error:
                     logging.warning("peering: dropped a message of %s: %s.", vm, error)
                     continue
-                if not isinstance(message, Heartbeat):
+                if not isinstance(message, UPKEEP):
                     link.used_ms = link.received_ms
                 if self._links.get(vm) is link:
                     self._events.message_heard(vm, message)
