Try the links between daemons over loopback

The old greeting let a stranger in that sent back all it heard: a proof covered the peer's nonce only, so a daemon took its own proof for a peer's. With role, nonce and name checks taken out the scenario is red, and so is the one on recorded greetings without the role alone. Red too: silent links never given up, and either fixed answer to the question which of two links dialled at once stays.

--- a/cloverhook/peering.py
+++ b/cloverhook/peering.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import logging as std_logging
 from collections.abc import Callable, Collection, Coroutine
 from dataclasses import replace
 from typing import Any, Protocol
@@ -113,6 +114,7 @@
 
     async def start(self, address: str) -> None:
         """Listen for peers."""
+        std_logging.getLogger("websockets").setLevel(std_logging.WARNING)
         host, _, port = address.rpartition(":")
         self._server = await serve(self._accept, host, int(port), **OPTIONS)
         self.address = "{}:{}".format(*self._server.sockets[0].getsockname())
--- /dev/null
+++ b/features/steps/peer_links_steps.py
@@ -0,0 +1,223 @@
+"""Steps that link daemons in this process over loopback."""
+
+import asyncio
+import contextlib
+from dataclasses import replace
+
+import websockets
+from behave import given, then, when
+from websockets.asyncio.server import serve
+
+from cloverhook.errors import AuthenticationError
+from cloverhook.greeting import Greeting, Role
+from cloverhook.messages import Hello, Ping, RecordsWanted
+from cloverhook.peering import IDLE_LINK_MS, SILENT_LINK_MS, PeerLinks
+from cloverhook_emulator.cut_proxy import CutProxy, Mode
+from features.steps.fleet_steps import eventually, run
+
+KEY = b"a key"
+
+
+class Side:
+    """A daemon's links and what they told."""
+
+    def __init__(self, vm, key):
+        self.heard = []
+        self.lost = []
+        self.strangers = 0
+        self.now_ms = 1_000.0
+        hello = Hello(vm, "papine", "127.0.0.1:80", "", 1)
+        self.links = PeerLinks(lambda: hello, key, self, lambda: self.now_ms)
+
+    def link_opened(self, hello):
+        """Do nothing: the links know."""
+
+    def link_lost(self, vm):
+        """Keep the name."""
+        self.lost.append(vm)
+
+    def message_heard(self, vm, message):
+        """Keep the message."""
+        self.heard.append((vm, message))
+
+    def stranger_refused(self):
+        """Count."""
+        self.strangers += 1
+
+
+async def _start(context, first, second, keys):
+    context.stack.push_async_callback(asyncio.sleep, 0.05)
+    context.a, context.b = Side(first, keys[0]), Side(second, keys[1])
+    for side in (context.a, context.b):
+        await side.links.start("127.0.0.1:0")
+        context.stack.push_async_callback(side.links.close)
+    context.address = context.b.links.address
+
+
+async def _linked(context):
+    async def both():
+        return context.a.links.linked() == ("vm-b",) and context.b.links.linked() == ("vm-a",)
+
+    await eventually(both)
+
+
+@given('daemons "{first}" and "{second}" that hold the same key')
+def step_same_key(context, first, second):
+    run(context, _start(context, first, second, (KEY, KEY)))
+
+
+@given('daemons "{first}" and "{second}" that hold different keys')
+def step_other_key(context, first, second):
+    run(context, _start(context, first, second, (KEY, b"another key")))
+
+
+@given("a cut proxy between them")
+def step_proxy(context):
+    async def start():
+        context.proxy = CutProxy(context.address)
+        await context.proxy.start()
+        context.stack.push_async_callback(context.proxy.close)
+        context.address = context.proxy.address
+
+    run(context, start())
+
+
+@when('"{vm}" opens a link')
+def step_open(context, vm):
+    async def opened():
+        context.a.links.open("vm-b", context.address)
+        await _linked(context)
+
+    run(context, opened())
+
+
+@when('"{vm}" tries to open a link')
+def step_try(context, vm):
+    async def tried():
+        context.a.links.open("vm-b", context.address)
+        await eventually(refused)
+
+    async def refused():
+        return context.b.strangers == 1
+
+    run(context, tried())
+
+
+@when('"{vm}" dials a stranger that sends all it hears back')
+def step_reflect(context, vm):
+    async def echo(link):
+        with contextlib.suppress(websockets.ConnectionClosed):
+            async for data in link:
+                await link.send(data)
+
+    async def reflect():
+        server = await serve(echo, "127.0.0.1", 0)
+        context.stack.push_async_callback(server.wait_closed)
+        context.stack.callback(server.close)
+        context.a.links.open("", "{}:{}".format(*server.sockets[0].getsockname()))
+        await eventually(refused)
+
+    async def refused():
+        return context.a.strangers == 1
+
+    run(context, reflect())
+
+
+@when("both open a link at once")
+def step_both(context):
+    async def both():
+        context.a.links.open("vm-b", context.b.links.address)
+        context.b.links.open("vm-a", context.a.links.address)
+        await _linked(context)
+        await asyncio.sleep(0.2)
+        await _linked(context)
+
+    run(context, both())
+
+
+@when("the link goes silent for good")
+def step_silent(context):
+    context.proxy.set_mode(Mode.SILENT)
+    context.proxy.set_mode(Mode.PASS)
+
+
+@when("it carries only pings for long")
+def step_idle(context):
+    async def arrived():
+        return context.a.heard and context.b.heard
+
+    for side, peer in ((context.a, "vm-b"), (context.b, "vm-a")):
+        side.now_ms += IDLE_LINK_MS + 1
+        side.links.send(peer, Ping())
+    run(context, eventually(arrived))
+
+
+@then("both are linked and a message arrives each way")
+def step_linked(context):
+    async def exchange():
+        await _linked(context)
+        context.a.links.send("vm-b", RecordsWanted(3))
+        context.b.links.send("vm-a", RecordsWanted(4))
+        await eventually(arrived)
+
+    async def arrived():
+        return ("vm-a", RecordsWanted(3)) in context.b.heard and (
+            "vm-b",
+            RecordsWanted(4),
+        ) in context.a.heard
+
+    run(context, exchange())
+
+
+@then("neither is linked and a stranger was counted")
+def step_refused(context):
+    assert context.a.links.linked() == context.b.links.linked() == ()
+    assert context.a.links.refused_strangers + context.b.links.refused_strangers == 1
+
+
+@then("the silent link is given up on both sides")
+def step_given_up(context):
+    for side, peer in ((context.a, "vm-b"), (context.b, "vm-a")):
+        side.now_ms += SILENT_LINK_MS + 1
+        side.links.tick((peer,), side.now_ms)
+        assert side.links.linked() == ()
+        assert side.lost == [peer]
+
+
+@then("the side that accepted it keeps it, and the one that dialled closes it")
+def step_closed(context):
+    async def closed():
+        return context.a.links.linked() == context.b.links.linked() == ()
+
+    async def ticks():
+        context.b.links.tick((), context.b.now_ms)
+        await asyncio.sleep(0.2)
+        await _linked(context)
+        context.a.links.tick((), context.a.now_ms)
+        await eventually(closed)
+
+    run(context, ticks())
+
+
+@then("a greeting holds only with its nonces, its role, its target and its contents")
+def step_greeting(context):
+    one, other = Greeting.new_nonce(), Greeting.new_nonce()
+    client = Greeting.from_nonces(KEY, Role.CLIENT, one, other)
+    server = Greeting.from_nonces(KEY, Role.SERVER, other, one)
+    hello = Hello("vm-a", "papine", "127.0.0.1:80", "127.0.0.1:90", 1, target="vm-b")
+    proved = client.prove(hello)
+    assert server.check(proved, "vm-b") == proved
+    replayed = Greeting.from_nonces(KEY, Role.SERVER, Greeting.new_nonce(), one)
+    changed = replace(proved, caller_address="127.0.0.1:81")
+    for greeting, vm, found in (
+        (client, "vm-b", proved),
+        (replayed, "vm-b", proved),
+        (server, "vm-c", proved),
+        (server, "vm-a", client.prove(replace(hello, target="vm-a"))),
+        (server, "vm-b", changed),
+    ):
+        try:
+            greeting.check(found, vm)
+        except AuthenticationError:
+            continue
+        raise AssertionError((greeting, vm, found))
