Bring failures of daemons about among real processes

A daemon is stopped and continued, killed, ended with SIGTERM twice under callers, and half of the daemons are cut off from the log while an operator publishes; a last one starts without the platform.

--- /dev/null
+++ b/features/steps/membership_fleet_steps.py
@@ -0,0 +1,183 @@
+"""Steps that bring failures about among real daemons."""
+
+import asyncio
+import signal
+import uuid
+
+import aiohttp
+from behave import given, then, when
+
+from cloverhook_emulator.cut_proxy import CutProxy, Mode
+from cloverhook_emulator.fleet_runner import Fleet
+from features.steps.fleet_steps import DATA_CENTERS, HOST, eventually, run
+
+LIFETIME_MS = 300
+CALLERS = 4
+CONFIG = """
+brand = "brathwaite"
+[[services]]
+name = "booking"
+hosts = ["{host}"]
+[services.policy]
+lifetime_ms = {lifetime_ms}
+[[services.places]]
+data_center = "papine"
+endpoints = [{endpoints}]
+"""
+
+
+async def _publish(context):
+    endpoints = ", ".join(f'"{address}"' for address in context.endpoints)
+    path = context.fleet.folder / "brand.toml"
+    path.write_text(CONFIG.format(host=HOST, endpoints=endpoints, lifetime_ms=LIFETIME_MS))
+    code, output, errors = await context.fleet.tool("publish", str(path))
+    assert code == 0, output + errors
+
+
+async def _start(context, count, proxied=0):
+    context.fleet = await context.stack.enter_async_context(Fleet())
+    context.session = await context.stack.enter_async_context(aiohttp.ClientSession())
+    context.endpoints = await context.fleet.start_backend("--work_ms=5", count=2)
+    context.proxy = CutProxy(context.fleet.platform_url.removeprefix("http://"))
+    await context.proxy.start()
+    context.stack.push_async_callback(context.proxy.close)
+    through = {"platform_url": f"http://{context.proxy.address}"}
+    starts = [
+        context.fleet.start_daemon(
+            f"vm-{index}", DATA_CENTERS[index % 3], **(through if index < proxied else {})
+        )
+        for index in range(count)
+    ]
+    await asyncio.gather(*starts)
+    await context.fleet.list_vms()
+    await _publish(context)
+    await _versions(context, 1)
+    await _hand_out(context, list(context.fleet.daemons))
+
+
+async def _versions(context, version):
+    async def all_have():
+        statuses = [await context.fleet.status(vm) for vm in context.fleet.daemons]
+        found = [status["brands"].get("brathwaite", {}).get("version") for status in statuses]
+        return found == [version] * len(statuses)
+
+    await eventually(all_have)
+
+
+async def _addresses(context, daemon):
+    url = f"http://{daemon.caller_address}/.well-known/cloverhook/addresses"
+    async with context.session.get(url, headers={"Host": HOST}) as answer:
+        return (await answer.json())["addresses"]
+
+
+async def _hand_out(context, vms, asked=None):
+    """Wait until the daemons hand out just the addresses of some."""
+    wanted = {context.fleet.daemons[vm].caller_address for vm in vms}
+
+    async def all_do():
+        daemons = [context.fleet.daemons[vm] for vm in asked or vms]
+        found = [set(await _addresses(context, daemon)) for daemon in daemons]
+        return all(item == wanted for item in found)
+
+    await eventually(all_do)
+
+
+async def _call(context, address):
+    request_id = uuid.uuid4().hex
+    headers = {"Host": HOST, "X-Request-Id": request_id}
+    async with context.session.get(f"http://{address}/open", headers=headers) as answer:
+        return answer.status == 200 and await answer.text() == request_id
+
+
+async def _keep_calling(context, stop):
+    """Ask, keep the answer for its lifetime, call all of its addresses in turn, and again."""
+    loop = asyncio.get_running_loop()
+    while not stop.is_set():
+        addresses = await _addresses(context, context.fleet.daemons["vm-0"])
+        until = loop.time() + LIFETIME_MS / 1000
+        while loop.time() < until:
+            for address in addresses:
+                try:
+                    context.answered.append(await _call(context, address))
+                except aiohttp.ClientError as error:
+                    context.answered.append(repr(error))
+            await asyncio.sleep(0.01)
+
+
+async def _stop_under_load(context, vm):
+    context.answered = []
+    stop = asyncio.Event()
+    callers = [asyncio.create_task(_keep_calling(context, stop)) for _ in range(CALLERS)]
+    await asyncio.sleep(LIFETIME_MS / 1000)
+    process = context.fleet.daemons[vm].process
+    process.send(signal.SIGTERM)
+    await asyncio.sleep(LIFETIME_MS / 1000)
+    context.exit_code = await process.stop(signal.SIGTERM)
+    stop.set()
+    await asyncio.gather(*callers)
+
+
+@given("a fleet of {count:d} daemons of which {proxied:d} reach the platform through a proxy")
+def step_proxied(context, count, proxied):
+    run(context, _start(context, count, proxied))
+
+
+@when('"{vm}" is killed')
+def step_killed(context, vm):
+    run(context, context.fleet.daemons[vm].process.stop(signal.SIGKILL))
+
+
+@when('callers keep calling and "{vm}" gets SIGTERM twice')
+def step_stopped(context, vm):
+    run(context, _stop_under_load(context, vm))
+
+
+@when('"{vm}" is stopped until the others have dropped it')
+def step_paused(context, vm):
+    context.fleet.daemons[vm].process.send(signal.SIGSTOP)
+    run(context, _hand_out(context, [name for name in context.fleet.daemons if name != vm]))
+
+
+@when('"{vm}" goes on')
+def step_goes_on(context, vm):
+    context.fleet.daemons[vm].process.send(signal.SIGCONT)
+
+
+@when("the proxy cuts and an operator publishes again")
+def step_cut(context):
+    context.proxy.set_mode(Mode.CUT)
+    run(context, _publish(context))
+
+
+@when('the platform is lost and "{vm}" starts with the address of a peer')
+def step_platform_lost(context, vm):
+    async def start():
+        await context.fleet.platform.stop(signal.SIGKILL)
+        peer = context.fleet.daemons["vm-0"].peer_address
+        await context.fleet.start_daemon(vm, "papine", peer_addresses=peer)
+
+    run(context, start())
+
+
+@then("it ends with 0 and every call was answered")
+def step_ended(context):
+    assert context.exit_code == 0, context.exit_code
+    assert len(context.answered) > CALLERS
+    wrong = [item for item in context.answered if item is not True]
+    assert not wrong, (len(context.answered), wrong[:3])
+
+
+@then("the others hand out vm-{first:d} to vm-{last:d}")
+def step_hand_out(context, first, last):
+    run(context, _hand_out(context, [f"vm-{index}" for index in range(first, last + 1)]))
+
+
+@then('"{vm}" has noticed {count:d} pause and hands out all')
+def step_noticed(context, vm, count):
+    assert run(context, context.fleet.status(vm))["pauses"] == count
+    run(context, _hand_out(context, list(context.fleet.daemons), [vm]))
+
+
+@then("every daemon has version {version:d}")
+def step_versions(context, version):
+    run(context, _versions(context, version))
