Spread the callers of the planned stop over an answer's lifetime

All callers refreshed their answers just as SIGTERM came, so the scenario stayed green with a drain that does not wait.

--- a/features/steps/membership_fleet_steps.py
+++ b/features/steps/membership_fleet_steps.py
@@ -89,9 +89,10 @@
         return answer.status == 200 and await answer.text() == request_id
 
 
-async def _keep_calling(context, stop):
+async def _keep_calling(context, stop, delay_ms):
     """Ask, keep the answer for its lifetime, call all of its addresses in turn, and again."""
     loop = asyncio.get_running_loop()
+    await asyncio.sleep(delay_ms / 1000)
     while not stop.is_set():
         addresses = await _addresses(context, context.fleet.daemons["vm-0"])
         until = loop.time() + LIFETIME_MS / 1000
@@ -107,8 +108,9 @@
 async def _stop_under_load(context, vm):
     context.answered = []
     stop = asyncio.Event()
-    callers = [asyncio.create_task(_keep_calling(context, stop)) for _ in range(CALLERS)]
-    await asyncio.sleep(LIFETIME_MS / 1000)
+    delays_ms = [LIFETIME_MS * index / CALLERS for index in range(CALLERS)]
+    callers = [asyncio.create_task(_keep_calling(context, stop, delay)) for delay in delays_ms]
+    await asyncio.sleep(2 * LIFETIME_MS / 1000)
     process = context.fleet.daemons[vm].process
     process.send(signal.SIGTERM)
     await asyncio.sleep(LIFETIME_MS / 1000)
