Run a request with an idempotency key at most once, over all VMs

Cause: a caller whose request ended as unknown repeats it under the same key, often at another VM, and nothing kept it from running twice.

Ruled out while writing: a window by each VM's own reading time, since two VMs that disagree on it could grant the same key; to deny from the own book without a fresh read, since a release may stand in the log already; and to judge claims before the "ran" entries of the same record.

Seen red against variants, one each: released claims may hold again, nothing is unsure after missed records, every claim is granted, any release frees a key, no window, decided claims go out again, "ran" is not folded, records are not checked, nothing is released, everything is released, answers are not kept, "ran" is not told, a lost or refused append is not repeated, keys are not looked at.

--- a/cloverhook/caller_app.py
+++ b/cloverhook/caller_app.py
@@ -14,6 +14,7 @@
 from absl import logging
 
 from cloverhook import headers as h
+from cloverhook.at_most_once import OnceGuard
 from cloverhook.dispatch import Dispatcher, Target
 from cloverhook.errors import ErrorKind, Outcome, RequestError, UpstreamError, answer_for
 from cloverhook.exchange import Exchange, Receive, RefusedError, RequestBody, Send
@@ -43,6 +44,7 @@
         time_line: TimeLine,
         clock_ms: Callable[[], float],
         addresses: Addresses,
+        once: OnceGuard,
     ) -> None:
         self._settings = settings
         self._dispatcher = dispatcher
@@ -50,6 +52,7 @@
         self._time_line = time_line
         self._clock_ms = clock_ms
         self._addresses = addresses
+        self._once = once
         self._in_progress: set[str] = set()
         self.leaving = False
 
@@ -88,7 +91,11 @@
                 await self._send_json(send, self._addresses(target))
                 return
             exchange = self._open(scope, receive, send, request_id, target)
-            await self._forward(exchange, scope["path"])
+            key = h.find(scope["headers"], h.IDEMPOTENCY_KEY)
+            if key is None or exchange.idempotent:
+                await self._forward(exchange)
+            else:
+                await self._once.run(exchange, key, self._forward)
         except RequestError as error:
             if exchange is not None and exchange.answer_started:
                 raise UpstreamError(f"after the answer's head: {error}", sent=True) from error
@@ -115,6 +122,7 @@
         return Exchange(
             request_id,
             target,
+            scope["path"],
             head,
             self._clock_ms() + timeout_ms,
             scope["method"] in IDEMPOTENT_METHODS,
@@ -122,10 +130,10 @@
             send,
         )
 
-    async def _forward(self, exchange: Exchange, path: str) -> None:
+    async def _forward(self, exchange: Exchange) -> None:
         arrival = Arrival(
             exchange.request_id,
-            exchange.target.service.priority_of(path),
+            exchange.target.service.priority_of(exchange.path),
             exchange.deadline_ms,
             exchange.idempotent,
         )
--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -14,8 +14,11 @@
 from absl import app, flags, logging
 from aioprometheus import Counter, Registry
 
+from cloverhook.at_most_once import AnswerStore, OnceGuard
 from cloverhook.caller_app import CallerApp
 from cloverhook.caller_protocol import Limits
+from cloverhook.claim_log import ClaimLog
+from cloverhook.claims import ClaimBook
 from cloverhook.dispatch import Dispatcher, Target
 from cloverhook.errors import SettingsError
 from cloverhook.fold import FoldResult, Verdict
@@ -59,6 +62,13 @@
         self._dispatcher = Dispatcher(random.Random(), self)
         self._pool = UpstreamPool(settings.header_limit_bytes)
         self._follower = Follower(platform, self._on_folded)
+        self._claims = ClaimLog(
+            platform,
+            ClaimBook(settings.vm, settings.claim_window_ms),
+            _now_ms,
+            settings.claim_wait_ms,
+            settings.claim_appends_per_s,
+        )
         self._stopping = asyncio.Event()
         self._leaving = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -80,6 +90,7 @@
             self._time_line,
             _now_ms,
             self._addresses,
+            OnceGuard(self._claims, AnswerStore(self._settings.replay_limit_bytes), _now_ms),
         )
         operators = operator_app(
             self,
@@ -105,7 +116,7 @@
         await self._start_peering()
         await self._callers.start()
         await self._operators.start()
-        loops = (self._follow(), self._tick(), self._beat(), self._watch_list())
+        loops = (self._follow(), self._tick(), self._beat(), self._watch_list(), self._claims.run())
         self._tasks = [asyncio.create_task(loop) for loop in loops]
         for name, address in (
             ("callers", self._callers.address),
@@ -123,6 +134,7 @@
         await self._callers.stop()
         for task in self._tasks:
             task.cancel()
+        await self._claims.flush()
         await self._links.close()
         await self._operators.stop()
         self._pool.close()
--- a/cloverhook/exchange.py
+++ b/cloverhook/exchange.py
@@ -13,7 +13,15 @@
 from cloverhook.errors import ErrorKind, Outcome, RequestError
 from cloverhook.upstream import AnswerHead, RequestHead, UpstreamConnection, UpstreamPool
 
-__all__ = ["Exchange", "Receive", "RefusedError", "RequestBody", "Send"]
+__all__ = [
+    "AnswerCapture",
+    "CapturedAnswer",
+    "Exchange",
+    "Receive",
+    "RefusedError",
+    "RequestBody",
+    "Send",
+]
 
 REFUSAL_STATUS = 503
 FAILURE_STATUSES = 500
@@ -66,6 +74,46 @@
             self._kept.append(part)
 
 
+@dataclass(frozen=True, slots=True)
+class CapturedAnswer:
+    """A whole answer as its caller got it."""
+
+    status: int
+    headers: h.Headers
+    body: bytes
+
+
+class AnswerCapture:
+    """Keeps a copy of an answer on its way to the caller; `answer` is None for a large one."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._room_bytes = limit_bytes
+        self._status = 0
+        self._headers: h.Headers = []
+        self._parts: list[bytes] = []
+        self.answer: CapturedAnswer | None = None
+        self.whole = False
+
+    def begin(self, status: int, headers: h.Headers) -> None:
+        """Take the head of the answer."""
+        self._status = status
+        self._headers = [pair for pair in headers if pair[0] != b"connection"]
+
+    def add(self, part: bytes, more: bool) -> None:
+        """Take a part of the body; without `more` the answer is whole."""
+        self._room_bytes -= len(part)
+        if self._room_bytes >= 0:
+            self._parts.append(part)
+        self.whole = not more
+        if self.whole and self._room_bytes >= 0:
+            self.answer = CapturedAnswer(self._status, self._headers, b"".join(self._parts))
+
+    @property
+    def ran(self) -> bool:
+        """Whether the whole answer says that its request ran."""
+        return self.whole and h.outcome_of(self._headers) is Outcome.RAN
+
+
 @dataclass(slots=True)
 class Exchange:
     """A request with what is known of its attempts.
@@ -76,6 +124,7 @@
 
     request_id: str
     target: Target
+    path: str
     head: RequestHead
     deadline_ms: float
     idempotent: bool
@@ -85,6 +134,7 @@
     maybe_ran: bool = False
     bad_answer: bool = False
     answer_started: bool = False
+    capture: "AnswerCapture | None" = None
 
     @property
     def repeatable(self) -> bool:
@@ -121,7 +171,10 @@
     ) -> AnswerHead:
         first = b"" if self.body is None else await self.body.begin()
         rest = None if self.body is None or self.body.ended else self.body.rest()
-        head = self._head(self.deadline_ms - now_ms())
+        remaining_ms = self.deadline_ms - now_ms()
+        if remaining_ms <= 0:
+            raise TimeoutError
+        head = self._head(remaining_ms)
         if connection.usable:
             self.sent = True
         return await connection.send(head, first, rest)
@@ -144,6 +197,8 @@
         if closing:
             headers.append((b"connection", b"close"))
         self.answer_started = True
+        if self.capture is not None:
+            self.capture.begin(answer.status, headers)
         start = {"type": "http.response.start", "status": answer.status, "headers": headers}
         await self.send(start)
         more = True
@@ -151,6 +206,8 @@
             await self.send({"type": "http.response.body", "body": b"", "more_body": True})
         while more:
             part, more = await connection.read()
+            if self.capture is not None:
+                self.capture.add(part, more)
             await self.send({"type": "http.response.body", "body": part, "more_body": more})
 
 
--- a/cloverhook/headers.py
+++ b/cloverhook/headers.py
@@ -16,6 +16,7 @@
     "IDEMPOTENCY_KEY",
     "LOAD",
     "OUTCOME",
+    "REPLAYED",
     "REQUEST_ID",
     "RETRY_AFTER_MS",
     "Headers",
@@ -36,6 +37,7 @@
 RETRY_AFTER_MS = b"cloverhook-retry-after-ms"
 LOAD = b"cloverhook-load"
 IDEMPOTENCY_KEY = b"idempotency-key"
+REPLAYED = b"cloverhook-replayed"
 
 HOP_BY_HOP = frozenset(
     (
