--- a/cloverhook/caller_protocol.py
+++ b/cloverhook/caller_protocol.py
@@ -1,8 +1,8 @@
 """HTTP/1.1 towards callers: limits, refusals and one answer to each request, in order.
 
-Layer: transport.  This is uvicorn's httptools protocol with a stricter reading of requests and
-its own request cycle.  What a parser refuses is answered only after every earlier request has
-had its answer; a caller that goes away cancels the task of its request.
+Layer: transport.  This is uvicorn's httptools protocol with a stricter reading of requests; the
+module `request_cycle` holds what becomes of each.  What a parser refuses is answered only after
+every earlier request has had its answer; a caller that goes away cancels its request's task.
 """
 
 import asyncio
@@ -18,16 +18,14 @@
 from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
-from cloverhook import headers as h
-from cloverhook.errors import ErrorKind, RequestError, answer_for
+from cloverhook.errors import ErrorKind
+from cloverhook.request_cycle import RequestCycle, error_answer
 
 __all__ = ["CallerProtocol", "Limits"]
 
-BODILESS_STATUSES = frozenset((204, 304))
 FRAMING_ALLOWANCE_BYTES = 65_536
 FRAMING_RATIO = 16
 HEADER_FRAMING_BYTES = 4
-LAST_CHUNK = b"0\r\n\r\n"
 LINGER_MS = 2_000
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 SCHEMES = ("http", "https")
@@ -54,147 +52,6 @@
     """Stops the parser; the protocol has noted the error kind."""
 
 
-class _Cycle:
-    """One request and its answer, as an ASGI server's side of the conversation."""
-
-    def __init__(self, protocol: "CallerProtocol", scope: dict[str, Any], keep_alive: bool) -> None:
-        self._protocol = protocol
-        self._transport = protocol.transport
-        self._flow = protocol.flow
-        self._scope = scope
-        self._head = b""
-        self._chunked = False
-        self._bodiless = False
-        self._remaining_bytes: int | None = None
-        self.keep_alive = keep_alive
-        self.waiting_for_continue = protocol.expect_100_continue
-        self.message_event = asyncio.Event()
-        self.body = bytearray()
-        self.more_body = True
-        self.body_bytes = 0
-        self.failure: ErrorKind | None = None
-        self.disconnected = False
-        self.response_started = False
-        self.response_complete = False
-
-    async def run(self, app: Any) -> None:
-        """Run the application; a failure after the head of its answer breaks the connection."""
-        try:
-            await app(self._scope, self.receive, self.send)
-        except Exception:
-            await self._give_up()
-        finally:
-            if not self.response_complete:
-                self._protocol.break_off()
-
-    async def receive(self) -> dict[str, Any]:
-        """Return the next part of the body.  Raises `RequestError` when there can be none."""
-        if self.waiting_for_continue and not self._transport.is_closing():
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            self.waiting_for_continue = False
-        while not (self.body or self.failure or self.disconnected or self.response_complete):
-            if not self.more_body and self.message_event.is_set():
-                break
-            await self._wait()
-        if self.failure is not None:
-            raise RequestError(self.failure)
-        if self.disconnected or self.response_complete:
-            return {"type": "http.disconnect"}
-        self.message_event.clear()
-        body, self.body = bytes(self.body), bytearray()
-        return {"type": "http.request", "body": body, "more_body": self.more_body}
-
-    async def send(self, message: dict[str, Any]) -> None:
-        """Send the head of the answer, or a part of its body; the head goes with the first part."""
-        if self._flow.write_paused and not self.disconnected:
-            await self._flow.drain()
-        if self.disconnected:
-            return
-        if not self.response_started:
-            self.response_started = True
-            self._start(message["status"], message["headers"])
-            return
-        if self.response_complete or message["type"] != "http.response.body":
-            raise RuntimeError("only one answer to one request")
-        more = message.get("more_body", False)
-        data = self._framed(message.get("body", b""), more)
-        head, self._head = self._head, b""
-        if head or data:
-            self._transport.write(head + data)
-        if not more:
-            self._complete()
-
-    def fail(self, kind: ErrorKind) -> None:
-        """End the request's body with an error."""
-        self.failure = self.failure or kind
-        self.keep_alive = False
-        self.message_event.set()
-
-    async def _wait(self) -> None:
-        self._flow.resume_reading()
-        self.message_event.clear()
-        if not self.more_body:
-            await self.message_event.wait()
-            return
-        delay_s = self._protocol.limits.body_timeout_ms / 1000
-        timer = self._protocol.loop.call_later(delay_s, self.fail, ErrorKind.BODY_TIMED_OUT)
-        try:
-            await self.message_event.wait()
-        finally:
-            timer.cancel()
-
-    async def _give_up(self) -> None:
-        if not self.response_started:
-            status, headers, body = _error_answer(ErrorKind.INTERNAL)
-            await self.send({"type": "http.response.start", "status": status, "headers": headers})
-            await self.send({"type": "http.response.body", "body": body})
-
-    def _start(self, status: int, headers: h.Headers) -> None:
-        lines = [STATUS_LINE[status]]
-        closes = False
-        if self.more_body or self.waiting_for_continue:
-            self.keep_alive = False
-        self._bodiless = self._scope["method"] == "HEAD" or status in BODILESS_STATUSES
-        for name, value in headers:
-            if name == b"content-length":
-                if status == 204:
-                    continue
-                self._remaining_bytes = int(value)
-            elif name == b"connection" and value.lower() == b"close":
-                self.keep_alive = False
-                closes = True
-            lines += (name, b": ", value, b"\r\n")
-        if not self._bodiless and self._remaining_bytes is None:
-            if self._scope["http_version"] == "1.1":
-                self._chunked = True
-                lines.append(b"transfer-encoding: chunked\r\n")
-            else:
-                self.keep_alive = False
-        if not self.keep_alive and not closes:
-            lines.append(b"connection: close\r\n")
-        lines.append(b"\r\n")
-        self._head = b"".join(lines)
-
-    def _framed(self, body: bytes, more: bool) -> bytes:
-        if self._bodiless:
-            return b""
-        if self._chunked:
-            chunk = b"%x\r\n%b\r\n" % (len(body), body) if body else b""
-            return chunk if more else chunk + LAST_CHUNK
-        if self._remaining_bytes is not None:
-            self._remaining_bytes -= len(body)
-            if self._remaining_bytes < 0 or (self._remaining_bytes and not more):
-                raise RuntimeError("the answer's body does not have its length")
-        return body
-
-    def _complete(self) -> None:
-        self.response_complete = True
-        self.message_event.set()
-        if not self.keep_alive:
-            self._protocol.close_after_answer(drain=self.more_body)
-        self._protocol.on_response_complete()
-
-
 class CallerProtocol(HttpToolsProtocol):
     """One caller's connection."""
 
@@ -207,7 +64,7 @@
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._task: asyncio.Task[None] | None = None
-        self._running: _Cycle | None = None
+        self._running: RequestCycle | None = None
         self._refusal: ErrorKind | None = None
         self._deaf = False
         self._in_head = False
@@ -249,6 +106,11 @@
                 self._check_framing(len(data))
         self._watch_head(bool(data))
 
+    @property
+    def body_timeout_ms(self) -> float:
+        """The time that a body may be silent."""
+        return self.limits.body_timeout_ms
+
     # What the parser calls.
 
     def on_message_begin(self) -> None:
@@ -285,7 +147,7 @@
         self._check_head(version, upgrade)
         self._set_target()
         keep_alive = version == "1.1" and self.parser.should_keep_alive() and not upgrade
-        earlier, self.cycle = self.cycle, _Cycle(self, self.scope, keep_alive)
+        earlier, self.cycle = self.cycle, RequestCycle(self, self.scope, keep_alive)
         if earlier is None or earlier.response_complete:
             self._start_asgi_task(self.cycle, self.app)
         else:
@@ -345,7 +207,7 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.transport.abort()
 
-    def _start_asgi_task(self, cycle: _Cycle, app: Any) -> None:
+    def _start_asgi_task(self, cycle: RequestCycle, app: Any) -> None:
         self._running = cycle
         self._task = self.loop.create_task(cycle.run(app))
         self.tasks.add(self._task)
@@ -418,7 +280,7 @@
             self._write_refusal()
 
     def _write_refusal(self) -> None:
-        status, headers, body = _error_answer(self._refusal)
+        status, headers, body = error_answer(self._refusal)
         lines = [STATUS_LINE[status]]
         for name, value in (*headers, (b"connection", b"close")):
             lines += (name, b": ", value, b"\r\n")
@@ -440,15 +302,3 @@
         self._head_timer = None
         if not self._deaf:
             self._refuse(ErrorKind.HEADERS_TIMED_OUT)
-
-
-def _error_answer(kind: ErrorKind) -> tuple[int, h.Headers, bytes]:
-    answer = answer_for(kind)
-    body = kind.value.encode()
-    headers = [
-        (b"content-type", b"text/plain"),
-        (b"content-length", str(len(body)).encode()),
-        (h.OUTCOME, answer.outcome.value.encode()),
-        (h.ERROR, kind.value.encode()),
-    ]
-    return answer.status, headers, body
