Keep each brand's share of a daemon free from another brand's flood

Cause: the requests in progress of one daemon had no bound, so a brand whose backend servers hang could fill it.

Admission counts requests in progress by brand. Ruled out: fixed parts of the limit, which leave an idle brand's part unused; and evicting waiting requests of the brand above its share, which needs a second way to end them. Instead a brand below its share is always taken, also when the daemon is at its limit, so the bound of all brands together is twice `requests_limit`.

Seen red against variants: no shares, no use of idle room, no refusal, brands that are never forgotten.

--- a/cloverhook/caller_app.py
+++ b/cloverhook/caller_app.py
@@ -14,6 +14,7 @@
 from absl import logging
 
 from cloverhook import headers as h
+from cloverhook.admission import Admission
 from cloverhook.at_most_once import OnceGuard
 from cloverhook.dispatch import Dispatcher, Target
 from cloverhook.errors import ErrorKind, Outcome, RequestError, UpstreamError, answer_for
@@ -53,6 +54,7 @@
         self._clock_ms = clock_ms
         self._addresses = addresses
         self._once = once
+        self._admission = Admission(settings.requests_limit)
         self._in_progress: set[str] = set()
         self.leaving = False
 
@@ -91,11 +93,7 @@
                 await self._send_json(send, self._addresses(target))
                 return
             exchange = self._open(scope, receive, send, request_id, target)
-            key = h.find(scope["headers"], h.IDEMPOTENCY_KEY)
-            if key is None or exchange.idempotent:
-                await self._forward(exchange)
-            else:
-                await self._once.run(exchange, key, self._forward)
+            await self._take(exchange, h.find(scope["headers"], h.IDEMPOTENCY_KEY))
         except RequestError as error:
             if exchange is not None and exchange.answer_started:
                 raise UpstreamError(f"after the answer's head: {error}", sent=True) from error
@@ -130,6 +128,19 @@
             send,
         )
 
+    async def _take(self, exchange: Exchange, key: bytes | None) -> None:
+        """Serve a request within its brand's share of this daemon."""
+        brand = exchange.target.brand
+        if not self._admission.enter(brand):
+            raise RequestError(ErrorKind.OVERLOADED, "the brand's share of this VM is in use")
+        try:
+            if key is None or exchange.idempotent:
+                await self._forward(exchange)
+            else:
+                await self._once.run(exchange, key, self._forward)
+        finally:
+            self._admission.leave(brand)
+
     async def _forward(self, exchange: Exchange) -> None:
         arrival = Arrival(
             exchange.request_id,
--- a/cloverhook/settings.py
+++ b/cloverhook/settings.py
@@ -53,6 +53,7 @@
     header_limit_count: int = kind_field(Integer(1, 10_000), 100)
     url_limit_bytes: int = kind_field(Integer(64, MEBIBYTE), 8_192)
     body_limit_bytes: int = kind_field(Integer(0), 1_073_741_824)
+    requests_limit: int = kind_field(Integer(1, 100_000), 1_000)
     kept_body_bytes: int = kind_field(Integer(0, 16 * MEBIBYTE), 65_536)
     header_timeout_ms: int = kind_field(Integer(10, HOUR_MS), 10_000)
     body_timeout_ms: int = kind_field(Integer(10, HOUR_MS), 30_000)
