--- a/cloverhook/caller_app.py
+++ b/cloverhook/caller_app.py
@@ -15,6 +15,8 @@
 from absl import logging
 
 from cloverhook import headers as h
+from cloverhook.admission import Admission
+from cloverhook.at_most_once import OnceGuard
 from cloverhook.clock import wall_ms
 from cloverhook.dispatch import Dispatcher, Target
 from cloverhook.errors import ErrorKind, Outcome, RequestError, UpstreamError, answer_for
@@ -45,6 +47,7 @@
         time_line: TimeLine,
         clock_ms: Callable[[], float],
         addresses: Addresses,
+        once: OnceGuard,
     ) -> None:
         self._settings = settings
         self._dispatcher = dispatcher
@@ -52,6 +55,8 @@
         self._time_line = time_line
         self._clock_ms = clock_ms
         self._addresses = addresses
+        self._once = once
+        self._admission = Admission(settings.requests_limit)
         self._in_progress: set[str] = set()
         self.leaving = False
 
@@ -90,7 +95,7 @@
                 await self._send_addresses(scope, send, target)
                 return
             exchange = self._open(scope, receive, send, request_id, target)
-            await self._forward(exchange, scope["path"])
+            await self._take(exchange, h.find(scope["headers"], h.IDEMPOTENCY_KEY))
         except RequestError as error:
             if exchange is not None and exchange.answer_started:
                 raise UpstreamError(f"after the answer's head: {error}", sent=True) from error
@@ -125,6 +130,7 @@
         return Exchange(
             request_id,
             target,
+            scope["path"],
             head,
             self._clock_ms() + timeout_ms,
             scope["method"] in IDEMPOTENT_METHODS,
@@ -132,10 +138,23 @@
             send,
         )
 
-    async def _forward(self, exchange: Exchange, path: str) -> None:
+    async def _take(self, exchange: Exchange, key: bytes | None) -> None:
+        """Serve a request within its brand's share of this daemon."""
+        brand = exchange.target.brand
+        if not self._admission.enter(brand):
+            raise RequestError(ErrorKind.OVERLOADED, "the brand's share of this VM is in use")
+        try:
+            if key is None or exchange.idempotent:
+                await self._forward(exchange)
+            else:
+                await self._once.run(exchange, key, self._forward)
+        finally:
+            self._admission.leave(brand)
+
+    async def _forward(self, exchange: Exchange) -> None:
         arrival = Arrival(
             exchange.request_id,
-            exchange.target.service.priority_of(path),
+            exchange.target.service.priority_of(exchange.path),
             exchange.deadline_ms,
             exchange.idempotent,
         )
--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -14,8 +14,11 @@
 from absl import app, flags, logging
 from aioprometheus import Counter, Registry
 
+from cloverhook.at_most_once import AnswerStore, OnceGuard
 from cloverhook.caller_app import CallerApp
 from cloverhook.caller_protocol import Limits
+from cloverhook.claim_log import ClaimLog
+from cloverhook.claims import ClaimBook
 from cloverhook.clock import monotonic_ms, wall_ms
 from cloverhook.cluster import Cluster
 from cloverhook.dispatch import Dispatcher, Target
@@ -55,6 +58,13 @@
         self._time_line = TimeLine(settings.vm)
         self._dispatcher = Dispatcher(random.Random(), self)
         self._pool = UpstreamPool(settings.header_limit_bytes)
+        self._claims = ClaimLog(
+            platform,
+            ClaimBook(settings.vm, settings.claim_window_ms),
+            wall_ms,
+            settings.claim_wait_ms,
+            settings.claim_appends_per_s,
+        )
         self._follower = Follower(platform, self._on_folded, self._on_adopted)
         self._cluster = Cluster(
             settings, self._incarnation, platform, self._follower, self._dispatcher, self.drain
@@ -81,6 +91,7 @@
             self._time_line,
             monotonic_ms,
             self._cluster.addresses,
+            OnceGuard(self._claims, AnswerStore(self._settings.replay_limit_bytes), monotonic_ms),
         )
         operators = operator_app(
             self,
@@ -106,7 +117,7 @@
         await self._cluster.start(self._callers.address)
         await self._callers.start()
         await self._operators.start()
-        loops = (self._follow(), self._tick())
+        loops = (self._follow(), self._tick(), self._claims.run())
         self._tasks = [asyncio.create_task(loop) for loop in loops]
         logging.info("daemon: %s has started.", settings.vm)
 
@@ -127,6 +138,7 @@
         await self._finish_requests()
         for task in self._tasks:
             task.cancel()
+        await self._claims.flush()
         await self._cluster.close()
         await self._operators.stop()
         self._pool.close()
