--- /dev/null
+++ b/bench/baseline_router.py
@@ -0,0 +1,122 @@
+"""Routers that choose by the ways which cloverhook is compared with.
+
+They start every request at once, on what this daemon itself knows, and repeat only where that is
+safe.  They have the interface of `cloverhook.routing.ServiceRouter`.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cloverhook.errors import ErrorKind
+from cloverhook.routing import (
+    Action,
+    Arrival,
+    AttemptEnded,
+    AttemptResult,
+    CallerGone,
+    EndpointsChanged,
+    Event,
+    Refuse,
+    Start,
+)
+
+__all__ = ["WAYS", "BaselineRouter"]
+
+MAX_ATTEMPTS = 3
+RETRY_AFTER_MS = 1_000
+NOT_RUN = frozenset((AttemptResult.REFUSED, AttemptResult.NOT_SENT))
+KINDS = {
+    AttemptResult.REFUSED: ErrorKind.REFUSED,
+    AttemptResult.NOT_SENT: ErrorKind.NO_BACKEND_SERVER,
+    AttemptResult.TIMED_OUT: ErrorKind.DEADLINE_IN_RUN,
+}
+
+
+@dataclass(slots=True)
+class _Request:
+    idempotent: bool
+    attempts: int = 0
+
+
+class BaselineRouter:
+    """The decisions for one service by one way."""
+
+    def __init__(self, way: "Way", source: random.Random) -> None:
+        self._way = way
+        self.random = source
+        self.addresses: list[str] = []
+        self.in_flight: dict[str, int] = {}
+        self.started = 0
+        self._requests: dict[str, _Request] = {}
+
+    def handle(self, event: Event, now_ms: float) -> tuple[Action, ...]:
+        """Take an event and return the actions it calls for."""
+        match event:
+            case EndpointsChanged():
+                self.addresses = [item.address for item in event.endpoints if not item.leaving]
+            case Arrival():
+                self._requests[event.request_id] = _Request(event.idempotent)
+                return (self._start(event.request_id),)
+            case AttemptEnded():
+                return self._ended(event)
+            case CallerGone():
+                self._requests.pop(event.request_id, None)
+        return ()
+
+    def _ended(self, event: AttemptEnded) -> tuple[Action, ...]:
+        self.in_flight[event.address] -= 1
+        request = self._requests.get(event.request_id)
+        if request is None or not event.again:
+            self._requests.pop(event.request_id, None)
+            return ()
+        may_run_again = event.result in NOT_RUN or request.idempotent
+        if may_run_again and request.attempts < MAX_ATTEMPTS:
+            return (self._start(event.request_id),)
+        del self._requests[event.request_id]
+        kind = KINDS.get(event.result, ErrorKind.CONNECTION_CUT)
+        return (Refuse(event.request_id, kind, RETRY_AFTER_MS),)
+
+    def _start(self, request_id: str) -> Action:
+        if not self.addresses:
+            del self._requests[request_id]
+            return Refuse(request_id, ErrorKind.NO_BACKEND_SERVER, RETRY_AFTER_MS)
+        address = self._way(self)
+        self._requests[request_id].attempts += 1
+        self.started += 1
+        self.in_flight[address] = self.in_flight.get(address, 0) + 1
+        return Start(request_id, address)
+
+
+Way = Callable[[BaselineRouter], str]
+
+
+def _at_random(router: BaselineRouter) -> str:
+    return router.random.choice(router.addresses)
+
+
+def _round_robin(router: BaselineRouter) -> str:
+    return router.addresses[router.started % len(router.addresses)]
+
+
+def _least_of(router: BaselineRouter, addresses: list[str]) -> str:
+    least = min(router.in_flight.get(address, 0) for address in addresses)
+    ties = [address for address in addresses if router.in_flight.get(address, 0) == least]
+    return router.random.choice(ties)
+
+
+def _least_in_flight(router: BaselineRouter) -> str:
+    return _least_of(router, router.addresses)
+
+
+def _best_of_two(router: BaselineRouter) -> str:
+    count = min(2, len(router.addresses))
+    return _least_of(router, router.random.sample(router.addresses, count))
+
+
+WAYS: dict[str, Way] = {
+    "random": _at_random,
+    "round-robin": _round_robin,
+    "least-in-flight": _least_in_flight,
+    "best-of-two": _best_of_two,
+}
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,99 @@
+"""Runs the bench: prints figures beside their bounds, and exits with 1 when one is past its bound.
+
+    python -m bench.run [--parts=added,ways,outage,decisions,replay] [--quick]
+
+Figures are ratios against baselines of the same run wherever that can be; a shared machine makes
+absolute ones drift.
+"""
+
+import asyncio
+import importlib.util
+import sys
+import time
+from collections.abc import Callable
+
+from absl import app, flags
+
+from bench.added import measure_added
+from bench.decision_cost import measure_decisions
+from bench.figures import Figure, Table, check_bounds
+from bench.outage import measure_outage
+from bench.ways import SERVICES, measure_ways
+
+__all__ = ["main"]
+
+FLAGS = flags.FLAGS
+PARTS = ("decisions", "added", "ways", "outage", "replay")
+flags.DEFINE_list("parts", list(PARTS), "The parts to run.")
+flags.DEFINE_bool("quick", False, "Fewer and shorter rounds, and one service only.")
+flags.DEFINE_integer("together", 2, "How many fleets of the part `ways` run at a time.")
+
+ROUNDS = 5
+ROUND_S = 0.8
+QUICK_ROUNDS = 3
+QUICK_ROUND_S = 0.4
+
+Measured = tuple[list[Figure], list[Table]]
+
+
+def _decisions() -> Measured:
+    return measure_decisions(), []
+
+
+def _added() -> Measured:
+    rounds, seconds = (QUICK_ROUNDS, QUICK_ROUND_S) if FLAGS.quick else (ROUNDS, ROUND_S)
+    return asyncio.run(measure_added(rounds, seconds))
+
+
+def _ways() -> Measured:
+    services = SERVICES[:1] if FLAGS.quick else SERVICES
+    return asyncio.run(measure_ways(FLAGS.together, services))
+
+
+def _outage() -> Measured:
+    return asyncio.run(measure_outage()), []
+
+
+MEASURES: dict[str, Callable[[], Measured]] = {
+    "decisions": _decisions,
+    "added": _added,
+    "ways": _ways,
+    "outage": _outage,
+}
+
+
+def _run_part(part: str) -> list[str]:
+    print(f"== {part}", flush=True)
+    started_s = time.monotonic()
+    if part == "replay":
+        missed = _replay()
+    else:
+        figures, tables = MEASURES[part]()
+        for table in tables:
+            print(table)
+        missed = check_bounds(figures)
+    print(f"   {part} took {time.monotonic() - started_s:.0f} s", flush=True)
+    return missed
+
+
+def _replay() -> list[str]:
+    if importlib.util.find_spec("bench.replay") is None:
+        print("   there is no replay")
+        return ["replay"]
+    return ["replay"] if importlib.import_module("bench.replay").main() else []
+
+
+def main(arguments: list[str]) -> int:
+    """Run the parts that the flags name and return the exit code."""
+    del arguments
+    unknown = set(FLAGS.parts) - set(PARTS)
+    if unknown:
+        print(f"bench: no such parts: {', '.join(sorted(unknown))}", file=sys.stderr)
+        return 2
+    missed = [name for part in FLAGS.parts for name in _run_part(part)]
+    print(f"bench: {len(missed)} past their bound" + "".join(f"\n  {name}" for name in missed))
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/cloverhook_emulator/backend_server.py
+++ b/cloverhook_emulator/backend_server.py
@@ -87,9 +87,11 @@
         self._working: set[_Work] = set()
         self._queue: deque[_Work] = deque()
         self._loads: deque[int] = deque(maxlen=LAG_SAMPLES)
+        self._coming_up: asyncio.Task[None] | None = None
         self.faults = Faults()
         self.ran: list[RunRecord] = []
         self.refused = 0
+        self.probes = 0
 
     @property
     def address(self) -> str:
@@ -109,7 +111,12 @@
     def set_faults(self, faults: Faults) -> None:
         """Put other faults in force; work that hung goes on when it hangs no longer."""
         hung = self.faults.hang and not faults.hang
+        was_down = self.faults.down
         self.faults = faults
+        if faults.down:
+            self._http.close()
+        elif was_down:
+            self._coming_up = self._loop.create_task(self._http.start(self.address))
         if hung:
             for work in tuple(self._working):
                 if work.timer is None:
@@ -122,6 +129,7 @@
             "waiting": len(self._queue),
             "ran": len(self.ran),
             "refused": self.refused,
+            "probes": self.probes,
             "connections": len(self._http.connections),
             "refused_connections": self._http.refused_connections,
         }
@@ -263,6 +271,7 @@
         return {"in_flight": load, "slots": self._settings.slots}
 
     def _report(self, request: IncomingRequest, status: int, document: dict[str, object]) -> None:
+        self.probes += 1
         if self.faults.hang:
             return
         body = json.dumps(document).encode()
--- a/cloverhook_emulator/caller.py
+++ b/cloverhook_emulator/caller.py
@@ -147,6 +147,7 @@
             float(found.headers.get(b"emulator-work-ms", b"0")),
             str(error) if error is not None else found.text(b"cloverhook-error"),
             error is None or error.sent,
+            call.path,
         )
 
     def _request(self, call: Call, request_id: str, key: str) -> bytes:
--- a/cloverhook_emulator/deployment.py
+++ b/cloverhook_emulator/deployment.py
@@ -15,6 +15,7 @@
 __all__ = ["EXAMPLES", "Deployment"]
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+HOME_VMS = re.compile(r"^home_vms = \d+", re.MULTILINE)
 ENDPOINTS = re.compile(r"^endpoints = \[[^\]]*\]", re.MULTILINE)
 
 
@@ -48,6 +49,11 @@
         text = head + next(part for part in parts if f'name = "{name}"' in part)
         return Deployment(text, Brand.from_document(tomllib.loads(text)))
 
+    def with_home_vms(self, count: int) -> "Deployment":
+        """Return the deployment with another number of home VMs for every service."""
+        text = HOME_VMS.sub(f"home_vms = {count}", self.text)
+        return Deployment(text, Brand.from_document(tomllib.loads(text)))
+
     async def start(
         self, fleet: Fleet, *arguments: str, endpoints_per_place: int | None = None
     ) -> Path:
--- a/cloverhook_emulator/faults.py
+++ b/cloverhook_emulator/faults.py
@@ -11,10 +11,11 @@
     """What is wrong with a server.
 
     `slow_factor` multiplies the work; `fail_fast` answers 500 after `fail_ms`; `hang` never ends
-    a request; `cut` closes the connection after the work; `drain` refuses new requests and lets
-    those in flight end; `shed_ratio` of new requests is refused before work; `mislead` is the load
-    that is reported instead of the true one (-1: the true one); `report_lag_ms` is the age of
-    what `/load` reports; the first `cold_requests` take `cold_factor` times their work.
+    a request; `cut` closes the connection after the work; `down` refuses all connections and cuts
+    those that are open; `drain` refuses new requests and lets those in flight end; `shed_ratio` of
+    new requests is refused before work; `mislead` is the load that is reported instead of the true
+    one (-1: the true one); `report_lag_ms` is the age of what `/load` reports; the first
+    `cold_requests` take `cold_factor` times their work.
 
     >>> Faults().changed({"slow_factor": 5}).slow_factor
     5
@@ -25,6 +26,7 @@
     fail_ms: float = 1.0
     hang: bool = False
     cut: bool = False
+    down: bool = False
     drain: bool = False
     shed_ratio: float = 0.0
     mislead: int = -1
--- a/cloverhook_emulator/fleet_runner.py
+++ b/cloverhook_emulator/fleet_runner.py
@@ -157,6 +157,17 @@
                 async with session.put(url, json=faults) as answer:
                     answer.raise_for_status()
 
+    async def counts(self) -> dict[str, dict[str, int]]:
+        """Return how much each backend server has done and refused, by address."""
+        counts: dict[str, dict[str, int]] = {}
+        async with aiohttp.ClientSession() as session:
+            for process in self.backends:
+                url = f"http://{process.addresses[-1]}/control"
+                async with session.get(url) as answer:
+                    found = await answer.json()
+                counts |= {address: item["counts"] for address, item in found.items()}
+        return counts
+
     async def ran(self) -> list[RunRecord]:
         """Return what the backend servers have run."""
         records: list[RunRecord] = []
--- a/cloverhook_emulator/load.py
+++ b/cloverhook_emulator/load.py
@@ -198,6 +198,7 @@
             "calls": self.calls,
             "phases": [phase.to_document() for phase in self.phases],
             "told": [record.to_document() for record in self.told],
+            "ends": [record.to_document() for record in self.ends],
         }
 
 
--- a/cloverhook_emulator/run_record.py
+++ b/cloverhook_emulator/run_record.py
@@ -75,6 +75,7 @@
     work_ms: float = 0.0
     error: str = ""
     sent: bool = True
+    path: str = ""
 
     def to_document(self) -> dict[str, Any]:
         """Return the record as a JSON object."""
