--- a/bench/run.py
+++ b/bench/run.py
@@ -80,7 +80,7 @@
     if importlib.util.find_spec("bench.replay") is None:
         print("   there is no replay")
         return ["replay"]
-    return ["replay"] if importlib.import_module("bench.replay").main() else []
+    return ["replay"] if importlib.import_module("bench.replay").main([]) else []
 
 
 def main(arguments: list[str]) -> int:
--- a/cloverhook_emulator/backend_control.py
+++ b/cloverhook_emulator/backend_control.py
@@ -33,7 +33,7 @@
 
     def named(self, request: falcon.asgi.Request) -> dict[str, Controlled]:
         """Return the servers that the query names, or all."""
-        names = request.get_param_as_list("server")
+        names = request.get_param_as_list("server", delimiter=",")
         if not names:
             return dict(self._servers)
         if any(name not in self._servers for name in names):
--- a/features/stand_ins.feature
+++ b/features/stand_ins.feature
@@ -35,6 +35,11 @@
     And its faults are set to {"mislead": 7}
     Then its path "/load" is answered 200 with "in_flight" 7
 
+  Scenario: Faults are given to the servers that are named
+    Given 3 stand-in servers with a control port
+    When the control port is told {"drain": true} for the first 2 of them
+    Then the first 2 of them drain and the others do not
+
   Scenario: Connections over the limit are closed
     Given a stand-in server with 9 slots, a queue of 1 and 60000 ms of work
     When 5 requests are sent to it
--- a/features/steps/stand_in_steps.py
+++ b/features/steps/stand_in_steps.py
@@ -4,8 +4,10 @@
 import json
 import random
 
+import aiohttp
 from behave import given, then, when
 
+from cloverhook_emulator.backend_control import control_app
 from cloverhook_emulator.backend_server import BackendServer, ServerSettings
 from cloverhook_emulator.http_client import CallError, ClientPool
 from cloverhook_emulator.http_server import HttpServer
@@ -183,3 +185,36 @@
     phase = context.result.phases[0]
     assert phase.calls > 20, phase.calls
     assert phase.good == phase.calls == len(context.result.told), phase.to_document()
+
+
+@given("{count:d} stand-in servers with a control port")
+def step_servers(context, count):
+    async def start():
+        servers = [BackendServer(ServerSettings(), random.Random(1)) for _ in range(count)]
+        for server in servers:
+            await server.start("127.0.0.1:0")
+        context.servers = {server.address: server for server in servers}
+        context.control = await control_app(context.servers, "127.0.0.1:0")
+
+    _run(context, start())
+    context.stack.push_async_callback(lambda: context.control.stop())
+
+
+@when("the control port is told {document} for the first {count:d} of them")
+def step_control(context, document, count):
+    async def tell():
+        named = ",".join(list(context.servers)[:count])
+        url = f"http://{context.control.address}/control?server={named}"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.put(url, json=json.loads(document)) as answer,
+        ):
+            assert answer.status == 200, await answer.text()
+
+    _run(context, tell())
+
+
+@then("the first {count:d} of them drain and the others do not")
+def step_drain(context, count):
+    found = [server.faults.drain for server in context.servers.values()]
+    assert found == [index < count for index in range(len(found))], found
