--- a/cloverhook_emulator/backend_server.py
+++ b/cloverhook_emulator/backend_server.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import gc
 import json
 import math
 import random
@@ -303,6 +304,7 @@
 
 def _main(arguments: list[str]) -> None:
     del arguments
+    gc.disable()  # Its pauses would show up as latency; the process is short-lived.
     asyncio.run(_serve())
 
 
--- a/cloverhook_emulator/fleet_runner.py
+++ b/cloverhook_emulator/fleet_runner.py
@@ -153,7 +153,8 @@
                 named = [address for address in process.addresses[:-1] if address in servers]
                 if servers and not named:
                     continue
-                url = f"http://{process.addresses[-1]}/control?server={','.join(named)}"
+                query = f"?server={','.join(named)}" if named else ""
+                url = f"http://{process.addresses[-1]}/control{query}"
                 async with session.put(url, json=faults) as answer:
                     answer.raise_for_status()
 
--- a/cloverhook_emulator/load.py
+++ b/cloverhook_emulator/load.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import gc
 import itertools
 import json
 import random
@@ -284,6 +285,7 @@
 
 def _main(arguments: list[str]) -> None:
     del arguments
+    gc.disable()  # Its pauses would show up as latency; the process is short-lived.
     document = asyncio.run(run_load(LoadPlan.from_flags())).to_document()
     if FLAGS.report is not None:
         Path(FLAGS.report).write_text(json.dumps(document))
