--- a/cloverhook_emulator/fleet_runner.py
+++ b/cloverhook_emulator/fleet_runner.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import re
@@ -71,9 +72,14 @@
                 await asyncio.sleep(0.02)
 
     def send(self, number: signal.Signals) -> None:
-        """Send a signal unless the process has ended."""
+        """Send a signal unless the process has ended.
+
+        `subprocess` would look for the process's end first and take its exit code away from the
+        event loop.
+        """
         if self.process.returncode is None:
-            self.process.send_signal(number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def stop(self, number: signal.Signals = signal.SIGTERM) -> int:
         """Send a signal, wait for the end and return the exit code."""
@@ -153,10 +159,22 @@
                 named = [address for address in process.addresses[:-1] if address in servers]
                 if servers and not named:
                     continue
-                url = f"http://{process.addresses[-1]}/control?server={','.join(named)}"
+                query = f"?server={','.join(named)}" if named else ""
+                url = f"http://{process.addresses[-1]}/control{query}"
                 async with session.put(url, json=faults) as answer:
                     answer.raise_for_status()
 
+    async def counts(self) -> dict[str, dict[str, int]]:
+        """Return how much each backend server has done and refused, by address."""
+        counts: dict[str, dict[str, int]] = {}
+        async with aiohttp.ClientSession() as session:
+            for process in self.backends:
+                url = f"http://{process.addresses[-1]}/control"
+                async with session.get(url) as answer:
+                    found = await answer.json()
+                counts |= {address: item["counts"] for address, item in found.items()}
+        return counts
+
     async def ran(self) -> list[RunRecord]:
         """Return what the backend servers have run."""
         records: list[RunRecord] = []
