--- a/cloverhook/endpoint_stats.py
+++ b/cloverhook/endpoint_stats.py
@@ -16,13 +16,13 @@
 __all__ = ["EndpointStats", "Trouble"]
 
 SLOW_AT = 10.0
-SLOW_CLEAR_AT = 7.0
+GOOD_EVIDENCE = -0.5
 FAILING_AT = 5.0
 FAILING_CLEAR_AT = 2.0
 FAILURE_EVIDENCE = 2.5
 SUCCESS_EVIDENCE = -0.5
-FIRST_TRIAL_MS = 60.0
-MAX_TRIAL_MS = 500.0
+FIRST_TRIAL_MS = 30.0
+MAX_TRIAL_MS = 120.0
 REPORT_LIFETIME_MS = 100.0
 
 
@@ -105,8 +105,8 @@
         if result is AttemptResult.ANSWERED:
             evidence = model.answer_evidence(latency_ms)
             self._add_slowness(evidence)
-            if evidence < 0:
-                self.next_trial_ms = 0.0
+            if evidence < GOOD_EVIDENCE:
+                self.slowness = 0.0
             self._add_failures(SUCCESS_EVIDENCE if not self.trouble else -FAILURE_EVIDENCE)
         elif result is AttemptResult.TIMED_OUT:
             self._add_slowness(max(0.0, model.age_evidence(latency_ms)))
@@ -117,7 +117,7 @@
 
     def clear(self) -> bool:
         """Return whether trials have answered well enough to end the probation."""
-        return self.slowness < SLOW_CLEAR_AT and self.failures < FAILING_CLEAR_AT
+        return self.slowness < SLOW_AT / 2 and self.failures < FAILING_CLEAR_AT
 
     def suspect(self, trouble: int, now_ms: float) -> None:
         """Put the endpoint on probation; a slow one keeps its limit for when the line is long."""
--- a/cloverhook/lending.py
+++ b/cloverhook/lending.py
@@ -40,10 +40,13 @@
         """Return whether there is something left to grant."""
         return self.granted < self.waiting and now_ms - self.received_ms < ASK_LIFETIME_MS
 
+    def told_ms(self) -> float:
+        """Return how long its next request had waited when it asked, if they came evenly."""
+        return self.oldest_ms * (1.0 - self.granted / self.waiting)
+
     def waited_ms(self, now_ms: float) -> float:
-        """Return how long its next request has waited, if they came evenly."""
-        told_ms = self.oldest_ms * (1.0 - self.granted / self.waiting)
-        return told_ms + now_ms - self.received_ms
+        """Return how long its next request has waited by now, if nobody else has served it."""
+        return self.told_ms() + now_ms - self.received_ms
 
 
 @dataclass(slots=True)
@@ -55,6 +58,7 @@
     asked_ms: float | None = None
     sent_ms: float = -1e12
     sent_waiting: int = 0
+    got: int = 0
     round_trip_ms: float = FIRST_ROUND_TRIP_MS
     silent: bool = False
     working: bool = True
@@ -119,6 +123,10 @@
         """Count a slot that is granted."""
         self._out.setdefault((vm, address), deque()).append(now_ms + LENT_LIFETIME_MS)
 
+    def count(self) -> int:
+        """Return how many slots are out."""
+        return sum(map(len, self._out.values()))
+
     def to_vm(self, vm: str) -> bool:
         """Return whether the VM has any slot of this one."""
         return any(name == vm for name, _ in self._out)
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -71,6 +71,7 @@
 MAX_ATTEMPTS = 3
 PEER_BYTES_PER_S = 15_000
 STALE_EVIDENCE_MS = 5_000.0
+DIRECT_CHOICES = 2
 LOOK_FOR_PROBES_MS = 250.0
 
 
@@ -231,7 +232,21 @@
         stats = self._table.choose(now_ms, wait_ms, avoid)
         if stats is not None:
             return stats.endpoint.address
-        return self._exchange.borrowed.take(request_id)
+        address = self._exchange.borrowed.take(request_id)
+        if address is None and not self._table.owned_count and not self._exchange.may_ask(now_ms):
+            return self._direct(avoid)
+        return address
+
+    def _direct(self, avoid: str) -> str | None:
+        """Choose without an owner: of a few endpoints the one with least of this VM's requests.
+
+        This is what a VM that owns nothing does when it may not send asks any more.
+        """
+        addresses = [endpoint.address for endpoint in self._present if endpoint.address != avoid]
+        if not addresses:
+            return None
+        few = self._random.sample(addresses, min(DIRECT_CHOICES, len(addresses)))
+        return self._table.any_unowned(few)
 
     def _start(self, request: Request, address: str, now_ms: float) -> Start:
         request.attempts += 1
@@ -258,10 +273,10 @@
             self._line.remove(request)
             actions.append(self._start(request, address, now_ms))
         for vm, addresses in grants.items():
-            actions.append(self._exchange.grant(vm, addresses, True))
+            actions.append(self._exchange.grant(vm, addresses, True, now_ms))
         if not len(self._line):
             idle = self._exchange.borrowed.idle_since(now_ms - IDLE_LOAN_MS)
-            actions.extend(self._exchange.give_back(idle, {}))
+            actions.extend(self._exchange.give_back(idle, {}, now_ms))
         actions.extend(self._ask_or_withdraw(now_ms))
         return actions
 
@@ -278,7 +293,7 @@
 
     def _ask_or_withdraw(self, now_ms: float) -> list[Action]:
         if not len(self._line):
-            return list(self._exchange.withdraw())
+            return list(self._exchange.withdraw(now_ms))
         wait_ms = self._own_wait_ms(len(self._line))
         tells = self._exchange.asks(self._line, wait_ms, now_ms)
         return list(tells)
@@ -288,28 +303,29 @@
         actions = self._share_out(now_ms)
         answered = any(isinstance(item, Tell) and item.vm == vm for item in actions)
         if message.waiting and not answered:
-            actions.append(self._exchange.grant(vm, (), self._owns_working()))
+            actions.append(self._exchange.grant(vm, (), self._owns_working(), now_ms))
         return actions
 
     def _take_grant(self, vm: str, message: SlotGrant, now_ms: float) -> list[Action]:
         known = tuple(item for item in message.addresses if self._table.get(item) is not None)
         unknown = [(item, vm) for item in message.addresses if item not in known]
         self._exchange.take_grant(vm, message, known, now_ms)
-        return [*self._exchange.give_back(unknown, {}), *self._share_out(now_ms)]
+        return [*self._exchange.give_back(unknown, {}, now_ms), *self._share_out(now_ms)]
 
     def _release_loan(self, event: AttemptEnded, now_ms: float) -> list[Action]:
         loan = self._exchange.borrowed.release(event.request_id)
         if loan is None:
             return []
         owner, ends_ms = loan
-        wanted_back = self._exchange.wants_back(owner, now_ms)
+        wanted_back = self._exchange.wants_back(owner, self._line, now_ms)
         good = event.result is AttemptResult.ANSWERED
         if good and now_ms < ends_ms and not wanted_back:
             self._exchange.borrowed.put(event.address, owner, ends_ms, now_ms)
             return []
         stats = self._table.get(event.address)
         evidence = int(max(stats.slowness, stats.failures)) if stats is not None else 0
-        return list(self._exchange.give_back(((event.address, owner),), {event.address: evidence}))
+        slot = ((event.address, owner),)
+        return list(self._exchange.give_back(slot, {event.address: evidence}, now_ms))
 
     def _retry(self, event: AttemptEnded, now_ms: float) -> list[Action]:
         request = self._requests.get(event.request_id)
--- a/cloverhook/slot_exchange.py
+++ b/cloverhook/slot_exchange.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from cloverhook.lending import LOAN_MS, Ask, Borrowed, Lent, Peer
+from cloverhook.lending import ASK_LIFETIME_MS, LOAN_MS, Ask, Borrowed, Lent, Peer
 from cloverhook.messages import SlotAsk, SlotGrant, SlotReturn
 from cloverhook.routing_events import Tell
 from cloverhook.token_bucket import TokenBucket
@@ -19,9 +19,11 @@
 ASK_AGAIN_MS = 40.0
 ASK_PACE_MS = 8.0
 IDLE_LOAN_MS = 0.0
-MESSAGE_BYTES = 40
-ADDRESS_BYTES = 16
-FAR_LONGER_MS = 150.0
+FRAME_BYTES = 24
+ASK_ALL_AFTER_MS = 15.0
+FAR_LONGER_MS = 40.0
+LENT_IN_NEED = 4
+KEEP_MARGIN_MS = 0.0
 ASK_AT_ROUND_TRIPS = 2.0
 
 
@@ -44,6 +46,10 @@
         """Return the owners that don't answer."""
         return {peer.vm for peer in self._peers.values() if peer.silent}
 
+    def may_ask(self, now_ms: float) -> bool:
+        """Return whether there are bytes left for an ask."""
+        return self._peer_bytes.has(now_ms)
+
     def peers_working(self) -> bool:
         """Return whether any other owner may have an endpoint that works."""
         return any(peer.working and not peer.silent for peer in self._peers.values())
@@ -83,6 +89,7 @@
         if peer is not None:
             peer.heard(now_ms)
             peer.working = message.working
+            peer.got += len(message.addresses)
         for address in addresses:
             self.borrowed.put(address, vm, now_ms + LOAN_MS, now_ms)
 
@@ -100,11 +107,17 @@
                 best = peer.ask
         return best
 
-    def wants_back(self, owner: str, now_ms: float) -> bool:
+    def wants_back(self, owner: str, line: WaitingLine, now_ms: float) -> bool:
         """Return whether a slot borrowed from this owner should go back after its use."""
+        if self.lent.to_vm(owner):
+            return True
         peer = self._others.get(owner)
-        asks = peer is not None and peer.ask is not None and peer.ask.stands(now_ms)
-        return asks or self.lent.to_vm(owner)
+        if peer is None or peer.ask is None or not peer.ask.stands(now_ms):
+            return False
+        own = line.first()
+        if own is None or peer.ask.priority < own.arrival.priority:
+            return True
+        return peer.ask.told_ms() + KEEP_MARGIN_MS > now_ms - own.arrived_ms
 
     def goes_first(self, ask: Ask, line: WaitingLine, now_ms: float) -> bool:
         """Return whether an ask comes before this VM's own waiting requests.
@@ -118,8 +131,10 @@
             return True
         if own.arrival.priority != ask.priority:
             return ask.priority < own.arrival.priority
-        margin_ms = FAR_LONGER_MS if ask.vm in self._peers else 0.0
-        return ask.waited_ms(now_ms) > now_ms - own.arrived_ms + margin_ms
+        own_ms = now_ms - own.arrived_ms
+        if ask.vm not in self._peers:
+            return ask.waited_ms(now_ms) > own_ms
+        return ask.told_ms() > own_ms + FAR_LONGER_MS and self.lent.count() < LENT_IN_NEED
 
     def asks(self, line: WaitingLine, wait_ms: float, now_ms: float) -> list[Tell]:
         """Return the asks that the waiting requests call for now.
@@ -129,63 +144,74 @@
         first = line.first()
         if first is None:
             return []
+        peers = [
+            peer
+            for peer in self._peers.values()
+            if not peer.silent and wait_ms > ASK_AT_ROUND_TRIPS * peer.round_trip_ms
+        ]
+        if wait_ms == float("inf") and now_ms - first.arrived_ms < ASK_ALL_AFTER_MS:
+            peers = sorted(peers, key=lambda peer: peer.round_trip_ms)[:1]
         tells: list[Tell] = []
-        for peer in self._peers.values():
-            if not peer.silent and wait_ms > ASK_AT_ROUND_TRIPS * peer.round_trip_ms:
-                tells.extend(self._ask(peer, line, first.arrived_ms, now_ms))
+        for peer in peers:
+            tells.extend(self._ask(peer, line, first.arrived_ms, now_ms))
         return tells
 
-    def withdraw(self) -> list[Tell]:
+    def withdraw(self, now_ms: float) -> list[Tell]:
         """Return the messages that take back asks once nothing waits any longer."""
         tells: list[Tell] = []
         for peer in self._peers.values():
             if peer.sent_waiting:
+                if peer.got >= peer.sent_waiting or now_ms - peer.sent_ms > ASK_LIFETIME_MS:
+                    peer.sent_waiting = 0
+                    continue
                 peer.sent_waiting = 0
-                tells.append(Tell(peer.vm, SlotAsk(self._service, 0, 0, 0)))
+                tells.append(self._tell(peer.vm, SlotAsk(self._service, 0, 0, 0), now_ms))
         return tells
 
-    def grant(self, vm: str, addresses: Iterable[str], working: bool) -> Tell:
+    def grant(self, vm: str, addresses: Iterable[str], working: bool, now_ms: float) -> Tell:
         """Return the answer to an ask."""
-        return Tell(vm, SlotGrant(self._service, tuple(addresses), working))
+        return self._tell(vm, SlotGrant(self._service, tuple(addresses), working), now_ms)
 
     def may_grant(self, now_ms: float) -> bool:
         """Return whether there are bytes left for a grant."""
-        return self._peer_bytes.take(MESSAGE_BYTES + ADDRESS_BYTES, now_ms)
+        return self._peer_bytes.has(now_ms)
 
     def give_back(
-        self, slots: Iterable[tuple[str, str]], suspicion: Mapping[str, int]
+        self, slots: Iterable[tuple[str, str]], suspicion: Mapping[str, int], now_ms: float
     ) -> list[Tell]:
         """Return the messages that give slots, each an address and its owner, back."""
         by_owner: dict[str, list[str]] = {}
         for address, owner in slots:
             by_owner.setdefault(owner, []).append(address)
-        return [
-            Tell(
-                owner,
-                SlotReturn(
-                    self._service,
-                    tuple(addresses),
-                    tuple(suspicion.get(address, 0) for address in addresses),
-                ),
-            )
-            for owner, addresses in by_owner.items()
-        ]
+        tells: list[Tell] = []
+        for owner, addresses in by_owner.items():
+            evidence = tuple(suspicion.get(address, 0) for address in addresses)
+            message = SlotReturn(self._service, tuple(addresses), evidence)
+            tells.append(self._tell(owner, message, now_ms))
+        return tells
+
+    def _tell(self, vm: str, message: SlotAsk | SlotGrant | SlotReturn, now_ms: float) -> Tell:
+        addresses = () if isinstance(message, SlotAsk) else message.addresses
+        size = FRAME_BYTES + len(self._service) + sum(len(item) + 2 for item in addresses)
+        self._peer_bytes.charge(size, now_ms)
+        return Tell(vm, message)
 
     def _ask(self, peer: Peer, line: WaitingLine, first_ms: float, now_ms: float) -> list[Tell]:
         since_ms = now_ms - peer.sent_ms
         grown = len(line) > 2 * peer.sent_waiting
         if since_ms < ASK_PACE_MS or (since_ms < ASK_AGAIN_MS and not grown):
             return []
-        if not self._peer_bytes.take(MESSAGE_BYTES, now_ms):
+        if not self._peer_bytes.has(now_ms):
             return []
         peer.sent_ms = now_ms
         peer.sent_waiting = len(line)
+        peer.got = 0
         if peer.asked_ms is None:
             peer.asked_ms = now_ms
         first = line.first()
         oldest_ms = int(now_ms - first_ms)
         message = SlotAsk(self._service, int(first.arrival.priority), len(line), oldest_ms)
-        return [Tell(peer.vm, message)]
+        return [self._tell(peer.vm, message, now_ms)]
 
 
 def _rank(ask: Ask, now_ms: float) -> tuple[int, float]:
--- a/cloverhook/token_bucket.py
+++ b/cloverhook/token_bucket.py
@@ -34,6 +34,16 @@
         self._tokens -= cost
         return True
 
+    def charge(self, cost: float, now_ms: float) -> None:
+        """Take tokens for what has to be done anyway; the bucket may go below 0."""
+        self._fill(now_ms)
+        self._tokens -= cost
+
+    def has(self, now_ms: float) -> bool:
+        """Return whether any token is left."""
+        self._fill(now_ms)
+        return self._tokens > 0
+
     def add(self, tokens: float) -> None:
         """Add tokens, up to the capacity."""
         self._tokens = min(self._capacity, self._tokens + tokens)
