--- a/cloverhook/lending.py
+++ b/cloverhook/lending.py
@@ -99,11 +99,6 @@
         """Return the owner and the end of the loan that a request has used, or None."""
         return self.in_use.pop(request_id, None)
 
-    def uses_of(self, owner: str) -> bool:
-        """Return whether any slot of this owner is borrowed now."""
-        in_use = any(vm == owner for vm, _ in self.in_use.values())
-        return in_use or any(item[1] == owner for item in self.idle)
-
     def idle_since(self, limit_ms: float) -> list[tuple[str, str]]:
         """Take out and return address and owner of the slots that are idle since then."""
         given_up: list[tuple[str, str]] = []
@@ -141,6 +136,11 @@
             del self._out[(vm, address)]
         return True
 
+    def take_all_back(self, vm: str) -> list[str]:
+        """Take back and return the addresses of all slots that a VM has."""
+        gone = [key for key in self._out if key[0] == vm]
+        return [key[1] for key in gone for _ in self._out.pop(key)]
+
     def lapsed(self, now_ms: float) -> list[str]:
         """Take back and return the addresses of slots that have been out for too long."""
         late: list[str] = []
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -196,6 +196,9 @@
         others = [vm for vm in self._homes.homes if vm != own]
         self._exchange.set_owners(others)
         silent = self._exchange.silent()
+        for vm in silent:
+            for address in self._exchange.lent.take_all_back(vm):
+                self._table.take_back(address, 0, now_ms)
         homes = [vm for vm in self._homes.homes if vm not in silent]
         if homes:
             owner_of = owners(self._present, homes, self._homes.data_centers)
--- a/cloverhook/slot_exchange.py
+++ b/cloverhook/slot_exchange.py
@@ -101,7 +101,7 @@
                 continue
             if not peer.ask.stands(now_ms):
                 peer.ask = None
-            elif self.borrowed.uses_of(peer.vm):
+            elif self.borrowed.count and peer.vm in self._peers:
                 continue
             elif best is None or _rank(peer.ask, now_ms) < _rank(best, now_ms):
                 best = peer.ask
--- a/cloverhook/steering.py
+++ b/cloverhook/steering.py
@@ -13,7 +13,7 @@
 __all__ = ["AnswerOrder", "answer_lifetime_ms", "home_vms", "ranked"]
 
 UNSETTLED_MS = 2_000
-UNSETTLED_LIFETIME_MS = 1_000
+UNSETTLED_LIFETIME_MS = 250
 
 
 def ranked(key: str, members: Sequence[Member]) -> list[Member]:
