Prove the features of the decisions against broken variants

A probation that ends by summed evidence only, instead of the first good answer, still passes: it is a matter of speed.

--- a/features/decision_driver.py
+++ b/features/decision_driver.py
@@ -38,6 +38,8 @@
         self.open = {}
         self.starts = Counter()
         self.refused = {}
+        self.arrived_ms = {}
+        self.refused_after_ms = {}
         self.told = []
         self.probes = []
         self.attempts = Counter()
@@ -58,6 +60,8 @@
                 case Refuse():
                     assert action.request_id not in self.refused, "refused twice"
                     self.refused[action.request_id] = action
+                    waited_ms = self.now_ms - self.arrived_ms[action.request_id]
+                    self.refused_after_ms[action.request_id] = waited_ms
                 case Tell():
                     self.told.append(action)
                 case Probe(address):
@@ -69,6 +73,7 @@
         self.arrived += 1
         request_id = f"r{self.arrived}"
         deadline_ms = self.now_ms + timeout_ms
+        self.arrived_ms[request_id] = self.now_ms
         self.do(Arrival(request_id, priority, deadline_ms, idempotent, attempt))
         return request_id
 
--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -52,6 +52,7 @@
     Given a router that owns 5 endpoints and has served for 2000 ms
     When no endpoint can be reached for 10000 ms
     Then attempts per call are under 1.1 and refusals carry a time to come back
+    And 99 of 100 refusals came within 20 ms
     And 2000 ms after the recovery 95 of 100 calls are answered
 
   Scenario Outline: A request that may have run is never started again unless it is idempotent
@@ -72,6 +73,11 @@
     When 1000 requests are refused by every backend server
     Then there are at most 104 retries
 
+  Scenario: A request that is itself a retry of the layer above gets no retry
+    Given a router that owns 9 endpoints
+    When a request on its second attempt is refused by the backend server
+    Then it is refused without another attempt
+
   Scenario: Retries do not multiply along a chain of 13 services
     Given 13 services that call each other in a chain whose last one always refuses
     When 200 calls go through the chain
@@ -85,8 +91,9 @@
 
   Scenario: A lent slot that never comes back lapses, and one returned twice is counted once
     Given an owner and a VM that owns nothing
-    When the owner lends a slot whose return is lost
-    Then the owner has all its slots again after 2100 ms
+    When the owner lends 2 slots to each of two VMs and one slot is returned twice
+    Then the owner has 5 slots
+    And the owner has all its slots again after 2100 ms
     And a return that comes late changes nothing
 
   Scenario: The endpoints of an owner that does not answer are taken over
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -228,6 +228,12 @@
     assert all(refuse.retry_after_ms > 0 for refuse in driver.refused.values())
 
 
+@then("99 of 100 refusals came within {ms:d} ms")
+def step_refused_soon(context, ms):
+    waits = sorted(context.driver.refused_after_ms.values())
+    assert waits[int(len(waits) * 0.99)] <= ms, waits[-5:]
+
+
 @then("{ms:d} ms after the recovery 95 of 100 calls are answered")
 def step_recovered(context, ms):
     driver = context.driver
@@ -274,6 +280,20 @@
     assert 0 < retries <= count, retries
 
 
+@when("a request on its second attempt is refused by the backend server")
+def step_second_attempt(context):
+    driver = context.driver
+    context.ended = driver.arrive(attempt=2)
+    driver.now_ms += 20
+    driver.end(context.ended, AttemptResult.REFUSED)
+
+
+@then("it is refused without another attempt")
+def step_no_second(context):
+    assert context.driver.attempts[context.ended] == 1
+    assert context.ended in context.driver.refused
+
+
 @given("13 services that call each other in a chain whose last one always refuses")
 def step_chain(context):
     context.chain = [Driver(endpoints(9), seed=number) for number in range(13)]
@@ -363,13 +383,23 @@
     assert free_slots(context.owner) == 8
 
 
-@when("the owner lends a slot whose return is lost")
-def step_lost_return(context):
-    context.owner.hear("vm-9", SlotAsk("brathwaite/booking", 1, 1, 5))
-    (tell,) = context.owner.told
-    assert isinstance(tell.message, SlotGrant)
-    context.lent = tell.message.addresses
-    assert free_slots(context.owner) == 7
+@when("the owner lends 2 slots to each of two VMs and one slot is returned twice")
+def step_returned_twice(context):
+    for vm in ("vm-8", "vm-9"):
+        context.owner.hear(vm, SlotAsk("brathwaite/booking", 1, 2, 5))
+    grants = [tell.message for tell in context.owner.told]
+    assert [len(grant.addresses) for grant in grants] == [2, 2]
+    assert set(grants[0].addresses) == set(grants[1].addresses)
+    assert free_slots(context.owner) == 4
+    context.lent = grants[1].addresses[:1]
+    message = SlotReturn("brathwaite/booking", context.lent, (0,))
+    context.owner.hear("vm-9", message)
+    context.owner.hear("vm-9", message)
+
+
+@then("the owner has {count:d} slots")
+def step_owner_has(context, count):
+    assert free_slots(context.owner) == count
 
 
 @then("the owner has all its slots again after {ms:d} ms")
