--- a/cloverhook/gossip.py
+++ b/cloverhook/gossip.py
@@ -48,6 +48,8 @@
 
     def flush(self, linked: Collection[str]) -> tuple[MemberAction, ...]:
         """Return the messages that pass changes on, a bounded number of changes in each."""
+        if not self._pending:
+            return ()
         batch = dict(list(self._pending.items())[:MAX_CHANGES])
         for vm in batch:
             del self._pending[vm]
--- a/cloverhook/members.py
+++ b/cloverhook/members.py
@@ -89,6 +89,12 @@
         """Whether the process is taken to run."""
         return self.status in (Status.ALIVE, Status.SUSPECT)
 
+    @property
+    def visible(self) -> tuple[bool, bool, str, str, str]:
+        """What makes a difference to callers, routers and links."""
+        addresses = (self.data_center, self.caller_address, self.peer_address)
+        return (self.present, self.leaving, *addresses)
+
     @property
     def digest(self) -> int:
         """A hash over what peers have to agree on."""
@@ -99,7 +105,7 @@
 class MemberTable:
     """Every member by VM name, this daemon's own among them.
 
-    `version` counts the changes that callers or peers may see.
+    `version` counts the changes that make a difference to callers, routers or links.
     """
 
     def __init__(self, own: Member) -> None:
@@ -107,6 +113,7 @@
         self._members: dict[str, Member] = {own.vm: own}
         self._listed: dict[str, VmPhase] = {}
         self._buckets = [0] * BUCKETS
+        self._suspected: set[str] = set()
         self._doubting = False
         self.version = 0
         self._flip(own)
@@ -138,7 +145,7 @@
 
     def suspects(self) -> tuple[Member, ...]:
         """Return the members that are suspected."""
-        return tuple(item for item in self._members.values() if item.status is Status.SUSPECT)
+        return tuple(self._members[vm] for vm in sorted(self._suspected))
 
     def put(self, member: Member) -> bool:
         """Take newer knowledge of a member; return whether it was newer."""
@@ -224,7 +231,8 @@
             self._flip(known)
         self._members[member.vm] = member
         self._flip(member)
-        self.version += 1
+        if known is None or known.visible != member.visible:
+            self.version += 1
 
     def _remove(self, member: Member) -> None:
         self._flip(member)
@@ -232,6 +240,8 @@
         self.version += 1
 
     def _flip(self, member: Member) -> None:
+        if member.status is Status.SUSPECT:
+            self._suspected ^= {member.vm}
         if member.present:
             self._buckets[_bucket_of(member.vm)] ^= member.digest
 
