--- a/cloverhook/cluster.py
+++ b/cloverhook/cluster.py
@@ -10,10 +10,12 @@
 from typing import Any
 
 from absl import logging
+from aioprometheus import Registry
 
 from cloverhook.address_answers import AddressAnswers
 from cloverhook.catch_up import CatchUp
 from cloverhook.clock import PauseWatch, monotonic_ms
+from cloverhook.cluster_metrics import ClusterMetrics
 from cloverhook.dispatch import Dispatcher, Target
 from cloverhook.errors import ConfigError, PlatformError
 from cloverhook.follower import Follower
@@ -66,6 +68,7 @@
         platform: Platform,
         follower: Follower,
         dispatcher: Dispatcher,
+        registry: Registry,
         on_replaced: Callable[[], None],
     ) -> None:
         self._settings = settings
@@ -74,6 +77,7 @@
         self._follower = follower
         self._dispatcher = dispatcher
         self._on_replaced = on_replaced
+        self._metrics = ClusterMetrics(registry)
         self._random = random.Random()
         self._catch_up = CatchUp()
         self._answers = AddressAnswers(self._random)
@@ -162,7 +166,8 @@
         self._handle(LinkLost(vm))
 
     def stranger_refused(self) -> None:
-        """Do nothing: the links count the strangers."""
+        """Count a link whose other side did not prove itself."""
+        self._metrics.stranger_refused()
 
     def message_heard(self, vm: str, message: Message) -> None:
         """Take a peer's message, unless it has waited through a pause of this process."""
@@ -229,6 +234,7 @@
             return False
         logging.warning("cluster: this process was paused; what it knows has to be confirmed.")
         self.pauses += 1
+        self._metrics.paused()
         self.links.reset()
         self._catch_up = CatchUp()
         self._handle(Woke())
@@ -275,4 +281,6 @@
                 self._handle(ListRead(await self._platform.list_vms()))
             except PlatformError as error:
                 logging.warning("cluster: the list of VMs can't be read: %s.", error)
+            serving = len(self.membership.serving())
+            self._metrics.update(len(self.links.linked()), serving, self.links.dropped_messages)
             await asyncio.sleep(LIST_EVERY_MS / 1000)
--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -66,14 +66,20 @@
             settings.claim_appends_per_s,
         )
         self._follower = Follower(platform, self._on_folded, self._on_adopted)
+        self._registry = Registry()
         self._cluster = Cluster(
-            settings, self._incarnation, platform, self._follower, self._dispatcher, self.drain
+            settings,
+            self._incarnation,
+            platform,
+            self._follower,
+            self._dispatcher,
+            self._registry,
+            self.drain,
         )
         self._stopping = asyncio.Event()
         self._drain_plan = DrainPlan(0.0, 0.0)
         self._leaving = False
         self._tasks: list[asyncio.Task[None]] = []
-        self._registry = Registry()
         self._refused_operators = Counter("cloverhook_refused_operators", "Calls with no token.")
         self._registry.register(self._refused_operators)
 
--- a/features/membership_fleet.feature
+++ b/features/membership_fleet.feature
@@ -23,3 +23,8 @@
     When the platform is lost and "vm-4" starts with the address of a peer
     Then every daemon has version 2
     And the others hand out vm-0 to vm-4
+
+  Scenario: A stranger on the peers' port is refused and counted
+    Given 1 backend servers and 1 daemons
+    When a stranger with another key greets the peers' port
+    Then the metrics count 1 refused stranger
--- a/features/steps/membership_fleet_steps.py
+++ b/features/steps/membership_fleet_steps.py
@@ -6,9 +6,12 @@
 
 import aiohttp
 from behave import given, then, when
+from websockets.asyncio.client import connect
 
+from cloverhook.greeting import Greeting, Role
+from cloverhook.messages import Hello, encode
 from cloverhook_emulator.cut_proxy import CutProxy, Mode
-from cloverhook_emulator.fleet_runner import Fleet
+from cloverhook_emulator.fleet_runner import OPERATOR_TOKEN, Fleet
 from features.steps.fleet_steps import DATA_CENTERS, HOST, eventually, run
 
 LIFETIME_MS = 300
@@ -161,6 +164,32 @@
     run(context, start())
 
 
+@when("a stranger with another key greets the peers' port")
+def step_stranger(context):
+    async def greet():
+        hello = Hello("vm-9", "papine", "127.0.0.1:1", "127.0.0.1:2", 1)
+        address = context.fleet.daemons["vm-0"].peer_address
+        async with connect(f"ws://{address}/", proxy=None) as link:
+            nonce = Greeting.new_nonce()
+            await link.send(nonce)
+            greeting = Greeting.from_nonces(b"wrong", Role.CLIENT, nonce, await link.recv())
+            await link.send(encode(greeting.prove(hello)))
+            await link.wait_closed()
+
+    run(context, greet())
+
+
+@then("the metrics count {count:d} refused stranger")
+def step_counted(context, count):
+    async def metrics():
+        url = f"http://{context.fleet.daemons['vm-0'].operator_address}/metrics"
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        async with context.session.get(url, headers=headers) as answer:
+            return (await answer.text()).splitlines()
+
+    assert f"cloverhook_refused_strangers {count}" in run(context, metrics())
+
+
 @then("it ends with 0 and every call was answered")
 def step_ended(context):
     assert context.exit_code == 0, context.exit_code
