--- a/features/membership_fleet.feature
+++ b/features/membership_fleet.feature
@@ -6,7 +6,7 @@
     When "vm-3" is stopped until the others have dropped it
     And "vm-3" goes on
     Then the others hand out vm-0 to vm-3
-    And "vm-3" has noticed 1 pause and hands out all
+    And "vm-3" has noticed its pause and hands out all
     When "vm-3" is killed
     Then the others hand out vm-0 to vm-2
 
