--- a/bench/replay_ways.py
+++ b/bench/replay_ways.py
@@ -9,6 +9,7 @@
 from cloverhook.fleet import Endpoint, Policy
 from cloverhook.members import Member
 from cloverhook.messages import encode
+from cloverhook.ownership import owned_slots
 from cloverhook.routing import (
     Arrival,
     AttemptEnded,
@@ -214,12 +215,12 @@
         self._world.result.busiest_vm_bytes_per_s = busiest / run_s
 
     def _configure(self) -> None:
-        endpoints = tuple(
+        self._endpoints = tuple(
             Endpoint(backend.address, backend.data_center, backend.slots)
             for backend in self._world.backends
         )
         for vm in self._vms:
-            self._handle(vm, EndpointsChanged(endpoints, Policy()))
+            self._handle(vm, EndpointsChanged(self._endpoints, Policy()))
 
     def _set_homes(self) -> None:
         live = [Member(vm.name, vm.data_center, "", "") for vm in self._vms if not vm.lost]
@@ -228,17 +229,21 @@
         self._homes = [self._by_name[member.vm] for member in homes]
         names = tuple(vm.name for vm in self._homes)
         centers = {vm.name: vm.data_center for vm in self._vms}
+        self._weights = owned_slots(self._endpoints, names, centers)
         for vm in self._vms:
             if not vm.lost:
                 self._handle(vm, HomesChanged(vm.name, names, centers))
 
     def _vm_of(self, call: Call) -> _Vm:
-        """Return the VM of the caller's answer; after its lifetime it asks that VM again."""
+        """Return the VM of the caller's answer; after its lifetime it asks that VM again.
+
+        The run begins with callers that have been at it for long, so each first asks a home.
+        """
         answer = self._answers.get(call.caller)
         if answer is None:
             stale = call.caller % 10 < self._world.scenario.stale_share * 10
             others = [vm for vm in self._vms if vm not in self._homes]
-            asked = self._random.choice(others if stale else self._vms)
+            asked = self._random.choice(others if stale else self._homes)
             first = asked if stale else self._ask(asked)
             ends_ms = STALE_MS if stale else self._random.random() * LIFETIME_MS
             answer = (first, call.arrives_ms + ends_ms)
@@ -256,7 +261,7 @@
     def _ask(self, asked: _Vm) -> _Vm:
         live = [vm for vm in self._homes if not vm.lost]
         members = [Member(vm.name, vm.data_center, "", "") for vm in live]
-        return self._by_name[asked.order.next("", members)[0].vm]
+        return self._by_name[asked.order.next("", members, self._weights)[0].vm]
 
     def _next_home(self, lost: _Vm) -> _Vm:
         left = [vm for vm in self._homes if not vm.lost]
--- a/cloverhook/endpoint_stats.py
+++ b/cloverhook/endpoint_stats.py
@@ -8,6 +8,7 @@
 """
 
 from dataclasses import dataclass, field
+from enum import IntEnum
 
 from cloverhook.fleet import Endpoint
 from cloverhook.latency_model import LatencyModel
@@ -26,7 +27,7 @@
 REPORT_LIFETIME_MS = 100.0
 
 
-class Trouble:
+class Trouble(IntEnum):
     """Why an endpoint is on probation."""
 
     NONE = 0
@@ -47,7 +48,7 @@
     limit: int
     started_ms: dict[str, float] = field(default_factory=dict)
     lent: int = 0
-    trouble: int = Trouble.NONE
+    trouble: Trouble = Trouble.NONE
     slowness: float = 0.0
     failures: float = 0.0
     next_trial_ms: float = 0.0
@@ -119,7 +120,7 @@
         """Return whether trials have answered well enough to end the probation."""
         return self.slowness < SLOW_AT / 2 and self.failures < FAILING_CLEAR_AT
 
-    def suspect(self, trouble: int, now_ms: float) -> None:
+    def suspect(self, trouble: Trouble, now_ms: float) -> None:
         """Put the endpoint on probation; a slow one keeps its limit for when the line is long."""
         self.trouble = trouble
         if trouble == Trouble.SLOW:
--- a/cloverhook/endpoint_table.py
+++ b/cloverhook/endpoint_table.py
@@ -153,7 +153,7 @@
         elif stats.looks_slow(self.model, now_ms):
             self._suspect(stats, Trouble.SLOW, now_ms)
 
-    def _suspect(self, stats: EndpointStats, trouble: int, now_ms: float) -> None:
+    def _suspect(self, stats: EndpointStats, trouble: Trouble, now_ms: float) -> None:
         if trouble == Trouble.FAILING and not self._may_eject():
             return
         stats.suspect(trouble, now_ms)
--- a/cloverhook/ownership.py
+++ b/cloverhook/ownership.py
@@ -13,7 +13,7 @@
 
 from cloverhook.fleet import Endpoint
 
-__all__ = ["owners"]
+__all__ = ["owned_slots", "owners"]
 
 REMOTE_TOLERANCE = 1.25
 
@@ -39,6 +39,18 @@
     return result
 
 
+def owned_slots(
+    endpoints: Sequence[Endpoint], homes: Sequence[str], data_centers: Mapping[str, str]
+) -> dict[str, float]:
+    """Return how many slots each home owns: its share of the callers."""
+    owner_of = owners(endpoints, homes, data_centers)
+    slots = dict.fromkeys(homes, 0.0)
+    for endpoint in endpoints:
+        if endpoint.address in owner_of:
+            slots[owner_of[endpoint.address]] += endpoint.slots
+    return slots
+
+
 def _first_with_room(
     endpoint: Endpoint,
     order: Sequence[str],
--- a/cloverhook/slot_exchange.py
+++ b/cloverhook/slot_exchange.py
@@ -16,15 +16,15 @@
 __all__ = ["SlotExchange"]
 
 SILENT_MS = 60.0
-ASK_AGAIN_MS = 40.0
-ASK_PACE_MS = 8.0
+ASK_AGAIN_MS = 15.0
+ASK_PACE_MS = 3.0
 IDLE_LOAN_MS = 0.0
 FRAME_BYTES = 24
 ASK_ALL_AFTER_MS = 15.0
 FAR_LONGER_MS = 40.0
 LENT_IN_NEED = 4
 KEEP_MARGIN_MS = 0.0
-ASK_AT_ROUND_TRIPS = 2.0
+ASK_AT_ROUND_TRIPS = 1.0
 
 
 class SlotExchange:
--- a/cloverhook/steering.py
+++ b/cloverhook/steering.py
@@ -4,7 +4,7 @@
 comes or goes moves only the callers of the places it takes or leaves.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import xxhash
 
@@ -49,18 +49,25 @@
     """The order in which a service's home VMs stand in the answers that callers get.
 
     A caller that uses only the first address of its answer must not make the first home the
-    busiest, so each answer begins with the next home.
+    busiest, so the first place goes round, to each home as often as its weight says.  The weight is
+    the number of slots that the home owns.
     """
 
     def __init__(self) -> None:
-        self._answers: dict[str, int] = {}
+        self._credit: dict[str, dict[str, float]] = {}
 
-    def next(self, service_key: str, homes: Sequence[Member]) -> list[Member]:
+    def next(
+        self, service_key: str, homes: Sequence[Member], weights: Mapping[str, float]
+    ) -> list[Member]:
         """Return the homes in the order of the service's next answer."""
-        count = self._answers.get(service_key, 0)
-        self._answers[service_key] = count + 1
-        start = count % len(homes) if homes else 0
-        return [*homes[start:], *homes[:start]]
+        if not homes:
+            return []
+        before = self._credit.get(service_key, {})
+        credit = {home.vm: before.get(home.vm, 0.0) + weights.get(home.vm, 1.0) for home in homes}
+        order = sorted(homes, key=lambda home: credit[home.vm], reverse=True)
+        credit[order[0].vm] -= sum(weights.get(home.vm, 1.0) for home in homes)
+        self._credit[service_key] = credit
+        return order
 
 
 def _weight(key: str, vm: str) -> int:
--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -137,3 +137,14 @@
     Then at 70 percent load it wants 4 homes after a second
     And at 30 percent load it wants 3 again only after 30 seconds
     And the largest number said lately is in force
+
+  Scenario: Callers are sent to the homes in turn, as often as each owns slots
+    Given 3 homes that own 16, 12 and 12 slots
+    When 400 callers ask one daemon
+    Then the homes stand first in 160, 120 and 120 answers
+    And answers are kept for less long while the homes have just changed
+
+  Scenario: A daemon near its own limit refuses the least important first
+    Given a daemon whose event loop comes 60 ms late
+    Then it refuses priority LOW and NORMAL, not HIGH
+    And it takes all again once the loop is on time
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -6,7 +6,9 @@
 
 from cloverhook.fleet import Endpoint, Policy, Priority
 from cloverhook.home_count import HomeCount, HomeCounts
+from cloverhook.members import Member
 from cloverhook.messages import SlotAsk, SlotGrant, SlotReturn, encode
+from cloverhook.own_limit import OwnLimit
 from cloverhook.ownership import owners
 from cloverhook.routing import (
     AttemptResult,
@@ -16,6 +18,7 @@
     ProbeEnded,
     Tell,
 )
+from cloverhook.steering import AnswerOrder, answer_lifetime_ms
 from features.decision_driver import Driver, endpoints
 
 CENTERS = ("halfway-tree", "new-kingston", "papine")
@@ -602,3 +605,49 @@
     assert counts.in_force(3, 9_000.0) == 5
     assert counts.in_force(3, 11_000.0) == 4
     assert counts.in_force(3, 20_000.0) == 3
+
+
+@given("3 homes that own 16, 12 and 12 slots")
+def step_weights(context):
+    context.members = [Member(vm, HOME_CENTERS[vm], "", "") for vm in HOMES]
+    context.weights = dict(zip(HOMES, (16.0, 12.0, 12.0), strict=True))
+
+
+@when("{count:d} callers ask one daemon")
+def step_ask(context, count):
+    order = AnswerOrder()
+    answers = [order.next("s", context.members, context.weights) for _ in range(count)]
+    assert all({member.vm for member in answer} == set(HOMES) for answer in answers)
+    context.firsts = [answer[0].vm for answer in answers]
+
+
+@then("the homes stand first in 160, 120 and 120 answers")
+def step_firsts(context):
+    assert [context.firsts.count(vm) for vm in HOMES] == [160, 120, 120]
+
+
+@then("answers are kept for less long while the homes have just changed")
+def step_lifetime(context):
+    assert answer_lifetime_ms(5_000, 1_000.0, 1_500.0) < 1_000
+    assert answer_lifetime_ms(5_000, 1_000.0, 9_000.0) == 5_000
+    assert answer_lifetime_ms(100, 1_000.0, 1_500.0) == 100
+
+
+@given("a daemon whose event loop comes {late:d} ms late")
+def step_late(context, late):
+    context.limit = OwnLimit()
+    for _ in range(30):
+        context.limit.observe(float(late), 1.0)
+
+
+@then("it refuses priority LOW and NORMAL, not HIGH")
+def step_limit(context):
+    refused = [priority for priority in Priority if context.limit.refuses(priority)]
+    assert refused == [Priority.NORMAL, Priority.LOW]
+
+
+@then("it takes all again once the loop is on time")
+def step_on_time(context):
+    for _ in range(30):
+        context.limit.observe(0.0, 0.2)
+    assert not any(context.limit.refuses(priority) for priority in Priority)
