--- a/cloverhook/measuring.py
+++ b/cloverhook/measuring.py
@@ -5,13 +5,18 @@
 endpoint may have two owners for a moment, and the sum still stays within the budget.
 """
 
+from collections.abc import Callable, Iterable
+
+from cloverhook.endpoint_stats import EndpointStats
 from cloverhook.token_bucket import TokenBucket
 
-__all__ = ["CONNECTION_COST_MS", "PROBE_COST_MS", "MeasuringBudget"]
+__all__ = ["CONNECTION_COST_MS", "PROBE_COST_MS", "MeasuringBudget", "Prober"]
 
 PROBE_COST_MS = 6.0
 CONNECTION_COST_MS = 1.0
 SAFETY = 0.5
+STALE_EVIDENCE_MS = 5_000.0
+LOOK_EVERY_MS = 250.0
 
 
 class MeasuringBudget:
@@ -33,3 +38,34 @@
             return False
         self.spent_ms += cost_ms
         return True
+
+
+class Prober:
+    """Finds the owned endpoints that nothing has been heard of for long, within the budget."""
+
+    def __init__(self) -> None:
+        self.budget = MeasuringBudget()
+        self._under_way: set[str] = set()
+        self._next_look_ms = 0.0
+
+    def ended(self, address: str) -> None:
+        """Take the end of a probe."""
+        self._under_way.discard(address)
+
+    def due(self, owned: Callable[[], Iterable[EndpointStats]], now_ms: float) -> list[str]:
+        """Return the addresses to probe now."""
+        if now_ms < self._next_look_ms:
+            return []
+        self._next_look_ms = now_ms + LOOK_EVERY_MS
+        due: list[str] = []
+        for stats in owned():
+            address = stats.endpoint.address
+            fresh = now_ms - stats.evidence_ms < STALE_EVIDENCE_MS
+            if fresh or stats.used or address in self._under_way:
+                continue
+            if not self.budget.take_probe(now_ms):
+                break
+            stats.evidence_ms = now_ms
+            self._under_way.add(address)
+            due.append(address)
+        return due
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -21,12 +21,13 @@
 from cloverhook.errors import ErrorKind
 from cloverhook.fleet import Endpoint, Policy
 from cloverhook.lending import Ask
-from cloverhook.measuring import MeasuringBudget
+from cloverhook.measuring import Prober
 from cloverhook.messages import SlotAsk, SlotGrant, SlotReturn
 from cloverhook.ownership import owners
 from cloverhook.retry_after import ReturnTimes
 from cloverhook.retry_budget import RetryBudget
 from cloverhook.routing_events import (
+    FINAL_KINDS,
     NOT_RUN_RESULTS,
     Action,
     Arrival,
@@ -70,9 +71,7 @@
 
 MAX_ATTEMPTS = 3
 PEER_BYTES_PER_S = 15_000
-STALE_EVIDENCE_MS = 5_000.0
 DIRECT_CHOICES = 2
-LOOK_FOR_PROBES_MS = 250.0
 
 
 class ServiceRouter:
@@ -94,10 +93,8 @@
         self._requests: dict[str, Request] = {}
         self._retries = RetryBudget()
         self._returns = ReturnTimes(source)
-        self._measuring = MeasuringBudget()
+        self._prober = Prober()
         self._homes = HomesChanged("", ())
-        self._probing: set[str] = set()
-        self._next_probes_ms = 0.0
         self._present: list[Endpoint] = []
 
     @singledispatchmethod
@@ -164,7 +161,7 @@
 
     @handle.register
     def _(self, event: ProbeEnded, now_ms: float) -> tuple[Action, ...]:
-        self._probing.discard(event.address)
+        self._prober.ended(event.address)
         stats = self._table.get(event.address)
         if stats is not None and event.load is not None:
             stats.evidence_ms = now_ms
@@ -184,9 +181,8 @@
         if len(self._line) and self._nothing_works():
             actions.extend(self._refuse_all_waiting(ErrorKind.NO_BACKEND_SERVER, now_ms))
         actions.extend(self._share_out(now_ms))
-        if now_ms >= self._next_probes_ms:
-            self._next_probes_ms = now_ms + LOOK_FOR_PROBES_MS
-            actions.extend(self._probes(now_ms))
+        due = self._prober.due(self._table.owned, now_ms)
+        actions.extend(Probe(address) for address in due)
         return tuple(actions)
 
     def _divide(self, now_ms: float) -> None:
@@ -206,7 +202,7 @@
         else:
             mine = [endpoint.address for endpoint in self._present]
         self._table.own(mine, self._homes.data_centers.get(own, ""), now_ms)
-        self._measuring.set_share(
+        self._prober.budget.set_share(
             self._policy.measuring_ms_per_s, len(mine), len(self._present), now_ms
         )
 
@@ -338,7 +334,7 @@
         allowed = request.attempts < MAX_ATTEMPTS and request.arrival.attempt == 1
         if may_run_again and allowed and self._retries.take():
             return self._place(request, now_ms, event.address)
-        return [self._refuse(request, _kind_of(event.result), 0.0)]
+        return [self._refuse(request, FINAL_KINDS.get(event.result, ErrorKind.CONNECTION_CUT), 0.0)]
 
     def _shed(self, now_ms: float) -> list[Action]:
         """Refuse the least important requests at once while the line is too long."""
@@ -382,27 +378,3 @@
         if self._owns_working() or self._exchange.borrowed.count:
             return False
         return not self._exchange.peers_working()
-
-    def _probes(self, now_ms: float) -> list[Action]:
-        probes: list[Action] = []
-        for stats in self._table.owned():
-            address = stats.endpoint.address
-            fresh = now_ms - stats.evidence_ms < STALE_EVIDENCE_MS
-            if fresh or stats.used or address in self._probing:
-                continue
-            if not self._measuring.take_probe(now_ms):
-                break
-            stats.evidence_ms = now_ms
-            self._probing.add(address)
-            probes.append(Probe(address))
-        return probes
-
-
-def _kind_of(result: AttemptResult) -> ErrorKind:
-    if result is AttemptResult.REFUSED:
-        return ErrorKind.REFUSED
-    if result is AttemptResult.NOT_SENT:
-        return ErrorKind.NO_BACKEND_SERVER
-    if result is AttemptResult.TIMED_OUT:
-        return ErrorKind.DEADLINE_IN_RUN
-    return ErrorKind.CONNECTION_CUT
--- a/cloverhook/routing_events.py
+++ b/cloverhook/routing_events.py
@@ -13,6 +13,7 @@
 from cloverhook.messages import Message
 
 __all__ = [
+    "FINAL_KINDS",
     "NOT_RUN_RESULTS",
     "Action",
     "Arrival",
@@ -50,6 +51,12 @@
 
 NOT_RUN_RESULTS = frozenset((AttemptResult.REFUSED, AttemptResult.NOT_SENT))
 
+FINAL_KINDS = {
+    AttemptResult.REFUSED: ErrorKind.REFUSED,
+    AttemptResult.NOT_SENT: ErrorKind.NO_BACKEND_SERVER,
+    AttemptResult.TIMED_OUT: ErrorKind.DEADLINE_IN_RUN,
+}
+
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
--- a/features/decision_driver.py
+++ b/features/decision_driver.py
@@ -127,3 +127,9 @@
             address = self.open[request_id][0]
             result = result_of(address) if result_of else AttemptResult.ANSWERED
             self.end(request_id, result)
+
+
+def usual_work(seed=7):
+    """Return a function that gives the time of a request's work at an address."""
+    source = random.Random(seed)
+    return lambda address: 20.0 * source.uniform(0.6, 1.4)
