--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -30,7 +30,7 @@
 from cloverhook.operator_app import operator_app
 from cloverhook.platform_api import Platform
 from cloverhook.platform_http import HttpPlatform
-from cloverhook.records import Record, Snapshot
+from cloverhook.records import Change, Record
 from cloverhook.server import Listener
 from cloverhook.settings import DaemonSettings
 from cloverhook.state import State
@@ -40,7 +40,7 @@
 __all__ = ["Daemon", "run"]
 
 TICK_MS = 10
-LOG_RETRY_MS = 500
+SNAPSHOT_CHECK_MS = 500
 EXIT_SETTINGS = 2
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -65,7 +65,7 @@
             settings.claim_wait_ms,
             settings.claim_appends_per_s,
         )
-        self._follower = Follower(platform, self._on_folded, self._on_adopted)
+        self._follower = Follower(platform, self._on_folded, on_adopted=self._on_adopted)
         self._cluster = Cluster(
             settings, self._incarnation, platform, self._follower, self._dispatcher, self.drain
         )
@@ -117,7 +117,7 @@
         await self._cluster.start(self._callers.address)
         await self._callers.start()
         await self._operators.start()
-        loops = (self._follow(), self._tick(), self._claims.run())
+        loops = (self._follow(), self._keep_snapshots(), self._tick(), self._claims.run())
         self._tasks = [asyncio.create_task(loop) for loop in loops]
         logging.info("daemon: %s has started.", settings.vm)
 
@@ -184,7 +184,7 @@
             "data_center": self._settings.data_center,
             "caller_address": self._callers.address,
             "leaving": self._leaving,
-            "offset": self._follower.state.next_offset,
+            **self._follower.status(),
             "brands": {
                 name: {"version": item.version, "preset": item.preset.value}
                 for name, item in self._follower.state.brands.items()
@@ -205,9 +205,10 @@
         del target, address
 
     def _on_folded(self, record: Record, result: FoldResult) -> None:
-        if isinstance(record, Snapshot):
+        if not isinstance(record, Change):
             return
-        self._time_line.add(wall_ms(), f"change-{result.verdict.value}", change_id=record.change_id)
+        name = f"change-{result.verdict.value}"
+        self._time_line.add(wall_ms(), name, change_id=record.change_id, detail=result.reason)
         if result.verdict is Verdict.ACCEPTED:
             self._on_adopted(result.state)
 
@@ -218,7 +219,12 @@
     async def _follow(self) -> None:
         while True:
             if not await self._follower.poll():
-                await asyncio.sleep(LOG_RETRY_MS / 1000)
+                await asyncio.sleep(self._follower.retry_ms() / 1000)
+
+    async def _keep_snapshots(self) -> None:
+        while True:
+            await asyncio.sleep(SNAPSHOT_CHECK_MS / 1000)
+            await self._follower.maintain()
 
     async def _tick(self) -> None:
         while True:
--- a/cloverhook/platform_http.py
+++ b/cloverhook/platform_http.py
@@ -4,8 +4,8 @@
 failure but a connection that was never made, the call may have had its effect.
 """
 
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
 
 import aiohttp
 
@@ -17,6 +17,8 @@
 CALL_REFUSED = 400
 SERVER_FAULT = 500
 
+T = TypeVar("T")
+
 
 class HttpPlatform:
     """The platform over HTTP and JSON."""
@@ -29,38 +31,31 @@
     async def append(self, stream: str, record: Mapping[str, Any]) -> int:
         """Append a record and return its offset."""
         path = f"/v1/streams/{stream}/records"
-        data = await self._call("POST", path, self._timeout_ms, json=record)
-        return int(data["offset"])
+        return await self._call("POST", path, self._timeout_ms, _offset, json=record)
 
     async def read(self, stream: str, from_offset: int, wait_ms: float = 0) -> LogSlice:
         """Read records from an offset; with nothing there, wait up to `wait_ms` for one."""
         path = f"/v1/streams/{stream}/records"
         params = {"from": str(from_offset), "wait_ms": str(int(wait_ms))}
-        data = await self._call("GET", path, self._timeout_ms + wait_ms, params=params)
-        return LogSlice(
-            data["first_offset"], data["next_offset"], data["from_offset"], tuple(data["records"])
-        )
+        return await self._call("GET", path, self._timeout_ms + wait_ms, _slice, params=params)
 
     async def list_vms(self) -> tuple[ListedVm, ...]:
         """Return the platform's list of VMs."""
-        data = await self._call("GET", "/v1/vms", self._timeout_ms)
-        return tuple(
-            ListedVm(
-                item["vm"],
-                VmPhase(item["phase"]),
-                item["data_center"],
-                item["caller_address"],
-                item["peer_address"],
-            )
-            for item in data["vms"]
-        )
+        return await self._call("GET", "/v1/vms", self._timeout_ms, _vms)
 
     async def close(self) -> None:
         """Close the connections to the platform."""
         if self._session is not None:
             await self._session.close()
 
-    async def _call(self, method: str, path: str, timeout_ms: float, **options: Any) -> Any:
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        timeout_ms: float,
+        decode: Callable[[Any], T],
+        **options: Any,
+    ) -> T:
         if self._session is None:
             self._session = aiohttp.ClientSession()
         timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
@@ -71,8 +66,31 @@
                     raise PlatformSilentError(f"{method} {path}: status {answer.status}")
                 if answer.status >= CALL_REFUSED:
                     raise PlatformError(f"{method} {path}: status {answer.status}")
-                return await answer.json()
+                return decode(await answer.json())
         except aiohttp.ClientConnectorError as error:
             raise PlatformError(f"{method} {path}: {error}") from error
-        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, TypeError) as error:
             raise PlatformSilentError(f"{method} {path}: {error!r}") from error
+
+
+def _offset(data: Any) -> int:
+    return int(data["offset"])
+
+
+def _slice(data: Any) -> LogSlice:
+    return LogSlice(
+        data["first_offset"], data["next_offset"], data["from_offset"], tuple(data["records"])
+    )
+
+
+def _vms(data: Any) -> tuple[ListedVm, ...]:
+    return tuple(
+        ListedVm(
+            item["vm"],
+            VmPhase(item["phase"]),
+            item["data_center"],
+            item["caller_address"],
+            item["peer_address"],
+        )
+        for item in data["vms"]
+    )
--- /dev/null
+++ b/features/steps/machine_steps.py
@@ -0,0 +1,12 @@
+"""The step that runs the state machine."""
+
+from behave import then
+
+from features.machine import run_machine
+
+
+@then("the state machine holds for at least {steps:d} steps")
+def step_machine(context, steps):
+    done = run_machine(steps)
+    print(f"state machine: {done} steps")
+    assert done >= steps, done
