--- a/cloverhook/cli.py
+++ b/cloverhook/cli.py
@@ -1,112 +1,132 @@
-"""The command-line tool for operators: a thin layer over `cloverhook.porcelain`."""
+"""The command-line tool for operators: flags, dispatch to a command, output and exit code.
+
+Layer: transport.
+"""
 
 import asyncio
 import getpass
 import json
-import os
 import sys
-from collections.abc import Awaitable, Callable
-from dataclasses import asdict
+from dataclasses import replace
 
 from absl import app, flags
 
-from cloverhook import porcelain
-from cloverhook.errors import CloverhookError, ConfigError
-from cloverhook.fleet import Preset
+from cloverhook.commands import Command, Context, ExitCode, Output, UsageError, help_text
+from cloverhook.config_commands import CONFIG_COMMANDS
+from cloverhook.errors import CloverhookError, ConfigError, SettingsError
+from cloverhook.fleet_commands import FLEET_COMMANDS
 from cloverhook.platform_http import HttpPlatform
-
-__all__ = ["run"]
-
-EXIT_OK = 0
-EXIT_REJECTED = 1
-EXIT_USAGE = 2
-EXIT_UNKNOWN = 3
-EXIT_OF = {
-    porcelain.Settlement.ACCEPTED: EXIT_OK,
-    porcelain.Settlement.REJECTED: EXIT_REJECTED,
-    porcelain.Settlement.REFUSED: EXIT_REJECTED,
-    porcelain.Settlement.UNKNOWN: EXIT_UNKNOWN,
-}
+from cloverhook.tool_settings import ToolSettings
+
+__all__ = ["COMMANDS", "run"]
+
+COMMANDS = {command.name: command for command in (*CONFIG_COMMANDS, *FLEET_COMMANDS)}
+HELP_FLAGS = frozenset(("--help", "-help", "-h"))
+OWN_FLAGS = (
+    "settings",
+    "platform",
+    "daemons",
+    "token_file",
+    "operator",
+    "output",
+    "wait",
+    "wait_ms",
+    "slots",
+    "connections",
+)
+OPTIONS = ("wait", "wait_ms", "slots", "connections")
 
 FLAGS = flags.FLAGS
-flags.DEFINE_string("platform", "http://127.0.0.1:7000", "The platform's base address.")
-flags.DEFINE_list("daemons", [], "The operators' addresses of daemons, ip:port.")
-flags.DEFINE_enum("output", "text", ["text", "json"], "How results are printed.")
+flags.DEFINE_string("settings", None, "A TOML file with the tool's settings; flags override it.")
+flags.DEFINE_string("platform", None, "The platform's base address.")
+flags.DEFINE_list("daemons", None, "The operators' addresses of daemons, ip:port.")
+flags.DEFINE_string("token_file", None, "The file that holds the operators' token.")
 flags.DEFINE_string("operator", None, "Who makes the change; the login name by default.")
-
-
-async def _check(arguments: list[str]) -> int:
-    brand = porcelain.check(arguments[0])
-    _print({"brand": brand.name, "valid": True}, f"{brand.name}: valid")
-    return EXIT_OK
-
-
-async def _publish(arguments: list[str]) -> int:
-    platform = HttpPlatform(FLAGS.platform)
-    try:
-        result = await porcelain.publish(platform, arguments[0], _operator())
-    finally:
-        await platform.close()
-    return _print_change(result)
-
-
-async def _switch(arguments: list[str]) -> int:
-    platform = HttpPlatform(FLAGS.platform)
+flags.DEFINE_enum("output", "text", ["text", "json"], "How results are printed.")
+flags.DEFINE_bool("wait", False, "Wait until every daemon has the change.")
+flags.DEFINE_integer("wait_ms", 30_000, "How long --wait waits.", lower_bound=0)
+flags.DEFINE_integer("slots", None, "place add: what an endpoint runs at once.")
+flags.DEFINE_integer("connections", None, "place add: the connections an endpoint takes.")
+
+
+def _find(arguments: list[str]) -> tuple[Command, list[str]]:
+    """Return the command that the arguments name and the rest of them."""
+    for words in (min(2, len(arguments)), 1):
+        command = COMMANDS.get(" ".join(arguments[:words]))
+        if command is not None and command.takes(len(arguments) - words):
+            return command, arguments[words:]
+        if command is not None:
+            raise UsageError(f"usage: {command.usage}")
+    raise UsageError("no such command; cloverhook help lists them")
+
+
+def _settings() -> ToolSettings:
+    """Return the settings of the file with those of the flags over them."""
+    settings = ToolSettings.from_file(FLAGS.settings) if FLAGS.settings else ToolSettings()
+    given = {
+        name: FLAGS[name].value
+        for name in ("platform", "token_file", "operator")
+        if FLAGS[name].value is not None
+    }
+    if FLAGS.daemons is not None:
+        given["daemons"] = tuple(FLAGS.daemons)
+    merged = replace(settings, **given)
+    return merged if merged.operator else replace(merged, operator=getpass.getuser())
+
+
+async def _run(command: Command, arguments: list[str]) -> Output:
+    settings = _settings()
+    platform = HttpPlatform(settings.platform)
+    options = {name: FLAGS[name].value for name in OPTIONS}
     try:
-        preset = Preset(arguments[1])
-        result = await porcelain.switch(platform, arguments[0], preset, _operator())
+        return await command.handler(Context(platform, settings, options), arguments)
     finally:
         await platform.close()
-    return _print_change(result)
-
-
-async def _status(arguments: list[str]) -> int:
-    token = os.environ.get("CLOVERHOOK_OPERATOR_TOKEN", "")
-    found = await porcelain.statuses(FLAGS.daemons, token)
-    lines = [f"{address}  {json.dumps(status)}" for address, status in found.items()]
-    _print(found, "\n".join(lines))
-    return EXIT_OK if all("error" not in status for status in found.values()) else EXIT_UNKNOWN
-
-
-COMMANDS: dict[str, tuple[Callable[[list[str]], Awaitable[int]], int]] = {
-    "check": (_check, 1),
-    "publish": (_publish, 1),
-    "switch": (_switch, 2),
-    "status": (_status, 0),
-}
-
-
-def _operator() -> str:
-    return FLAGS.operator or getpass.getuser()
-
-
-def _print(document: object, text: str) -> None:
-    print(json.dumps(document) if FLAGS.output == "json" else text)
 
 
-def _print_change(result: porcelain.ChangeResult) -> int:
-    document = asdict(result) | {"settlement": result.settlement.value}
-    _print(document, f"{result.settlement.value} {result.change_id} {result.reason}".rstrip())
-    return EXIT_OF[result.settlement]
+def _complain(code: ExitCode, reason: str, faults: ConfigError | None = None) -> int:
+    if FLAGS.output == "json":
+        document = {"error": reason}
+        if faults is not None:
+            document["faults"] = [
+                {"key": item.key, "found": item.found, "allowed": item.allowed}
+                for item in faults.faults
+            ]
+        print(json.dumps(document))
+    print(f"cloverhook: {reason}", file=sys.stderr)
+    return code
 
 
 def _main(arguments: list[str]) -> int:
-    name = arguments[1] if len(arguments) > 1 else ""
-    if name not in COMMANDS or len(arguments) - 2 != COMMANDS[name][1]:
-        print(f"cloverhook: usage: cloverhook {'|'.join(COMMANDS)} ...", file=sys.stderr)
-        return EXIT_USAGE
+    words = arguments[1:]
+    if not words or words[0] == "help":
+        print(help_text(COMMANDS, " ".join(words[1:])))
+        return ExitCode.OK if words else ExitCode.USAGE
     try:
-        return asyncio.run(COMMANDS[name][0](arguments[2:]))
+        command, rest = _find(words)
+        output = asyncio.run(_run(command, rest))
+    except UsageError as error:
+        return _complain(ExitCode.USAGE, str(error))
+    except SettingsError as error:
+        return _complain(ExitCode.USAGE, f"the settings are not valid:\n{error}", error)
     except ConfigError as error:
-        print(f"cloverhook: not valid:\n{error}", file=sys.stderr)
-        return EXIT_REJECTED
+        return _complain(ExitCode.REJECTED, f"not valid:\n{error}", error)
     except CloverhookError as error:
-        print(f"cloverhook: {error}", file=sys.stderr)
-        return EXIT_UNKNOWN
+        return _complain(ExitCode.UNAVAILABLE, str(error))
+    except KeyboardInterrupt:
+        return _complain(ExitCode.INTERRUPTED, "interrupted: nothing was sent")
+    print(json.dumps(output.document) if FLAGS.output == "json" else output.text)
+    return output.code
 
 
 def run() -> None:
     """Run the `cloverhook` program."""
+    if HELP_FLAGS.intersection(sys.argv[1:]):
+        words = [word for word in sys.argv[1:] if not word.startswith("-")]
+        print(help_text(COMMANDS, " ".join(words)))
+        print("\nFlags:")
+        print("\n".join(f"  --{name:12} {FLAGS[name].help}" for name in OWN_FLAGS))
+        sys.exit(ExitCode.OK)
     app.run(_main)
 
 
--- a/cloverhook/follower.py
+++ b/cloverhook/follower.py
@@ -78,6 +78,10 @@
             "behind": self.behind,
             "records_lost": self._replica.lost,
             "age_ms": round(self.age_ms()),
+            "versions": {
+                brand: self.state.version_of(brand)
+                for brand in (*self.state.brands, *self.state.removed)
+            },
         }
 
     async def poll(self) -> bool:
--- /dev/null
+++ b/cloverhook/log_reading.py
@@ -0,0 +1,89 @@
+"""Reads the whole configuration stream as a tool does: the state, and a verdict on each change.
+
+Layer: coordination.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from cloverhook.errors import MessageError, PlatformError
+from cloverhook.fold import FoldResult, State, Verdict
+from cloverhook.platform_api import Platform
+from cloverhook.records import CONFIG_STREAM, Change, Record, decode_record
+from cloverhook.replica import Replica
+from cloverhook.state import Accepted, offset_of
+
+__all__ = ["LogReading", "Ruling"]
+
+
+@dataclass(frozen=True, slots=True)
+class Ruling:
+    """What became of a change at an offset; no verdict where the log no longer tells."""
+
+    offset: int
+    change: Change
+    verdict: Verdict | None
+    reason: str = ""
+    winner: Accepted | None = None
+
+
+class LogReading:
+    """A replica of the state for one run of a tool, with what became of the changes it saw."""
+
+    def __init__(self, platform: Platform) -> None:
+        self._platform = platform
+        self._replica = Replica(self._on_folded)
+        self._data: dict[int, Any] = {}
+        self._results: dict[int, FoldResult] = {}
+
+    @property
+    def state(self) -> State:
+        """The state that the log comes to."""
+        return self._replica.state
+
+    async def read_to_end(self) -> None:
+        """Read what is new.  Raises `PlatformError` when the log can't be read or folded."""
+        while True:
+            read = await self._platform.read(CONFIG_STREAM, self._replica.next_read().offset)
+            for offset, data in enumerate(read.records, start=read.from_offset):
+                self._data[offset] = data
+            self._replica.take_slice(read)
+            if self._replica.lost:
+                raise PlatformError("the log has lost records and holds no snapshot of them yet")
+            if self._replica.at_end:
+                return
+
+    def rulings(self, change_id: str | None = None) -> tuple[Ruling, ...]:
+        """Return what became of each change, or of those with an identifier, oldest first."""
+        found: list[Ruling] = []
+        for offset, data in sorted(self._data.items()):
+            change = _change(data)
+            if change is not None and change_id in (None, change.change_id):
+                found.append(self._ruling(offset, change))
+        return tuple(found)
+
+    def _ruling(self, offset: int, change: Change) -> Ruling:
+        result = self._results.get(offset)
+        if result is not None:
+            return Ruling(offset, change, result.verdict, result.reason, result.winner)
+        recent = self.state.recent(change.brand)
+        if any(item.change_id == change.change_id for item in recent):
+            return Ruling(offset, change, Verdict.ACCEPTED)
+        winners = [item for item in recent if item.version == change.base_version + 1]
+        if winners:
+            reason = f"builds on version {change.base_version}, which another change built on"
+            return Ruling(offset, change, Verdict.STALE, reason, winners[0])
+        return Ruling(offset, change, None, "the records that would tell are gone")
+
+    def _on_folded(self, record: Record, result: FoldResult) -> None:
+        if isinstance(record, Change):
+            self._results[offset_of(result.state.next_offset) - 1] = result
+
+
+def _change(data: Mapping[str, Any]) -> Change | None:
+    try:
+        record = decode_record(data)
+    except MessageError:
+        return None
+    return record if isinstance(record, Change) else None
--- /dev/null
+++ b/cloverhook/operator_client.py
@@ -0,0 +1,84 @@
+"""Calls the operators' listeners of daemons: status, drain, and who has a version.
+
+Layer: transport.
+"""
+
+import asyncio
+import time
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+__all__ = ["Following", "drain", "statuses", "wait_followed"]
+
+CALL_TIMEOUT_MS = 2_000
+WAIT_STEP_MS = 100
+
+Status = dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Following:
+    """Which daemons have a change in force: the operators' addresses and why not the others."""
+
+    have: tuple[str, ...]
+    have_not: dict[str, str]
+
+
+async def statuses(addresses: list[str], token: str) -> dict[str, Status]:
+    """Return the status of each daemon by its operators' address.
+
+    The status of a daemon that gives no answer holds an `error`.
+    """
+    async with _session(token) as session:
+        found = await asyncio.gather(*(_status(session, address) for address in addresses))
+    return dict(zip(addresses, found, strict=True))
+
+
+async def drain(address: str, token: str) -> Status:
+    """Begin a planned stop of a daemon; the answer holds an `error` when there was none."""
+    async with _session(token) as session:
+        return await _call(session, "POST", f"http://{address}/v1/drain")
+
+
+async def wait_followed(
+    addresses: list[str], token: str, brand: str, version: int, wait_ms: float
+) -> Following:
+    """Wait until every daemon has a version of a brand, or the time is up."""
+    deadline = time.monotonic() + wait_ms / 1000
+    while True:
+        found = await statuses(addresses, token)
+        lacking = {address: _lack(status, brand, version) for address, status in found.items()}
+        have_not = {address: why for address, why in lacking.items() if why}
+        if not have_not or time.monotonic() >= deadline:
+            have = tuple(address for address in addresses if address not in have_not)
+            return Following(have, have_not)
+        await asyncio.sleep(WAIT_STEP_MS / 1000)
+
+
+def _lack(status: Status, brand: str, version: int) -> str:
+    if "error" in status:
+        return status["error"]
+    known = status["versions"].get(brand, 0)
+    return "" if known >= version else f"{status['vm']} has version {known}"
+
+
+def _session(token: str) -> aiohttp.ClientSession:
+    timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_MS / 1000)
+    return aiohttp.ClientSession(timeout=timeout, headers={"Authorization": f"Bearer {token}"})
+
+
+async def _status(session: aiohttp.ClientSession, address: str) -> Status:
+    return await _call(session, "GET", f"http://{address}/v1/status")
+
+
+async def _call(session: aiohttp.ClientSession, method: str, url: str) -> Status:
+    try:
+        async with session.request(method, url) as answer:
+            data = await answer.json()
+            if answer.status >= 400:
+                return {"error": f"status {answer.status}"}
+            return data
+    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        return {"error": repr(error)}
--- a/cloverhook/porcelain.py
+++ b/cloverhook/porcelain.py
@@ -1,39 +1,62 @@
-"""What operators do, as functions: check, publish, switch, status, events, drain.
+"""What operators do to the configuration, as functions: check, publish, switch, settle, history.
 
 Layer: transport.  The command-line tool is a thin layer over this module, and other programs may
-use it in the same way.  A function takes a `Platform` or the operators' addresses of daemons.
+use it in the same way.  A change's identifier is chosen before the first append; when the log
+gives no answer, the identifier is looked for before the change is appended again.
 """
 
+import asyncio
+import time
 import tomllib
 import uuid
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
 from typing import Any
 
-import aiohttp
-
-from cloverhook.errors import ConfigError, Fault, MessageError, PlatformError, PlatformSilentError
+from cloverhook.differences import Difference, differences
+from cloverhook.errors import ConfigError, Fault, PlatformError, PlatformSilentError
 from cloverhook.fleet import Brand, Preset
-from cloverhook.fold import State, Verdict, fold
+from cloverhook.fold import State, Verdict
+from cloverhook.log_reading import LogReading, Ruling
 from cloverhook.platform_api import Platform
 from cloverhook.records import (
     CONFIG_STREAM,
     Action,
     Change,
     Publish,
+    RemoveBrand,
     SwitchPreset,
-    decode_record,
     encode_record,
 )
 
-__all__ = ["ChangeResult", "Settlement", "check", "publish", "read_state", "statuses", "switch"]
+__all__ = [
+    "ChangeResult",
+    "Operator",
+    "Settlement",
+    "check",
+    "diff",
+    "edit",
+    "history",
+    "load",
+    "publish",
+    "read_state",
+    "remove",
+    "settle",
+    "switch",
+]
 
-CALL_TIMEOUT_MS = 2_000
+APPEND_TRIES = 3
+LOOKS = 3
+LOOK_PAUSE_MS = 200
 
 
 class Settlement(Enum):
-    """What became of a change."""
+    """What became of a change.
+
+    A rejected change is in the log and lost; a refused one never got there.
+    """
 
     ACCEPTED = "accepted"
     REJECTED = "rejected"
@@ -43,11 +66,39 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeResult:
-    """What became of a change, with its identifier and the reason."""
+    """What became of a change, with its identifier and the reason.
+
+    `version` is the brand's version that an accepted change made.  For a change that lost against
+    another, `winner` names that one and `differences` tells what is in force in its place.
+    """
 
     settlement: Settlement
     change_id: str
     reason: str = ""
+    brand: str = ""
+    version: int = 0
+    winner: str = ""
+    differences: tuple[Difference, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """Who makes changes, and the least versions that are known to be in force by brand.
+
+    The versions that daemons report guard against a log that has lost records: a change that
+    builds on less is not sent.
+    """
+
+    name: str
+    known_versions: Mapping[str, int]
+
+
+def load(path: str) -> dict[str, Any]:
+    """Return a TOML file's document.  Raises `ConfigError` when it can't be read."""
+    try:
+        return tomllib.loads(Path(path).read_text())
+    except (OSError, ValueError) as error:
+        raise ConfigError((Fault(path, str(error), "a readable TOML file"),)) from error
 
 
 def check(path: str) -> Brand:
@@ -55,86 +106,178 @@
 
     Raises `ConfigError` with every fault of the file.
     """
-    return Brand.from_document(_load(path))
+    return Brand.from_document(load(path))
+
+
+def diff(state: State, document: Mapping[str, Any]) -> tuple[Difference, ...]:
+    """Return what differs between what is in force for a brand and a document."""
+    current = state.brands.get(document.get("brand", ""))
+    return differences(current.document if current else {}, document)
 
 
 async def read_state(platform: Platform) -> State:
     """Return the state that the log's records fold to.  Raises `PlatformError`."""
-    state = State()
-    while True:
-        read = await platform.read(CONFIG_STREAM, state.next_offset)
-        for offset, data in enumerate(read.records, start=read.from_offset):
-            try:
-                state = fold(state, offset, decode_record(data)).state
-            except MessageError:
-                continue
-        if not read.records or state.next_offset >= read.next_offset:
-            return state
-
-
-async def publish(platform: Platform, path: str, operator: str) -> ChangeResult:
-    """Publish a configuration file.  Raises `ConfigError` before anything is sent."""
-    document = _load(path)
+    reading = LogReading(platform)
+    await reading.read_to_end()
+    return reading.state
+
+
+async def history(platform: Platform) -> tuple[Ruling, ...]:
+    """Return the changes that the log still holds and what became of each."""
+    reading = LogReading(platform)
+    await reading.read_to_end()
+    return reading.rulings()
+
+
+async def publish(
+    platform: Platform, document: Mapping[str, Any], operator: Operator
+) -> ChangeResult:
+    """Publish a brand's document.  Raises `ConfigError` before anything is sent."""
     brand = Brand.from_document(document)
-    return await _change(platform, brand.name, operator, Publish(document))
+    return await _change(platform, brand.name, operator, lambda state: Publish(document))
 
 
-async def switch(platform: Platform, brand: str, preset: Preset, operator: str) -> ChangeResult:
+async def switch(
+    platform: Platform, brand: str, preset: Preset, operator: Operator
+) -> ChangeResult:
     """Put a preset in force for a brand."""
-    return await _change(platform, brand, operator, SwitchPreset(preset))
+    return await _change(platform, brand, operator, lambda state: SwitchPreset(preset))
+
+
+async def remove(platform: Platform, brand: str, operator: Operator) -> ChangeResult:
+    """Remove a brand."""
+    return await _change(platform, brand, operator, lambda state: RemoveBrand())
 
 
-async def statuses(addresses: list[str], token: str) -> dict[str, dict[str, Any]]:
-    """Return the status of each daemon by its operators' address.
+async def edit(
+    platform: Platform,
+    brand: str,
+    operator: Operator,
+    change: Callable[[Mapping[str, Any]], Mapping[str, Any]],
+) -> ChangeResult:
+    """Change the document in force of a brand and publish it on the version that was read.
 
-    The status of a daemon that gives no answer holds an `error`.
+    Raises `ConfigError` before anything is sent when the brand is not in force or the changed
+    document is not valid.
     """
-    found: dict[str, dict[str, Any]] = {}
-    timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_MS / 1000)
-    headers = {"Authorization": f"Bearer {token}"}
-    async with aiohttp.ClientSession(timeout=timeout, headers=headers) as session:
-        for address in addresses:
-            try:
-                async with session.get(f"http://{address}/v1/status") as answer:
-                    found[address] = await answer.json()
-            except (aiohttp.ClientError, TimeoutError) as error:
-                found[address] = {"error": repr(error)}
-    return found
-
-
-async def _change(platform: Platform, brand: str, operator: str, action: Action) -> ChangeResult:
-    change_id = uuid.uuid4().hex
+
+    def publication(state: State) -> Publish:
+        if brand not in state.brands:
+            raise ConfigError((Fault("brand", repr(brand), "a brand in force"),))
+        document = change(state.brands[brand].document)
+        Brand.from_document(document)
+        return Publish(document)
+
+    return await _change(platform, brand, operator, publication)
+
+
+async def settle(platform: Platform, change_id: str) -> ChangeResult:
+    """Tell what became of a change whose answer was lost."""
+    reading = LogReading(platform)
     try:
-        state = await read_state(platform)
+        return await _look(reading, change_id)
     except PlatformError as error:
-        return ChangeResult(Settlement.REFUSED, change_id, str(error))
-    change = Change(change_id, brand, state.version_of(brand), operator, action)
-    try:
-        await platform.append(CONFIG_STREAM, encode_record(change))
-    except PlatformSilentError as error:
         return ChangeResult(Settlement.UNKNOWN, change_id, str(error))
-    except PlatformError as error:
-        return ChangeResult(Settlement.REFUSED, change_id, str(error))
-    return await _settle(platform, state, change)
 
 
-async def _settle(platform: Platform, state: State, change: Change) -> ChangeResult:
+async def _change(
+    platform: Platform, brand: str, operator: Operator, action: Callable[[State], Action]
+) -> ChangeResult:
+    change_id = uuid.uuid4().hex
+    reading = LogReading(platform)
     try:
-        read = await platform.read(CONFIG_STREAM, state.next_offset)
+        await reading.read_to_end()
     except PlatformError as error:
-        return ChangeResult(Settlement.UNKNOWN, change.change_id, str(error))
-    for offset, data in enumerate(read.records, start=read.from_offset):
-        result = fold(state, offset, decode_record(data))
-        state = result.state
-        if data.get("change_id") == change.change_id:
-            accepted = result.verdict is Verdict.ACCEPTED
-            settlement = Settlement.ACCEPTED if accepted else Settlement.REJECTED
-            return ChangeResult(settlement, change.change_id, result.reason)
-    return ChangeResult(Settlement.UNKNOWN, change.change_id, "the log does not show the change")
-
-
-def _load(path: str) -> dict[str, Any]:
+        return ChangeResult(Settlement.REFUSED, change_id, str(error))
+    version = reading.state.version_of(brand)
+    if version < operator.known_versions.get(brand, 0):
+        reason = "the log has lost records: daemons have a newer version; try again soon"
+        return ChangeResult(Settlement.REFUSED, change_id, reason)
+    chosen = action(reading.state)
+    change = Change(change_id, brand, version, operator.name, chosen, int(time.time() * 1000))
     try:
-        return tomllib.loads(Path(path).read_text())
-    except (OSError, tomllib.TOMLDecodeError) as error:
-        raise ConfigError((Fault(path, str(error), "a readable TOML file"),)) from error
+        return await _append(platform, reading, change)
+    except asyncio.CancelledError:
+        reason = "interrupted after the change was sent"
+        return ChangeResult(Settlement.UNKNOWN, change_id, reason, brand)
+
+
+async def _append(platform: Platform, reading: LogReading, change: Change) -> ChangeResult:
+    """Append a change until the log shows it, a few times at most."""
+    for attempt in range(APPEND_TRIES):
+        try:
+            await platform.append(CONFIG_STREAM, encode_record(change))
+        except PlatformSilentError:
+            pass
+        except PlatformError as error:
+            if attempt == 0:
+                return ChangeResult(Settlement.REFUSED, change.change_id, str(error), change.brand)
+        try:
+            result = await _look(reading, change.change_id)
+        except PlatformError as error:
+            return ChangeResult(Settlement.UNKNOWN, change.change_id, str(error), change.brand)
+        if result.settlement is not Settlement.UNKNOWN:
+            break
+    return result
+
+
+async def _look(reading: LogReading, change_id: str) -> ChangeResult:
+    """Look for a change in the log, a few times.  Raises `PlatformError` when the last fails."""
+    for look in range(LOOKS):
+        await asyncio.sleep(LOOK_PAUSE_MS * look / 1000)
+        try:
+            await reading.read_to_end()
+        except PlatformError:
+            if look == LOOKS - 1:
+                raise
+            continue
+        found = _result(reading, change_id)
+        if found is not None:
+            return found
+    return ChangeResult(Settlement.UNKNOWN, change_id, "the log does not show the change")
+
+
+def _result(reading: LogReading, change_id: str) -> ChangeResult | None:
+    accepted = reading.state.accepted(change_id)
+    if accepted is not None:
+        brand, change = accepted
+        return ChangeResult(Settlement.ACCEPTED, change_id, "", brand, change.version)
+    rulings = reading.rulings(change_id)
+    if not rulings:
+        return None
+    ruling = rulings[0]
+    brand = ruling.change.brand
+    if ruling.verdict is None:
+        return ChangeResult(Settlement.UNKNOWN, change_id, ruling.reason, brand)
+    if ruling.verdict is Verdict.ACCEPTED:
+        version = ruling.change.base_version + 1
+        return ChangeResult(Settlement.ACCEPTED, change_id, "", brand, version)
+    return ChangeResult(
+        Settlement.REJECTED,
+        change_id,
+        ruling.reason,
+        brand,
+        winner=_winner(ruling),
+        differences=_lost(reading.state, ruling.change),
+    )
+
+
+def _winner(ruling: Ruling) -> str:
+    winner = ruling.winner
+    if winner is None:
+        return ""
+    return f"{winner.change_id} by {winner.operator} ({winner.action}), version {winner.version}"
+
+
+def _lost(state: State, change: Change) -> tuple[Difference, ...]:
+    """Return what is in force against what a change that lost wanted."""
+    current = state.brands.get(change.brand)
+    if current is None:
+        return ()
+    match change.action:
+        case Publish(document):
+            return differences(current.document, document)
+        case SwitchPreset(preset) if preset is not current.preset:
+            return (Difference("preset", current.preset.value, preset.value),)
+        case _:
+            return ()
--- /dev/null
+++ b/cloverhook/tool_settings.py
@@ -0,0 +1,52 @@
+"""The operators' tool's own settings: flags, and a TOML file that flags override.
+
+Layer: state.  The operators' token comes from a file or the environment only.
+"""
+
+import os
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+from cloverhook.checking import Address, Items, Table, Text, faults_of
+from cloverhook.errors import Fault, SettingsError
+from cloverhook.settings import URL
+
+__all__ = ["ToolSettings"]
+
+TOKEN_VARIABLE = "CLOVERHOOK_OPERATOR_TOKEN"
+DEFAULT_PLATFORM = "http://127.0.0.1:7000"
+SETTINGS = Table(
+    {"platform": URL, "daemons": Items(Address()), "operator": Text(), "token_file": Text()}
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ToolSettings:
+    """Where the platform and the daemons are, and who the operator is."""
+
+    platform: str = DEFAULT_PLATFORM
+    daemons: tuple[str, ...] = ()
+    operator: str = ""
+    token_file: str = ""
+
+    @classmethod
+    def from_file(cls, path: str) -> "ToolSettings":
+        """Read settings from a TOML file.  Raises `SettingsError` with every fault."""
+        try:
+            document = tomllib.loads(Path(path).read_text())
+        except (OSError, ValueError) as error:
+            raise SettingsError((Fault(path, str(error), "a readable TOML file"),)) from error
+        faults = faults_of(SETTINGS, "", document)
+        if faults:
+            raise SettingsError(faults)
+        return cls(**{**document, "daemons": tuple(document.get("daemons", ()))})
+
+    def token(self) -> str:
+        """Return the operators' token, empty when none is given."""
+        if not self.token_file:
+            return os.environ.get(TOKEN_VARIABLE, "")
+        try:
+            return Path(self.token_file).read_text().strip()
+        except OSError as error:
+            raise SettingsError((Fault("token_file", str(error), "a readable file"),)) from error
--- /dev/null
+++ b/features/steps/following_steps.py
@@ -0,0 +1,317 @@
+"""Steps that run followers and operators over a log in this process."""
+
+import asyncio
+import random
+
+from behave import given, then, when
+
+from cloverhook import porcelain
+from cloverhook.errors import PlatformSilentError
+from cloverhook.fleet import Preset
+from cloverhook.follower import Follower
+from cloverhook.porcelain import Operator, Settlement
+from cloverhook.records import CONFIG_STREAM, Change, Publish, SwitchPreset, encode_record
+from cloverhook_emulator.faulty_platform import FaultyPlatform, PlatformFaults
+
+BRAND = "saltbush"
+DOCUMENT = {"brand": BRAND, "services": [{"name": "orders", "hosts": ["a.example"]}]}
+ANN = Operator("ann", {})
+STEP_MS = 250
+POLLS = 8
+
+
+class PromptLog(FaultyPlatform):
+    """A platform whose reads never wait, with something to do just before or after an append."""
+
+    before_append = None
+    after_append = None
+
+    async def read(self, stream, from_offset, wait_ms=0):
+        """Read without waiting."""
+        return await super().read(stream, from_offset)
+
+    async def append(self, stream, record):
+        """Append, with what the scenario wants around it."""
+        before, self.before_append = self.before_append, None
+        if before:
+            await before()
+        offset = await super().append(stream, record)
+        after, self.after_append = self.after_append, None
+        if after:
+            await after()
+        return offset
+
+
+def run(context, work):
+    """Run a coroutine on the scenario's loop."""
+    return context.loop.run_until_complete(work)
+
+
+def start_follower(context):
+    """Start a follower with its own random source."""
+    source = random.Random(len(context.followers))
+    follower = Follower(context.log, lambda record, result: None, lambda: context.now_ms, source)
+    context.followers.append(follower)
+    return follower
+
+
+def poll_all(context, followers=None):
+    """Let followers read until they have come to the log's end."""
+
+    async def polls():
+        for follower in followers or context.followers:
+            for _ in range(POLLS):
+                await follower.poll()
+
+    run(context, polls())
+
+
+def pass_time(context, passed_ms):
+    """Let followers read and keep snapshots while time passes."""
+
+    async def passing():
+        end_ms = context.now_ms + passed_ms
+        while context.now_ms < end_ms:
+            context.now_ms += STEP_MS
+            for follower in context.followers:
+                await follower.poll()
+                await follower.maintain()
+
+    run(context, passing())
+
+
+def records(context):
+    """Return the records that the log holds."""
+    return context.log.streams.get(CONFIG_STREAM, [])
+
+
+def set_down(context, down):
+    """Take the log down or bring it back."""
+    context.log.set_faults(PlatformFaults(down=down))
+
+
+@given("a log and {count:d} followers")
+def step_log(context, count):
+    context.now_ms = 0.0
+    context.log = PromptLog(appends_per_s=100_000)
+    context.followers = []
+    context.snapshots = 0
+    for _ in range(count):
+        start_follower(context)
+
+
+@given("{count:d} more followers")
+def step_more(context, count):
+    for _ in range(count):
+        start_follower(context)
+
+
+@given("the operator has published version 3 of a brand")
+def step_published(context):
+    for _ in range(3):
+        result = run(context, porcelain.publish(context.log, DOCUMENT, ANN))
+        assert result.settlement is Settlement.ACCEPTED, result
+    poll_all(context)
+
+
+@when("the answer to the next append is lost")
+def step_lose(context):
+    context.log.set_faults(PlatformFaults(lose_append_answers=1))
+
+
+@when("the log goes down after the next append")
+def step_down_after(context):
+    async def go_down():
+        set_down(context, True)
+        raise PlatformSilentError("the log went down")
+
+    context.log.after_append = go_down
+
+
+@when("another operator switches to maintenance just before the append")
+def step_race(context):
+    async def race():
+        await porcelain.switch(context.log, BRAND, Preset.MAINTENANCE, Operator("bob", {}))
+
+    context.log.before_append = race
+
+
+@when("the operator switches to peak")
+def step_switch(context):
+    context.result = run(context, porcelain.switch(context.log, BRAND, Preset.PEAK, ANN))
+
+
+@when("the operator switches to peak and interrupts it in the append")
+def step_interrupt(context):
+    async def interrupted():
+        context.log.after_append = asyncio.Event().wait
+        work = asyncio.create_task(porcelain.switch(context.log, BRAND, Preset.PEAK, ANN))
+        while len(records(context)) < 4:
+            await asyncio.sleep(0)
+        work.cancel()
+        return await work
+
+    context.result = run(context, interrupted())
+
+
+@when("the log is down")
+def step_down(context):
+    set_down(context, True)
+
+
+@when("the log is down for an hour")
+def step_down_hour(context):
+    set_down(context, True)
+    context.snapshots = context.log.appends
+    pass_time(context, 10_000)
+    context.now_ms += 3_600_000
+    set_down(context, False)
+
+
+@when("the log is back")
+def step_back(context):
+    set_down(context, False)
+
+
+@when("a snapshot is due and the log loses its head")
+def step_truncate(context):
+    pass_time(context, 11_000)
+    assert records(context)[-1]["type"] == "snapshot"
+    context.log.truncate(CONFIG_STREAM, 3)
+
+
+@when("a new follower starts")
+def step_new_follower(context):
+    start_follower(context)
+
+
+@when("one follower is cut off, a race is lost and the log keeps nothing but the loser")
+def step_gap(context):
+    context.cut_off = context.followers[0]
+    for change_id, preset in (("winner", Preset.PEAK), ("loser", Preset.MAINTENANCE)):
+        change = Change(change_id, BRAND, 3, "ann", SwitchPreset(preset))
+        run(context, context.log.append(CONFIG_STREAM, encode_record(change)))
+    poll_all(context, context.followers[1:])
+    context.log.truncate(CONFIG_STREAM, 4)
+
+
+@then("the follower that was cut off has version 3 and says that it is behind")
+def step_cut_off(context):
+    poll_all(context, [context.cut_off])
+    assert context.cut_off.state.version_of(BRAND) == 3
+    assert context.cut_off.behind
+    assert context.cut_off.status()["records_lost"]
+
+
+@when("the other followers append a snapshot")
+def step_others_snapshot(context):
+    everyone, context.followers = context.followers, context.followers[1:]
+    pass_time(context, 11_000)
+    context.followers = everyone
+
+
+@when("the log starts over")
+def step_start_over(context):
+    context.log.reset(CONFIG_STREAM)
+
+
+@when("an operator who knows nothing publishes the brand anew")
+def step_publish_anew(context):
+    run(context, porcelain.publish(context.log, DOCUMENT, Operator("eve", {})))
+
+
+@then("an operator who knows the daemons' versions is refused")
+def step_refused_by_versions(context):
+    knowing = Operator("ann", context.followers[0].status()["versions"])
+    count = len(records(context))
+    result = run(context, porcelain.switch(context.log, BRAND, Preset.PEAK, knowing))
+    assert result.settlement is Settlement.REFUSED, result
+    assert len(records(context)) == count
+
+
+@when("the log is down for the followers, starts over and grows further")
+def step_outgrown(context):
+    set_down(context, True)
+    poll_all(context)
+    set_down(context, False)
+    context.log.reset(CONFIG_STREAM)
+    for index in range(6):
+        change = Change(f"new-{index}", BRAND, 0, "eve", Publish(DOCUMENT))
+        run(context, context.log.append(CONFIG_STREAM, encode_record(change)))
+
+
+@when("the followers' patience is over")
+def step_patience(context):
+    pass_time(context, 14_000)
+
+
+@when("{minutes:d} minutes pass")
+def step_minutes(context, minutes):
+    context.snapshots = context.log.appends
+    pass_time(context, minutes * 60_000)
+
+
+@then("at most {count:d} appends were snapshots")
+def step_few_snapshots(context, count):
+    appended = context.log.appends - context.snapshots
+    assert 1 <= appended <= count, appended
+
+
+@then("the change is accepted, and the log holds it once")
+def step_accepted_once(context):
+    assert context.result.settlement is Settlement.ACCEPTED, context.result
+    ids = [record.get("change_id") for record in records(context)]
+    assert ids.count(context.result.change_id) == 1, ids
+
+
+@then("the outcome is {settlement}")
+def step_settlement(context, settlement):
+    assert context.result.settlement.value == settlement, context.result
+
+
+@then("settling the change says {settlement}")
+def step_settled(context, settlement):
+    result = run(context, porcelain.settle(context.log, context.result.change_id))
+    assert result.settlement.value == settlement, result
+
+
+@then("the change is rejected, and the operator is told of the one that won and what differs")
+def step_loser(context):
+    result = context.result
+    assert result.settlement is Settlement.REJECTED, result
+    assert "by bob (switch to maintenance), version 4" in result.winner, result
+    assert str(result.differences[0]) == "preset: maintenance -> peak", result
+
+
+@then("every follower has version {version:d} and says that it is behind")
+def step_behind(context, version):
+    poll_all(context)
+    for follower in context.followers:
+        assert follower.state.version_of(BRAND) == version, follower.status()
+        assert follower.behind, follower.status()
+
+
+@then("every follower has version {version:d} and is not behind")
+def step_not_behind(context, version):
+    poll_all(context)
+    for follower in context.followers:
+        assert follower.state.version_of(BRAND) == version, follower.status()
+        assert not follower.behind, follower.status()
+
+
+@when("a change on version 3 reaches the log")
+def step_change(context):
+    poll_all(context)
+    change = Change("late", BRAND, 3, "ann", SwitchPreset(Preset.PEAK))
+    run(context, context.log.append(CONFIG_STREAM, encode_record(change)))
+
+
+@then("a follower folds it from a peer only at its own position")
+def step_position(context):
+    follower = context.followers[0]
+    position = follower.state.next_offset
+    late = (records(context)[-1],)
+    assert follower.take(position + 1, late) == 0
+    assert follower.state.version_of(BRAND) == 3
+    assert follower.take(position, late) == 1
+    assert follower.state.version_of(BRAND) == 4
--- /dev/null
+++ b/features/steps/operators_steps.py
@@ -0,0 +1,69 @@
+"""Steps that run the operators' tool against a fleet of real processes."""
+
+import json
+import signal
+
+from behave import then, when
+
+from cloverhook.records import CONFIG_STREAM
+from features.steps.fleet_steps import eventually, run
+
+
+async def call(context, method, path, document):
+    """Call the platform's stand-in."""
+    url = f"{context.fleet.platform_url}{path}"
+    async with context.session.request(method, url, json=document) as answer:
+        answer.raise_for_status()
+        return await answer.json()
+
+
+@then("these commands give")
+def step_commands(context):
+    for row in context.table:
+        code, output, errors = run(context, context.fleet.tool(*row["command"].split()))
+        told = f"{row['command']}: {code}\n{output}{errors}"
+        assert code == int(row["code"]), told
+        assert row["output"] in output + errors, told
+        assert "Traceback" not in errors, told
+
+
+@when("the process of {vm} is killed")
+def step_kill(context, vm):
+    run(context, context.fleet.daemons[vm].process.stop(signal.SIGKILL))
+
+
+@when("the platform has the faults {faults}")
+def step_faults(context, faults):
+    run(context, call(context, "PUT", "/v1/faults", json.loads(faults)))
+
+
+@when("the platform loses the configuration stream")
+def step_reset(context):
+    run(context, call(context, "POST", f"/v1/streams/{CONFIG_STREAM}/reset", {}))
+
+
+@then("every daemon keeps version {version:d} and the log gets a snapshot")
+def step_reseeded(context, version):
+    async def reseeded():
+        for vm in context.fleet.daemons:
+            status = await context.fleet.status(vm)
+            assert status["versions"] == {"saltbush": version}, status
+            if status["log_restarts"] != 1 or status["behind"]:
+                return False
+        return True
+
+    run(context, eventually(reseeded))
+
+
+@when("another daemon starts")
+def step_another(context):
+    async def start():
+        await context.fleet.start_daemon("vm-9", "papine", drain_ms=500)
+        await context.fleet.list_vms()
+
+        async def follows():
+            return "saltbush" in (await context.fleet.status("vm-9"))["brands"]
+
+        await eventually(follows)
+
+    run(context, start())
