Adopt a peer's state only from a later position

A long run of the state machine found a state under way that held a change of records the log had lost since; a replica that adopted it had a version that no other would ever have. A state from no later position holds nothing new, or what the log has lost, and is left. The machine's replicas start a lost log again only once no message is under way, as their patience is meant to.

--- a/cloverhook/replica.py
+++ b/cloverhook/replica.py
@@ -156,11 +156,15 @@
         return taken
 
     def adopt(self, state: State) -> bool:
-        """Join a state that a peer gave and return whether anything in force changed."""
+        """Join a state that a peer gave and return whether anything in force changed.
+
+        One from no later position is left: it holds nothing new, or what the log has lost.
+        """
+        if state.next_offset <= self.state.next_offset:
+            return False
         joined = self.state.join(state)
         changed = not joined.same_brands(self.state)
-        if joined.next_offset > self.state.next_offset:
-            self._kept.clear()
+        self._kept.clear()
         self.state = joined
         if changed:
             self._on_adopted(self.state)
--- a/features/machine.py
+++ b/features/machine.py
@@ -221,13 +221,17 @@
     @precondition(lambda self: all(item.lost for item in self.replicas))
     @rule(index=REPLICA)
     def seed(self, index):
-        """Start the log again from the replica that knows most when nobody can fold it."""
+        """Start the log again from the replica that knows most when nobody can fold it.
+
+        The replicas' patience outlasts every message under way.
+        """
         replica = self.step(index)
         self.read_page(replica, index)
         for peer in self.replicas:
             if not replica.state.join(peer.state).same_brands(replica.state):
                 return
         snapshot = replica.snapshot()
+        self.messages.clear()
         if not self.seeded:
             self.restarts += 1
         self.restart_reference(snapshot)
