--- a/features/machine.py
+++ b/features/machine.py
@@ -8,7 +8,7 @@
 import json
 from dataclasses import replace
 
-from hypothesis import HealthCheck, Phase, settings
+from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule, run_state_machine_as_test
 
@@ -314,13 +314,13 @@
     return {"brand": brand, "services": [{"name": "orders", "hosts": [host]}]}
 
 
-def run_machine(steps):
-    """Run at least a number of steps, always the same ones, and return how many were run."""
+def run_machine(steps, number=0):
+    """Run at least a number of steps of a numbered sequence and return how many were run."""
     LogMachine.steps = 0
     run_state_machine_as_test(
-        LogMachine,
+        seed(number)(LogMachine),
         settings=settings(
-            max_examples=steps * 5 // (4 * STEPS_PER_RUN),
+            max_examples=steps * 6 // (5 * STEPS_PER_RUN),
             stateful_step_count=STEPS_PER_RUN,
             derandomize=True,
             database=None,
--- a/features/soak.py
+++ b/features/soak.py
@@ -8,15 +8,21 @@
 from features.machine import run_machine
 
 STEPS = 1_000_000
+BATCH = 20_000
 
 
 def main() -> int:
-    """Run the machine and print how many steps held; a step that does not hold raises."""
+    """Run numbered sequences and print how many steps held; one that does not hold raises."""
     logging.set_verbosity(logging.FATAL)
     started = time.monotonic()
-    steps = run_machine(STEPS)
-    print(f"state machine: {steps} steps held in {time.monotonic() - started:.0f} s")
-    return 0 if steps >= STEPS else 1
+    steps = 0
+    number = 0
+    while steps < STEPS:
+        steps += run_machine(BATCH, number)
+        number += 1
+        passed_s = time.monotonic() - started
+        print(f"state machine: {steps} steps held in {passed_s:.0f} s", flush=True)
+    return 0
 
 
 if __name__ == "__main__":
