--- a/cloverhook/fold.py
+++ b/cloverhook/fold.py
@@ -95,7 +95,7 @@
 
 
 def _fold_snapshot(state: State, snapshot: Snapshot) -> FoldResult:
-    taken = State.from_document(snapshot.state)
+    taken = State.from_document(snapshot.state, state)
     joined = state.join(taken)
     restarts = max(restarts_of(state.next_offset), restarts_of(taken.next_offset))
     position = position_of(restarts, offset_of(state.next_offset))
--- a/cloverhook/replica.py
+++ b/cloverhook/replica.py
@@ -262,15 +262,18 @@
                 result.reason,
             )
         if isinstance(record, Snapshot) and result.verdict is Verdict.ACCEPTED:
-            self._saved(position, State.from_document(record.state))
+            self._saved(position, record)
             if not result.state.same_brands(before):
                 self._on_adopted(result.state)
         if record is not None:
             self._on_folded(record, result)
 
-    def _saved(self, position: int, taken: State) -> None:
+    def _saved(self, position: int, snapshot: Snapshot) -> None:
         self._snapshot_position = position
-        if self._unsaved and taken.join(self._unsaved).same_brands(taken):
+        if self._unsaved is None:
+            return
+        taken = State.from_document(snapshot.state, self.state)
+        if taken.join(self._unsaved).same_brands(taken):
             self._unsaved = None
 
 
--- a/cloverhook/state.py
+++ b/cloverhook/state.py
@@ -157,8 +157,11 @@
         }
 
     @classmethod
-    def from_document(cls, data: Mapping[str, Any]) -> "State":
-        """Return the state that `to_document` gave.  Raises `ConfigError` for anything else."""
+    def from_document(cls, data: Mapping[str, Any], known: "State | None" = None) -> "State":
+        """Return the state that `to_document` gave.  Raises `ConfigError` for anything else.
+
+        Brands whose documents stand in a `known` state are taken from it and not built again.
+        """
         faults = faults_of(STATE, "", data)
         if faults:
             raise ConfigError(faults)
@@ -167,7 +170,7 @@
             for name, item in data["removed"].items()
         }
         for name, item in data["brands"].items():
-            entries[name] = _brand_state(name, item)
+            entries[name] = _brand_state(name, item, known.brands.get(name) if known else None)
         return _state(data["next_offset"], entries)
 
 
@@ -201,7 +204,12 @@
 
 def _rank(entry: BrandState | RemovedBrand) -> tuple[int, str]:
     """Order entries by version; equal versions differ only after the log lost records."""
-    return entry.version, json.dumps(_to_document(entry), sort_keys=True)
+    return entry.version, _canonical(_to_document(entry))
+
+
+def _canonical(document: Mapping[str, Any]) -> str:
+    """Return the JSON form that tells true from 1, which compare as equal."""
+    return json.dumps(document, sort_keys=True)
 
 
 @singledispatch
@@ -238,8 +246,11 @@
     return tuple(Accepted(**change) for change in item["recent"])[-KEPT_CHANGES:]
 
 
-def _brand_state(name: str, item: Mapping[str, Any]) -> BrandState:
-    brand = Brand.from_document(item["document"])
+def _brand_state(name: str, item: Mapping[str, Any], known: BrandState | None) -> BrandState:
+    if known is not None and _canonical(known.document) == _canonical(item["document"]):
+        brand = known.brand
+    else:
+        brand = Brand.from_document(item["document"])
     if brand.name != name:
         raise ConfigError((Fault(f"brands.{name}", repr(brand.name), "the same name"),))
     return BrandState(
