Show what happens: time line, metrics, logs, operators' listener, the record

Time line: events carry a hybrid logical clock, whose stamps travel in the envelope of each message between daemons and in the records that daemons append, so a merge of several daemons' events is causal however far their wall clocks are apart. Request events and all others have rings of their own; ordinary requests can be sampled by a hash of their identifier, the same on every VM. `cloverhook events` merges, filters, and writes text, JSON lines or a trace file. Endpoints' troubles and members are on it too.

Metrics are declared in one place and read from plain counts when asked for. The metrics of links and members that the library was called for go the same way, so cluster_metrics is gone, and refused strangers are cloverhook_refused_strangers_total by the custom for counters: the step that reads the name asks for the new one, as strictly.

--- a/cloverhook/cli.py
+++ b/cloverhook/cli.py
@@ -14,13 +14,16 @@
 from cloverhook.commands import Command, Context, ExitCode, Output, UsageError, help_text
 from cloverhook.config_commands import CONFIG_COMMANDS
 from cloverhook.errors import CloverhookError, ConfigError, SettingsError
+from cloverhook.events_command import EVENTS_COMMANDS
 from cloverhook.fleet_commands import FLEET_COMMANDS
 from cloverhook.platform_http import HttpPlatform
 from cloverhook.tool_settings import ToolSettings
 
 __all__ = ["COMMANDS", "run"]
 
-COMMANDS = {command.name: command for command in (*CONFIG_COMMANDS, *FLEET_COMMANDS)}
+COMMANDS = {
+    command.name: command for command in (*CONFIG_COMMANDS, *FLEET_COMMANDS, *EVENTS_COMMANDS)
+}
 HELP_FLAGS = frozenset(("--help", "-help", "-h"))
 OWN_FLAGS = (
     "settings",
@@ -33,8 +36,12 @@
     "wait_ms",
     "slots",
     "connections",
+    "request",
+    "endpoint",
+    "change",
+    "trace",
 )
-OPTIONS = ("wait", "wait_ms", "slots", "connections")
+OPTIONS = OWN_FLAGS[OWN_FLAGS.index("wait") :]
 
 FLAGS = flags.FLAGS
 flags.DEFINE_string("settings", None, "A TOML file with the tool's settings; flags override it.")
@@ -46,6 +53,10 @@
 flags.DEFINE_bool("wait", False, "Wait until every daemon has the change.")
 flags.DEFINE_integer("wait_ms", 30_000, "How long --wait waits.", lower_bound=0)
 flags.DEFINE_integer("slots", None, "place add: what an endpoint runs at once.")
+flags.DEFINE_string("request", "", "events: those of the request with this identifier.")
+flags.DEFINE_string("endpoint", "", "events: those of the backend server at this ip:port.")
+flags.DEFINE_string("change", "", "events: those of the change with this identifier.")
+flags.DEFINE_string("trace", "", "events: the file to write them to, for a trace viewer.")
 flags.DEFINE_integer("connections", None, "place add: the connections an endpoint takes.")
 
 
@@ -115,7 +126,7 @@
         return _complain(ExitCode.UNAVAILABLE, str(error))
     except KeyboardInterrupt:
         return _complain(ExitCode.INTERRUPTED, "interrupted: nothing was sent")
-    print(json.dumps(output.document) if FLAGS.output == "json" else output.text)
+    print(output.to_json() if FLAGS.output == "json" else output.text)
     return output.code
 
 
--- a/cloverhook/cluster.py
+++ b/cloverhook/cluster.py
@@ -10,12 +10,10 @@
 from typing import Any
 
 from absl import logging
-from aioprometheus import Registry
 
 from cloverhook.address_answers import AddressAnswers
 from cloverhook.catch_up import CatchUp
 from cloverhook.clock import PauseWatch, monotonic_ms
-from cloverhook.cluster_metrics import ClusterMetrics
 from cloverhook.dispatch import Dispatcher, Target
 from cloverhook.errors import ConfigError, PlatformError
 from cloverhook.follower import Follower
@@ -45,6 +43,8 @@
     RecordsWanted,
     StatePassedOn,
 )
+from cloverhook.metrics import Metric, Sample
+from cloverhook.observer import FROM_LOG, Observer
 from cloverhook.peering import PeerLinks
 from cloverhook.platform_api import Platform
 from cloverhook.settings import DaemonSettings
@@ -68,7 +68,7 @@
         platform: Platform,
         follower: Follower,
         dispatcher: Dispatcher,
-        registry: Registry,
+        observer: Observer,
         on_replaced: Callable[[], None],
     ) -> None:
         self._settings = settings
@@ -76,8 +76,8 @@
         self._platform = platform
         self._follower = follower
         self._dispatcher = dispatcher
+        self._observer = observer
         self._on_replaced = on_replaced
-        self._metrics = ClusterMetrics(registry)
         self._random = random.Random()
         self._catch_up = CatchUp()
         self._answers = AddressAnswers(self._random)
@@ -86,7 +86,10 @@
         self._next_seed_ms = 0.0
         self._tasks: list[asyncio.Task[None]] = []
         self.pauses = 0
-        self.links = PeerLinks(self._greeting, settings.peer_key(), self, monotonic_ms)
+        clock = observer.time_line.clock
+        self.links = PeerLinks(self._greeting, settings.peer_key(), self, monotonic_ms, clock)
+        observer.watch(self.links.samples)
+        observer.watch(self._samples)
 
     async def start(self, caller_address: str) -> None:
         """Listen for peers and begin to talk."""
@@ -166,8 +169,7 @@
         self._handle(LinkLost(vm))
 
     def stranger_refused(self) -> None:
-        """Count a link whose other side did not prove itself."""
-        self._metrics.stranger_refused()
+        """Do nothing: the links count the strangers."""
 
     def message_heard(self, vm: str, message: Message) -> None:
         """Take a peer's message, unless it has waited through a pause of this process."""
@@ -183,13 +185,21 @@
             case RecordsPassedOn(from_offset, records):
                 self._catch_up.answered(vm)
                 if from_offset <= self._follower.state.next_offset:
+                    self._observer.records_from = vm
                     self._follower.take(from_offset, records)
+                    self._observer.records_from = FROM_LOG
             case StatePassedOn(document):
                 self._catch_up.answered(vm)
                 self._adopt(vm, document)
             case _ if hasattr(message, "service"):
                 self._dispatcher.peer_said(message.service, vm, message, now_ms)
 
+    def _samples(self) -> list[Sample]:
+        return [
+            Sample(Metric.MEMBERS, len(self.membership.serving())),
+            Sample(Metric.PAUSES, self.pauses),
+        ]
+
     def _greeting(self) -> Hello:
         own = self.membership.table.own
         return Hello(
@@ -234,7 +244,6 @@
             return False
         logging.warning("cluster: this process was paused; what it knows has to be confirmed.")
         self.pauses += 1
-        self._metrics.paused()
         self.links.reset()
         self._catch_up = CatchUp()
         self._handle(Woke())
@@ -262,6 +271,7 @@
         self._handle(Tick())
         self.links.tick(self.membership.neighbours(), now_ms)
         self._update_homes()
+        self._observer.members_are(self.membership.version, self.membership.table.all())
         vm = self._catch_up.due(self._follower.state.next_offset, now_ms)
         if vm is not None:
             self.tell(vm, RecordsWanted(self._follower.state.next_offset))
@@ -281,6 +291,4 @@
                 self._handle(ListRead(await self._platform.list_vms()))
             except PlatformError as error:
                 logging.warning("cluster: the list of VMs can't be read: %s.", error)
-            serving = len(self.membership.serving())
-            self._metrics.update(len(self.links.linked()), serving, self.links.dropped_messages)
             await asyncio.sleep(LIST_EVERY_MS / 1000)
--- a/cloverhook/commands.py
+++ b/cloverhook/commands.py
@@ -4,6 +4,7 @@
 To add a command, write a handler and put a `Command` into the tables that `cli` merges.
 """
 
+import json
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from enum import IntEnum
@@ -54,11 +55,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Output:
-    """A command's result: as a JSON document, as text for people, and as an exit code."""
+    """A command's result: as a JSON document, as text for people, and as an exit code.
+
+    With `as_lines`, the document is a list whose items are written on a line each.
+    """
 
     document: Any
     text: str
     code: ExitCode = ExitCode.OK
+    as_lines: bool = False
+
+    def to_json(self) -> str:
+        """Return the document as it is printed."""
+        if self.as_lines:
+            return "\n".join(json.dumps(item) for item in self.document)
+        return json.dumps(self.document)
 
 
 Handler = Callable[[Context, list[str]], Awaitable[Output]]
--- a/features/steps/membership_fleet_steps.py
+++ b/features/steps/membership_fleet_steps.py
@@ -12,7 +12,7 @@
 from cloverhook.messages import Hello, encode
 from cloverhook_emulator.cut_proxy import CutProxy, Mode
 from cloverhook_emulator.fleet_runner import OPERATOR_TOKEN, Fleet
-from features.steps.fleet_steps import DATA_CENTERS, HOST, eventually, run
+from features.shared import DATA_CENTERS, HOST, eventually, run
 
 LIFETIME_MS = 300
 CALLERS = 4
@@ -189,7 +189,7 @@
         async with context.session.get(url, headers=headers) as answer:
             return (await answer.text()).splitlines()
 
-    assert f"cloverhook_refused_strangers {count}" in run(context, metrics())
+    assert f"cloverhook_refused_strangers_total {count}" in run(context, metrics())
 
 
 @then("it ends with 0 and every call was answered")
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -6,7 +6,7 @@
 from behave import then, when
 
 from cloverhook.records import CONFIG_STREAM
-from features.steps.fleet_steps import eventually, run
+from features.shared import eventually, run
 
 
 async def call(context, method, path, document):
