--- a/cloverhook/caller_app.py
+++ b/cloverhook/caller_app.py
@@ -21,9 +21,10 @@
 from cloverhook.dispatch import Dispatcher, Target
 from cloverhook.errors import ErrorKind, Outcome, RequestError, UpstreamError, answer_for
 from cloverhook.exchange import Exchange, Receive, RefusedError, RequestBody, Send
+from cloverhook.observed_app import Observation
 from cloverhook.routing import Arrival, AttemptEnded, AttemptResult
 from cloverhook.settings import DaemonSettings
-from cloverhook.timeline import TimeLine
+from cloverhook.timeline import EventName, TimeLine
 from cloverhook.upstream import RequestHead, UpstreamPool
 
 __all__ = ["ADDRESSES_PATH", "CallerApp"]
@@ -62,14 +63,16 @@
 
     async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         """Serve one request."""
-        request_id = self._take_id(scope["headers"])
+        seen = Observation.of(scope)
+        seen.request_id = request_id = self._take_id(scope["headers"])
+        self._note(EventName.REQUEST_ARRIVED, request_id, detail=scope["method"])
         try:
-            await self._serve(scope, receive, send, request_id)
+            await self._serve(scope, receive, send, seen)
         except UpstreamError as error:
             logging.info("callers: request %s was cut: %s.", request_id, error)
             raise
         except asyncio.CancelledError:
-            self._note(ErrorKind.CALLER_GONE.value, request_id)
+            seen.kind = ErrorKind.CALLER_GONE
             raise
         except Exception:
             logging.exception("callers: request %s met a fault of ours.", request_id)
@@ -86,20 +89,21 @@
         return request_id
 
     async def _serve(
-        self, scope: dict[str, Any], receive: Receive, send: Send, request_id: str
+        self, scope: dict[str, Any], receive: Receive, send: Send, seen: Observation
     ) -> None:
         exchange = None
         try:
             target = self._dispatcher.target_for(h.find(scope["headers"], b"host") or b"")
+            seen.brand, seen.service = target.brand, target.service.name
             if scope["path"] == ADDRESSES_PATH:
                 await self._send_addresses(scope, send, target)
                 return
-            exchange = self._open(scope, receive, send, request_id, target)
+            exchange = self._open(scope, receive, send, seen, target)
             await self._take(exchange, h.find(scope["headers"], h.IDEMPOTENCY_KEY))
         except RequestError as error:
             if exchange is not None and exchange.answer_started:
                 raise UpstreamError(f"after the answer's head: {error}", sent=True) from error
-            await self._send_error(send, error, request_id, exchange)
+            await self._send_error(send, error, seen, exchange)
 
     async def _send_addresses(self, scope: dict[str, Any], send: Send, target: Target) -> None:
         query = parse_qs(scope["query_string"].decode("latin-1"))
@@ -114,7 +118,7 @@
         scope: dict[str, Any],
         receive: Receive,
         send: Send,
-        request_id: str,
+        seen: Observation,
         target: Target,
     ) -> Exchange:
         received: h.Headers = scope["headers"]
@@ -128,7 +132,7 @@
             scope["method"].encode(), scope["target"], h.end_to_end(received), has_body, chunked
         )
         return Exchange(
-            request_id,
+            seen.request_id,
             target,
             scope["path"],
             head,
@@ -136,6 +140,7 @@
             scope["method"] in IDEMPOTENT_METHODS,
             RequestBody(receive, self._settings.kept_body_bytes) if has_body else None,
             send,
+            seen,
         )
 
     async def _take(self, exchange: Exchange, key: bytes | None) -> None:
@@ -168,7 +173,7 @@
     async def _attempt(self, exchange: Exchange, address: str) -> AttemptEnded | None:
         """Make one attempt; return its end when another one is wanted, else None."""
         started_ms = self._clock_ms()
-        self._note("attempt", exchange.request_id, address)
+        self._note(EventName.ATTEMPT_STARTED, exchange.request_id, address)
         result = AttemptResult.CANCELLED
         load: int | None = None
         failure: Exception | None = None
@@ -192,15 +197,12 @@
         finally:
             exchange.maybe_ran |= exchange.sent and result not in NOT_RUN_RESULTS
             again = failure is not None and self._may_repeat(exchange, result)
+            latency_ms = self._clock_ms() - started_ms
             ended = AttemptEnded(
-                exchange.request_id,
-                address,
-                result,
-                self._clock_ms() - started_ms,
-                load,
-                again=again,
+                exchange.request_id, address, result, latency_ms, load, again=again
             )
-            self._note(result.value, exchange.request_id, address)
+            exchange.seen.attempt_ended(latency_ms)
+            self._note_attempt(ended)
             if not again:
                 self._dispatcher.ended(exchange.target, ended, self._clock_ms())
         if again:
@@ -229,17 +231,18 @@
         return RequestError(ErrorKind.NO_BACKEND_SERVER, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
 
     async def _send_error(
-        self, send: Send, error: RequestError, request_id: str, exchange: Exchange | None
+        self, send: Send, error: RequestError, seen: Observation, exchange: Exchange | None
     ) -> None:
         kind = error.kind
         if exchange is not None and exchange.bad_answer and kind is ErrorKind.CONNECTION_CUT:
             kind = ErrorKind.BAD_ANSWER
+        seen.kind = kind
         answer = answer_for(kind)
         outcome = answer.outcome
         if exchange is not None and exchange.maybe_ran and outcome is Outcome.NOT_RUN:
             outcome = Outcome.UNKNOWN
         sent = [
-            (h.REQUEST_ID, request_id.encode()),
+            (h.REQUEST_ID, seen.request_id.encode()),
             (h.OUTCOME, outcome.value.encode()),
             (h.ERROR, kind.value.encode()),
         ]
@@ -247,7 +250,6 @@
             sent += _retry_after(error.retry_after_ms or DEFAULT_RETRY_AFTER_MS)
         if self.leaving:
             sent.append((b"connection", b"close"))
-        self._note(kind.value, request_id)
         body = {"error": kind.value, "outcome": outcome.value, "detail": str(error)}
         await self._send_json(send, body, answer.status, sent)
 
@@ -267,8 +269,13 @@
         await send({"type": "http.response.start", "status": status, "headers": sent})
         await send({"type": "http.response.body", "body": data, "more_body": False})
 
-    def _note(self, name: str, request_id: str, address: str = "") -> None:
-        self._time_line.add(wall_ms(), name, request_id=request_id, address=address)
+    def _note_attempt(self, ended: AttemptEnded) -> None:
+        answered = ended.result is AttemptResult.ANSWERED
+        name = EventName.ATTEMPT_ENDED if answered else EventName.ATTEMPT_FAILED
+        self._note(name, ended.request_id, ended.address, ended.result.value)
+
+    def _note(self, name: EventName, request_id: str, address: str = "", detail: str = "") -> None:
+        self._time_line.add(wall_ms(), name, request_id=request_id, address=address, detail=detail)
 
 
 def _retry_after(retry_after_ms: float) -> h.Headers:
--- a/cloverhook/cli.py
+++ b/cloverhook/cli.py
@@ -1,4 +1,7 @@
-"""The command-line tool for operators: a thin layer over `cloverhook.porcelain`."""
+"""The command-line tool for operators: a thin layer over `cloverhook.porcelain`.
+
+Layer: transport.
+"""
 
 import asyncio
 import getpass
@@ -12,6 +15,7 @@
 
 from cloverhook import porcelain
 from cloverhook.errors import CloverhookError, ConfigError
+from cloverhook.events_command import run_events
 from cloverhook.fleet import Preset
 from cloverhook.platform_http import HttpPlatform
 
@@ -68,11 +72,18 @@
     return EXIT_OK if all("error" not in status for status in found.values()) else EXIT_UNKNOWN
 
 
+async def _events(arguments: list[str]) -> int:
+    token = os.environ.get("CLOVERHOOK_OPERATOR_TOKEN", "")
+    whole = await run_events(FLAGS.daemons, token, FLAGS.output)
+    return EXIT_OK if whole else EXIT_UNKNOWN
+
+
 COMMANDS: dict[str, tuple[Callable[[list[str]], Awaitable[int]], int]] = {
     "check": (_check, 1),
     "publish": (_publish, 1),
     "switch": (_switch, 2),
     "status": (_status, 0),
+    "events": (_events, 0),
 }
 
 
--- a/cloverhook/cluster.py
+++ b/cloverhook/cluster.py
@@ -43,6 +43,8 @@
     RecordsWanted,
     StatePassedOn,
 )
+from cloverhook.metrics import Metric, Sample
+from cloverhook.observer import FROM_LOG, Observer
 from cloverhook.peering import PeerLinks
 from cloverhook.platform_api import Platform
 from cloverhook.settings import DaemonSettings
@@ -66,6 +68,7 @@
         platform: Platform,
         follower: Follower,
         dispatcher: Dispatcher,
+        observer: Observer,
         on_replaced: Callable[[], None],
     ) -> None:
         self._settings = settings
@@ -73,6 +76,7 @@
         self._platform = platform
         self._follower = follower
         self._dispatcher = dispatcher
+        self._observer = observer
         self._on_replaced = on_replaced
         self._random = random.Random()
         self._catch_up = CatchUp()
@@ -82,7 +86,10 @@
         self._next_seed_ms = 0.0
         self._tasks: list[asyncio.Task[None]] = []
         self.pauses = 0
-        self.links = PeerLinks(self._greeting, settings.peer_key(), self, monotonic_ms)
+        clock = observer.time_line.clock
+        self.links = PeerLinks(self._greeting, settings.peer_key(), self, monotonic_ms, clock)
+        observer.watch(self.links.samples)
+        observer.watch(self._samples)
 
     async def start(self, caller_address: str) -> None:
         """Listen for peers and begin to talk."""
@@ -178,13 +185,21 @@
             case RecordsPassedOn(from_offset, records):
                 self._catch_up.answered(vm)
                 if from_offset <= self._follower.state.next_offset:
+                    self._observer.records_from = vm
                     self._follower.take(from_offset, records)
+                    self._observer.records_from = FROM_LOG
             case StatePassedOn(document):
                 self._catch_up.answered(vm)
                 self._adopt(vm, document)
             case _ if hasattr(message, "service"):
                 self._dispatcher.peer_said(message.service, vm, message, now_ms)
 
+    def _samples(self) -> list[Sample]:
+        return [
+            Sample(Metric.MEMBERS, len(self.membership.serving())),
+            Sample(Metric.PAUSES, self.pauses),
+        ]
+
     def _greeting(self) -> Hello:
         own = self.membership.table.own
         return Hello(
@@ -256,6 +271,7 @@
         self._handle(Tick())
         self.links.tick(self.membership.neighbours(), now_ms)
         self._update_homes()
+        self._observer.members_are(self.membership.version, self.membership.table.all())
         vm = self._catch_up.due(self._follower.state.next_offset, now_ms)
         if vm is not None:
             self.tell(vm, RecordsWanted(self._follower.state.next_offset))
--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -12,7 +12,6 @@
 from typing import Any
 
 from absl import app, flags, logging
-from aioprometheus import Counter, Registry
 
 from cloverhook.at_most_once import AnswerStore, OnceGuard
 from cloverhook.caller_app import CallerApp
@@ -26,15 +25,20 @@
 from cloverhook.errors import SettingsError
 from cloverhook.fold import FoldResult, Verdict
 from cloverhook.follower import Follower
+from cloverhook.logs import configure_logs
 from cloverhook.messages import Message
+from cloverhook.metrics import Metric, Sample
+from cloverhook.observed_app import ObservedApp
+from cloverhook.observer import Observer
 from cloverhook.operator_app import operator_app
 from cloverhook.platform_api import Platform
 from cloverhook.platform_http import HttpPlatform
 from cloverhook.records import Record, Snapshot
 from cloverhook.server import Listener
 from cloverhook.settings import DaemonSettings
+from cloverhook.stamped_platform import StampedPlatform
 from cloverhook.state import State
-from cloverhook.timeline import TimeLine
+from cloverhook.timeline import EventName, EventPage
 from cloverhook.upstream import UpstreamPool
 
 __all__ = ["Daemon", "run"]
@@ -53,29 +57,33 @@
 
     def __init__(self, settings: DaemonSettings, platform: Platform) -> None:
         self._settings = settings
-        self._platform = platform
         self._incarnation = time.time_ns() // 1_000_000
-        self._time_line = TimeLine(settings.vm)
+        self._observer = Observer(settings)
+        self._observer.watch(self._samples)
+        self._platform = StampedPlatform(platform, self._observer.time_line.clock)
         self._dispatcher = Dispatcher(random.Random(), self)
         self._pool = UpstreamPool(settings.header_limit_bytes)
         self._claims = ClaimLog(
-            platform,
+            self._platform,
             ClaimBook(settings.vm, settings.claim_window_ms),
             wall_ms,
             settings.claim_wait_ms,
             settings.claim_appends_per_s,
         )
-        self._follower = Follower(platform, self._on_folded, self._on_adopted)
+        self._follower = Follower(self._platform, self._on_folded, self._on_adopted)
         self._cluster = Cluster(
-            settings, self._incarnation, platform, self._follower, self._dispatcher, self.drain
+            settings,
+            self._incarnation,
+            self._platform,
+            self._follower,
+            self._dispatcher,
+            self._observer,
+            self.drain,
         )
         self._stopping = asyncio.Event()
         self._drain_plan = DrainPlan(0.0, 0.0)
         self._leaving = False
         self._tasks: list[asyncio.Task[None]] = []
-        self._registry = Registry()
-        self._refused_operators = Counter("cloverhook_refused_operators", "Calls with no token.")
-        self._registry.register(self._refused_operators)
 
     @classmethod
     def from_settings(cls, settings: DaemonSettings) -> "Daemon":
@@ -88,20 +96,20 @@
             self._settings,
             self._dispatcher,
             self._pool,
-            self._time_line,
+            self._observer.time_line,
             monotonic_ms,
             self._cluster.addresses,
             OnceGuard(self._claims, AnswerStore(self._settings.replay_limit_bytes), monotonic_ms),
         )
         operators = operator_app(
             self,
-            self._registry,
+            self._observer.metrics,
             self._settings.operator_token(),
-            lambda: self._refused_operators.inc({}),
+            self._observer.operator_refused,
         )
         settings = self._settings
         self._callers = Listener(
-            self._caller_app,
+            ObservedApp(self._caller_app, self._observer),
             settings.caller_address,
             settings.caller_idle_ms,
             Limits(
@@ -119,6 +127,7 @@
         await self._operators.start()
         loops = (self._follow(), self._tick(), self._claims.run())
         self._tasks = [asyncio.create_task(loop) for loop in loops]
+        self._observer.note(EventName.DAEMON_STARTED)
         logging.info("daemon: %s has started.", settings.vm)
 
     def announce(self) -> None:
@@ -153,6 +162,7 @@
         if self._leaving:
             return
         self._leaving = True
+        self._observer.note(EventName.DRAIN_STARTED)
         self._caller_app.leaving = True
         self._cluster.leave()
         lifetimes = [target.policy.lifetime_ms for target in self._dispatcher.targets()]
@@ -185,6 +195,7 @@
             "caller_address": self._callers.address,
             "leaving": self._leaving,
             "offset": self._follower.state.next_offset,
+            "log_age_ms": round(self._observer.log_age_ms),
             "brands": {
                 name: {"version": item.version, "preset": item.preset.value}
                 for name, item in self._follower.state.brands.items()
@@ -192,9 +203,11 @@
             **self._cluster.status(),
         }
 
-    def events(self) -> list[dict[str, Any]]:
-        """Return this daemon's part of the time line."""
-        return [event.to_document() for event in self._time_line.events()]
+    def events(
+        self, after: int, limit: int, request_id: str, address: str, change_id: str
+    ) -> EventPage:
+        """Return a page of this daemon's part of the time line."""
+        return self._observer.page(after, limit, request_id, address, change_id)
 
     def tell(self, vm: str, message: Message) -> None:
         """Send a message to another VM; it may be lost."""
@@ -207,24 +220,39 @@
     def _on_folded(self, record: Record, result: FoldResult) -> None:
         if isinstance(record, Snapshot):
             return
-        self._time_line.add(wall_ms(), f"change-{result.verdict.value}", change_id=record.change_id)
+        self._observer.change_folded(record, result)
         if result.verdict is Verdict.ACCEPTED:
-            self._on_adopted(result.state)
+            self._put_in_force(result.state)
 
     def _on_adopted(self, state: State) -> None:
+        self._observer.note(EventName.STATE_ADOPTED, f"up to offset {state.next_offset}")
+        self._put_in_force(state)
+
+    def _put_in_force(self, state: State) -> None:
         self._dispatcher.configure(state, monotonic_ms())
         self._cluster.config_changed()
 
     async def _follow(self) -> None:
         while True:
-            if not await self._follower.poll():
+            answered = await self._follower.poll()
+            self._observer.log_read(answered)
+            if not answered:
                 await asyncio.sleep(LOG_RETRY_MS / 1000)
 
     async def _tick(self) -> None:
         while True:
+            due_ms = monotonic_ms() + TICK_MS
             await asyncio.sleep(TICK_MS / 1000)
+            self._observer.loop_lagged(due_ms)
             self._dispatcher.tick(monotonic_ms())
 
+    def _samples(self) -> list[Sample]:
+        return [
+            Sample(Metric.WAITING, self._dispatcher.waiting()),
+            Sample(Metric.OFFSET, self._follower.state.next_offset),
+            Sample(Metric.LEAVING, int(self._leaving)),
+        ]
+
 
 async def _main(settings: DaemonSettings) -> None:
     daemon = Daemon.from_settings(settings)
@@ -248,6 +276,7 @@
         settings = DaemonSettings.from_file(FLAGS.settings)
         settings.peer_key()
         settings.operator_token()
+        configure_logs(settings.log_format, settings.vm)
     except SettingsError as error:
         print(f"cloverhookd: the settings are not valid:\n{error}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
--- a/cloverhook/dispatch.py
+++ b/cloverhook/dispatch.py
@@ -88,6 +88,10 @@
         """Return the services in force."""
         return tuple(self._target_of.values())
 
+    def waiting(self) -> int:
+        """Return the number of requests that wait for an endpoint."""
+        return len(self._waiting)
+
     def target_for(self, host: bytes) -> Target:
         """Return the service for a host name.  Raises `RequestError` when there is none."""
         target = self._targets.get(host.partition(b":")[0].lower())
--- a/cloverhook/exchange.py
+++ b/cloverhook/exchange.py
@@ -11,6 +11,7 @@
 from cloverhook import headers as h
 from cloverhook.dispatch import Target
 from cloverhook.errors import ErrorKind, Outcome, RequestError
+from cloverhook.observed_app import Observation
 from cloverhook.upstream import AnswerHead, RequestHead, UpstreamConnection, UpstreamPool
 
 __all__ = [
@@ -130,6 +131,7 @@
     idempotent: bool
     body: RequestBody | None
     send: Send
+    seen: Observation
     sent: bool = False
     maybe_ran: bool = False
     bad_answer: bool = False
--- /dev/null
+++ b/cloverhook/logs.py
@@ -0,0 +1,50 @@
+"""The form of the log: text as absl writes it, or one JSON object on a line.
+
+Layer: state.  Every log message is a short sentence after the fixed prefix of its part, such as
+"peering: refused a stranger: a wrong proof."  The JSON form gives the prefix as `part`.
+"""
+
+import json
+import logging as std_logging
+
+from absl import logging
+
+from cloverhook.errors import Fault, SettingsError
+
+__all__ = ["LOG_FORMATS", "JsonFormatter", "configure_logs"]
+
+LOG_FORMATS = ("text", "json")
+OTHER_PART = "other"
+
+
+class JsonFormatter(std_logging.Formatter):
+    """Writes a log record as one JSON object on one line."""
+
+    def __init__(self, vm: str) -> None:
+        super().__init__()
+        self._vm = vm
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        """Return the line for a record."""
+        message = record.getMessage()
+        part, colon, sentence = message.partition(": ")
+        has_part = bool(colon) and part.isidentifier()
+        line = {
+            "time_ms": round(record.created * 1000),
+            "level": record.levelname.lower(),
+            "vm": self._vm,
+            "part": part if has_part else OTHER_PART,
+            "message": sentence if has_part else message,
+        }
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return json.dumps(line)
+
+
+def configure_logs(log_format: str, vm: str) -> None:
+    """Put a form of the log in force.  Raises `SettingsError` for one that is not known."""
+    if log_format not in LOG_FORMATS:
+        allowed = f"one of: {', '.join(LOG_FORMATS)}"
+        raise SettingsError((Fault("log_format", repr(log_format), allowed),))
+    if log_format == "json":
+        logging.get_absl_handler().setFormatter(JsonFormatter(vm))
--- /dev/null
+++ b/cloverhook/member_watch.py
@@ -0,0 +1,50 @@
+"""Notices which daemons have come, gone or fallen silent, for the time line.
+
+Layer: coordination, free of input and output.  `MemberWatch.update` compares what is known now with
+what was known before, so membership itself needs to tell nobody of its changes.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from cloverhook.members import Member, Status
+from cloverhook.timeline import EventName
+
+__all__ = ["MemberChange", "MemberWatch"]
+
+
+@dataclass(frozen=True, slots=True)
+class MemberChange:
+    """A daemon that has joined, left, fallen silent or been given up."""
+
+    name: EventName
+    vm: str
+
+
+class MemberWatch:
+    """The members as they were at the last update."""
+
+    def __init__(self) -> None:
+        self._seen: dict[str, EventName] = {}
+
+    def update(self, members: Iterable[Member]) -> tuple[MemberChange, ...]:
+        """Return what has changed since the last update."""
+        changes: list[MemberChange] = []
+        for member in members:
+            name = _event_of(member)
+            if name is not None and self._seen.get(member.vm) is not name:
+                self._seen[member.vm] = name
+                changes.append(MemberChange(name, member.vm))
+        return tuple(changes)
+
+
+def _event_of(member: Member) -> EventName | None:
+    if member.status is Status.LISTED:
+        return None
+    if member.status is Status.LOST:
+        return EventName.MEMBER_LEFT if member.leaving else EventName.MEMBER_LOST
+    if member.leaving:
+        return EventName.MEMBER_LEFT
+    if member.status is Status.SUSPECT:
+        return EventName.MEMBER_SUSPECTED
+    return EventName.MEMBER_JOINED
--- a/cloverhook/messages.py
+++ b/cloverhook/messages.py
@@ -1,9 +1,9 @@
 """The messages that daemons send each other, and their CBOR form.
 
 Layer: protocol.  Each message is a frozen data class; `encode` writes it as a CBOR array of the
-protocol version, the message's tag and its fields in order.  A field that a newer version adds
-goes to the end and has a default, so that older and newer daemons understand each other during a
-rolling replacement.
+protocol version, the sender's stamp of the time line, the message's tag and its fields in order.  A
+field that a newer version adds goes to the end and has a default, so that older and newer daemons
+understand each other during a rolling replacement.
 
 >>> decode(encode(RecordsWanted(12)))
 RecordsWanted(from_offset=12)
@@ -18,6 +18,7 @@
 import cbor2
 
 from cloverhook.errors import MessageError
+from cloverhook.timeline import Stamp
 
 __all__ = [
     "PROTOCOL_VERSION",
@@ -37,10 +38,12 @@
     "SlotReturn",
     "StatePassedOn",
     "decode",
+    "decode_stamped",
     "encode",
 ]
 
 PROTOCOL_VERSION = 1
+NO_STAMP = Stamp(0, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -224,14 +227,14 @@
 UPDATE_FIELDS = tuple(field.name for field in fields(MemberUpdate))
 
 
-def encode(message: Message) -> bytes:
-    """Return the CBOR form of a message."""
+def encode(message: Message, stamp: Stamp = NO_STAMP) -> bytes:
+    """Return the CBOR form of a message that is sent at a point of the time line."""
     kind = type(message)
+    head = [PROTOCOL_VERSION, (stamp.wall_us, stamp.counter), TAG_OF[kind]]
     if kind is MemberUpdates:
         rows = [[getattr(item, name) for name in UPDATE_FIELDS] for item in message.updates]
-        return cbor2.dumps([PROTOCOL_VERSION, TAG_OF[kind], rows])
-    values = [getattr(message, name) for name in FIELDS[kind]]
-    return cbor2.dumps([PROTOCOL_VERSION, TAG_OF[kind], *values])
+        return cbor2.dumps([*head, rows])
+    return cbor2.dumps([*head, *(getattr(message, name) for name in FIELDS[kind])])
 
 
 def decode(data: bytes) -> Message:
@@ -239,17 +242,25 @@
 
     Fields that this version does not know are dropped.
     """
+    return decode_stamped(data)[1]
+
+
+def decode_stamped(data: bytes) -> tuple[Stamp, Message]:
+    """Return a message and its sender's stamp.  Raises `MessageError` as `decode` does."""
     try:
-        _version, tag, *values = cbor2.loads(data)
-        kind = TAGS[tag]
-        if kind is MemberUpdates:
-            return _decode_updates(values[0])
-        known = values[: len(FIELDS[kind])]
-        return kind(*(tuple(value) if isinstance(value, list) else value for value in known))
+        _version, (wall_us, counter), tag, *values = cbor2.loads(data)
+        return Stamp(int(wall_us), int(counter)), _decode_fields(TAGS[tag], values)
     except (cbor2.CBORDecodeError, IndexError, KeyError, TypeError, ValueError) as error:
         raise MessageError(f"message: {error!r}") from error
 
 
+def _decode_fields(kind: type, values: list[Any]) -> Message:
+    if kind is MemberUpdates:
+        return _decode_updates(values[0])
+    known = values[: len(FIELDS[kind])]
+    return kind(*(tuple(value) if isinstance(value, list) else value for value in known))
+
+
 def _decode_updates(rows: list[list[Any]]) -> MemberUpdates:
     known = len(UPDATE_FIELDS)
     return MemberUpdates(tuple(MemberUpdate(*row[:known]) for row in rows))
--- /dev/null
+++ b/cloverhook/metrics.py
@@ -0,0 +1,245 @@
+"""Every metric of a daemon, declared in one place with its help text and unit.
+
+Layer: state.  The parts of a daemon keep plain counts.  A `MetricsPage` reads them from its sources
+when it is asked for the page and hands them to the metrics library, since a call of that library
+for each request would cost more than the request's own bookkeeping.
+
+>>> page = MetricsPage()
+>>> page.add_source(lambda: [Sample(Metric.MEMBERS, 3)])
+>>> b"cloverhook_members 3" in page.render("text/plain")[0]
+True
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from aioprometheus.histogram import Histogram as HistogramValue
+
+from cloverhook.request_stats import HistogramCounts
+
+__all__ = ["Metric", "MetricKind", "MetricSpec", "MetricsPage", "Sample", "Source"]
+
+SERIES_LIMIT = 2_000
+
+
+class MetricKind(Enum):
+    """The kinds of metrics in use."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+COLLECTORS = {
+    MetricKind.COUNTER: Counter,
+    MetricKind.GAUGE: Gauge,
+    MetricKind.HISTOGRAM: Histogram,
+}
+COUNTER, GAUGE, HISTOGRAM = MetricKind
+
+
+@dataclass(frozen=True, slots=True)
+class MetricSpec:
+    """A metric: its name, what it says, its unit and the names of its labels."""
+
+    name: str
+    kind: MetricKind
+    help: str
+    unit: str
+    labels: tuple[str, ...] = ()
+
+
+class Metric(Enum):
+    """The closed list of metrics."""
+
+    REQUESTS = MetricSpec(
+        "cloverhook_requests_total",
+        COUNTER,
+        "Requests that have ended, by outcome and, where there is one, error kind.",
+        "requests",
+        ("brand", "service", "outcome", "kind"),
+    )
+    LATENCY = MetricSpec(
+        "cloverhook_request_latency_ms",
+        HISTOGRAM,
+        "Time from a request's arrival to the end of its answer.",
+        "ms",
+        ("brand",),
+    )
+    ADDED = MetricSpec(
+        "cloverhook_request_added_ms",
+        HISTOGRAM,
+        "The part of a request's latency that was not spent in its attempts.",
+        "ms",
+        ("brand",),
+    )
+    IN_FLIGHT = MetricSpec(
+        "cloverhook_requests_in_flight", GAUGE, "Requests that have not ended.", "requests"
+    )
+    WAITING = MetricSpec(
+        "cloverhook_requests_waiting", GAUGE, "Requests that wait for an endpoint.", "requests"
+    )
+    SHEDS = MetricSpec(
+        "cloverhook_requests_shed_total",
+        COUNTER,
+        "Requests refused because the service was overloaded.",
+        "requests",
+    )
+    RETRIES = MetricSpec(
+        "cloverhook_retries_total", COUNTER, "Attempts beyond a request's first one.", "attempts"
+    )
+    PROBES = MetricSpec(
+        "cloverhook_probes_total", COUNTER, "Probes of endpoints.", "probes", ("service",)
+    )
+    MEASURING = MetricSpec(
+        "cloverhook_measuring_ms_total",
+        COUNTER,
+        "Time that probes took, which the measuring budget bounds.",
+        "ms",
+        ("service",),
+    )
+    MEASURING_BUDGET = MetricSpec(
+        "cloverhook_measuring_budget_ms_per_s",
+        GAUGE,
+        "The measuring budget in force, all VMs together.",
+        "ms/s",
+        ("service",),
+    )
+    PEER_MESSAGES = MetricSpec(
+        "cloverhook_peer_messages_total",
+        COUNTER,
+        "Messages between daemons.",
+        "messages",
+        ("direction",),
+    )
+    PEER_BYTES = MetricSpec(
+        "cloverhook_peer_bytes_total",
+        COUNTER,
+        "Bytes of messages between daemons.",
+        "bytes",
+        ("direction",),
+    )
+    LINKS = MetricSpec("cloverhook_peer_links", GAUGE, "Open links to other daemons.", "links")
+    DROPPED_MESSAGES = MetricSpec(
+        "cloverhook_peer_messages_dropped_total",
+        COUNTER,
+        "Messages that were replaced by newer ones, or dropped since a link's queue was full.",
+        "messages",
+    )
+    PAUSES = MetricSpec(
+        "cloverhook_pauses_total", COUNTER, "Pauses of this process that were noticed.", "pauses"
+    )
+    REFUSED_STRANGERS = MetricSpec(
+        "cloverhook_refused_strangers_total",
+        COUNTER,
+        "Links refused because the other side did not prove that it holds the shared key.",
+        "links",
+    )
+    REFUSED_OPERATORS = MetricSpec(
+        "cloverhook_refused_operators_total",
+        COUNTER,
+        "Calls of the operators' listener refused for a wrong or missing token.",
+        "calls",
+    )
+    LOG_AGE = MetricSpec(
+        "cloverhook_log_age_ms", GAUGE, "Time since the platform's log last answered.", "ms"
+    )
+    OFFSET = MetricSpec(
+        "cloverhook_config_offset", GAUGE, "The offset of the record that comes next.", "records"
+    )
+    MEMBERS = MetricSpec("cloverhook_members", GAUGE, "Daemons that serve.", "daemons")
+    LEAVING = MetricSpec("cloverhook_leaving", GAUGE, "1 during a planned stop, else 0.", "flag")
+    LOOP_LAG = MetricSpec(
+        "cloverhook_loop_lag_ms", HISTOGRAM, "How late the event loop's timers are.", "ms"
+    )
+    EVENTS_DROPPED = MetricSpec(
+        "cloverhook_events_dropped_total",
+        COUNTER,
+        "Events of the time line that newer ones pushed out.",
+        "events",
+    )
+    EVENTS_SKIPPED = MetricSpec(
+        "cloverhook_events_skipped_total",
+        COUNTER,
+        "Events of ordinary requests outside the sample.",
+        "events",
+    )
+    SERIES_DROPPED = MetricSpec(
+        "cloverhook_series_dropped",
+        GAUGE,
+        "Series left out of this page because their metric has too many.",
+        "series",
+    )
+
+    @property
+    def spec(self) -> MetricSpec:
+        """What the metric is."""
+        return self.value
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """The present value of one series; `labels` are in the order of the metric's label names."""
+
+    metric: Metric
+    value: float | HistogramCounts
+    labels: tuple[str, ...] = ()
+
+
+Source = Callable[[], Iterable[Sample]]
+
+
+class MetricsPage:
+    """The page at /metrics.  At most `series_limit` series of a metric are shown."""
+
+    def __init__(self, series_limit: int = SERIES_LIMIT) -> None:
+        self._series_limit = series_limit
+        self._sources: list[Source] = []
+
+    def add_source(self, source: Source) -> None:
+        """Add a function that returns samples when the page is asked for."""
+        self._sources.append(source)
+
+    def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
+        """Return the page and its headers in the best format that `accept` allows."""
+        registry = Registry()
+        collectors = {metric: _collector(metric.spec, registry) for metric in Metric}
+        dropped = 0
+        for source in self._sources:
+            for sample in source():
+                collector = collectors[sample.metric]
+                if len(collector.values) >= self._series_limit:
+                    dropped += 1
+                    continue
+                collector.set_value(_labels(sample), _value(sample.value))
+        collectors[Metric.SERIES_DROPPED].set_value({}, dropped)
+        return render(registry, [accept])
+
+
+def _collector(spec: MetricSpec, registry: Registry) -> Counter | Gauge | Histogram:
+    return COLLECTORS[spec.kind](spec.name, f"{spec.help} Unit: {spec.unit}.", registry=registry)
+
+
+def _labels(sample: Sample) -> dict[str, str]:
+    names = sample.metric.spec.labels
+    return {name: _escaped(value) for name, value in zip(names, sample.labels, strict=True)}
+
+
+def _escaped(value: str) -> str:
+    """Escape a label's value, which the library writes as it is."""
+    return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+
+
+def _value(value: float | HistogramCounts) -> float | HistogramValue:
+    if not isinstance(value, HistogramCounts):
+        return value
+    shown = HistogramValue(*value.bounds)
+    cumulative = 0
+    for bound, count in zip(shown.buckets, value.counts, strict=True):
+        cumulative += count
+        shown.buckets[bound] = cumulative
+    shown.observations = cumulative
+    shown.sum = value.total
+    return shown
--- /dev/null
+++ b/cloverhook/observer.py
@@ -0,0 +1,125 @@
+"""What a daemon shows of itself: its part of the time line, its counts and its metrics page.
+
+Layer: coordination.  The daemon tells its `Observer` what happens, once for each fact; the observer
+keeps the events and counts, and gathers samples of the other parts when metrics are asked for.
+"""
+
+from collections.abc import Iterable
+
+from cloverhook.clock import monotonic_ms, wall_ms
+from cloverhook.errors import ErrorKind
+from cloverhook.fold import FoldResult, Verdict
+from cloverhook.member_watch import MemberWatch
+from cloverhook.members import Member
+from cloverhook.metrics import Metric, MetricsPage, Sample, Source
+from cloverhook.records import Change
+from cloverhook.request_stats import HistogramCounts, RequestStats
+from cloverhook.settings import DaemonSettings
+from cloverhook.timeline import EventName, EventPage, TimeLine
+
+__all__ = ["FROM_LOG", "Observer"]
+
+LOOP_LAG_BOUNDS_MS = (0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 1_000.0)
+FROM_LOG = "log"
+
+
+class Observer:
+    """The events and counts of one daemon.
+
+    `records_from` says where the records come from that are folded now: the log or a peer.
+    """
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        self._members = MemberWatch()
+        self._members_version = -1
+        self._log_heard_ms = monotonic_ms()
+        self._log_silent = False
+        self._loop_lag_ms = HistogramCounts(LOOP_LAG_BOUNDS_MS)
+        self._refused_operators = 0
+        self.records_from = FROM_LOG
+        self.requests = RequestStats()
+        self.time_line = TimeLine(
+            settings.vm, settings.time_line_events, settings.time_line_sample_ratio
+        )
+        self.metrics = MetricsPage()
+        self.metrics.add_source(self._samples)
+
+    @property
+    def log_age_ms(self) -> float:
+        """How long ago the platform's log answered."""
+        return monotonic_ms() - self._log_heard_ms
+
+    def note(self, name: EventName, detail: str = "", change_id: str = "") -> None:
+        """Put an event that concerns no request on the time line."""
+        self.time_line.add(wall_ms(), name, change_id=change_id, detail=detail)
+
+    def change_folded(self, change: Change, result: FoldResult) -> None:
+        """Note a change of the configuration and what became of it."""
+        accepted = result.verdict is Verdict.ACCEPTED
+        name = EventName.CHANGE_ACCEPTED if accepted else EventName.CHANGE_REJECTED
+        detail = f"{change.brand}: {result.verdict.value} {result.reason}".strip()
+        self.note(EventName.CHANGE_SEEN, f"from {self.records_from}", change.change_id)
+        self.note(name, detail, change.change_id)
+
+    def log_read(self, answered: bool) -> None:
+        """Note whether the platform's log has answered."""
+        if answered:
+            self._log_heard_ms = monotonic_ms()
+        if answered == self._log_silent:
+            self._log_silent = not answered
+            self.note(EventName.LOG_BACK if answered else EventName.LOG_SILENT)
+
+    def members_are(self, version: int, members: Iterable[Member]) -> None:
+        """Note which daemons have come, gone or fallen silent, if the version is a new one."""
+        if version == self._members_version:
+            return
+        self._members_version = version
+        for change in self._members.update(members):
+            self.note(change.name, change.vm)
+
+    def loop_lagged(self, due_ms: float) -> None:
+        """Count how late a timer is that was due at a point of the monotonic clock."""
+        self._loop_lag_ms.add(monotonic_ms() - due_ms)
+
+    def operator_refused(self) -> None:
+        """Count a call of the operators' listener without the token."""
+        self._refused_operators += 1
+
+    def watch(self, source: Source) -> None:
+        """Add a part's samples to the metrics page."""
+        self.metrics.add_source(source)
+
+    def page(
+        self, after: int, limit: int, request_id: str, address: str, change_id: str
+    ) -> EventPage:
+        """Return a page of the daemon's part of the time line."""
+        return self.time_line.page(after, limit, request_id, address, change_id)
+
+    def _samples(self) -> list[Sample]:
+        return [
+            *_request_samples(self.requests),
+            Sample(Metric.REFUSED_OPERATORS, self._refused_operators),
+            Sample(Metric.LOG_AGE, self.log_age_ms),
+            Sample(Metric.LOOP_LAG, self._loop_lag_ms),
+            Sample(Metric.EVENTS_DROPPED, self.time_line.dropped),
+            Sample(Metric.EVENTS_SKIPPED, self.time_line.skipped),
+        ]
+
+
+def _request_samples(stats: RequestStats) -> list[Sample]:
+    samples = [
+        Sample(Metric.IN_FLIGHT, stats.in_flight),
+        Sample(Metric.RETRIES, stats.retries),
+    ]
+    shed = 0
+    for key, count in stats.counts().items():
+        labels = (key.brand, key.service, key.outcome, key.kind)
+        samples.append(Sample(Metric.REQUESTS, count, labels))
+        if key.kind == ErrorKind.OVERLOADED.value:
+            shed += count
+    samples.append(Sample(Metric.SHEDS, shed))
+    for brand, counts in stats.latency_ms.items():
+        samples.append(Sample(Metric.LATENCY, counts, (brand,)))
+    for brand, counts in stats.added_ms.items():
+        samples.append(Sample(Metric.ADDED, counts, (brand,)))
+    return samples
--- a/cloverhook/operator_app.py
+++ b/cloverhook/operator_app.py
@@ -9,7 +9,9 @@
 
 import falcon
 import falcon.asgi
-from aioprometheus import Registry, render
+
+from cloverhook.metrics import MetricsPage
+from cloverhook.timeline import PAGE_SCAN_LIMIT, EventPage
 
 __all__ = ["DaemonView", "operator_app"]
 
@@ -20,8 +22,10 @@
     def status(self) -> dict[str, Any]:
         """Return this daemon's status."""
 
-    def events(self) -> list[dict[str, Any]]:
-        """Return this daemon's part of the time line."""
+    def events(
+        self, after: int, limit: int, request_id: str, address: str, change_id: str
+    ) -> EventPage:
+        """Return a page of this daemon's part of the time line."""
 
     def ready(self) -> bool:
         """Return whether the daemon has a configuration and takes requests."""
@@ -43,7 +47,20 @@
         self._view = view
 
     async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
-        response.media = {"events": self._view.events()}
+        page = self._view.events(
+            request.get_param_as_int("after", min_value=0, default=0),
+            request.get_param_as_int(
+                "limit", min_value=1, max_value=PAGE_SCAN_LIMIT, default=PAGE_SCAN_LIMIT
+            ),
+            request.get_param("request", default=""),
+            request.get_param("endpoint", default=""),
+            request.get_param("change", default=""),
+        )
+        response.media = {
+            "events": [event.to_document() for event in page.events],
+            "after": page.after,
+            "last": page.last,
+        }
 
 
 class _Drain:
@@ -76,11 +93,11 @@
 
 
 class _Metrics:
-    def __init__(self, registry: Registry) -> None:
-        self._registry = registry
+    def __init__(self, page: MetricsPage) -> None:
+        self._page = page
 
     async def on_get(self, request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
-        data, headers = render(self._registry, [request.get_header("accept") or "*/*"])
+        data, headers = self._page.render(request.get_header("accept") or "*/*")
         response.data = data
         response.content_type = headers.get("Content-Type", "text/plain")
 
@@ -104,18 +121,27 @@
         given = (request.get_header("authorization") or "").encode()
         if not hmac.compare_digest(given, self._expected):
             self._on_refused()
-            raise falcon.HTTPUnauthorized(title="operators only", description="the token is wrong")
+            raise falcon.HTTPUnauthorized(title="unauthorized", description="the token is wrong")
+
+
+def _write_error(
+    request: falcon.asgi.Request, response: falcon.asgi.Response, error: falcon.HTTPError
+) -> None:
+    """Answer an error as the callers' listener does: a JSON object with `error` and `detail`."""
+    kind = (error.title or "error").lower().replace(" ", "-")
+    response.media = {"error": kind, "detail": error.description or ""}
 
 
 def operator_app(
-    view: DaemonView, registry: Registry, token: bytes, on_refused: Callable[[], None]
+    view: DaemonView, metrics: MetricsPage, token: bytes, on_refused: Callable[[], None]
 ) -> falcon.asgi.App:
     """Return the falcon application of the operators' listener."""
     app = falcon.asgi.App(middleware=[_TokenCheck(token, on_refused)])
+    app.set_error_serializer(_write_error)
     app.add_route("/v1/status", _Status(view))
     app.add_route("/v1/events", _Events(view))
     app.add_route("/v1/drain", _Drain(view))
-    app.add_route("/metrics", _Metrics(registry))
+    app.add_route("/metrics", _Metrics(metrics))
     app.add_route("/health", _Health())
     app.add_route("/ready", _Ready(view))
     return app
--- a/cloverhook/peering.py
+++ b/cloverhook/peering.py
@@ -9,7 +9,7 @@
 import contextlib
 import logging as std_logging
 from collections.abc import Callable, Collection, Coroutine
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
 import websockets
@@ -17,6 +17,7 @@
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import Server, ServerConnection, serve
 
+from cloverhook.clock import wall_ms
 from cloverhook.errors import AuthenticationError, MessageError
 from cloverhook.greeting import Greeting, Role
 from cloverhook.messages import (
@@ -29,11 +30,14 @@
     ProbeRequest,
     Seen,
     decode,
+    decode_stamped,
     encode,
 )
+from cloverhook.metrics import Metric, Sample
 from cloverhook.outbox import Outbox
+from cloverhook.timeline import HybridClock
 
-__all__ = ["LinkEvents", "PeerLinks"]
+__all__ = ["LinkEvents", "PeerLinks", "Traffic"]
 
 GREETING_TIMEOUT_MS = 3_000
 CLOSE_TIMEOUT_MS = 500
@@ -86,10 +90,24 @@
         self.connection.transport.abort()
 
 
+@dataclass(slots=True)
+class Traffic:
+    """Messages and their bytes in one direction, all links together."""
+
+    messages: int = 0
+    size_bytes: int = 0
+
+    def add(self, size_bytes: int) -> None:
+        """Count a message."""
+        self.messages += 1
+        self.size_bytes += size_bytes
+
+
 class PeerLinks:
     """This daemon's links to its peers, by VM name.
 
-    `greeting` gives what this daemon says of itself when a link opens.
+    `greeting` gives what this daemon says of itself when a link opens; `stamps` is the clock of
+    the time line, whose stamps go with each message.
     """
 
     def __init__(
@@ -98,11 +116,13 @@
         key: bytes,
         events: LinkEvents,
         clock_ms: Callable[[], float],
+        stamps: HybridClock | None = None,
     ) -> None:
         self._greeting = greeting
         self._key = key
         self._events = events
         self._clock_ms = clock_ms
+        self._stamps = stamps or HybridClock()
         self._links: dict[str, _Link] = {}
         self._outboxes: dict[str, Outbox] = {}
         self._dialling: set[str] = set()
@@ -110,6 +130,8 @@
         self._server: Server | None = None
         self.refused_strangers = 0
         self.dropped_messages = 0
+        self.sent = Traffic()
+        self.received = Traffic()
         self.address = ""
 
     async def start(self, address: str) -> None:
@@ -138,6 +160,18 @@
         """Return the names of the VMs with an open link."""
         return tuple(sorted(self._links))
 
+    def samples(self) -> list[Sample]:
+        """Return the counts of links and messages for the metrics page."""
+        return [
+            Sample(Metric.LINKS, len(self._links)),
+            Sample(Metric.REFUSED_STRANGERS, self.refused_strangers),
+            Sample(Metric.DROPPED_MESSAGES, self.dropped_messages),
+            Sample(Metric.PEER_MESSAGES, self.sent.messages, ("sent",)),
+            Sample(Metric.PEER_MESSAGES, self.received.messages, ("received",)),
+            Sample(Metric.PEER_BYTES, self.sent.size_bytes, ("sent",)),
+            Sample(Metric.PEER_BYTES, self.received.size_bytes, ("received",)),
+        ]
+
     def open(self, vm: str, address: str) -> None:
         """Open a link to a peer unless there is one or one is being opened."""
         if vm not in self._links and address not in self._dialling:
@@ -269,20 +303,25 @@
         with contextlib.suppress(websockets.ConnectionClosed):
             async for data in link.connection:
                 link.received_ms = self._clock_ms()
+                self.received.add(len(data))
                 try:
-                    message = decode(data)
+                    stamp, message = decode_stamped(data)
                 except MessageError as error:
                     logging.warning("peering: dropped a message of %s: %s.", vm, error)
                     continue
                 if not isinstance(message, UPKEEP):
                     link.used_ms = link.received_ms
                 if self._links.get(vm) is link:
+                    self._stamps.witness(stamp)
                     self._events.message_heard(vm, message)
 
     async def _write(self, link: _Link, outbox: Outbox) -> None:
         with contextlib.suppress(websockets.ConnectionClosed):
             while True:
-                await link.connection.send(encode(await outbox.get()))
+                message = await outbox.get()
+                data = encode(message, self._stamps.stamp(wall_ms()))
+                self.sent.add(len(data))
+                await link.connection.send(data)
 
     async def _close(self, link: _Link) -> None:
         await link.connection.close()
--- a/cloverhook/settings.py
+++ b/cloverhook/settings.py
@@ -17,6 +17,7 @@
     Address,
     Choice,
     Integer,
+    Number,
     Text,
     faults_of,
     kind_field,
@@ -71,6 +72,8 @@
     drain_in_flight_ms: int = kind_field(Integer(10, HOUR_MS), 10_000)
     peer_addresses: str = ""
     log_format: str = kind_field(Choice(("text", "json")), "text")
+    time_line_events: int = kind_field(Integer(100, 1_000_000), 20_000)
+    time_line_sample_ratio: float = kind_field(Number(0, 1), 1.0)
 
     @classmethod
     def from_file(cls, path: str) -> "DaemonSettings":
--- /dev/null
+++ b/cloverhook/stamped_platform.py
@@ -0,0 +1,55 @@
+"""The platform's log with the time line's stamps: causes that travel by the log keep their order.
+
+Layer: protocol.  A record that a daemon appends carries the stamp of the append, and a daemon that
+reads it witnesses that stamp, as with the messages between daemons.  A reader of records passes
+over the key, so records with and without it mean the same.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from cloverhook.clock import wall_ms
+from cloverhook.platform_api import ListedVm, LogSlice, Platform
+from cloverhook.timeline import HybridClock, Stamp
+
+__all__ = ["StampedPlatform"]
+
+
+class StampedPlatform:
+    """A platform whose records carry stamps."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        clock: HybridClock,
+        clock_ms: Callable[[], float] = wall_ms,
+    ) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._clock_ms = clock_ms
+
+    async def append(self, stream: str, record: Mapping[str, Any]) -> int:
+        """Append a record with the stamp of now and return its offset."""
+        stamp = self._clock.stamp(self._clock_ms())
+        stamped = {**record, "stamp": [stamp.wall_us, stamp.counter]}
+        return await self._platform.append(stream, stamped)
+
+    async def read(self, stream: str, from_offset: int, wait_ms: float = 0) -> LogSlice:
+        """Read records from an offset and witness their stamps."""
+        found = await self._platform.read(stream, from_offset, wait_ms)
+        for record in found.records:
+            self._witness(record)
+        return found
+
+    async def list_vms(self) -> tuple[ListedVm, ...]:
+        """Return the platform's list of VMs."""
+        return await self._platform.list_vms()
+
+    async def close(self) -> None:
+        """Release what the client holds."""
+        await self._platform.close()
+
+    def _witness(self, record: Any) -> None:
+        match record:
+            case {"stamp": [int(wall_us), int(counter)]}:
+                self._clock.witness(Stamp(wall_us, counter))
--- a/cloverhook/timeline.py
+++ b/cloverhook/timeline.py
@@ -1,34 +1,124 @@
 """The time line: what happened in this process, as typed events with a causal stamp.
 
-Layer: state.  Each event carries a hybrid logical clock (wall time in milliseconds and a
-counter), so that events of many processes merge into an order in which no effect stands before
-its cause.  A fixed number of events is kept; the oldest go first.
+Layer: state.  Each event carries a hybrid logical clock (wall time in microseconds and a
+counter).  Stamps travel with the messages between daemons and with the records of the log, so
+that events of many processes merge into an order in which no effect stands before its cause, also
+where the wall clocks disagree.
+
+Memory is bounded: a fixed number of request events and a fixed number of all others are kept, so
+that a flood of requests does not push a change out.  The events of an ordinary request are kept
+for a sample of the requests, told by a hash of the request's identifier: every VM keeps or skips
+the same requests.  Failures, changes and members are always kept.
+
+>>> line = TimeLine("vm-1")
+>>> line.add(1_000.0, EventName.MEMBER_JOINED, detail="vm-2")
+>>> [(event.name.value, event.detail) for event in line.events()]
+[('member-joined', 'vm-2')]
 """
 
-from collections import deque
-from dataclasses import asdict, dataclass
+import heapq
+import zlib
+from dataclasses import dataclass
+from enum import StrEnum
 from typing import Any
 
-__all__ = ["Stamp", "TimeLine", "TimeLineEvent"]
+__all__ = ["EventName", "EventPage", "HybridClock", "Stamp", "TimeLine", "TimeLineEvent"]
 
 KEPT_EVENTS = 20_000
+KEPT_OTHER_EVENTS = 5_000
+PAGE_SCAN_LIMIT = 500
+HASH_RANGE = 1 << 32
+
+
+class EventName(StrEnum):
+    """What can happen, as the time line names it.
+
+    `of_request` tells the events of requests from all others, and `sampled` those of them that
+    are kept for a sample of the requests only.
+    """
+
+    of_request: bool
+    sampled: bool
+
+    def __new__(cls, value: str, of_request: bool = False, sampled: bool = False) -> "EventName":
+        """Return a member; its attributes are cheaper to ask than a set of members."""
+        member = str.__new__(cls, value)
+        member._value_ = value
+        member.of_request = of_request
+        member.sampled = sampled
+        return member
+
+    REQUEST_ARRIVED = "request-arrived", True, True
+    REQUEST_ANSWERED = "request-answered", True, True
+    REQUEST_REFUSED = "request-refused", True
+    REQUEST_CUT = "request-cut", True
+    ATTEMPT_STARTED = "attempt-started", True, True
+    ATTEMPT_ENDED = "attempt-ended", True, True
+    ATTEMPT_FAILED = "attempt-failed", True
+    CHANGE_SEEN = "change-seen"
+    CHANGE_ACCEPTED = "change-accepted"
+    CHANGE_REJECTED = "change-rejected"
+    STATE_ADOPTED = "state-adopted"
+    MEMBER_JOINED = "member-joined"
+    MEMBER_LEFT = "member-left"
+    MEMBER_SUSPECTED = "member-suspected"
+    MEMBER_LOST = "member-lost"
+    ENDPOINT_STATE = "endpoint-state"
+    LOG_SILENT = "log-silent"
+    LOG_BACK = "log-back"
+    DAEMON_STARTED = "daemon-started"
+    DRAIN_STARTED = "drain-started"
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class Stamp:
     """A point on the hybrid logical clock."""
 
-    wall_ms: int
+    wall_us: int
     counter: int
 
 
+class HybridClock:
+    """The hybrid logical clock of one process: later stamps are greater, also across processes."""
+
+    def __init__(self) -> None:
+        self._wall_us = 0
+        self._counter = 0
+
+    def stamp(self, wall_ms: float) -> Stamp:
+        """Return a stamp later than all that this process has given or witnessed."""
+        self.advance(wall_ms)
+        return Stamp(self._wall_us, self._counter)
+
+    def advance(self, wall_ms: float) -> tuple[int, int]:
+        """Do as `stamp` does, without an object, for the path of each request."""
+        wall_us = int(wall_ms * 1000)
+        if wall_us > self._wall_us:
+            self._wall_us = wall_us
+            self._counter = 0
+        else:
+            self._counter += 1
+        return self._wall_us, self._counter
+
+    def witness(self, stamp: Stamp) -> None:
+        """Take a stamp that came with a message: later stamps of this process stand after it."""
+        if (stamp.wall_us, stamp.counter) > (self._wall_us, self._counter):
+            self._wall_us = stamp.wall_us
+            self._counter = stamp.counter
+
+
 @dataclass(frozen=True, slots=True)
 class TimeLineEvent:
-    """Something that happened: `name` says what, and the identifiers say to whom."""
+    """Something that happened: `name` says what, and the identifiers say to whom.
+
+    `sequence` counts the events of the process; `wall_ms` is its own wall clock.
+    """
 
     stamp: Stamp
     vm: str
-    name: str
+    sequence: int
+    wall_ms: float
+    name: EventName
     request_id: str = ""
     address: str = ""
     change_id: str = ""
@@ -36,34 +126,160 @@
 
     def to_document(self) -> dict[str, Any]:
         """Return the event as a JSON object."""
-        return asdict(self)
+        return {
+            "stamp": {"wall_us": self.stamp.wall_us, "counter": self.stamp.counter},
+            "vm": self.vm,
+            "sequence": self.sequence,
+            "wall_ms": self.wall_ms,
+            "name": self.name.value,
+            "request_id": self.request_id,
+            "address": self.address,
+            "change_id": self.change_id,
+            "detail": self.detail,
+        }
+
+    @classmethod
+    def from_document(cls, document: dict[str, Any]) -> "TimeLineEvent":
+        """Return the event for the object that `to_document` gave.
+
+        Raises `KeyError`, `TypeError` or `ValueError` for anything else.
+        """
+        return cls(
+            **{
+                **document,
+                "stamp": Stamp(**document["stamp"]),
+                "name": EventName(document["name"]),
+            }
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class EventPage:
+    """Events in the order of their sequence.
+
+    `after` is where the next page starts, and `last` the newest sequence there is.
+    """
+
+    events: tuple[TimeLineEvent, ...]
+    after: int
+    last: int
 
 
 class TimeLine:
-    """The events of one process."""
+    """The events of one process.
 
-    def __init__(self, vm: str, kept_events: int = KEPT_EVENTS) -> None:
+    `sample_ratio` is the share of requests, 0 to 1, whose ordinary events are kept.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        kept_events: int = KEPT_EVENTS,
+        sample_ratio: float = 1.0,
+        kept_other_events: int = KEPT_OTHER_EVENTS,
+    ) -> None:
         self._vm = vm
-        self._events: deque[TimeLineEvent] = deque(maxlen=kept_events)
-        self._last = Stamp(0, 0)
+        self._of_requests = _Ring(kept_events)
+        self._others = _Ring(kept_other_events)
+        self._sample_below = int(sample_ratio * HASH_RANGE)
+        self._sequence = 0
+        self.clock = HybridClock()
+        self.skipped = 0
+
+    @property
+    def dropped(self) -> int:
+        """The number of events that newer ones have pushed out."""
+        return self._of_requests.dropped + self._others.dropped
 
-    def add(self, wall_ms: float, name: str, **identifiers: str) -> None:
+    def add(
+        self,
+        wall_ms: float,
+        name: EventName,
+        *,
+        request_id: str = "",
+        address: str = "",
+        change_id: str = "",
+        detail: str = "",
+    ) -> None:
         """Add an event that happened now."""
-        self._events.append(TimeLineEvent(self.stamp(wall_ms), self._vm, name, **identifiers))
+        if name.sampled and not self.samples(request_id):
+            self.skipped += 1
+            return
+        self._sequence += 1
+        ring = self._of_requests if name.of_request else self._others
+        stamp = self.clock.advance(wall_ms)
+        ring.append((self._sequence, stamp, wall_ms, name, request_id, address, change_id, detail))
 
-    def stamp(self, wall_ms: float) -> Stamp:
-        """Return a stamp later than all that this process has given or seen."""
-        wall = int(wall_ms)
-        if wall > self._last.wall_ms:
-            self._last = Stamp(wall, 0)
-        else:
-            self._last = Stamp(self._last.wall_ms, self._last.counter + 1)
-        return self._last
+    def samples(self, request_id: str) -> bool:
+        """Return whether the ordinary events of a request are kept, the same on every VM."""
+        return zlib.crc32(request_id.encode()) < self._sample_below
 
-    def witness(self, stamp: Stamp) -> None:
-        """Take a stamp that came with a message: later stamps of this process stand after it."""
-        self._last = max(self._last, stamp)
+    def page(
+        self,
+        after: int = 0,
+        limit: int = PAGE_SCAN_LIMIT,
+        request_id: str = "",
+        address: str = "",
+        change_id: str = "",
+    ) -> EventPage:
+        """Return kept events whose sequence is greater than `after`.
+
+        An identifier that is given keeps only the events that carry it.  A page looks at no more
+        than `limit` events, so that a reader does not hold requests up.
+        """
+        first_request = self._of_requests.position_after(after)
+        first_other = self._others.position_after(after)
+        entries = heapq.merge(
+            self._of_requests.entries(first_request, limit),
+            self._others.entries(first_other, limit),
+        )
+        looked_at = [entry for entry, _ in zip(entries, range(limit), strict=False)]
+        wanted = tuple(
+            self._event(entry)
+            for entry in looked_at
+            if (not request_id or entry[4] == request_id)
+            and (not address or entry[5] == address)
+            and (not change_id or entry[6] == change_id)
+        )
+        next_after = looked_at[-1][0] if looked_at else self._sequence
+        return EventPage(wanted, next_after, self._sequence)
 
     def events(self) -> tuple[TimeLineEvent, ...]:
-        """Return the events kept, oldest first."""
-        return tuple(self._events)
+        """Return all events kept, oldest first."""
+        return self.page(limit=max(1, self._sequence)).events
+
+    def _event(self, entry: tuple) -> TimeLineEvent:
+        sequence, stamp, wall_ms, name, *identifiers = entry
+        return TimeLineEvent(Stamp(*stamp), self._vm, sequence, wall_ms, name, *identifiers)
+
+
+class _Ring:
+    """The newest entries, each a tuple that starts with a growing sequence number."""
+
+    def __init__(self, size: int) -> None:
+        self._size = size
+        self._entries: list[tuple] = [()] * size
+        self._appended = 0
+
+    @property
+    def dropped(self) -> int:
+        return max(0, self._appended - self._size)
+
+    def append(self, entry: tuple) -> None:
+        self._entries[self._appended % self._size] = entry
+        self._appended += 1
+
+    def position_after(self, sequence: int) -> int:
+        """Return the position of the first entry with a greater sequence, by bisection."""
+        low, high = self.dropped, self._appended
+        while low < high:
+            middle = (low + high) // 2
+            if self._entries[middle % self._size][0] > sequence:
+                high = middle
+            else:
+                low = middle + 1
+        return low
+
+    def entries(self, first: int, limit: int) -> list[tuple]:
+        last = min(self._appended, first + limit)
+        return [self._entries[position % self._size] for position in range(first, last)]
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -7,7 +7,7 @@
 from cloverhook.admission import Admission
 from cloverhook_emulator.fleet_runner import Fleet
 from features.http_peers import HOST, ScriptedBackend, call, open_to, request
-from features.steps.fleet_steps import CONFIG, eventually, run
+from features.shared import CONFIG, eventually, run
 
 LIMIT = 6
 OTHER_HOST = "routes.saltbush.example"
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -14,7 +14,7 @@
 from cloverhook.platform_api import MemoryPlatform
 from cloverhook_emulator.fleet_runner import Fleet
 from features.http_peers import HOST, ScriptedBackend, call, request
-from features.steps.fleet_steps import CONFIG, eventually, run
+from features.shared import CONFIG, eventually, run
 
 WINDOW_MS = 60_000
 WAIT_MS = 20_000
--- a/features/steps/cut_proxy_steps.py
+++ b/features/steps/cut_proxy_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from cloverhook_emulator.cut_proxy import CutProxy, Mode
-from features.steps.fleet_steps import eventually, run
+from features.shared import eventually, run
 
 QUIET_S = 0.2
 WAIT_S = 20
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -3,50 +3,14 @@
 import asyncio
 import uuid
 
-import aiohttp
 from behave import given, then, when
 
-from cloverhook_emulator.fleet_runner import Fleet
-
-HOST = "booking.brathwaite.example"
-DATA_CENTERS = ("halfway-tree", "new-kingston", "papine")
-WAIT_S = 20
-
-CONFIG = """
-brand = "brathwaite"
-[[services]]
-name = "booking"
-hosts = ["{host}"]
-[[services.places]]
-data_center = "papine"
-endpoints = [{endpoints}]
-"""
-
-
-def run(context, work):
-    """Run a coroutine on the scenario's loop."""
-    return context.loop.run_until_complete(work)
-
-
-async def eventually(condition):
-    """Wait until an asynchronous condition holds."""
-    async with asyncio.timeout(WAIT_S):
-        while not await condition():
-            await asyncio.sleep(0.05)
-
-
-async def _start(context, backends, daemons):
-    context.fleet = await context.stack.enter_async_context(Fleet())
-    context.session = await context.stack.enter_async_context(aiohttp.ClientSession())
-    context.endpoints = await context.fleet.start_backend("--work_ms=5", count=backends)
-    for index in range(daemons):
-        await context.fleet.start_daemon(f"vm-{index}", DATA_CENTERS[index % 3], drain_ms=500)
-    await context.fleet.list_vms()
+from features.shared import CONFIG, HOST, eventually, run, start_fleet
 
 
 @given("{backends:d} backend servers and {daemons:d} daemons")
 def step_fleet(context, backends, daemons):
-    run(context, _start(context, backends, daemons))
+    run(context, start_fleet(context, backends, daemons))
 
 
 @when("an operator publishes the configuration")
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -19,7 +19,7 @@
     then_cut,
     then_hang,
 )
-from features.steps.fleet_steps import CONFIG, eventually, run
+from features.shared import CONFIG, eventually, run
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = b"Transfer-Encoding: chunked"
--- a/features/steps/listener_steps.py
+++ b/features/steps/listener_steps.py
@@ -8,7 +8,7 @@
 from cloverhook.server import Listener
 from cloverhook.upstream import UpstreamPool
 from features.http_peers import call, request
-from features.steps.fleet_steps import run
+from features.shared import run
 
 
 @given("a listener that answers in two parts")
--- a/features/steps/membership_fleet_steps.py
+++ b/features/steps/membership_fleet_steps.py
@@ -9,7 +9,7 @@
 
 from cloverhook_emulator.cut_proxy import CutProxy, Mode
 from cloverhook_emulator.fleet_runner import Fleet
-from features.steps.fleet_steps import DATA_CENTERS, HOST, eventually, run
+from features.shared import DATA_CENTERS, HOST, eventually, run
 
 LIFETIME_MS = 300
 CALLERS = 4
--- a/features/steps/peer_links_steps.py
+++ b/features/steps/peer_links_steps.py
@@ -13,7 +13,7 @@
 from cloverhook.messages import Hello, Ping, RecordsWanted
 from cloverhook.peering import IDLE_LINK_MS, SILENT_LINK_MS, PeerLinks
 from cloverhook_emulator.cut_proxy import CutProxy, Mode
-from features.steps.fleet_steps import eventually, run
+from features.shared import eventually, run
 
 KEY = b"a key"
 
