Check the layers' import rule and the bounds of the machines

The rule stood in the docstrings only. Seen red with an import of threading, and the check finds an upward import in a pair of modules made for it.

--- /dev/null
+++ b/features/steps/layers_steps.py
@@ -0,0 +1,112 @@
+"""Steps that read the package's modules as source."""
+
+import ast
+import re
+from dataclasses import dataclass
+from pathlib import Path
+
+from behave import given, then
+
+import cloverhook
+
+PACKAGE = Path(cloverhook.__file__).parent
+LAYER = re.compile(r"^Layer: (\w+)", re.MULTILINE)
+FORBIDDEN = {
+    "_thread",
+    "concurrent",
+    "multiprocessing",
+    "pty",
+    "subprocess",
+    "threading",
+    "uvloop",
+}
+FORBIDDEN_CALLS = {"fork", "forkpty", "popen", "posix_spawn", "system", "to_thread"}
+
+
+@dataclass(frozen=True, slots=True)
+class Module:
+    """A module as its source shows it."""
+
+    name: str
+    layer: str
+    imports: frozenset[str]
+    calls: frozenset[str]
+
+    @classmethod
+    def from_source(cls, name, source):
+        """Read a module."""
+        tree = ast.parse(source)
+        found = LAYER.search(ast.get_docstring(tree) or "")
+        imports, calls = set(), set()
+        for node in ast.walk(tree):
+            if isinstance(node, ast.Import):
+                imports.update(alias.name for alias in node.names)
+            elif isinstance(node, ast.ImportFrom):
+                imports.add(node.module)
+                imports.update(f"{node.module}.{alias.name}" for alias in node.names)
+            elif isinstance(node, ast.Attribute):
+                calls.add(node.attr)
+        layer = found.group(1) if found else ""
+        return cls(name, layer, frozenset(imports), frozenset(calls))
+
+
+def _upward(modules, layers):
+    layer_of = {module.name: module.layer for module in modules}
+    return [
+        f"{module.name} ({module.layer}) imports {name} ({layer_of[name]})"
+        for module in modules
+        for name in sorted(module.imports & set(layer_of))
+        if layers.index(layer_of[name]) > layers.index(module.layer)
+    ]
+
+
+@given("the modules of the package")
+def step_modules(context):
+    context.layers = ("state", "protocol", "coordination", "transport")
+    context.modules = [
+        Module.from_source(f"cloverhook.{path.stem}", path.read_text())
+        for path in sorted(PACKAGE.glob("*.py"))
+        if path.stem != "__init__"
+    ]
+    assert len(context.modules) > 20
+
+
+@then("each names one of the layers {layers}")
+def step_named(context, layers):
+    context.layers = tuple(layers.split(", "))
+    wrong = [module.name for module in context.modules if module.layer not in context.layers]
+    assert not wrong, wrong
+
+
+@then("none imports from a higher layer")
+def step_no_upward(context):
+    found = _upward(context.modules, context.layers)
+    assert not found, found
+
+
+@given('a module of layer "{lower}" that imports one of layer "{higher}"')
+def step_bad(context, lower, higher):
+    context.layers = ("state", "protocol", "coordination", "transport")
+    context.modules = [
+        Module.from_source("cloverhook.a", f'"""A.\n\nLayer: {lower}."""\nimport cloverhook.b\n'),
+        Module.from_source("cloverhook.b", f'"""B.\n\nLayer: {higher}."""\n'),
+    ]
+
+
+@then("the import is reported")
+def step_reported(context):
+    found = _upward(context.modules, context.layers)
+    assert found == ["cloverhook.a (state) imports cloverhook.b (transport)"], found
+
+
+@then("none uses threads, child processes, shared memory or another event loop")
+def step_bounds(context):
+    wrong = [
+        (module.name, name)
+        for module in context.modules
+        for name in {item.partition(".")[0] for item in module.imports} & FORBIDDEN
+    ]
+    wrong += [
+        (module.name, name) for module in context.modules for name in module.calls & FORBIDDEN_CALLS
+    ]
+    assert not wrong, wrong
