--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup test lint format demo bench capacity soak clean
+.PHONY: setup test lint format demo bench reference capacity soak clean
 
 setup: $(VENV)/ready
 
@@ -30,6 +30,9 @@
 bench: setup
 	$(BIN)/python -m bench.run
 
+reference: setup
+	$(BIN)/python -m bench.reference
+
 capacity: setup
 	$(BIN)/python -m bench.capacity
 
--- /dev/null
+++ b/bench/reference.py
@@ -0,0 +1,176 @@
+"""Writes docs/REFERENCE.md: every command, flag, setting, error kind, metric and event.
+
+The rows come from the programs, so the page names neither more nor less than there is.  The last
+cell of a row, which says what the thing means, is written by hand and kept; a row that is new gets
+an empty one.  `make reference` runs it.
+"""
+
+import re
+import sys
+from dataclasses import MISSING, dataclass, fields
+from pathlib import Path
+
+from absl import flags
+
+from cloverhook import cli, daemon
+from cloverhook.errors import ANSWERS, ErrorKind
+from cloverhook.fleet import Policy
+from cloverhook.metrics import Metric
+from cloverhook.settings import DaemonSettings
+from cloverhook.timeline import EventName
+
+__all__ = ["PAGE", "Section", "empty_cells", "reference_page", "sections"]
+
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "REFERENCE.md"
+ROW = re.compile(r"^\| `([^`]+)` \|(?:.*\|)? *([^|]*?) *\|$", re.MULTILINE)
+UNITS = {
+    "_ms_per_s": "ms per second",
+    "_ms": "ms",
+    "_bytes": "bytes",
+    "_ratio": "0 to 1",
+    "_count": "count",
+    "_address": "ip:port",
+    "_file": "path",
+    "_url": "URL",
+}
+HEAD = """# Reference
+
+Written by `make reference` from the programs; only the last column of each table is written by
+hand.  A test compares this page with the programs.
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Section:
+    """A table: its title, the names of its columns, and rows without their last cell."""
+
+    title: str
+    columns: tuple[str, ...]
+    rows: tuple[tuple[str, ...], ...]
+    by_hand: bool = True
+
+    def to_text(self, meanings: dict[str, str]) -> str:
+        """Return the section with the cells that were written by hand."""
+        lines = [f"## {self.title}", "", _row(self.columns), _row("---" for _ in self.columns)]
+        for row in self.rows:
+            key = f"`{row[0]}`"
+            last = (meanings.get(row[0], ""),) if self.by_hand else ()
+            lines.append(_row((key, *row[1:], *last)))
+        return "\n".join(lines) + "\n"
+
+
+def sections() -> tuple[Section, ...]:
+    """Return all tables of the page."""
+    return (
+        Section(
+            "Commands of `cloverhook`", ("Command", "Meaning"), tuple((c,) for c in cli.COMMANDS)
+        ),
+        Section("Flags of `cloverhook`", ("Flag", "Default", "Help"), _flags("cli"), False),
+        Section("Flags of `cloverhookd`", ("Flag", "Default", "Help"), _flags("daemon"), False),
+        Section(
+            "Settings of a daemon",
+            ("Setting", "Type", "Unit", "Default", "Meaning"),
+            _fields(DaemonSettings),
+        ),
+        Section(
+            "Policy of a service, which a preset may change",
+            ("Key", "Type", "Unit", "Default", "Meaning"),
+            _fields(Policy),
+        ),
+        Section(
+            "Error kinds",
+            ("Kind", "Status", "Outcome", "Retry-After", "Cause, and what to do"),
+            tuple(_error_row(kind) for kind in ErrorKind),
+        ),
+        Section(
+            "Metrics",
+            ("Metric", "Kind", "Unit", "Labels", "Help", "When to act, and how"),
+            tuple(_metric_row(metric) for metric in Metric),
+        ),
+        Section(
+            "Events of the time line", ("Event", "Meaning"), tuple((e.value,) for e in EventName)
+        ),
+    )
+
+
+def reference_page(before: str) -> str:
+    """Return the page, with the cells that were written by hand in the page before."""
+    parts = [HEAD]
+    for section in sections():
+        _, _, rest = before.partition(f"## {section.title}\n")
+        table, _, _ = rest.partition("\n## ")
+        parts.append(section.to_text(dict(ROW.findall(table))))
+    return "\n".join(parts)
+
+
+def empty_cells(page: str) -> list[str]:
+    """Return the rows of a page whose last cell is empty."""
+    return [key for key, meaning in ROW.findall(page) if not meaning.strip()]
+
+
+def _row(cells) -> str:
+    return f"| {' | '.join(cells)} |"
+
+
+def _fields(kind: type) -> tuple[tuple[str, ...], ...]:
+    return tuple(
+        (
+            field.name,
+            getattr(field.type, "__name__", str(field.type)),
+            _unit(field.name),
+            _default(field),
+        )
+        for field in fields(kind)
+    )
+
+
+def _default(field) -> str:
+    return "needed" if field.default is MISSING else repr(field.default)
+
+
+def _unit(name: str) -> str:
+    return next((unit for suffix, unit in UNITS.items() if name.endswith(suffix)), "")
+
+
+def _flags(program: str) -> tuple[tuple[str, ...], ...]:
+    module = {"cli": cli, "daemon": daemon}[program]
+    names = {module.__name__} | {
+        name for name in sys.modules if name.endswith("_command") and program == "cli"
+    }
+    found = flags.FLAGS.flags_by_module_dict()
+    defined = {flag.name: flag for name in names for flag in found.get(name, ())}
+    return tuple(
+        (f"--{name}", f"`{flag.default!r}`", (flag.help or "").replace("|", "/"))
+        for name, flag in sorted(defined.items())
+    )
+
+
+def _error_row(kind: ErrorKind) -> tuple[str, ...]:
+    answer = ANSWERS[kind]
+    return (
+        kind.value,
+        str(answer.status),
+        answer.outcome.value,
+        "yes" if answer.retry_after else "no",
+    )
+
+
+def _metric_row(metric: Metric) -> tuple[str, ...]:
+    spec = metric.spec
+    return (spec.name, spec.kind.value, spec.unit, ", ".join(spec.labels), spec.help)
+
+
+def main(arguments: list[str]) -> None:
+    """Write the page, or with `--print` only print what it should be."""
+    before = PAGE.read_text() if PAGE.exists() else ""
+    page = reference_page(before)
+    if "--print" in arguments:
+        print(page, end="")
+        return
+    PAGE.write_text(page)
+    for key in empty_cells(page):
+        print(f"reference: no meaning is written for {key}")
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
