--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -35,11 +35,11 @@
 BUDGET = Budget()
 SECONDS_PER_DAY = 86_400
 TICKS_PER_S = 100
-HEARTBEATS_PER_S = 4
 MEASURING_MS_PER_S = 60
 PROBE_MS = 6.0
 PROBE_CPU_MS = 0.4
 SCRAPE_EVERY_S = 15
+CHANGES_OF_A_RESTART = 4
 SNAPSHOT_EVERY_CHANGES = 100
 EVENTS_OF_A_CALL = 4
 KEPT_EVENTS = 20_000
@@ -142,16 +142,19 @@
 
 def _membership(slopes: list[Slope]) -> tuple[str, ...]:
     vms = _vms(slopes, 1)
-    second_us = _find(slopes, "membership", "a second of one daemon").at(vms)
+    changes = CHANGES_OF_A_RESTART * SIZE.restarts_per_day / SECONDS_PER_DAY
+    second = _find(slopes, "membership", "a second of one daemon")
+    change = _find(slopes, "membership", "a change of a member")
     second_bytes = _find(slopes, "membership", "bytes a second").at(vms)
+    change_bytes = _find(slopes, "membership", "bytes of a change").at(vms)
     return (
         "membership",
         f"{vms} members",
-        "heartbeats on each link, and changes of members",
-        _core(second_us),
+        f"heartbeats on the links to neighbours; {changes:.2g} changes/s, each once on each link",
+        _core(second.at(vms) + changes * change.at(vms)),
         "under 1 MB",
-        _bytes(second_bytes),
-        "heartbeats between daemons, and the platform's list",
+        _bytes(second_bytes + changes * change_bytes),
+        "heartbeats and gossip over an overlay of bounded degree, and the platform's list",
     )
 
 
