Put endpoints' troubles on the time line, and probes against their budget on the metrics page

The events were declared and never given. The dispatcher now looks at an endpoint after each attempt and probe there. Seen red: nobody looks, and an event for each look rather than each change.

--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -61,7 +61,7 @@
         self._observer = Observer(settings)
         self._observer.watch(self._samples)
         self._platform = StampedPlatform(platform, self._observer.time_line.clock)
-        self._dispatcher = Dispatcher(random.Random(), self)
+        self._dispatcher = Dispatcher(random.Random(), self, self._observer)
         self._pool = UpstreamPool(settings.header_limit_bytes)
         self._claims = ClaimLog(
             self._platform,
--- a/cloverhook/dispatch.py
+++ b/cloverhook/dispatch.py
@@ -34,7 +34,7 @@
 )
 from cloverhook.token_bucket import TokenBucket
 
-__all__ = ["Dispatcher", "Outlet", "Target"]
+__all__ = ["DispatchWatch", "Dispatcher", "Outlet", "Target"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,11 +61,24 @@
         """Ask an endpoint for its load and report it by `Dispatcher.probe_ended`."""
 
 
+class DispatchWatch(Protocol):
+    """Who is told of endpoints and probes; the events and metrics come from it."""
+
+    def endpoint_is(self, address: str, trouble: int) -> None:
+        """Take what is wrong with an endpoint after an attempt or probe there."""
+
+    def probed(self, target: Target, latency_ms: float) -> None:
+        """Take a probe that has ended."""
+
+
 class Dispatcher:
     """The routers of this daemon and the requests that wait for them."""
 
-    def __init__(self, source: random.Random, outlet: Outlet) -> None:
+    def __init__(
+        self, source: random.Random, outlet: Outlet, watch: DispatchWatch | None = None
+    ) -> None:
         self._random = source
+        self._watch = watch
         self._outlet = outlet
         self._peer_bytes = TokenBucket(PEER_BYTES_PER_S, PEER_BYTES_PER_S)
         self._targets: dict[bytes, Target] = {}
@@ -108,11 +121,15 @@
 
     async def retry(self, target: Target, ended: AttemptEnded, now_ms: float) -> str:
         """Wait until another attempt may start.  Raises `RequestError` when none may."""
-        return await self._wait(target, ended.request_id, ended, now_ms)
+        try:
+            return await self._wait(target, ended.request_id, ended, now_ms)
+        finally:
+            self._look_at(target.key, ended.address)
 
     def ended(self, target: Target, ended: AttemptEnded, now_ms: float) -> None:
         """Report the end of a request's last attempt."""
         self._drive(target.key, ended, now_ms)
+        self._look_at(target.key, ended.address)
 
     def homes_changed(
         self,
@@ -135,6 +152,10 @@
     def probe_ended(self, key: str, ended: ProbeEnded, now_ms: float) -> None:
         """Take the end of a probe."""
         self._drive(key, ended, now_ms)
+        target = self._target_of.get(key)
+        if self._watch is not None and target is not None:
+            self._watch.probed(target, ended.latency_ms)
+        self._look_at(key, ended.address)
 
     def tick(self, now_ms: float) -> None:
         """Let time pass for all routers."""
@@ -153,6 +174,11 @@
         finally:
             self._waiting.pop(request_id, None)
 
+    def _look_at(self, key: str, address: str) -> None:
+        router = self._routers.get(key)
+        if self._watch is not None and router is not None:
+            self._watch.endpoint_is(address, router.trouble_of(address))
+
     def _drive(self, key: str, event: Event, now_ms: float) -> None:
         router = self._routers.get(key)
         if router is None:
--- a/cloverhook/observer.py
+++ b/cloverhook/observer.py
@@ -4,9 +4,11 @@
 keeps the events and counts, and gathers samples of the other parts when metrics are asked for.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 from cloverhook.clock import monotonic_ms, wall_ms
+from cloverhook.dispatch import Target
 from cloverhook.errors import ErrorKind
 from cloverhook.fold import FoldResult, Verdict
 from cloverhook.member_watch import MemberWatch
@@ -21,6 +23,16 @@
 
 LOOP_LAG_BOUNDS_MS = (0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 1_000.0)
 FROM_LOG = "log"
+TROUBLES = ("well", "slow", "failing", "unreachable")
+
+
+@dataclass(slots=True)
+class ProbeCounts:
+    """The probes of one service's endpoints by this daemon."""
+
+    count: int = 0
+    spent_ms: float = 0.0
+    budget_ms_per_s: float = 0.0
 
 
 class Observer:
@@ -36,6 +48,8 @@
         self._log_silent = False
         self._loop_lag_ms = HistogramCounts(LOOP_LAG_BOUNDS_MS)
         self._refused_operators = 0
+        self._troubles: dict[str, int] = {}
+        self._probes: dict[str, ProbeCounts] = {}
         self.records_from = FROM_LOG
         self.requests = RequestStats()
         self.time_line = TimeLine(
@@ -77,6 +91,21 @@
         for change in self._members.update(members):
             self.note(change.name, change.vm)
 
+    def endpoint_is(self, address: str, trouble: int) -> None:
+        """Note what is wrong with an endpoint, if that has changed."""
+        if self._troubles.get(address, 0) != trouble:
+            self._troubles[address] = trouble
+            now_ms = wall_ms()
+            detail = TROUBLES[trouble]
+            self.time_line.add(now_ms, EventName.ENDPOINT_STATE, address=address, detail=detail)
+
+    def probed(self, target: Target, latency_ms: float) -> None:
+        """Count a probe and the time it took."""
+        probes = self._probes.setdefault(target.key, ProbeCounts())
+        probes.count += 1
+        probes.spent_ms += latency_ms
+        probes.budget_ms_per_s = target.policy.measuring_ms_per_s
+
     def loop_lagged(self, due_ms: float) -> None:
         """Count how late a timer is that was due at a point of the monotonic clock."""
         self._loop_lag_ms.add(monotonic_ms() - due_ms)
@@ -98,6 +127,7 @@
     def _samples(self) -> list[Sample]:
         return [
             *_request_samples(self.requests),
+            *_probe_samples(self._probes),
             Sample(Metric.REFUSED_OPERATORS, self._refused_operators),
             Sample(Metric.LOG_AGE, self.log_age_ms),
             Sample(Metric.LOOP_LAG, self._loop_lag_ms),
@@ -106,6 +136,15 @@
         ]
 
 
+def _probe_samples(probes: Mapping[str, ProbeCounts]) -> list[Sample]:
+    samples: list[Sample] = []
+    for key, counts in probes.items():
+        samples.append(Sample(Metric.PROBES, counts.count, (key,)))
+        samples.append(Sample(Metric.MEASURING, counts.spent_ms, (key,)))
+        samples.append(Sample(Metric.MEASURING_BUDGET, counts.budget_ms_per_s, (key,)))
+    return samples
+
+
 def _request_samples(stats: RequestStats) -> list[Sample]:
     samples = [
         Sample(Metric.IN_FLIGHT, stats.in_flight),
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -100,6 +100,11 @@
         self._next_probes_ms = 0.0
         self._present: list[Endpoint] = []
 
+    def trouble_of(self, address: str) -> int:
+        """Return what is wrong with an endpoint, as `endpoint_stats.Trouble` numbers it."""
+        stats = self._table.get(address)
+        return 0 if stats is None else int(stats.trouble)
+
     @singledispatchmethod
     def handle(self, event: Event, now_ms: float) -> tuple[Action, ...]:
         """Take an event at a time in milliseconds and return the actions it calls for."""
--- a/features/steps/timeline_steps.py
+++ b/features/steps/timeline_steps.py
@@ -5,9 +5,16 @@
 
 from behave import given, then, when
 
+from cloverhook.dispatch import Dispatcher
 from cloverhook.event_view import merged, to_trace
+from cloverhook.fleet import Priority
+from cloverhook.fold import State, fold
 from cloverhook.messages import Heartbeat, decode_stamped, encode
+from cloverhook.observer import Observer
 from cloverhook.platform_api import MemoryPlatform
+from cloverhook.records import Change, Publish
+from cloverhook.routing import Arrival, AttemptEnded, AttemptResult
+from cloverhook.settings import DaemonSettings
 from cloverhook.stamped_platform import StampedPlatform
 from cloverhook.timeline import EventName, TimeLine
 from features.shared import HOST, run
@@ -250,3 +257,49 @@
     entries = json.loads(path.read_text())["traceEvents"]
     names = {e["args"]["name"] for e in entries if e["name"] == "process_name"}
     assert names == set(context.fleet.daemons)
+
+
+@given("a dispatcher with an endpoint that refuses connections")
+def step_dispatcher(context):
+    settings = DaemonSettings("vm-0", "papine", "a", "b", "c", "d")
+    context.observer = Observer(settings)
+    context.dispatcher = Dispatcher(random.Random(1), None, context.observer)
+    document = {
+        "brand": "brathwaite",
+        "services": [
+            {
+                "name": "booking",
+                "hosts": [HOST],
+                "places": [{"data_center": "papine", "endpoints": ["10.0.0.1:80", "10.0.0.2:80"]}],
+            }
+        ],
+    }
+    change = Change("c1", "brathwaite", 0, "operator", Publish(document))
+    context.dispatcher.configure(fold(State(), 0, change).state, 0.0)
+
+
+@when("requests are sent there until they are refused")
+def step_unreachable(context):
+    target = context.dispatcher.target_for(HOST.encode())
+
+    async def calls():
+        for index in range(40):
+            now_ms = index * 500.0
+            arrival = Arrival(f"r{index}", Priority.NORMAL, now_ms + 1_000, idempotent=True)
+            address = await context.dispatcher.admit(target, arrival, now_ms)
+            bad = address == "10.0.0.1:80"
+            result = AttemptResult.NOT_SENT if bad else AttemptResult.ANSWERED
+            ended = AttemptEnded(f"r{index}", address, result, 5.0)
+            context.dispatcher.ended(target, ended, now_ms)
+
+    run(context, calls())
+
+
+@then('the time line shows the endpoint as "{trouble}" once')
+def step_trouble(context, trouble):
+    found = [
+        (event.address, event.detail)
+        for event in context.observer.time_line.events()
+        if event.name is EventName.ENDPOINT_STATE
+    ]
+    assert found == [("10.0.0.1:80", trouble)], found
--- a/features/timeline.feature
+++ b/features/timeline.feature
@@ -35,6 +35,11 @@
     When it is written as a trace
     Then each request is one bar and no two bars of requests overlap on a lane
 
+  Scenario: An endpoint that cannot be reached shows on the time line
+    Given a dispatcher with an endpoint that refuses connections
+    When requests are sent there until they are refused
+    Then the time line shows the endpoint as "unreachable" once
+
   Scenario: The tool follows a request over the daemons
     Given 2 backend servers and 2 daemons
     When an operator publishes the configuration
