Give a started request's slot back when its caller leaves; answer homes in turn

Cause of the first: a task that is cancelled between the start of its request and its next step told the router that a waiting request was gone, so the slot of the endpoint stayed in use for good. Seen red in features/dispatch.feature against the code before: the next request never got the slot.

The home VMs now stand first in turn, as often as each owns slots, instead of in a random order, and an answer given within two seconds of a change of the homes is kept for 250 ms only. The routers are told the data centre of each home, so that an endpoint's owner is one in its own data centre where there is one: until now every router worked without them.

--- a/cloverhook/address_answers.py
+++ b/cloverhook/address_answers.py
@@ -1,17 +1,19 @@
 """What a caller is told when it asks which addresses to use for a service.
 
-Layer: coordination, free of input and output.  The home VMs come first, in an order that differs
-from answer to answer so that callers spread over them; then the others, in the service's order.
-A caller that names its data centre gets the VMs there before the others of their group.
+Layer: coordination, free of input and output.  The home VMs come first, in turn, so that each is
+first as often as its share of the slots says; then the others, in the service's order.  A caller
+that names its data centre gets the VMs there before the others of their group.
 """
 
 import random
 from collections.abc import Sequence
 from typing import Any
 
+from cloverhook.fleet import Endpoint, Service
 from cloverhook.homes import HomeTable
 from cloverhook.members import Member
-from cloverhook.steering import ranked
+from cloverhook.ownership import owned_slots
+from cloverhook.steering import AnswerOrder, answer_lifetime_ms, ranked
 
 __all__ = ["AddressAnswers"]
 
@@ -23,40 +25,67 @@
     """Answers from the members that serve and their home tables."""
 
     def __init__(self, source: random.Random) -> None:
-        self._random = source
         self._homes = HomeTable()
+        self._order = AnswerOrder(source)
         self._serving: Sequence[Member] = ()
         self._others: dict[str, tuple[Member, ...]] = {}
+        self._changed_ms: dict[str, float] = {}
+        self._weights: dict[str, tuple[Sequence[Endpoint], dict[str, float]]] = {}
 
-    def update(self, counts: dict[str, int], serving: Sequence[Member]) -> tuple[str, ...]:
+    def update(
+        self, counts: dict[str, int], serving: Sequence[Member], now_ms: float
+    ) -> tuple[str, ...]:
         """Take who serves; return the services whose home VMs have changed."""
         self._serving = serving
         self._others.clear()
-        return self._homes.update(counts, serving)
+        changed = self._homes.update(counts, serving)
+        for key in changed:
+            self._changed_ms[key] = now_ms
+            self._weights.pop(key, None)
+        return changed
+
+    def home_data_centers(self, key: str) -> dict[str, str]:
+        """Return the data centre of each of a service's home VMs."""
+        return {member.vm: member.data_center for member in self._homes.homes(key)}
 
     def home_names(self, key: str) -> tuple[str, ...]:
         """Return the names of a service's home VMs."""
         return self._homes.names(key)
 
     def answer(
-        self, key: str, name: str, lifetime_ms: float, data_center: str = "", doubtful: bool = False
+        self,
+        key: str,
+        service: Service,
+        lifetime_ms: float,
+        now_ms: float,
+        data_center: str = "",
+        doubtful: bool = False,
     ) -> dict[str, Any]:
         """Return the answer for a service.
 
         With `doubtful`, when this process has been paused and what it knows is not confirmed
-        yet, the answer's lifetime is short.
+        yet, the answer's lifetime is short; so it is while the homes have just changed.
         """
-        homes = list(self._homes.homes(key))
-        self._random.shuffle(homes)
-        ordered = [*_nearest_first(homes, data_center)]
+        homes = self._homes.homes(key)
+        weights = self._weights_of(key, service.endpoints)
+        ordered = _nearest_first(self._order.next(key, homes, weights), data_center)
         ordered += _nearest_first(self._ranked_others(key), data_center)
+        lifetime_ms = answer_lifetime_ms(lifetime_ms, self._changed_ms.get(key, now_ms), now_ms)
         return {
-            "service": name,
+            "service": service.name,
             "lifetime_ms": min(lifetime_ms, DOUBTFUL_LIFETIME_MS) if doubtful else lifetime_ms,
             "homes": len(homes),
             "addresses": [member.caller_address for member in ordered[:ADDRESSES_LIMIT]],
         }
 
+    def _weights_of(self, key: str, endpoints: Sequence[Endpoint]) -> dict[str, float]:
+        known = self._weights.get(key)
+        if known is None or known[0] is not endpoints:
+            homes = self._homes.names(key)
+            known = (endpoints, owned_slots(endpoints, homes, self.home_data_centers(key)))
+            self._weights[key] = known
+        return known[1]
+
     def _ranked_others(self, key: str) -> tuple[Member, ...]:
         if key not in self._others:
             homes = set(self._homes.names(key))
--- a/cloverhook/cluster.py
+++ b/cloverhook/cluster.py
@@ -137,8 +137,9 @@
         self._update_homes()
         return self._answers.answer(
             target.key,
-            target.service.name,
+            target.service,
             target.policy.lifetime_ms,
+            monotonic_ms(),
             data_center,
             self.membership.doubtful,
         )
@@ -256,9 +257,12 @@
             return
         self._answered = (self.membership.version, targets)
         counts = {target.key: target.policy.home_vms for target in targets}
-        for key in self._answers.update(counts, self.membership.serving()):
+        now_ms = monotonic_ms()
+        own = {self._settings.vm: self._settings.data_center}
+        for key in self._answers.update(counts, self.membership.serving(), now_ms):
             homes = self._answers.home_names(key)
-            self._dispatcher.homes_changed(key, self._settings.vm, homes, monotonic_ms())
+            centers = self._answers.home_data_centers(key) | own
+            self._dispatcher.homes_changed(key, self._settings.vm, homes, now_ms, centers)
 
     async def _ticks(self) -> None:
         while True:
--- a/cloverhook/dispatch.py
+++ b/cloverhook/dispatch.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from cloverhook.clock import monotonic_ms
 from cloverhook.errors import ErrorKind, RequestError
 from cloverhook.fleet import Policy, Service
 from cloverhook.fold import State
@@ -19,6 +20,7 @@
     Action,
     Arrival,
     AttemptEnded,
+    AttemptResult,
     CallerGone,
     EndpointsChanged,
     Event,
@@ -169,11 +171,20 @@
         try:
             return await future
         except asyncio.CancelledError:
-            self._drive(target.key, CallerGone(request_id), now_ms)
+            self._caller_gone(target.key, request_id, future)
             raise
         finally:
             self._waiting.pop(request_id, None)
 
+    def _caller_gone(self, key: str, request_id: str, future: asyncio.Future[str]) -> None:
+        """Take back a request whose caller left, also in the moment after it was started."""
+        now_ms = monotonic_ms()
+        if future.done() and not future.cancelled() and future.exception() is None:
+            ended = AttemptEnded(request_id, future.result(), AttemptResult.CANCELLED, 0.0)
+            self._drive(key, ended, now_ms)
+        else:
+            self._drive(key, CallerGone(request_id), now_ms)
+
     def _look_at(self, key: str, address: str) -> None:
         router = self._routers.get(key)
         if self._watch is not None and router is not None:
--- a/cloverhook/steering.py
+++ b/cloverhook/steering.py
@@ -4,6 +4,7 @@
 comes or goes moves only the callers of the places it takes or leaves.
 """
 
+import random
 from collections.abc import Mapping, Sequence
 
 import xxhash
@@ -50,10 +51,11 @@
 
     A caller that uses only the first address of its answer must not make the first home the
     busiest, so the first place goes round, to each home as often as its weight says.  The weight is
-    the number of slots that the home owns.
+    the number of slots that the home owns.  With a random source, the turn starts anywhere.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, source: random.Random | None = None) -> None:
+        self._random = source
         self._credit: dict[str, dict[str, float]] = {}
 
     def next(
@@ -62,13 +64,20 @@
         """Return the homes in the order of the service's next answer."""
         if not homes:
             return []
-        before = self._credit.get(service_key, {})
+        before = self._credit.get(service_key) or self._start(homes, weights)
         credit = {home.vm: before.get(home.vm, 0.0) + weights.get(home.vm, 1.0) for home in homes}
         order = sorted(homes, key=lambda home: credit[home.vm], reverse=True)
         credit[order[0].vm] -= sum(weights.get(home.vm, 1.0) for home in homes)
         self._credit[service_key] = credit
         return order
 
+    def _start(self, homes: Sequence[Member], weights: Mapping[str, float]) -> dict[str, float]:
+        """Return a random start, so that daemons do not all name the same home first."""
+        if self._random is None:
+            return {}
+        total = sum(weights.get(home.vm, 1.0) for home in homes)
+        return {home.vm: self._random.uniform(0.0, total) for home in homes}
+
 
 def _weight(key: str, vm: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}\0{vm}".encode())
--- /dev/null
+++ b/features/steps/dispatch_steps.py
@@ -0,0 +1,108 @@
+"""Steps that drive a dispatcher with one endpoint of one slot."""
+
+import asyncio
+import contextlib
+import random
+
+from behave import given, then, when
+
+from cloverhook.clock import monotonic_ms
+from cloverhook.dispatch import Dispatcher
+from cloverhook.fleet import Priority
+from cloverhook.fold import fold
+from cloverhook.records import Change, Publish
+from cloverhook.routing import Arrival, AttemptEnded, AttemptResult
+from cloverhook.state import State
+from features.shared import run
+
+ADDRESS = "127.0.0.1:9"
+HOST = b"one.example"
+DOCUMENT = {
+    "brand": "one",
+    "services": [
+        {
+            "name": "only",
+            "hosts": [HOST.decode()],
+            "places": [{"data_center": "papine", "slots": 1, "endpoints": [ADDRESS]}],
+        }
+    ],
+}
+
+
+class NoOutlet:
+    """An outlet that loses every message and probe."""
+
+    def tell(self, vm, message):
+        """Lose a message."""
+
+    def probe(self, target, address):
+        """Lose a probe."""
+
+
+def admit(context, request_id):
+    """Return a task that waits for a request's start."""
+    now_ms = monotonic_ms()
+    arrival = Arrival(request_id, Priority.NORMAL, now_ms + 60_000, idempotent=False)
+    work = context.dispatcher.admit(context.target, arrival, now_ms)
+    return asyncio.ensure_future(work, loop=context.loop)
+
+
+async def leave(task):
+    """Cancel a task, as the listener does when the caller leaves."""
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+@given("a dispatcher with one slot")
+def step_dispatcher(context):
+    state = fold(State(), 0, Change("c1", "one", 0, "ann", Publish(DOCUMENT))).state
+    context.dispatcher = Dispatcher(random.Random(1), NoOutlet())
+    context.dispatcher.configure(state, monotonic_ms())
+    context.target = context.dispatcher.target_for(HOST)
+
+
+@when("a caller leaves between the start of its request and its next step")
+def step_leave_started(context):
+    async def started_then_left():
+        assert await admit(context, "first") == ADDRESS
+        task = admit(context, "left")
+        await asyncio.sleep(0)
+        ended = AttemptEnded("first", ADDRESS, AttemptResult.ANSWERED, 5.0)
+        context.dispatcher.ended(context.target, ended, monotonic_ms())
+        await leave(task)
+
+    run(context, started_then_left())
+
+
+@when("the slot is in use and a caller leaves while its request waits")
+def step_leave_waiting(context):
+    async def waiting_then_left():
+        assert await admit(context, "first") == ADDRESS
+        gone = admit(context, "gone")
+        context.behind = admit(context, "behind")
+        await asyncio.sleep(0)
+        await leave(gone)
+        ended = AttemptEnded("first", ADDRESS, AttemptResult.ANSWERED, 5.0)
+        context.dispatcher.ended(context.target, ended, monotonic_ms())
+
+    run(context, waiting_then_left())
+
+
+@then("the next request gets the slot at once")
+def step_next(context):
+    async def next_one():
+        task = admit(context, "next")
+        for _ in range(3):
+            await asyncio.sleep(0)
+        return task.done() and task.result()
+
+    assert run(context, next_one()) == ADDRESS
+
+
+@then("the slot goes to the request behind it")
+def step_behind(context):
+    async def result():
+        return await context.behind
+
+    assert run(context, result()) == ADDRESS
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -1,18 +1,20 @@
 """Steps that drive memberships over links in memory."""
 
 import random
+from collections import Counter
 
 from behave import given, then, when
 
 from cloverhook.address_answers import DOUBTFUL_LIFETIME_MS, AddressAnswers
 from cloverhook.catch_up import ANSWER_MS, PATIENCE_MS, CatchUp
+from cloverhook.fleet import Endpoint, Service
 from cloverhook.homes import HomeTable
 from cloverhook.member_events import CallerReport, Leave, MessageHeard
 from cloverhook.members import Member, Status
 from cloverhook.messages import Heartbeat, MemberUpdates, RecordsWanted
 from cloverhook.outbox import Outbox
 from cloverhook.overlay import neighbours
-from cloverhook.steering import home_vms
+from cloverhook.steering import UNSETTLED_LIFETIME_MS, home_vms
 from features.member_network import DATA_CENTERS, MemberNetwork
 
 
@@ -292,12 +294,17 @@
 def step_answers(context):
     answers = AddressAnswers(random.Random(5))
     members = [Member(vm, DATA_CENTERS[int(vm[3:]) % 3], vm, "") for vm in names(0, 18)]
-    answers.update({"b/s": 3}, members)
+    places = tuple(Endpoint(f"10.0.0.{i}:80", DATA_CENTERS[i % 3]) for i in range(6))
+    service = Service("s", ("s.example",), places)
+    answers.update({"b/s": 3}, members, 0.0)
     homes = {member.vm for member in home_vms("b/s", members, 3)}
-    given_answers = [answers.answer("b/s", "s", 5_000)["addresses"] for _ in range(60)]
-    assert all(set(found[:3]) == homes for found in given_answers)
-    assert {found[0] for found in given_answers} == homes
-    near = answers.answer("b/s", "s", 5_000, "papine", doubtful=True)
+    given_answers = [answers.answer("b/s", service, 5_000, 9_000.0) for _ in range(60)]
+    orders = [found["addresses"] for found in given_answers]
+    assert all(set(found[:3]) == homes for found in orders)
+    assert sorted(Counter(found[0] for found in orders).values()) == [20, 20, 20]
+    assert {found["lifetime_ms"] for found in given_answers} == {5_000}
+    assert answers.answer("b/s", service, 5_000, 100.0)["lifetime_ms"] == UNSETTLED_LIFETIME_MS
+    near = answers.answer("b/s", service, 5_000, 9_000.0, "papine", doubtful=True)
     assert near["lifetime_ms"] == DOUBTFUL_LIFETIME_MS
     own_center = [int(vm[3:]) % 3 == 2 for vm in near["addresses"][3:]]
     assert int(near["addresses"][0][3:]) % 3 == 2
