End the bench's processes when it is told to terminate

A bench ended by a timeout's SIGTERM left its fleet running. Sent SIGTERM 7 s into the outage part it ends with 130 and leaves none, also where SIGINT came ignored, as in a shell's background job: a first try that only raised SIGINT ran on to its end there.

--- a/bench/run.py
+++ b/bench/run.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import importlib.util
+import signal
 import sys
 import time
 from collections.abc import Callable
@@ -83,9 +84,16 @@
     return ["replay"] if importlib.import_module("bench.replay").main([]) else []
 
 
+def _interrupt(number: int, frame: object) -> None:
+    """Let a SIGTERM end the bench's processes as Ctrl-C does."""
+    signal.raise_signal(signal.SIGINT)
+
+
 def main(arguments: list[str]) -> int:
     """Run the parts that the flags name and return the exit code."""
     del arguments
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, _interrupt)
     unknown = set(FLAGS.parts) - set(PARTS)
     if unknown:
         print(f"bench: no such parts: {', '.join(sorted(unknown))}", file=sys.stderr)
