--- a/bench/run.py
+++ b/bench/run.py
@@ -92,6 +92,7 @@
 def main(arguments: list[str]) -> int:
     """Run the parts that the flags name and return the exit code."""
     del arguments
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     signal.signal(signal.SIGTERM, _interrupt)
     unknown = set(FLAGS.parts) - set(PARTS)
     if unknown:
