--- a/bench/replay.py
+++ b/bench/replay.py
@@ -1,21 +1,24 @@
 """Replays seeded traces through the decision objects and compares them with other ways.
 
-`python -m bench.replay` prints a table.  Only the load on the decisions is modelled: arrivals,
-work, slots and the ways between machines; processor time of daemons is not.
+`python -m bench.replay` prints a table and checks its ratios against `bounds.toml`.  Only the load
+on the decisions is modelled: arrivals, work, slots and the ways between machines; processor time
+of daemons is not.
 """
 
 import sys
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 
+from bench.figures import Figure, check_bounds
 from bench.replay_traces import DEPLOYMENTS, SCENARIOS, Deployment, Scenario
-from bench.replay_ways import WAYS, replay
+from bench.replay_ways import ALONE, WAYS, replay
 from bench.replay_world import Result
 
-__all__ = ["Row", "main", "run"]
+__all__ = ["Row", "figures_of", "main", "run"]
 
 SEEDS = (1, 2, 3, 4, 5)
 WORKERS = 8
+OUTAGE = "all-down"
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +108,8 @@
         "   p50    p99  p99.9  wait99  good%  fail   refu  lost dbl   att"
         "  msg/k    B/k  VM B/s  prb/k  high99 burst99"
     )
-    for row in run(scenarios=chosen):
+    rows = run(scenarios=chosen)
+    for row in rows:
         print(
             f"{row.scenario:22}{row.service:19}{row.way:16}{row.p50_ms:6.1f}{row.p99_ms:7.1f}"
             f"{row.p999_ms:7.1f}{row.wait_p99_ms:8.1f}{row.goodput * 100:7.2f}{row.failed:6}"
@@ -114,7 +118,40 @@
             f"{row.busiest_vm_bytes_per_s:8.0f}{row.probes_per_1000:7.2f}"
             f"{row.high_p99_ms:8.1f}{row.high_burst_p99_ms:8.1f}"
         )
-    return 0
+    return 1 if check_bounds(figures_of(rows)) else 0
+
+
+def figures_of(rows: list[Row]) -> list[Figure]:
+    """Return what the bounds hold for: for each scenario the worst ratio among the services."""
+    figures: list[Figure] = []
+    for scenario in dict.fromkeys(row.scenario for row in rows):
+        groups = [
+            {row.way: row for row in rows if (row.scenario, row.service) == (scenario, service)}
+            for service in dict.fromkeys(row.service for row in rows)
+        ]
+        name = f"replay.{scenario}"
+        ours = [group["cloverhook"] for group in groups]
+        if scenario == OUTAGE:
+            figures.append(Figure(f"{name}.attempts", max(row.attempts_per_call for row in ours)))
+            figures.append(Figure(f"{name}.late_goodput", min(row.late_goodput for row in ours)))
+            continue
+        p99 = max(group["cloverhook"].p99_ms / group["oracle"].p99_ms for group in groups)
+        p999 = max(group["cloverhook"].p999_ms / group["oracle"].p999_ms for group in groups)
+        figures.append(Figure(f"{name}.p99", p99, "of the oracle"))
+        figures.append(Figure(f"{name}.p999", p999, "of the oracle"))
+        waiting = max(_waiting_ratio(group) for group in groups)
+        figures.append(Figure(f"{name}.waiting_p99", waiting, "of the best baseline"))
+        figures.append(Figure(f"{name}.vm_bytes", max(row.busiest_vm_bytes_per_s for row in ours)))
+        if any(row.high_burst_p99_ms for row in ours):
+            burst = max(row.high_burst_p99_ms / row.high_p99_ms for row in ours)
+            figures.append(Figure(f"{name}.high_burst", burst, "of its steady p99"))
+    figures.append(Figure("replay.doubled", max(row.doubled for row in rows)))
+    return figures
+
+
+def _waiting_ratio(group: dict[str, Row]) -> float:
+    best = min(group[way].wait_p99_ms for way in ALONE)
+    return group["cloverhook"].wait_p99_ms / best
 
 
 if __name__ == "__main__":
--- a/bench/replay_ways.py
+++ b/bench/replay_ways.py
@@ -27,7 +27,7 @@
 )
 from cloverhook.steering import AnswerOrder, answer_lifetime_ms, home_vms
 
-__all__ = ["WAYS", "replay"]
+__all__ = ["ALONE", "WAYS", "replay"]
 
 VMS = 15
 HOMES = 3
--- a/cloverhook/slot_exchange.py
+++ b/cloverhook/slot_exchange.py
@@ -2,7 +2,8 @@
 
 Layer: coordination, free of input and output: methods return `Tell` actions.  The bytes that all
 services of a daemon send for this are bounded by one token bucket; when it is empty, nothing is
-asked or granted and requests wait for the VM's own slots.
+asked or granted and requests wait for the VM's own slots.  Asks among owners leave a reserve for
+VMs that own nothing and have no other way.
 """
 
 from collections.abc import Iterable, Mapping
@@ -20,6 +21,7 @@
 ASK_PACE_MS = 3.0
 IDLE_LOAN_MS = 0.0
 FRAME_BYTES = 24
+OWNERS_RESERVE = 0.6
 ASK_ALL_AFTER_MS = 15.0
 FAR_LONGER_MS = 40.0
 LENT_IN_NEED = 4
@@ -149,11 +151,12 @@
             for peer in self._peers.values()
             if not peer.silent and wait_ms > ASK_AT_ROUND_TRIPS * peer.round_trip_ms
         ]
-        if wait_ms == float("inf") and now_ms - first.arrived_ms < ASK_ALL_AFTER_MS:
+        urgent = wait_ms == float("inf")
+        if urgent and now_ms - first.arrived_ms < ASK_ALL_AFTER_MS:
             peers = sorted(peers, key=lambda peer: peer.round_trip_ms)[:1]
         tells: list[Tell] = []
         for peer in peers:
-            tells.extend(self._ask(peer, line, first.arrived_ms, now_ms))
+            tells.extend(self._ask(peer, line, urgent, now_ms))
         return tells
 
     def withdraw(self, now_ms: float) -> list[Tell]:
@@ -196,12 +199,12 @@
         self._peer_bytes.charge(size, now_ms)
         return Tell(vm, message)
 
-    def _ask(self, peer: Peer, line: WaitingLine, first_ms: float, now_ms: float) -> list[Tell]:
+    def _ask(self, peer: Peer, line: WaitingLine, urgent: bool, now_ms: float) -> list[Tell]:
         since_ms = now_ms - peer.sent_ms
         grown = len(line) > 2 * peer.sent_waiting
         if since_ms < ASK_PACE_MS or (since_ms < ASK_AGAIN_MS and not grown):
             return []
-        if not self._peer_bytes.has(now_ms):
+        if not self._peer_bytes.has(now_ms, 0.0 if urgent else OWNERS_RESERVE):
             return []
         peer.sent_ms = now_ms
         peer.sent_waiting = len(line)
@@ -209,7 +212,7 @@
         if peer.asked_ms is None:
             peer.asked_ms = now_ms
         first = line.first()
-        oldest_ms = int(now_ms - first_ms)
+        oldest_ms = int(now_ms - first.arrived_ms)
         message = SlotAsk(self._service, int(first.arrival.priority), len(line), oldest_ms)
         return [self._tell(peer.vm, message, now_ms)]
 
--- a/cloverhook/token_bucket.py
+++ b/cloverhook/token_bucket.py
@@ -39,10 +39,10 @@
         self._fill(now_ms)
         self._tokens -= cost
 
-    def has(self, now_ms: float) -> bool:
-        """Return whether any token is left."""
+    def has(self, now_ms: float, reserve: float = 0.0) -> bool:
+        """Return whether more than this share of the capacity is left."""
         self._fill(now_ms)
-        return self._tokens > 0
+        return self._tokens > reserve * self._capacity
 
     def add(self, tokens: float) -> None:
         """Add tokens, up to the capacity."""
