--- a/cloverhook/slot_exchange.py
+++ b/cloverhook/slot_exchange.py
@@ -22,6 +22,8 @@
 IDLE_LOAN_MS = 0.0
 FRAME_BYTES = 24
 OWNERS_RESERVE = 0.6
+LONG_WAIT_MS = 20.0
+LONG_WAIT_RESERVE = 0.2
 ASK_ALL_AFTER_MS = 15.0
 FAR_LONGER_MS = 40.0
 LENT_IN_NEED = 4
@@ -151,12 +153,13 @@
             for peer in self._peers.values()
             if not peer.silent and wait_ms > ASK_AT_ROUND_TRIPS * peer.round_trip_ms
         ]
-        urgent = wait_ms == float("inf")
-        if urgent and now_ms - first.arrived_ms < ASK_ALL_AFTER_MS:
+        owns_none = wait_ms == float("inf")
+        reserve = OWNERS_RESERVE if wait_ms < LONG_WAIT_MS else LONG_WAIT_RESERVE
+        if owns_none and now_ms - first.arrived_ms < ASK_ALL_AFTER_MS:
             peers = sorted(peers, key=lambda peer: peer.round_trip_ms)[:1]
         tells: list[Tell] = []
         for peer in peers:
-            tells.extend(self._ask(peer, line, urgent, now_ms))
+            tells.extend(self._ask(peer, line, 0.0 if owns_none else reserve, now_ms))
         return tells
 
     def withdraw(self, now_ms: float) -> list[Tell]:
@@ -199,12 +202,12 @@
         self._peer_bytes.charge(size, now_ms)
         return Tell(vm, message)
 
-    def _ask(self, peer: Peer, line: WaitingLine, urgent: bool, now_ms: float) -> list[Tell]:
+    def _ask(self, peer: Peer, line: WaitingLine, reserve: float, now_ms: float) -> list[Tell]:
         since_ms = now_ms - peer.sent_ms
         grown = len(line) > 2 * peer.sent_waiting
         if since_ms < ASK_PACE_MS or (since_ms < ASK_AGAIN_MS and not grown):
             return []
-        if not self._peer_bytes.has(now_ms, 0.0 if urgent else OWNERS_RESERVE):
+        if not self._peer_bytes.has(now_ms, reserve):
             return []
         peer.sent_ms = now_ms
         peer.sent_waiting = len(line)
