Use slow endpoints when no healthy one is left and no other VM can help

Cause: when all endpoints of a service slowed down together, each was judged slow against what was usual, and a slow endpoint was used only when the expected wait was longer than a slow answer. Now a request that no other VM can help within 10 ms takes a slow slot, and the latency model follows the next answers quickly.

--- a/cloverhook/endpoint_table.py
+++ b/cloverhook/endpoint_table.py
@@ -78,8 +78,14 @@
         """Return the endpoints that this VM owns."""
         return [self._all[address] for address in self._owned if address in self._all]
 
-    def choose(self, now_ms: float, wait_ms: float, avoid: str = "") -> EndpointStats | None:
-        """Return the owned endpoint for a request that would else wait `wait_ms`, or None."""
+    def choose(
+        self, now_ms: float, wait_ms: float, avoid: str = "", patient: bool = True
+    ) -> EndpointStats | None:
+        """Return the owned endpoint for a request that would else wait `wait_ms`, or None.
+
+        With no healthy endpoint left, a slow one is used unless the request is patient: another VM
+        may have a slot for it.
+        """
         trial = self._due_trial(now_ms)
         if trial is not None:
             return trial
@@ -87,7 +93,8 @@
             if not stats.looks_slow(self.model, now_ms):
                 return stats
             self._suspect(stats, Trouble.SLOW, now_ms)
-        if wait_ms + self.model.mean_ms > self.model.slow_mean_ms:
+        impatient = not self._pool.slots and not patient
+        if impatient or wait_ms + self.model.mean_ms > self.model.slow_mean_ms:
             return self._slow.first(avoid)
         return None
 
@@ -159,6 +166,8 @@
         stats.suspect(trouble, now_ms)
         if stats.endpoint.address in self._owned:
             self._sort_in(stats, now_ms)
+        if trouble == Trouble.SLOW and not self._pool.slots:
+            self.model.relearn()
 
     def _may_eject(self) -> bool:
         if len(self.present()) == 1:
--- a/cloverhook/latency_model.py
+++ b/cloverhook/latency_model.py
@@ -18,6 +18,7 @@
 MOST_EVIDENCE = 4.0
 MIN_SIGMA = 0.25
 MAX_SIGMA = 1.2
+RELEARN_FROM = 10
 START_MEAN_MS = 20.0
 START_SIGMA = 0.8
 TINY = 1e-12
@@ -49,6 +50,10 @@
         self._variance += rate * (x * x - self._variance)
         self._refresh()
 
+    def relearn(self) -> None:
+        """Follow the next answers quickly: all endpoints differ from what was usual."""
+        self._count = min(self._count, RELEARN_FROM)
+
     def answer_evidence(self, latency_ms: float) -> float:
         """Return the evidence of slowness that an answer gives; below 0 it speaks against it."""
         z = (math.log(max(latency_ms, 0.01)) - self._mu) / self._sigma
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -72,6 +72,7 @@
 MAX_ATTEMPTS = 3
 PEER_BYTES_PER_S = 15_000
 DIRECT_CHOICES = 2
+PATIENCE_MS = 10.0
 
 
 class ServiceRouter:
@@ -233,7 +234,7 @@
 
     def _slot_for(self, request_id: str, now_ms: float, avoid: str = "") -> str | None:
         wait_ms = self._wait_ms(len(self._line))
-        stats = self._table.choose(now_ms, wait_ms, avoid)
+        stats = self._table.choose(now_ms, wait_ms, avoid, self._patient(now_ms))
         if stats is not None:
             return stats.endpoint.address
         address = self._exchange.borrowed.take(request_id)
@@ -241,6 +242,12 @@
             return self._direct(avoid)
         return address
 
+    def _patient(self, now_ms: float) -> bool:
+        """Return whether another VM may still answer an ask for the first waiting request."""
+        first = self._line.first()
+        waited_ms = 0.0 if first is None else now_ms - first.arrived_ms
+        return waited_ms < PATIENCE_MS and self._exchange.has_peers()
+
     def _direct(self, avoid: str) -> str | None:
         """Choose without an owner: of a few endpoints the one with least of this VM's requests.
 
