Put the daemon's own limit and the number of homes in force

The objects existed and nothing drove them. A watch looks at the event loop's lateness and the process's use of a core every 50 ms: a daemon past its limit refuses the least important requests at once, and tells its peers its load in tenths, at most once a second and only when it has changed by two or more, within the member updates that are gossiped anyway. Every VM works out the number of homes of each service from the load of that service's homes by the same rule.

Ruled out: a message for each service in which homes tell a number they want (HomeCounts, removed with its step). It would have needed to reach every VM, as all of them answer callers, and its number would have said no more than the load does. The step that replaces it asks that only services with a busy home grow, up to the number of VMs, and shrink after a long calm.

Not measured yet: growth under load among real processes.

--- a/cloverhook/cluster.py
+++ b/cloverhook/cluster.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from absl import logging
@@ -17,6 +17,7 @@
 from cloverhook.dispatch import Dispatcher, Target
 from cloverhook.errors import ConfigError, PlatformError
 from cloverhook.follower import Follower
+from cloverhook.home_count import GROW_AT, HomeDemand
 from cloverhook.member_events import (
     CallerReport,
     ConfigFolded,
@@ -25,6 +26,7 @@
     LinkLost,
     LinkOpened,
     ListRead,
+    LoadChanged,
     MemberEvent,
     MessageHeard,
     Replaced,
@@ -53,6 +55,7 @@
 __all__ = ["Cluster"]
 
 TICK_MS = 50
+DEMAND_EVERY_MS = 1_000
 LIST_EVERY_MS = 1_000
 SEED_EVERY_MS = 1_000
 RECORDS_IN_MESSAGE = 64
@@ -84,6 +87,8 @@
         self._answered: tuple[int, tuple[Target, ...]] = (-1, ())
         self._pauses = PauseWatch(monotonic_ms())
         self._next_seed_ms = 0.0
+        self._next_demand_ms = 0.0
+        self._demand = HomeDemand()
         self._tasks: list[asyncio.Task[None]] = []
         self.pauses = 0
         clock = observer.time_line.clock
@@ -144,6 +149,10 @@
             self.membership.doubtful,
         )
 
+    def load_changed(self, busy_tenths: int) -> None:
+        """Tell the peers how busy this process is."""
+        self._handle(LoadChanged(busy_tenths))
+
     def config_changed(self) -> None:
         """Offer what has just been folded to the linked peers."""
         self._handle(ConfigFolded(self._follower.state.next_offset))
@@ -253,17 +262,34 @@
     def _update_homes(self) -> None:
         """Tell the routers whose home VMs have changed."""
         targets = self._dispatcher.targets()
-        if self._answered == (self.membership.version, targets):
+        now_ms = monotonic_ms()
+        same = self._answered == (self.membership.version, targets)
+        if same and not self._demand_due(now_ms):
             return
         self._answered = (self.membership.version, targets)
-        counts = {target.key: target.policy.home_vms for target in targets}
-        now_ms = monotonic_ms()
+        counts = self._home_counts(targets, now_ms)
         own = {self._settings.vm: self._settings.data_center}
         for key in self._answers.update(counts, self.membership.serving(), now_ms):
             homes = self._answers.home_names(key)
             centers = self._answers.home_data_centers(key) | own
             self._dispatcher.homes_changed(key, self._settings.vm, homes, now_ms, centers)
 
+    def _demand_due(self, now_ms: float) -> bool:
+        """Return whether the number of homes has to be looked at again because of load."""
+        if now_ms < self._next_demand_ms:
+            return False
+        self._next_demand_ms = now_ms + DEMAND_EVERY_MS
+        return self._demand.active or self._busiest_of_all() > GROW_AT
+
+    def _busiest_of_all(self) -> float:
+        return self.membership.busiest(member.vm for member in self.membership.serving())
+
+    def _home_counts(self, targets: Sequence[Target], now_ms: float) -> dict[str, int]:
+        least = {target.key: target.policy.home_vms for target in targets}
+        busy = {key: self.membership.busiest(self._answers.home_names(key)) for key in least}
+        most = len(self.membership.serving())
+        return self._demand.update(least, busy, most, now_ms)
+
     async def _ticks(self) -> None:
         while True:
             await asyncio.sleep(TICK_MS / 1000)
--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -25,6 +25,7 @@
 from cloverhook.errors import SettingsError
 from cloverhook.fold import FoldResult, Verdict
 from cloverhook.follower import Follower
+from cloverhook.load_watch import LoadWatch
 from cloverhook.logs import configure_logs
 from cloverhook.messages import Message
 from cloverhook.metrics import Metric, Sample
@@ -126,7 +127,8 @@
         await self._callers.start()
         await self._operators.start()
         loops = (self._follow(), self._keep_snapshots(), self._tick(), self._claims.run())
-        self._tasks = [asyncio.create_task(loop) for loop in loops]
+        watch = LoadWatch(self._dispatcher.own_limit, self._cluster.load_changed)
+        self._tasks = [asyncio.create_task(loop) for loop in (*loops, watch.run())]
         self._observer.note(EventName.DAEMON_STARTED)
         logging.info("daemon: %s has started.", settings.vm)
 
--- a/cloverhook/dispatch.py
+++ b/cloverhook/dispatch.py
@@ -15,6 +15,8 @@
 from cloverhook.fleet import Policy, Service
 from cloverhook.fold import State
 from cloverhook.messages import Message
+from cloverhook.own_limit import OwnLimit
+from cloverhook.retry_after import ReturnTimes
 from cloverhook.routing import (
     PEER_BYTES_PER_S,
     Action,
@@ -82,6 +84,8 @@
         self._random = source
         self._watch = watch
         self._outlet = outlet
+        self.own_limit = OwnLimit()
+        self._returns = ReturnTimes(source)
         self._peer_bytes = TokenBucket(PEER_BYTES_PER_S, PEER_BYTES_PER_S)
         self._targets: dict[bytes, Target] = {}
         self._target_of: dict[str, Target] = {}
@@ -119,6 +123,10 @@
 
         Raises `RequestError` with its final answer when it may not.
         """
+        if self.own_limit.refuses(arrival.priority):
+            after_ms = self._returns.refused(0.0)
+            raise RequestError(ErrorKind.OVERLOADED, "this VM is at its limit", after_ms)
+        self._returns.admitted()
         return await self._wait(target, arrival.request_id, arrival, now_ms)
 
     async def retry(self, target: Target, ended: AttemptEnded, now_ms: float) -> str:
--- a/cloverhook/home_count.py
+++ b/cloverhook/home_count.py
@@ -1,19 +1,20 @@
 """How many home VMs a service has: more before one process saturates, fewer after a long calm.
 
-Layer: coordination, free of input and output.  Each home works out from its own load how many homes
-the service should have and tells the others.  All take the largest number that was told lately, so
-nobody has to decide for the rest; rendezvous order makes a home more or less move few callers.
+Layer: coordination, free of input and output.  Each VM tells its peers how busy it is; from that
+all work out the same number of homes by the same rule, so nobody has to decide for the rest.
+VMs that differ for a moment send some callers elsewhere, no more.  Rendezvous order makes a home
+more or less move few callers.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
-__all__ = ["HomeCount", "HomeCounts"]
+__all__ = ["HomeCount", "HomeDemand"]
 
 GROW_AT = 0.6
 SHRINK_AT = 0.35
 GROW_AFTER_MS = 1_000.0
 SHRINK_AFTER_MS = 30_000.0
-SAID_LIFETIME_MS = 10_000.0
 
 
 @dataclass(slots=True)
@@ -41,19 +42,37 @@
         return self.count
 
 
-class HomeCounts:
-    """What all homes of a service have said they want."""
+class HomeDemand:
+    """How many homes every service has, by the load that its homes tell their peers."""
 
     def __init__(self) -> None:
-        self._said: dict[str, tuple[int, float]] = {}
-
-    def said(self, vm: str, count: int, now_ms: float) -> None:
-        """Take a home's number."""
-        self._said[vm] = (count, now_ms)
-
-    def in_force(self, least: int, now_ms: float) -> int:
-        """Return the number of homes: the largest that was said lately, and at least `least`."""
-        lately = [
-            count for count, at_ms in self._said.values() if now_ms - at_ms < SAID_LIFETIME_MS
-        ]
-        return max([least, *lately])
+        self._counts: dict[str, HomeCount] = {}
+
+    @property
+    def active(self) -> bool:
+        """Whether any service has, or is about to have, more homes than its least number."""
+        return bool(self._counts)
+
+    def update(
+        self, least: Mapping[str, int], busy: Mapping[str, float], most: int, now_ms: float
+    ) -> dict[str, int]:
+        """Return the number of homes of each service, at most `most`.
+
+        `least` gives each service's least number, and `busy` the load, 0 to 1, of the busiest of
+        its homes.
+        """
+        for key in set(self._counts) - set(least):
+            del self._counts[key]
+        return {
+            key: min(most, self._count(key, least[key], busy.get(key, 0.0), now_ms)) or least[key]
+            for key in least
+        }
+
+    def _count(self, key: str, least: int, busy: float, now_ms: float) -> int:
+        if key not in self._counts and busy <= GROW_AT:
+            return least
+        count = self._counts.setdefault(key, HomeCount(least))
+        wanted = count.observe(busy, least, now_ms)
+        if wanted == least and count.high_since_ms is None:
+            del self._counts[key]
+        return wanted
--- a/cloverhook/member_events.py
+++ b/cloverhook/member_events.py
@@ -15,6 +15,7 @@
     "Leave",
     "LinkLost",
     "LinkOpened",
+    "LoadChanged",
     "ListRead",
     "MemberAction",
     "MemberEvent",
@@ -80,6 +81,13 @@
     """This daemon begins a planned stop."""
 
 
+@dataclass(frozen=True, slots=True)
+class LoadChanged:
+    """This daemon's process uses another share of a core, in tenths."""
+
+    busy_tenths: int
+
+
 @dataclass(frozen=True, slots=True)
 class Stopped:
     """This daemon has ended its planned stop and is about to exit."""
@@ -96,6 +104,7 @@
     | Leave
     | LinkLost
     | LinkOpened
+    | LoadChanged
     | ListRead
     | MessageHeard
     | Stopped
--- a/cloverhook/members.py
+++ b/cloverhook/members.py
@@ -50,6 +50,7 @@
     leaving: bool = False
     since_ms: float = 0.0
     unconfirmed: bool = False
+    busy_tenths: int = 0
 
     @classmethod
     def from_update(cls, update: MemberUpdate, now_ms: float) -> "Member":
@@ -64,6 +65,7 @@
             Status(update.status),
             update.leaving,
             now_ms,
+            busy_tenths=update.busy_tenths,
         )
 
     def to_update(self) -> MemberUpdate:
@@ -77,6 +79,7 @@
             self.sequence,
             int(self.status),
             self.leaving,
+            self.busy_tenths,
         )
 
     @property
--- a/cloverhook/membership.py
+++ b/cloverhook/membership.py
@@ -11,6 +11,7 @@
 """
 
 import random
+from collections.abc import Iterable
 from dataclasses import replace
 from functools import singledispatchmethod
 
@@ -24,6 +25,7 @@
     LinkLost,
     LinkOpened,
     ListRead,
+    LoadChanged,
     MemberAction,
     MemberEvent,
     MessageHeard,
@@ -91,6 +93,11 @@
         """Return the daemons that callers may be sent to, ordered by name."""
         return self.table.serving()
 
+    def busiest(self, vms: Iterable[str]) -> float:
+        """Return the load, 0 to 1, that the busiest of these VMs has told."""
+        known = [self.table.get(vm) for vm in vms]
+        return max((member.busy_tenths for member in known if member is not None), default=0) / 10
+
     @property
     def version(self) -> int:
         """A number that changes whenever `serving` may have changed."""
@@ -169,6 +176,11 @@
         self._say(leaving=True)
         return self._beat(now_ms)
 
+    @_take.register
+    def _(self, event: LoadChanged, now_ms: float) -> tuple[MemberAction, ...]:
+        self._say(busy_tenths=event.busy_tenths)
+        return ()
+
     @_take.register
     def _(self, event: Stopped, now_ms: float) -> tuple[MemberAction, ...]:
         self._say(status=Status.LOST)
--- a/cloverhook/messages.py
+++ b/cloverhook/messages.py
@@ -84,7 +84,10 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberUpdate:
-    """What a daemon knows of a member; `status` is a value of `members.Status`."""
+    """What a daemon knows of a member; `status` is a value of `members.Status`.
+
+    `busy_tenths` is the load that the member's process told, in tenths of a core.
+    """
 
     vm: str
     data_center: str
@@ -94,6 +97,7 @@
     sequence: int
     status: int
     leaving: bool
+    busy_tenths: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -136,7 +136,7 @@
     Given a service with 3 homes
     Then at 70 percent load it wants 4 homes after a second
     And at 30 percent load it wants 3 again only after 30 seconds
-    And the largest number said lately is in force
+    And of all services only those with a busy home get more homes
 
   Scenario: Callers are sent to the homes in turn, as often as each owns slots
     Given 3 homes that own 16, 12 and 12 slots
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -8,8 +8,11 @@
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.dispatch import Dispatcher
+from cloverhook.errors import ErrorKind, RequestError
 from cloverhook.fleet import Priority
 from cloverhook.fold import fold
+from cloverhook.load_watch import LoadWatch
+from cloverhook.own_limit import OwnLimit
 from cloverhook.records import Change, Publish
 from cloverhook.routing import Arrival, AttemptEnded, AttemptResult
 from cloverhook.state import State
@@ -39,10 +42,10 @@
         """Lose a probe."""
 
 
-def admit(context, request_id):
+def admit(context, request_id, priority=Priority.NORMAL):
     """Return a task that waits for a request's start."""
     now_ms = monotonic_ms()
-    arrival = Arrival(request_id, Priority.NORMAL, now_ms + 60_000, idempotent=False)
+    arrival = Arrival(request_id, priority, now_ms + 60_000, idempotent=False)
     work = context.dispatcher.admit(context.target, arrival, now_ms)
     return asyncio.ensure_future(work, loop=context.loop)
 
@@ -106,3 +109,46 @@
         return await context.behind
 
     assert run(context, result()) == ADDRESS
+
+
+@when("the event loop of the process runs late")
+def step_late(context):
+    for _ in range(20):
+        context.dispatcher.own_limit.observe(late_ms=60.0, busy=1.0)
+
+
+@then("a request of low priority is refused with a time to come back")
+def step_refused_low(context):
+    async def refused():
+        try:
+            await admit(context, "low", Priority.LOW)
+        except RequestError as error:
+            return error
+
+    error = run(context, refused())
+    assert error.kind is ErrorKind.OVERLOADED, error
+    assert error.retry_after_ms > 0
+
+
+@then("a request of high priority is started")
+def step_started_high(context):
+    async def started():
+        return await admit(context, "high", Priority.HIGH)
+
+    assert run(context, started()) == ADDRESS
+
+
+@given("a watch of the load of this process")
+def step_watch(context):
+    context.limit = OwnLimit()
+    context.told = []
+    context.watch = LoadWatch(context.limit, context.told.append)
+
+
+@then("a load that grows to 80 percent is told in few steps, each a second apart")
+def step_told(context):
+    for look in range(200):
+        context.limit.observe(0.0, busy=0.8)
+        context.watch.look(1_000.0 + 50.0 * look)
+    assert context.told[-1] == 8, context.told
+    assert len(context.told) <= 3, context.told
