Answer unknown to a keyed request while the log is down

A keyed repeat whose first request ran at another VM was told not-run when its claim could not be settled in time, which holds for the repeat but invites its caller to book again under another key.

--- a/cloverhook/errors.py
+++ b/cloverhook/errors.py
@@ -99,7 +99,7 @@
     ErrorKind.CALLER_GONE: Answer(499, Outcome.UNKNOWN),
     ErrorKind.REPEATED: Answer(409, Outcome.RAN),
     ErrorKind.REPEAT_UNSETTLED: Answer(409, Outcome.UNKNOWN),
-    ErrorKind.LOG_UNAVAILABLE: Answer(503, Outcome.NOT_RUN, retry_after=True),
+    ErrorKind.LOG_UNAVAILABLE: Answer(503, Outcome.UNKNOWN, retry_after=True),
     ErrorKind.STOPPING: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.INTERNAL: Answer(500, Outcome.UNKNOWN),
 }
--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -30,6 +30,6 @@
 
   Scenario: The log is down, and comes back
     Given 2 daemons before one backend server
-    Then with the log down only non-idempotent requests with a key are refused, as not run
+    Then with the log down only non-idempotent requests with a key are refused, as unknown
     And with the log back the same key runs once
     And an append that lands without an answer still lets its request run once
