Keep the pool in its own module, and find connections that have gone silent

A connection that went silent while idle gave no error: each one in the pool took a request down until it was 3 s old. Idle connections are closed by age also when nobody asks for one, connections to an address are counted and bounded, and one is made ahead when none was idle.

--- a/cloverhook/caller_protocol.py
+++ b/cloverhook/caller_protocol.py
@@ -20,6 +20,7 @@
 
 from cloverhook.errors import ErrorKind
 from cloverhook.request_cycle import RequestCycle, error_answer
+from cloverhook.socket_options import CALLER_LIVENESS
 
 __all__ = ["CallerProtocol", "Limits"]
 
@@ -63,6 +64,7 @@
         # asyncio sets this itself only on sockets that were made with an explicit protocol number.
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        CALLER_LIVENESS.apply(sock)
         self._task: asyncio.Task[None] | None = None
         self._running: RequestCycle | None = None
         self._refusal: ErrorKind | None = None
--- a/cloverhook/exchange.py
+++ b/cloverhook/exchange.py
@@ -4,13 +4,14 @@
 so that another attempt can send it again.
 """
 
+import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
 from cloverhook import headers as h
 from cloverhook.dispatch import Target
-from cloverhook.errors import ErrorKind, Outcome, RequestError
+from cloverhook.errors import ErrorKind, Outcome, RequestError, UpstreamError
 from cloverhook.observed_app import Observation
 from cloverhook.upstream import AnswerHead, RequestHead, UpstreamConnection, UpstreamPool
 
@@ -152,7 +153,8 @@
         when it refuses the request, and `RequestError` when the request's body fails.
         """
         self.sent = False
-        connection = await pool.acquire(address)
+        connection = await pool.acquire(address, self.idempotent)
+        started_ms = now_ms()
         try:
             answer = await self._send_request(connection, now_ms)
             outcome = h.outcome_of(answer.headers)
@@ -161,6 +163,11 @@
             await self._send_answer(answer, connection, closing)
         except RefusedError:
             raise
+        except (UpstreamError, asyncio.CancelledError):
+            if connection.silent:
+                pool.went_silent(address, started_ms)
+            connection.close()
+            raise
         except BaseException:
             connection.close()
             raise
--- a/cloverhook/upstream.py
+++ b/cloverhook/upstream.py
@@ -1,381 +1,190 @@
-"""Connections to backend servers: one HTTP/1.1 exchange at a time, and a pool for each endpoint.
+"""The pool of connections to backend servers.
 
-Layer: transport.  At-most-once needs to know whether a byte of a request has left this process,
-and an answer may only go to the request that asked for it.  So a connection is used again only
-after a whole exchange, and bytes that arrive while no exchange is open close it.
-`docs/DESIGN.md` says why this is built on httptools and not on aiohttp.
+Layer: transport.  The connection used last is used first, so that those not needed grow old and
+are closed.  A connection may have gone silent while it was idle, and nothing shows it before a
+request is lost on it; so a request that must not run twice gets a connection that was in use
+just now or a new one, and one request without an answer ends all connections idle since before.
 """
 
 import asyncio
-import select
 from collections import deque
-from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
-
-import httptools
+from collections.abc import Callable
 
 from cloverhook.errors import UpstreamError
-from cloverhook.headers import Headers
-
-__all__ = ["AnswerHead", "RequestHead", "UpstreamConnection", "UpstreamPool"]
+from cloverhook.upstream_connection import (
+    HEADER_LIMIT_BYTES,
+    AnswerHead,
+    RequestHead,
+    UpstreamConnection,
+)
+
+__all__ = [
+    "AnswerHead",
+    "RequestHead",
+    "UpstreamConnection",
+    "UpstreamPool",
+]
 
-BODILESS_STATUSES = frozenset((204, 304))
-BUFFER_LIMIT_BYTES = 256 * 1024
-END_OF_HEAD = b"\r\n\r\n"
-HEADER_FRAMING_BYTES = 4
-HEADER_LIMIT_BYTES = 32_768
-LAST_CHUNK = b"0\r\n\r\n"
 CONNECT_TIMEOUT_MS = 1_000
+CONNECTION_LIMIT = 200
+FRESH_MS = 250
 IDLE_LIMIT_MS = 3_000
+SWEEP_MS = 1_000
 
 
-@dataclass(frozen=True, slots=True)
-class RequestHead:
-    """The head of a request: method, target and headers.  `chunked` says how its body is framed."""
+class _Place:
+    """The connections to one address: `open_count` has those in use and those being made too."""
 
-    method: bytes
-    target: bytes
-    headers: Headers
-    has_body: bool = False
-    chunked: bool = False
+    def __init__(self) -> None:
+        self.idle: deque[UpstreamConnection] = deque()
+        self.open_count = 0
+        self.spare: asyncio.Task[None] | None = None
 
-    def to_bytes(self) -> bytes:
-        """Return the head as it goes over the wire."""
-        lines = [self.method, b" ", self.target, b" HTTP/1.1\r\n"]
-        for name, value in self.headers:
-            lines += [name, b": ", value, b"\r\n"]
-        if self.chunked:
-            lines.append(b"transfer-encoding: chunked\r\n")
-        lines.append(b"\r\n")
-        return b"".join(lines)
+    def count_closed(self) -> None:
+        """Count a connection that is of no more use."""
+        self.open_count -= 1
 
+    def close_idle_before(self, time_ms: float) -> None:
+        """Close the connections that have been idle since before a time."""
+        while self.idle and self.idle[0].idle_since_ms < time_ms:
+            self.idle.popleft().close()
 
-@dataclass(slots=True)
-class AnswerHead:
-    """The head of an answer."""
+    def take(self, now_ms: float, idle_ms: float) -> UpstreamConnection | None:
+        """Return the connection used last, unless it has been idle for `idle_ms`."""
+        while self.idle and now_ms - self.idle[-1].idle_since_ms < idle_ms:
+            connection = self.idle.pop()
+            if connection.usable and not connection.has_input:
+                return connection
+            connection.close()
+        return None
 
-    status: int
-    headers: Headers = field(default_factory=list)
 
+class UpstreamPool:
+    """Connections to backend servers, by address.
 
-class UpstreamConnection(asyncio.Protocol):
-    """One connection to a backend server."""
+    `limit_of` gives how many connections to an address this VM may have.
+    """
 
-    def __init__(self, header_limit_bytes: int = HEADER_LIMIT_BYTES) -> None:
-        self._loop = asyncio.get_running_loop()
+    def __init__(
+        self,
+        header_limit_bytes: int = HEADER_LIMIT_BYTES,
+        limit_of: Callable[[str], int] = lambda address: CONNECTION_LIMIT,
+    ) -> None:
         self._header_limit_bytes = header_limit_bytes
-        self._transport: asyncio.Transport | None = None
-        self._exchange: _Exchange | None = None
-        self._open = False
-        self._can_write = asyncio.Event()
-        self._can_write.set()
-        self._poll = select.poll()
-        self.closed = False
-        self.idle_since_ms = 0.0
-
-    @property
-    def usable(self) -> bool:
-        """Whether a new exchange may start on this connection."""
-        return not self.closed and not self._open
-
-    @property
-    def has_input(self) -> bool:
-        """Whether bytes, or the end of the connection, wait to be read at this moment."""
-        return bool(self._poll.poll(0))
-
-    @property
-    def has_answer_bytes(self) -> bool:
-        """Whether `read` would return at once."""
-        return self._exchange.readable
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
-        self._transport = transport
-        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self._limit_of = limit_of
+        self._places: dict[str, _Place] = {}
+        self._sweeper: asyncio.TimerHandle | None = None
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        """End the open exchange, if there is one."""
-        self.closed = True
-        self._can_write.set()
-        if self._open:
-            self._open = False
-            self._exchange.on_eof()
+    async def acquire(self, address: str, idempotent: bool = True) -> UpstreamConnection:
+        """Return a connection that no other exchange uses, a fresh one where that matters.
 
-    def pause_writing(self) -> None:
-        """Make the sender of a request's body wait."""
-        self._can_write.clear()
-
-    def resume_writing(self) -> None:
-        """Let the sender of a request's body go on."""
-        self._can_write.set()
+        Raises `UpstreamError` with `sent` False when none can be made.
+        """
+        place = self._places.get(address)
+        if place is None:
+            place = self._places[address] = _Place()
+        idle_ms = IDLE_LIMIT_MS if idempotent else FRESH_MS
+        return place.take(_now_ms(), idle_ms) or await self._open(address, place, idle_ms)
 
-    def data_received(self, data: bytes) -> None:
-        """Feed the open exchange; close the connection when there is none."""
-        if self._open:
-            self._exchange.feed(data)
+    def release(self, address: str, connection: UpstreamConnection) -> None:
+        """Give a connection back; it is kept only if its exchange was whole."""
+        connection.stop_sending()
+        place = self._places.get(address)
+        if place is not None and connection.usable:
+            self._keep(place, connection)
         else:
-            self.close()
-
-    def close(self) -> None:
-        """Close the connection at once; an open exchange ends as cut."""
-        self.closed = True
-        if self._transport is not None:
-            self._transport.abort()
-
-    async def send(
-        self, head: RequestHead, first: bytes = b"", rest: AsyncIterator[bytes] | None = None
-    ) -> AnswerHead:
-        """Send a request and return the head of its answer.
-
-        `first` is the part of the body that is at hand, and `rest` what is still to come.
-        Raises `UpstreamError`, whose `sent` says whether a byte may have left.
-        """
-        if not self.usable or self._transport is None or self._transport.is_closing():
-            raise UpstreamError("the connection was closed before use", sent=False)
-        exchange = _Exchange(self, head.method == b"HEAD", self._header_limit_bytes)
-        self._exchange = exchange
-        self._open = True
-        body = _framed(first, head.chunked, last=rest is None and head.has_body)
-        self._transport.write(head.to_bytes() + body)
-        if rest is not None:
-            exchange.sender = self._loop.create_task(self._send_rest(rest, head.chunked))
-            exchange.sender.add_done_callback(exchange.on_sender_done)
-        return await exchange.head
+            connection.close()
 
-    async def read(self) -> tuple[bytes, bool]:
-        """Return the next part of the answer's body, and whether more follows.
+    def went_silent(self, address: str, since_ms: float) -> None:
+        """Close what has been idle since before a request that got no byte of an answer.
 
-        Raises `UpstreamError` when the answer is cut.
+        `since_ms` is the time at which that request was sent, on the loop's clock.
         """
-        return await self._exchange.next_part()
-
-    def stop_sending(self) -> None:
-        """Stop sending the body of a request whose answer is not wanted or is whole already."""
-        sender = self._exchange.sender if self._exchange is not None else None
-        if sender is not None:
-            sender.cancel()
-
-    async def _send_rest(self, rest: AsyncIterator[bytes], chunked: bool) -> None:
-        async for part in rest:
-            await self._can_write.wait()
-            if self.closed:
-                return
-            if part:
-                self._transport.write(_framed(part, chunked))
-        if chunked and not self.closed:
-            self._transport.write(LAST_CHUNK)
-
-    def _finish(self, exchange: "_Exchange", reusable: bool) -> None:
-        self._open = False
-        body_sent = exchange.sender is None or exchange.sender.done()
-        if not (reusable and body_sent):
-            self.close()
-
-    def _pause_reading(self) -> None:
-        self._transport.pause_reading()
-
-    def _resume_reading(self) -> None:
-        if not self.closed:
-            self._transport.resume_reading()
-
-
-class _Exchange:
-    """One request and its answer; the parser calls its `on_` methods."""
-
-    def __init__(
-        self, connection: UpstreamConnection, head_only: bool, header_limit_bytes: int
-    ) -> None:
-        self._connection = connection
-        self._head_only = head_only
-        self._header_room_bytes = header_limit_bytes
-        self._parser = httptools.HttpResponseParser(self)
-        self._answer: AnswerHead | None = None
-        self._headers: Headers = []
-        self._parts: list[bytes] = []
-        self._buffered_bytes = 0
-        self._paused = False
-        self._wakeup: asyncio.Future[None] | None = None
-        self._error: BaseException | None = None
-        self._until_close = False
-        self._complete = False
-        self._surplus = False
-        self.sender: asyncio.Task[None] | None = None
-        self.head: asyncio.Future[AnswerHead] = connection._loop.create_future()
-
-    @property
-    def readable(self) -> bool:
-        return bool(self._parts) or self._complete or self._error is not None
-
-    def feed(self, data: bytes) -> None:
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._surplus = True
-            if not self._complete and not (self._head_only and self._answer is not None):
-                self._fail(UpstreamError(f"the answer is not HTTP: {error!r}", True, True))
-        if self._head_only and self._answer is not None and not self._complete:
-            self._end(reusable=data.endswith(END_OF_HEAD) and self._parser.should_keep_alive())
-        if self._surplus:
-            self._connection.close()
-
-    def on_message_begin(self) -> None:
-        if self._answer is not None:
-            self._surplus = True
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self._answer is not None:
-            return
-        self._header_room_bytes -= len(name) + len(value) + HEADER_FRAMING_BYTES
-        if self._header_room_bytes < 0:
-            raise ValueError("the head is too long")
-        self._headers.append((name.lower(), value.strip(b" \t")))
-
-    def on_headers_complete(self) -> None:
-        if self._answer is not None:
-            return
-        status = self._parser.get_status_code()
-        if status < 200:
-            self._headers = []
-            return
-        self._check_framing()
-        self._answer = AnswerHead(status, self._headers)
-        self._until_close = self._ends_at_close(status)
-        if not self.head.done():
-            self.head.set_result(self._answer)
-
-    def on_body(self, body: bytes) -> None:
-        if self._complete or self._head_only or self._surplus:
-            self._surplus = True
-            return
-        self._parts.append(body)
-        self._buffered_bytes += len(body)
-        if self._buffered_bytes > BUFFER_LIMIT_BYTES and not self._paused:
-            self._paused = True
-            self._connection._pause_reading()
-        self._wake()
+        place = self._places.get(address)
+        if place is not None:
+            place.close_idle_before(since_ms)
 
-    def on_message_complete(self) -> None:
-        if self._answer is not None and not self._head_only:
-            self._end(reusable=self._parser.should_keep_alive())
+    def open_count(self, address: str) -> int:
+        """Return how many connections to an address there are, with those being made."""
+        place = self._places.get(address)
+        return 0 if place is None else place.open_count
 
-    def on_eof(self) -> None:
-        if self._complete:
-            return
-        if self._until_close and self._answer is not None:
-            self._complete = True
-            self._wake()
-            return
-        self._fail(UpstreamError("the connection was cut", sent=True))
-
-    def on_sender_done(self, sender: asyncio.Task[None]) -> None:
-        if sender.cancelled():
-            return
-        error = sender.exception()
-        if error is not None and not self._complete:
-            self._fail(error)
-            self._connection.close()
-
-    async def next_part(self) -> tuple[bytes, bool]:
-        while not self._parts:
-            if self._error is not None:
-                raise self._error
-            if self._complete:
-                return b"", False
-            self._wakeup = self._connection._loop.create_future()
-            await self._wakeup
-        part = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
-        self._parts.clear()
-        self._buffered_bytes = 0
-        if self._paused:
-            self._paused = False
-            self._connection._resume_reading()
-        return part, not self._complete
-
-    def _check_framing(self) -> None:
-        codings = [value for name, value in self._headers if name == b"transfer-encoding"]
-        if not codings:
-            return
-        if self._parser.get_http_version() != "1.1" or codings[0].lower() != b"chunked":
-            raise ValueError("a transfer coding other than chunked")
-
-    def _ends_at_close(self, status: int) -> bool:
-        if self._head_only or status in BODILESS_STATUSES:
-            return False
-        names = {name for name, _ in self._headers}
-        return b"content-length" not in names and b"transfer-encoding" not in names
-
-    def _end(self, reusable: bool) -> None:
-        if self._complete:
-            return
-        self._complete = True
-        self._connection._finish(self, reusable)
-        self._wake()
-
-    def _fail(self, error: BaseException) -> None:
-        if self._error is None:
-            self._error = error
-        if not self.head.done():
-            self.head.set_exception(self._error)
-            self.head.exception()
-        self._wake()
-
-    def _wake(self) -> None:
-        if self._wakeup is not None and not self._wakeup.done():
-            self._wakeup.set_result(None)
-
-
-def _framed(part: bytes, chunked: bool, last: bool = False) -> bytes:
-    if not chunked:
-        return part
-    chunk = b"%x\r\n%b\r\n" % (len(part), part) if part else b""
-    return chunk + LAST_CHUNK if last else chunk
-
-
-class UpstreamPool:
-    """Idle connections to backend servers, by address."""
-
-    def __init__(self, header_limit_bytes: int = HEADER_LIMIT_BYTES) -> None:
-        self._header_limit_bytes = header_limit_bytes
-        self._idle: dict[str, deque[UpstreamConnection]] = {}
-
-    async def acquire(self, address: str) -> UpstreamConnection:
-        """Return a connection that no other exchange uses.
+    def close(self) -> None:
+        """Close all idle connections."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+            self._sweeper = None
+        for place in self._places.values():
+            if place.spare is not None:
+                place.spare.cancel()
+            for connection in place.idle:
+                connection.close()
+        self._places.clear()
+
+    def _keep(self, place: _Place, connection: UpstreamConnection) -> None:
+        connection.idle_since_ms = _now_ms()
+        place.idle.append(connection)
+        if self._sweeper is None:
+            loop = asyncio.get_running_loop()
+            self._sweeper = loop.call_later(SWEEP_MS / 1000, self._sweep)
+
+    async def _open(self, address: str, place: _Place, idle_ms: float) -> UpstreamConnection:
+        limit = self._limit_of(address)
+        if place.open_count >= limit and place.spare is not None:
+            await asyncio.wait({place.spare})
+            spare = place.take(_now_ms(), idle_ms)
+            if spare is not None:
+                return spare
+        while place.open_count >= limit and place.idle:
+            place.idle.popleft().close()
+        if place.open_count >= limit:
+            raise UpstreamError(f"{limit} connections to {address} are in use", sent=False)
+        connection = await self._connect(address, place)
+        self._open_spare(address, place, limit)
+        return connection
 
-        Raises `UpstreamError` with `sent` False when none can be made.
-        """
-        loop = asyncio.get_running_loop()
-        idle = self._idle.get(address)
-        while idle:
-            connection = idle.pop()
-            if not connection.usable:
-                continue
-            idle_ms = loop.time() * 1000 - connection.idle_since_ms
-            if idle_ms < IDLE_LIMIT_MS and not connection.has_input:
-                return connection
-            connection.close()
+    async def _connect(self, address: str, place: _Place) -> UpstreamConnection:
         host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        place.open_count += 1
+        connection = UpstreamConnection(self._header_limit_bytes, place.count_closed)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
-                _, connection = await loop.create_connection(self._connection, host, int(port))
+                await loop.create_connection(lambda: connection, host, int(port))
         except (OSError, TimeoutError) as error:
+            connection.close()
             raise UpstreamError(f"no connection to {address}: {error!r}", sent=False) from error
+        except asyncio.CancelledError:
+            connection.close()
+            raise
         return connection
 
-    def _connection(self) -> UpstreamConnection:
-        return UpstreamConnection(self._header_limit_bytes)
+    def _open_spare(self, address: str, place: _Place, limit: int) -> None:
+        """Make a connection ahead of its use: that none was idle says that load grows."""
+        if place.spare is None and not place.idle and place.open_count < limit:
+            task = asyncio.get_running_loop().create_task(self._add_spare(address, place))
+            place.spare = task
 
-    def release(self, address: str, connection: UpstreamConnection) -> None:
-        """Give a connection back; it is kept only if its exchange was whole."""
-        connection.stop_sending()
-        if connection.usable:
-            connection.idle_since_ms = asyncio.get_running_loop().time() * 1000
-            self._idle.setdefault(address, deque()).append(connection)
-        else:
-            connection.close()
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        for idle in self._idle.values():
-            for connection in idle:
-                connection.close()
-        self._idle.clear()
+    async def _add_spare(self, address: str, place: _Place) -> None:
+        try:
+            self._keep(place, await self._connect(address, place))
+        except UpstreamError:
+            return
+        finally:
+            place.spare = None
+
+    def _sweep(self) -> None:
+        """Close connections that have been idle for long, and forget places without any."""
+        self._sweeper = None
+        oldest_ms = _now_ms() - IDLE_LIMIT_MS
+        for address, place in tuple(self._places.items()):
+            place.close_idle_before(oldest_ms)
+            if not place.open_count:
+                del self._places[address]
+        if any(place.idle for place in self._places.values()):
+            loop = asyncio.get_running_loop()
+            self._sweeper = loop.call_later(SWEEP_MS / 1000, self._sweep)
+
+
+def _now_ms() -> float:
+    return asyncio.get_running_loop().time() * 1000
