Prove what always holds while daemons, backend servers, links and the log fail

Real processes fail under a load of reads and of writes with and without a key, and the invariant checker compares what ran with what every caller was told.

--- a/cloverhook_emulator/backend_server.py
+++ b/cloverhook_emulator/backend_server.py
@@ -17,13 +17,14 @@
 import time
 from collections import deque
 from dataclasses import dataclass
+from pathlib import Path
 
 from absl import app, flags
 
 from cloverhook_emulator.backend_control import control_app
 from cloverhook_emulator.faults import Faults
 from cloverhook_emulator.http_server import HttpServer, IncomingRequest
-from cloverhook_emulator.run_record import RunOutcome, RunRecord
+from cloverhook_emulator.run_record import RunJournal, RunOutcome, RunRecord
 
 __all__ = ["BackendServer", "ServerSettings"]
 
@@ -38,6 +39,7 @@
 flags.DEFINE_float("work_sigma", 0.8, "The sigma of the work's log-normal distribution.")
 flags.DEFINE_float("probe_ms", 6.0, "What an answer to a health or load request takes.")
 flags.DEFINE_integer("seed", 1, "The seed of the work's random source.")
+flags.DEFINE_string("journal", None, "A file for the record of what ran, as it happens.")
 
 LAG_SAMPLE_MS = 10
 LAG_SAMPLES = 1_000
@@ -80,8 +82,11 @@
 class BackendServer:
     """One server: an address, its slots and its record."""
 
-    def __init__(self, settings: ServerSettings, source: random.Random) -> None:
+    def __init__(
+        self, settings: ServerSettings, source: random.Random, journal: RunJournal | None = None
+    ) -> None:
         self._settings = settings
+        self._journal = journal
         self._random = source
         self._loop = asyncio.get_running_loop()
         self._http = HttpServer(self._on_request, settings.connections)
@@ -179,6 +184,7 @@
             now_ms,
         )
         self.ran.append(work.record)
+        self._write(work.record)
         self._working.add(work)
         if self.faults.hang:
             return
@@ -230,9 +236,14 @@
         record.end_ms = self._now_ms()
         record.outcome = outcome
         record.result = record.request_id if outcome is RunOutcome.DONE else ""
+        self._write(record)
         self._working.discard(work)
         self._start_waiting()
 
+    def _write(self, record: RunRecord) -> None:
+        if self._journal is not None:
+            self._journal.write(record)
+
     def _start_waiting(self) -> None:
         while self._queue and len(self._working) < self._settings.slots:
             work = self._queue.popleft()
@@ -290,9 +301,10 @@
 
 async def _serve() -> None:
     servers: dict[str, BackendServer] = {}
+    journal = RunJournal(Path(FLAGS.journal)) if FLAGS.journal else None
     for index, address in enumerate(FLAGS.addresses):
         server = BackendServer(
-            ServerSettings.from_flags(), random.Random(FLAGS.seed * 1009 + index)
+            ServerSettings.from_flags(), random.Random(FLAGS.seed * 1009 + index), journal
         )
         await server.start(address)
         servers[server.address] = server
--- a/cloverhook_emulator/fleet_runner.py
+++ b/cloverhook_emulator/fleet_runner.py
@@ -19,7 +19,7 @@
 
 import aiohttp
 
-from cloverhook_emulator.run_record import RunRecord
+from cloverhook_emulator.run_record import RunJournal, RunRecord
 
 __all__ = ["DaemonProcess", "Fleet", "Process"]
 
@@ -139,10 +139,17 @@
         self._processes.append(process)
         return process
 
-    async def start_backend(self, *arguments: str, count: int = 1) -> list[str]:
-        """Start a process with `count` backend servers and return their addresses."""
+    async def start_backend(
+        self, *arguments: str, count: int = 1, journal: bool = False
+    ) -> list[str]:
+        """Start a process with `count` backend servers and return their addresses.
+
+        With `journal`, what ran can still be read after the process has been killed.
+        """
         addresses = ",".join(["127.0.0.1:0"] * count)
         name = f"backend-{len(self.backends)}"
+        if journal:
+            arguments = (*arguments, f"--journal={self._journal(name)}")
         process = await self.start_process(
             name,
             "cloverhook_emulator.backend_server",
@@ -176,16 +183,22 @@
         return counts
 
     async def ran(self) -> list[RunRecord]:
-        """Return what the backend servers have run."""
+        """Return what the backend servers have run; of a killed one, what its journal holds."""
         records: list[RunRecord] = []
         async with aiohttp.ClientSession() as session:
             for process in self.backends:
+                if process.process.returncode is not None:
+                    records += RunJournal.read(self._journal(process.name))
+                    continue
                 url = f"http://{process.addresses[-1]}/control/ran"
                 async with session.get(url) as answer:
                     found = (await answer.json())["ran"]
                 records += [RunRecord.from_document(document) for document in found]
         return records
 
+    def _journal(self, name: str) -> Path:
+        return self.folder / f"{name}.runs"
+
     async def start_daemon(
         self,
         vm: str,
--- a/cloverhook_emulator/load.py
+++ b/cloverhook_emulator/load.py
@@ -23,7 +23,7 @@
 from cloverhook_emulator.caller import Call, Caller, now_ms
 from cloverhook_emulator.run_record import ToldRecord
 
-__all__ = ["CallMix", "LoadPlan", "LoadResult", "Phase", "PhaseResult", "run_load"]
+__all__ = ["CallMix", "Load", "LoadPlan", "LoadResult", "Phase", "PhaseResult", "run_load"]
 
 FLAGS = flags.FLAGS
 flags.DEFINE_list("daemons", [], "Daemons' addresses for callers; a caller asks one of them first.")
@@ -203,8 +203,8 @@
         }
 
 
-class _Load:
-    """A load under way."""
+class Load:
+    """A load under way; `result` grows as calls end."""
 
     def __init__(self, plan: LoadPlan) -> None:
         self._plan = plan
@@ -217,8 +217,14 @@
             weights[:heavy] = [(plan.callers - heavy) / heavy] * heavy
         self._cumulative_weights = list(itertools.accumulate(weights))
         self._calls: set[asyncio.Task[None]] = set()
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Make no more calls; those under way still end."""
+        self._stopped = True
 
     async def run(self) -> LoadResult:
+        """Carry the plan out and return what became of it, once every call has ended."""
         start_ms = max(self._plan.start_at_ms, now_ms())
         for result in self.result.phases:
             end_ms = start_ms + result.phase.duration_s * 1000
@@ -234,6 +240,8 @@
         due_ms = start_ms + self._gap_ms(result.phase)
         while due_ms < end_ms:
             await self._wait_until(due_ms)
+            if self._stopped:
+                return
             result.lag.record_value(max(1, int((now_ms() - due_ms) * 1000)))
             task = asyncio.create_task(self._call(result, due_ms))
             self._calls.add(task)
@@ -280,7 +288,7 @@
 
 async def run_load(plan: LoadPlan) -> LoadResult:
     """Carry a plan out and return what became of it, once every call has ended."""
-    return await _Load(plan).run()
+    return await Load(plan).run()
 
 
 def _main(arguments: list[str]) -> None:
--- a/cloverhook_emulator/run_record.py
+++ b/cloverhook_emulator/run_record.py
@@ -3,11 +3,14 @@
 Both are JSON objects outside the process, so that `invariants.check` can compare them.
 """
 
+import json
+import os
 from dataclasses import asdict, dataclass
 from enum import Enum
+from pathlib import Path
 from typing import Any
 
-__all__ = ["RunOutcome", "RunRecord", "ToldRecord"]
+__all__ = ["RunJournal", "RunOutcome", "RunRecord", "ToldRecord"]
 
 
 class RunOutcome(Enum):
@@ -85,3 +88,28 @@
     def from_document(cls, document: dict[str, Any]) -> "ToldRecord":
         """Build a record from a JSON object."""
         return cls(**document)
+
+
+class RunJournal:
+    """A file of what ran, which outlives a server that is killed.
+
+    A record is written when its run starts and again when it ends, before the answer leaves.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self._file = os.open(path, os.O_CREAT | os.O_APPEND | os.O_WRONLY)
+
+    def write(self, record: RunRecord) -> None:
+        """Append a record; `id` tells the runs of one request apart."""
+        line = json.dumps({"run": id(record), **record.to_document()})
+        os.write(self._file, f"{line}\n".encode())
+
+    @staticmethod
+    def read(path: Path) -> list[RunRecord]:
+        """Return the last record of every run."""
+        runs: dict[tuple[int, str], RunRecord] = {}
+        for line in path.read_text().splitlines():
+            document = json.loads(line)
+            number = document.pop("run")
+            runs[(number, document["request_id"])] = RunRecord.from_document(document)
+        return list(runs.values())
--- /dev/null
+++ b/features/loaded_fleet.py
@@ -0,0 +1,203 @@
+"""A small fleet of real processes under load, for the scenarios that bring failures about.
+
+The load runs on the scenario's loop while its steps run.  Callers ask for addresses, keep the
+answer for its lifetime, and send reads and writes with and without an idempotency key.
+"""
+
+import asyncio
+import json
+import signal
+import uuid
+
+import aiohttp
+
+from cloverhook_emulator import invariants
+from cloverhook_emulator.caller import now_ms
+from cloverhook_emulator.cut_proxy import CutProxy
+from cloverhook_emulator.fleet_runner import Fleet, Process
+from cloverhook_emulator.load import CallMix, Load, LoadPlan, Phase
+from cloverhook_emulator.run_record import RunRecord, ToldRecord
+
+BRAND = "brathwaite"
+HOST = "booking.brathwaite.example"
+DATA_CENTERS = ("halfway-tree", "new-kingston", "papine")
+CALLS_PER_S = 100
+CALLERS = 20
+LONGEST_S = 120
+TIMEOUT_MS = 1_500
+LIFETIME_MS = 400
+WAIT_S = 30
+FAULT_TEXTS = ("Traceback", "fault of ours")
+
+CONFIG = """
+brand = "{brand}"
+[[services]]
+name = "booking"
+hosts = ["{host}"]
+[services.policy]
+lifetime_ms = {lifetime_ms}
+measuring_ms_per_s = {measuring_ms_per_s}
+[[services.places]]
+data_center = "papine"
+endpoints = {endpoints}
+leaving = {leaving}
+"""
+
+
+class LoadedFleet:
+    """Daemons, backend servers in processes of their own, and a load that goes on."""
+
+    def __init__(self, fleet: Fleet, session: aiohttp.ClientSession) -> None:
+        self.fleet = fleet
+        self.session = session
+        self.proxies: list[CutProxy] = []
+        self.endpoints: list[str] = []
+        self.servers: list[str] = []
+        self.measuring_ms_per_s = 60
+        self.load: Load | None = None
+        self.told: list[ToldRecord] = []
+        self.begun_ms = 0.0
+        self._running: asyncio.Task | None = None
+
+    async def start(self, daemons, servers_each=4, proxied=False, calls_per_s=CALLS_PER_S):
+        """Start everything, publish the configuration and begin the load."""
+        for _ in range(2):
+            self.servers += await self.fleet.start_backend(
+                "--work_ms=10",
+                f"--brand={BRAND}",
+                count=servers_each,
+                journal=True,
+            )
+        self.endpoints = list(self.servers)
+        if proxied:
+            self.endpoints = [await self._proxy(server) for server in self.servers]
+        names = [f"vm-{index}" for index in range(daemons)]
+        await asyncio.gather(*(self.start_daemon(name) for name in names))
+        await self.fleet.list_vms()
+        await self.publish()
+        await self.until(self._ready)
+        self._begin(calls_per_s)
+
+    async def start_daemon(self, vm, **settings):
+        """Start a daemon whose data centre follows from its name's number."""
+        number = int(vm.rpartition("-")[2])
+        await self.fleet.start_daemon(vm, DATA_CENTERS[number % 3], drain_ms=5_000, **settings)
+
+    async def publish(self, leaving=()):
+        """Publish the configuration, with some of the endpoints leaving."""
+        path = self.fleet.folder / "brand.toml"
+        path.write_text(
+            CONFIG.format(
+                brand=BRAND,
+                host=HOST,
+                lifetime_ms=LIFETIME_MS,
+                measuring_ms_per_s=self.measuring_ms_per_s,
+                endpoints=json.dumps(self.endpoints),
+                leaving=json.dumps(list(leaving)),
+            )
+        )
+        code, output, errors = await self.fleet.tool("publish", str(path))
+        assert code == 0, output + errors
+
+    async def until(self, condition):
+        """Wait until an asynchronous condition holds."""
+        async with asyncio.timeout(WAIT_S):
+            while not await condition():
+                await asyncio.sleep(0.02)
+
+    async def until_answered(self, count, matches=lambda record: True):
+        """Wait until so many more calls have been answered by a backend server."""
+        start = len(self.load.result.ends)
+
+        async def enough():
+            ends = self.load.result.ends[start:]
+            return sum(end.status == 200 and matches(end) for end in ends) >= count
+
+        await self.until(enough)
+
+    async def serves(self, vm):
+        """Return whether a daemon has the brand and every daemon hands its address out."""
+        address = self.fleet.daemons[vm].caller_address
+        answers = [await self.addresses(name) for name in self.fleet.daemons]
+        return all(address in answer for answer in answers)
+
+    async def addresses(self, vm):
+        """Return the addresses that a daemon hands out; none while it has no configuration."""
+        url = f"http://{self.fleet.daemons[vm].caller_address}/.well-known/cloverhook/addresses"
+        async with self.session.get(url, headers={"Host": HOST}) as answer:
+            return (await answer.json()).get("addresses", [])
+
+    async def lose(self, vm):
+        """Kill a daemon for good."""
+        await self.fleet.daemons.pop(vm).process.stop(signal.SIGKILL)
+
+    async def write(self, vm, key):
+        """Send a write under a key to one daemon and keep what is told."""
+        request_id = uuid.uuid4().hex
+        address = self.fleet.daemons[vm].caller_address
+        headers = {
+            "Host": HOST,
+            "X-Request-Id": request_id,
+            "Idempotency-Key": key,
+            "Cloverhook-Timeout-Ms": str(WAIT_S * 1000),
+        }
+        started_ms = now_ms()
+        async with self.session.post(f"http://{address}/", headers=headers, data=b"{}") as answer:
+            body = await answer.text()
+            record = ToldRecord(
+                request_id,
+                key,
+                "POST",
+                BRAND,
+                address,
+                started_ms,
+                now_ms() - started_ms,
+                answer.status,
+                answer.headers.get("Cloverhook-Outcome", ""),
+                body if answer.status == 200 else "",
+                answer.headers.get("Emulator-Brand", ""),
+                error=answer.headers.get("Cloverhook-Error", ""),
+            )
+        self.told.append(record)
+        return record
+
+    async def end(self) -> tuple[invariants.Report, list[RunRecord]]:
+        """End the load and return the checker's report and what ran."""
+        self.load.stop()
+        result = await self._running
+        assert len(result.ends) == result.calls, (len(result.ends), result.calls)
+        ran = await self.fleet.ran()
+        for daemon in self.fleet.daemons.values():
+            log = daemon.process.log.read_text()
+            assert not any(text in log for text in FAULT_TEXTS), log
+        return invariants.check(ran, [*result.told, *self.told]), ran
+
+    def backend(self, number) -> Process:
+        """Return a process of backend servers."""
+        return self.fleet.backends[number]
+
+    async def _proxy(self, server):
+        proxy = CutProxy(server)
+        await proxy.start()
+        self.proxies.append(proxy)
+        return proxy.address
+
+    async def _ready(self):
+        for vm in self.fleet.daemons:
+            if BRAND not in (await self.fleet.status(vm))["brands"] or not await self.serves(vm):
+                return False
+        return True
+
+    def _begin(self, calls_per_s):
+        plan = LoadPlan(
+            HOST,
+            BRAND,
+            tuple(daemon.caller_address for daemon in self.fleet.daemons.values()),
+            (Phase(calls_per_s, LONGEST_S),),
+            CallMix(write_ratio=0.5, timeout_ms=TIMEOUT_MS),
+            callers=CALLERS,
+            spread=True,
+        )
+        self.load = Load(plan)
+        self.begun_ms = now_ms()
+        self._running = asyncio.create_task(self.load.run())
--- /dev/null
+++ b/features/steps/failure_steps.py
@@ -0,0 +1,192 @@
+"""Steps that bring failures about under load and ask the invariant checker what they did."""
+
+import asyncio
+import signal
+import uuid
+
+import aiohttp
+from behave import given, then, when
+
+from cloverhook.claim_log import STREAM as CLAIM_STREAM
+from cloverhook.records import CONFIG_STREAM
+from cloverhook_emulator.cut_proxy import Mode
+from cloverhook_emulator.fleet_runner import Fleet
+from features.loaded_fleet import LoadedFleet
+from features.steps.fleet_steps import run
+from features.steps.operators_steps import call
+
+HANG_S = 0.3
+WRITES = 10
+
+
+async def _start(context, daemons, **options):
+    context.fleet = await context.stack.enter_async_context(Fleet())
+    context.session = await context.stack.enter_async_context(aiohttp.ClientSession())
+    context.loaded = LoadedFleet(context.fleet, context.session)
+    context.left_hanging = []
+    context.stack.push_async_callback(_close, context.loaded)
+    await context.loaded.start(daemons, **options)
+    await context.loaded.until_answered(50)
+
+
+async def _close(loaded):
+    if loaded.load is not None:
+        loaded.load.stop()
+    for proxy in loaded.proxies:
+        await proxy.close()
+
+
+def _violations(report, names):
+    return {name: getattr(report, name) for name in names if getattr(report, name)}
+
+
+@given("{daemons:d} daemons under load")
+def step_loaded(context, daemons):
+    run(context, _start(context, daemons))
+
+
+@given("{daemons:d} daemons under load whose links to backend servers may fail")
+def step_proxied(context, daemons):
+    run(context, _start(context, daemons, proxied=True))
+
+
+@when("{count:d} more calls are answered")
+def step_answered(context, count):
+    run(context, context.loaded.until_answered(count))
+
+
+@when('"{vm}" is lost')
+def step_lost(context, vm):
+    run(context, context.loaded.lose(vm))
+
+
+@when("{vm} is lost with keyed writes that run, and they are repeated at {other}")
+def step_lost_with_writes(context, vm, other):
+    run(context, _lose_with_writes(context.fleet, context.loaded, vm, other))
+
+
+async def _lose_with_writes(fleet, loaded, vm, other):
+    keys = {uuid.uuid4().hex for _ in range(WRITES)}
+
+    async def some_run():
+        return any(record.idempotency_key in keys for record in await fleet.ran())
+
+    await fleet.set_faults({"hang": True})
+    writes = [asyncio.create_task(loaded.write(vm, key)) for key in keys]
+    await loaded.until(some_run)
+    await loaded.lose(vm)
+    ends = await asyncio.gather(*writes, return_exceptions=True)
+    assert all(isinstance(end, aiohttp.ClientError) for end in ends), ends
+    await fleet.set_faults({"hang": False})
+    await asyncio.gather(*(loaded.write(other, key) for key in keys))
+
+
+@when('"{vm}" gets {name}')
+def step_signal(context, vm, name):
+    context.fleet.daemons[vm].process.send(signal.Signals[name])
+
+
+@when("{count:d} keyed writes hang at {first} and are repeated at {second}")
+def step_hanging(context, count, first, second):
+    async def repeat():
+        keys = [uuid.uuid4().hex for _ in range(count)]
+        hanging = [asyncio.create_task(context.loaded.write(first, key)) for key in keys]
+        await asyncio.sleep(HANG_S)
+        repeated = await asyncio.gather(*(context.loaded.write(second, key) for key in keys))
+        assert all(record.status == 200 for record in repeated), repeated
+        assert not any(task.done() for task in hanging)
+        context.left_hanging += hanging
+
+    run(context, repeat())
+
+
+@then("none of the writes that hung has run")
+def step_hung(context):
+    async def ends():
+        return await asyncio.gather(*context.left_hanging)
+
+    found = run(context, ends())
+    assert found and all(record.status == 409 for record in found), found
+
+
+@when("backend process {number:d} gets {name}")
+def step_backend(context, number, name):
+    process = context.loaded.backend(number)
+    if name == "SIGKILL":
+        run(context, process.stop(signal.SIGKILL))
+    else:
+        process.send(signal.Signals[name])
+
+
+@when("the links to backend servers are {modes}")
+def step_links(context, modes):
+    async def change():
+        for mode in modes.split(" and then "):
+            for proxy in context.loaded.proxies:
+                proxy.set_mode(Mode(mode))
+            if Mode(mode) in (Mode.SILENT, Mode.ONE_WAY):
+                await asyncio.sleep(HANG_S)
+
+    run(context, change())
+
+
+@when("a keyed write is refused as not run while {count:d} reads are answered")
+def step_refused(context, count):
+    async def refused():
+        return any(
+            record.error == "log-unavailable" and record.outcome == "not-run"
+            for record in context.loaded.load.result.told
+        )
+
+    async def both():
+        await context.loaded.until_answered(count, lambda record: record.method == "GET")
+        await context.loaded.until(refused)
+
+    run(context, both())
+
+
+@when("{count:d} keyed writes are answered")
+def step_keyed(context, count):
+    matches = lambda record: bool(record.idempotency_key)  # noqa: E731
+    run(context, context.loaded.until_answered(count, matches))
+
+
+@when("the log keeps nothing of what it held")
+def step_truncated(context):
+    async def truncate():
+        for stream in (CONFIG_STREAM, CLAIM_STREAM):
+            path = f"/v1/streams/{stream}/records?from=0"
+            async with context.session.get(f"{context.fleet.platform_url}{path}") as answer:
+                end = (await answer.json())["next_offset"]
+            document = {"first_offset": end}
+            await call(context, "POST", f"/v1/streams/{stream}/truncate", document)
+
+    run(context, truncate())
+
+
+@when('"{vm}" starts with the address of a peer and answers {count:d} calls')
+def step_fresh(context, vm, count):
+    async def start():
+        loaded = context.loaded
+        peer = context.fleet.daemons["vm-0"].peer_address
+        await loaded.start_daemon(vm, peer_addresses=peer)
+        await loaded.until(lambda: loaded.serves(vm))
+        address = context.fleet.daemons[vm].caller_address
+        await loaded.until_answered(count, lambda record: record.address == address)
+
+    run(context, start())
+
+
+@then("nothing was lost, doubled, crossed or told falsely as not run")
+def step_unplanned(context):
+    report, _ = run(context, context.loaded.end())
+    found = _violations(report, ("lost", "doubled", "crossed", "false_not_run"))
+    assert not found, found
+
+
+@then("nothing was lost, doubled, crossed, cut or told falsely as not run")
+def step_planned(context):
+    report, _ = run(context, context.loaded.end())
+    result = context.loaded.load.result
+    unreached = [record for record in result.ends if record.status == 0]
+    assert report.holds and not unreached, (report, unreached)
