Prove races, replacement, leaving and failures at once; name the draining server's fault

One scenario is red for a fault of the product: a draining backend server that says so itself goes on getting requests, which it refuses; 11 came in 1.5 s, 3 s after its drain began. Nothing tells draining apart from shedding, so its probation ends in trial requests every 120 ms.

--- a/features/loaded_fleet.py
+++ b/features/loaded_fleet.py
@@ -5,12 +5,17 @@
 """
 
 import asyncio
+import functools
 import json
 import signal
+import tomllib
 import uuid
 
 import aiohttp
 
+from cloverhook import porcelain
+from cloverhook.platform_http import HttpPlatform
+from cloverhook.porcelain import Operator, Settlement
 from cloverhook_emulator import invariants
 from cloverhook_emulator.caller import now_ms
 from cloverhook_emulator.cut_proxy import CutProxy
@@ -19,6 +24,7 @@
 from cloverhook_emulator.run_record import RunRecord, ToldRecord
 
 BRAND = "brathwaite"
+OPERATOR = Operator("ann", {})
 HOST = "booking.brathwaite.example"
 DATA_CENTERS = ("halfway-tree", "new-kingston", "papine")
 CALLS_PER_S = 100
@@ -61,18 +67,11 @@
 
     async def start(self, daemons, servers_each=4, proxied=False, calls_per_s=CALLS_PER_S):
         """Start everything, publish the configuration and begin the load."""
-        for _ in range(2):
-            self.servers += await self.fleet.start_backend(
-                "--work_ms=10",
-                f"--brand={BRAND}",
-                count=servers_each,
-                journal=True,
-            )
-        self.endpoints = list(self.servers)
-        if proxied:
-            self.endpoints = [await self._proxy(server) for server in self.servers]
         names = [f"vm-{index}" for index in range(daemons)]
-        await asyncio.gather(*(self.start_daemon(name) for name in names))
+        await asyncio.gather(
+            self._start_backends(servers_each, proxied),
+            *(self.start_daemon(name) for name in names),
+        )
         await self.fleet.list_vms()
         await self.publish()
         await self.until(self._ready)
@@ -85,8 +84,7 @@
 
     async def publish(self, leaving=()):
         """Publish the configuration, with some of the endpoints leaving."""
-        path = self.fleet.folder / "brand.toml"
-        path.write_text(
+        document = tomllib.loads(
             CONFIG.format(
                 brand=BRAND,
                 host=HOST,
@@ -96,8 +94,12 @@
                 leaving=json.dumps(list(leaving)),
             )
         )
-        code, output, errors = await self.fleet.tool("publish", str(path))
-        assert code == 0, output + errors
+        platform = HttpPlatform(self.fleet.platform_url)
+        try:
+            result = await porcelain.publish(platform, document, OPERATOR)
+        finally:
+            await platform.close()
+        assert result.settlement is Settlement.ACCEPTED, result
 
     async def until(self, condition):
         """Wait until an asynchronous condition holds."""
@@ -131,6 +133,25 @@
         """Kill a daemon for good."""
         await self.fleet.daemons.pop(vm).process.stop(signal.SIGKILL)
 
+    async def replace_all(self):
+        """Replace the daemons one by one by planned stops and return their exit codes.
+
+        The next new daemon starts while an old one still drains.
+        """
+        olds = list(self.fleet.daemons)
+        codes = []
+        stopping = None
+        for number, old in enumerate(olds, len(olds)):
+            new = f"vm-{number}"
+            await self.start_daemon(new)
+            if stopping is not None:
+                codes.append(await stopping)
+            await self.fleet.list_vms(leaving=frozenset((old,)))
+            await self.until(functools.partial(self.serves, new))
+            process = self.fleet.daemons.pop(old).process
+            stopping = asyncio.create_task(process.stop(signal.SIGTERM))
+        return [*codes, await stopping]
+
     async def write(self, vm, key):
         """Send a write under a key to one daemon and keep what is told."""
         request_id = uuid.uuid4().hex
@@ -172,10 +193,27 @@
             assert not any(text in log for text in FAULT_TEXTS), log
         return invariants.check(ran, [*result.told, *self.told]), ran
 
+    async def close(self):
+        """End what runs in this process."""
+        if self._running is not None:
+            self.load.stop()
+            await asyncio.wait({self._running}, timeout=WAIT_S)
+        for proxy in self.proxies:
+            await proxy.close()
+
     def backend(self, number) -> Process:
         """Return a process of backend servers."""
         return self.fleet.backends[number]
 
+    async def _start_backends(self, servers_each, proxied):
+        for _ in range(2):
+            self.servers += await self.fleet.start_backend(
+                "--work_ms=10", f"--brand={BRAND}", count=servers_each, journal=True
+            )
+        self.endpoints = list(self.servers)
+        if proxied:
+            self.endpoints = [await self._proxy(server) for server in self.servers]
+
     async def _proxy(self, server):
         proxy = CutProxy(server)
         await proxy.start()
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -15,6 +15,7 @@
 from features.steps.fleet_steps import run
 from features.steps.operators_steps import call
 
+DEADLINE_STATUS = 504
 HANG_S = 0.3
 WRITES = 10
 
@@ -24,18 +25,11 @@
     context.session = await context.stack.enter_async_context(aiohttp.ClientSession())
     context.loaded = LoadedFleet(context.fleet, context.session)
     context.left_hanging = []
-    context.stack.push_async_callback(_close, context.loaded)
+    context.stack.push_async_callback(context.loaded.close)
     await context.loaded.start(daemons, **options)
     await context.loaded.until_answered(50)
 
 
-async def _close(loaded):
-    if loaded.load is not None:
-        loaded.load.stop()
-    for proxy in loaded.proxies:
-        await proxy.close()
-
-
 def _violations(report, names):
     return {name: getattr(report, name) for name in names if getattr(report, name)}
 
@@ -145,6 +139,17 @@
     run(context, both())
 
 
+@when("a call is told that its deadline passed")
+def step_deadline(context):
+    result = context.loaded.load.result
+    seen = len(result.ends)
+
+    async def told():
+        return any(end.status == DEADLINE_STATUS for end in result.ends[seen:])
+
+    run(context, context.loaded.until(told))
+
+
 @when("{count:d} keyed writes are answered")
 def step_keyed(context, count):
     matches = lambda record: bool(record.idempotency_key)  # noqa: E731
