Probe endpoints for their load, and bound each VM's connections to one

Probe actions of the router ended in a stub. A probe that takes longer than its 7 ms is paid for by later ones, and a part below 7 ms a second, which could never pay for a probe, now saves up for one.

An endpoint's owner may open half of its connections, and the VMs that serve share the other half: that adds up to the endpoint's limit while views agree. While they differ for a moment there may be two owners; each still starts no more requests than the endpoint has slots.

--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -34,7 +34,9 @@
 from cloverhook.operator_app import operator_app
 from cloverhook.platform_api import Platform
 from cloverhook.platform_http import HttpPlatform
+from cloverhook.probing import LoadProbes
 from cloverhook.records import Change, Record
+from cloverhook.routing_events import ProbeEnded
 from cloverhook.server import Listener
 from cloverhook.settings import DaemonSettings
 from cloverhook.stamped_platform import StampedPlatform
@@ -63,7 +65,8 @@
         self._observer.watch(self._samples)
         self._platform = StampedPlatform(platform, self._observer.time_line.clock)
         self._dispatcher = Dispatcher(random.Random(), self, self._observer)
-        self._pool = UpstreamPool(settings.header_limit_bytes)
+        self._pool = UpstreamPool(settings.header_limit_bytes, self._connection_limit)
+        self._probes = LoadProbes(self._pool, self._on_probed, monotonic_ms)
         self._claims = ClaimLog(
             self._platform,
             ClaimBook(settings.vm, settings.claim_window_ms),
@@ -152,6 +155,7 @@
         await self._claims.flush()
         await self._cluster.close()
         await self._operators.stop()
+        self._probes.close()
         self._pool.close()
         await self._platform.close()
         logging.info("daemon: %s has stopped.", self._settings.vm)
@@ -216,7 +220,13 @@
 
     def probe(self, target: Target, address: str) -> None:
         """Ask an endpoint for its load and report the answer to its router."""
-        del target, address
+        self._probes.start(target, address)
+
+    def _on_probed(self, key: str, ended: ProbeEnded) -> None:
+        self._dispatcher.probe_ended(key, ended, monotonic_ms())
+
+    def _connection_limit(self, address: str) -> int:
+        return self._dispatcher.connection_limit(address, len(self._cluster.membership.serving()))
 
     def _on_folded(self, record: Record, result: FoldResult) -> None:
         if not isinstance(record, Change):
--- a/cloverhook/dispatch.py
+++ b/cloverhook/dispatch.py
@@ -12,7 +12,7 @@
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import ErrorKind, RequestError
-from cloverhook.fleet import Policy, Service
+from cloverhook.fleet import Endpoint, Policy, Service
 from cloverhook.fold import State
 from cloverhook.messages import Message
 from cloverhook.own_limit import OwnLimit
@@ -90,6 +90,7 @@
         self._targets: dict[bytes, Target] = {}
         self._target_of: dict[str, Target] = {}
         self._routers: dict[str, ServiceRouter] = {}
+        self._endpoints: dict[str, tuple[str, Endpoint]] = {}
         self._waiting: dict[str, asyncio.Future[str]] = {}
 
     def configure(self, state: State, now_ms: float) -> None:
@@ -107,6 +108,17 @@
         """Return the services in force."""
         return tuple(self._target_of.values())
 
+    def connection_limit(self, address: str, vms: int) -> int:
+        """Return how many connections to an endpoint this VM may have, of `vms` that serve.
+
+        Half of the endpoint's connections are for its owner, the other half is shared evenly.
+        """
+        key, endpoint = self._endpoints.get(address, ("", None))
+        if endpoint is None:
+            return 1
+        owner = self._routers[key].owns(address)
+        return max(1, endpoint.connections // (2 if owner else 2 * max(1, vms)))
+
     def waiting(self) -> int:
         """Return the number of requests that wait for an endpoint."""
         return len(self._waiting)
@@ -227,6 +239,11 @@
     def _update_routers(self, now_ms: float) -> None:
         wanted = {target.key: target for target in self._targets.values()}
         self._target_of = wanted
+        self._endpoints = {
+            endpoint.address: (key, endpoint)
+            for key, target in wanted.items()
+            for endpoint in target.service.endpoints
+        }
         for key in set(self._routers) - set(wanted):
             self._drive(key, EndpointsChanged((), Policy()), now_ms)
             del self._routers[key]
--- a/cloverhook/endpoint_table.py
+++ b/cloverhook/endpoint_table.py
@@ -41,6 +41,10 @@
         """How many endpoints this VM owns."""
         return len(self._owned)
 
+    def owns(self, address: str) -> bool:
+        """Return whether this VM owns an endpoint."""
+        return address in self._owned
+
     def present(self) -> list[Endpoint]:
         """Return the endpoints that are configured and may take work."""
         return [stats.endpoint for stats in self._all.values() if stats.takes_work]
--- a/cloverhook/measuring.py
+++ b/cloverhook/measuring.py
@@ -2,7 +2,8 @@
 
 Layer: coordination.  The budget of a service holds for all VMs together.  Each owner spends a
 share by the endpoints that it owns, and only half of that: while two VMs' views differ, an
-endpoint may have two owners for a moment, and the sum still stays within the budget.
+endpoint may have two owners for a moment, and the sum still stays within the budget.  A probe that
+takes longer than it should is paid for by later ones, so the bound holds over a few seconds.
 """
 
 from collections.abc import Callable, Iterable
@@ -26,10 +27,11 @@
         self._bucket = TokenBucket(0.0, 0.0)
         self.spent_ms = 0.0
 
-    def set_share(self, budget_ms_per_s: float, owned: int, total: int, now_ms: float) -> None:
+    def set_share(self, budget_ms_per_s: float, owned: float, total: int, now_ms: float) -> None:
         """Take the service's budget and the share of its endpoints that this VM owns."""
         share = budget_ms_per_s * SAFETY * owned / max(1, total)
-        self._bucket.set_rate(share, max(share, 0.0), now_ms)
+        cost_ms = PROBE_COST_MS + CONNECTION_COST_MS
+        self._bucket.set_rate(share, max(share, cost_ms) if share else 0.0, now_ms)
 
     def take_probe(self, now_ms: float) -> bool:
         """Return whether a probe, with the connection it may need, is within the budget."""
@@ -39,6 +41,12 @@
         self.spent_ms += cost_ms
         return True
 
+    def settle(self, latency_ms: float, now_ms: float) -> None:
+        """Take the time that a probe took; what is more than its cost is paid off later."""
+        more_ms = max(0.0, latency_ms - PROBE_COST_MS - CONNECTION_COST_MS)
+        self._bucket.charge(more_ms, now_ms)
+        self.spent_ms += more_ms
+
 
 class Prober:
     """Finds the owned endpoints that nothing has been heard of for long, within the budget."""
@@ -48,9 +56,10 @@
         self._under_way: set[str] = set()
         self._next_look_ms = 0.0
 
-    def ended(self, address: str) -> None:
-        """Take the end of a probe."""
+    def ended(self, address: str, latency_ms: float, now_ms: float) -> None:
+        """Take the end of a probe and the time that it took."""
         self._under_way.discard(address)
+        self.budget.settle(latency_ms, now_ms)
 
     def due(self, owned: Callable[[], Iterable[EndpointStats]], now_ms: float) -> list[str]:
         """Return the addresses to probe now."""
--- a/cloverhook/ownership.py
+++ b/cloverhook/ownership.py
@@ -13,7 +13,7 @@
 
 from cloverhook.fleet import Endpoint
 
-__all__ = ["owned_slots", "owners"]
+__all__ = ["REMOTE_TOLERANCE", "owned_slots", "owners"]
 
 REMOTE_TOLERANCE = 1.25
 
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -23,7 +23,7 @@
 from cloverhook.lending import Ask
 from cloverhook.measuring import Prober
 from cloverhook.messages import SlotAsk, SlotGrant, SlotReturn
-from cloverhook.ownership import owners
+from cloverhook.ownership import REMOTE_TOLERANCE, owners
 from cloverhook.retry_after import ReturnTimes
 from cloverhook.retry_budget import RetryBudget
 from cloverhook.routing_events import (
@@ -98,6 +98,10 @@
         self._homes = HomesChanged("", ())
         self._present: list[Endpoint] = []
 
+    def owns(self, address: str) -> bool:
+        """Return whether this VM owns an endpoint."""
+        return self._table.owns(address)
+
     def trouble_of(self, address: str) -> int:
         """Return what is wrong with an endpoint, as `endpoint_stats.Trouble` numbers it."""
         stats = self._table.get(address)
@@ -167,7 +171,7 @@
 
     @handle.register
     def _(self, event: ProbeEnded, now_ms: float) -> tuple[Action, ...]:
-        self._prober.ended(event.address)
+        self._prober.ended(event.address, event.latency_ms, now_ms)
         stats = self._table.get(event.address)
         if stats is not None and event.load is not None:
             stats.evidence_ms = now_ms
@@ -208,10 +212,21 @@
         else:
             mine = [endpoint.address for endpoint in self._present]
         self._table.own(mine, self._homes.data_centers.get(own, ""), now_ms)
+        probed = self._probed(len(mine))
         self._prober.budget.set_share(
-            self._policy.measuring_ms_per_s, len(mine), len(self._present), now_ms
+            self._policy.measuring_ms_per_s, probed, len(self._present), now_ms
         )
 
+    def _probed(self, owned: int) -> float:
+        """Return the endpoints whose part of the measuring budget this VM may spend.
+
+        Only a home spends any, and one that has lost sight of the others not their part too.
+        """
+        homes = self._homes.homes
+        if self._homes.own_vm not in homes:
+            return 0.0
+        return min(owned, len(self._present) * REMOTE_TOLERANCE / len(homes))
+
     def _place(self, request: Request, now_ms: float, avoid: str = "") -> list[Action]:
         request_id = request.arrival.request_id
         if not self._present or self._nothing_works():
--- /dev/null
+++ b/features/probes.feature
@@ -0,0 +1,22 @@
+Feature: Backend servers are asked for their load, within the measuring budget
+
+  Scenario: Every kind of answer ends a probe
+    Given a scripted backend server that is probed
+    Then these answers to a probe tell the load
+      | answer       | load |
+      | load         | 3    |
+      | not-found    | none |
+      | wrong-number | none |
+      | hangs        | none |
+      | cut          | none |
+      | too-long     | none |
+    And a probe uses a connection again
+
+  Scenario: Daemons probe idle endpoints
+    Given 4 backend servers and 3 daemons
+    When an operator publishes the configuration
+    Then every backend server is probed, within the budget
+
+  Scenario: An owner has half of an endpoint's connections and the others share the rest
+    Given the routers of 3 VMs, with one endpoint of 200 connections
+    Then their limits add up to no more than its connections
--- /dev/null
+++ b/features/steps/probe_steps.py
@@ -0,0 +1,119 @@
+"""Steps for probes: one by one, from real daemons, and the shares of an endpoint's connections."""
+
+import asyncio
+import random
+import time
+
+from behave import given, then
+
+from cloverhook.clock import monotonic_ms
+from cloverhook.dispatch import Dispatcher
+from cloverhook.fold import fold
+from cloverhook.probing import LoadProbes
+from cloverhook.records import Change, Publish
+from cloverhook.state import State
+from cloverhook.upstream import UpstreamPool
+from features.http_peers import ScriptedBackend
+from features.shared import eventually, run
+from features.steps.dispatch_steps import ADDRESS, DOCUMENT, HOST, NoOutlet
+
+QUIET_S = 0.2
+CONNECTIONS = 200
+KEY = "one/only"
+BUDGET_MS_PER_S = 60
+PROBE_MS = 6
+FIRST_PROBES = 3
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
+LOAD = b'{"in_flight": 3, "slots": 4}'
+ANSWERS = {
+    "load": HEAD % (len(LOAD), LOAD),
+    "not-found": b"HTTP/1.1 404 Not Found\r\nContent-Length: 4\r\n\r\nnone",
+    "wrong-number": HEAD % (19, b'{"in_flight": "all"}'[:19]),
+    "hangs": ScriptedBackend.hang,
+    "cut": ScriptedBackend.cut,
+    "too-long": HEAD % (10_000, b"0" * 10_000),
+}
+
+
+def _dispatcher():
+    state = fold(State(), 0, Change("c1", "one", 0, "ann", Publish(DOCUMENT))).state
+    dispatcher = Dispatcher(random.Random(1), NoOutlet())
+    dispatcher.configure(state, monotonic_ms())
+    return dispatcher
+
+
+@given("a scripted backend server that is probed")
+def step_backend(context):
+    async def start():
+        context.stack.push_async_callback(asyncio.sleep, QUIET_S)
+        context.backend = await context.stack.enter_async_context(ScriptedBackend())
+        context.pool = UpstreamPool()
+        context.stack.callback(context.pool.close)
+        context.ended = asyncio.Queue()
+        context.probes = LoadProbes(
+            context.pool, lambda *ended: context.ended.put_nowait(ended), monotonic_ms
+        )
+
+    context.target = _dispatcher().target_for(HOST)
+    run(context, start())
+
+
+def _probe(context, answer):
+    async def probe():
+        context.backend.answers["/load"] = ANSWERS[answer]
+        context.probes.start(context.target, context.backend.address)
+        return await context.ended.get()
+
+    key, ended = run(context, probe())
+    assert key == KEY and ended.address == context.backend.address
+    return ended
+
+
+@then("these answers to a probe tell the load")
+def step_answers(context):
+    for row in context.table:
+        load = _probe(context, row["answer"]).load
+        assert str(load).lower() == row["load"], (row["answer"], load)
+
+
+@then("a probe uses a connection again")
+def step_reused(context):
+    assert _probe(context, "load").load == 3
+    run(context, asyncio.sleep(QUIET_S))
+    connections = context.backend.connections
+    assert _probe(context, "load").load == 3
+    assert context.backend.connections == connections
+
+
+@then("every backend server is probed, within the budget")
+def step_probed(context):
+    async def counts():
+        return [count["probes"] for count in (await context.fleet.counts()).values()]
+
+    async def all_probed():
+        return min(await counts()) > 0
+
+    started_s = time.monotonic()
+    run(context, eventually(all_probed))
+    probes = sum(run(context, counts()))
+    allowed = (time.monotonic() - started_s) * BUDGET_MS_PER_S / PROBE_MS + FIRST_PROBES
+    assert probes <= allowed, (probes, allowed)
+
+
+@given("the routers of {vms:d} VMs, with one endpoint of {count:d} connections")
+def step_routers(context, vms, count):
+    assert count == CONNECTIONS
+    names = tuple(f"vm-{index}" for index in range(vms))
+    context.dispatchers = []
+    for name in names:
+        dispatcher = _dispatcher()
+        dispatcher.homes_changed(KEY, name, names, monotonic_ms())
+        context.dispatchers.append(dispatcher)
+
+
+@then("their limits add up to no more than its connections")
+def step_limits(context):
+    vms = len(context.dispatchers)
+    limits = [item.connection_limit(ADDRESS, vms) for item in context.dispatchers]
+    assert sum(limits) <= CONNECTIONS, limits
+    assert max(limits) == CONNECTIONS // 2 and min(limits) >= 4, limits
--- a/features/steps/silent_link_steps.py
+++ b/features/steps/silent_link_steps.py
@@ -11,7 +11,7 @@
 from cloverhook_emulator.cut_proxy import CutProxy, Mode
 from cloverhook_emulator.fleet_runner import Fleet
 from features.http_peers import HOST, ScriptedBackend, call, request
-from features.steps.fleet_steps import CONFIG, eventually, run
+from features.shared import CONFIG, eventually, run
 
 TIMEOUT_MS = 1_000
 GIVE_UP_S = 0.2
