Let routers and listeners sleep until something is due

An idle daemon spent its time on looking: every router of every service each 10 ms, and each uvicorn listener each 100 ms. Now a router says when time alone next matters to it (`next_wake_ms`): a waiting request, an ask, a slot that is out, a probe. The dispatcher keeps one heap of those times and one timer of the event loop. A router with nothing pending is in no heap. While a request waits its router is still woken each 10 ms, and besides exactly at the end of the wait. A listener waits for the stop alone; uvicorn's first look, which sets the headers of answers, is kept.

The prober says when its next endpoint grows stale or its budget next allows a probe. Before, it looked four times a second. A service without the budget for one probe never wakes up for it.

A change of configuration rebuilds and tells only the services of the brands that changed. Before, each of the 390 routers took every change.

The tests count work. Each was red against a broken variant: uvicorn's own main loop, every brand taken for changed, every service of a brand told, no wake-up at the end of a wait, no timer, a prober that looks each 250 ms.

`Dispatcher.tick` still lets time pass for all, for the bench and the tests.

--- a/bench/baseline_router.py
+++ b/bench/baseline_router.py
@@ -64,6 +64,10 @@
                 self._requests.pop(event.request_id, None)
         return ()
 
+    def next_wake_ms(self, now_ms: float) -> float | None:
+        """Return that no time is waited for."""
+        del now_ms
+
     def _ended(self, event: AttemptEnded) -> tuple[Action, ...]:
         self.in_flight[event.address] -= 1
         request = self._requests.get(event.request_id)
--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -46,7 +46,6 @@
 
 __all__ = ["Daemon", "run"]
 
-TICK_MS = 10
 SNAPSHOT_CHECK_MS = 500
 EXIT_SETTINGS = 2
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -129,8 +128,11 @@
         await self._cluster.start(self._callers.address)
         await self._callers.start()
         await self._operators.start()
-        loops = (self._follow(), self._keep_snapshots(), self._tick(), self._claims.run())
-        watch = LoadWatch(self._dispatcher.own_limit, self._cluster.load_changed)
+        self._dispatcher.start_timer(monotonic_ms)
+        loops = (self._follow(), self._keep_snapshots(), self._claims.run())
+        watch = LoadWatch(
+            self._dispatcher.own_limit, self._cluster.load_changed, self._observer.loop_lagged
+        )
         self._tasks = [asyncio.create_task(loop) for loop in (*loops, watch.run())]
         self._observer.note(EventName.DAEMON_STARTED)
         logging.info("daemon: %s has started.", settings.vm)
@@ -152,6 +154,7 @@
         await self._finish_requests()
         for task in self._tasks:
             task.cancel()
+        self._dispatcher.stop_timer()
         await self._claims.flush()
         await self._cluster.close()
         await self._operators.stop()
@@ -255,13 +258,6 @@
             await asyncio.sleep(SNAPSHOT_CHECK_MS / 1000)
             await self._follower.maintain()
 
-    async def _tick(self) -> None:
-        while True:
-            due_ms = monotonic_ms() + TICK_MS
-            await asyncio.sleep(TICK_MS / 1000)
-            self._observer.loop_lagged(due_ms)
-            self._dispatcher.tick(monotonic_ms())
-
     def _samples(self) -> list[Sample]:
         return [
             Sample(Metric.WAITING, self._dispatcher.waiting()),
--- a/cloverhook/dispatch.py
+++ b/cloverhook/dispatch.py
@@ -6,14 +6,13 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import ErrorKind, RequestError
 from cloverhook.fleet import Endpoint, Policy, Service
-from cloverhook.fold import State
 from cloverhook.messages import Message
 from cloverhook.own_limit import OwnLimit
 from cloverhook.retry_after import ReturnTimes
@@ -36,7 +35,9 @@
     Tell,
     Tick,
 )
+from cloverhook.state import BrandState, State
 from cloverhook.token_bucket import TokenBucket
+from cloverhook.wake_times import LoopTimer, WakeTimes
 
 __all__ = ["DispatchWatch", "Dispatcher", "Outlet", "Target"]
 
@@ -87,35 +88,56 @@
         self.own_limit = OwnLimit()
         self._returns = ReturnTimes(source)
         self._peer_bytes = TokenBucket(PEER_BYTES_PER_S, PEER_BYTES_PER_S)
+        self._brands: Mapping[str, BrandState] = {}
+        self._in_force: tuple[Target, ...] = ()
         self._targets: dict[bytes, Target] = {}
         self._target_of: dict[str, Target] = {}
         self._routers: dict[str, ServiceRouter] = {}
-        self._endpoints: dict[str, tuple[str, Endpoint]] = {}
+        self._endpoints: dict[str, dict[str, Endpoint]] = {}
         self._waiting: dict[str, asyncio.Future[str]] = {}
+        self._wake_times = WakeTimes()
+        self._timer: LoopTimer | None = None
+
+    def start_timer(self, clock_ms: Callable[[], float]) -> None:
+        """Let the running event loop call `wake` from now on whenever a router needs it."""
+        self._timer = LoopTimer(clock_ms, lambda: self.wake(clock_ms()))
+        self._timer.by(self._wake_times.next_ms())
+
+    def stop_timer(self) -> None:
+        """Let the event loop call `wake` no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
 
     def configure(self, state: State, now_ms: float) -> None:
-        """Put a folded state in force."""
-        targets: dict[bytes, Target] = {}
-        for item in state.brands.values():
-            for service in item.brand.services:
-                target = Target(item.brand.name, service, service.policy(item.preset))
-                for host in service.hosts:
-                    targets[host.encode()] = target
-        self._targets = targets
-        self._update_routers(now_ms)
+        """Put a folded state in force; only services of brands that have changed are looked at."""
+        before, self._brands = self._brands, state.brands
+        names = [name for name in {**before, **state.brands} if self._changed(name, before)]
+        old = {target.key: target for name in names for target in _targets_of(before.get(name))}
+        for target in old.values():
+            self._forget(target)
+        for name in names:
+            for target in _targets_of(state.brands.get(name)):
+                self._begin(target, old.pop(target.key, None), now_ms)
+        for key in old:
+            self._end(key, now_ms)
+        self._in_force = tuple(self._target_of.values())
+
+    def _changed(self, name: str, before: Mapping[str, BrandState]) -> bool:
+        return self._brands.get(name) is not before.get(name)
 
     def targets(self) -> tuple[Target, ...]:
         """Return the services in force."""
-        return tuple(self._target_of.values())
+        return self._in_force
 
     def connection_limit(self, address: str, vms: int) -> int:
         """Return how many connections to an endpoint this VM may have, of `vms` that serve.
 
         Half of the endpoint's connections are for its owner, the other half is shared evenly.
         """
-        key, endpoint = self._endpoints.get(address, ("", None))
-        if endpoint is None:
+        if address not in self._endpoints:
             return 1
+        key, endpoint = next(iter(self._endpoints[address].items()))
         owner = self._routers[key].owns(address)
         return max(1, endpoint.connections // (2 if owner else 2 * max(1, vms)))
 
@@ -179,6 +201,17 @@
             self._watch.probed(target, ended.latency_ms)
         self._look_at(key, ended.address)
 
+    def next_wake_ms(self) -> float | None:
+        """Return when `wake` has something to do next, if time alone brings that about."""
+        return self._wake_times.next_ms()
+
+    def wake(self, now_ms: float) -> None:
+        """Let time pass for the routers that have asked for it."""
+        for key in self._wake_times.due(now_ms):
+            self._drive(key, Tick(), now_ms)
+        if self._timer is not None:
+            self._timer.by(self._wake_times.next_ms())
+
     def tick(self, now_ms: float) -> None:
         """Let time pass for all routers."""
         for key in tuple(self._routers):
@@ -216,6 +249,11 @@
             return
         for action in router.handle(event, now_ms):
             self._perform(key, action)
+        wake_ms = router.next_wake_ms(now_ms)
+        if wake_ms is not None:
+            self._wake_times.want(key, wake_ms)
+            if self._timer is not None:
+                self._timer.by(wake_ms)
 
     def _perform(self, key: str, action: Action) -> None:
         match action:
@@ -236,20 +274,40 @@
         future = self._waiting.get(request_id)
         return None if future is None or future.done() else future
 
-    def _update_routers(self, now_ms: float) -> None:
-        wanted = {target.key: target for target in self._targets.values()}
-        self._target_of = wanted
-        self._endpoints = {
-            endpoint.address: (key, endpoint)
-            for key, target in wanted.items()
-            for endpoint in target.service.endpoints
-        }
-        for key in set(self._routers) - set(wanted):
-            self._drive(key, EndpointsChanged((), Policy()), now_ms)
-            del self._routers[key]
-        for key, target in wanted.items():
-            if key not in self._routers:
-                self._routers[key] = ServiceRouter(
-                    random.Random(self._random.random()), key, self._peer_bytes
-                )
-            self._drive(key, EndpointsChanged(target.service.endpoints, target.policy), now_ms)
+    def _begin(self, target: Target, before: Target | None, now_ms: float) -> None:
+        """Put a service in force, and tell its router if anything has changed for it."""
+        self._targets |= {host.encode(): target for host in target.service.hosts}
+        self._target_of[target.key] = target
+        for endpoint in target.service.endpoints:
+            self._endpoints.setdefault(endpoint.address, {})[target.key] = endpoint
+        if target.key not in self._routers:
+            self._routers[target.key] = ServiceRouter(
+                random.Random(self._random.random()), target.key, self._peer_bytes
+            )
+        changed = EndpointsChanged(target.service.endpoints, target.policy)
+        if before is None or changed != EndpointsChanged(before.service.endpoints, before.policy):
+            self._drive(target.key, changed, now_ms)
+
+    def _forget(self, target: Target) -> None:
+        """Take a service out of force; its router stays, as it may come back in the same change."""
+        for host in target.service.hosts:
+            del self._targets[host.encode()]
+        del self._target_of[target.key]
+        for endpoint in target.service.endpoints:
+            services = self._endpoints[endpoint.address]
+            del services[target.key]
+            if not services:
+                del self._endpoints[endpoint.address]
+
+    def _end(self, key: str, now_ms: float) -> None:
+        """Refuse what waits for a service that is gone, and drop its router."""
+        self._drive(key, EndpointsChanged((), Policy()), now_ms)
+        del self._routers[key]
+        self._wake_times.drop(key)
+
+
+def _targets_of(item: BrandState | None) -> list[Target]:
+    if item is None:
+        return []
+    services = item.brand.services
+    return [Target(item.brand.name, service, service.policy(item.preset)) for service in services]
--- a/cloverhook/lending.py
+++ b/cloverhook/lending.py
@@ -6,6 +6,7 @@
 each of them lapses by itself.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -113,10 +114,17 @@
 
     def __init__(self) -> None:
         self._out: dict[tuple[str, str], deque[float]] = {}
+        self._first_end_ms = math.inf
 
     def add(self, vm: str, address: str, now_ms: float) -> None:
         """Count a slot that is granted."""
-        self._out.setdefault((vm, address), deque()).append(now_ms + LENT_LIFETIME_MS)
+        end_ms = now_ms + LENT_LIFETIME_MS
+        self._first_end_ms = min(self._first_end_ms, end_ms)
+        self._out.setdefault((vm, address), deque()).append(end_ms)
+
+    def next_end_ms(self) -> float:
+        """Return the earliest time at which a slot may have been out for too long."""
+        return self._first_end_ms if self._out else math.inf
 
     def count(self) -> int:
         """Return how many slots are out."""
@@ -150,4 +158,5 @@
                 late.append(address)
             if not ends:
                 self._out.pop((vm, address), None)
+        self._first_end_ms = min((ends[0] for ends in self._out.values()), default=math.inf)
         return late
--- a/cloverhook/load_watch.py
+++ b/cloverhook/load_watch.py
@@ -19,11 +19,20 @@
 
 
 class LoadWatch:
-    """The load of this process; `on_busy` takes tenths of a core when the peers should know."""
+    """The load of this process; `on_busy` takes tenths of a core when the peers should know.
 
-    def __init__(self, limit: OwnLimit, on_busy: Callable[[int], None]) -> None:
+    `on_look` takes when each look was due, to tell how late it is.
+    """
+
+    def __init__(
+        self,
+        limit: OwnLimit,
+        on_busy: Callable[[int], None],
+        on_look: Callable[[float], None] = lambda due_ms: None,
+    ) -> None:
         self._limit = limit
         self._on_busy = on_busy
+        self._on_look = on_look
         self._told_tenths = 0
         self._told_ms = 0.0
 
@@ -32,6 +41,7 @@
         while True:
             started_ms, used_s = monotonic_ms(), time.process_time()
             await asyncio.sleep(LOOK_EVERY_MS / 1000)
+            self._on_look(started_ms + LOOK_EVERY_MS)
             now_ms = monotonic_ms()
             took_ms = now_ms - started_ms
             busy = (time.process_time() - used_s) * 1000 / took_ms
--- a/cloverhook/measuring.py
+++ b/cloverhook/measuring.py
@@ -6,6 +6,7 @@
 takes longer than it should is paid for by later ones, so the bound holds over a few seconds.
 """
 
+import math
 from collections.abc import Callable, Iterable
 
 from cloverhook.endpoint_stats import EndpointStats
@@ -15,6 +16,7 @@
 
 PROBE_COST_MS = 6.0
 CONNECTION_COST_MS = 1.0
+PROBE_WITH_CONNECTION_MS = PROBE_COST_MS + CONNECTION_COST_MS
 SAFETY = 0.5
 STALE_EVIDENCE_MS = 5_000.0
 LOOK_EVERY_MS = 250.0
@@ -35,10 +37,9 @@
 
     def take_probe(self, now_ms: float) -> bool:
         """Return whether a probe, with the connection it may need, is within the budget."""
-        cost_ms = PROBE_COST_MS + CONNECTION_COST_MS
-        if not self._bucket.take(cost_ms, now_ms):
+        if not self._bucket.take(PROBE_WITH_CONNECTION_MS, now_ms):
             return False
-        self.spent_ms += cost_ms
+        self.spent_ms += PROBE_WITH_CONNECTION_MS
         return True
 
     def settle(self, latency_ms: float, now_ms: float) -> None:
@@ -47,6 +48,10 @@
         self._bucket.charge(more_ms, now_ms)
         self.spent_ms += more_ms
 
+    def next_probe_ms(self, now_ms: float) -> float:
+        """Return when a probe is next within the budget."""
+        return self._bucket.ready_ms(PROBE_WITH_CONNECTION_MS, now_ms)
+
 
 class Prober:
     """Finds the owned endpoints that nothing has been heard of for long, within the budget."""
@@ -54,27 +59,35 @@
     def __init__(self) -> None:
         self.budget = MeasuringBudget()
         self._under_way: set[str] = set()
-        self._next_look_ms = 0.0
+        self.next_look_ms = 0.0
+
+    def look_again(self) -> None:
+        """Look soon: other endpoints are owned, or something has been heard of one."""
+        self.next_look_ms = 0.0
 
     def ended(self, address: str, latency_ms: float, now_ms: float) -> None:
         """Take the end of a probe and the time that it took."""
         self._under_way.discard(address)
         self.budget.settle(latency_ms, now_ms)
+        self.look_again()
 
     def due(self, owned: Callable[[], Iterable[EndpointStats]], now_ms: float) -> list[str]:
         """Return the addresses to probe now."""
-        if now_ms < self._next_look_ms:
+        if now_ms < self.next_look_ms:
             return []
-        self._next_look_ms = now_ms + LOOK_EVERY_MS
         due: list[str] = []
+        next_stale_ms = math.inf
         for stats in owned():
             address = stats.endpoint.address
-            fresh = now_ms - stats.evidence_ms < STALE_EVIDENCE_MS
-            if fresh or stats.used or address in self._under_way:
+            if address in self._under_way:
                 continue
-            if not self.budget.take_probe(now_ms):
-                break
-            stats.evidence_ms = now_ms
-            self._under_way.add(address)
-            due.append(address)
+            if now_ms - stats.evidence_ms < STALE_EVIDENCE_MS:
+                next_stale_ms = min(next_stale_ms, stats.evidence_ms + STALE_EVIDENCE_MS)
+            elif stats.used or not self.budget.take_probe(now_ms):
+                next_stale_ms = min(next_stale_ms, self.budget.next_probe_ms(now_ms))
+            else:
+                stats.evidence_ms = now_ms
+                self._under_way.add(address)
+                due.append(address)
+        self.next_look_ms = max(next_stale_ms, now_ms + LOOK_EVERY_MS)
         return due
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -13,6 +13,7 @@
 (Start(request_id='r1', address='10.0.0.1:80'),)
 """
 
+import math
 import random
 from collections.abc import Iterable
 from functools import singledispatchmethod
@@ -73,6 +74,8 @@
 PEER_BYTES_PER_S = 15_000
 DIRECT_CHOICES = 2
 PATIENCE_MS = 10.0
+WAITING_TICK_MS = 10.0
+SHORTEST_TICK_MS = 1.0
 
 
 class ServiceRouter:
@@ -195,6 +198,14 @@
         actions.extend(Probe(address) for address in due)
         return tuple(actions)
 
+    def next_wake_ms(self, now_ms: float) -> float | None:
+        """Return when the router next needs a `Tick`, or None while only events matter to it."""
+        waiting = len(self._line) > 0
+        wake_ms = min(self._prober.next_look_ms, self._exchange.next_wake_ms(now_ms, waiting))
+        if waiting:
+            wake_ms = min(wake_ms, self._line.next_end_ms(), now_ms + WAITING_TICK_MS)
+        return None if wake_ms == math.inf else max(wake_ms, now_ms + SHORTEST_TICK_MS)
+
     def _divide(self, now_ms: float) -> None:
         """Work out which endpoints this VM owns, as far as the other homes can be reached."""
         self._present = self._table.present()
@@ -216,6 +227,7 @@
         self._prober.budget.set_share(
             self._policy.measuring_ms_per_s, probed, len(self._present), now_ms
         )
+        self._prober.look_again()
 
     def _probed(self, owned: int) -> float:
         """Return the endpoints whose part of the measuring budget this VM may spend.
--- a/cloverhook/server.py
+++ b/cloverhook/server.py
@@ -18,7 +18,25 @@
 
 
 class _Server(uvicorn.Server):
-    """A uvicorn server that leaves signals to the daemon."""
+    """A uvicorn server that leaves signals to the daemon and wakes up only to stop."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._stopping = asyncio.Event()
+
+    def stop(self) -> None:
+        """Let `serve` stop accepting, finish what is in flight and return."""
+        self.should_exit = True
+        self._stopping.set()
+
+    async def main_loop(self) -> None:
+        """Serve until `stop`: uvicorn's own loop looks ten times a second.
+
+        Its first look sets the headers of every answer; later ones would only renew the date,
+        which is left out.
+        """
+        if not await self.on_tick(0):
+            await self._stopping.wait()
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -65,7 +83,7 @@
 
     async def stop(self) -> None:
         """Stop accepting, let requests in flight end, and close."""
-        self._server.should_exit = True
+        self._server.stop()
         if self._task is not None:
             await self._task
 
--- a/cloverhook/slot_exchange.py
+++ b/cloverhook/slot_exchange.py
@@ -17,6 +17,7 @@
 __all__ = ["SlotExchange"]
 
 SILENT_MS = 60.0
+LOOK_AGAIN_MS = 10.0
 ASK_AGAIN_MS = 15.0
 ASK_PACE_MS = 3.0
 IDLE_LOAN_MS = 0.0
@@ -62,6 +63,24 @@
         """Return whether another owner can be asked."""
         return any(not peer.silent for peer in self._peers.values())
 
+    def next_wake_ms(self, now_ms: float, waiting: bool) -> float:
+        """Return when time alone next changes something here, `waiting` telling of requests.
+
+        An ask of another VM stands for a short time, and one of this VM's is taken back soon after
+        its last request has gone.
+        """
+        wake_ms = self.lent.next_end_ms()
+        if any(peer.ask is not None for peer in self._others.values()):
+            wake_ms = min(wake_ms, now_ms + LOOK_AGAIN_MS)
+        for peer in self._peers.values():
+            if peer.asked_ms is not None and not peer.silent:
+                wake_ms = min(wake_ms, peer.asked_ms + SILENT_MS)
+            if peer.sent_waiting and not waiting:
+                wake_ms = min(wake_ms, now_ms + LOOK_AGAIN_MS)
+        if self.borrowed.idle and not waiting:
+            wake_ms = min(wake_ms, now_ms + LOOK_AGAIN_MS)
+        return wake_ms
+
     def find_silent(self, now_ms: float) -> bool:
         """Return whether an owner has become silent: an ask stays without an answer."""
         found = False
--- a/cloverhook/token_bucket.py
+++ b/cloverhook/token_bucket.py
@@ -7,6 +7,8 @@
 [True, True, False, True]
 """
 
+import math
+
 __all__ = ["TokenBucket"]
 
 
@@ -44,6 +46,15 @@
         self._fill(now_ms)
         return self._tokens > reserve * self._capacity
 
+    def ready_ms(self, cost: float, now_ms: float) -> float:
+        """Return when `take` can next succeed; infinite for a cost that is never held."""
+        self._fill(now_ms)
+        if self._tokens >= cost:
+            return now_ms
+        if self._capacity < cost or self._rate_per_ms <= 0:
+            return math.inf
+        return now_ms + (cost - self._tokens) / self._rate_per_ms
+
     def add(self, tokens: float) -> None:
         """Add tokens, up to the capacity."""
         self._tokens = min(self._capacity, self._tokens + tokens)
--- a/cloverhook/waiting.py
+++ b/cloverhook/waiting.py
@@ -4,6 +4,7 @@
 """
 
 import heapq
+import math
 from collections import OrderedDict
 from dataclasses import dataclass
 
@@ -50,6 +51,8 @@
         if line.pop(request.arrival.request_id, None) is None:
             return False
         self._count -= 1
+        if not self._count:
+            self._ends.clear()
         return True
 
     def first(self) -> Request | None:
@@ -70,6 +73,10 @@
         """Return how many requests a new one of this priority has before it."""
         return sum(len(line) for level, line in self._lines.items() if level <= priority)
 
+    def next_end_ms(self) -> float:
+        """Return the earliest time at which a request may have waited too long."""
+        return self._ends[0][0] if self._ends else math.inf
+
     def overdue(self, now_ms: float, requests: dict[str, Request]) -> list[Request]:
         """Take out and return the requests that have waited too long."""
         late: list[Request] = []
--- /dev/null
+++ b/features/steps/control_cost_steps.py
@@ -0,0 +1,275 @@
+"""Steps that count the work of control: wake-ups asked for, and events that routers take."""
+
+import asyncio
+import random
+from typing import ClassVar
+from unittest import mock
+
+import uvicorn
+from behave import given, then, when
+
+from bench.many_services import brand_document, publishes
+from cloverhook import dispatch
+from cloverhook.clock import monotonic_ms
+from cloverhook.dispatch import Dispatcher
+from cloverhook.errors import ErrorKind, RequestError
+from cloverhook.fleet import Endpoint, Policy, Priority
+from cloverhook.fold import fold
+from cloverhook.measuring import STALE_EVIDENCE_MS
+from cloverhook.records import Change, Publish, RemoveBrand
+from cloverhook.routing import (
+    Arrival,
+    EndpointsChanged,
+    HomesChanged,
+    Probe,
+    ProbeEnded,
+    ServiceRouter,
+    Tick,
+)
+from cloverhook.server import Listener
+from cloverhook.state import State
+from features.http_peers import open_to, request
+from features.steps.fleet_steps import run
+
+WAIT_LIMIT_MS = 75
+POLICY = {"measuring_ms_per_s": 0, "wait_limit_ms": WAIT_LIMIT_MS}
+DEADLINE_MS = 1e12
+LOOK_AFTER_S = 0.5
+TIMEOUT_S = 20
+
+
+class _Outlet:
+    def tell(self, vm, message):
+        raise AssertionError(f"{vm} was told {message}")
+
+    def probe(self, target, address):
+        raise AssertionError(f"{address} of {target.key} was probed")
+
+
+class _CountingRouter(ServiceRouter):
+    """A router that notes its service for each event it takes."""
+
+    taken: ClassVar = []
+
+    def __init__(self, source, service, peer_bytes):
+        super().__init__(source, service, peer_bytes)
+        self.service = service
+
+    def handle(self, event, now_ms):
+        self.taken.append(self.service)
+        return super().handle(event, now_ms)
+
+
+def _without_measuring(document):
+    for service in document["services"]:
+        service["policy"] = dict(POLICY)
+    return document
+
+
+def _change(context, action, version):
+    change = Change(f"id-{version}-{action}", "brand-7", version, "test", action)
+    result = fold(context.state, context.state.next_offset, change)
+    assert result.verdict.value == "accepted", result.reason
+    context.state = result.state
+    _CountingRouter.taken.clear()
+    before = {target.key: target for target in context.dispatcher.targets()}
+    context.dispatcher.configure(context.state, 2.0)
+    for target in context.dispatcher.targets():
+        assert target.brand == "brand-7" or target is before[target.key]
+
+
+@given("the routers of {count:d} service that may not measure")
+@given("the routers of {count:d} services that may not measure")
+def step_routers(context, count):
+    context.stack.enter_context(mock.patch.object(dispatch, "ServiceRouter", _CountingRouter))
+    context.state = State()
+    for change in publishes(count, ["10.0.0.1:80"], ["papine"]):
+        _without_measuring(change.action.document)
+        context.state = fold(context.state, context.state.next_offset, change).state
+    context.dispatcher = Dispatcher(random.Random(1), _Outlet())
+    context.dispatcher.configure(context.state, 0.0)
+
+
+@when("all that is due has been done")
+def step_all_done(context):
+    context.dispatcher.wake(1.0)
+
+
+@then("no router asks to be woken")
+def step_no_wake(context):
+    assert context.dispatcher.next_wake_ms() is None
+
+
+def _target(context, key):
+    return next(target for target in context.dispatcher.targets() if target.key == key)
+
+
+def _arrive(context, target, name, now_ms):
+    arrival = Arrival(name, Priority.NORMAL, DEADLINE_MS, True)
+    return context.loop.create_task(context.dispatcher.admit(target, arrival, now_ms))
+
+
+@when('a request waits for a slot of "{key}"')
+def step_waits(context, key):
+    context.target = _target(context, key)
+    slots = context.target.service.endpoints[0].slots
+    started = [_arrive(context, context.target, f"started-{n}", 1.0) for n in range(slots)]
+    run(context, asyncio.wait(started, timeout=TIMEOUT_S))
+    assert all(task.done() for task in started)
+    context.waiting = _arrive(context, context.target, "waits", 1.0)
+    run(context, asyncio.sleep(0))
+    _CountingRouter.taken.clear()
+
+
+@then("only that router asks to be woken")
+def step_only_one(context):
+    context.dispatcher.wake(context.dispatcher.next_wake_ms())
+    assert set(_CountingRouter.taken) == {context.target.key}, _CountingRouter.taken
+    context.waiting.cancel()
+    run(context, asyncio.wait([context.waiting]))
+
+
+def _refusal(context, task):
+    run(context, asyncio.wait([task], timeout=TIMEOUT_S))
+    error = task.exception()
+    assert isinstance(error, RequestError) and error.kind is ErrorKind.OVERLOADED, error
+
+
+@then("it is refused at the end of its {limit_ms:d} ms by the wake-ups asked for")
+def step_refused(context, limit_ms):
+    assert limit_ms == WAIT_LIMIT_MS
+    while not context.waiting.done():
+        now_ms = context.dispatcher.next_wake_ms()
+        assert now_ms <= 1.0 + limit_ms, now_ms
+        context.dispatcher.wake(now_ms)
+        run(context, asyncio.sleep(0))
+    assert now_ms == 1.0 + limit_ms
+    _refusal(context, context.waiting)
+
+
+@then("another one is refused by the event loop's own timer")
+def step_refused_by_timer(context):
+    while (now_ms := context.dispatcher.next_wake_ms()) is not None:
+        context.dispatcher.wake(now_ms)
+
+    async def refuse():
+        context.dispatcher.start_timer(monotonic_ms)
+        started_ms = monotonic_ms()
+        task = _arrive(context, context.target, "waits-too", started_ms)
+        await asyncio.wait([task], timeout=TIMEOUT_S)
+        context.dispatcher.stop_timer()
+        assert monotonic_ms() >= started_ms + WAIT_LIMIT_MS
+        return task
+
+    _refusal(context, run(context, refuse()))
+
+
+def _owner(measuring_ms_per_s):
+    router = ServiceRouter(random.Random(1))
+    policy = Policy(measuring_ms_per_s=measuring_ms_per_s)
+    router.handle(EndpointsChanged((Endpoint("10.0.0.1:80", "papine"),), policy), 0.0)
+    router.handle(HomesChanged("vm-1", ("vm-1",)), 0.0)
+    return router
+
+
+@given("a router that owns one endpoint")
+def step_owner(context):
+    context.router = _owner(60)
+
+
+@then("it probes once its budget allows, and wakes up next when the answer has grown stale")
+def step_probes(context):
+    wake_ms = context.router.next_wake_ms(0.0)
+    assert context.router.handle(Tick(), wake_ms) == ()
+    wake_ms = context.router.next_wake_ms(wake_ms)
+    assert context.router.handle(Tick(), wake_ms) == (Probe("10.0.0.1:80"),)
+    assert context.router.next_wake_ms(wake_ms) is None
+    context.router.handle(ProbeEnded("10.0.0.1:80", 0, 5.0), wake_ms + 5.0)
+    looked_ms = context.router.next_wake_ms(wake_ms + 5.0)
+    assert context.router.handle(Tick(), looked_ms) == ()
+    stale_ms = wake_ms + 5.0 + STALE_EVIDENCE_MS
+    wake_ms = context.router.next_wake_ms(looked_ms)
+    assert wake_ms == stale_ms, (wake_ms, stale_ms)
+    assert context.router.handle(Tick(), wake_ms) == (Probe("10.0.0.1:80"),)
+
+
+@then("a router without the budget for a probe never wakes up for one")
+def step_no_budget(context):
+    router = _owner(0)
+    assert router.handle(Tick(), router.next_wake_ms(0.0)) == ()
+    assert router.next_wake_ms(2.0) is None
+
+
+@when('"brand-7" changes the policy of "service-3"')
+def step_one_policy(context):
+    document = _without_measuring(brand_document("brand-7", 10, ["10.0.0.1:80"], ["papine"]))
+    document["services"][3]["policy"]["wait_limit_ms"] = 2 * WAIT_LIMIT_MS
+    _change(context, Publish(document), 1)
+
+
+@then('only the router of "{key}" has taken an event')
+def step_only_router(context, key):
+    assert _CountingRouter.taken == [key], _CountingRouter.taken
+
+
+@when('"brand-7" is removed')
+def step_removed(context):
+    _change(context, RemoveBrand(), 2)
+
+
+@then('only the ten routers of "brand-7" have taken an event')
+def step_only_ten(context):
+    keys = [f"brand-7/service-{index}" for index in range(10)]
+    assert sorted(_CountingRouter.taken) == keys, _CountingRouter.taken
+
+
+@then("its host names are unknown and all others are known")
+def step_hosts(context):
+    targets = context.dispatcher.targets()
+    assert len(targets) == 380
+    for target in targets:
+        assert context.dispatcher.target_for(target.service.hosts[0].encode()) is target
+    try:
+        context.dispatcher.target_for(b"service-3.brand-7.example")
+    except RequestError as error:
+        assert error.kind is ErrorKind.UNKNOWN_HOST
+    else:
+        raise AssertionError("the host name is known")
+
+
+async def _answer(scope, receive, send):
+    await send(
+        {"type": "http.response.start", "status": 200, "headers": [(b"content-length", b"0")]}
+    )
+    await send({"type": "http.response.body"})
+
+
+@given("a listener that has answered a request")
+def step_listener(context):
+    looks = context.stack.enter_context(
+        mock.patch.object(
+            uvicorn.Server, "on_tick", autospec=True, side_effect=uvicorn.Server.on_tick
+        )
+    )
+    context.looks = looks
+
+    async def start():
+        context.listener = Listener(_answer, "127.0.0.1:0")
+        await context.listener.start()
+        reader, writer = await open_to(context.listener.address)
+        writer.write(request("GET", "/"))
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+        writer.close()
+
+    run(context, start())
+
+
+@then("it has looked once at whether to stop after half a second")
+def step_looked_once(context):
+    run(context, asyncio.sleep(LOOK_AFTER_S))
+    assert context.looks.call_count == 1, context.looks.call_count
+
+
+@then("it stops when it is told to")
+def step_stops(context):
+    run(context, asyncio.wait_for(context.listener.stop(), TIMEOUT_S))
