Bound how often a daemon probes, however many services it has

Each router probed its idle endpoints every 5 s. The routers of a daemon now book turns, 8 a second.

A shared token bucket was tried first and ruled out: the routers woke in step, and the scenario showed the same 16 of 400 endpoints probed for two minutes while the others starved. Turns go in the order in which they are booked.

--- a/cloverhook/dispatch.py
+++ b/cloverhook/dispatch.py
@@ -13,6 +13,7 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import ErrorKind, RequestError
 from cloverhook.fleet import Endpoint, Policy, Service
+from cloverhook.measuring import ProbeTurns
 from cloverhook.messages import Message
 from cloverhook.own_limit import OwnLimit
 from cloverhook.retry_after import ReturnTimes
@@ -88,6 +89,7 @@
         self.own_limit = OwnLimit()
         self._returns = ReturnTimes(source)
         self._peer_bytes = TokenBucket(PEER_BYTES_PER_S, PEER_BYTES_PER_S)
+        self._turns = ProbeTurns()
         self._brands: Mapping[str, BrandState] = {}
         self._in_force: tuple[Target, ...] = ()
         self._targets: dict[bytes, Target] = {}
@@ -282,7 +284,7 @@
             self._endpoints.setdefault(endpoint.address, {})[target.key] = endpoint
         if target.key not in self._routers:
             self._routers[target.key] = ServiceRouter(
-                random.Random(self._random.random()), target.key, self._peer_bytes
+                random.Random(self._random.random()), target.key, self._peer_bytes, self._turns
             )
         changed = EndpointsChanged(target.service.endpoints, target.policy)
         if before is None or changed != EndpointsChanged(before.service.endpoints, before.policy):
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -22,7 +22,7 @@
 from cloverhook.errors import ErrorKind
 from cloverhook.fleet import Endpoint, Policy
 from cloverhook.lending import Ask
-from cloverhook.measuring import Prober
+from cloverhook.measuring import Prober, ProbeTurns
 from cloverhook.messages import SlotAsk, SlotGrant, SlotReturn
 from cloverhook.ownership import REMOTE_TOLERANCE, owners
 from cloverhook.retry_after import ReturnTimes
@@ -82,11 +82,15 @@
     """The decisions for one service.
 
     `service` is its name in messages to other VMs; `peer_bytes` bounds the bytes of those messages
-    and may be shared by the routers of a daemon.
+    and `turns` spaces its probes; both may be shared by the routers of a daemon.
     """
 
     def __init__(
-        self, source: random.Random, service: str = "", peer_bytes: TokenBucket | None = None
+        self,
+        source: random.Random,
+        service: str = "",
+        peer_bytes: TokenBucket | None = None,
+        turns: ProbeTurns | None = None,
     ) -> None:
         self._random = source
         self._policy = Policy()
@@ -97,7 +101,7 @@
         self._requests: dict[str, Request] = {}
         self._retries = RetryBudget()
         self._returns = ReturnTimes(source)
-        self._prober = Prober()
+        self._prober = Prober(turns)
         self._homes = HomesChanged("", ())
         self._present: list[Endpoint] = []
 
--- a/features/control_cost.feature
+++ b/features/control_cost.feature
@@ -20,6 +20,10 @@
     Then it probes once its budget allows, and wakes up next when the answer has grown stale
     And a router without the budget for a probe never wakes up for one
 
+  Scenario: The probes of a daemon are bounded, however many services it has
+    Given 400 routers that each own one endpoint and share their turns
+    Then they probe no more often than a daemon may, and go through all endpoints
+
   Scenario: A change of one brand touches that brand's routers alone
     Given the routers of 390 services that may not measure
     When "brand-7" changes the policy of "service-3"
--- a/features/steps/control_cost_steps.py
+++ b/features/steps/control_cost_steps.py
@@ -15,7 +15,7 @@
 from cloverhook.errors import ErrorKind, RequestError
 from cloverhook.fleet import Endpoint, Policy, Priority
 from cloverhook.fold import fold
-from cloverhook.measuring import STALE_EVIDENCE_MS
+from cloverhook.measuring import PROBES_PER_S, STALE_EVIDENCE_MS, ProbeTurns
 from cloverhook.records import Change, Publish, RemoveBrand
 from cloverhook.routing import (
     Arrival,
@@ -28,6 +28,7 @@
 )
 from cloverhook.server import Listener
 from cloverhook.state import State
+from cloverhook.wake_times import WakeTimes
 from features.http_peers import open_to, request
 from features.steps.fleet_steps import run
 
@@ -36,6 +37,7 @@
 DEADLINE_MS = 1e12
 LOOK_AFTER_S = 0.5
 TIMEOUT_S = 20
+PROBED_FOR_MS = 120_000
 
 
 class _Outlet:
@@ -51,8 +53,8 @@
 
     taken: ClassVar = []
 
-    def __init__(self, source, service, peer_bytes):
-        super().__init__(source, service, peer_bytes)
+    def __init__(self, source, service, peer_bytes, turns):
+        super().__init__(source, service, peer_bytes, turns)
         self.service = service
 
     def handle(self, event, now_ms):
@@ -164,8 +166,8 @@
     _refusal(context, run(context, refuse()))
 
 
-def _owner(measuring_ms_per_s):
-    router = ServiceRouter(random.Random(1))
+def _owner(measuring_ms_per_s, turns=None):
+    router = ServiceRouter(random.Random(1), turns=turns)
     policy = Policy(measuring_ms_per_s=measuring_ms_per_s)
     router.handle(EndpointsChanged((Endpoint("10.0.0.1:80", "papine"),), policy), 0.0)
     router.handle(HomesChanged("vm-1", ("vm-1",)), 0.0)
@@ -200,6 +202,28 @@
     assert router.next_wake_ms(2.0) is None
 
 
+@given("400 routers that each own one endpoint and share their turns")
+def step_share(context):
+    turns = ProbeTurns()
+    context.routers = [_owner(60, turns) for _ in range(400)]
+
+
+@then("they probe no more often than a daemon may, and go through all endpoints")
+def step_probe_rate(context):
+    probed, times = [], WakeTimes()
+    for index, router in enumerate(context.routers):
+        times.want(str(index), router.next_wake_ms(0.0))
+    while (now_ms := times.next_ms()) < PROBED_FOR_MS:
+        for key in times.due(now_ms):
+            router = context.routers[int(key)]
+            for probe in router.handle(Tick(), now_ms):
+                probed.append(key)
+                router.handle(ProbeEnded(probe.address, 0, 5.0), now_ms)
+            times.want(key, router.next_wake_ms(now_ms))
+    assert len(probed) <= PROBES_PER_S * (1 + PROBED_FOR_MS / 1000), len(probed)
+    assert len(set(probed)) == len(context.routers), len(set(probed))
+
+
 @when('"brand-7" changes the policy of "service-3"')
 def step_one_policy(context):
     document = _without_measuring(brand_document("brand-7", 10, ["10.0.0.1:80"], ["papine"]))
