Wake the cluster for its next deadline in place of 20 times a second

The cluster ticked each 50 ms: for heartbeats due each 250 ms, and for deadlines that mostly are not there. The membership, the failure detector and the catch-up now say when they next need the time, and one timer serves them. It sleeps 500 ms at most, a third of the gap that `PauseWatch` takes for a pause, so a pause is noticed as before.

The fake network of the membership features now ticks a daemon only when it has asked for that, so that all of its scenarios prove the wake-ups too. The new scenarios were red against a tick each 50 ms, and against a wake-up that leaves the detector out. The older scenarios did not notice the latter, as heartbeats wake a daemon four times a second.

--- a/cloverhook/catch_up.py
+++ b/cloverhook/catch_up.py
@@ -12,6 +12,8 @@
 'vm-2'
 """
 
+import math
+
 __all__ = ["CatchUp"]
 
 PATIENCE_MS = 20
@@ -44,6 +46,12 @@
         if self._asked and self._asked[-1] == vm:
             self._asked_until_ms = 0.0
 
+    def next_wake_ms(self, next_offset: int, now_ms: float) -> float:
+        """Return when `due` may next name a peer, if no peer offers more until then."""
+        if all(offset <= next_offset for offset in self._offers.values()):
+            return math.inf
+        return max(now_ms + PATIENCE_MS, self._asked_until_ms)
+
     def due(self, next_offset: int, now_ms: float) -> str | None:
         """Return the peer to ask now for the records from an offset on, if any."""
         ahead = sorted(vm for vm, offset in self._offers.items() if offset > next_offset)
--- a/cloverhook/cluster.py
+++ b/cloverhook/cluster.py
@@ -51,10 +51,12 @@
 from cloverhook.platform_api import Platform
 from cloverhook.settings import DaemonSettings
 from cloverhook.state import State
+from cloverhook.wake_times import LoopTimer
 
 __all__ = ["Cluster"]
 
-TICK_MS = 50
+LONGEST_SLEEP_MS = 500
+SHORTEST_SLEEP_MS = 5
 DEMAND_EVERY_MS = 1_000
 LIST_EVERY_MS = 1_000
 SEED_EVERY_MS = 1_000
@@ -90,6 +92,8 @@
         self._next_demand_ms = 0.0
         self._demand = HomeDemand()
         self._tasks: list[asyncio.Task[None]] = []
+        self._timer = LoopTimer(monotonic_ms, self._on_time)
+        self._closing = False
         self.pauses = 0
         clock = observer.time_line.clock
         self.links = PeerLinks(self._greeting, settings.peer_key(), self, monotonic_ms, clock)
@@ -110,12 +114,15 @@
             since_ms=now_ms,
         )
         self.membership = Membership(own, self._random, now_ms, settings.heartbeat_ms)
-        self._tasks = [asyncio.create_task(loop) for loop in (self._ticks(), self._watch_list())]
+        self._tasks = [asyncio.create_task(self._watch_list())]
+        self._sleep()
 
     async def close(self) -> None:
         """Say that this daemon is gone and close the links."""
         for task in self._tasks:
             task.cancel()
+        self._closing = True
+        self._timer.cancel()
         self._handle(Stopped())
         await self.links.close()
 
@@ -186,7 +193,12 @@
         if self._observe_pause():
             return
         now_ms = monotonic_ms()
-        self._handle(MessageHeard(vm, message))
+        self._carry_out(MessageHeard(vm, message))
+        self._take(vm, message, now_ms)
+        if not hasattr(message, "service"):
+            self._sleep()
+
+    def _take(self, vm: str, message: Message, now_ms: float) -> None:
         match message:
             case Heartbeat():
                 self._catch_up.offered(vm, message.config_offset, now_ms)
@@ -223,6 +235,10 @@
         )
 
     def _handle(self, event: MemberEvent) -> None:
+        self._carry_out(event)
+        self._sleep()
+
+    def _carry_out(self, event: MemberEvent) -> None:
         for action in self.membership.handle(event, monotonic_ms()):
             match action:
                 case Send(vm, message):
@@ -290,15 +306,27 @@
         most = len(self.membership.serving())
         return self._demand.update(least, busy, most, now_ms)
 
-    async def _ticks(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_MS / 1000)
-            self._observe_pause()
-            self._tick(monotonic_ms())
+    def _on_time(self) -> None:
+        """Do what the time has made due, and sleep until the next of it."""
+        self._observe_pause()
+        self._tick(monotonic_ms())
+        self._sleep()
+
+    def _sleep(self) -> None:
+        """Wake up no later than a part next needs the time; pauses have to be noticed as well."""
+        if self._closing:
+            return
+        now_ms = monotonic_ms()
+        wake_ms = min(
+            now_ms + LONGEST_SLEEP_MS,
+            self.membership.next_wake_ms(now_ms),
+            self._catch_up.next_wake_ms(self._follower.state.next_offset, now_ms),
+        )
+        self._timer.by(max(wake_ms, now_ms + SHORTEST_SLEEP_MS))
 
     def _tick(self, now_ms: float) -> None:
-        self._handle(ConfigFolded(self._follower.state.next_offset))
-        self._handle(Tick())
+        self._carry_out(ConfigFolded(self._follower.state.next_offset))
+        self._carry_out(Tick())
         self.links.tick(self.membership.neighbours(), now_ms)
         self._update_homes()
         self._observer.members_are(self.membership.version, self.membership.table.all())
--- a/cloverhook/failure_detector.py
+++ b/cloverhook/failure_detector.py
@@ -14,9 +14,10 @@
 from cloverhook.members import Member, MemberTable, Status
 from cloverhook.messages import Ping, ProbeRequest, Seen
 
-__all__ = ["DetectorTimes", "FailureDetector"]
+__all__ = ["BUSY_TICK_MS", "DetectorTimes", "FailureDetector"]
 
 ASKED_PEERS = 3
+BUSY_TICK_MS = 50.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +100,18 @@
                 actions.extend(self.check(vm, linked, now_ms, alone))
         return tuple(actions), (*self._suspects(now_ms), *self._lost(now_ms, alone))
 
+    def next_wake_ms(self, watched: Collection[str], now_ms: float) -> float:
+        """Return when `tick` may next find something, if nothing is heard until then."""
+        if self._checks or self._table.any_suspected:
+            return now_ms + BUSY_TICK_MS
+        last_ms = [
+            max(self._heard_ms.get(vm, 0.0), self._watched_ms.get(vm, now_ms))
+            for vm in watched
+            if (member := self._table.get(vm)) is not None and member.status is Status.ALIVE
+        ]
+        silent_ms = min(last_ms, default=now_ms) + self._times.silent_ms + 1
+        return silent_ms if silent_ms > now_ms else now_ms + BUSY_TICK_MS
+
     def woke(self, now_ms: float) -> None:
         """Start anew: silence during a pause of this process says nothing."""
         self._heard_ms.clear()
--- a/cloverhook/members.py
+++ b/cloverhook/members.py
@@ -146,6 +146,11 @@
             if not member.leaving and self._listed.get(member.vm) is not VmPhase.LEAVING
         )
 
+    @property
+    def any_suspected(self) -> bool:
+        """Whether any member is suspected."""
+        return bool(self._suspected)
+
     def suspects(self) -> tuple[Member, ...]:
         """Return the members that are suspected."""
         return tuple(self._members[vm] for vm in sorted(self._suspected))
--- a/cloverhook/membership.py
+++ b/cloverhook/membership.py
@@ -124,6 +124,20 @@
         actions.extend(self._gossip.flush(self._told()))
         return tuple(actions)
 
+    def next_wake_ms(self, now_ms: float) -> float:
+        """Return when a `Tick` next has something to do, if no other event comes before."""
+        wake_ms = min(
+            self._next_beat_ms,
+            self._next_search_ms,
+            self._detector.next_wake_ms(self.neighbours(), now_ms),
+        )
+        for vm in self._successors:
+            if vm not in self.linked:
+                wake_ms = min(wake_ms, self._dialled_ms.get(vm, now_ms - REDIAL_MS) + REDIAL_MS)
+        if self._confirm_until_ms is not None:
+            wake_ms = min(wake_ms, self._confirm_until_ms)
+        return wake_ms
+
     def _told(self) -> list[str]:
         """Return the peers that changes go to: the neighbours, or all while few are linked."""
         near = [vm for vm in self.neighbours() if vm in self.linked]
--- a/features/control_cost.feature
+++ b/features/control_cost.feature
@@ -32,6 +32,14 @@
     Then only the ten routers of "brand-7" have taken an event
     And its host names are unknown and all others are known
 
+  Scenario: Daemons at rest wake up for their heartbeats alone
+    Given 19 daemons that know each other
+    Then in ten seconds each has a tick for every heartbeat and search, and none besides
+
+  Scenario: A daemon wakes up for a neighbour's silence, also between heartbeats
+    Given a daemon with a heartbeat each ten seconds and one neighbour
+    Then it pings the neighbour at the end of the silence that it allows, and suspects it in time
+
   Scenario: An idle listener does not wake the event loop
     Given a listener that has answered a request
     Then it has looked once at whether to stop after half a second
--- a/features/member_network.py
+++ b/features/member_network.py
@@ -30,7 +30,8 @@
     """Daemons' memberships and the links between them.
 
     `cut` holds (from, to) pairs whose messages are dropped; `loss` is the share of all messages
-    that is.  Every link carries a message within 5 ms.
+    that is.  Every link carries a message within 5 ms.  A daemon gets a `Tick` only when it
+    has asked for one.
     """
 
     def __init__(self, seed=1, loss=0.0):
@@ -42,7 +43,9 @@
         self.cut = set()
         self.replaced = []
         self.sent = {}
+        self.ticks = 0
         self._heard_ms = {}
+        self._wake_ms = {}
         self._queue = []
         self._count = 0
 
@@ -91,6 +94,8 @@
                     self._connect(vm, to)
                 case Replaced():
                     self.replaced.append(vm)
+        wake_ms = self.nodes[vm].next_wake_ms(self.now_ms)
+        self._wake_ms[vm] = min(wake_ms, self._wake_ms.get(vm, wake_ms))
 
     def run(self, duration_ms):
         """Let time pass."""
@@ -103,7 +108,15 @@
             for vm in tuple(self.nodes):
                 if vm not in self.paused:
                     self._close_silent(vm)
-                    self.handle(vm, Tick())
+                    self._tick(vm)
+
+    def _tick(self, vm):
+        """Let a daemon's time pass if it has asked for that by now."""
+        if self.now_ms < self._wake_ms.get(vm, self.now_ms):
+            return
+        self._wake_ms.pop(vm, None)
+        self.ticks += 1
+        self.handle(vm, Tick())
 
     def serving(self, vm):
         """Return the names of those that a daemon hands out."""
--- a/features/steps/control_cost_steps.py
+++ b/features/steps/control_cost_steps.py
@@ -13,9 +13,15 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.dispatch import Dispatcher
 from cloverhook.errors import ErrorKind, RequestError
+from cloverhook.failure_detector import BUSY_TICK_MS, DetectorTimes
 from cloverhook.fleet import Endpoint, Policy, Priority
 from cloverhook.fold import fold
 from cloverhook.measuring import PROBES_PER_S, STALE_EVIDENCE_MS, ProbeTurns
+from cloverhook.member_events import LinkOpened, Send
+from cloverhook.member_events import Tick as MemberTick
+from cloverhook.members import Member, Status
+from cloverhook.membership import SEARCH_MS, Membership
+from cloverhook.messages import Hello, Ping
 from cloverhook.records import Change, Publish, RemoveBrand
 from cloverhook.routing import (
     Arrival,
@@ -30,6 +36,7 @@
 from cloverhook.state import State
 from cloverhook.wake_times import WakeTimes
 from features.http_peers import open_to, request
+from features.member_network import MemberNetwork
 from features.steps.fleet_steps import run
 
 WAIT_LIMIT_MS = 75
@@ -38,6 +45,9 @@
 LOOK_AFTER_S = 0.5
 TIMEOUT_S = 20
 PROBED_FOR_MS = 120_000
+SETTLE_MS = 10_000
+AT_REST_MS = 10_000
+HEARTBEAT_MS = 250
 
 
 class _Outlet:
@@ -261,6 +271,45 @@
         raise AssertionError("the host name is known")
 
 
+@given("{count:d} daemons that know each other")
+def step_members(context, count):
+    context.network = MemberNetwork()
+    vms = [f"vm-{index}" for index in range(count)]
+    for vm in vms:
+        context.network.add(vm)
+    context.network.list_vms(vms)
+    context.network.run(SETTLE_MS)
+    assert all(context.network.serving(vm) == set(vms) for vm in vms)
+
+
+@then("in ten seconds each has a tick for every heartbeat and search, and none besides")
+def step_ticks(context):
+    before = context.network.ticks
+    context.network.run(AT_REST_MS)
+    ticks = (context.network.ticks - before) / len(context.network.nodes)
+    heartbeats, searches = AT_REST_MS / HEARTBEAT_MS, AT_REST_MS / SEARCH_MS
+    assert heartbeats * 0.8 <= ticks <= heartbeats + searches + 1, ticks
+
+
+@given("a daemon with a heartbeat each ten seconds and one neighbour")
+def step_slow_heart(context):
+    own = Member("vm-0", "papine", "vm-0:80", "vm-0:90", 1)
+    context.membership = Membership(own, random.Random(1), 0.0, heartbeat_ms=10_000)
+    context.membership.handle(LinkOpened(Hello("vm-1", "papine", "vm-1:80", "vm-1:90", 1)), 0.0)
+
+
+@then("it pings the neighbour at the end of the silence that it allows, and suspects it in time")
+def step_pinged(context):
+    times, pinged_ms, now_ms = DetectorTimes(), None, 0.0
+    while context.membership.table.get("vm-1").status is Status.ALIVE:
+        now_ms = max(now_ms + 1, context.membership.next_wake_ms(now_ms))
+        sent = context.membership.handle(MemberTick(), now_ms)
+        if Send("vm-1", Ping()) in sent:
+            pinged_ms = now_ms
+    assert times.silent_ms < pinged_ms <= times.silent_ms + BUSY_TICK_MS, pinged_ms
+    assert now_ms <= pinged_ms + times.check_ms + BUSY_TICK_MS, now_ms
+
+
 async def _answer(scope, receive, send):
     await send(
         {"type": "http.response.start", "status": 200, "headers": [(b"content-length", b"0")]}
