--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -442,8 +442,9 @@
 
 @then("of a chain of calls only the layer next to the refusal sends again")
 def step_chain(context):
+    refused_once = by_attempt(REFUSAL, ScriptedBackend.echo)
     for backend in context.backends:
-        backend.answers["/next"] = by_attempt(REFUSAL, ScriptedBackend.echo)
+        backend.answers["/next"] = refused_once
         backend.answers["/passed-on"] = PASSED_ON
     reply = _call(context, request("GET", "/next"))
     assert reply.status == 200, reply
