--- a/features/failure.feature
+++ b/features/failure.feature
@@ -45,7 +45,7 @@
     And 20 keyed writes are answered
     And the log keeps nothing of what it held
     And the platform has the faults {"down": true}
-    And a keyed write is refused as not run while 50 reads are answered
+    And a keyed write is refused as unknown while 50 reads are answered
     And "vm-3" starts with the address of a peer and answers 30 calls
     And the platform has the faults {}
     And 20 keyed writes are answered
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -124,11 +124,11 @@
     run(context, change())
 
 
-@when("a keyed write is refused as not run while {count:d} reads are answered")
+@when("a keyed write is refused as unknown while {count:d} reads are answered")
 def step_refused(context, count):
     async def refused():
         return any(
-            record.error == "log-unavailable" and record.outcome == "not-run"
+            record.error == "log-unavailable" and record.outcome == "unknown"
             for record in context.loaded.load.result.told
         )
 
