Prove the measuring budget under load, and replace a whole fleet in the bench

The backend servers' own count of probes is held against the budget, and the daemons' metrics against that count. bench/rolling.py replaces 19 daemons one by one under load.

A first form of the scenario asked 40 servers under 100 calls a second and was not reached in 30 s: under that load every endpoint had fresh evidence, so next to nothing was probed.

--- /dev/null
+++ b/bench/rolling.py
@@ -0,0 +1,98 @@
+"""Replaces all daemons of a full fleet one by one under load, and prints what became of the calls.
+
+    python -m bench.rolling
+
+The last line is `lost=0 doubled=0 crossed=0 cut=0` when the promise holds; the exit code is 1 when
+it does not.  A call that no daemon could be reached for counts as lost.
+"""
+
+import asyncio
+import time
+
+import aiohttp
+from absl import app, flags
+
+from bench.fleets import wait_until_ready
+from cloverhook_emulator import invariants
+from cloverhook_emulator.deployment import EXAMPLES, Deployment
+from cloverhook_emulator.fleet_runner import DaemonProcess, Fleet
+from cloverhook_emulator.load import CallMix, Load, LoadPlan, LoadResult, Phase
+from cloverhook_emulator.replacement import is_handed_out, replace_all
+from cloverhook_emulator.run_record import RunRecord
+
+__all__ = ["measure_rolling"]
+
+FLAGS = flags.FLAGS
+flags.DEFINE_integer("rolling_vms", 19, "How many daemons there are, all of which are replaced.")
+flags.DEFINE_integer("rolling_calls_per_s", 200, "The load while they are replaced.")
+
+FILE = "brathwaite.toml"
+SERVICE = "booking"
+WORK_MS = 20
+DRAIN_MS = 30_000
+CALLERS = 60
+LONGEST_S = 1_800
+WARM_S = 3
+
+
+async def measure_rolling(vms: int, calls_per_s: int) -> bool:
+    """Run the replacement and print its figures; return whether the promise holds."""
+    deployment = Deployment.from_file(EXAMPLES / FILE).only(SERVICE)
+    brand = deployment.brand.name
+    host = deployment.service(SERVICE).hosts[0]
+    centers = deployment.data_centers
+
+    async def start(vm: str) -> DaemonProcess:
+        number = int(vm.rpartition("-")[2])
+        return await fleet.start_daemon(vm, centers[number % len(centers)], drain_ms=DRAIN_MS)
+
+    async def serves(vm: str) -> bool:
+        return await is_handed_out(session, fleet, vm, host, vm)
+
+    async with Fleet() as fleet, aiohttp.ClientSession() as session:
+        await asyncio.gather(*(start(f"vm-{number}") for number in range(vms)))
+        await fleet.list_vms()
+        path = await deployment.start(fleet, f"--work_ms={WORK_MS}")
+        code, output, errors = await fleet.tool("publish", str(path))
+        if code != 0:
+            raise RuntimeError(f"cloverhook publish: exit code {code}: {output}{errors}")
+        await wait_until_ready(fleet, brand)
+        load = Load(_plan(fleet, brand, host, calls_per_s))
+        running = asyncio.create_task(load.run())
+        await asyncio.sleep(WARM_S)
+        started_s = time.monotonic()
+        codes = await replace_all(fleet, start, serves)
+        print(f"replaced={len(codes)} in {time.monotonic() - started_s:.0f} s", flush=True)
+        load.stop()
+        return _conclude(await running, await fleet.ran(), codes)
+
+
+def _plan(fleet: Fleet, brand: str, host: str, calls_per_s: int) -> LoadPlan:
+    addresses = tuple(daemon.caller_address for daemon in fleet.daemons.values())
+    phases = (Phase(calls_per_s, LONGEST_S),)
+    return LoadPlan(host, brand, addresses, phases, CallMix(), callers=CALLERS, spread=True)
+
+
+def _conclude(result: LoadResult, ran: list[RunRecord], codes: list[int]) -> bool:
+    report = invariants.check(ran, result.told)
+    unreached = sum(end.status == 0 and not end.sent for end in result.ends)
+    lost = len(report.lost) + unreached + result.calls - len(result.ends)
+    outcomes = result.phases[0].outcomes
+    print(f"calls={result.calls} outcomes={dict(outcomes)}")
+    print(f"requests={len(result.told)} exit_codes={sorted(set(codes))}")
+    print(
+        f"lost={lost} doubled={len(report.doubled)} crossed={len(report.crossed)} "
+        f"cut={len(report.cut)} false_not_run={len(report.false_not_run)}",
+        flush=True,
+    )
+    return report.holds and not lost and not any(codes)
+
+
+def _main(arguments: list[str]) -> int:
+    del arguments
+    holds = asyncio.run(measure_rolling(FLAGS.rolling_vms, FLAGS.rolling_calls_per_s))
+    return 0 if holds else 1
+
+
+if __name__ == "__main__":
+    app.run(_main)
--- /dev/null
+++ b/cloverhook_emulator/replacement.py
@@ -0,0 +1,52 @@
+"""Replaces every daemon of a fleet by a planned stop, one after the other."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+
+from cloverhook_emulator.fleet_runner import DaemonProcess, Fleet
+
+__all__ = ["is_handed_out", "replace_all"]
+
+ADDRESSES_PATH = "/.well-known/cloverhook/addresses"
+LOOK_EVERY_S = 0.05
+HANDED_OUT_TIMEOUT_S = 60
+
+
+async def is_handed_out(
+    session: aiohttp.ClientSession, fleet: Fleet, vm: str, host: str, asked: str
+) -> bool:
+    """Return whether a daemon, when asked, tells callers of a host the address of `vm`."""
+    url = f"http://{fleet.daemons[asked].caller_address}{ADDRESSES_PATH}"
+    async with session.get(url, headers={"Host": host}) as answer:
+        addresses = (await answer.json()).get("addresses", [])
+    return fleet.daemons[vm].caller_address in addresses
+
+
+async def replace_all(
+    fleet: Fleet,
+    start: Callable[[str], Awaitable[DaemonProcess]],
+    serves: Callable[[str], Awaitable[bool]],
+) -> list[int]:
+    """Replace the daemons one by one and return the exit codes of the old ones.
+
+    `start` starts a daemon by its name, and `serves` says whether it takes its part; only then is
+    the old one told to leave.  The next new daemon starts while an old one still drains.
+    """
+    olds = list(fleet.daemons)
+    codes: list[int] = []
+    stopping: asyncio.Task[int] | None = None
+    for number, old in enumerate(olds, len(olds)):
+        new = f"vm-{number}"
+        await start(new)
+        if stopping is not None:
+            codes.append(await stopping)
+        await fleet.list_vms(leaving=frozenset((old,)))
+        async with asyncio.timeout(HANDED_OUT_TIMEOUT_S):
+            while not await serves(new):
+                await asyncio.sleep(LOOK_EVERY_S)
+        process = fleet.daemons.pop(old).process
+        stopping = asyncio.create_task(process.stop(signal.SIGTERM))
+    return codes if stopping is None else [*codes, await stopping]
--- a/features/failure.feature
+++ b/features/failure.feature
@@ -79,3 +79,9 @@
     When a backend server at work begins to drain
     Then 3 seconds later it gets no request, and what was in flight there has ended well
     And nothing was lost, doubled, crossed, cut or told falsely as not run
+
+  Scenario: Measuring stays within its budget under load
+    Given 3 daemons under load before 120 backend servers, with 42 ms a second for measuring
+    When 15 probes have reached the backend servers
+    Then by their own count no more came than the budget allows, and the daemons count as many
+    And nothing was lost, doubled, crossed, cut or told falsely as not run
--- a/features/loaded_fleet.py
+++ b/features/loaded_fleet.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import functools
 import json
 import signal
 import tomllib
@@ -21,6 +20,7 @@
 from cloverhook_emulator.cut_proxy import CutProxy
 from cloverhook_emulator.fleet_runner import Fleet, Process
 from cloverhook_emulator.load import CallMix, Load, LoadPlan, Phase
+from cloverhook_emulator.replacement import is_handed_out, replace_all
 from cloverhook_emulator.run_record import RunRecord, ToldRecord
 
 BRAND = "brathwaite"
@@ -28,6 +28,7 @@
 HOST = "booking.brathwaite.example"
 DATA_CENTERS = ("halfway-tree", "new-kingston", "papine")
 CALLS_PER_S = 100
+MEASURING_MS_PER_S = 60
 CALLERS = 20
 LONGEST_S = 120
 TIMEOUT_MS = 1_500
@@ -59,20 +60,29 @@
         self.proxies: list[CutProxy] = []
         self.endpoints: list[str] = []
         self.servers: list[str] = []
-        self.measuring_ms_per_s = 60
+        self.measuring_ms_per_s = MEASURING_MS_PER_S
         self.load: Load | None = None
         self.told: list[ToldRecord] = []
-        self.begun_ms = 0.0
+        self.published_ms = 0.0
         self._running: asyncio.Task | None = None
 
-    async def start(self, daemons, servers_each=4, proxied=False, calls_per_s=CALLS_PER_S):
+    async def start(
+        self,
+        daemons,
+        servers_each=4,
+        proxied=False,
+        calls_per_s=CALLS_PER_S,
+        measuring_ms_per_s=MEASURING_MS_PER_S,
+    ):
         """Start everything, publish the configuration and begin the load."""
+        self.measuring_ms_per_s = measuring_ms_per_s
         names = [f"vm-{index}" for index in range(daemons)]
         await asyncio.gather(
             self._start_backends(servers_each, proxied),
             *(self.start_daemon(name) for name in names),
         )
         await self.fleet.list_vms()
+        self.published_ms = now_ms()
         await self.publish()
         await self.until(self._ready)
         self._begin(calls_per_s)
@@ -119,38 +129,18 @@
 
     async def serves(self, vm):
         """Return whether a daemon has the brand and every daemon hands its address out."""
-        address = self.fleet.daemons[vm].caller_address
-        answers = [await self.addresses(name) for name in self.fleet.daemons]
-        return all(address in answer for answer in answers)
-
-    async def addresses(self, vm):
-        """Return the addresses that a daemon hands out; none while it has no configuration."""
-        url = f"http://{self.fleet.daemons[vm].caller_address}/.well-known/cloverhook/addresses"
-        async with self.session.get(url, headers={"Host": HOST}) as answer:
-            return (await answer.json()).get("addresses", [])
+        for asked in self.fleet.daemons:
+            if not await is_handed_out(self.session, self.fleet, vm, HOST, asked):
+                return False
+        return True
 
     async def lose(self, vm):
         """Kill a daemon for good."""
         await self.fleet.daemons.pop(vm).process.stop(signal.SIGKILL)
 
     async def replace_all(self):
-        """Replace the daemons one by one by planned stops and return their exit codes.
-
-        The next new daemon starts while an old one still drains.
-        """
-        olds = list(self.fleet.daemons)
-        codes = []
-        stopping = None
-        for number, old in enumerate(olds, len(olds)):
-            new = f"vm-{number}"
-            await self.start_daemon(new)
-            if stopping is not None:
-                codes.append(await stopping)
-            await self.fleet.list_vms(leaving=frozenset((old,)))
-            await self.until(functools.partial(self.serves, new))
-            process = self.fleet.daemons.pop(old).process
-            stopping = asyncio.create_task(process.stop(signal.SIGTERM))
-        return [*codes, await stopping]
+        """Replace the daemons one by one by planned stops and return their exit codes."""
+        return await replace_all(self.fleet, self.start_daemon, self.serves)
 
     async def write(self, vm, key):
         """Send a write under a key to one daemon and keep what is told."""
@@ -237,5 +227,4 @@
             spread=True,
         )
         self.load = Load(plan)
-        self.begun_ms = now_ms()
         self._running = asyncio.create_task(self.load.run())
--- a/features/steps/failure_change_steps.py
+++ b/features/steps/failure_change_steps.py
@@ -1,21 +1,28 @@
 """Steps that change the configuration and the fleet under load while something else fails."""
 
 import asyncio
+import re
 
-from behave import then, when
+from behave import given, then, when
 
 from cloverhook import porcelain
 from cloverhook.fleet import Preset
 from cloverhook.platform_http import HttpPlatform
 from cloverhook.porcelain import Operator, Settlement
+from cloverhook_emulator.caller import now_ms
+from cloverhook_emulator.fleet_runner import OPERATOR_TOKEN
 from cloverhook_emulator.run_record import RunOutcome
 from features.loaded_fleet import BRAND
-from features.steps.fleet_steps import run
+from features.shared import run
+from features.steps.failure_steps import start_loaded
 
 PRESETS = (Preset.PEAK, Preset.MAINTENANCE)
 SLOW_FACTOR = 10
 LEAVING_LIMIT_S = 3
 AFTER_S = 1.0
+PROBE_MS = 6
+FEW_CALLS_PER_S = 30
+PROBES_LINE = re.compile(r"^cloverhook_probes_total\{[^}]*\} (\d+)", re.MULTILINE)
 
 
 class _RacingPlatform(HttpPlatform):
@@ -130,3 +137,55 @@
     assert not any(arrived.values()), (arrived, before)
     mine = [record for record in ran if record.server == context.leaving]
     assert mine and all(record.outcome is RunOutcome.DONE for record in mine), mine
+
+
+@given(
+    "{daemons:d} daemons under load before {servers:d} backend servers, with {budget:d} ms {rest}"
+)
+def step_budget(context, daemons, servers, budget, rest):
+    context.budget_ms_per_s = budget
+    options = {
+        "servers_each": servers // 2,
+        "calls_per_s": FEW_CALLS_PER_S,
+        "measuring_ms_per_s": budget,
+    }
+    run(context, start_loaded(context, daemons, **options))
+
+
+async def _probes(fleet):
+    return sum(item["probes"] for item in (await fleet.counts()).values())
+
+
+async def _counted(context):
+    """Return how many probes the daemons' metrics count."""
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    counted = 0
+    for daemon in context.fleet.daemons.values():
+        url = f"http://{daemon.operator_address}/metrics"
+        async with context.session.get(url, headers=headers) as answer:
+            counted += sum(map(int, PROBES_LINE.findall(await answer.text())))
+    return counted
+
+
+@when("{count:d} probes have reached the backend servers")
+def step_probes(context, count):
+    async def reached():
+        return await _probes(context.fleet) >= count
+
+    run(context, context.loaded.until(reached))
+
+
+@then("by their own count no more came than the budget allows, and the daemons count as many")
+def step_within(context):
+    async def compare():
+        probes = await _probes(context.fleet)
+        passed_s = (now_ms() - context.loaded.published_ms) / 1000
+        first = len(context.fleet.daemons)
+        assert probes * PROBE_MS <= context.budget_ms_per_s * passed_s + first * PROBE_MS, probes
+
+        async def counted():
+            return await _counted(context) >= probes
+
+        await context.loaded.until(counted)
+
+    run(context, compare())
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -12,7 +12,7 @@
 from cloverhook_emulator.cut_proxy import Mode
 from cloverhook_emulator.fleet_runner import Fleet
 from features.loaded_fleet import LoadedFleet
-from features.steps.fleet_steps import run
+from features.shared import run
 from features.steps.operators_steps import call
 
 DEADLINE_STATUS = 504
@@ -20,7 +20,8 @@
 WRITES = 10
 
 
-async def _start(context, daemons, **options):
+async def start_loaded(context, daemons, **options):
+    """Start a fleet whose load has begun to be answered."""
     context.fleet = await context.stack.enter_async_context(Fleet())
     context.session = await context.stack.enter_async_context(aiohttp.ClientSession())
     context.loaded = LoadedFleet(context.fleet, context.session)
@@ -36,12 +37,12 @@
 
 @given("{daemons:d} daemons under load")
 def step_loaded(context, daemons):
-    run(context, _start(context, daemons))
+    run(context, start_loaded(context, daemons))
 
 
 @given("{daemons:d} daemons under load whose links to backend servers may fail")
 def step_proxied(context, daemons):
-    run(context, _start(context, daemons, proxied=True))
+    run(context, start_loaded(context, daemons, proxied=True))
 
 
 @when("{count:d} more calls are answered")
