Ask a refusing endpoint for its health, and give a draining one no work

A refusal may be shedding or a drain, and nothing told them apart: a draining backend server got trial requests every 120 ms. Its owner now asks GET /health after a refusal, within the measuring budget and before probes of load, and while it is draining once a second; it gets nothing meanwhile, neither requests of the owner nor lent slots.

--- a/bench/capacity_parts.py
+++ b/bench/capacity_parts.py
@@ -36,7 +36,7 @@
     def tell(self, vm, message) -> None:
         """Drop the message."""
 
-    def probe(self, target, address) -> None:
+    def probe(self, target, address, health) -> None:
         """Drop the probe."""
 
 
--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -219,9 +219,9 @@
         """Send a message to another VM; it may be lost."""
         self._cluster.tell(vm, message)
 
-    def probe(self, target: Target, address: str) -> None:
-        """Ask an endpoint for its load and report the answer to its router."""
-        self._probes.start(target, address)
+    def probe(self, target: Target, address: str, health: bool) -> None:
+        """Ask an endpoint for its load or health and report the answer to its router."""
+        self._probes.start(target, address, health)
 
     def _on_probed(self, key: str, ended: ProbeEnded) -> None:
         self._dispatcher.probe_ended(key, ended, monotonic_ms())
--- a/cloverhook/dispatch.py
+++ b/cloverhook/dispatch.py
@@ -61,8 +61,8 @@
     def tell(self, vm: str, message: Message) -> None:
         """Send a message to another VM; it may be lost."""
 
-    def probe(self, target: Target, address: str) -> None:
-        """Ask an endpoint for its load and report it by `Dispatcher.probe_ended`."""
+    def probe(self, target: Target, address: str, health: bool) -> None:
+        """Ask an endpoint for its load or health and report it by `Dispatcher.probe_ended`."""
 
 
 class DispatchWatch(Protocol):
@@ -222,8 +222,8 @@
         match action:
             case Tell(vm, message):
                 self._outlet.tell(vm, message)
-            case Probe(address):
-                self._outlet.probe(self._target_of[key], address)
+            case Probe(address, health):
+                self._outlet.probe(self._target_of[key], address, health)
             case Start(request_id, address):
                 future = self._pending(request_id)
                 if future is not None:
--- a/cloverhook/endpoint_stats.py
+++ b/cloverhook/endpoint_stats.py
@@ -41,7 +41,8 @@
     """One endpoint as this VM sees it.
 
     `started_ms` holds this VM's own requests in flight there, `lent` counts slots granted to other
-    VMs, and `limit` is how many may be in use at once.
+    VMs, and `limit` is how many may be in use at once.  `refused` says that it has refused a
+    request since its health was last asked for, at `health_ms`.
     """
 
     endpoint: Endpoint
@@ -57,6 +58,9 @@
     foreign: int = 0
     evidence_ms: float = -1e12
     gone: bool = False
+    refused: bool = False
+    draining: bool = False
+    health_ms: float = -1e12
 
     @classmethod
     def from_endpoint(cls, endpoint: Endpoint, proven: bool) -> "EndpointStats":
@@ -71,6 +75,11 @@
     @property
     def takes_work(self) -> bool:
         """Whether new requests may go there at all."""
+        return self.configured and not self.draining
+
+    @property
+    def configured(self) -> bool:
+        """Whether the configuration gives it work."""
         return not self.gone and not self.endpoint.leaving
 
     def room(self, now_ms: float) -> int:
@@ -103,6 +112,7 @@
     ) -> None:
         """Take the end of a request.  Errors give no latency, so fast ones attract nothing."""
         self.started_ms.pop(request_id, None)
+        self.refused |= result is AttemptResult.REFUSED
         if result is AttemptResult.ANSWERED:
             evidence = model.answer_evidence(latency_ms)
             self._add_slowness(evidence)
--- a/cloverhook/endpoint_table.py
+++ b/cloverhook/endpoint_table.py
@@ -11,7 +11,7 @@
 from cloverhook.endpoint_stats import FAILING_AT, EndpointStats, Trouble
 from cloverhook.fleet import Endpoint
 from cloverhook.latency_model import LatencyModel
-from cloverhook.routing_events import AttemptEnded, AttemptResult
+from cloverhook.routing_events import AttemptEnded, AttemptResult, ProbeEnded
 from cloverhook.slot_pool import SlotPool
 
 __all__ = ["EndpointTable"]
@@ -47,7 +47,7 @@
 
     def present(self) -> list[Endpoint]:
         """Return the endpoints that are configured and may take work."""
-        return [stats.endpoint for stats in self._all.values() if stats.takes_work]
+        return [stats.endpoint for stats in self._all.values() if stats.configured]
 
     def get(self, address: str) -> EndpointStats | None:
         """Return what is known of an endpoint."""
@@ -147,6 +147,16 @@
         stats.blame(suspicion)
         self.update(stats, now_ms)
 
+    def take_probe(self, stats: EndpointStats, event: ProbeEnded, now_ms: float) -> None:
+        """Take what a probe has told."""
+        if event.load is not None:
+            stats.evidence_ms = now_ms
+            stats.hear(event.load, now_ms)
+            self.update(stats, now_ms)
+        if event.draining is not None and event.draining != stats.draining:
+            stats.draining = event.draining
+            self._sort_in(stats, now_ms)
+
     def update(self, stats: EndpointStats, now_ms: float) -> None:
         """Put an endpoint where it belongs after a change."""
         self._pool.update(stats, now_ms)
@@ -205,4 +215,4 @@
         return None
 
     def _load_of(self, stats: EndpointStats) -> tuple[bool, int]:
-        return (bool(stats.trouble), stats.used)
+        return (stats.draining or bool(stats.trouble), stats.used)
--- a/cloverhook/measuring.py
+++ b/cloverhook/measuring.py
@@ -9,15 +9,18 @@
 from collections.abc import Callable, Iterable
 
 from cloverhook.endpoint_stats import EndpointStats
+from cloverhook.ownership import REMOTE_TOLERANCE
+from cloverhook.routing_events import HomesChanged, Probe
 from cloverhook.token_bucket import TokenBucket
 
-__all__ = ["CONNECTION_COST_MS", "PROBE_COST_MS", "MeasuringBudget", "Prober"]
+__all__ = ["CONNECTION_COST_MS", "PROBE_COST_MS", "MeasuringBudget", "Prober", "budget_share"]
 
 PROBE_COST_MS = 6.0
 CONNECTION_COST_MS = 1.0
 SAFETY = 0.5
 STALE_EVIDENCE_MS = 5_000.0
 LOOK_EVERY_MS = 250.0
+HEALTH_EVERY_MS = 1_000.0
 
 
 class MeasuringBudget:
@@ -27,11 +30,11 @@
         self._bucket = TokenBucket(0.0, 0.0)
         self.spent_ms = 0.0
 
-    def set_share(self, budget_ms_per_s: float, owned: float, total: int, now_ms: float) -> None:
-        """Take the service's budget and the share of its endpoints that this VM owns."""
-        share = budget_ms_per_s * SAFETY * owned / max(1, total)
+    def set_share(self, share_ms_per_s: float, now_ms: float) -> None:
+        """Take this VM's share of the service's budget."""
         cost_ms = PROBE_COST_MS + CONNECTION_COST_MS
-        self._bucket.set_rate(share, max(share, cost_ms) if share else 0.0, now_ms)
+        capacity_ms = max(share_ms_per_s, cost_ms) if share_ms_per_s else 0.0
+        self._bucket.set_rate(share_ms_per_s, capacity_ms, now_ms)
 
     def take_probe(self, now_ms: float) -> bool:
         """Return whether a probe, with the connection it may need, is within the budget."""
@@ -49,7 +52,11 @@
 
 
 class Prober:
-    """Finds the owned endpoints that nothing has been heard of for long, within the budget."""
+    """Finds the owned endpoints to probe, within the budget.
+
+    The load is asked for where nothing has been heard for long, the health where a request was
+    refused, which may be shedding or a drain, and where a drain is known.
+    """
 
     def __init__(self) -> None:
         self.budget = MeasuringBudget()
@@ -61,20 +68,46 @@
         self._under_way.discard(address)
         self.budget.settle(latency_ms, now_ms)
 
-    def due(self, owned: Callable[[], Iterable[EndpointStats]], now_ms: float) -> list[str]:
-        """Return the addresses to probe now."""
+    def due(self, owned: Callable[[], Iterable[EndpointStats]], now_ms: float) -> list[Probe]:
+        """Return the probes to make now; those of health, which end needless requests, go first."""
         if now_ms < self._next_look_ms:
             return []
         self._next_look_ms = now_ms + LOOK_EVERY_MS
-        due: list[str] = []
-        for stats in owned():
-            address = stats.endpoint.address
-            fresh = now_ms - stats.evidence_ms < STALE_EVIDENCE_MS
-            if fresh or stats.used or address in self._under_way:
-                continue
+        idle = [stats for stats in owned() if stats.endpoint.address not in self._under_way]
+        wanted = [(stats, True) for stats in idle if _health_due(stats, now_ms)]
+        wanted += [(stats, False) for stats in idle if _load_due(stats, now_ms)]
+        due: list[Probe] = []
+        for stats, health in wanted:
             if not self.budget.take_probe(now_ms):
                 break
-            stats.evidence_ms = now_ms
-            self._under_way.add(address)
-            due.append(address)
+            due.append(self._begin(stats, health, now_ms))
         return due
+
+    def _begin(self, stats: EndpointStats, health: bool, now_ms: float) -> Probe:
+        if health:
+            stats.health_ms = now_ms
+            stats.refused = False
+        else:
+            stats.evidence_ms = now_ms
+        self._under_way.add(stats.endpoint.address)
+        return Probe(stats.endpoint.address, health)
+
+
+def budget_share(owned: int, total: int, homes: HomesChanged) -> float:
+    """Return the share of a service's budget for a VM that owns some of all its endpoints.
+
+    Only a home spends any, and one that has lost sight of the others not their part too.
+    """
+    if homes.own_vm not in homes.homes or not total:
+        return 0.0
+    return SAFETY * min(owned / total, REMOTE_TOLERANCE / len(homes.homes))
+
+
+def _health_due(stats: EndpointStats, now_ms: float) -> bool:
+    asked = stats.refused or stats.draining
+    return asked and now_ms - stats.health_ms >= HEALTH_EVERY_MS
+
+
+def _load_due(stats: EndpointStats, now_ms: float) -> bool:
+    fresh = now_ms - stats.evidence_ms < STALE_EVIDENCE_MS
+    return not (fresh or stats.used or stats.draining or _health_due(stats, now_ms))
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -21,9 +21,9 @@
 from cloverhook.errors import ErrorKind
 from cloverhook.fleet import Endpoint, Policy
 from cloverhook.lending import Ask
-from cloverhook.measuring import Prober
+from cloverhook.measuring import Prober, budget_share
 from cloverhook.messages import SlotAsk, SlotGrant, SlotReturn
-from cloverhook.ownership import REMOTE_TOLERANCE, owners
+from cloverhook.ownership import owners
 from cloverhook.retry_after import ReturnTimes
 from cloverhook.retry_budget import RetryBudget
 from cloverhook.routing_events import (
@@ -173,10 +173,8 @@
     def _(self, event: ProbeEnded, now_ms: float) -> tuple[Action, ...]:
         self._prober.ended(event.address, event.latency_ms, now_ms)
         stats = self._table.get(event.address)
-        if stats is not None and event.load is not None:
-            stats.evidence_ms = now_ms
-            stats.hear(event.load, now_ms)
-            self._table.update(stats, now_ms)
+        if stats is not None:
+            self._table.take_probe(stats, event, now_ms)
         return tuple(self._share_out(now_ms))
 
     @handle.register
@@ -191,8 +189,7 @@
         if len(self._line) and self._nothing_works():
             actions.extend(self._refuse_all_waiting(ErrorKind.NO_BACKEND_SERVER, now_ms))
         actions.extend(self._share_out(now_ms))
-        due = self._prober.due(self._table.owned, now_ms)
-        actions.extend(Probe(address) for address in due)
+        actions.extend(self._prober.due(self._table.owned, now_ms))
         return tuple(actions)
 
     def _divide(self, now_ms: float) -> None:
@@ -212,20 +209,8 @@
         else:
             mine = [endpoint.address for endpoint in self._present]
         self._table.own(mine, self._homes.data_centers.get(own, ""), now_ms)
-        probed = self._probed(len(mine))
-        self._prober.budget.set_share(
-            self._policy.measuring_ms_per_s, probed, len(self._present), now_ms
-        )
-
-    def _probed(self, owned: int) -> float:
-        """Return the endpoints whose part of the measuring budget this VM may spend.
-
-        Only a home spends any, and one that has lost sight of the others not their part too.
-        """
-        homes = self._homes.homes
-        if self._homes.own_vm not in homes:
-            return 0.0
-        return min(owned, len(self._present) * REMOTE_TOLERANCE / len(homes))
+        share = budget_share(len(mine), len(self._present), self._homes)
+        self._prober.budget.set_share(self._policy.measuring_ms_per_s * share, now_ms)
 
     def _place(self, request: Request, now_ms: float, avoid: str = "") -> list[Action]:
         request_id = request.arrival.request_id
--- a/cloverhook/routing_events.py
+++ b/cloverhook/routing_events.py
@@ -132,11 +132,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeEnded:
-    """A probe has ended after `latency_ms`; `load` is None when it gave no answer."""
+    """A probe has ended after `latency_ms`; `load` is None when it told none.
+
+    `draining` is what a probe of the endpoint's health has found, and else None.
+    """
 
     address: str
     load: int | None
     latency_ms: float
+    draining: bool | None = None
 
 
 Event = (
@@ -170,9 +174,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Probe:
-    """Ask an endpoint for its load."""
+    """Ask an endpoint for its load, or with `health` whether it is draining."""
 
     address: str
+    health: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/features/probes.feature
+++ b/features/probes.feature
@@ -10,6 +10,12 @@
       | hangs        | none |
       | cut          | none |
       | too-long     | none |
+    And these answers to a probe of health tell of a drain
+      | answer       | draining |
+      | draining     | true     |
+      | load         | false    |
+      | not-found    | false    |
+      | hangs        | none     |
     And a probe uses a connection again
 
   Scenario: Daemons probe idle endpoints
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -38,7 +38,7 @@
     def tell(self, vm, message):
         """Lose a message."""
 
-    def probe(self, target, address):
+    def probe(self, target, address, health):
         """Lose a probe."""
 
 
--- a/features/steps/probe_steps.py
+++ b/features/steps/probe_steps.py
@@ -25,8 +25,10 @@
 FIRST_PROBES = 3
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
 LOAD = b'{"in_flight": 3, "slots": 4}'
+DRAINING = b'{"healthy": false, "draining": true}'
 ANSWERS = {
     "load": HEAD % (len(LOAD), LOAD),
+    "draining": HEAD % (len(DRAINING), DRAINING),
     "not-found": b"HTTP/1.1 404 Not Found\r\nContent-Length: 4\r\n\r\nnone",
     "wrong-number": HEAD % (19, b'{"in_flight": "all"}'[:19]),
     "hangs": ScriptedBackend.hang,
@@ -58,10 +60,10 @@
     run(context, start())
 
 
-def _probe(context, answer):
+def _probe(context, answer, health=False):
     async def probe():
-        context.backend.answers["/load"] = ANSWERS[answer]
-        context.probes.start(context.target, context.backend.address)
+        context.backend.answers["/health" if health else "/load"] = ANSWERS[answer]
+        context.probes.start(context.target, context.backend.address, health)
         return await context.ended.get()
 
     key, ended = run(context, probe())
@@ -76,6 +78,13 @@
         assert str(load).lower() == row["load"], (row["answer"], load)
 
 
+@then("these answers to a probe of health tell of a drain")
+def step_health(context):
+    for row in context.table:
+        draining = _probe(context, row["answer"], health=True).draining
+        assert str(draining).lower() == row["draining"], (row["answer"], draining)
+
+
 @then("a probe uses a connection again")
 def step_reused(context):
     assert _probe(context, "load").load == 3
