--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import gc
 import random
 import signal
 import sys
@@ -218,9 +219,9 @@
         """Send a message to another VM; it may be lost."""
         self._cluster.tell(vm, message)
 
-    def probe(self, target: Target, address: str) -> None:
-        """Ask an endpoint for its load and report the answer to its router."""
-        self._probes.start(target, address)
+    def probe(self, target: Target, address: str, health: bool) -> None:
+        """Ask an endpoint for its load or health and report the answer to its router."""
+        self._probes.start(target, address, health)
 
     def _on_probed(self, key: str, ended: ProbeEnded) -> None:
         self._dispatcher.probe_ended(key, ended, monotonic_ms())
@@ -277,6 +278,8 @@
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, daemon.drain)
     daemon.announce()
+    gc.collect()
+    gc.freeze()  # What has been loaded stays; a full collection need not look at it again.
     await daemon.run_until_stopped()
     for number in STOP_SIGNALS:
         loop.remove_signal_handler(number)
--- a/cloverhook/endpoint_table.py
+++ b/cloverhook/endpoint_table.py
@@ -11,7 +11,7 @@
 from cloverhook.endpoint_stats import FAILING_AT, EndpointStats, Trouble
 from cloverhook.fleet import Endpoint
 from cloverhook.latency_model import LatencyModel
-from cloverhook.routing_events import AttemptEnded, AttemptResult
+from cloverhook.routing_events import AttemptEnded, AttemptResult, ProbeEnded
 from cloverhook.slot_pool import SlotPool
 
 __all__ = ["EndpointTable"]
@@ -47,7 +47,7 @@
 
     def present(self) -> list[Endpoint]:
         """Return the endpoints that are configured and may take work."""
-        return [stats.endpoint for stats in self._all.values() if stats.takes_work]
+        return [stats.endpoint for stats in self._all.values() if stats.configured]
 
     def get(self, address: str) -> EndpointStats | None:
         """Return what is known of an endpoint."""
@@ -129,22 +129,12 @@
         if event.load is not None:
             stats.hear(event.load, now_ms)
         if event.leaving:
-            self.hear_leaving(stats, True, now_ms)
+            self._take_draining(stats, True, now_ms)
         self._judge(stats, event.result, now_ms)
         self.update(stats, now_ms)
         if stats.gone and not stats.used:
             del self._all[event.address]
 
-    def hear_leaving(self, stats: EndpointStats, leaving: bool, now_ms: float) -> None:
-        """Take what a backend server says of itself; one that is back starts on probation."""
-        if stats.leaving == leaving:
-            return
-        stats.leaving = leaving
-        if not leaving:
-            stats.suspect(Trouble.FAILING, now_ms)
-        if stats.endpoint.address in self._owned:
-            self._sort_in(stats, now_ms)
-
     def lend(self, stats: EndpointStats, now_ms: float) -> None:
         """Count a slot that another VM uses from now on."""
         stats.lent += 1
@@ -159,11 +149,26 @@
         stats.blame(suspicion)
         self.update(stats, now_ms)
 
+    def take_probe(self, stats: EndpointStats, event: ProbeEnded, now_ms: float) -> None:
+        """Take what a probe has told."""
+        if event.load is not None:
+            stats.evidence_ms = now_ms
+            stats.hear(event.load, now_ms)
+            self.update(stats, now_ms)
+        if event.draining is not None:
+            self._take_draining(stats, event.draining, now_ms)
+
     def update(self, stats: EndpointStats, now_ms: float) -> None:
         """Put an endpoint where it belongs after a change."""
         self._pool.update(stats, now_ms)
         self._slow.update(stats, now_ms)
 
+    def _take_draining(self, stats: EndpointStats, draining: bool, now_ms: float) -> None:
+        """Take a backend server's word that it takes no new work, or that it does again."""
+        if stats.draining != draining:
+            stats.draining = draining
+            self._sort_in(stats, now_ms)
+
     def _judge(self, stats: EndpointStats, result: AttemptResult, now_ms: float) -> None:
         if stats.trouble:
             if stats.clear():
@@ -217,4 +222,4 @@
         return None
 
     def _load_of(self, stats: EndpointStats) -> tuple[bool, int]:
-        return (bool(stats.trouble), stats.used)
+        return (stats.draining or bool(stats.trouble), stats.used)
