Show that a refusal is looked into, step by step

The router alone: the health of an endpoint that refused a request is asked for, it gets nothing while it is found leaving, is asked again, and gets requests once it is found well.

--- a/features/probes.feature
+++ b/features/probes.feature
@@ -12,10 +12,10 @@
       | too-long     | none |
     And these answers to a probe of health tell of a drain
       | answer       | draining |
-      | draining     | true     |
-      | load         | false    |
-      | not-found    | false    |
-      | hangs        | none     |
+      | draining     | true    |
+      | load         | false   |
+      | not-found    | false   |
+      | hangs        | none    |
     And a probe uses a connection again
 
   Scenario: Daemons probe idle endpoints
@@ -26,3 +26,9 @@
   Scenario: An owner has half of an endpoint's connections and the others share the rest
     Given the routers of 3 VMs, with one endpoint of 200 connections
     Then their limits add up to no more than its connections
+
+  Scenario: A refusal that says no more is looked into
+    Given a home of 3 endpoints of which one refuses a request
+    Then its health is asked for within a second
+    And while it is found leaving it gets no request and is asked again
+    And once it is found well it gets requests again
--- a/features/steps/probe_steps.py
+++ b/features/steps/probe_steps.py
@@ -11,11 +11,13 @@
 from cloverhook.fold import fold
 from cloverhook.probing import LoadProbes
 from cloverhook.records import Change, Publish
+from cloverhook.routing import AttemptResult, Probe, ProbeEnded, Tick
 from cloverhook.state import State
 from cloverhook.upstream import UpstreamPool
 from features.http_peers import ScriptedBackend
 from features.shared import eventually, run
 from features.steps.dispatch_steps import ADDRESS, DOCUMENT, HOST, NoOutlet
+from features.steps.home_steps import homed, spread_fleet
 
 QUIET_S = 0.2
 CONNECTIONS = 200
@@ -126,3 +128,43 @@
     limits = [item.connection_limit(ADDRESS, vms) for item in context.dispatchers]
     assert sum(limits) <= CONNECTIONS, limits
     assert max(limits) == CONNECTIONS // 2 and min(limits) >= 4, limits
+
+
+def _health_asked(driver, address, ms):
+    """Let time pass until the health of an endpoint is asked for, and return whether it was."""
+    for _ in range(ms // 10):
+        driver.now_ms += 10
+        if Probe(address, health=True) in driver.do(Tick()):
+            return True
+    return False
+
+
+@given("a home of 3 endpoints of which one refuses a request")
+def step_refuses(context):
+    context.driver = homed("vm-0", spread_fleet(3))
+    context.driver.run(2_000, 20, lambda address: 10)
+    request_id = context.driver.arrive()
+    context.address = context.driver.open[request_id][0]
+    context.driver.end(request_id, AttemptResult.REFUSED)
+
+
+@then("its health is asked for within a second")
+def step_asked(context):
+    assert _health_asked(context.driver, context.address, 1_000)
+
+
+@then("while it is found leaving it gets no request and is asked again")
+def step_leaving(context):
+    context.driver.do(ProbeEnded(context.address, None, 6.0, True))
+    before = context.driver.starts[context.address]
+    context.driver.run(900, 5, lambda address: 10)
+    assert context.driver.starts[context.address] == before
+    assert _health_asked(context.driver, context.address, 1_500)
+
+
+@then("once it is found well it gets requests again")
+def step_well(context):
+    context.driver.do(ProbeEnded(context.address, None, 6.0, False))
+    before = context.driver.starts[context.address]
+    context.driver.run(500, 5, lambda address: 10)
+    assert context.driver.starts[context.address] > before
