Import the router's events from where they are defined

routing.py gave out the names of routing_events again, so both stood in two lists and readers looked for them in the wrong module. Behaviour is unchanged.

--- a/bench/baseline_router.py
+++ b/bench/baseline_router.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from cloverhook.errors import ErrorKind
-from cloverhook.routing import (
+from cloverhook.routing_events import (
     Action,
     Arrival,
     AttemptEnded,
--- a/bench/bench_daemon.py
+++ b/bench/bench_daemon.py
@@ -13,7 +13,8 @@
 
 from bench.baseline_router import WAYS, BaselineRouter
 from cloverhook import daemon, dispatch
-from cloverhook.routing import Action, Event, ServiceRouter, Start
+from cloverhook.routing import ServiceRouter
+from cloverhook.routing_events import Action, Event, Start
 
 __all__ = ["COUNT_EVERY_MS"]
 
--- a/bench/capacity_parts.py
+++ b/bench/capacity_parts.py
@@ -15,7 +15,8 @@
 from cloverhook.fold import State, fold
 from cloverhook.metrics import Metric, MetricsPage, Sample
 from cloverhook.records import Change, Publish, encode_record
-from cloverhook.routing import Arrival, AttemptEnded, AttemptResult, EndpointsChanged, ServiceRouter
+from cloverhook.routing import ServiceRouter
+from cloverhook.routing_events import Arrival, AttemptEnded, AttemptResult, EndpointsChanged
 from cloverhook.timeline import EventName, TimeLine
 
 __all__ = ["ENDPOINTS_OF_A_SERVICE", "SERVICES_OF_A_BRAND", "part_slopes"]
--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -9,13 +9,13 @@
 
 from bench.figures import Figure, median
 from cloverhook.fleet import Endpoint, Policy, Priority
-from cloverhook.routing import (
+from cloverhook.routing import ServiceRouter
+from cloverhook.routing_events import (
     Arrival,
     AttemptEnded,
     AttemptResult,
     EndpointsChanged,
     HomesChanged,
-    ServiceRouter,
     Start,
 )
 
--- a/bench/replay_ways.py
+++ b/bench/replay_ways.py
@@ -10,7 +10,8 @@
 from cloverhook.members import Member
 from cloverhook.messages import encode
 from cloverhook.ownership import owned_slots
-from cloverhook.routing import (
+from cloverhook.routing import ServiceRouter
+from cloverhook.routing_events import (
     Arrival,
     AttemptEnded,
     AttemptResult,
@@ -20,7 +21,6 @@
     Probe,
     ProbeEnded,
     Refuse,
-    ServiceRouter,
     Start,
     Tell,
     Tick,
--- a/bench/replay_world.py
+++ b/bench/replay_world.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from bench.replay_traces import WARM_UP_MS, Call, Deployment, Scenario, Trouble
-from cloverhook.routing import AttemptResult
+from cloverhook.routing_events import AttemptResult
 
 __all__ = ["Backend", "Clock", "Result", "World"]
 
--- a/cloverhook/caller_app.py
+++ b/cloverhook/caller_app.py
@@ -22,7 +22,7 @@
 from cloverhook.errors import ErrorKind, Outcome, RequestError, UpstreamError, answer_for
 from cloverhook.exchange import Exchange, Receive, RefusedError, RequestBody, Send
 from cloverhook.observed_app import Observation
-from cloverhook.routing import Arrival, AttemptEnded, AttemptResult
+from cloverhook.routing_events import Arrival, AttemptEnded, AttemptResult
 from cloverhook.settings import DaemonSettings
 from cloverhook.timeline import EventName, TimeLine
 from cloverhook.upstream import RequestHead, UpstreamPool
--- a/cloverhook/dispatch.py
+++ b/cloverhook/dispatch.py
@@ -17,8 +17,8 @@
 from cloverhook.messages import Message
 from cloverhook.own_limit import OwnLimit
 from cloverhook.retry_after import ReturnTimes
-from cloverhook.routing import (
-    PEER_BYTES_PER_S,
+from cloverhook.routing import PEER_BYTES_PER_S, ServiceRouter
+from cloverhook.routing_events import (
     Action,
     Arrival,
     AttemptEnded,
@@ -31,7 +31,6 @@
     Probe,
     ProbeEnded,
     Refuse,
-    ServiceRouter,
     Start,
     Tell,
     Tick,
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -5,7 +5,8 @@
 benchmark, a test and the daemon all drive the same object.
 
 >>> import random
->>> from cloverhook.fleet import Endpoint, Policy
+>>> from cloverhook.fleet import Endpoint, Policy, Priority
+>>> from cloverhook.routing_events import Arrival, EndpointsChanged
 >>> router = ServiceRouter(random.Random(1))
 >>> router.handle(EndpointsChanged((Endpoint("10.0.0.1:80", "papine", slots=1),), Policy()), 0.0)
 ()
@@ -39,7 +40,6 @@
     Event,
     HomesChanged,
     PeerSaid,
-    Probe,
     ProbeEnded,
     Refuse,
     Start,
@@ -50,25 +50,7 @@
 from cloverhook.token_bucket import TokenBucket
 from cloverhook.waiting import Request, WaitingLine
 
-__all__ = [
-    "PEER_BYTES_PER_S",
-    "Action",
-    "Arrival",
-    "AttemptEnded",
-    "AttemptResult",
-    "CallerGone",
-    "EndpointsChanged",
-    "Event",
-    "HomesChanged",
-    "PeerSaid",
-    "Probe",
-    "ProbeEnded",
-    "Refuse",
-    "ServiceRouter",
-    "Start",
-    "Tell",
-    "Tick",
-]
+__all__ = ["PEER_BYTES_PER_S", "ServiceRouter"]
 
 MAX_ATTEMPTS = 3
 PEER_BYTES_PER_S = 15_000
--- a/features/decision_driver.py
+++ b/features/decision_driver.py
@@ -4,7 +4,8 @@
 from collections import Counter
 
 from cloverhook.fleet import Endpoint, Policy, Priority
-from cloverhook.routing import (
+from cloverhook.routing import ServiceRouter
+from cloverhook.routing_events import (
     Arrival,
     AttemptEnded,
     AttemptResult,
@@ -12,7 +13,6 @@
     PeerSaid,
     Probe,
     Refuse,
-    ServiceRouter,
     Start,
     Tell,
     Tick,
--- a/features/steps/control_cost_steps.py
+++ b/features/steps/control_cost_steps.py
@@ -23,7 +23,8 @@
 from cloverhook.membership import SEARCH_MS, Membership
 from cloverhook.messages import Hello, Ping
 from cloverhook.records import Change, Publish, RemoveBrand
-from cloverhook.routing import (
+from cloverhook.routing import ServiceRouter
+from cloverhook.routing_events import (
     Arrival,
     AttemptEnded,
     AttemptResult,
@@ -31,7 +32,6 @@
     HomesChanged,
     Probe,
     ProbeEnded,
-    ServiceRouter,
     Tick,
 )
 from cloverhook.server import Listener
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -3,11 +3,7 @@
 from behave import given, then, when
 
 from cloverhook.fleet import Endpoint, Policy, Priority
-from cloverhook.routing import (
-    AttemptResult,
-    CallerGone,
-    EndpointsChanged,
-)
+from cloverhook.routing_events import AttemptResult, CallerGone, EndpointsChanged
 from features.decision_driver import Driver, endpoints, usual_work
 
 SLOW = "10.0.0.0:80"
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -14,7 +14,7 @@
 from cloverhook.load_watch import LoadWatch
 from cloverhook.own_limit import OwnLimit
 from cloverhook.records import Change, Publish
-from cloverhook.routing import Arrival, AttemptEnded, AttemptResult
+from cloverhook.routing_events import Arrival, AttemptEnded, AttemptResult
 from cloverhook.state import State
 from features.shared import run
 
--- a/features/steps/home_steps.py
+++ b/features/steps/home_steps.py
@@ -8,12 +8,7 @@
 from cloverhook.messages import SlotAsk, SlotGrant, SlotReturn, encode
 from cloverhook.own_limit import OwnLimit
 from cloverhook.ownership import owners
-from cloverhook.routing import (
-    CallerGone,
-    HomesChanged,
-    ProbeEnded,
-    Tell,
-)
+from cloverhook.routing_events import CallerGone, HomesChanged, ProbeEnded, Tell
 from cloverhook.steering import AnswerOrder, answer_lifetime_ms
 from features.decision_driver import Driver, endpoints, usual_work
 
--- a/features/steps/probe_steps.py
+++ b/features/steps/probe_steps.py
@@ -11,7 +11,7 @@
 from cloverhook.fold import fold
 from cloverhook.probing import LoadProbes
 from cloverhook.records import Change, Publish
-from cloverhook.routing import AttemptResult, Probe, ProbeEnded, Tick
+from cloverhook.routing_events import AttemptResult, Probe, ProbeEnded, Tick
 from cloverhook.state import State
 from cloverhook.upstream import UpstreamPool
 from features.http_peers import ScriptedBackend
--- a/features/steps/timeline_steps.py
+++ b/features/steps/timeline_steps.py
@@ -13,7 +13,7 @@
 from cloverhook.observer import Observer
 from cloverhook.platform_api import MemoryPlatform
 from cloverhook.records import Change, Publish
-from cloverhook.routing import Arrival, AttemptEnded, AttemptResult
+from cloverhook.routing_events import Arrival, AttemptEnded, AttemptResult
 from cloverhook.settings import DaemonSettings
 from cloverhook.stamped_platform import StampedPlatform
 from cloverhook.timeline import EventName, TimeLine
--- a/features/steps/uniform_slowness_steps.py
+++ b/features/steps/uniform_slowness_steps.py
@@ -5,13 +5,13 @@
 from behave import given, then, when
 
 from cloverhook.fleet import Endpoint, Policy, Priority
-from cloverhook.routing import (
+from cloverhook.routing import ServiceRouter
+from cloverhook.routing_events import (
     Arrival,
     AttemptEnded,
     AttemptResult,
     EndpointsChanged,
     Refuse,
-    ServiceRouter,
     Start,
     Tick,
 )
