Leave a pool alone that does not hold the endpoint

Each change of an endpoint took it out of both pools and looked for its room again, though it lies in one of them.

--- a/cloverhook/slot_pool.py
+++ b/cloverhook/slot_pool.py
@@ -44,8 +44,10 @@
     def update(self, stats: EndpointStats, now_ms: float) -> None:
         """Put an endpoint where it belongs after its use has changed."""
         address = stats.endpoint.address
+        if address not in self._members:
+            return
         self._unplace(address)
-        if address not in self._members or stats.room(now_ms) <= 0:
+        if stats.room(now_ms) <= 0:
             return
         place = (stats.endpoint.data_center != self._data_center, stats.used)
         self._buckets.setdefault(place, {})[address] = stats
