Give the baselines of the bench what the dispatcher asks of a router now; count wake-ups for capacity

The bench's baseline router lacked 'owns' and 'trouble_of', which the dispatcher asks for since connections are bounded and troubles shown: every call of a baseline failed, and the part 'ways' compared with nothing (nan).

--- a/bench/baseline_router.py
+++ b/bench/baseline_router.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from cloverhook.endpoint_stats import Trouble
 from cloverhook.errors import ErrorKind
 from cloverhook.routing_events import (
     Action,
@@ -68,6 +69,16 @@
         """Return that no time is waited for."""
         del now_ms
 
+    def owns(self, address: str) -> bool:
+        """Return False: no VM owns an endpoint here."""
+        del address
+        return False
+
+    def trouble_of(self, address: str) -> int:
+        """Return that no endpoint is in trouble: these ways judge none."""
+        del address
+        return Trouble.NONE
+
     def _ended(self, event: AttemptEnded) -> tuple[Action, ...]:
         self.in_flight[event.address] -= 1
         request = self._requests.get(event.request_id)
--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from bench.slope import Slope
+from cloverhook.measuring import PROBES_PER_S
 
 __all__ = ["BUDGET", "SIZE", "Budget", "Size", "role_rows", "serving_rows"]
 
@@ -34,7 +35,7 @@
 SIZE = Size()
 BUDGET = Budget()
 SECONDS_PER_DAY = 86_400
-TICKS_PER_S = 100
+WAKES_PER_PROBE = 2
 MEASURING_MS_PER_S = 60
 PROBE_MS = 6.0
 PROBE_CPU_MS = 0.4
@@ -97,15 +98,15 @@
     tick = _find(slopes, "serving calls", "a tick of all services")
     memory = _find(slopes, "serving calls", "memory")
     memory_mb = memory.at(CONNECTIONS_PER_VM) / 1000
-    breaks_at = (BUDGET.core_percent * US_PER_CORE_PERCENT / TICKS_PER_S) / tick.gradient
+    wakes_per_s = WAKES_PER_PROBE * PROBES_PER_S
     return (
-        "serving calls (its control: ticks)",
+        "serving calls (its control: idle routers)",
         f"{SIZE.services} routers, {CONNECTIONS_PER_VM:,} caller connections",
-        f"{TICKS_PER_S} ticks/s of each router",
-        f"{_core(tick.at(SIZE.services) * TICKS_PER_S)}; over above {breaks_at:.0f} services",
+        f"at most {wakes_per_s} wake-ups/s of all routers together",
+        _core(tick.gradient * wakes_per_s),
         f"{memory_mb:.0f} MB, the process included",
         "none",
-        "one `ServiceRouter` for each service, driven by events and ticks",
+        "one `ServiceRouter` for each service, driven by events; it asks for a wake-up when it needs the clock",
     )
 
 
