--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -106,13 +106,14 @@
         _core(tick.gradient * wakes_per_s),
         f"{memory_mb:.0f} MB, the process included",
         "none",
-        "one `ServiceRouter` for each service, driven by events; it asks for a wake-up when it needs the clock",
+        "one `ServiceRouter` for each service, driven by events and wake-ups it asks for",
     )
 
 
 def _measuring(slopes: list[Slope]) -> tuple[str, ...]:
     services_per_vm = SIZE.services * SIZE.home_vms / _vms(slopes, 1)
-    probes = MEASURING_MS_PER_S / PROBE_MS / SIZE.home_vms * services_per_vm
+    budgeted = MEASURING_MS_PER_S / PROBE_MS / SIZE.home_vms * services_per_vm
+    probes = min(budgeted, PROBES_PER_S)
     return (
         "measuring",
         "load and latency of each endpoint, within its router",
