Log a fault of any application behind a listener, once

The callers' application logged its own with the request's identifier, the operators' application and the watch around both did not, so a fault there left no trace. The cycle logs what is not an error of ours now, and the callers' application hands on an internal error after its own line. No test: none of the features brings a fault of ours about.

--- a/cloverhook/caller_app.py
+++ b/cloverhook/caller_app.py
@@ -74,9 +74,9 @@
         except asyncio.CancelledError:
             seen.kind = ErrorKind.CALLER_GONE
             raise
-        except Exception:
+        except Exception as error:
             logging.exception("callers: request %s met a fault of ours.", request_id)
-            raise
+            raise RequestError(ErrorKind.INTERNAL) from error
         finally:
             self._in_progress.discard(request_id)
 
--- a/cloverhook/request_cycle.py
+++ b/cloverhook/request_cycle.py
@@ -7,11 +7,12 @@
 import asyncio
 from typing import Any, Protocol
 
+from absl import logging
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE
 
 from cloverhook import headers as h
-from cloverhook.errors import ErrorKind, RequestError, answer_for
+from cloverhook.errors import CloverhookError, ErrorKind, RequestError, answer_for
 
 __all__ = ["CallerConnection", "RequestCycle", "error_answer"]
 
@@ -70,7 +71,10 @@
         """Run the application; a failure after the head of its answer breaks the connection."""
         try:
             await app(self._scope, self.receive, self.send)
+        except CloverhookError:
+            await self._give_up()
         except Exception:
+            logging.exception("listener: a request met a fault of ours.")
             await self._give_up()
         finally:
             if not self.response_complete:
