--- /dev/null
+++ b/cloverhook/gateway/attempt.py
@@ -0,0 +1,185 @@
+"""One attempt of a request at one backend server.
+
+Layer: transport.  An attempt ends in one of the ways of `Outcome`; only `NOT_SENT` and `REJECTED`
+say for certain that the request did not run there.
+"""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from enum import Enum
+
+from cloverhook.clock import monotonic_ms
+from cloverhook.errors import UpstreamError
+from cloverhook.gateway.backend_pool import BackendPool
+from cloverhook.gateway.balancer import Choice
+from cloverhook.gateway.call_headers import CallHeaders, find, load_figure, passed_on
+from cloverhook.gateway.calls import CallerAnswer, CallerRequest
+from cloverhook.gateway.load import LoadBoard
+from cloverhook.upstream_connection import AnswerHead, RequestHead, UpstreamConnection
+
+__all__ = ["Attempt", "AttemptResult", "Outcome"]
+
+MISDIRECTED = 421
+FAILURE_STATUSES = 500
+KEPT_BODY_BYTES = 262_144
+"""An answer of up to this size is taken whole before its caller gets a byte, so that one that
+breaks off can be asked for again."""
+
+
+class Outcome(Enum):
+    """How an attempt ended."""
+
+    ANSWERED = "answered"
+    REJECTED = "rejected"
+    NOT_SENT = "not-sent"
+    CUT = "cut"
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """The end of an attempt; `answer` is there for `ANSWERED` alone."""
+
+    outcome: Outcome
+    choice: Choice
+    latency_ms: float
+    status: int = 0
+    answer: CallerAnswer | None = None
+    detail: str = ""
+
+    @property
+    def failed(self) -> bool:
+        """Whether another backend server might do better."""
+        return self.outcome is not Outcome.ANSWERED or self.status >= FAILURE_STATUSES
+
+
+class Attempt:
+    """Sends a request to the backend server chosen and takes its answer."""
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        request_id: bytes,
+        choice: Choice,
+        deadline_ms: float,
+        idempotent: bool,
+        headers: CallHeaders,
+    ) -> None:
+        self.choice = choice
+        self.sent = False
+        self._request = request
+        self._request_id = request_id
+        self._deadline_ms = deadline_ms
+        self._idempotent = idempotent
+        self._headers = headers
+
+    async def run(self, pool: BackendPool, board: LoadBoard, limit: int) -> AttemptResult:
+        """Make the attempt; being cancelled ends the work at the backend server too."""
+        server = self.choice.server
+        load = board.of(server.incarnation)
+        load.in_flight += 1
+        started_ms = monotonic_ms()
+        connection: UpstreamConnection | None = None
+        kept = False
+        try:
+            left_ms = self._deadline_ms - started_ms
+            connection = await pool.acquire(server, limit, self._idempotent, left_ms)
+            head = await self._send(connection)
+            figure = load_figure(find(head.headers, self._headers.load))
+            if figure is not None:
+                load.report(figure, monotonic_ms(), counted=1)
+            result = await self._take(head, connection, pool, started_ms)
+            kept = result.answer is not None and result.answer.rest is not None
+            if not kept:
+                pool.release(server, connection, head)
+        except UpstreamError as error:
+            self.sent = self.sent and error.sent
+            result = self._failed(error, monotonic_ms() - started_ms)
+            if connection is not None and connection.silent:
+                pool.went_silent(server, started_ms)
+        finally:
+            load.in_flight -= 1
+            if connection is not None and not kept and not connection.usable:
+                connection.close()
+        self._learn(result, board)
+        return result
+
+    async def _send(self, connection: UpstreamConnection) -> AnswerHead:
+        request, names = self._request, self._headers
+        left_ms = max(1, int(self._deadline_ms - monotonic_ms()))
+        headers = passed_on(request.headers, names.own())
+        headers += (
+            (names.request_id, self._request_id),
+            (names.timeout_ms, b"%d" % left_ms),
+            (names.incarnation_wanted, self.choice.server.incarnation.encode()),
+        )
+        if request.has_body:
+            headers.append((b"content-length", b"%d" % len(request.body)))
+        head = RequestHead(request.method, request.target, headers, request.has_body)
+        self.sent = True
+        return await connection.send(head, request.body, is_own=self._is_own)
+
+    def _is_own(self, head: AnswerHead) -> bool:
+        """Return whether an answer is to this request; one that names none may be a refusal."""
+        named = find(head.headers, self._headers.request_id)
+        if named is None:
+            return head.status >= FAILURE_STATUSES or head.status == MISDIRECTED
+        return named == self._request_id
+
+    async def _take(
+        self,
+        head: AnswerHead,
+        connection: UpstreamConnection,
+        pool: BackendPool,
+        started_ms: float,
+    ) -> AttemptResult:
+        names = self._headers
+        parts, more = [], True
+        size_bytes = 0
+        while more and size_bytes <= KEPT_BODY_BYTES:
+            part, more = await connection.read()
+            parts.append(part)
+            size_bytes += len(part)
+        latency_ms = monotonic_ms() - started_ms
+        if head.status == MISDIRECTED or find(head.headers, names.not_run) is not None:
+            self.sent = False
+            return AttemptResult(Outcome.REJECTED, self.choice, latency_ms, head.status)
+        if head.status < 300 and find(head.headers, names.receipt) is None:
+            raise UpstreamError("a success without a receipt", sent=True, bad_answer=True)
+        rest = self._rest(connection, pool, head) if more else None
+        length = find(head.headers, b"content-length") if more or not size_bytes else None
+        answer = CallerAnswer(
+            head.status,
+            passed_on(head.headers, names.hidden()),
+            b"".join(parts),
+            rest,
+            int(length) if length is not None else None,
+        )
+        return AttemptResult(Outcome.ANSWERED, self.choice, latency_ms, head.status, answer)
+
+    async def _rest(
+        self, connection: UpstreamConnection, pool: BackendPool, head: AnswerHead
+    ) -> AsyncIterator[bytes]:
+        more = True
+        try:
+            while more:
+                part, more = await connection.read()
+                yield part
+        finally:
+            if more:
+                connection.close()
+            pool.release(self.choice.server, connection, None if more else head)
+
+    def _failed(self, error: UpstreamError, latency_ms: float) -> AttemptResult:
+        outcome = Outcome.CUT if self.sent else Outcome.NOT_SENT
+        return AttemptResult(outcome, self.choice, latency_ms, detail=str(error))
+
+    def _learn(self, result: AttemptResult, board: LoadBoard) -> None:
+        """Keep what the end of the attempt says of the backend server."""
+        now_ms = monotonic_ms()
+        load = board.of(self.choice.server.incarnation)
+        if result.outcome is Outcome.NOT_SENT:
+            load.not_reached(now_ms)
+        elif result.failed:
+            load.failed(now_ms)
+        else:
+            load.succeeded(now_ms)
--- /dev/null
+++ b/cloverhook/gateway/call_headers.py
@@ -0,0 +1,102 @@
+"""The headers by which callers, gateways and backend servers tell each other about a request.
+
+Layer: protocol.  `CallHeaders` holds the names in use, in lower case; the adapter of a platform
+brings that platform's own.
+"""
+
+from dataclasses import dataclass
+
+from cloverhook.gateway.load import LoadFigure
+
+__all__ = ["HOP_BY_HOP", "CallHeaders", "HeaderList", "find", "load_figure", "passed_on"]
+
+HeaderList = list[tuple[bytes, bytes]]
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    )
+)
+KEPT_ALWAYS = frozenset((b"host",))
+PERCENT = 100.0
+
+
+@dataclass(frozen=True, slots=True)
+class CallHeaders:
+    """The names of the headers of a call.
+
+    `receipt` marks an answer that a backend server made, `not_run` one by which it says that the
+    request did not run there.  `load` carries requests running, requests waiting, slots and, where
+    it is known, the pace in percent of usual.
+    """
+
+    request_id: bytes = b"x-request-id"
+    timeout_ms: bytes = b"cloverhook-timeout-ms"
+    incarnation_wanted: bytes = b"cloverhook-incarnation-wanted"
+    incarnation: bytes = b"cloverhook-incarnation"
+    receipt: bytes = b"cloverhook-receipt"
+    load: bytes = b"cloverhook-load"
+    not_run: bytes = b"cloverhook-not-run"
+
+    def own(self) -> frozenset[bytes]:
+        """Return the names that a gateway sets itself on the way to a backend server."""
+        return frozenset(
+            (
+                self.request_id,
+                self.timeout_ms,
+                self.incarnation_wanted,
+                self.incarnation,
+                self.receipt,
+                self.load,
+                self.not_run,
+            )
+        )
+
+    def hidden(self) -> frozenset[bytes]:
+        """Return the names that are between gateway and backend server alone."""
+        return frozenset((self.load, self.not_run, self.incarnation))
+
+
+def find(headers: HeaderList, name: bytes) -> bytes | None:
+    """Return the first value of a header, or None."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def passed_on(headers: HeaderList, left_out: frozenset[bytes]) -> HeaderList:
+    """Return the headers that concern more than one connection, less those left out."""
+    named: set[bytes] = set()
+    kept: HeaderList = []
+    for pair in headers:
+        if pair[0] == b"connection":
+            named.update(token.strip().lower() for token in pair[1].split(b","))
+        elif pair[0] not in HOP_BY_HOP and pair[0] not in left_out:
+            kept.append(pair)
+    named -= KEPT_ALWAYS
+    return [pair for pair in kept if pair[0] not in named] if named else kept
+
+
+def load_figure(value: bytes | None) -> LoadFigure | None:
+    """Return the load figure of a header, or None where there is none that can be read."""
+    if value is None:
+        return None
+    try:
+        figures = [int(item) for item in value.split(b",")]
+    except ValueError:
+        return None
+    if len(figures) < 2 or min(figures) < 0:
+        return None
+    pace = figures[3] / PERCENT if len(figures) > 3 and figures[3] else 1.0
+    return LoadFigure(figures[0], figures[1], pace)
--- /dev/null
+++ b/cloverhook/gateway/calls.py
@@ -0,0 +1,42 @@
+"""A caller's request and the answer to it, between the listener and what serves it.
+
+Layer: protocol.
+"""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+
+from cloverhook.gateway.call_headers import HeaderList
+
+__all__ = ["CallerAnswer", "CallerRequest", "Handler"]
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A whole request; header names are in lower case and `host` has no port."""
+
+    method: bytes
+    target: bytes
+    path: str
+    host: str
+    headers: HeaderList
+    body: bytes
+    has_body: bool
+    arrived_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallerAnswer:
+    """An answer; `rest` yields what follows `body`.
+
+    With `length_bytes` None the length is that of `body`, or unknown where there is a rest.
+    """
+
+    status: int
+    headers: HeaderList
+    body: bytes = b""
+    rest: AsyncIterator[bytes] | None = None
+    length_bytes: int | None = None
+
+
+Handler = Callable[[CallerRequest], Awaitable[CallerAnswer]]
--- /dev/null
+++ b/cloverhook/gateway/daemon.py
@@ -0,0 +1,363 @@
+"""The gateway's program: one event loop that serves callers, follows the store and its peers.
+
+Layer: transport.  `Gateway` only wires the parts together; each decision is made in a part of its
+own.
+"""
+
+import asyncio
+import contextlib
+import gc
+import os
+import random
+import signal
+import time
+from collections.abc import Callable
+
+from cloverhook.clock import PauseWatch, monotonic_ms
+from cloverhook.errors import PlatformError, SettingsError
+from cloverhook.gateway.backend_pool import BackendPool
+from cloverhook.gateway.balancer import Balancer
+from cloverhook.gateway.call_headers import CallHeaders
+from cloverhook.gateway.calls import CallerAnswer, CallerRequest
+from cloverhook.gateway.counters import Counters
+from cloverhook.gateway.event_log import EventLog, Kind
+from cloverhook.gateway.forwarding import Forwarder
+from cloverhook.gateway.ingress import Ingress
+from cloverhook.gateway.knowledge import Knowledge
+from cloverhook.gateway.load import LoadFigure
+from cloverhook.gateway.members import Members
+from cloverhook.gateway.peer_messages import Hello
+from cloverhook.gateway.peering import Peering
+from cloverhook.gateway.prober import Prober
+from cloverhook.gateway.registry import BackendServer
+from cloverhook.gateway.retry_allowance import RetryAllowance
+from cloverhook.gateway.routes import IngressLimits
+from cloverhook.gateway.settings import GatewaySettings
+from cloverhook.gateway.store import MemberRecord, Store
+from cloverhook.gateway.store_follower import StoreFollower
+
+__all__ = ["DirectoryHandler", "Gateway", "serve"]
+
+TICK_MS = 50.0
+SWEEP_MS = 1_000.0
+ANNOUNCE_RETRY_MS = 700.0
+TTL_MS = 2_000.0
+"""Callers look again this often: a VM that is gone costs each of them one failed try at most."""
+ACCEPT_SHARE = 0.55
+"""The part of a planned stop for which callers with old answers are still taken."""
+QUIET_MS = 700.0
+"""A leaving VM that has had no request for this long ends before its time."""
+GOODBYE_MS = 400.0
+"""What is left of a planned stop when the last requests are given up."""
+
+DirectoryHandler = Callable[[CallerRequest, list[str], float], CallerAnswer]
+
+
+class Gateway:
+    """One gateway on one VM."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        store: Store,
+        headers: CallHeaders,
+        directory: DirectoryHandler,
+    ) -> None:
+        now_ms = monotonic_ms()
+        self._settings = settings
+        self._store = store
+        self._answer_directory = directory
+        self._log = EventLog(settings.vm)
+        self._counters = Counters()
+        self._knowledge = Knowledge()
+        self._members = Members(settings.vm, settings.data_center, now_ms)
+        own = Hello(
+            settings.vm,
+            time.time_ns() // 1_000_000,
+            settings.data_center,
+            settings.caller_address,
+            settings.peer_address,
+            wants_answer=True,
+        )
+        self._peering = Peering(own, self._knowledge, self._members, self._log)
+        self._follower = StoreFollower(store, self._knowledge, self._on_news, self._log)
+        self._pool = BackendPool()
+        self._prober = Prober(headers, self._on_figure)
+        balancer = Balancer(
+            self._knowledge.registry, self._knowledge.board, settings.data_center, random.Random()
+        )
+        allowance = RetryAllowance(
+            settings.retry_ratio, settings.retry_extra, settings.retry_window_s * 1000
+        )
+        self._forwarder = Forwarder(
+            self._knowledge,
+            balancer,
+            self._pool,
+            allowance,
+            headers,
+            lambda: self._members.count(monotonic_ms()),
+            self._log,
+            self._counters,
+        )
+        self._callers = Ingress(self._serve_caller, self._limits)
+        self._ready = Ingress(self._answer_ready)
+        self._directory = Ingress(self._serve_directory)
+        self._metrics = Ingress(self._serve_metrics)
+        self._figures: dict[str, tuple[LoadFigure, float]] = {}
+        self._told_version = -1
+        self._probe_due_ms = 0.0
+        self._sweep_due_ms = 0.0
+        self._last_request_ms = now_ms
+        self._leaving = False
+        self._was_ready = False
+        self._stopped = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Open the listeners and start to follow and to talk."""
+        settings = self._settings
+        await self._peering.link.open(settings.peer_address)
+        await self._callers.listen(settings.caller_address)
+        await self._ready.listen(settings.ready_address)
+        await self._directory.listen(settings.directory_address)
+        if settings.metrics_port:
+            host = settings.caller_address.rpartition(":")[0]
+            await self._metrics.listen(f"{host}:{settings.metrics_port}")
+        self._add_seeds()
+        self._tasks = [
+            asyncio.create_task(self._tick()),
+            asyncio.create_task(self._announce()),
+        ]
+        self._log.note(Kind.STARTED, pid=os.getpid(), data_center=settings.data_center)
+
+    async def run_until_stopped(self) -> None:
+        """Serve until a planned stop has ended."""
+        await self._stopped.wait()
+        for task in self._tasks:
+            task.cancel()
+        if self._follower.active:
+            self._follower.stop("stopping")
+        self._prober.close()
+        self._pool.close()
+        self._peering.link.close()
+        self._store.close()
+        self._log.note(Kind.STOPPED, in_flight=self._callers.in_flight())
+        self._log.flush()
+
+    def leave(self) -> None:
+        """Begin a planned stop; a second call changes nothing."""
+        if not self._leaving:
+            self._leaving = True
+            self._log.note(Kind.STOPPING, in_flight=self._callers.in_flight())
+            self._tasks.append(asyncio.create_task(self._leave()))
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take changed settings; addresses stay as they were until the next start."""
+        self._settings = settings
+        self._add_seeds()
+        self._log.note(Kind.RELOADED)
+
+    def reload_failed(self, error: SettingsError) -> None:
+        """Keep the settings in force and say why."""
+        self._log.note(Kind.RELOADED, error=str(error))
+
+    async def _leave(self) -> None:
+        """Send callers elsewhere, serve those who still come, and end when all is answered."""
+        stop_ms = self._settings.stop_s * 1000
+        begun_ms = monotonic_ms()
+        self._callers.leave()
+        self._peering.leaving = True
+        self._peering.ready = False
+        self._peering.beat_now()
+        accept_ms = begun_ms + stop_ms * ACCEPT_SHARE
+        while monotonic_ms() < accept_ms:
+            await asyncio.sleep(TICK_MS / 1000)
+        self._callers.close_listener()
+        self._callers.close_idle()
+        end_ms = begun_ms + stop_ms - GOODBYE_MS
+        while self._callers.in_flight() and monotonic_ms() < end_ms:
+            await asyncio.sleep(TICK_MS / 1000)
+            self._callers.close_idle()
+        self._stopped.set()
+
+    def _add_seeds(self) -> None:
+        """Look for peers on the seeds' hosts; peers have the same port everywhere."""
+        port = self._settings.peer_address.rpartition(":")[2]
+        for address in self._settings.seed_addresses:
+            self._peering.add_address(f"{address.rpartition(':')[0]}:{port}")
+
+    # Listeners.
+
+    def _limits(self) -> IngressLimits:
+        config = self._knowledge.config
+        return IngressLimits() if config is None else config.limits
+
+    async def _serve_caller(self, request: CallerRequest) -> CallerAnswer:
+        self._last_request_ms = request.arrived_ms
+        return await self._forwarder.handle(request)
+
+    async def _answer_ready(self, request: CallerRequest) -> CallerAnswer:
+        return CallerAnswer(200 if self._is_ready() else 503, [])
+
+    async def _serve_directory(self, request: CallerRequest) -> CallerAnswer:
+        addresses = self._members.caller_addresses(monotonic_ms())
+        if self._is_ready():
+            addresses.append(self._settings.caller_address)
+        ttl_ms = min(TTL_MS, self._settings.address_ttl_s * 1000)
+        return self._answer_directory(request, addresses, ttl_ms)
+
+    async def _serve_metrics(self, request: CallerRequest) -> CallerAnswer:
+        counters = self._counters
+        knowledge = self._knowledge
+        counters.set("config_version", knowledge.config_version)
+        counters.set("registry_version", knowledge.registry.version)
+        counters.set("backend_servers", len(knowledge.registry))
+        counters.set("members_alive", len(self._members.alive(monotonic_ms())))
+        counters.set("reading_store", int(self._follower.reading))
+        counters.set("probes", self._prober.probes)
+        counters.set("connects", self._pool.connects)
+        counters.set("log_lines_dropped", self._log.dropped_total)
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        return CallerAnswer(200, headers, counters.page())
+
+    def _is_ready(self) -> bool:
+        return self._knowledge.complete and not self._leaving
+
+    # What goes on without requests.
+
+    async def _tick(self) -> None:
+        watch = PauseWatch(monotonic_ms())
+        while True:
+            await asyncio.sleep(TICK_MS / 1000)
+            now_ms = monotonic_ms()
+            if watch.observe(now_ms):
+                self._log.note(Kind.PAUSED)
+                self._read_again()
+            self._follow_or_not(now_ms)
+            for incarnation in self._knowledge.expire(now_ms):
+                self._pool.forget(incarnation)
+            self._tell_readiness()
+            self._probe(now_ms)
+            self._peering.reading = self._follower.reading
+            self._peering.tick(now_ms)
+            if now_ms >= self._sweep_due_ms:
+                self._sweep_due_ms = now_ms + SWEEP_MS
+                self._sweep(now_ms)
+            self._log.flush()
+
+    def _sweep(self, now_ms: float) -> None:
+        self._pool.sweep()
+        self._prober.sweep(lambda name: self._knowledge.registry.get(name) is not None)
+        self._members.forget(now_ms)
+
+    def _tell_readiness(self) -> None:
+        ready = self._is_ready()
+        self._peering.ready = ready
+        if ready != self._was_ready:
+            self._was_ready = ready
+            self._log.note(
+                Kind.READY,
+                ready=ready,
+                config=self._knowledge.config_version,
+                servers=len(self._knowledge.registry),
+            )
+            self._peering.beat_now()
+
+    def _read_again(self) -> None:
+        """Read the store anew: what this VM knows may be old."""
+        if self._follower.active:
+            self._follower.stop("paused")
+        self._follower.start()
+
+    def _follow_or_not(self, now_ms: float) -> None:
+        wanted = self._members.reads_store(self._follower.reading, now_ms)
+        if not self._follower.active and wanted and not self._leaving:
+            self._follower.start()
+        elif self._follower.active and not wanted and self._other_reads(now_ms):
+            self._follower.stop("another VM reads")
+
+    def _other_reads(self, now_ms: float) -> bool:
+        return any(member.reading for member in self._members.alive(now_ms))
+
+    def _on_news(self, touched: tuple[str, ...]) -> None:
+        """Pass on what the store has told."""
+        knowledge = self._knowledge
+        if not touched:
+            self._log.note(Kind.CONFIG, version=knowledge.config_version, source="store")
+            self._peering.beat_now()
+            return
+        version = knowledge.registry.version
+        self._log.note(Kind.SERVER, version=version, source="store", touched=touched[:8])
+        self._peering.tell_servers(self._told_version, touched)
+        self._told_version = version
+
+    def _probe(self, now_ms: float) -> None:
+        """Start the probes that are due, and tell what the last ones found."""
+        if now_ms < self._probe_due_ms or not self._settings.probes_per_s:
+            return
+        self._probe_due_ms = now_ms + 1000 / self._settings.probes_per_s
+        if self._figures:
+            figures, self._figures = self._figures, {}
+            self._peering.tell_loads(figures)
+        config = self._knowledge.config
+        if config is None or self._leaving:
+            return
+        owned = [
+            (server, config.services[server.service].health_path)
+            for server in self._knowledge.registry.servers()
+            if server.service in config.services and self._owns(server, now_ms)
+        ]
+        self._prober.probe(owned)
+
+    def _owns(self, server: BackendServer, now_ms: float) -> bool:
+        owner = self._members.owner(server.incarnation, server.data_center, now_ms)
+        return owner == self._settings.vm
+
+    def _on_figure(self, server: BackendServer, figure: LoadFigure, at_ms: float) -> None:
+        load = self._knowledge.board.of(server.incarnation)
+        before = load.figure
+        load.report(figure, at_ms)
+        self._figures[server.incarnation] = (figure, at_ms)
+        if before is None or before.reachable != figure.reachable:
+            self._log.note(
+                Kind.ENDPOINT,
+                server=server.incarnation,
+                address=server.address,
+                reachable=figure.reachable,
+            )
+
+    async def _announce(self) -> None:
+        """Write this VM down in the store, and learn of the others there."""
+        settings = self._settings
+        own = MemberRecord(
+            settings.vm, settings.data_center, settings.caller_address, settings.peer_address
+        )
+        while True:
+            try:
+                await self._store.announce(own)
+                self._peering.add_members(await self._store.members())
+                return
+            except PlatformError as error:
+                self._log.note(Kind.STORE, feed="members", state="lost", error=str(error))
+                await asyncio.sleep(ANNOUNCE_RETRY_MS / 1000)
+
+
+async def serve(gateway: Gateway, read_settings: Callable[[], GatewaySettings]) -> None:
+    """Run a gateway until it is told to stop."""
+    loop = asyncio.get_running_loop()
+    with contextlib.suppress(OSError):
+        os.set_blocking(1, False)
+
+    def reload() -> None:
+        try:
+            gateway.reload(read_settings())
+        except SettingsError as error:
+            gateway.reload_failed(error)
+
+    loop.add_signal_handler(signal.SIGTERM, gateway.leave)
+    loop.add_signal_handler(signal.SIGINT, gateway.leave)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    await gateway.start()
+    gc.collect()
+    gc.freeze()
+    await gateway.run_until_stopped()
--- /dev/null
+++ b/cloverhook/gateway/forwarding.py
@@ -0,0 +1,303 @@
+"""Brings each request to an end: choice, attempts, second attempts, and the final answer.
+
+Layer: transport.  A request that may run once only is sent again only when it certainly has not
+run.  An idempotent one may also be sent to a second backend server while the first is silent, so
+long as the allowance for repeats lasts.  Once given up, a request gets its final answer at once.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cloverhook.clock import monotonic_ms
+from cloverhook.errors import ErrorKind, answer_for
+from cloverhook.gateway.attempt import Attempt, AttemptResult, Outcome
+from cloverhook.gateway.backend_pool import BackendPool
+from cloverhook.gateway.balancer import Balancer, Choice, WorkEstimates
+from cloverhook.gateway.call_headers import CallHeaders, find
+from cloverhook.gateway.calls import CallerAnswer, CallerRequest
+from cloverhook.gateway.counters import Counters
+from cloverhook.gateway.event_log import EventLog, Kind
+from cloverhook.gateway.knowledge import Knowledge
+from cloverhook.gateway.retry_allowance import RetryAllowance
+from cloverhook.gateway.routes import Route
+from cloverhook.gateway.splits import Splits
+
+__all__ = ["Forwarder"]
+
+SENDS_LIMIT = 4
+"""A request that keeps being rejected is offered to this many backend servers, then refused."""
+HEDGE_SLOW_SHARE = 0.35
+"""An endpoint whose pace has fallen gets company after this share of the objective."""
+HEDGE_SHARE = 0.7
+"""A silent endpoint at its usual pace gets company after this share of the objective."""
+SLOW_PACE = 2.5
+LAST_MS = 10.0
+"""With less time left, no attempt is worth starting."""
+RETURN_MS = (60.0, 160.0)
+"""Refused callers are told to come back after a random time between these, not all at once."""
+CONNECTION_SHARE = 0.8
+"""The part of an endpoint's connections that the gateways use together."""
+
+
+@dataclass(slots=True)
+class _Run:
+    """A request on its way, with what has been tried."""
+
+    request: CallerRequest
+    request_id: bytes
+    route: Route
+    service: str
+    deadline_ms: float
+    attempts: list[Attempt] = field(default_factory=list)
+    results: list[AttemptResult] = field(default_factory=list)
+    tasks: dict[asyncio.Task[AttemptResult], Attempt] = field(default_factory=dict)
+
+    @property
+    def tried(self) -> set[str]:
+        """The incarnations that have been tried."""
+        return {attempt.choice.server.incarnation for attempt in self.attempts}
+
+    @property
+    def maybe_runs(self) -> int:
+        """How many backend servers may have run the request, or may be running it."""
+        return sum(1 for attempt in self.attempts if attempt.sent)
+
+
+class Forwarder:
+    """Serves callers' requests."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        balancer: Balancer,
+        pool: BackendPool,
+        allowance: RetryAllowance,
+        headers: CallHeaders,
+        vms: Callable[[], int],
+        log: EventLog,
+        counters: Counters,
+    ) -> None:
+        self._knowledge = knowledge
+        self._balancer = balancer
+        self._pool = pool
+        self._allowance = allowance
+        self._headers = headers
+        self._vms = vms
+        self._log = log
+        self._counters = counters
+        self._estimates = WorkEstimates()
+        self._splits = Splits()
+
+    async def handle(self, request: CallerRequest) -> CallerAnswer:
+        """Return the answer to a caller's request."""
+        config = self._knowledge.config
+        request_id = find(request.headers, self._headers.request_id) or b""
+        if config is None:
+            return self._refuse(
+                request, request_id, ErrorKind.NO_BACKEND_SERVER, "no configuration"
+            )
+        route = config.find(request.host, request.path)
+        if route is None:
+            return self._refuse(request, request_id, ErrorKind.UNKNOWN_HOST, "no route")
+        service = self._splits.next(route)
+        deadline_ms = request.arrived_ms + self._time_left_ms(request, route)
+        run = _Run(request, request_id, route, service, deadline_ms)
+        self._allowance.count(service, request.arrived_ms)
+        try:
+            answer = await self._bring_to_end(run)
+        finally:
+            for task in run.tasks:
+                task.cancel()
+        self._report(run, answer)
+        return answer
+
+    def _time_left_ms(self, request: CallerRequest, route: Route) -> float:
+        told = find(request.headers, self._headers.timeout_ms)
+        if told is None or not told.isdigit():
+            return route.timeout_ms
+        return min(float(told), route.timeout_ms)
+
+    async def _bring_to_end(self, run: _Run) -> CallerAnswer:
+        if not self._start(run):
+            return self._final(run)
+        while run.tasks:
+            wait_ms = self._wait_ms(run)
+            done, _ = await asyncio.wait(
+                run.tasks, timeout=max(0.0, wait_ms) / 1000, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                del run.tasks[task]
+                run.results.append(task.result())
+            good = next((item for item in run.results if not item.failed), None)
+            if good is not None:
+                self._measured(run, good)
+                return good.answer
+            if monotonic_ms() >= run.deadline_ms:
+                break
+            if (done and self._may_repeat(run)) or (not done and self._wants_hedge(run)):
+                self._start(run)
+        return self._final(run)
+
+    def _start(self, run: _Run) -> bool:
+        """Start an attempt if one is allowed and there is a backend server for it."""
+        now_ms = monotonic_ms()
+        if run.deadline_ms - now_ms < LAST_MS and run.attempts:
+            return False
+        route = run.route
+        work_ms = self._estimates.work_ms(route.name, route.aim_ms)
+        choice = self._balancer.choose(run.service, work_ms, now_ms, run.tried)
+        if choice is None:
+            return False
+        arrived = any(item.outcome is not Outcome.NOT_SENT for item in run.results) or run.tasks
+        if arrived and not self._allowance.take(run.service, now_ms, self._vms()):
+            return False
+        attempt = Attempt(
+            run.request, run.request_id, choice, run.deadline_ms, route.idempotent, self._headers
+        )
+        limit = self._connection_limit(run.service)
+        work = attempt.run(self._pool, self._knowledge.board, limit)
+        run.tasks[asyncio.get_running_loop().create_task(work)] = attempt
+        run.attempts.append(attempt)
+        return True
+
+    def _connection_limit(self, service: str) -> int:
+        config = self._knowledge.config
+        spec = config.services.get(service)
+        if spec is None:
+            return 1
+        return max(2, int(CONNECTION_SHARE * spec.connections / self._vms()))
+
+    def _may_repeat(self, run: _Run) -> bool:
+        """Return whether the request may be sent once more after a failure."""
+        if len(run.attempts) >= SENDS_LIMIT or run.tasks:
+            return False
+        if run.maybe_runs == 0:
+            return True
+        return run.route.idempotent and run.maybe_runs < run.route.attempts
+
+    def _wait_ms(self, run: _Run) -> float:
+        """Return how long to wait before the next look at the request."""
+        now_ms = monotonic_ms()
+        waits = [run.deadline_ms]
+        if self._can_hedge(run):
+            elapsed_ms = now_ms - run.request.arrived_ms
+            for share in (HEDGE_SLOW_SHARE, HEDGE_SHARE):
+                if elapsed_ms < share * run.route.aim_ms:
+                    waits.append(run.request.arrived_ms + share * run.route.aim_ms)
+        return min(waits) - now_ms + 0.1
+
+    def _can_hedge(self, run: _Run) -> bool:
+        return (
+            run.route.idempotent
+            and len(run.tasks) == 1
+            and len(run.attempts) < SENDS_LIMIT
+            and run.maybe_runs < run.route.attempts
+        )
+
+    def _wants_hedge(self, run: _Run) -> bool:
+        """Return whether a second backend server should start on the request now."""
+        if not self._can_hedge(run):
+            return False
+        now_ms = monotonic_ms()
+        elapsed_ms = now_ms - run.request.arrived_ms
+        if elapsed_ms >= HEDGE_SHARE * run.route.aim_ms:
+            return True
+        attempt = next(iter(run.tasks.values()))
+        load = self._knowledge.board.of(attempt.choice.server.incarnation)
+        return load.pace(now_ms) >= SLOW_PACE
+
+    def _final(self, run: _Run) -> CallerAnswer:
+        """Return the answer to a request that no backend server has answered well."""
+        answered = [item for item in run.results if item.answer is not None]
+        if answered:
+            return answered[-1].answer
+        late = monotonic_ms() >= run.deadline_ms
+        if run.maybe_runs:
+            kind = ErrorKind.DEADLINE_IN_RUN if late else ErrorKind.CONNECTION_CUT
+        elif any(item.outcome is Outcome.REJECTED for item in run.results):
+            kind = ErrorKind.REFUSED
+        else:
+            kind = ErrorKind.NO_BACKEND_SERVER
+        return self._error(kind)
+
+    def _measured(self, run: _Run, result: AttemptResult) -> None:
+        choice = result.choice
+        if choice.load < choice.server.slots:
+            route = run.route
+            self._estimates.measured(route.name, route.aim_ms, result.latency_ms, choice.pace)
+
+    def _error(self, kind: ErrorKind) -> CallerAnswer:
+        answer = answer_for(kind)
+        headers = [(b"content-type", b"text/plain")]
+        if answer.retry_after:
+            headers.append((b"retry-after", b"%.3f" % (random.uniform(*RETURN_MS) / 1000)))
+        return CallerAnswer(answer.status, headers, kind.value.encode())
+
+    def _refuse(
+        self, request: CallerRequest, request_id: bytes, kind: ErrorKind, reason: str
+    ) -> CallerAnswer:
+        answer = self._error(kind)
+        self._counters.add("answers", service="", cause=kind.value)
+        self._log.note(
+            Kind.ANSWER,
+            id=request_id.decode("latin-1"),
+            host=request.host,
+            path=request.path,
+            status=answer.status,
+            cause=kind.value,
+            reason=reason,
+            config=self._knowledge.config_version,
+        )
+        return answer
+
+    def _report(self, run: _Run, answer: CallerAnswer) -> None:
+        """Count a request that has ended, and log it if it is a sampled or a troubled one."""
+        now_ms = monotonic_ms()
+        latency_ms = now_ms - run.request.arrived_ms
+        won = any(item.answer is answer for item in run.results)
+        cause = "answered" if won else answer.body.decode()
+        self._counters.add("answers", service=run.service, cause=cause)
+        self._counters.observe("latency", latency_ms, route=run.route.name)
+        request_id = run.request_id.decode("latin-1")
+        troubled = not won or answer.status >= 500 or len(run.attempts) > 1
+        if not troubled and not self._log.sampled(request_id):
+            return
+        config = self._knowledge.config
+        for attempt in run.attempts:
+            self._log_attempt(run, attempt, request_id)
+        self._log.note(
+            Kind.ANSWER if troubled else Kind.SAMPLE,
+            id=request_id,
+            route=run.route.name,
+            service=run.service,
+            status=answer.status,
+            cause=cause,
+            latency_ms=round(latency_ms, 1),
+            time_limit_ms=round(run.deadline_ms - run.request.arrived_ms),
+            attempts=len(run.attempts),
+            config=config.version if config is not None else -1,
+            config_age_ms=round(now_ms - self._knowledge.config_at_ms),
+            registry=self._knowledge.registry.version,
+        )
+
+    def _log_attempt(self, run: _Run, attempt: Attempt, request_id: str) -> None:
+        choice: Choice = attempt.choice
+        result = next((item for item in run.results if item.choice is choice), None)
+        self._log.note(
+            Kind.ATTEMPT,
+            id=request_id,
+            server=choice.server.incarnation,
+            address=choice.server.address,
+            expected_ms=round(choice.cost_ms),
+            load=choice.load,
+            slots=choice.server.slots,
+            pace=round(choice.pace, 2),
+            figure_age_ms=round(min(choice.figure_age_ms, 1e6)),
+            candidates=choice.candidates,
+            outcome="given-up" if result is None else result.outcome.value,
+            status=0 if result is None else result.status,
+            latency_ms=-1 if result is None else round(result.latency_ms, 1),
+            detail="" if result is None else result.detail,
+        )
--- /dev/null
+++ b/cloverhook/gateway/ingress.py
@@ -0,0 +1,353 @@
+"""HTTP/1.1 towards callers: one answer to each request, in order.
+
+Layer: transport.  A request is read whole before it is served, within the limits in force.  A
+caller that goes away cancels the work on its request; an answer that breaks off resets the
+connection, so that no part is taken for the whole.
+"""
+
+import asyncio
+import socket
+import struct
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+
+import httptools
+
+from cloverhook.clock import monotonic_ms
+from cloverhook.errors import ErrorKind, answer_for
+from cloverhook.gateway.call_headers import HeaderList
+from cloverhook.gateway.calls import CallerAnswer, CallerRequest, Handler
+from cloverhook.gateway.routes import IngressLimits
+
+__all__ = ["Ingress"]
+
+BACKLOG = 1_024
+HEADER_FRAMING_BYTES = 4
+IDLE_SLACK_MS = 1_000.0
+"""An idle connection is kept this much longer than callers were told: none is cut in use."""
+HEAD_SLACK_MS = 250.0
+LINGER_MS = 1_000.0
+HELD_LIMIT_BYTES = 65_536
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
+BODILESS_STATUSES = frozenset((204, 304))
+
+
+class _RefusedError(Exception):
+    """Stops the parser; the connection has noted the error kind."""
+
+
+class Ingress:
+    """A listening address, the connections to it and the handler behind it."""
+
+    def __init__(
+        self, handler: Handler, limits: Callable[[], IngressLimits] = IngressLimits
+    ) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.leaving = False
+        self.connections: set[_CallerConnection] = set()
+        self.accepted = 0
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: str) -> None:
+        """Open the listener."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _CallerConnection(self), host, int(port), backlog=BACKLOG, reuse_address=True
+        )
+
+    def close_listener(self) -> None:
+        """Accept no more connections."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def leave(self) -> None:
+        """Ask each caller to go elsewhere with its next answer."""
+        self.leaving = True
+
+    def close_idle(self) -> None:
+        """Close the connections that no request is on."""
+        for connection in tuple(self.connections):
+            connection.close_if_idle()
+
+    def in_flight(self) -> int:
+        """Return how many requests are being read or served."""
+        return sum(1 for item in self.connections if item.busy)
+
+
+class _CallerConnection(asyncio.Protocol):
+    """One caller's connection."""
+
+    def __init__(self, ingress: Ingress) -> None:
+        self._ingress = ingress
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._requests: deque[tuple[CallerRequest, bool]] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self._refusal: ErrorKind | None = None
+        self._deaf = False
+        self._in_message = False
+        self._begin_message()
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being read or served here."""
+        return self._task is not None or self._in_message or bool(self._requests)
+
+    # What the transport calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection."""
+        self._transport = transport
+        self._ingress.connections.add(self)
+        self._ingress.accepted += 1
+        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._watch_idle()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel what runs: the caller has gone."""
+        self._ingress.connections.discard(self)
+        self._stop_timer()
+        self._can_write.set()
+        self._requests.clear()
+        self._deaf = True
+        self._parser = None
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Make the sender of an answer wait."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Let the sender of an answer go on."""
+        self._can_write.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has come; after a refusal nothing is read any more."""
+        if self._deaf:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(ErrorKind.BAD_REQUEST)
+        except httptools.HttpParserError:
+            self._refuse(self._refusal or ErrorKind.BAD_REQUEST)
+        if self._task is not None and self._in_message and not self._deaf:
+            self._transport.pause_reading()
+
+    # What the parser calls.
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._begin_message()
+        self._in_message = True
+        self._stop_timer()
+        delay_ms = self._ingress.limits().header_timeout_ms + HEAD_SLACK_MS
+        self._timer = self._loop.call_later(delay_ms / 1000, self._head_timed_out)
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target."""
+        self._url += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header; those after the body are dropped."""
+        self._count_head(len(name) + len(value) + HEADER_FRAMING_BYTES)
+        if not self._head_done:
+            self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head."""
+        self._head_done = True
+        self._stop_timer()
+        framing = [name for name, _ in self._headers if name == b"content-length"]
+        codings = [value for name, value in self._headers if name == b"transfer-encoding"]
+        hosts = sum(1 for name, _ in self._headers if name == b"host")
+        chunked = bool(codings)
+        if hosts != 1 or len(framing) > 1 or (chunked and framing) or not self._url:
+            self._stop(ErrorKind.BAD_REQUEST)
+        if chunked and (len(codings) > 1 or codings[0].lower() != b"chunked"):
+            self._stop(ErrorKind.BAD_REQUEST)
+        if self._parser.get_http_version() not in ("1.0", "1.1"):
+            self._stop(ErrorKind.BAD_REQUEST)
+        self._has_body = chunked or bool(framing)
+        for name, value in self._headers:
+            if name == b"expect" and value.lower() == b"100-continue":
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._ingress.limits().body_bytes:
+            self._stop(ErrorKind.BODY_TOO_LARGE)
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the request, or start it."""
+        self._in_message = False
+        target = self._url
+        if not target.startswith(b"/"):
+            self._stop(ErrorKind.BAD_REQUEST)
+        host = next(value for name, value in self._headers if name == b"host")
+        path = target.partition(b"?")[0].decode("latin-1")
+        request = CallerRequest(
+            self._parser.get_method(),
+            target,
+            path,
+            host.partition(b":")[0].decode("latin-1").lower(),
+            self._headers,
+            b"".join(self._body),
+            self._has_body,
+            monotonic_ms(),
+        )
+        self._requests.append((request, self._parser.should_keep_alive()))
+        if self._task is None:
+            self._serve_next()
+
+    # Serving.
+
+    def _serve_next(self) -> None:
+        request, keep_alive = self._requests.popleft()
+        self._task = self._loop.create_task(self._serve(request, keep_alive))
+
+    async def _serve(self, request: CallerRequest, keep_alive: bool) -> None:
+        try:
+            answer = await self._ingress.handler(request)
+            keep_alive = keep_alive and not self._ingress.leaving and not self._deaf
+            await self._write(request, answer, keep_alive)
+        except asyncio.CancelledError:
+            self._break_off()
+            raise
+        except Exception:
+            self._break_off()
+            raise
+        self._task = None
+        self._after_answer(keep_alive)
+
+    def _after_answer(self, keep_alive: bool) -> None:
+        if self._transport.is_closing():
+            return
+        if self._refusal is not None and not self._requests:
+            self._write_refusal()
+        elif not keep_alive:
+            self._transport.close()
+        elif self._requests:
+            self._serve_next()
+        else:
+            self._transport.resume_reading()
+            if not self._in_message:
+                self._watch_idle()
+
+    async def _write(self, request: CallerRequest, answer: CallerAnswer, keep_alive: bool) -> None:
+        bodiless = request.method == b"HEAD" or answer.status in BODILESS_STATUSES
+        length = answer.length_bytes
+        if length is None and answer.rest is None:
+            length = len(answer.body)
+        chunked = length is None and not bodiless
+        lines = _status_lines(answer.status, answer.headers)
+        if answer.status != HTTPStatus.NO_CONTENT:
+            if chunked:
+                lines.append(b"transfer-encoding: chunked\r\n")
+            elif length is not None:
+                lines.append(b"content-length: %d\r\n" % length)
+        if not keep_alive:
+            lines.append(b"connection: close\r\n")
+        lines.append(b"\r\n")
+        if bodiless:
+            self._transport.write(b"".join(lines))
+            return
+        lines.append(_chunk(answer.body) if chunked else answer.body)
+        self._transport.write(b"".join(lines))
+        if answer.rest is None:
+            return
+        async for part in answer.rest:
+            await self._can_write.wait()
+            self._transport.write(_chunk(part) if chunked else part)
+        if chunked:
+            self._transport.write(b"0\r\n\r\n")
+
+    def _break_off(self) -> None:
+        if self._transport.is_closing():
+            return
+        sock = self._transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is on it."""
+        if not self.busy:
+            self._transport.close()
+
+    # Limits.
+
+    def _begin_message(self) -> None:
+        self._url = b""
+        self._headers: HeaderList = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._head_done = False
+        self._has_body = False
+
+    def _count_head(self, size_bytes: int) -> None:
+        self._head_bytes += size_bytes
+        if self._head_bytes > self._ingress.limits().header_bytes:
+            self._stop(ErrorKind.HEADERS_TOO_LARGE)
+
+    def _stop(self, kind: ErrorKind) -> None:
+        self._refusal = kind
+        raise _RefusedError(kind.value)
+
+    def _refuse(self, kind: ErrorKind) -> None:
+        """Read no more and answer with an error after the requests that came before."""
+        self._deaf = True
+        self._in_message = False
+        self._refusal = kind
+        self._stop_timer()
+        if self._task is None:
+            self._write_refusal()
+
+    def _write_refusal(self) -> None:
+        kind = self._refusal
+        body = kind.value.encode()
+        lines = _status_lines(answer_for(kind).status, [(b"content-type", b"text/plain")])
+        lines.append(b"content-length: %d\r\nconnection: close\r\n\r\n" % len(body))
+        lines.append(body)
+        self._transport.write(b"".join(lines))
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._timer = self._loop.call_later(LINGER_MS / 1000, self._transport.abort)
+
+    def _head_timed_out(self) -> None:
+        self._timer = None
+        self._refuse(ErrorKind.HEADERS_TIMED_OUT)
+
+    def _watch_idle(self) -> None:
+        self._stop_timer()
+        delay_ms = self._ingress.limits().idle_timeout_ms + IDLE_SLACK_MS
+        self._timer = self._loop.call_later(delay_ms / 1000, self.close_if_idle)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+def _status_lines(status: int, headers: HeaderList) -> list[bytes]:
+    lines = [b"HTTP/1.1 %d %b\r\n" % (status, PHRASES.get(status, b""))]
+    for name, value in headers:
+        lines += (name, b": ", value, b"\r\n")
+    return lines
+
+
+def _chunk(part: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(part), part) if part else b""
--- /dev/null
+++ b/cloverhook/gateway/knowledge.py
@@ -0,0 +1,78 @@
+"""What a gateway believes, each with its version and age: configuration, servers, loads.
+
+Layer: state.  Everything that arrives, from the store, from a peer or by own observation, passes
+through here.  The newest version wins, and none goes back within the life of the process.
+"""
+
+from cloverhook.gateway.load import LoadBoard
+from cloverhook.gateway.registry import Registry, ServerRecord
+from cloverhook.gateway.routes import GatewayConfig
+
+__all__ = ["Knowledge"]
+
+STORE_AWAY_MS = 4_000.0
+"""For this long after the store's return, entries that vanish may have lapsed while it was away."""
+
+
+class Knowledge:
+    """The configuration in force, the registry and the load board."""
+
+    def __init__(self) -> None:
+        self.config: GatewayConfig | None = None
+        self.config_at_ms = 0.0
+        self.registry = Registry()
+        self.board = LoadBoard()
+        self._store_back_ms = -STORE_AWAY_MS
+
+    @property
+    def config_version(self) -> int:
+        """The version in force, or -1 where there is none."""
+        return -1 if self.config is None else self.config.version
+
+    @property
+    def complete(self) -> bool:
+        """Whether requests can be served: there is a configuration and someone to serve them."""
+        return self.config is not None and len(self.registry) > 0
+
+    def take_config(self, config: GatewayConfig, now_ms: float) -> bool:
+        """Put a configuration in force unless it is as old as the present one."""
+        if config.version <= self.config_version:
+            return False
+        self.config = config
+        self.config_at_ms = now_ms
+        return True
+
+    def store_returned(self, now_ms: float) -> None:
+        """Note that the store answers again after a time in which it did not."""
+        self._store_back_ms = now_ms
+
+    def store_was_away(self, now_ms: float) -> bool:
+        """Return whether the store has been away until a moment ago."""
+        return now_ms - self._store_back_ms < STORE_AWAY_MS
+
+    def take_server(self, record: ServerRecord, now_ms: float) -> bool:
+        """Take what the store says of a backend server; return whether that is news."""
+        return self.registry.apply(record, now_ms, self.store_was_away(now_ms))
+
+    def take_server_list(
+        self, records: tuple[ServerRecord, ...], end_offset: int, now_ms: float
+    ) -> bool:
+        """Take the store's whole list; return whether it is news.
+
+        A list that ends before what is known was read from a copy that lags, and is left out.
+        """
+        if end_offset <= self.registry.version:
+            return False
+        changed = False
+        for record in records:
+            changed |= self.take_server(record, now_ms)
+        names = {record.incarnation for record in records}
+        away = self.store_was_away(now_ms)
+        return bool(self.registry.keep_only(names, end_offset, now_ms, away)) or changed
+
+    def expire(self, now_ms: float) -> tuple[str, ...]:
+        """Drop backend servers whose hold time has passed; return their incarnations."""
+        gone = self.registry.expire(now_ms)
+        for incarnation in gone:
+            self.board.forget(incarnation)
+        return gone
--- /dev/null
+++ b/cloverhook/gateway/load.py
@@ -0,0 +1,130 @@
+"""What is known of the load and health of each backend server, with the age of each figure.
+
+Layer: state.  Figures come from probes of this VM or of a peer, and from the answers to requests.
+Between two figures the requests that this VM itself has started and ended are counted on top.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["LoadBoard", "LoadFigure", "ServerLoad"]
+
+USUAL_PACE = 1.0
+FRESH_FIGURE_MS = 700.0
+"""A figure older than this no longer tells the pace: neighbours change it twice a second."""
+FAILURE_STEP = 0.25
+FAILURE_HALF_LIFE_MS = 2_000.0
+UNREACHABLE_MS = 1_000.0
+"""How long an endpoint without a connection is avoided if no probe says otherwise."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadFigure:
+    """One report: requests running and waiting, and how long work takes compared with usual."""
+
+    running: int
+    waiting: int
+    pace: float
+    reachable: bool = True
+
+
+class ServerLoad:
+    """The load of one incarnation as this VM sees it."""
+
+    __slots__ = (
+        "_base",
+        "_failure",
+        "_failure_ms",
+        "_figure",
+        "_figure_ms",
+        "_unreachable_until_ms",
+        "in_flight",
+    )
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self._figure: LoadFigure | None = None
+        self._figure_ms = -1e12
+        self._base = 0
+        self._failure = 0.0
+        self._failure_ms = 0.0
+        self._unreachable_until_ms = 0.0
+
+    @property
+    def figure(self) -> LoadFigure | None:
+        """The newest figure, whatever its age."""
+        return self._figure
+
+    def age_ms(self, now_ms: float) -> float:
+        """Return the age of the newest figure."""
+        return now_ms - self._figure_ms
+
+    def report(self, figure: LoadFigure, at_ms: float, counted: int = 0) -> None:
+        """Take a figure of the time `at_ms`; an older one than known is left out.
+
+        `counted` is how many requests in flight here the figure no longer counts: an answer's
+        figure leaves its own request out.
+        """
+        if at_ms < self._figure_ms:
+            return
+        self._figure = figure
+        self._figure_ms = at_ms
+        self._base = self.in_flight - counted
+        self._unreachable_until_ms = 0.0 if figure.reachable else at_ms + UNREACHABLE_MS
+
+    def load(self, now_ms: float) -> float:
+        """Return the requests that the endpoint has, as far as this VM can tell."""
+        if self._figure is None or self.age_ms(now_ms) > FRESH_FIGURE_MS:
+            return self.in_flight
+        reported = self._figure.running + self._figure.waiting
+        return max(self.in_flight, reported + self.in_flight - self._base)
+
+    def pace(self, now_ms: float) -> float:
+        """Return how long work takes there now, as a multiple of usual."""
+        if self._figure is None or self.age_ms(now_ms) > FRESH_FIGURE_MS:
+            return USUAL_PACE
+        return self._figure.pace
+
+    def unreachable(self, now_ms: float) -> bool:
+        """Return whether no connection could be made there a moment ago."""
+        return now_ms < self._unreachable_until_ms
+
+    def not_reached(self, now_ms: float) -> None:
+        """Count an attempt that found nobody."""
+        self._unreachable_until_ms = now_ms + UNREACHABLE_MS
+        self.failed(now_ms)
+
+    def failure_share(self, now_ms: float) -> float:
+        """Return the share of recent requests that failed there; it fades with time."""
+        return self._failure * 0.5 ** ((now_ms - self._failure_ms) / FAILURE_HALF_LIFE_MS)
+
+    def failed(self, now_ms: float) -> None:
+        """Count a failed request."""
+        self._count(1.0, now_ms)
+
+    def succeeded(self, now_ms: float) -> None:
+        """Count a request that was answered well."""
+        if self._failure:
+            self._count(0.0, now_ms)
+
+    def _count(self, value: float, now_ms: float) -> None:
+        share = self.failure_share(now_ms)
+        self._failure = share + FAILURE_STEP * (value - share)
+        self._failure_ms = now_ms
+
+
+class LoadBoard:
+    """The loads of all incarnations."""
+
+    def __init__(self) -> None:
+        self._loads: dict[str, ServerLoad] = {}
+
+    def of(self, incarnation: str) -> ServerLoad:
+        """Return the load of an incarnation, kept from its first use on."""
+        load = self._loads.get(incarnation)
+        if load is None:
+            load = self._loads[incarnation] = ServerLoad()
+        return load
+
+    def forget(self, incarnation: str) -> None:
+        """Drop what is known of an incarnation that is gone."""
+        self._loads.pop(incarnation, None)
--- /dev/null
+++ b/cloverhook/gateway/members.py
@@ -0,0 +1,167 @@
+"""The VMs of the fleet as this one sees them, and which of them reads the store.
+
+Layer: coordination.  Every VM may read the store at any time, so nothing depends on who does; one
+reader is only cheaper, because each call is paid for.  A VM reads when it has heard of no reader
+that succeeds for a while, the earlier the higher it ranks, and stops when it hears of one that
+ranks higher.  No VM's word is needed for another's decision to be right.
+"""
+
+from dataclasses import dataclass
+
+import xxhash
+
+from cloverhook.gateway.peer_messages import Beat, Hello
+
+__all__ = ["Member", "Members"]
+
+SILENT_MS = 2_500.0
+"""A member unheard for this long gets no callers: two beats of the slow kind were lost."""
+READER_SILENT_MS = 900.0
+"""Without a word of a reader for this long, another VM reads: two of its beats were lost."""
+TAKEOVER_STEP_MS = 150.0
+"""Each rank waits this much longer before it reads, so that the first one is heard by the rest."""
+FORGET_MS = 120_000.0
+MAJORITY = 0.5
+
+
+@dataclass(slots=True)
+class Member:
+    """Another VM: its addresses and what it said last."""
+
+    vm: str
+    incarnation: int
+    data_center: str
+    caller_address: str
+    peer_address: str
+    heard_ms: float
+    ready: bool = False
+    reading: bool = False
+    leaving: bool = False
+    config_version: int = -1
+    registry_version: int = -1
+
+
+class Members:
+    """All other VMs that have been heard of."""
+
+    def __init__(self, own_vm: str, data_center: str, now_ms: float) -> None:
+        self._own_vm = own_vm
+        self._data_center = data_center
+        self._members: dict[str, Member] = {}
+        self._reader_heard_ms = now_ms
+        self._reader = ""
+
+    def all(self) -> tuple[Member, ...]:
+        """Return every member, also silent ones."""
+        return tuple(self._members.values())
+
+    def get(self, vm: str) -> Member | None:
+        """Return a member that has introduced itself."""
+        return self._members.get(vm)
+
+    def greeted(self, hello: Hello, now_ms: float) -> bool:
+        """Take an introduction; return whether the VM or its process is new."""
+        known = self._members.get(hello.vm)
+        if known is not None and known.incarnation > hello.incarnation:
+            return False
+        new = known is None or known.incarnation != hello.incarnation
+        if new or known.peer_address != hello.peer_address:
+            self._members[hello.vm] = Member(
+                hello.vm,
+                hello.incarnation,
+                hello.data_center,
+                hello.caller_address,
+                hello.peer_address,
+                now_ms,
+            )
+        else:
+            known.heard_ms = now_ms
+        return new
+
+    def heard(self, beat: Beat, now_ms: float) -> bool:
+        """Take a sign of life; return False when the sender has yet to introduce itself."""
+        member = self._members.get(beat.vm)
+        if member is None or member.incarnation < beat.incarnation:
+            return False
+        if member.incarnation > beat.incarnation:
+            return True
+        member.heard_ms = now_ms
+        member.ready = beat.ready
+        member.reading = beat.reading
+        member.leaving = beat.leaving
+        member.config_version = max(member.config_version, beat.config_version)
+        member.registry_version = max(member.registry_version, beat.registry_version)
+        if beat.reading:
+            self._reader, self._reader_heard_ms = beat.vm, now_ms
+        return True
+
+    def alive(self, now_ms: float) -> tuple[Member, ...]:
+        """Return the members heard a moment ago."""
+        return tuple(item for item in self._members.values() if _alive(item, now_ms))
+
+    def count(self, now_ms: float) -> int:
+        """Return how many VMs may be serving, this one included; silent ones count for a while."""
+        recent = [item for item in self._members.values() if now_ms - item.heard_ms < FORGET_MS]
+        return 1 + len(recent)
+
+    def caller_addresses(self, now_ms: float) -> list[str]:
+        """Return the addresses of the other VMs that callers may use.
+
+        A VM that suddenly hears less than half of the others is more likely cut off itself, and
+        goes on naming all that were ready.
+        """
+        serving = [item for item in self._members.values() if item.ready and not item.leaving]
+        heard = [item for item in serving if _alive(item, now_ms)]
+        if len(heard) < MAJORITY * len(serving):
+            heard = serving
+        return [item.caller_address for item in heard]
+
+    def data_center_vms(self, data_center: str, now_ms: float) -> list[str]:
+        """Return the VMs of a data centre that are alive, this one included if it lies there."""
+        found = [
+            item.vm
+            for item in self._members.values()
+            if item.data_center == data_center and item.ready and _alive(item, now_ms)
+        ]
+        return [*found, self._own_vm] if data_center == self._data_center else found
+
+    def owner(self, key: str, data_center: str, now_ms: float) -> str:
+        """Return the VM that measures a backend server: one of its data centre where one lives."""
+        vms = self.data_center_vms(data_center, now_ms)
+        if not vms:
+            vms = [item.vm for item in self.alive(now_ms) if item.ready] + [self._own_vm]
+        return max(vms, key=lambda vm: _weight(key, vm))
+
+    def reads_store(self, reading: bool, now_ms: float) -> bool:
+        """Return whether this VM should read the store; `reading` is whether it does so well."""
+        others = [
+            item
+            for item in self._members.values()
+            if item.reading and not item.leaving and now_ms - item.heard_ms < READER_SILENT_MS
+        ]
+        if reading:
+            own = _weight("reader", self._own_vm)
+            return all(_weight("reader", item.vm) < own for item in others)
+        if others:
+            return False
+        ranked = sorted(
+            [self._own_vm, *(item.vm for item in self.alive(now_ms) if item.vm != self._reader)],
+            key=lambda vm: _weight("reader", vm),
+            reverse=True,
+        )
+        wait_ms = READER_SILENT_MS + TAKEOVER_STEP_MS * ranked.index(self._own_vm)
+        return now_ms - self._reader_heard_ms >= wait_ms
+
+    def forget(self, now_ms: float) -> None:
+        """Drop members that have been silent for long."""
+        for vm, item in tuple(self._members.items()):
+            if now_ms - item.heard_ms > FORGET_MS:
+                del self._members[vm]
+
+
+def _alive(member: Member, now_ms: float) -> bool:
+    return now_ms - member.heard_ms < SILENT_MS
+
+
+def _weight(key: str, vm: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}\0{vm}".encode())
--- /dev/null
+++ b/cloverhook/gateway/peer_link.py
@@ -0,0 +1,127 @@
+"""The sockets between gateways: datagrams for what is small and frequent, TCP for whole states.
+
+Layer: transport.  A datagram may be lost; everything in one is said again.  A whole state is asked
+for over TCP, on the same port, and comes compressed.
+"""
+
+import asyncio
+import struct
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+
+from cloverhook.errors import MessageError
+from cloverhook.gateway.peer_messages import PeerMessage, decode, encode
+
+__all__ = ["PeerLink"]
+
+LENGTH = struct.Struct(">I")
+STATE_LIMIT_BYTES = 16 * 1024 * 1024
+FETCH_TIMEOUT_S = 1.0
+
+Asked = dict[str, Any]
+
+
+class PeerLink(asyncio.DatagramProtocol):
+    """One port for datagrams and for whole states."""
+
+    def __init__(
+        self,
+        on_message: Callable[[PeerMessage, str], None],
+        state_for: Callable[[Asked], dict[str, Any]],
+        on_garbage: Callable[[str, MessageError], None],
+    ) -> None:
+        self._on_message = on_message
+        self._state_for = state_for
+        self._on_garbage = on_garbage
+        self._transport: asyncio.DatagramTransport | None = None
+        self._server: asyncio.Server | None = None
+        self.sent_bytes = 0
+
+    async def open(self, address: str) -> None:
+        """Open both sockets."""
+        host, port = _split(address)
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, port)
+        )
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    def close(self) -> None:
+        """Close both sockets."""
+        if self._transport is not None:
+            self._transport.close()
+        if self._server is not None:
+            self._server.close()
+
+    def send(self, address: str, message: PeerMessage) -> None:
+        """Send a message, which may be lost."""
+        self.send_encoded(address, encode(message))
+
+    def send_encoded(self, address: str, data: bytes) -> None:
+        """Send a message that is encoded already."""
+        if self._transport is not None and not self._transport.is_closing():
+            self.sent_bytes += len(data)
+            self._transport.sendto(data, _split(address))
+
+    async def fetch(self, address: str, asked: Asked) -> dict[str, Any]:
+        """Ask a peer for its state.  Raises `MessageError` when none comes."""
+        host, port = _split(address)
+        try:
+            async with asyncio.timeout(FETCH_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(host, port)
+                try:
+                    _put(writer, cbor2.dumps(asked))
+                    return cbor2.loads(zlib.decompress(await _get(reader)))
+                finally:
+                    writer.close()
+        except (
+            OSError,
+            TimeoutError,
+            asyncio.IncompleteReadError,
+            zlib.error,
+            cbor2.CBORDecodeError,
+        ) as error:
+            raise MessageError(f"no state from {address}: {error!r}") from error
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Decode a message and hand it on."""
+        sender = f"{addr[0]}:{addr[1]}"
+        try:
+            message = decode(data)
+        except MessageError as error:
+            self._on_garbage(sender, error)
+            return
+        self._on_message(message, sender)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore that a peer's port is closed: its silence says the same."""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            async with asyncio.timeout(FETCH_TIMEOUT_S):
+                asked = cbor2.loads(await _get(reader))
+                _put(writer, zlib.compress(cbor2.dumps(self._state_for(asked))))
+                await writer.drain()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, MessageError) as error:
+            self._on_garbage("a peer that asked for the state", MessageError(repr(error)))
+        finally:
+            writer.close()
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _put(writer: asyncio.StreamWriter, data: bytes) -> None:
+    writer.write(LENGTH.pack(len(data)) + data)
+
+
+async def _get(reader: asyncio.StreamReader) -> bytes:
+    (size_bytes,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
+    if size_bytes > STATE_LIMIT_BYTES:
+        raise MessageError(f"a state of {size_bytes} bytes")
+    return await reader.readexactly(size_bytes)
--- /dev/null
+++ b/cloverhook/gateway/peer_messages.py
@@ -0,0 +1,98 @@
+"""The messages between gateways: small datagrams in CBOR.
+
+Layer: protocol.  Each is a list that starts with its kind, so that a datagram stays small: bytes
+between data centres are paid for.  What can't be decoded raises `MessageError`.
+
+>>> decode(encode(Beat("vm-1", 7, False, True, False, 3, 12))).vm
+'vm-1'
+"""
+
+from dataclasses import astuple, dataclass
+from typing import Any
+
+import cbor2
+
+from cloverhook.errors import MessageError
+from cloverhook.gateway.load import LoadFigure
+
+__all__ = ["Beat", "Hello", "Loads", "PeerMessage", "ServerChanges", "decode", "encode"]
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """A VM introduces itself; `wants_answer` asks the other side to do the same."""
+
+    vm: str
+    incarnation: int
+    data_center: str
+    caller_address: str
+    peer_address: str
+    wants_answer: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Beat:
+    """A sign of life, with what this VM knows; `reading` says that it follows the store now."""
+
+    vm: str
+    incarnation: int
+    ready: bool
+    reading: bool
+    leaving: bool
+    config_version: int
+    registry_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Loads:
+    """Load figures of backend servers: incarnation, figure, and its age when this was sent."""
+
+    vm: str
+    figures: tuple[tuple[str, LoadFigure, float], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ServerChanges:
+    """What has changed in the registry since a version, as `Registry.to_document` gives it."""
+
+    vm: str
+    base_version: int
+    document: dict[str, Any]
+
+
+PeerMessage = Hello | Beat | Loads | ServerChanges
+KINDS: tuple[type, ...] = (Hello, Beat, Loads, ServerChanges)
+
+
+def encode(message: PeerMessage) -> bytes:
+    """Return a message as a datagram."""
+    kind = KINDS.index(type(message))
+    if isinstance(message, Loads):
+        rows = [_row(*item) for item in message.figures]
+        return cbor2.dumps([kind, message.vm, rows])
+    if isinstance(message, ServerChanges):
+        return cbor2.dumps([kind, message.vm, message.base_version, message.document])
+    return cbor2.dumps([kind, *astuple(message)])
+
+
+def decode(data: bytes) -> PeerMessage:
+    """Return the message of a datagram.  Raises `MessageError` for anything else."""
+    try:
+        kind, *values = cbor2.loads(data)
+        if KINDS[kind] is Loads:
+            vm, rows = values
+            return Loads(vm, tuple(_figure(*row) for row in rows))
+        return KINDS[kind](*values)
+    except (cbor2.CBORDecodeError, TypeError, ValueError, IndexError) as error:
+        raise MessageError(f"a datagram that is no message: {error!r}") from error
+
+
+def _row(incarnation: str, figure: LoadFigure, age_ms: float) -> list[Any]:
+    pace = round(figure.pace * 100) if figure.reachable else -1
+    return [incarnation, figure.running, figure.waiting, pace, round(age_ms)]
+
+
+def _figure(
+    incarnation: str, running: int, waiting: int, pace: int, age_ms: float
+) -> tuple[str, LoadFigure, float]:
+    return incarnation, LoadFigure(running, waiting, max(pace, 1) / 100, pace >= 0), age_ms
--- /dev/null
+++ b/cloverhook/gateway/prober.py
@@ -0,0 +1,99 @@
+"""Measures the backend servers that this VM owns, and says what it found.
+
+Layer: transport.  One VM asks each backend server, from the same data centre where there is one,
+so that the fleet as a whole asks once.  An endpoint's pace changes within half a second, and a
+figure that is a tenth of a second old still tells where to go.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from cloverhook.clock import monotonic_ms
+from cloverhook.errors import UpstreamError
+from cloverhook.gateway.backend_pool import BackendPool
+from cloverhook.gateway.call_headers import CallHeaders, find, load_figure
+from cloverhook.gateway.load import LoadFigure
+from cloverhook.gateway.registry import BackendServer
+from cloverhook.upstream_connection import RequestHead
+
+__all__ = ["Prober"]
+
+TIMEOUT_MS = 350.0
+SILENCES = 2
+"""A backend server is out of reach after so many probes in a row without an answer."""
+NOBODY = LoadFigure(0, 0, 1.0, reachable=False)
+CONNECTION_LIMIT = 1_000
+
+
+class Prober:
+    """Probes under way, at most one for each backend server."""
+
+    def __init__(
+        self,
+        headers: CallHeaders,
+        on_figure: Callable[[BackendServer, LoadFigure, float], None],
+    ) -> None:
+        self._headers = headers
+        self._on_figure = on_figure
+        self._pool = BackendPool()
+        self._running: dict[str, asyncio.Task[None]] = {}
+        self._silences: dict[str, int] = {}
+        self.probes = 0
+
+    def probe(self, servers: Iterable[tuple[BackendServer, str]]) -> None:
+        """Ask each backend server on its health path, unless an earlier probe still runs."""
+        for server, path in servers:
+            if server.incarnation not in self._running:
+                self.probes += 1
+                task = asyncio.get_running_loop().create_task(self._probe(server, path))
+                self._running[server.incarnation] = task
+                task.add_done_callback(lambda _, name=server.incarnation: self._running.pop(name))
+
+    def sweep(self, known: Callable[[str], bool]) -> None:
+        """Forget backend servers that are gone."""
+        self._pool.sweep()
+        for incarnation in tuple(self._silences):
+            if not known(incarnation):
+                self._silences.pop(incarnation, None)
+                self._pool.forget(incarnation)
+
+    def close(self) -> None:
+        """Stop all probes."""
+        for task in self._running.values():
+            task.cancel()
+        self._pool.close()
+
+    async def _probe(self, server: BackendServer, path: str) -> None:
+        asked_ms = monotonic_ms()
+        try:
+            async with asyncio.timeout(TIMEOUT_MS / 1000):
+                figure = await self._ask(server, path)
+        except TimeoutError:
+            silences = self._silences.get(server.incarnation, 0) + 1
+            self._silences[server.incarnation] = silences
+            figure = NOBODY if silences >= SILENCES else None
+        except UpstreamError as error:
+            figure = None if error.sent else NOBODY
+        else:
+            self._silences[server.incarnation] = 0
+        if figure is not None:
+            self._on_figure(server, figure, asked_ms)
+
+    async def _ask(self, server: BackendServer, path: str) -> LoadFigure | None:
+        connection = await self._pool.acquire(server, CONNECTION_LIMIT, True, TIMEOUT_MS)
+        head = None
+        try:
+            request = RequestHead(b"GET", path.encode(), [(b"host", server.address.encode())])
+            head = await connection.send(request)
+            more = True
+            while more:
+                _, more = await connection.read()
+        finally:
+            if head is None or connection.usable is False:
+                connection.close()
+            else:
+                self._pool.release(server, connection, head)
+        named = find(head.headers, self._headers.incarnation)
+        if named is not None and named.decode("latin-1") != server.incarnation:
+            return NOBODY
+        return load_figure(find(head.headers, self._headers.load))
--- /dev/null
+++ b/cloverhook/gateway/routes.py
@@ -0,0 +1,121 @@
+"""The configuration that a gateway serves by: routes, services and limits of one version.
+
+Layer: state.  A route is found by the host name and the longest path prefix.
+
+>>> config = GatewayConfig.from_document({"version": 1, "routes": [
+...     {"name": "r", "host": "a.example", "path_prefix": "/", "parts": [["s", 1]]}]})
+>>> config.find("a.example", "/x").name
+'r'
+"""
+
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+__all__ = ["GatewayConfig", "IngressLimits", "Part", "Route", "ServiceSpec"]
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """A service that gets a share of a route's requests in proportion to its weight."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests of a host and path go, and what they may cost.
+
+    `idempotent` requests may run more than once.  `aim_ms` is the latency objective, `timeout_ms`
+    bounds the wait for the final answer, `attempts` the endpoints that may run one request;
+    priority 0 is the most important.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    parts: tuple[Part, ...]
+    idempotent: bool = False
+    timeout_ms: float = 10_000.0
+    aim_ms: float = 1_000.0
+    priority: int = 0
+    attempts: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSpec:
+    """What is configured of a service; its endpoints register themselves."""
+
+    name: str
+    health_path: str = "/health"
+    connections: int = 100
+
+
+@dataclass(frozen=True, slots=True)
+class IngressLimits:
+    """How large, how slow and how long idle a caller may be."""
+
+    header_bytes: int = 32_768
+    body_bytes: int = 67_108_864
+    header_timeout_ms: float = 10_000.0
+    idle_timeout_ms: float = 30_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayConfig:
+    """One version of the configuration, with its routes by host, longest prefix first."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, ServiceSpec]
+    limits: IngressLimits = IngressLimits()
+    by_host: Mapping[str, tuple[Route, ...]] = field(default_factory=dict, compare=False)
+
+    @classmethod
+    def of(
+        cls,
+        version: int,
+        routes: tuple[Route, ...],
+        services: tuple[ServiceSpec, ...],
+        limits: IngressLimits,
+    ) -> "GatewayConfig":
+        """Return a configuration whose routes are ready to be searched."""
+        by_host: dict[str, list[Route]] = {}
+        for route in sorted(routes, key=lambda item: len(item.path_prefix), reverse=True):
+            by_host.setdefault(route.host, []).append(route)
+        searched = {host: tuple(items) for host, items in by_host.items()}
+        return cls(version, routes, {item.name: item for item in services}, limits, searched)
+
+    @classmethod
+    def from_document(cls, document: Mapping[str, Any]) -> "GatewayConfig":
+        """Build a configuration from the form in which peers exchange it."""
+        routes = tuple(
+            Route(**{**item, "parts": tuple(Part(*part) for part in item["parts"])})
+            for item in document["routes"]
+        )
+        services = tuple(ServiceSpec(**item) for item in document.get("services", ()))
+        limits = IngressLimits(**document.get("limits", {}))
+        return cls.of(document["version"], routes, services, limits)
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the form in which peers exchange a configuration."""
+        routes = [
+            {**asdict(route), "parts": [[part.service, part.weight] for part in route.parts]}
+            for route in self.routes
+        ]
+        services = [asdict(item) for item in self.services.values()]
+        limits = asdict(self.limits)
+        return {
+            "version": self.version,
+            "routes": routes,
+            "services": services,
+            "limits": limits,
+        }
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of the longest prefix of `path`, or None."""
+        for route in self.by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
--- /dev/null
+++ b/cloverhook/gateway/store.py
@@ -0,0 +1,155 @@
+"""The platform's store behind one narrow interface, as the gateway needs it.
+
+Layer: protocol.  A feed is a stream of records that each replace an earlier one of the same key.
+`MemoryStore` keeps everything in this process, for tests; the adapter of a platform brings the
+real twin.
+
+Of the errors, `PlatformError` says that a call had no effect or was refused, and
+`PlatformSilentError` that nobody can tell.
+"""
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from cloverhook.errors import CloverhookError
+from cloverhook.gateway.registry import BackendServer, ServerRecord
+from cloverhook.gateway.routes import GatewayConfig
+
+__all__ = ["Feed", "FeedSlice", "HistoryLostError", "MemberRecord", "MemoryStore", "Store"]
+
+
+class Feed(Enum):
+    """What can be followed in the store."""
+
+    CONFIG = "config"
+    SERVERS = "servers"
+
+
+class HistoryLostError(CloverhookError):
+    """The records from the offset asked for are no longer kept: take the newest ones."""
+
+
+@dataclass(frozen=True, slots=True)
+class FeedSlice:
+    """Records of a feed: configurations, or records of backend servers; then `end_offset`."""
+
+    configs: tuple[GatewayConfig, ...]
+    servers: tuple[ServerRecord, ...]
+    end_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class MemberRecord:
+    """A VM of the fleet as it announces itself; addresses are `ip:port`."""
+
+    vm: str
+    data_center: str
+    caller_address: str
+    peer_address: str
+
+
+class Store(Protocol):
+    """What the gateway needs of the platform's store."""
+
+    async def newest(self, feed: Feed) -> FeedSlice:
+        """Return the newest record of each key."""
+
+    async def changes(self, feed: Feed, from_offset: int, wait_ms: int) -> FeedSlice:
+        """Return the records from an offset; with none there, wait up to `wait_ms` for one.
+
+        Raises `HistoryLostError` when they are no longer kept.
+        """
+
+    async def announce(self, member: MemberRecord) -> None:
+        """Write this VM down for the others to find."""
+
+    async def members(self) -> tuple[MemberRecord, ...]:
+        """Return all VMs that have announced themselves, also those long gone."""
+
+    def close(self) -> None:
+        """Release the connections."""
+
+
+class MemoryStore:
+    """A store in this process."""
+
+    def __init__(self) -> None:
+        self.log: dict[Feed, list[GatewayConfig | ServerRecord]] = {feed: [] for feed in Feed}
+        self.first_offset: dict[Feed, int] = dict.fromkeys(Feed, 0)
+        self.announced: dict[str, MemberRecord] = {}
+        self.failure: CloverhookError | None = None
+        self.calls = 0
+        self._changed = asyncio.Event()
+
+    def put_config(self, config: GatewayConfig) -> None:
+        """Append a configuration."""
+        self._append(Feed.CONFIG, config)
+
+    def put_server(self, server: BackendServer) -> None:
+        """Append the entry of a backend server."""
+        offset = self._end(Feed.SERVERS)
+        self._append(Feed.SERVERS, ServerRecord(server.incarnation, offset, server))
+
+    def remove_server(self, incarnation: str) -> None:
+        """Append that a backend server is gone."""
+        offset = self._end(Feed.SERVERS)
+        self._append(Feed.SERVERS, ServerRecord(incarnation, offset, None))
+
+    def forget_history(self) -> None:
+        """Drop all records that newer ones have replaced."""
+        for feed in Feed:
+            self.first_offset[feed] = self._end(feed)
+
+    async def newest(self, feed: Feed) -> FeedSlice:
+        """Return the newest record of each key."""
+        self._call()
+        if feed is Feed.CONFIG:
+            return FeedSlice(tuple(self.log[feed][-1:]), (), self._end(feed))
+        newest = {record.incarnation: record for record in self.log[feed]}
+        kept = tuple(record for record in newest.values() if record.server is not None)
+        return FeedSlice((), kept, self._end(feed))
+
+    async def changes(self, feed: Feed, from_offset: int, wait_ms: int) -> FeedSlice:
+        """Return the records from an offset."""
+        self._call()
+        if self._end(feed) <= from_offset:
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(wait_ms / 1000):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        self._call(count=0)
+        if from_offset < self.first_offset[feed]:
+            raise HistoryLostError
+        found = tuple(self.log[feed][from_offset:])
+        if feed is Feed.CONFIG:
+            return FeedSlice(found, (), self._end(feed))
+        return FeedSlice((), found, self._end(feed))
+
+    async def announce(self, member: MemberRecord) -> None:
+        """Write a VM down."""
+        self._call()
+        self.announced[member.vm] = member
+
+    async def members(self) -> tuple[MemberRecord, ...]:
+        """Return the VMs that have announced themselves."""
+        self._call()
+        return tuple(self.announced.values())
+
+    def close(self) -> None:
+        """Do nothing: there is nothing to release."""
+
+    def _append(self, feed: Feed, item: GatewayConfig | ServerRecord) -> None:
+        self.log[feed].append(item)
+        self._changed.set()
+
+    def _end(self, feed: Feed) -> int:
+        return len(self.log[feed])
+
+    def _call(self, count: int = 1) -> None:
+        self.calls += count
+        if self.failure is not None:
+            raise self.failure
--- /dev/null
+++ b/cloverhook/gateway/store_follower.py
@@ -0,0 +1,130 @@
+"""Follows the feeds of the store for as long as this VM is the one to read.
+
+Layer: coordination.  A feed is read whole once and then by its changes.  A wait for changes is
+short enough that a connection that has gone silent is noticed before a change is overdue.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from cloverhook.clock import monotonic_ms
+from cloverhook.errors import PlatformError
+from cloverhook.gateway.event_log import EventLog, Kind
+from cloverhook.gateway.knowledge import Knowledge
+from cloverhook.gateway.store import Feed, FeedSlice, HistoryLostError, Store
+
+__all__ = ["StoreFollower"]
+
+WAIT_MS = 1_500
+"""With the client's own timeout on top, a silent connection shows before a change is overdue."""
+GAP_MS = 100.0
+"""Changes that come within this time are taken in one call: calls are paid for."""
+RETRY_MS = (100.0, 200.0, 400.0, 600.0)
+AWAY_MS = 400.0
+"""A store that answers nobody for this long has been away: entries may lapse meanwhile."""
+
+
+class StoreFollower:
+    """Reads the store and puts what it finds into `Knowledge`.
+
+    `on_news` is called after each change with the incarnations that it touched; a change of the
+    configuration has none.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        knowledge: Knowledge,
+        on_news: Callable[[tuple[str, ...]], None],
+        log: EventLog,
+    ) -> None:
+        self._store = store
+        self._knowledge = knowledge
+        self._on_news = on_news
+        self._log = log
+        self._tasks: list[asyncio.Task[None]] = []
+        self._answers: dict[Feed, bool] = {}
+        self._failing_since_ms: dict[Feed, float] = {}
+
+    @property
+    def active(self) -> bool:
+        """Whether this VM is reading, or trying to."""
+        return bool(self._tasks)
+
+    @property
+    def reading(self) -> bool:
+        """Whether every feed has answered the latest call."""
+        return self.active and all(self._answers.get(feed, False) for feed in Feed)
+
+    def start(self) -> None:
+        """Begin to read."""
+        self._answers.clear()
+        self._tasks = [asyncio.create_task(self._follow(feed)) for feed in Feed]
+        self._log.note(Kind.READER, action="start", registry=self._knowledge.registry.version)
+
+    def stop(self, reason: str) -> None:
+        """Stop reading."""
+        for task in self._tasks:
+            task.cancel()
+        self._tasks = []
+        self._answers.clear()
+        self._failing_since_ms.clear()
+        self._log.note(Kind.READER, action="stop", reason=reason)
+
+    async def _follow(self, feed: Feed) -> None:
+        offset: int | None = None
+        failures = 0
+        while True:
+            try:
+                if offset is None:
+                    found = await self._store.newest(feed)
+                else:
+                    found = await self._store.changes(feed, offset, WAIT_MS)
+            except HistoryLostError:
+                self._log.note(Kind.STORE, feed=feed.value, state="history-lost", offset=offset)
+                offset = None
+                continue
+            except PlatformError as error:
+                self._failed(feed, error)
+                await asyncio.sleep(RETRY_MS[min(failures, len(RETRY_MS) - 1)] / 1000)
+                failures += 1
+                continue
+            failures = 0
+            self._answered(feed)
+            self._take(feed, found, whole=offset is None)
+            offset = found.end_offset
+            await asyncio.sleep(GAP_MS / 1000)
+
+    def _take(self, feed: Feed, found: FeedSlice, whole: bool) -> None:
+        now_ms = monotonic_ms()
+        knowledge = self._knowledge
+        if feed is Feed.CONFIG:
+            news = [config for config in found.configs if knowledge.take_config(config, now_ms)]
+            if news:
+                self._on_news(())
+            return
+        if whole:
+            if knowledge.take_server_list(found.servers, found.end_offset, now_ms):
+                self._on_news(tuple(item.incarnation for item in found.servers))
+            return
+        touched = [
+            record.incarnation for record in found.servers if knowledge.take_server(record, now_ms)
+        ]
+        if touched:
+            self._on_news(tuple(touched))
+
+    def _answered(self, feed: Feed) -> None:
+        since_ms = self._failing_since_ms.pop(feed, None)
+        if since_ms is not None:
+            now_ms = monotonic_ms()
+            if now_ms - since_ms > AWAY_MS:
+                self._knowledge.store_returned(now_ms)
+            away_ms = round(now_ms - since_ms)
+            self._log.note(Kind.STORE, feed=feed.value, state="regained", away_ms=away_ms)
+        self._answers[feed] = True
+
+    def _failed(self, feed: Feed, error: PlatformError) -> None:
+        if feed not in self._failing_since_ms:
+            self._failing_since_ms[feed] = monotonic_ms()
+            self._log.note(Kind.STORE, feed=feed.value, state="lost", error=str(error))
+        self._answers[feed] = False
--- a/cloverhook/headers.py
+++ b/cloverhook/headers.py
@@ -4,8 +4,8 @@
 their order are kept.
 """
 
+import os
 import re
-import secrets
 from collections.abc import Iterable
 
 from cloverhook.errors import ErrorKind, Outcome, RequestError
@@ -100,7 +100,7 @@
     values = [value for key, value in headers if key == REQUEST_ID]
     if len(values) == 1 and USABLE_REQUEST_ID.fullmatch(values[0]):
         return values[0].decode("ascii")
-    return secrets.token_hex(REQUEST_ID_BYTES)
+    return os.urandom(REQUEST_ID_BYTES).hex()
 
 
 def timeout_ms_of(headers: Iterable[tuple[bytes, bytes]], default_ms: float) -> float:
--- a/cloverhook/upstream_connection.py
+++ b/cloverhook/upstream_connection.py
@@ -112,7 +112,7 @@
         self._can_write.set()
         if self._open:
             self._open = False
-            self._exchange.on_eof()
+            self._exchange.on_eof(whole=exc is None)
 
     def pause_writing(self) -> None:
         """Make the sender of a request's body wait."""
@@ -136,16 +136,21 @@
             self._transport.abort()
 
     async def send(
-        self, head: RequestHead, first: bytes = b"", rest: AsyncIterator[bytes] | None = None
+        self,
+        head: RequestHead,
+        first: bytes = b"",
+        rest: AsyncIterator[bytes] | None = None,
+        is_own: Callable[[AnswerHead], bool] | None = None,
     ) -> AnswerHead:
         """Send a request and return the head of its answer.
 
-        `first` is the part of the body that is at hand, and `rest` what is still to come.
+        `first` is the part of the body that is at hand, and `rest` what is still to come.  An
+        answer that `is_own` denies belongs to an earlier request: it is skipped.
         Raises `UpstreamError`, whose `sent` says whether a byte may have left.
         """
         if not self.usable or self._transport is None or self._transport.is_closing():
             raise UpstreamError("the connection was closed before use", sent=False)
-        exchange = _Exchange(self, head.method == b"HEAD", self._header_limit_bytes)
+        exchange = _Exchange(self, head.method == b"HEAD", self._header_limit_bytes, is_own)
         self._exchange = exchange
         self._open = True
         body = _framed(first, head.chunked, last=rest is None and head.has_body)
@@ -203,10 +208,16 @@
     """One request and its answer; the parser calls its `on_` methods."""
 
     def __init__(
-        self, connection: UpstreamConnection, head_only: bool, header_limit_bytes: int
+        self,
+        connection: UpstreamConnection,
+        head_only: bool,
+        header_limit_bytes: int,
+        is_own: Callable[[AnswerHead], bool] | None = None,
     ) -> None:
         self._connection = connection
         self._head_only = head_only
+        self._is_own = is_own
+        self._skipping = False
         self._header_room_bytes = header_limit_bytes
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._answer: AnswerHead | None = None
@@ -262,12 +273,19 @@
             self._headers = []
             return
         self._check_framing()
-        self._answer = AnswerHead(status, self._headers)
+        answer = AnswerHead(status, self._headers)
+        if self._is_own is not None and not self._is_own(answer):
+            self._skipping = True
+            self._headers = []
+            return
+        self._answer = answer
         self._until_close = self._ends_at_close(status)
         if not self.head.done():
             self.head.set_result(self._answer)
 
     def on_body(self, body: bytes) -> None:
+        if self._skipping:
+            return
         if self._complete or self._head_only or self._surplus:
             self._surplus = True
             return
@@ -279,14 +297,15 @@
         self._wake()
 
     def on_message_complete(self) -> None:
+        self._skipping = False
         if self._answer is not None and not self._head_only:
             self._end(reusable=self._parser.should_keep_alive())
 
-    def on_eof(self) -> None:
+    def on_eof(self, whole: bool) -> None:
         self._drop_parser()
         if self._complete:
             return
-        if self._until_close and self._answer is not None:
+        if whole and self._until_close and self._answer is not None:
             self._complete = True
             self._wake()
             return
