--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -41,8 +41,6 @@
 TICK_MS = 50.0
 SWEEP_MS = 1_000.0
 ANNOUNCE_RETRY_MS = 700.0
-TTL_MS = 2_000.0
-"""Callers look again this often: a VM that is gone costs each of them one failed try at most."""
 ACCEPT_SHARE = 0.55
 """The part of a planned stop for which callers with old answers are still taken."""
 QUIET_MS = 700.0
@@ -203,8 +201,7 @@
         addresses = self._members.caller_addresses(monotonic_ms())
         if self._is_ready():
             addresses.append(self._settings.caller_address)
-        ttl_ms = min(TTL_MS, self._settings.address_ttl_s * 1000)
-        return self._answer_directory(request, addresses, ttl_ms)
+        return self._answer_directory(request, addresses, self._settings.address_ttl_s * 1000)
 
     async def _serve_metrics(self, request: CallerRequest) -> CallerAnswer:
         counters = self._counters
