Measure twenty times a second, pass figures on at once, act on a pace that falls

Cause: a figure was 100 to 200 ms old when a request was placed by it, and an endpoint's pace changes within 500 ms; a request that may be repeated sat out the slow half second. Change: 20 probes a second for each endpoint by one VM of its data centre, each figure sent at once; a fallen pace lets the idempotent requests there be sent to a second backend server; the last slots of an endpoint cost more. Ruled out: capacity (a third of the good slots is in use).

--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -22,6 +22,9 @@
 """A backend server works about half as fast for some seconds after its start."""
 CROWD_SHARE = 0.15
 """Each slot in use makes an endpoint a little less welcome: some slow down when nearly full."""
+NEARLY_FULL = 0.8
+NEARLY_FULL_SHARE = 0.4
+"""Some backend servers work up to 1.7 times as long once this part of their slots is in use."""
 CHANCE = 0.1
 FAILURE_WEIGHT = 8.0
 UNREACHABLE_WEIGHT = 50.0
@@ -107,6 +110,8 @@
         waiting = max(0.0, busy + 1 - server.slots)
         cost_ms = work_ms * pace * (1.0 + waiting / server.slots)
         cost_ms += work_ms * CROWD_SHARE * busy / server.slots
+        if busy + 1 > NEARLY_FULL * server.slots:
+            cost_ms += work_ms * pace * NEARLY_FULL_SHARE
         failures = load.failure_share(now_ms)
         if failures:
             cost_ms *= 1.0 + FAILURE_WEIGHT * failures
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -39,6 +39,8 @@
 __all__ = ["DirectoryHandler", "Gateway", "serve"]
 
 TICK_MS = 50.0
+TICK_SLACK_MS = 5.0
+"""Timers fire a little early or late; a probe that is due within this time goes out now."""
 SWEEP_MS = 1_000.0
 ANNOUNCE_RETRY_MS = 700.0
 ACCEPT_SHARE = 0.55
@@ -77,7 +79,9 @@
             settings.peer_address,
             wants_answer=True,
         )
-        self._peering = Peering(own, self._knowledge, self._members, self._log)
+        self._peering = Peering(
+            own, self._knowledge, self._members, self._log, self._on_peer_figure
+        )
         self._follower = StoreFollower(store, self._knowledge, self._on_news, self._log)
         self._pool = BackendPool()
         self._prober = Prober(headers, self._on_figure)
@@ -101,7 +105,6 @@
         self._ready = Ingress(self._answer_ready)
         self._directory = Ingress(self._serve_directory)
         self._metrics = Ingress(self._serve_metrics)
-        self._figures: dict[str, tuple[LoadFigure, float]] = {}
         self._told_version = -1
         self._probe_due_ms = 0.0
         self._sweep_due_ms = 0.0
@@ -289,13 +292,10 @@
         self._told_version = version
 
     def _probe(self, now_ms: float) -> None:
-        """Start the probes that are due, and tell what the last ones found."""
+        """Start the probes that are due."""
         if now_ms < self._probe_due_ms or not self._settings.probes_per_s:
             return
-        self._probe_due_ms = now_ms + 1000 / self._settings.probes_per_s
-        if self._figures:
-            figures, self._figures = self._figures, {}
-            self._peering.tell_loads(figures)
+        self._probe_due_ms = now_ms + 1000 / self._settings.probes_per_s - TICK_SLACK_MS
         config = self._knowledge.config
         if config is None or self._leaving:
             return
@@ -314,7 +314,8 @@
         load = self._knowledge.board.of(server.incarnation)
         before = load.figure
         load.report(figure, at_ms)
-        self._figures[server.incarnation] = (figure, at_ms)
+        self._peering.tell_load(server.incarnation, figure, at_ms)
+        self._forwarder.pace_changed(server.incarnation)
         if before is None or before.reachable != figure.reachable:
             self._log.note(
                 Kind.ENDPOINT,
@@ -323,6 +324,9 @@
                 reachable=figure.reachable,
             )
 
+    def _on_peer_figure(self, incarnation: str) -> None:
+        self._forwarder.pace_changed(incarnation)
+
     async def _announce(self) -> None:
         """Write this VM down in the store, and learn of the others there."""
         settings = self._settings
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -28,8 +28,6 @@
 
 SENDS_LIMIT = 4
 """A request that keeps being rejected is offered to this many backend servers, then refused."""
-HEDGE_SLOW_SHARE = 0.35
-"""An endpoint whose pace has fallen gets company after this share of the objective."""
 HEDGE_SHARE = 0.7
 """A silent endpoint at its usual pace gets company after this share of the objective."""
 SLOW_PACE = 2.5
@@ -41,7 +39,7 @@
 """The part of an endpoint's connections that the gateways use together."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Run:
     """A request on its way, with what has been tried."""
 
@@ -53,6 +51,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     results: list[AttemptResult] = field(default_factory=list)
     tasks: dict[asyncio.Task[AttemptResult], Attempt] = field(default_factory=dict)
+    nudge: asyncio.Future[None] | None = None
 
     @property
     def tried(self) -> set[str]:
@@ -89,6 +88,18 @@
         self._counters = counters
         self._estimates = WorkEstimates()
         self._splits = Splits()
+        self._running: dict[str, set[_Run]] = {}
+
+    def pace_changed(self, incarnation: str) -> None:
+        """Look again at the requests that run at a backend server whose pace has fallen."""
+        runs = self._running.get(incarnation)
+        if not runs:
+            return
+        if self._knowledge.board.of(incarnation).pace(monotonic_ms()) < SLOW_PACE:
+            return
+        for run in runs:
+            if run.nudge is not None and not run.nudge.done():
+                run.nudge.set_result(None)
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Return the answer to a caller's request."""
@@ -110,6 +121,8 @@
         finally:
             for task in run.tasks:
                 task.cancel()
+            for attempt in run.attempts:
+                self._no_longer_at(run, attempt)
         self._report(run, answer)
         return answer
 
@@ -123,10 +136,7 @@
         if not self._start(run):
             return self._final(run)
         while run.tasks:
-            wait_ms = self._wait_ms(run)
-            done, _ = await asyncio.wait(
-                run.tasks, timeout=max(0.0, wait_ms) / 1000, return_when=asyncio.FIRST_COMPLETED
-            )
+            done = await self._wait(run)
             for task in done:
                 del run.tasks[task]
                 run.results.append(task.result())
@@ -140,6 +150,28 @@
                 self._start(run)
         return self._final(run)
 
+    async def _wait(self, run: _Run) -> set[asyncio.Task[AttemptResult]]:
+        """Wait for the end of an attempt, or until the request wants another look."""
+        awaited: set[asyncio.Future] = set(run.tasks)
+        if self._can_hedge(run):
+            run.nudge = asyncio.get_running_loop().create_future()
+            awaited.add(run.nudge)
+        timeout_s = max(0.0, self._wait_ms(run)) / 1000
+        done, _ = await asyncio.wait(
+            awaited, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        done.discard(run.nudge)
+        run.nudge = None
+        return done
+
+    def _no_longer_at(self, run: _Run, attempt: Attempt) -> None:
+        incarnation = attempt.choice.server.incarnation
+        runs = self._running.get(incarnation)
+        if runs is not None:
+            runs.discard(run)
+            if not runs:
+                del self._running[incarnation]
+
     def _start(self, run: _Run) -> bool:
         """Start an attempt if one is allowed and there is a backend server for it."""
         now_ms = monotonic_ms()
@@ -160,6 +192,7 @@
         work = attempt.run(self._pool, self._knowledge.board, limit)
         run.tasks[asyncio.get_running_loop().create_task(work)] = attempt
         run.attempts.append(attempt)
+        self._running.setdefault(choice.server.incarnation, set()).add(run)
         return True
 
     def _connection_limit(self, service: str) -> int:
@@ -183,9 +216,8 @@
         waits = [run.deadline_ms]
         if self._can_hedge(run):
             elapsed_ms = now_ms - run.request.arrived_ms
-            for share in (HEDGE_SLOW_SHARE, HEDGE_SHARE):
-                if elapsed_ms < share * run.route.aim_ms:
-                    waits.append(run.request.arrived_ms + share * run.route.aim_ms)
+            if elapsed_ms < HEDGE_SHARE * run.route.aim_ms:
+                waits.append(run.request.arrived_ms + HEDGE_SHARE * run.route.aim_ms)
         return min(waits) - now_ms + 0.1
 
     def _can_hedge(self, run: _Run) -> bool:
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from cloverhook.clock import monotonic_ms
@@ -43,8 +44,16 @@
 class Peering:
     """This VM's part in the talk between gateways."""
 
-    def __init__(self, own: Hello, knowledge: Knowledge, members: Members, log: EventLog) -> None:
+    def __init__(
+        self,
+        own: Hello,
+        knowledge: Knowledge,
+        members: Members,
+        log: EventLog,
+        on_figure: Callable[[str], None],
+    ) -> None:
         self._own = own
+        self._on_figure = on_figure
         self._knowledge = knowledge
         self._members = members
         self._log = log
@@ -98,26 +107,15 @@
         for member in self._members.alive(now_ms):
             self.link.send_encoded(member.peer_address, data)
 
-    def tell_loads(self, figures: dict[str, tuple[LoadFigure, float]]) -> None:
-        """Send load figures: each to the own data centre, those that changed to the others.
-
-        `figures` holds each figure with the time at which it was measured.
-        """
+    def tell_load(self, name: str, figure: LoadFigure, at_ms: float) -> None:
+        """Send a load figure to the own data centre, and to the others if it has changed."""
         now_ms = monotonic_ms()
-        news = {name: item for name, item in figures.items() if self._is_far_news(name, *item)}
-        near = self._encoded_loads(figures, now_ms)
-        far = self._encoded_loads(news, now_ms)
+        far = self._is_far_news(name, figure, at_ms)
+        data = encode(Loads(self._own.vm, ((name, figure, now_ms - at_ms),)))
         for member in self._members.alive(now_ms):
-            data = near if member.data_center == self._own.data_center else far
-            if data:
+            if far or member.data_center == self._own.data_center:
                 self.link.send_encoded(member.peer_address, data)
 
-    def _encoded_loads(self, figures: dict[str, tuple[LoadFigure, float]], now_ms: float) -> bytes:
-        if not figures:
-            return b""
-        rows = tuple((name, figure, now_ms - at_ms) for name, (figure, at_ms) in figures.items())
-        return encode(Loads(self._own.vm, rows))
-
     def _is_far_news(self, name: str, figure: LoadFigure, at_ms: float) -> bool:
         sent_ms, sent = self._far_sent.get(name, (-1e12, figure))
         ratio = max(figure.pace, sent.pace) / max(min(figure.pace, sent.pace), 0.01)
@@ -164,6 +162,7 @@
                 for incarnation, figure, age_ms in message.figures:
                     load = self._knowledge.board.of(incarnation)
                     load.report(figure, now_ms - age_ms)
+                    self._on_figure(incarnation)
             case ServerChanges():
                 self._on_changes(message, now_ms)
 
--- a/cloverhook/gateway/settings.py
+++ b/cloverhook/gateway/settings.py
@@ -48,7 +48,7 @@
     retry_window_s: float = kind(Number(0.1, HOUR_S), 10)
     retry_extra: float = kind(Number(0), 20)
     address_ttl_s: float = kind(Number(0.1, HOUR_S), 5)
-    probes_per_s: float = kind(Number(0, 1_000), 10)
+    probes_per_s: float = kind(Number(0, 1_000), 20)
 
     @classmethod
     def from_file(cls, path: str) -> "GatewaySettings":
