Share the requests in flight within a data centre; read at once after a restart

Cause: between two probes a VM saw only its own requests, so VMs filled the same endpoint; a VM that had lost everything waited 0.9 s for a reader that was as new as itself. Change: each VM tells its neighbours, 2 ms after a change, how many requests it has where; the load of an endpoint counts them; a VM without knowledge reads the store at once, except at a first start.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -98,6 +98,7 @@
             allowance,
             headers,
             lambda: self._members.count(monotonic_ms()),
+            self._peering.count_changed,
             self._log,
             self._counters,
         )
@@ -270,7 +271,8 @@
         self._follower.start()
 
     def _follow_or_not(self, now_ms: float) -> None:
-        wanted = self._members.reads_store(self._follower.reading, now_ms)
+        hurry = not self._knowledge.complete and not self._settings.first_start
+        wanted = self._members.reads_store(self._follower.reading, now_ms, hurry)
         if not self._follower.active and wanted and not self._leaving:
             self._follower.start()
         elif self._follower.active and not wanted and self._other_reads(now_ms):
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -75,6 +75,7 @@
         allowance: RetryAllowance,
         headers: CallHeaders,
         vms: Callable[[], int],
+        on_count: Callable[[], None],
         log: EventLog,
         counters: Counters,
     ) -> None:
@@ -84,6 +85,7 @@
         self._allowance = allowance
         self._headers = headers
         self._vms = vms
+        self._on_count = on_count
         self._log = log
         self._counters = counters
         self._estimates = WorkEstimates()
@@ -189,7 +191,7 @@
             run.request, run.request_id, choice, run.deadline_ms, route.idempotent, self._headers
         )
         limit = self._connection_limit(run.service)
-        work = attempt.run(self._pool, self._knowledge.board, limit)
+        work = attempt.run(self._pool, self._knowledge.board, limit, self._on_count)
         run.tasks[asyncio.get_running_loop().create_task(work)] = attempt
         run.attempts.append(attempt)
         self._running.setdefault(choice.server.incarnation, set()).add(run)
--- a/cloverhook/gateway/load.py
+++ b/cloverhook/gateway/load.py
@@ -1,7 +1,8 @@
 """What is known of the load and health of each backend server, with the age of each figure.
 
 Layer: state.  Figures come from probes of this VM or of a peer, and from the answers to requests.
-Between two figures the requests that this VM itself has started and ended are counted on top.
+Between two figures the requests that this VM and its neighbours have started and ended are counted
+on top.
 """
 
 from dataclasses import dataclass
@@ -11,6 +12,8 @@
 USUAL_PACE = 1.0
 FRESH_FIGURE_MS = 700.0
 """A figure older than this no longer tells the pace: neighbours change it twice a second."""
+FRESH_COUNT_MS = 700.0
+"""A peer repeats its counts four times a second; one that has stopped no longer counts."""
 FAILURE_STEP = 0.25
 FAILURE_HALF_LIFE_MS = 2_000.0
 UNREACHABLE_MS = 1_000.0
@@ -36,12 +39,14 @@
         "_failure_ms",
         "_figure",
         "_figure_ms",
+        "_peers",
         "_unreachable_until_ms",
         "in_flight",
     )
 
     def __init__(self) -> None:
         self.in_flight = 0
+        self._peers: dict[str, tuple[int, float]] = {}
         self._figure: LoadFigure | None = None
         self._figure_ms = -1e12
         self._base = 0
@@ -58,6 +63,20 @@
         """Return the age of the newest figure."""
         return now_ms - self._figure_ms
 
+    def peer_has(self, vm: str, count: int, now_ms: float) -> None:
+        """Take how many requests another VM has in flight there."""
+        if count:
+            self._peers[vm] = (count, now_ms)
+        else:
+            self._peers.pop(vm, None)
+
+    def shared(self, now_ms: float) -> int:
+        """Return the requests that this VM and those that tell it have in flight there."""
+        if not self._peers:
+            return self.in_flight
+        oldest_ms = now_ms - FRESH_COUNT_MS
+        return self.in_flight + sum(n for n, at_ms in self._peers.values() if at_ms >= oldest_ms)
+
     def report(self, figure: LoadFigure, at_ms: float, counted: int = 0) -> None:
         """Take a figure of the time `at_ms`; an older one than known is left out.
 
@@ -68,15 +87,16 @@
             return
         self._figure = figure
         self._figure_ms = at_ms
-        self._base = self.in_flight - counted
+        self._base = self.shared(at_ms) - counted
         self._unreachable_until_ms = 0.0 if figure.reachable else at_ms + UNREACHABLE_MS
 
     def load(self, now_ms: float) -> float:
         """Return the requests that the endpoint has, as far as this VM can tell."""
+        shared = self.shared(now_ms)
         if self._figure is None or self.age_ms(now_ms) > FRESH_FIGURE_MS:
-            return self.in_flight
+            return shared
         reported = self._figure.running + self._figure.waiting
-        return max(self.in_flight, reported + self.in_flight - self._base)
+        return max(shared, reported + shared - self._base)
 
     def pace(self, now_ms: float) -> float:
         """Return how long work takes there now, as a multiple of usual."""
@@ -125,6 +145,10 @@
             load = self._loads[incarnation] = ServerLoad()
         return load
 
+    def in_flight(self) -> dict[str, int]:
+        """Return the requests that this VM has in flight, where there are any."""
+        return {name: load.in_flight for name, load in self._loads.items() if load.in_flight}
+
     def forget(self, incarnation: str) -> None:
         """Drop what is known of an incarnation that is gone."""
         self._loads.pop(incarnation, None)
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -132,8 +132,11 @@
             vms = [item.vm for item in self.alive(now_ms) if item.ready] + [self._own_vm]
         return max(vms, key=lambda vm: _weight(key, vm))
 
-    def reads_store(self, reading: bool, now_ms: float) -> bool:
-        """Return whether this VM should read the store; `reading` is whether it does so well."""
+    def reads_store(self, reading: bool, now_ms: float, hurry: bool = False) -> bool:
+        """Return whether this VM should read the store; `reading` is whether it does so well.
+
+        A VM that knows nothing yet is in a `hurry` and does not wait to hear of a reader.
+        """
         others = [
             item
             for item in self._members.values()
@@ -149,7 +152,9 @@
             key=lambda vm: _weight("reader", vm),
             reverse=True,
         )
-        wait_ms = READER_SILENT_MS + TAKEOVER_STEP_MS * ranked.index(self._own_vm)
+        wait_ms = TAKEOVER_STEP_MS * ranked.index(self._own_vm)
+        if not hurry:
+            wait_ms += READER_SILENT_MS
         return now_ms - self._reader_heard_ms >= wait_ms
 
     def forget(self, now_ms: float) -> None:
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -15,7 +15,7 @@
 from cloverhook.errors import MessageError
 from cloverhook.gateway.load import LoadFigure
 
-__all__ = ["Beat", "Hello", "Loads", "PeerMessage", "ServerChanges", "decode", "encode"]
+__all__ = ["Beat", "Hello", "InFlight", "Loads", "PeerMessage", "ServerChanges", "decode", "encode"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,8 +60,16 @@
     document: dict[str, Any]
 
 
-PeerMessage = Hello | Beat | Loads | ServerChanges
-KINDS: tuple[type, ...] = (Hello, Beat, Loads, ServerChanges)
+@dataclass(frozen=True, slots=True)
+class InFlight:
+    """How many requests a VM has in flight at each backend server; those left out have none."""
+
+    vm: str
+    counts: dict[str, int]
+
+
+PeerMessage = Hello | Beat | Loads | ServerChanges | InFlight
+KINDS: tuple[type, ...] = (Hello, Beat, Loads, ServerChanges, InFlight)
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -70,6 +78,8 @@
     if isinstance(message, Loads):
         rows = [_row(*item) for item in message.figures]
         return cbor2.dumps([kind, message.vm, rows])
+    if isinstance(message, InFlight):
+        return cbor2.dumps([kind, message.vm, message.counts])
     if isinstance(message, ServerChanges):
         return cbor2.dumps([kind, message.vm, message.base_version, message.document])
     return cbor2.dumps([kind, *astuple(message)])
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -19,6 +19,7 @@
 from cloverhook.gateway.peer_messages import (
     Beat,
     Hello,
+    InFlight,
     Loads,
     PeerMessage,
     ServerChanges,
@@ -36,6 +37,12 @@
 GREET_MS = 1_000.0
 DATAGRAM_BYTES = 1_200
 """Larger changes are asked for over TCP: a datagram should fit into one packet."""
+COUNT_DELAY_MS = 2.0
+"""Changes within this time go into one datagram."""
+COUNT_REPEAT_MS = 250.0
+FAR_LOAD_MS = 150.0
+FAR_LOAD_STEP = 2
+"""Other data centres hear of a load that has changed by this many requests, after this time."""
 FAR_FIGURE_MS = 1_000.0
 FAR_PACE_RATIO = 1.5
 """Other data centres hear of a pace once it has changed by this factor, or after a second."""
@@ -63,6 +70,9 @@
         self._greet_due_ms = 0.0
         self._fetch: asyncio.Task[None] | None = None
         self._far_sent: dict[str, tuple[float, LoadFigure]] = {}
+        self._counted: dict[str, frozenset[str]] = {}
+        self._count_timer: asyncio.TimerHandle | None = None
+        self._counts_due_ms = 0.0
         self.ready = False
         self.leaving = False
         self.reading = False
@@ -83,6 +93,8 @@
         if now_ms >= self._greet_due_ms:
             self._greet_due_ms = now_ms + GREET_MS
             self._greet(now_ms)
+        if now_ms >= self._counts_due_ms and self._knowledge.board.in_flight():
+            self._tell_counts()
         data = b""
         for member in self._members.alive(now_ms):
             if now_ms < self._beat_due_ms.get(member.vm, 0.0):
@@ -119,7 +131,9 @@
     def _is_far_news(self, name: str, figure: LoadFigure, at_ms: float) -> bool:
         sent_ms, sent = self._far_sent.get(name, (-1e12, figure))
         ratio = max(figure.pace, sent.pace) / max(min(figure.pace, sent.pace), 0.01)
+        step = abs(figure.running + figure.waiting - sent.running - sent.waiting)
         changed = ratio >= FAR_PACE_RATIO or figure.reachable != sent.reachable
+        changed |= step >= FAR_LOAD_STEP and at_ms - sent_ms >= FAR_LOAD_MS
         if changed or at_ms - sent_ms >= FAR_FIGURE_MS:
             self._far_sent[name] = (at_ms, figure)
             return True
@@ -163,9 +177,36 @@
                     load = self._knowledge.board.of(incarnation)
                     load.report(figure, now_ms - age_ms)
                     self._on_figure(incarnation)
+            case InFlight():
+                self._on_in_flight(message, now_ms)
             case ServerChanges():
                 self._on_changes(message, now_ms)
 
+    def count_changed(self) -> None:
+        """Tell the own data centre soon how many requests are in flight where."""
+        if self._count_timer is None:
+            loop = asyncio.get_running_loop()
+            self._count_timer = loop.call_later(COUNT_DELAY_MS / 1000, self._tell_counts)
+
+    def _tell_counts(self) -> None:
+        self._count_timer = None
+        now_ms = monotonic_ms()
+        self._counts_due_ms = now_ms + COUNT_REPEAT_MS
+        counts = self._knowledge.board.in_flight()
+        data = encode(InFlight(self._own.vm, counts))
+        for member in self._members.alive(now_ms):
+            if member.data_center == self._own.data_center:
+                self.link.send_encoded(member.peer_address, data)
+
+    def _on_in_flight(self, message: InFlight, now_ms: float) -> None:
+        board = self._knowledge.board
+        before = self._counted.get(message.vm, frozenset())
+        self._counted[message.vm] = frozenset(message.counts)
+        for incarnation in before - message.counts.keys():
+            board.of(incarnation).peer_has(message.vm, 0, now_ms)
+        for incarnation, count in message.counts.items():
+            board.of(incarnation).peer_has(message.vm, count, now_ms)
+
     def _on_hello(self, hello: Hello, now_ms: float) -> None:
         if self._members.greeted(hello, now_ms):
             self._log.note(Kind.MEMBER, member=hello.vm, state="joined", at=hello.peer_address)
