--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -4,7 +4,7 @@
 say for certain that the request did not run there.
 """
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from enum import Enum
 
@@ -72,21 +72,10 @@
         self._idempotent = idempotent
         self._headers = headers
 
-    async def run(
-        self,
-        pool: BackendPool,
-        board: LoadBoard,
-        limit: int,
-        on_count: Callable[[], None],
-    ) -> AttemptResult:
-        """Make the attempt; being cancelled ends the work at the backend server too.
-
-        `on_count` is called whenever the requests in flight have changed.
-        """
+    async def run(self, pool: BackendPool, board: LoadBoard, limit: int) -> AttemptResult:
+        """Make the attempt; being cancelled ends the work at the backend server too."""
         server = self.choice.server
         load = board.of(server.incarnation)
-        load.in_flight += 1
-        on_count()
         started_ms = monotonic_ms()
         connection: UpstreamConnection | None = None
         kept = False
@@ -107,8 +96,6 @@
             if connection is not None and connection.silent:
                 pool.went_silent(server, started_ms)
         finally:
-            load.in_flight -= 1
-            on_count()
             if connection is not None and not kept and not connection.usable:
                 connection.close()
         self._learn(result, board)
--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -1,8 +1,9 @@
 """Chooses the backend server for a request.
 
-Layer: coordination.  Each candidate gets an expected time: the work at its present pace, the wait
-for a free slot, and a surcharge for another data centre, for recent failures and for a cold start.
-The least one wins; a little chance keeps VMs that see the same figures from all choosing the same.
+Layer: coordination.  Each candidate gets an expected time: the work at its present pace and the
+wait for a free slot.  For the choice, surcharges are added for another data centre, for slots in
+use and for recent failures.  The least one wins; a little chance keeps VMs that see the same
+figures from all choosing the same.
 """
 
 import random
@@ -12,7 +13,7 @@
 from cloverhook.gateway.load import LoadBoard
 from cloverhook.gateway.registry import BackendServer, Registry
 
-__all__ = ["Balancer", "Choice", "WorkEstimates"]
+__all__ = ["Balancer", "Choice", "WorkEstimates", "nearly_full"]
 
 CROSSING_MS = 3.0
 """The way to another data centre and back, about what the deployments state."""
@@ -23,8 +24,12 @@
 CROWD_SHARE = 0.15
 """Each slot in use makes an endpoint a little less welcome: some slow down when nearly full."""
 NEARLY_FULL = 0.8
-NEARLY_FULL_SHARE = 0.4
-"""Some backend servers work up to 1.7 times as long once this part of their slots is in use."""
+"""Some backend servers slow down once this part of their slots is in use."""
+CROWDING_GUESS = 1.2
+CROWDING_STEP = 0.05
+CROWDING_LIMIT = 5.0
+CROWDING_HARMS = 1.35
+"""With work this many times as long, the last slots yield less than they cost the others."""
 CHANCE = 0.1
 FAILURE_WEIGHT = 8.0
 UNREACHABLE_WEIGHT = 50.0
@@ -36,19 +41,42 @@
 
 
 class WorkEstimates:
-    """How long the work of each route takes at an endpoint that runs at its usual pace."""
+    """How long the work of each route takes, and how services bear being nearly full."""
 
     def __init__(self) -> None:
         self._work_ms: dict[str, float] = {}
+        self._crowding: dict[str, float] = {}
 
     def work_ms(self, route: str, aim_ms: float) -> float:
-        """Return the estimate for a route."""
+        """Return the estimate for a route at an endpoint that runs at its usual pace."""
         return self._work_ms.get(route, aim_ms * WORK_GUESS_SHARE)
 
-    def measured(self, route: str, aim_ms: float, latency_ms: float, pace: float) -> None:
+    def crowding(self, service: str) -> float:
+        """Return how many times as long work takes at an endpoint that is nearly full."""
+        return self._crowding.get(service, CROWDING_GUESS)
+
+    def measured(self, route: str, aim_ms: float, latency_ms: float, choice: "Choice") -> None:
         """Take the latency of a request that found a free slot."""
-        before = self.work_ms(route, aim_ms)
-        self._work_ms[route] = before + WORK_STEP * (latency_ms / max(pace, 0.1) - before)
+        usual_ms = latency_ms / max(choice.pace, 0.1)
+        before_ms = self.work_ms(route, aim_ms)
+        if not nearly_full(choice.load, choice.server.slots):
+            self._work_ms[route] = before_ms + WORK_STEP * (usual_ms - before_ms)
+            return
+        service = choice.server.service
+        before = self.crowding(service)
+        ratio = min(usual_ms / max(before_ms, 1.0), CROWDING_LIMIT)
+        self._crowding[service] = before + CROWDING_STEP * (ratio - before)
+
+    def room(self, service: str, slots: int) -> int:
+        """Return how many requests an endpoint should have at once."""
+        if self.crowding(service) < CROWDING_HARMS:
+            return slots
+        return max(1, int(NEARLY_FULL * slots))
+
+
+def nearly_full(busy: float, slots: int) -> bool:
+    """Return whether one more request would make an endpoint nearly full."""
+    return busy + 1 > NEARLY_FULL * slots
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +84,7 @@
     """The backend server chosen, what was expected of it, and what the choice rested on."""
 
     server: BackendServer
-    cost_ms: float
+    expected_ms: float
     load: float
     pace: float
     figure_age_ms: float
@@ -67,58 +95,88 @@
     """Chooses among the registered backend servers of a service."""
 
     def __init__(
-        self, registry: Registry, board: LoadBoard, data_center: str, source: random.Random
+        self,
+        registry: Registry,
+        board: LoadBoard,
+        estimates: WorkEstimates,
+        data_center: str,
+        source: random.Random,
     ) -> None:
+        self._estimates = estimates
         self._registry = registry
         self._board = board
         self._data_center = data_center
         self._random = source.random
 
     def choose(
-        self, service: str, work_ms: float, now_ms: float, tried: Collection[str] = ()
+        self,
+        service: str,
+        work_ms: float,
+        now_ms: float,
+        tried: Collection[str] = (),
+        with_room: bool = False,
     ) -> Choice | None:
-        """Return the best backend server that has not been tried, or None when there is none."""
+        """Return the best backend server that has not been tried, or None when there is none.
+
+        Those `with_room` have fewer requests than they can work on at once without harm.
+        """
         best: BackendServer | None = None
-        best_cost = best_ranked = 0.0
+        best_expected_ms = best_rank = 0.0
         candidates = 0
         for server in self._registry.of_service(service):
             if server.draining or server.incarnation in tried:
                 continue
+            if with_room and not self._has_room(server, now_ms):
+                continue
             candidates += 1
-            cost_ms = self._cost_ms(server, work_ms, now_ms)
-            ranked = cost_ms * (1.0 + CHANCE * self._random())
-            if best is None or ranked < best_ranked:
-                best, best_cost, best_ranked = server, cost_ms, ranked
+            expected_ms = self._expected_ms(server, work_ms, now_ms)
+            rank = self._rank(server, expected_ms, work_ms, now_ms)
+            if best is None or rank < best_rank:
+                best, best_expected_ms, best_rank = server, expected_ms, rank
         if best is None:
             return None
         load = self._board.of(best.incarnation)
         return Choice(
             best,
-            best_cost,
+            best_expected_ms,
             load.load(now_ms),
             load.pace(now_ms),
             load.age_ms(now_ms),
             candidates,
         )
 
-    def _cost_ms(self, server: BackendServer, work_ms: float, now_ms: float) -> float:
+    def _has_room(self, server: BackendServer, now_ms: float) -> bool:
+        busy = self._board.of(server.incarnation).load(now_ms)
+        return busy < self._estimates.room(server.service, server.slots)
+
+    def _expected_ms(self, server: BackendServer, work_ms: float, now_ms: float) -> float:
+        """Return how long a request is expected to take there."""
         load = self._board.of(server.incarnation)
         pace = load.pace(now_ms)
         if server.warm_at_ms > now_ms:
             pace *= COLD_PACE
         busy = load.load(now_ms)
         waiting = max(0.0, busy + 1 - server.slots)
-        cost_ms = work_ms * pace * (1.0 + waiting / server.slots)
-        cost_ms += work_ms * CROWD_SHARE * busy / server.slots
-        if busy + 1 > NEARLY_FULL * server.slots:
-            cost_ms += work_ms * pace * NEARLY_FULL_SHARE
+        expected_ms = work_ms * pace * (1.0 + waiting / server.slots)
+        if nearly_full(busy, server.slots):
+            expected_ms += work_ms * pace * (self._estimates.crowding(server.service) - 1.0)
+        if server.data_center != self._data_center:
+            expected_ms += CROSSING_MS
+        return expected_ms
+
+    def _rank(
+        self, server: BackendServer, expected_ms: float, work_ms: float, now_ms: float
+    ) -> float:
+        """Return what speaks against a backend server, as a time; the least is chosen."""
+        load = self._board.of(server.incarnation)
+        rank = expected_ms + work_ms * CROWD_SHARE * load.load(now_ms) / server.slots
         failures = load.failure_share(now_ms)
         if failures:
-            cost_ms *= 1.0 + FAILURE_WEIGHT * failures
+            rank *= 1.0 + FAILURE_WEIGHT * failures
         if load.unreachable(now_ms):
-            cost_ms *= UNREACHABLE_WEIGHT
+            rank *= UNREACHABLE_WEIGHT
         if self._registry.held(server.incarnation):
-            cost_ms *= HELD_WEIGHT
+            rank *= HELD_WEIGHT
         if server.data_center != self._data_center:
-            cost_ms += CROSSING_MS + CROSSING_SHARE * work_ms
-        return cost_ms
+            rank += CROSSING_SHARE * work_ms
+        return rank * (1.0 + CHANCE * self._random())
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -16,7 +16,7 @@
 from cloverhook.clock import PauseWatch, monotonic_ms
 from cloverhook.errors import PlatformError, SettingsError
 from cloverhook.gateway.backend_pool import BackendPool
-from cloverhook.gateway.balancer import Balancer
+from cloverhook.gateway.balancer import Balancer, WorkEstimates
 from cloverhook.gateway.call_headers import CallHeaders
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
 from cloverhook.gateway.counters import Counters
@@ -80,13 +80,23 @@
             wants_answer=True,
         )
         self._peering = Peering(
-            own, self._knowledge, self._members, self._log, self._on_peer_figure
+            own,
+            self._knowledge,
+            self._members,
+            self._log,
+            self._on_peer_figure,
+            self._on_room,
         )
         self._follower = StoreFollower(store, self._knowledge, self._on_news, self._log)
         self._pool = BackendPool()
         self._prober = Prober(headers, self._on_figure)
+        estimates = WorkEstimates()
         balancer = Balancer(
-            self._knowledge.registry, self._knowledge.board, settings.data_center, random.Random()
+            self._knowledge.registry,
+            self._knowledge.board,
+            estimates,
+            settings.data_center,
+            random.Random(),
         )
         allowance = RetryAllowance(
             settings.retry_ratio, settings.retry_extra, settings.retry_window_s * 1000
@@ -94,6 +104,7 @@
         self._forwarder = Forwarder(
             self._knowledge,
             balancer,
+            estimates,
             self._pool,
             allowance,
             headers,
@@ -244,6 +255,7 @@
             if now_ms >= self._sweep_due_ms:
                 self._sweep_due_ms = now_ms + SWEEP_MS
                 self._sweep(now_ms)
+            self._forwarder.look_at_waiting()
             self._log.flush()
 
     def _sweep(self, now_ms: float) -> None:
@@ -329,6 +341,9 @@
     def _on_peer_figure(self, incarnation: str) -> None:
         self._forwarder.pace_changed(incarnation)
 
+    def _on_room(self) -> None:
+        self._forwarder.look_at_waiting()
+
     async def _announce(self) -> None:
         """Write this VM down in the store, and learn of the others there."""
         settings = self._settings
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -23,6 +23,7 @@
 from cloverhook.gateway.retry_allowance import RetryAllowance
 from cloverhook.gateway.routes import Route
 from cloverhook.gateway.splits import Splits
+from cloverhook.gateway.waiting_line import Waiter, WaitingLine
 
 __all__ = ["Forwarder"]
 
@@ -71,6 +72,7 @@
         self,
         knowledge: Knowledge,
         balancer: Balancer,
+        estimates: WorkEstimates,
         pool: BackendPool,
         allowance: RetryAllowance,
         headers: CallHeaders,
@@ -88,7 +90,9 @@
         self._on_count = on_count
         self._log = log
         self._counters = counters
-        self._estimates = WorkEstimates()
+        self._estimates = estimates
+        self._line = WaitingLine(balancer)
+        self._waiting: dict[Waiter, asyncio.Future[Choice | None]] = {}
         self._splits = Splits()
         self._running: dict[str, set[_Run]] = {}
 
@@ -135,8 +139,10 @@
         return min(float(told), route.timeout_ms)
 
     async def _bring_to_end(self, run: _Run) -> CallerAnswer:
-        if not self._start(run):
+        choice = await self._admit(run)
+        if choice is None:
             return self._final(run)
+        self._begin(run, choice)
         while run.tasks:
             done = await self._wait(run)
             for task in done:
@@ -174,10 +180,61 @@
             if not runs:
                 del self._running[incarnation]
 
+    async def _admit(self, run: _Run) -> Choice | None:
+        """Wait for room at a backend server; return None when the request is refused."""
+        route = run.route
+        waiter = Waiter(
+            run.service,
+            route.priority,
+            self._estimates.work_ms(route.name, route.aim_ms),
+            run.request.arrived_ms,
+            route.aim_ms,
+            run.deadline_ms,
+            urgent=route.priority <= self._first_priority(run.service),
+        )
+        future: asyncio.Future[Choice | None] = asyncio.get_running_loop().create_future()
+        self._waiting[waiter] = future
+        self._line.add(waiter)
+        self._look(run.service)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._line.remove(waiter)
+            self._waiting.pop(waiter, None)
+            if future.done() and not future.cancelled() and future.result() is not None:
+                self._count(future.result(), -1)
+            raise
+
+    def look_at_waiting(self) -> None:
+        """Start or refuse the waiting requests whose time has come."""
+        for service in self._line.services():
+            self._look(service)
+
+    def _look(self, service: str) -> None:
+        while (decision := self._line.next(service, monotonic_ms())) is not None:
+            future = self._waiting.pop(decision.waiter)
+            if decision.choice is not None:
+                self._count(decision.choice, 1)
+            future.set_result(decision.choice)
+
+    def _first_priority(self, service: str) -> int:
+        """Return the highest priority among the routes to a service."""
+        config = self._knowledge.config
+        ranks = [
+            route.priority
+            for route in config.routes
+            if any(part.service == service for part in route.parts)
+        ]
+        return min(ranks, default=0)
+
+    def _count(self, choice: Choice, change: int) -> None:
+        self._knowledge.board.of(choice.server.incarnation).in_flight += change
+        self._on_count()
+
     def _start(self, run: _Run) -> bool:
-        """Start an attempt if one is allowed and there is a backend server for it."""
+        """Start another attempt if one is allowed and there is a backend server for it."""
         now_ms = monotonic_ms()
-        if run.deadline_ms - now_ms < LAST_MS and run.attempts:
+        if run.deadline_ms - now_ms < LAST_MS:
             return False
         route = run.route
         work_ms = self._estimates.work_ms(route.name, route.aim_ms)
@@ -187,15 +244,32 @@
         arrived = any(item.outcome is not Outcome.NOT_SENT for item in run.results) or run.tasks
         if arrived and not self._allowance.take(run.service, now_ms, self._vms()):
             return False
+        self._count(choice, 1)
+        self._begin(run, choice)
+        return True
+
+    def _begin(self, run: _Run, choice: Choice) -> None:
+        """Start an attempt at a backend server where the request already counts."""
         attempt = Attempt(
-            run.request, run.request_id, choice, run.deadline_ms, route.idempotent, self._headers
+            run.request,
+            run.request_id,
+            choice,
+            run.deadline_ms,
+            run.route.idempotent,
+            self._headers,
         )
         limit = self._connection_limit(run.service)
-        work = attempt.run(self._pool, self._knowledge.board, limit, self._on_count)
-        run.tasks[asyncio.get_running_loop().create_task(work)] = attempt
+        work = attempt.run(self._pool, self._knowledge.board, limit)
+        task = asyncio.get_running_loop().create_task(work)
+        task.add_done_callback(lambda _: self._attempt_over(choice))
+        run.tasks[task] = attempt
         run.attempts.append(attempt)
         self._running.setdefault(choice.server.incarnation, set()).add(run)
-        return True
+
+    def _attempt_over(self, choice: Choice) -> None:
+        """Let the next request in; also an attempt that was cancelled before it began ends here."""
+        self._count(choice, -1)
+        self.look_at_waiting()
 
     def _connection_limit(self, service: str) -> int:
         config = self._knowledge.config
@@ -252,15 +326,17 @@
             kind = ErrorKind.DEADLINE_IN_RUN if late else ErrorKind.CONNECTION_CUT
         elif any(item.outcome is Outcome.REJECTED for item in run.results):
             kind = ErrorKind.REFUSED
-        else:
+        elif run.attempts or not self._knowledge.registry.of_service(run.service):
             kind = ErrorKind.NO_BACKEND_SERVER
+        else:
+            kind = ErrorKind.OVERLOADED
         return self._error(kind)
 
     def _measured(self, run: _Run, result: AttemptResult) -> None:
         choice = result.choice
         if choice.load < choice.server.slots:
             route = run.route
-            self._estimates.measured(route.name, route.aim_ms, result.latency_ms, choice.pace)
+            self._estimates.measured(route.name, route.aim_ms, result.latency_ms, choice)
 
     def _error(self, kind: ErrorKind) -> CallerAnswer:
         answer = answer_for(kind)
@@ -324,7 +400,7 @@
             id=request_id,
             server=choice.server.incarnation,
             address=choice.server.address,
-            expected_ms=round(choice.cost_ms),
+            expected_ms=round(choice.expected_ms),
             load=choice.load,
             slots=choice.server.slots,
             pace=round(choice.pace, 2),
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -58,9 +58,11 @@
         members: Members,
         log: EventLog,
         on_figure: Callable[[str], None],
+        on_counts: Callable[[], None],
     ) -> None:
         self._own = own
         self._on_figure = on_figure
+        self._on_counts = on_counts
         self._knowledge = knowledge
         self._members = members
         self._log = log
@@ -206,6 +208,7 @@
             board.of(incarnation).peer_has(message.vm, 0, now_ms)
         for incarnation, count in message.counts.items():
             board.of(incarnation).peer_has(message.vm, count, now_ms)
+        self._on_counts()
 
     def _on_hello(self, hello: Hello, now_ms: float) -> None:
         if self._members.greeted(hello, now_ms):
