--- /dev/null
+++ b/features/gateway_decisions.feature
@@ -0,0 +1,116 @@
+Feature: Decisions of a gateway
+  What is decided from what is known, on a clock of its own and without input or output.
+
+  Scenario: The longest prefix of the host decides
+    Given routes for "/", "/a/" and "/a/b/" of one host and "/" of another
+    Then each path of either host finds its own route, and an unknown host none
+
+  Scenario: A configuration travels between peers unchanged
+    Given routes for "/", "/a/" and "/a/b/" of one host and "/" of another
+    Then its document gives the same configuration
+
+  Scenario: Parts of a route get their shares
+    Given a route with parts of weight 90 and 10
+    Then of 200 requests within 2 go to the part of weight 10 as its share says
+
+  Scenario: For an incarnation the newest record wins, in whatever order records come
+    Given a registry
+    When the records of an incarnation come in every order
+    Then the registry always ends as the newest says
+
+  Scenario: An incarnation that is gone does not come back through an older list
+    Given a registry with 4 backend servers
+    When one is gone and a list from before that is read
+    Then it stays gone after its hold time
+
+  Scenario: An entry that vanishes is held for less than two seconds
+    Given a registry with 4 backend servers
+    When one of them vanishes
+    Then it is held at first and gone 1.9 seconds later
+
+  Scenario: Entries that vanish all at once are held until they may be back
+    Given a registry with 4 backend servers
+    When all of them vanish
+    Then all are held 2.2 seconds later and those that come back stay
+
+  Scenario: A draining entry that vanishes is gone at once
+    Given a registry with 4 backend servers
+    When one of them drains and vanishes
+    Then it is gone at once
+
+  Scenario: A peer that lags does not take anything back
+    Given a registry with 4 backend servers and a copy of it from before a change
+    When the copy is adopted
+    Then the registry is as before
+
+  Scenario: A peer gets to the same registry by the whole state or by its changes
+    Given a registry with 4 backend servers
+    Then another one that adopts all of it, or only the changes, holds the same
+
+  Scenario: Requests go where the pace is usual and room is free
+    Given a balancer over 6 backend servers, 3 of them in another data centre
+    When one of the own data centre works 7 times as long and one is full
+    Then all requests go to the third of them
+    And with the own ones full they go to the other data centre
+
+  Scenario: A stale figure is not believed
+    Given a balancer over 6 backend servers, 3 of them in another data centre
+    When a figure that says 7 times as long is 800 ms old
+    Then its backend server gets requests again
+
+  Scenario: A backend server that fails its requests gets few
+    Given a balancer over 6 backend servers, 3 of them in another data centre
+    When one of them fails 5 requests
+    Then it gets none of the next 100 requests
+    And 10 seconds later it gets some
+
+  Scenario: The load counts what neighbours have started since the last probe
+    Given a load figure of 1 request
+    When a neighbour starts 2 requests and this VM 1
+    Then the load is 4
+    And it is 1 again when the next figure says so
+
+  Scenario: Repeats of all VMs together stay within the allowance
+    Given 13 VMs with an allowance of 0.2 of the requests and 56 more in 10 s
+    When each repeats as much as it may over 3 windows of 50 requests
+    Then no window of any length 10 s has more repeats than are allowed
+
+  Scenario: Waiting requests start by importance, and the least urgent are refused early
+    Given a waiting line before 1 backend servers that are full
+    When two requests that can be put off and an urgent one want it
+    Then the second that can be put off is refused at once
+    And the first is refused after an eighth of its objective
+    And the urgent one starts as soon as there is room
+
+  Scenario: A waiting request that can't be in time any more is not kept
+    Given a waiting line before 1 backend servers that are full
+    When a request of priority 1 waits for longer than its objective allows
+    Then it is started or refused, and not held to its deadline
+
+  Scenario: One VM reads the store, and another takes over when it falls silent
+    Given 5 VMs that hear each other
+    Then one of them reads the store within 2 seconds
+    When the reader falls silent
+    Then another one reads within 2 seconds
+    When the former reader comes back
+    Then one of them reads the store within 2 seconds
+
+  Scenario: A VM that knows nothing after a restart reads at once
+    Given 1 VMs that hear each other
+    Then it wants to read at once when it is in a hurry and not otherwise
+
+  Scenario: A VM that is cut off goes on naming the others
+    Given 5 VMs that hear each other
+    When one of them hears nobody for 10 seconds
+    Then it still names all others to callers
+    And the others no longer name it
+
+  Scenario: Garbage is no message
+    Given datagrams that are cut short, swapped or random
+    Then each raises the one error for them
+
+  Scenario: A flood of log lines stays within its bound
+    Given an event log whose reader never reads
+    When 100000 lines are noted
+    Then memory stays bounded, the drops are counted and nothing has blocked
+    And lines of one request are kept or dropped together
--- /dev/null
+++ b/features/gateway_fleet.py
@@ -0,0 +1,287 @@
+"""Gateways in the scenario's own process, with a store in memory and scripted backend servers."""
+
+import asyncio
+import contextlib
+import socket
+from dataclasses import dataclass, field, replace
+
+from cloverhook.gateway.call_headers import CallHeaders
+from cloverhook.gateway.calls import CallerAnswer
+from cloverhook.gateway.daemon import Gateway
+from cloverhook.gateway.registry import BackendServer
+from cloverhook.gateway.routes import GatewayConfig, IngressLimits, Part, Route, ServiceSpec
+from cloverhook.gateway.settings import GatewaySettings
+from cloverhook.gateway.store import MemoryStore
+
+HOST = "shop.example"
+OTHER_HOST = "other.example"
+DATA_CENTER = "papine"
+SERVICE = "orders"
+SAFE = "/read/"
+UNSAFE = "/write/"
+RECEIPT = "stamp"
+WAIT_S = 20
+NAMES = CallHeaders()
+
+
+def free_address():
+    """Return an address on loopback that nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def route(name, prefix, idempotent, **fields):
+    """Return a route to the usual service."""
+    parts = fields.pop("parts", (Part(SERVICE, 1),))
+    host = fields.pop("host", HOST)
+    fields = {"timeout_ms": 2_000.0, "aim_ms": 1_000.0, "attempts": 2, **fields}
+    return Route(name, host, prefix, parts, idempotent, **fields)
+
+
+def config(version=1, *routes):
+    """Return a configuration with the two usual routes and further ones."""
+    usual = (route("read", SAFE, True), route("write", UNSAFE, False))
+    services = (ServiceSpec(SERVICE), ServiceSpec("menus"))
+    return GatewayConfig.of(version, usual + routes, services, IngressLimits())
+
+
+@dataclass
+class Backend:
+    """A scripted backend server; `script` says what becomes of each request in turn."""
+
+    incarnation: str
+    service: str = SERVICE
+    script: list = field(default_factory=list)
+    default: str = "ok"
+    work_ms: float = 0.0
+    seen: list = field(default_factory=list)
+    ran: list = field(default_factory=list)
+    cut: int = 0
+    address: str = ""
+    pace: int = 100
+    connections: int = 0
+    tasks: set = field(default_factory=set)
+
+    async def start(self, context):
+        """Listen until the scenario ends."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        context.stack.push_async_callback(self._close, server)
+        return self
+
+    async def _close(self, server):
+        server.close()
+        for task in self.tasks:
+            task.cancel()
+        if self.tasks:
+            await asyncio.wait(self.tasks)
+
+    def entry(self, **fields):
+        """Return the registry's entry."""
+        entry = BackendServer(self.incarnation, self.service, self.address, DATA_CENTER, slots=4)
+        return replace(entry, **fields)
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            while await self._serve_one(reader, writer):
+                pass
+        writer.close()
+
+    async def _serve_one(self, reader, writer):
+        data = await reader.readuntil(b"\r\n\r\n")
+        lines = data.split(b"\r\n")
+        headers = {
+            name.lower(): value.strip()
+            for name, _, value in (line.partition(b":") for line in lines[1:] if line)
+        }
+        body = await reader.readexactly(int(headers.get(b"content-length", 0)))
+        if lines[0].startswith(b"GET /health"):
+            self._write(writer, 200, b"", incarnation=True)
+            return True
+        self.seen.append((lines[0], headers, body))
+        wanted = headers.get(NAMES.incarnation_wanted, b"").decode()
+        if wanted != self.incarnation:
+            self._write(writer, 421, b"")
+            return True
+        what = self.script.pop(0) if self.script else self.default
+        return await self._answer(what, headers[NAMES.request_id], reader, writer)
+
+    async def _answer(self, what, request_id, reader, writer):
+        if what == "reject":
+            self._write(writer, 503, b"", request_id, not_run=True)
+            return True
+        if what == "reset-unread":
+            writer.transport.abort()
+            return False
+        self.ran.append(request_id)
+        if what == "silent":
+            self.cut += not await reader.read(1)
+            return False
+        if self.work_ms:
+            await asyncio.sleep(self.work_ms / 1000)
+        if what == "reset":
+            writer.transport.abort()
+            return False
+        if what == "foreign":
+            self._write(writer, 200, b"not yours", b"another-request")
+        if what == "half":
+            head = self._head(200, 100, request_id)
+            writer.write(head + b"half")
+            await writer.drain()
+            return False
+        if what in ("unframed", "unframed-reset"):
+            head = self._head(200, None, request_id)
+            writer.write(head + b"body of no length")
+            await writer.drain()
+            if what == "unframed-reset":
+                await asyncio.sleep(0.05)
+                linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+            return False
+        status = {"error": 500, "no-receipt": 200}.get(what, 200)
+        receipt = what != "no-receipt"
+        self._write(writer, status, self.incarnation.encode(), request_id, receipt=receipt)
+        return True
+
+    def _write(self, writer, status, body, request_id=b"", **fields):
+        writer.write(self._head(status, len(body), request_id, **fields) + body)
+
+    def _head(self, status, length, request_id=b"", receipt=True, not_run=False, incarnation=False):
+        lines = [b"HTTP/1.1 %d X" % status, NAMES.load + b": 0,0,4,%d" % self.pace]
+        if length is not None:
+            lines.append(b"Content-Length: %d" % length)
+        if request_id:
+            lines.append(NAMES.request_id + b": " + request_id)
+        if not_run:
+            lines.append(NAMES.not_run + b": 1")
+        elif receipt and request_id:
+            lines.append(NAMES.receipt + b": " + RECEIPT.encode())
+        if incarnation:
+            lines.append(NAMES.incarnation + b": " + self.incarnation.encode())
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def answer_directory(request, addresses, lifetime_ms):
+    """Answer in a form that the tests read."""
+    return CallerAnswer(200, [], ",".join(addresses).encode())
+
+
+def gateway_settings(name, **fields):
+    """Return settings with free addresses."""
+    return GatewaySettings(
+        **{
+            "vm": name,
+            "data_center": DATA_CENTER,
+            "caller_address": free_address(),
+            "ready_address": free_address(),
+            "directory_address": free_address(),
+            "peer_address": free_address(),
+            "store_address": "127.0.0.1:1",
+            "stop_s": 2,
+            **fields,
+        }
+    )
+
+
+async def start_gateway(context, name="vm-1", store=None, **fields):
+    """Start a gateway that ends with the scenario."""
+    settings = gateway_settings(name, **fields)
+    gateway = Gateway(settings, store or context.store, NAMES, answer_directory)
+    gateway._log._write = len
+    await gateway.start()
+    context.stack.push_async_callback(stop_gateway, gateway)
+    return gateway, settings
+
+
+async def stop_gateway(gateway):
+    """End a gateway at once."""
+    gateway._stopped.set()
+    gateway._callers.close_listener()
+    gateway._ready.close_listener()
+    gateway._directory.close_listener()
+    await gateway.run_until_stopped()
+
+
+async def start_fleet(context, backends, gateways=1, **fields):
+    """Start a store, backend servers and gateways, and wait until all are ready."""
+    context.store = MemoryStore()
+    context.backends = [await Backend(f"i-{index}").start(context) for index in range(backends)]
+    context.store.put_config(config())
+    for backend in context.backends:
+        context.store.put_server(backend.entry())
+    context.gateways = [
+        await start_gateway(context, f"vm-{index}", **fields) for index in range(gateways)
+    ]
+    await until(lambda: all(gateway._is_ready() for gateway, _ in context.gateways))
+    servers = len(context.backends)
+    await until(
+        lambda: all(len(gateway._knowledge.registry) == servers for gateway, _ in context.gateways)
+    )
+
+
+async def until(condition):
+    """Wait until something holds."""
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@dataclass
+class Answer:
+    """A caller's view of an answer."""
+
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool
+
+
+async def call(address, path=SAFE, method="GET", request_id="r-1", timeout_ms=2_000, **fields):
+    """Send one request on a connection of its own and read until its end."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    body = fields.get("body", b"")
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {fields.get('host', HOST)}",
+        f"{NAMES.request_id.decode()}: {request_id}",
+        f"{NAMES.timeout_ms.decode()}: {timeout_ms}",
+        "Connection: close",
+        *fields.get("lines", ()),
+    ]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    reset = False
+    data = b""
+    try:
+        while part := await reader.read(65_536):
+            data += part
+    except OSError:
+        reset = True
+    writer.close()
+    return _answer(data, reset)
+
+
+def _answer(data, reset):
+    head, _, body = data.partition(b"\r\n\r\n")
+    if not head:
+        return Answer(0, {}, b"", False)
+    lines = head.split(b"\r\n")
+    headers = {
+        name.lower().decode(): value.strip().decode()
+        for name, _, value in (line.partition(b":") for line in lines[1:])
+    }
+    whole = not reset
+    if "content-length" in headers:
+        whole = whole and len(body) == int(headers["content-length"])
+    elif headers.get("transfer-encoding") == "chunked":
+        whole = whole and body.endswith(b"0\r\n\r\n")
+    return Answer(int(lines[0].split()[1]), headers, body, whole)
--- /dev/null
+++ b/features/steps/gateway_decision_steps.py
@@ -0,0 +1,536 @@
+"""Steps that drive the gateway's decisions with a clock of their own."""
+
+import itertools
+import random
+
+from behave import given, then, when
+
+from cloverhook.errors import MessageError
+from cloverhook.gateway.balancer import Balancer, WorkEstimates
+from cloverhook.gateway.event_log import BUFFER_LIMIT_BYTES, EventLog, Kind
+from cloverhook.gateway.load import LoadBoard, LoadFigure
+from cloverhook.gateway.members import Members
+from cloverhook.gateway.peer_messages import Beat, Hello, InFlight, Loads, decode, encode
+from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
+from cloverhook.gateway.retry_allowance import RetryAllowance
+from cloverhook.gateway.routes import Part
+from cloverhook.gateway.splits import Splits
+from cloverhook.gateway.waiting_line import Waiter, WaitingLine
+from features import gateway_fleet as fleet
+
+NEAR = "papine"
+FAR = "halfway-tree"
+SLOTS = 4
+WORK_MS = 50.0
+AIM_MS = 400.0
+
+
+def server(name, data_center=NEAR, **fields):
+    """Return a backend server that is warm at 20 s on the scenario's clock."""
+    fields = {"warm_at_ms": 20_000.0, **fields}
+    return BackendServer(name, fleet.SERVICE, "10.0.0.1:9000", data_center, SLOTS, **fields)
+
+
+def fill(context, *names):
+    """Report that backend servers have all their slots in use."""
+    for name in names:
+        context.board.of(name).report(LoadFigure(SLOTS, 0, 1.0), context.now_ms)
+
+
+def chosen(context, count=100):
+    """Return which backend servers are chosen for so many requests that end at once."""
+    choices = [
+        context.balancer.choose(fleet.SERVICE, WORK_MS, context.now_ms) for _ in range(count)
+    ]
+    return {choice.server.incarnation for choice in choices}
+
+
+@given('routes for "/", "/a/" and "/a/b/" of one host and "/" of another')
+def step_routes(context):
+    made = [fleet.route(prefix, prefix, True) for prefix in ("/", "/a/", "/a/b/")]
+    made.append(fleet.route("other", "/", True, host=fleet.OTHER_HOST))
+    context.version = fleet.config(3, *made)
+
+
+@then("each path of either host finds its own route, and an unknown host none")
+def step_found(context):
+    find = context.version.find
+    expected = {"/": "/", "/x": "/", "/a": "/", "/a/": "/a/", "/a/b": "/a/", "/a/b/c/": "/a/b/"}
+    for path, name in expected.items():
+        assert find(fleet.HOST, path).name == name, path
+    assert find(fleet.OTHER_HOST, "/a/b/").name == "other"
+    assert find("unknown.example", "/") is None
+
+
+@then("its document gives the same configuration")
+def step_document(context):
+    assert type(context.version).from_document(context.version.to_document()) == context.version
+
+
+@given("a route with parts of weight 90 and 10")
+def step_parts(context):
+    parts = (Part("a", 90), Part("b", 10))
+    context.route = fleet.route("split", "/", True, parts=parts)
+
+
+@then("of 200 requests within 2 go to the part of weight 10 as its share says")
+def step_shares(context):
+    for seed in range(20):
+        splits = Splits(random.Random(seed))
+        given_to = [splits.next(context.route) for _ in range(200)]
+        assert abs(given_to.count("b") - 20) <= 2
+
+
+@given("a registry")
+def step_registry(context):
+    context.now_ms = 10_000.0
+    context.registry = Registry()
+
+
+@when("the records of an incarnation come in every order")
+def step_orders(context):
+    records = (
+        ServerRecord("i", 3, server("i")),
+        ServerRecord("i", 5, server("i", draining=True)),
+        ServerRecord("i", 7, None),
+    )
+    context.ends = []
+    for order in itertools.permutations(records):
+        registry = Registry()
+        for record in order:
+            registry.apply(record, context.now_ms, False)
+        registry.expire(context.now_ms + 10_000)
+        context.ends.append(registry.get("i"))
+
+
+@then("the registry always ends as the newest says")
+def step_newest(context):
+    assert context.ends == [None] * 6
+
+
+@given("a registry with {count:d} backend servers")
+def step_filled(context, count):
+    step_registry(context)
+    for offset in range(count):
+        name = f"i-{offset}"
+        context.registry.apply(ServerRecord(name, offset, server(name)), context.now_ms, False)
+
+
+@when("one is gone and a list from before that is read")
+def step_old_list(context):
+    registry, now_ms = context.registry, context.now_ms
+    registry.apply(ServerRecord("i-1", 9, None), now_ms, False)
+    registry.expire(now_ms + 2_000)
+    registry.apply(ServerRecord("i-1", 1, server("i-1")), now_ms + 2_000, False)
+
+
+@then("it stays gone after its hold time")
+def step_gone(context):
+    assert context.registry.get("i-1") is None and len(context.registry) == 3
+
+
+@when("one of them vanishes")
+def step_vanish(context):
+    context.registry.apply(ServerRecord("i-1", 9, None), context.now_ms, False)
+
+
+@then("it is held at first and gone 1.9 seconds later")
+def step_held(context):
+    assert context.registry.held("i-1")
+    assert context.registry.expire(context.now_ms + 1_900) == ("i-1",)
+
+
+@when("all of them vanish")
+def step_all_vanish(context):
+    for offset in range(4):
+        record = ServerRecord(f"i-{offset}", 10 + offset, None)
+        context.registry.apply(record, context.now_ms + offset, False)
+
+
+@then("all are held 2.2 seconds later and those that come back stay")
+def step_all_held(context):
+    registry, now_ms = context.registry, context.now_ms + 2_200
+    assert registry.expire(now_ms) == ()
+    registry.apply(ServerRecord("i-2", 20, server("i-2")), now_ms, False)
+    assert set(registry.expire(now_ms + 1_000)) == {"i-0", "i-1", "i-3"}
+    assert registry.get("i-2") is not None and not registry.held("i-2")
+
+
+@when("one of them drains and vanishes")
+def step_drain_vanish(context):
+    registry, now_ms = context.registry, context.now_ms
+    registry.apply(ServerRecord("i-1", 9, server("i-1", draining=True)), now_ms, False)
+    registry.apply(ServerRecord("i-1", 10, None), now_ms, False)
+
+
+@then("it is gone at once")
+def step_gone_at_once(context):
+    assert context.registry.get("i-1") is None
+
+
+@given("a registry with 4 backend servers and a copy of it from before a change")
+def step_copy(context):
+    step_filled(context, 4)
+    context.copy = context.registry.to_document(context.now_ms)
+    changed = ServerRecord("i-1", 9, server("i-1", draining=True))
+    context.registry.apply(changed, context.now_ms, False)
+
+
+@when("the copy is adopted")
+def step_adopt(context):
+    assert not context.registry.adopt(context.copy, context.now_ms)
+
+
+@then("the registry is as before")
+def step_unchanged(context):
+    assert context.registry.get("i-1").draining and context.registry.version == 9
+
+
+@then("another one that adopts all of it, or only the changes, holds the same")
+def step_same(context):
+    registry, now_ms = context.registry, context.now_ms
+    before = registry.to_document(now_ms)
+    touched = ("i-0", "i-1", "i-9")
+    registry.apply(ServerRecord("i-0", 10, server("i-0", draining=True)), now_ms, False)
+    registry.apply(ServerRecord("i-1", 11, None), now_ms, False)
+    registry.apply(ServerRecord("i-9", 12, server("i-9")), now_ms, False)
+    by_whole, by_changes = Registry(), Registry()
+    by_changes.adopt(before, now_ms)
+    by_changes.adopt(registry.to_document(now_ms, touched), now_ms)
+    by_whole.adopt(before, now_ms)
+    by_whole.adopt(registry.to_document(now_ms), now_ms)
+    for other in (by_whole, by_changes):
+        other.expire(now_ms + 3_000)
+    registry.expire(now_ms + 3_000)
+    expected = {item.incarnation: item for item in registry.servers()}
+    for other in (by_whole, by_changes):
+        assert {item.incarnation: item for item in other.servers()} == expected
+        assert other.version == registry.version
+
+
+@given("a balancer over 6 backend servers, 3 of them in another data centre")
+def step_balancer(context):
+    step_registry(context)
+    context.board = LoadBoard()
+    for offset in range(6):
+        name = f"{'near' if offset < 3 else 'far'}-{offset % 3}"
+        entry = server(name, NEAR if offset < 3 else FAR)
+        context.registry.apply(ServerRecord(name, offset, entry), context.now_ms, False)
+    context.balancer = Balancer(
+        context.registry, context.board, WorkEstimates(), NEAR, random.Random(1)
+    )
+
+
+@when("one of the own data centre works 7 times as long and one is full")
+def step_slow(context):
+    context.board.of("near-0").report(LoadFigure(0, 0, 7.0), context.now_ms)
+    fill(context, "near-1")
+
+
+@then("all requests go to the third of them")
+def step_third(context):
+    assert chosen(context) == {"near-2"}
+
+
+@then("with the own ones full they go to the other data centre")
+def step_far(context):
+    fill(context, "near-1", "near-2")
+    assert chosen(context) <= {"far-0", "far-1", "far-2"}
+
+
+@when("a figure that says 7 times as long is 800 ms old")
+def step_stale(context):
+    context.board.of("near-0").report(LoadFigure(0, 0, 7.0), context.now_ms)
+    assert "near-0" not in chosen(context)
+    context.now_ms += 800
+
+
+@then("its backend server gets requests again")
+def step_believed(context):
+    assert "near-0" in chosen(context)
+
+
+@when("one of them fails 5 requests")
+def step_fail(context):
+    for _ in range(5):
+        context.board.of("near-0").failed(context.now_ms)
+
+
+@then("it gets none of the next 100 requests")
+def step_none(context):
+    assert "near-0" not in chosen(context)
+
+
+@then("10 seconds later it gets some")
+def step_some(context):
+    context.now_ms += 20_000
+    assert "near-0" in chosen(context, 1_000)
+
+
+@given("a load figure of 1 request")
+def step_figure(context):
+    context.now_ms = 1_000.0
+    context.load = LoadBoard().of("i")
+    context.load.report(LoadFigure(1, 0, 1.0), context.now_ms)
+
+
+@when("a neighbour starts 2 requests and this VM 1")
+def step_started(context):
+    context.load.peer_has("vm-2", 2, context.now_ms)
+    context.load.in_flight += 1
+
+
+@then("the load is {load:d}")
+def step_load(context, load):
+    assert context.load.load(context.now_ms) == load
+
+
+@then("it is 1 again when the next figure says so")
+def step_next_figure(context):
+    context.load.in_flight = 0
+    context.load.peer_has("vm-2", 0, context.now_ms)
+    context.load.report(LoadFigure(1, 0, 1.0), context.now_ms + 50)
+    assert context.load.load(context.now_ms + 50) == 1
+
+
+@given("{vms:d} VMs with an allowance of {ratio:g} of the requests and {extra:d} more in 10 s")
+def step_allowance(context, vms, ratio, extra):
+    context.ratio, context.extra = ratio, extra
+    context.allowances = [RetryAllowance(ratio, extra, 10_000) for _ in range(vms)]
+
+
+@when("each repeats as much as it may over {windows:d} windows of {count:d} requests")
+def step_repeat(context, windows, count):
+    context.requests, context.repeats = [], []
+    for step in range(windows * count):
+        now_ms = step * 10_000 / count
+        for allowance in context.allowances:
+            allowance.count(fleet.SERVICE, now_ms)
+            context.requests.append(now_ms)
+            while allowance.take(fleet.SERVICE, now_ms, len(context.allowances)):
+                context.repeats.append(now_ms)
+
+
+@then("no window of any length 10 s has more repeats than are allowed")
+def step_within(context):
+    assert context.repeats
+    for end_ms in sorted(set(context.repeats)):
+        inside = [at for at in context.repeats if end_ms - 10_000 < at <= end_ms]
+        asked = [at for at in context.requests if end_ms - 10_000 < at <= end_ms]
+        assert len(inside) <= context.ratio * len(asked) + context.extra
+
+
+@given("a waiting line before {count:d} backend servers that are full")
+def step_line(context, count):
+    step_registry(context)
+    context.board = LoadBoard()
+    for offset in range(count):
+        name = f"i-{offset}"
+        context.registry.apply(ServerRecord(name, offset, server(name)), context.now_ms, False)
+        fill(context, name)
+    balancer = Balancer(context.registry, context.board, WorkEstimates(), NEAR, random.Random(1))
+    context.line = WaitingLine(balancer)
+    context.left = []
+
+
+def wait(context, priority, urgent):
+    """Let a request wait."""
+    waiter = Waiter(
+        fleet.SERVICE,
+        priority,
+        WORK_MS,
+        context.now_ms,
+        AIM_MS,
+        context.now_ms + 1_000,
+        urgent=urgent,
+    )
+    context.line.add(waiter)
+    look(context)
+    return waiter
+
+
+def look(context, later_ms=0.0):
+    """Keep the decisions that are due."""
+    context.now_ms += later_ms
+    while (decision := context.line.next(fleet.SERVICE, context.now_ms)) is not None:
+        context.left.append(decision)
+
+
+@when("two requests that can be put off and an urgent one want it")
+def step_wait(context):
+    context.waiters = [wait(context, 2, False), wait(context, 2, False)]
+
+
+@then("the second that can be put off is refused at once")
+def step_refused(context):
+    assert [item.waiter for item in context.left] == [context.waiters[1]]
+    assert context.left[0].choice is None
+
+
+@then("the first is refused after an eighth of its objective")
+def step_refused_early(context):
+    look(context, AIM_MS / 8 + 1)
+    assert context.left[-1].waiter is context.waiters[0] and context.left[-1].choice is None
+
+
+@then("the urgent one starts as soon as there is room")
+def step_starts(context):
+    context.waiters.append(wait(context, 1, True))
+    assert len(context.left) == 2
+    context.now_ms += 10
+    context.board.of("i-0").report(LoadFigure(SLOTS - 1, 0, 1.0), context.now_ms)
+    look(context)
+    assert context.left[-1].waiter is context.waiters[2] and context.left[-1].choice is not None
+
+
+@when("a request of priority 1 waits for longer than its objective allows")
+def step_overdue(context):
+    context.waiters = [wait(context, 1, True)]
+    assert not context.left
+    for _ in range(4):
+        fill(context, "i-0")
+        look(context, AIM_MS / 4)
+
+
+@then("it is started or refused, and not held to its deadline")
+def step_not_held(context):
+    assert [item.waiter for item in context.left] == context.waiters
+
+
+class Fleet:
+    """VMs that hear each other's beats every 100 ms, and read the store when they should."""
+
+    def __init__(self, count):
+        self.now_ms = 0.0
+        self.silent = set()
+        self.members = {}
+        for name in (f"vm-{index}" for index in range(count)):
+            self.members[name] = Members(name, NEAR, 0.0)
+        self.reading = dict.fromkeys(self.members, False)
+        for members in self.members.values():
+            for name in self.members:
+                members.greeted(Hello(name, 1, NEAR, f"{name}:1", f"{name}:2", False), 0.0)
+
+    def pass_time(self, duration_ms):
+        """Let time pass."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += 100
+            for name in self.members.keys() - self.silent:
+                own = self.members[name]
+                self.reading[name] = own.reads_store(self.reading[name], self.now_ms)
+                beat = Beat(name, 1, True, self.reading[name], False, 1, 1)
+                for other in self.members.keys() - self.silent - {name}:
+                    self.members[other].heard(beat, self.now_ms)
+
+    def readers(self):
+        """Return who reads."""
+        return {name for name, reads in self.reading.items() if reads} - self.silent
+
+
+@given("{count:d} VMs that hear each other")
+def step_fleet(context, count):
+    context.vms = Fleet(count)
+
+
+@then("one of them reads the store within 2 seconds")
+def step_reads(context):
+    context.vms.pass_time(2_000)
+    assert len(context.vms.readers()) == 1, context.vms.readers()
+
+
+@when("the reader falls silent")
+def step_reader_silent(context):
+    context.reader = context.vms.readers()
+    context.vms.silent = set(context.reader)
+
+
+@then("another one reads within 2 seconds")
+def step_takeover(context):
+    context.vms.pass_time(2_000)
+    assert len(context.vms.readers()) == 1
+    assert not context.vms.readers() & context.reader
+
+
+@when("the former reader comes back")
+def step_back(context):
+    context.vms.silent = set()
+
+
+@then("it wants to read at once when it is in a hurry and not otherwise")
+def step_hurry(context):
+    members = context.vms.members["vm-0"]
+    assert members.reads_store(False, 10.0, hurry=True)
+    assert not members.reads_store(False, 10.0)
+
+
+@when("one of them hears nobody for 10 seconds")
+def step_cut_off(context):
+    context.vms.pass_time(1_000)
+    context.vms.silent = {"vm-0"}
+    context.vms.pass_time(10_000)
+
+
+@then("it still names all others to callers")
+def step_names(context):
+    members = context.vms.members
+    assert len(members["vm-0"].caller_addresses(context.vms.now_ms)) == 4
+
+
+@then("the others no longer name it")
+def step_not_named(context):
+    for name in ("vm-1", "vm-4"):
+        assert "vm-0:1" not in context.vms.members[name].caller_addresses(context.vms.now_ms)
+
+
+@given("datagrams that are cut short, swapped or random")
+def step_garbage(context):
+    source = random.Random(5)
+    messages = (
+        Hello("vm", 1, NEAR, "a:1", "b:2", True),
+        Loads("vm", (("i", LoadFigure(1, 2, 7.0), 3.0),)),
+        InFlight("vm", {"i": 2}),
+    )
+    whole = [encode(message) for message in messages]
+    assert [decode(data) for data in whole] == list(messages)
+    context.datagrams = [data[:length] for data in whole for length in range(len(data) - 1)]
+    context.datagrams += [source.randbytes(source.randrange(40)) for _ in range(500)]
+
+
+@then("each raises the one error for them")
+def step_error(context):
+    for data in context.datagrams:
+        try:
+            decode(data)
+        except MessageError:
+            continue
+        assert data not in context.datagrams[:50], data
+
+
+@given("an event log whose reader never reads")
+def step_log(context):
+    context.log = EventLog("vm-1", write=lambda data: 0)
+
+
+@when("{count:d} lines are noted")
+def step_flood(context, count):
+    for number in range(count):
+        context.log.note(Kind.ATTEMPT, id=f"r-{number}")
+        context.log.flush()
+    context.lines = count
+
+
+@then("memory stays bounded, the drops are counted and nothing has blocked")
+def step_bounded(context):
+    kept = context.log._buffer.count(b'"kind":"attempt"')
+    assert len(context.log._buffer) < 2 * BUFFER_LIMIT_BYTES
+    assert kept + context.log.dropped_total == context.lines
+    assert context.log.dropped_total > 0
+
+
+@then("lines of one request are kept or dropped together")
+def step_together(context):
+    other = EventLog("vm-2", write=len)
+    names = [f"r-{number}" for number in range(1_000)]
+    assert [context.log.sampled(name) for name in names] == [other.sampled(n) for n in names]
+    assert 0 < sum(other.sampled(name) for name in names) < 100
--- /dev/null
+++ b/features/steps/gateway_steps.py
@@ -0,0 +1,276 @@
+"""Steps that send requests through a gateway in this process."""
+
+import asyncio
+from dataclasses import replace
+
+from behave import given, then, when
+
+from cloverhook.gateway.store import MemoryStore
+from features import gateway_fleet as fleet
+from features.shared import run
+
+LONG_MS = 5_000
+
+
+def caller_address(context):
+    """Return the address of the first gateway's callers' listener."""
+    return context.gateways[0][1].caller_address
+
+
+def send(context, path, method="GET", **fields):
+    """Send a request and keep its answer."""
+    work = fleet.call(caller_address(context), path, method, **fields)
+    context.answer = run(context, work)
+
+
+def ran(context):
+    """Return how often backend servers have run something."""
+    return sum(len(backend.ran) for backend in context.backends)
+
+
+@given("a gateway and {count:d} backend servers")
+def step_gateway(context, count):
+    run(context, fleet.start_fleet(context, count))
+
+
+@given("a gateway whose store holds nothing")
+def step_empty(context):
+    async def start():
+        context.store = MemoryStore()
+        context.backends = []
+        context.gateways = [await fleet.start_gateway(context)]
+        await asyncio.sleep(0.2)
+
+    run(context, start())
+
+
+@given("the first backend server to be asked does {what}")
+def step_first(context, what):
+    script = [what]
+    for backend in context.backends:
+        backend.script = script
+
+
+@given("every backend server rejects all requests")
+def step_reject(context):
+    for backend in context.backends:
+        backend.default = "reject"
+
+
+@given("every backend server stays silent")
+def step_silent(context):
+    for backend in context.backends:
+        backend.default = "silent"
+
+
+@given("a route of {timeout_ms:d} ms to a backend server that stays silent")
+def step_short_route(context, timeout_ms):
+    step_silent(context)
+    short = fleet.route("short", "/short/", False, timeout_ms=float(timeout_ms))
+    context.store.put_config(fleet.config(2, short))
+    knowledge = context.gateways[0][0]._knowledge
+    run(context, fleet.until(lambda: knowledge.config_version == 2))
+
+
+@given("its address belongs to another incarnation now")
+def step_reused(context):
+    context.backends[0].incarnation = "i-new"
+
+
+@given("each request takes {work_ms:d} ms")
+def step_work(context, work_ms):
+    for backend in context.backends:
+        backend.work_ms = work_ms
+
+
+@when("a caller sends a request with a body and headers of its own")
+def step_full_request(context):
+    lines = (
+        "X-Own: kept",
+        "Connection: x-gone",
+        "X-Gone: dropped",
+        f"{fleet.NAMES.incarnation_wanted.decode()}: i-forged",
+    )
+    path = fleet.UNSAFE + "a%20b?c=d"
+    send(context, path, "POST", body=b"payload", lines=lines, timeout_ms=1_500)
+
+
+@then("the backend server gets method, path, query, body and identifier unchanged")
+def step_unchanged(context):
+    (seen,) = [item for backend in context.backends for item in backend.seen]
+    line, headers, body = seen
+    assert line == f"POST {fleet.UNSAFE}a%20b?c=d HTTP/1.1".encode(), line
+    assert body == b"payload"
+    assert headers[fleet.NAMES.request_id] == b"r-1"
+    assert headers[b"x-own"] == b"kept"
+
+
+@then("it gets the time that is left, its own incarnation and no header of a connection")
+def step_added(context):
+    (seen,) = [(item, backend) for backend in context.backends for item in backend.seen]
+    (_, headers, _), backend = seen
+    assert 0 < int(headers[fleet.NAMES.timeout_ms]) <= 1_500
+    assert headers[fleet.NAMES.incarnation_wanted].decode() == backend.incarnation
+    assert b"connection" not in headers and b"x-gone" not in headers
+
+
+@then("the caller gets its body and receipt, and not its load")
+def step_receipt(context):
+    answer = context.answer
+    assert answer.status == 200 and answer.whole
+    assert answer.headers[fleet.NAMES.receipt.decode()] == fleet.RECEIPT
+    assert fleet.NAMES.load.decode() not in answer.headers
+
+
+@when("a caller reads")
+def step_read(context):
+    send(context, fleet.SAFE)
+
+
+@when("a caller writes")
+def step_write(context):
+    send(context, fleet.UNSAFE, "POST", body=b"pay")
+
+
+@when("a caller writes on that route")
+def step_write_short(context):
+    send(context, "/short/", "POST", body=b"pay", timeout_ms=LONG_MS)
+
+
+@then("the answer is 200, whole and its own")
+def step_good(context):
+    answer = context.answer
+    assert answer.status == 200, answer
+    assert answer.whole and answer.body != b"not yours", answer
+
+
+@then("the answer is {status:d}")
+def step_status(context, status):
+    assert context.answer.status == status, context.answer
+
+
+@then("the answer is 503 with a time to come back")
+def step_refused(context):
+    assert context.answer.status == 503, context.answer
+    assert 0 < float(context.answer.headers["retry-after"]) < 1
+    assert fleet.NAMES.receipt.decode() not in context.answer.headers
+
+
+@then("the request ran {runs:d} times")
+def step_ran(context, runs):
+    assert ran(context) == runs, [backend.ran for backend in context.backends]
+
+
+@then("the work at the backend server has ended")
+def step_ended(context):
+    run(context, fleet.until(lambda: sum(item.cut for item in context.backends) == 1))
+
+
+@when("a caller leaves after its request has arrived there")
+def step_leave(context):
+    async def leave():
+        work = fleet.call(caller_address(context), fleet.SAFE, timeout_ms=LONG_MS)
+        task = asyncio.ensure_future(work)
+        await fleet.until(lambda: ran(context) == 1)
+        task.cancel()
+        await asyncio.wait({task})
+
+    run(context, leave())
+
+
+@when("a version adds a route and an older version follows it")
+def step_versions(context):
+    async def change():
+        added = fleet.route("added", "/added/", True)
+        context.store.put_config(fleet.config(7, added))
+        knowledge = context.gateways[0][0]._knowledge
+        await fleet.until(lambda: knowledge.config_version == 7)
+        context.store.put_config(fleet.config(5))
+        calls = context.store.calls
+        await fleet.until(lambda: context.store.calls > calls + 1)
+
+    run(context, change())
+
+
+@then("the route stays in force")
+def step_in_force(context):
+    send(context, "/added/x")
+    assert context.answer.status == 200, context.answer
+
+
+@then("a host without a route gets 404")
+def step_unknown(context):
+    send(context, "/added/x", host=fleet.OTHER_HOST)
+    assert context.answer.status == 404, context.answer
+
+
+@then("the gateway is not ready")
+def step_not_ready(context):
+    answer = run(context, fleet.call(context.gateways[0][1].ready_address, "/ready"))
+    assert answer.status == 503, answer
+
+
+@when("one backend server reports that it drains")
+def step_drain(context):
+    async def drain():
+        backend = context.backends[0]
+        context.store.put_server(replace(backend.entry(), draining=True))
+        registry = context.gateways[0][0]._knowledge.registry
+        await fleet.until(lambda: registry.get(backend.incarnation).draining)
+
+    run(context, drain())
+
+
+@then("{count:d} further requests all go to the other one")
+def step_other(context, count):
+    for number in range(count):
+        send(context, fleet.SAFE, request_id=f"r-{number}")
+        assert context.answer.status == 200
+    assert not context.backends[0].ran and len(context.backends[1].ran) == count
+
+
+@when("the gateway is told to leave while {count:d} requests run")
+def step_stop(context, count):
+    async def stop():
+        gateway, settings = context.gateways[0]
+        calls = [
+            asyncio.ensure_future(fleet.call(settings.caller_address, request_id=f"r-{number}"))
+            for number in range(count)
+        ]
+        await fleet.until(lambda: ran(context) >= min(count, 4))
+        gateway.leave()
+        gateway.leave()
+        context.ready = await fleet.call(settings.ready_address, "/ready")
+        context.late = await fleet.call(settings.caller_address, request_id="late")
+        context.answers = await asyncio.gather(*calls)
+        await fleet.until(gateway._stopped.is_set)
+
+    run(context, stop())
+
+
+@then("it is not ready, serves the next caller and closes that connection")
+def step_left(context):
+    assert context.ready.status == 503
+    assert context.late.status == 200 and context.late.headers["connection"] == "close"
+
+
+@then("all requests were answered and the gateway has ended")
+def step_all_answered(context):
+    assert all(answer.status == 200 and answer.whole for answer in context.answers)
+    assert context.gateways[0][0]._stopped.is_set()
+
+
+@then("a request with two lengths, or a length and chunks, or two hosts is refused")
+def step_smuggle(context):
+    for lines in (
+        ("Content-Length: 1", "Content-Length: 2"),
+        ("Content-Length: 4", "Transfer-Encoding: chunked"),
+        ("Host: second.example",),
+    ):
+        send(context, fleet.SAFE, lines=lines)
+        assert context.answer.status == 400, (lines, context.answer)
+
+
+@then("no backend server has seen anything")
+def step_unseen(context):
+    assert not any(backend.seen for backend in context.backends)
