--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -53,6 +53,14 @@
 DirectoryHandler = Callable[[CallerRequest, list[str], float], CallerAnswer]
 
 
+def write_to_stdout(data: bytes) -> int:
+    """Write what standard output takes now and return how much that was."""
+    try:
+        return os.write(1, data)
+    except BlockingIOError:
+        return 0
+
+
 class Gateway:
     """One gateway on one VM."""
 
@@ -62,12 +70,13 @@
         store: Store,
         headers: CallHeaders,
         directory: DirectoryHandler,
+        write_log: Callable[[bytes], int] = write_to_stdout,
     ) -> None:
         now_ms = monotonic_ms()
         self._settings = settings
         self._store = store
         self._answer_directory = directory
-        self._log = EventLog(settings.vm)
+        self._log = EventLog(settings.vm, write_log)
         self._counters = Counters()
         self._knowledge = Knowledge()
         self._members = Members(settings.vm, settings.data_center, now_ms)
--- a/cloverhook/gateway/event_log.py
+++ b/cloverhook/gateway/event_log.py
@@ -1,13 +1,12 @@
-"""Structured log lines on standard output: one JSON object each, bounded, never waited for.
+"""Structured log lines: one JSON object each, bounded, never waited for.
 
-Layer: transport.  Each kind of line has a budget a second.  Lines of one request are kept or
+Layer: state.  Each kind of line has a budget a second.  Lines of one request are kept or
 dropped together: whether an ordinary request is logged depends on a hash of its identifier alone,
 so that all processes keep the same ones; failures go before it.  When nobody reads, lines are
 dropped and counted; a line `log-dropped` says how many.
 """
 
 import json
-import os
 import zlib
 from collections.abc import Callable
 from enum import StrEnum
@@ -56,11 +55,11 @@
 
 
 class EventLog:
-    """Writes lines to a file descriptor without ever waiting for its reader."""
+    """Hands lines to `write`, which returns how many bytes its reader took, and never waits."""
 
-    def __init__(self, vm: str, write: Callable[[bytes], int] | None = None) -> None:
+    def __init__(self, vm: str, write: Callable[[bytes], int]) -> None:
         self._vm = vm
-        self._write = write or _write_to_stdout
+        self._write = write
         self._buffer = bytearray()
         self._window_ms = 0.0
         self._counts: dict[Kind, int] = {}
@@ -101,10 +100,3 @@
     def _append(self, kind: Kind, fields: dict[str, Any]) -> None:
         line = {"time_ms": round(wall_ms(), 1), "vm": self._vm, "kind": kind.value, **fields}
         self._buffer += json.dumps(line, separators=(",", ":"), default=str).encode() + b"\n"
-
-
-def _write_to_stdout(data: bytes) -> int:
-    try:
-        return os.write(1, data)
-    except BlockingIOError:
-        return 0
--- /dev/null
+++ b/features/gateway_peers.feature
@@ -0,0 +1,43 @@
+Feature: Gateways among each other
+  What one knows reaches all, and serving goes on without the store.
+
+  Scenario: One gateway reads the store for all
+    Given 3 gateways and 2 backend servers
+    When the configuration and the backend servers change
+    Then all gateways follow
+    And in the next 3 seconds at most 1 of them reads the store
+
+  Scenario: Serving goes on while the store is away
+    Given 3 gateways and 2 backend servers
+    When the store answers nobody
+    Then all gateways still serve
+
+  Scenario: A gateway that starts while the store is away learns from its peers
+    Given 3 gateways and 2 backend servers
+    When the store answers nobody and a gateway starts that knows a peer's address
+    Then it becomes ready and serves
+
+  Scenario: The reader dies and a change reaches all the others
+    Given 3 gateways and 2 backend servers
+    When the gateway that reads is gone and the configuration changes
+    Then the other gateways follow
+
+  Scenario: The history of the store is lost
+    Given 2 gateways and 2 backend servers
+    When the store forgets its history while a backend server leaves and another joins
+    Then all gateways know the one that joined and drop the one that left
+
+  Scenario: Callers are told of the gateways that serve, and of no other
+    Given 3 gateways and 1 backend servers
+    Then each names all three
+    When one is told to leave
+    Then the other two no longer name it
+
+  Scenario: Load figures reach the neighbours
+    Given 2 gateways and 1 backend servers
+    When the backend server works 7 times as long
+    Then both gateways know that pace
+
+  Scenario: Each backend server is measured by one gateway alone
+    Given 3 gateways and 2 backend servers
+    Then each backend server has one connection for measuring
--- a/features/layers.feature
+++ b/features/layers.feature
@@ -13,3 +13,8 @@
   Scenario: The package stays within the bounds of the machines
     Given the modules of the package
     Then none uses threads, child processes, shared memory or another event loop
+
+  Scenario: Only the adapter knows the names of the users' platform
+    Given the modules of the package
+    Then none of them holds a name of the users' platform
+    And the adapter holds these names in less than a tenth of the product's lines
--- /dev/null
+++ b/features/steps/gateway_peer_steps.py
@@ -0,0 +1,221 @@
+"""Steps with several gateways in one process."""
+
+import asyncio
+
+from behave import given, then, when
+
+from cloverhook.errors import PlatformSilentError
+from features import gateway_fleet as fleet
+from features.shared import run
+
+NEW_VERSION = 9
+
+
+def known(context):
+    """Return what each gateway knows."""
+    return [gateway._knowledge for gateway, _ in context.gateways]
+
+
+def reads(context):
+    """Return how many gateways read the store."""
+    return sum(gateway._follower.active for gateway, _ in context.gateways)
+
+
+async def serve_all(gateways):
+    """Return the statuses that callers of each gateway get."""
+    calls = [fleet.call(settings.caller_address) for _, settings in gateways]
+    return [answer.status for answer in await asyncio.gather(*calls)]
+
+
+async def named_by(settings):
+    """Return the addresses that a gateway names to callers."""
+    answer = await fleet.call(settings.directory_address, "/")
+    return set(answer.body.decode().split(","))
+
+
+@given("{gateways:d} gateways and {backends:d} backend servers")
+def step_fleet(context, gateways, backends):
+    async def start():
+        await fleet.start_fleet(context, backends, gateways)
+        await fleet.until(
+            lambda: all(len(item[0]._members.all()) == gateways - 1 for item in context.gateways)
+        )
+        await fleet.until(lambda: reads(context) == 1)
+
+    run(context, start())
+
+
+@when("the configuration and the backend servers change")
+def step_change(context):
+    async def change():
+        context.store.put_config(fleet.config(NEW_VERSION))
+        backend = await fleet.Backend("i-late").start(context)
+        context.backends.append(backend)
+        context.store.put_server(backend.entry())
+
+    run(context, change())
+
+
+@then("all gateways follow")
+def step_follow(context):
+    run(
+        context,
+        fleet.until(
+            lambda: all(
+                item.config_version == NEW_VERSION and item.registry.get("i-late") is not None
+                for item in known(context)
+            )
+        ),
+    )
+
+
+@then("in the next 3 seconds at most 1 of them reads the store")
+def step_one_reader(context):
+    async def watch():
+        for _ in range(30):
+            await asyncio.sleep(0.1)
+            assert reads(context) <= 1, reads(context)
+
+    run(context, watch())
+
+
+@when("the store answers nobody")
+def step_away(context):
+    context.store.failure = PlatformSilentError("away")
+
+
+@then("all gateways still serve")
+def step_still(context):
+    async def serve():
+        for _ in range(3):
+            assert await serve_all(context.gateways) == [200] * len(context.gateways)
+            await asyncio.sleep(0.5)
+
+    run(context, serve())
+
+
+@when("the store answers nobody and a gateway starts that knows a peer's address")
+def step_late_start(context):
+    step_away(context)
+    _, settings = context.gateways[0]
+
+    async def start():
+        context.late = await fleet.start_gateway(context, "vm-late")
+        context.late[0]._peering.add_address(settings.peer_address)
+        await fleet.until(context.late[0]._is_ready)
+
+    run(context, start())
+
+
+@then("it becomes ready and serves")
+def step_late_serves(context):
+    assert run(context, serve_all([context.late])) == [200]
+
+
+@when("the gateway that reads is gone and the configuration changes")
+def step_reader_gone(context):
+    async def end():
+        reader = next(item for item in context.gateways if item[0]._follower.active)
+        context.gateways.remove(reader)
+        await fleet.stop_gateway(reader[0])
+        context.store.put_config(fleet.config(NEW_VERSION))
+
+    run(context, end())
+
+
+@then("the other gateways follow")
+def step_others_follow(context):
+    run(
+        context,
+        fleet.until(lambda: all(item.config_version == NEW_VERSION for item in known(context))),
+    )
+
+
+@when("the store forgets its history while a backend server leaves and another joins")
+def step_forget(context):
+    async def forget():
+        context.store.remove_server("i-0")
+        backend = await fleet.Backend("i-late").start(context)
+        context.backends.append(backend)
+        context.store.put_server(backend.entry())
+        context.store.forget_history()
+
+    run(context, forget())
+
+
+@then("all gateways know the one that joined and drop the one that left")
+def step_resynced(context):
+    run(
+        context,
+        fleet.until(
+            lambda: all(
+                item.registry.get("i-late") is not None and item.registry.get("i-0") is None
+                for item in known(context)
+            )
+        ),
+    )
+
+
+@then("each names all three")
+def step_names(context):
+    expected = {settings.caller_address for _, settings in context.gateways}
+
+    async def check():
+        for _, settings in context.gateways:
+            while await named_by(settings) != expected:
+                await asyncio.sleep(0.05)
+
+    run(context, asyncio.wait_for(check(), fleet.WAIT_S))
+
+
+@when("one is told to leave")
+def step_one_leaves(context):
+    async def leave():
+        context.gateways[0][0].leave()
+
+    run(context, leave())
+
+
+@then("the other two no longer name it")
+def step_not_named(context):
+    async def check():
+        gone = context.gateways[0][1].caller_address
+        for _, settings in context.gateways[1:]:
+            while gone in await named_by(settings):
+                await asyncio.sleep(0.05)
+
+    run(context, asyncio.wait_for(check(), fleet.WAIT_S))
+
+
+@when("the backend server works 7 times as long")
+def step_slow(context):
+    context.backends[0].pace = 700
+
+
+@then("both gateways know that pace")
+def step_pace(context):
+    def paces():
+        return {
+            item.board.of("i-0").figure.pace if item.board.of("i-0").figure else 0
+            for item in known(context)
+        }
+
+    run(context, fleet.until(lambda: paces() == {7.0}))
+
+
+@then("each backend server has one connection for measuring")
+def step_measured(context):
+    async def check():
+        await fleet.until(lambda: all(item.connections for item in context.backends))
+        before = [item.connections for item in context.backends]
+        probes = [gateway._prober.probes for gateway, _ in context.gateways]
+        await asyncio.sleep(1)
+        assert [item.connections for item in context.backends] == before
+        measuring = [
+            gateway
+            for (gateway, _), count in zip(context.gateways, probes, strict=True)
+            if gateway._prober.probes > count
+        ]
+        assert 1 <= len(measuring) <= len(context.backends), measuring
+
+    run(context, check())
--- a/features/steps/layers_steps.py
+++ b/features/steps/layers_steps.py
@@ -10,6 +10,23 @@
 import cloverhook
 
 PACKAGE = Path(cloverhook.__file__).parent
+ADAPTER = PACKAGE.parent / "platform"
+DEPLOY = PACKAGE.parent / "deploy"
+PLATFORM_WORDS = (
+    "x-cloverhook-",
+    "trafficsplit",
+    "pathprefix",
+    "warmupleft",
+    "targetlatency",
+    "maxattempts",
+    "healthpath",
+    "log-append",
+    "log-newest",
+    "log-read",
+    "keyed.",
+    "/api/",
+)
+ADAPTER_SHARE = 0.1
 LAYER = re.compile(r"^Layer: (\w+)", re.MULTILINE)
 FORBIDDEN = {
     "_thread",
@@ -50,6 +67,11 @@
         return cls(name, layer, frozenset(imports), frozenset(calls))
 
 
+def _dotted(path):
+    parts = path.relative_to(PACKAGE.parent).with_suffix("").parts
+    return ".".join(parts)
+
+
 def _upward(modules, layers):
     layer_of = {module.name: module.layer for module in modules}
     return [
@@ -64,8 +86,8 @@
 def step_modules(context):
     context.layers = ("state", "protocol", "coordination", "transport")
     context.modules = [
-        Module.from_source(f"cloverhook.{path.stem}", path.read_text())
-        for path in sorted(PACKAGE.glob("*.py"))
+        Module.from_source(_dotted(path), path.read_text())
+        for path in sorted(PACKAGE.rglob("*.py"))
         if path.stem != "__init__"
     ]
     assert len(context.modules) > 20
@@ -110,3 +132,24 @@
         (module.name, name) for module in context.modules for name in module.calls & FORBIDDEN_CALLS
     ]
     assert not wrong, wrong
+
+
+@then("none of them holds a name of the users' platform")
+def step_no_names(context):
+    wrong = [
+        (path.name, word)
+        for path in sorted(PACKAGE.rglob("*.py"))
+        for word in PLATFORM_WORDS
+        if word in path.read_text().lower()
+    ]
+    assert not wrong, wrong
+
+
+@then("the adapter holds these names in less than a tenth of the product's lines")
+def step_small(context):
+    adapter = [path.read_text() for path in ADAPTER.rglob("*.py")]
+    product = [path.read_text() for path in PACKAGE.rglob("*.py")]
+    missing = [word for word in PLATFORM_WORDS if word not in "".join(adapter).lower()]
+    assert not missing, missing
+    lines = [sum(text.count("\n") for text in texts) for texts in (adapter, product)]
+    assert lines[0] < ADAPTER_SHARE * lines[1], lines
