--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -21,6 +21,8 @@
 
 MISDIRECTED = 421
 FAILURE_STATUSES = 500
+FORGOTTEN_MS = 20.0
+"""A reset within this time of the send comes from an end that had forgotten the connection."""
 KEPT_BODY_BYTES = 262_144
 """An answer of up to this size is taken whole before its caller gets a byte, so that one that
 breaks off can be asked for again."""
@@ -95,6 +97,8 @@
             result = self._failed(error, monotonic_ms() - started_ms)
             if connection is not None and connection.silent:
                 pool.went_silent(server, started_ms)
+                if result.latency_ms < FORGOTTEN_MS and self.choice.load < server.slots:
+                    pool.was_forgotten(server, connection)
         finally:
             if connection is not None and not kept and not connection.usable:
                 connection.close()
--- a/cloverhook/gateway/backend_pool.py
+++ b/cloverhook/gateway/backend_pool.py
@@ -24,6 +24,10 @@
 KEEP_MARGIN_MS = 1_000.0
 """A connection is given up this long before the backend server would close it."""
 KEEP_PREFIX = b"timeout="
+IDLE_LIMIT_MS = 60_000.0
+IDLE_FLOOR_MS = 250.0
+IDLE_CUT = 0.5
+"""A service whose connections are reset after some idle time keeps them for half of that."""
 UNSAFE_IDLE_MS = 2_000.0
 """A request that must not run twice takes no connection that was idle for longer."""
 
@@ -34,6 +38,7 @@
     def __init__(self) -> None:
         self._idle: dict[str, deque[tuple[UpstreamConnection, float]]] = {}
         self._open: dict[str, int] = {}
+        self._idle_limit_ms: dict[str, float] = {}
         self.connects = 0
 
     async def acquire(
@@ -45,10 +50,13 @@
         """
         idle = self._idle.get(server.incarnation)
         now_ms = monotonic_ms()
+        limit_ms = self._idle_limit_ms.get(server.service, IDLE_LIMIT_MS)
+        if not idempotent:
+            limit_ms = min(limit_ms, UNSAFE_IDLE_MS)
         while idle:
             connection, good_until_ms = idle.pop()
-            fresh = idempotent or now_ms - connection.idle_since_ms < UNSAFE_IDLE_MS
-            if connection.usable and now_ms < good_until_ms and not connection.has_input and fresh:
+            fresh = now_ms - connection.idle_since_ms < limit_ms and now_ms < good_until_ms
+            if connection.usable and fresh and not connection.has_input:
                 return connection
             connection.close()
         if self._open.get(server.incarnation, 0) >= limit:
@@ -69,6 +77,15 @@
         kept = self._idle.setdefault(server.incarnation, deque())
         kept.append((connection, now_ms + keep_ms))
 
+    def was_forgotten(self, server: BackendServer, connection: UpstreamConnection) -> None:
+        """Keep idle connections of a service for less time: one was reset when used again."""
+        if not connection.idle_since_ms:
+            return
+        idle_ms = monotonic_ms() - connection.idle_since_ms
+        known_ms = self._idle_limit_ms.get(server.service, IDLE_LIMIT_MS)
+        limit_ms = max(IDLE_FLOOR_MS, min(known_ms, idle_ms * IDLE_CUT))
+        self._idle_limit_ms[server.service] = limit_ms
+
     def went_silent(self, server: BackendServer, since_ms: float) -> None:
         """Close what has been idle since before a request that got no byte of an answer."""
         idle = self._idle.get(server.incarnation)
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -11,6 +11,7 @@
 import random
 import signal
 import time
+import traceback
 from collections.abc import Callable
 
 from cloverhook.clock import PauseWatch, monotonic_ms
@@ -225,6 +226,7 @@
         addresses = self._members.caller_addresses(monotonic_ms())
         if self._is_ready():
             addresses.append(self._settings.caller_address)
+        random.shuffle(addresses)  # An answer may hold a part of them: each VM gets callers.
         return self._answer_directory(request, addresses, self._settings.address_ttl_s * 1000)
 
     async def _serve_metrics(self, request: CallerRequest) -> CallerAnswer:
@@ -253,20 +255,26 @@
             now_ms = monotonic_ms()
             if watch.observe(now_ms):
                 self._log.note(Kind.PAUSED)
-                self._read_again()
-            self._follow_or_not(now_ms)
-            for incarnation in self._knowledge.expire(now_ms):
-                self._pool.forget(incarnation)
-            self._tell_readiness()
-            self._probe(now_ms)
-            self._peering.reading = self._follower.reading
-            self._peering.tick(now_ms)
-            if now_ms >= self._sweep_due_ms:
-                self._sweep_due_ms = now_ms + SWEEP_MS
-                self._sweep(now_ms)
-            self._forwarder.look_at_waiting()
+            try:
+                self._do_what_is_due(now_ms)
+            except Exception:
+                self._log.note(Kind.FAULT, part="tick", error=traceback.format_exc())
             self._log.flush()
 
+    def _do_what_is_due(self, now_ms: float) -> None:
+        self._follow_or_not(now_ms)
+        for incarnation in self._knowledge.expire(now_ms):
+            self._pool.forget(incarnation)
+            self._log.note(Kind.SERVER, source="hold time", gone=incarnation)
+        self._tell_readiness()
+        self._probe(now_ms)
+        self._peering.reading = self._follower.reading
+        self._peering.tick(now_ms)
+        if now_ms >= self._sweep_due_ms:
+            self._sweep_due_ms = now_ms + SWEEP_MS
+            self._sweep(now_ms)
+        self._forwarder.look_at_waiting()
+
     def _sweep(self, now_ms: float) -> None:
         self._pool.sweep()
         self._prober.sweep(lambda name: self._knowledge.registry.get(name) is not None)
@@ -285,12 +293,6 @@
             )
             self._peering.beat_now()
 
-    def _read_again(self) -> None:
-        """Read the store anew: what this VM knows may be old."""
-        if self._follower.active:
-            self._follower.stop("paused")
-        self._follower.start()
-
     def _follow_or_not(self, now_ms: float) -> None:
         hurry = not self._knowledge.complete and not self._settings.first_start
         wanted = self._members.reads_store(self._follower.reading, now_ms, hurry)
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+import traceback
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -108,7 +109,16 @@
                 run.nudge.set_result(None)
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
-        """Return the answer to a caller's request."""
+        """Return the answer to a caller's request; a fault of ours is logged and told as such."""
+        try:
+            return await self._handle(request)
+        except Exception:
+            request_id = find(request.headers, self._headers.request_id) or b""
+            trace = traceback.format_exc()
+            self._log.note(Kind.FAULT, part="forwarding", id=_text(request_id), error=trace)
+            return self._error(ErrorKind.INTERNAL)
+
+    async def _handle(self, request: CallerRequest) -> CallerAnswer:
         config = self._knowledge.config
         request_id = find(request.headers, self._headers.request_id) or b""
         if config is None:
@@ -352,7 +362,7 @@
         self._counters.add("answers", service="", cause=kind.value)
         self._log.note(
             Kind.ANSWER,
-            id=request_id.decode("latin-1"),
+            id=_text(request_id),
             host=request.host,
             path=request.path,
             status=answer.status,
@@ -370,7 +380,7 @@
         cause = "answered" if won else answer.body.decode()
         self._counters.add("answers", service=run.service, cause=cause)
         self._counters.observe("latency", latency_ms, route=run.route.name)
-        request_id = run.request_id.decode("latin-1")
+        request_id = _text(run.request_id)
         troubled = not won or answer.status >= 500 or len(run.attempts) > 1
         if not troubled and not self._log.sampled(request_id):
             return
@@ -411,3 +421,7 @@
             latency_ms=-1 if result is None else round(result.latency_ms, 1),
             detail="" if result is None else result.detail,
         )
+
+
+def _text(request_id: bytes) -> str:
+    return request_id.decode("latin-1")
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -62,8 +62,6 @@
     def greeted(self, hello: Hello, now_ms: float) -> bool:
         """Take an introduction; return whether the VM or its process is new."""
         known = self._members.get(hello.vm)
-        if known is not None and known.incarnation > hello.incarnation:
-            return False
         new = known is None or known.incarnation != hello.incarnation
         if new or known.peer_address != hello.peer_address:
             self._members[hello.vm] = Member(
@@ -79,12 +77,13 @@
         return new
 
     def heard(self, beat: Beat, now_ms: float) -> bool:
-        """Take a sign of life; return False when the sender has yet to introduce itself."""
+        """Take a sign of life; return False when the sender's process has yet to introduce itself.
+
+        Incarnations are compared, never ordered: clocks may step back between two starts.
+        """
         member = self._members.get(beat.vm)
-        if member is None or member.incarnation < beat.incarnation:
+        if member is None or member.incarnation != beat.incarnation:
             return False
-        if member.incarnation > beat.incarnation:
-            return True
         member.heard_ms = now_ms
         member.ready = beat.ready
         member.reading = beat.reading
--- a/cloverhook/gateway/store.py
+++ b/cloverhook/gateway/store.py
@@ -33,11 +33,15 @@
 
 @dataclass(frozen=True, slots=True)
 class FeedSlice:
-    """Records of a feed: configurations, or records of backend servers; then `end_offset`."""
+    """Records of a feed: configurations, or records of backend servers; then `end_offset`.
+
+    `unreadable` names the records that could not be decoded, with the reason.
+    """
 
     configs: tuple[GatewayConfig, ...]
     servers: tuple[ServerRecord, ...]
     end_offset: int
+    unreadable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -98,6 +98,8 @@
     def _take(self, feed: Feed, found: FeedSlice, whole: bool) -> None:
         now_ms = monotonic_ms()
         knowledge = self._knowledge
+        for record in found.unreadable:
+            self._log.note(Kind.STORE, feed=feed.value, state="unreadable", record=record)
         if feed is Feed.CONFIG:
             news = [config for config in found.configs if knowledge.take_config(config, now_ms)]
             if news:
