--- a/bench/reference.py
+++ b/bench/reference.py
@@ -15,6 +15,9 @@
 from cloverhook import cli
 from cloverhook.errors import ANSWERS, ErrorKind
 from cloverhook.fleet import Policy
+from cloverhook.gateway.counters import METRICS, PREFIX
+from cloverhook.gateway.event_log import Kind
+from cloverhook.gateway.settings import GatewaySettings
 from cloverhook.metrics import Metric
 from cloverhook.settings import DaemonSettings
 from cloverhook.timeline import EventName
@@ -26,6 +29,8 @@
 ROW = re.compile(r"^\| `([^`]+)` \|(?:.*\|)? *([^|]*?) *\|$", re.MULTILINE)
 UNITS = {
     "_ms_per_s": "ms per second",
+    "_per_s": "a second",
+    "_s": "s",
     "_ms": "ms",
     "_bytes": "bytes",
     "_ratio": "0 to 1",
@@ -100,6 +105,22 @@
             ("Metric", "Kind", "Unit", "Labels", "Help", "When to act, and how"),
             tuple(_metric_row(metric) for metric in Metric),
         ),
+        Section(
+            "Settings of a gateway",
+            ("Setting", "Type", "Unit", "Default", "Meaning"),
+            _fields(GatewaySettings),
+        ),
+        Section(
+            "Metrics of a gateway",
+            ("Metric", "What it counts"),
+            tuple((PREFIX + name, meaning) for name, meaning in METRICS.items()),
+            by_hand=False,
+        ),
+        Section(
+            "Log lines of a gateway",
+            ("Kind", "Lines a second at most", "Meaning"),
+            tuple((kind.value, str(kind.lines_per_s)) for kind in Kind),
+        ),
         Section(
             "Events of the time line", ("Event", "Meaning"), tuple((e.value,) for e in EventName)
         ),
--- a/cloverhook/cli.py
+++ b/cloverhook/cli.py
@@ -15,6 +15,7 @@
 from cloverhook.config_commands import CONFIG_COMMANDS
 from cloverhook.errors import CloverhookError, ConfigError, SettingsError
 from cloverhook.events_command import EVENTS_COMMANDS
+from cloverhook.explain_command import EXPLAIN_COMMANDS
 from cloverhook.fleet_commands import FLEET_COMMANDS
 from cloverhook.platform_http import HttpPlatform
 from cloverhook.tool_settings import ToolSettings
@@ -22,7 +23,8 @@
 __all__ = ["COMMANDS", "run"]
 
 COMMANDS = {
-    command.name: command for command in (*CONFIG_COMMANDS, *FLEET_COMMANDS, *EVENTS_COMMANDS)
+    command.name: command
+    for command in (*CONFIG_COMMANDS, *FLEET_COMMANDS, *EVENTS_COMMANDS, *EXPLAIN_COMMANDS)
 }
 HELP_FLAGS = frozenset(("--help", "-help", "-h"))
 OWN_FLAGS = (
--- a/cloverhook/gateway/counters.py
+++ b/cloverhook/gateway/counters.py
@@ -7,7 +7,24 @@
 
 from bisect import bisect_left
 
-__all__ = ["Counters"]
+__all__ = ["METRICS", "PREFIX", "Counters"]
+
+METRICS = {
+    "answers": "requests that have ended, by service and cause",
+    "latency": "from a request's arrival to its answer, by route",
+    "repeats": "requests sent once more, by service",
+    "repeats_denied": "repeats for which no allowance was left, by service",
+    "store_calls": "calls to the store, by feed and whether they were answered",
+    "config_version": "the version of the configuration in force",
+    "registry_version": "the offset of the newest record of a backend server that is known",
+    "backend_servers": "backend servers that are known",
+    "members_alive": "other gateways heard a moment ago",
+    "reading_store": "1 while this gateway reads the store for the others",
+    "waiting": "requests that wait for room at a backend server",
+    "probes": "probes sent",
+    "connects": "connections made to backend servers",
+    "log_lines_dropped": "log lines over their budget, or that nobody read",
+}
 
 BUCKETS_MS = (5, 10, 25, 50, 100, 150, 200, 300, 400, 600, 800, 1_000, 1_500, 2_000, 4_000)
 PREFIX = "cloverhook_gateway_"
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -79,7 +79,7 @@
         self._answer_directory = directory
         self._log = EventLog(settings.vm, write_log)
         self._counters = Counters()
-        self._knowledge = Knowledge()
+        self._knowledge = Knowledge(settings.drain_s * 1000)
         self._members = Members(settings.vm, settings.data_center, now_ms)
         own = Hello(
             settings.vm,
@@ -97,7 +97,9 @@
             self._on_peer_figure,
             self._on_room,
         )
-        self._follower = StoreFollower(store, self._knowledge, self._on_news, self._log)
+        self._follower = StoreFollower(
+            store, self._knowledge, self._on_news, self._log, self._counters
+        )
         self._pool = BackendPool()
         self._prober = Prober(headers, self._on_figure)
         estimates = WorkEstimates()
@@ -237,6 +239,7 @@
         counters.set("backend_servers", len(knowledge.registry))
         counters.set("members_alive", len(self._members.alive(monotonic_ms())))
         counters.set("reading_store", int(self._follower.reading))
+        counters.set("waiting", self._forwarder.waiting())
         counters.set("probes", self._prober.probes)
         counters.set("connects", self._pool.connects)
         counters.set("log_lines_dropped", self._log.dropped_total)
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -112,6 +112,9 @@
         """Return the answer to a caller's request; a fault of ours is logged and told as such."""
         try:
             return await self._handle(request)
+        except asyncio.CancelledError:
+            self._counters.add("answers", service="", cause=ErrorKind.CALLER_GONE.value)
+            raise
         except Exception:
             request_id = find(request.headers, self._headers.request_id) or b""
             trace = traceback.format_exc()
@@ -134,6 +137,9 @@
         self._allowance.count(service, request.arrived_ms)
         try:
             answer = await self._bring_to_end(run)
+        except asyncio.CancelledError:
+            self._report(run, self._error(ErrorKind.CALLER_GONE))
+            raise
         finally:
             for task in run.tasks:
                 task.cancel()
@@ -215,6 +221,10 @@
                 self._count(future.result(), -1)
             raise
 
+    def waiting(self) -> int:
+        """Return how many requests wait for room."""
+        return len(self._line)
+
     def look_at_waiting(self) -> None:
         """Start or refuse the waiting requests whose time has come."""
         for service in self._line.services():
@@ -253,7 +263,10 @@
             return False
         arrived = any(item.outcome is not Outcome.NOT_SENT for item in run.results) or run.tasks
         if arrived and not self._allowance.take(run.service, now_ms, self._vms()):
+            self._counters.add("repeats_denied", service=run.service)
             return False
+        if arrived:
+            self._counters.add("repeats", service=run.service)
         self._count(choice, 1)
         self._begin(run, choice)
         return True
--- a/cloverhook/gateway/knowledge.py
+++ b/cloverhook/gateway/knowledge.py
@@ -5,7 +5,7 @@
 """
 
 from cloverhook.gateway.load import LoadBoard
-from cloverhook.gateway.registry import Registry, ServerRecord
+from cloverhook.gateway.registry import DRAIN_MS, Registry, ServerRecord
 from cloverhook.gateway.routes import GatewayConfig
 
 __all__ = ["Knowledge"]
@@ -17,10 +17,10 @@
 class Knowledge:
     """The configuration in force, the registry and the load board."""
 
-    def __init__(self) -> None:
+    def __init__(self, drain_ms: float = DRAIN_MS) -> None:
         self.config: GatewayConfig | None = None
         self.config_at_ms = 0.0
-        self.registry = Registry()
+        self.registry = Registry(drain_ms)
         self.board = LoadBoard()
         self._store_back_ms = -STORE_AWAY_MS
 
--- a/cloverhook/gateway/registry.py
+++ b/cloverhook/gateway/registry.py
@@ -13,11 +13,12 @@
 from dataclasses import asdict, dataclass, replace
 from typing import Any
 
-__all__ = ["BackendServer", "Registry", "ServerRecord"]
+__all__ = ["DRAIN_MS", "BackendServer", "Registry", "ServerRecord"]
 
 TOMBSTONES_LIMIT = 4_096
-HOLD_MS = 1_500.0
-"""How long a vanished entry stays in use: it must get no work after two seconds."""
+HOLD_SHARE = 0.75
+"""The part of the time until it must get no more work for which a vanished entry stays in use."""
+DRAIN_MS = 2_000.0
 LAPSE_HOLD_MS = 2_400.0
 """The same when half of a service vanishes at once, or the store was away: they are back in 2 s."""
 LAPSE_SHARE = 0.5
@@ -49,8 +50,9 @@
 class Registry:
     """Backend servers by incarnation and by service."""
 
-    def __init__(self) -> None:
+    def __init__(self, drain_ms: float = DRAIN_MS) -> None:
         self.version = -1
+        self._hold_ms = HOLD_SHARE * drain_ms
         self._servers: dict[str, BackendServer] = {}
         self._offsets: dict[str, int] = {}
         self._gone: dict[str, int] = {}
@@ -170,7 +172,7 @@
             self._drop(name)
             return True
         lapse = self._is_lapse(server.service, now_ms) or store_was_away
-        hold_ms = LAPSE_HOLD_MS if lapse else HOLD_MS
+        hold_ms = LAPSE_HOLD_MS if lapse else self._hold_ms
         self._leaves_at_ms[name] = now_ms + hold_ms
         if lapse:
             for other in self._by_service.get(server.service, ()):
--- a/cloverhook/gateway/settings.py
+++ b/cloverhook/gateway/settings.py
@@ -26,9 +26,9 @@
     """What a gateway has to know before it starts.
 
     Addresses are `ip:port`.  `seed_addresses` names peers to ask while the store is away;
-    `drain_s` is how soon a backend server that leaves must get no more work, `config_s` how soon a
-    configuration must be in force, `stop_s` how long a planned stop may take.  At the
-    `first_start` of a whole fleet there is time to let one VM read the store for all.  Over
+    `drain_s` is how soon a backend server that leaves must get no more work, `stop_s` how long a
+    planned stop may take.  At the `first_start` of a whole fleet there is time to let one VM read
+    the store for all.  Over
     `retry_window_s`, all gateways together may repeat `retry_ratio` of a service's requests and
     `retry_extra` more.
     """
@@ -44,7 +44,6 @@
     first_start: bool = False
     metrics_port: int = kind(Integer(0, 65_535), 0)
     drain_s: float = kind(Number(0, HOUR_S), 2)
-    config_s: float = kind(Number(0, HOUR_S), 2)
     stop_s: float = kind(Number(0, HOUR_S), 6)
     retry_ratio: float = kind(Number(0, 1), 0.2)
     retry_window_s: float = kind(Number(0.1, HOUR_S), 10)
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -9,6 +9,7 @@
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import PlatformError
+from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.event_log import EventLog, Kind
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.store import Feed, FeedSlice, HistoryLostError, Store
@@ -37,11 +38,13 @@
         knowledge: Knowledge,
         on_news: Callable[[tuple[str, ...]], None],
         log: EventLog,
+        counters: Counters,
     ) -> None:
         self._store = store
         self._knowledge = knowledge
         self._on_news = on_news
         self._log = log
+        self._counters = counters
         self._tasks: list[asyncio.Task[None]] = []
         self._answers: dict[Feed, bool] = {}
         self._failing_since_ms: dict[Feed, float] = {}
@@ -124,9 +127,11 @@
             away_ms = round(now_ms - since_ms)
             self._log.note(Kind.STORE, feed=feed.value, state="regained", away_ms=away_ms)
         self._answers[feed] = True
+        self._counters.add("store_calls", feed=feed.value, answered="yes")
 
     def _failed(self, feed: Feed, error: PlatformError) -> None:
         if feed not in self._failing_since_ms:
             self._failing_since_ms[feed] = monotonic_ms()
             self._log.note(Kind.STORE, feed=feed.value, state="lost", error=str(error))
         self._answers[feed] = False
+        self._counters.add("store_calls", feed=feed.value, answered="no")
