--- /dev/null
+++ b/cloverhook_emulator/log_store_server.py
@@ -0,0 +1,159 @@
+"""A small stand-in for the users' store: a log with keyed topics, over HTTP.
+
+It speaks what the adapter in `platform/` calls: appends with a condition, reads that wait, the
+newest record of each key in pages, lost history.  Trouble is switched on by its attributes.
+"""
+
+import asyncio
+import base64
+import json
+import struct
+from dataclasses import dataclass, field
+from urllib.parse import parse_qsl
+
+from cloverhook.gateway.calls import CallerAnswer, CallerRequest
+from cloverhook.gateway.ingress import Ingress
+
+__all__ = ["LogStoreServer", "Topic"]
+
+LENGTH = struct.Struct(">I")
+POSITIONS = struct.Struct(">QQ")
+JSON = [(b"content-type", b"application/json")]
+PAGE_ITEMS = 3
+"""Far below the real page, so that tests see several."""
+
+
+@dataclass
+class Topic:
+    """The records of a topic's only partition, from `first` on."""
+
+    records: list[bytes] = field(default_factory=list)
+    first: int = 0
+    newest: dict[str, tuple[bytes, int]] = field(default_factory=dict)
+
+    @property
+    def end(self) -> int:
+        """The offset that the next record will get."""
+        return self.first + len(self.records)
+
+    def append(self, record: bytes) -> None:
+        """Append one record and keep it as the newest of its key."""
+        key_end = 1 + record[0]
+        key, value = record[1:key_end].decode(), record[key_end:]
+        if value:
+            self.newest[key] = (value, self.end)
+        else:
+            self.newest.pop(key, None)
+        self.records.append(record)
+
+    def forget(self) -> None:
+        """Drop all records; the newest of each key stay."""
+        self.first = self.end
+        self.records.clear()
+
+
+class LogStoreServer:
+    """The store and its listener.
+
+    `refuse_status` refuses every call, `silent` answers none, `lost_answers` lets as many writes
+    take effect without an answer, `delay_ms` delays every answer.
+    """
+
+    def __init__(self) -> None:
+        self.topics: dict[str, Topic] = {}
+        self.calls: list[str] = []
+        self.refuse_status = 0
+        self.silent = False
+        self.lost_answers = 0
+        self.delay_ms = 0.0
+        self._changed = asyncio.Event()
+        self._ingress = Ingress(self._handle)
+
+    async def listen(self, address: str) -> None:
+        """Open the listener."""
+        await self._ingress.listen(address)
+
+    def close(self) -> None:
+        """Close the listener."""
+        self._ingress.close_listener()
+        self._ingress.close_idle()
+
+    def topic(self, name: str) -> Topic:
+        """Return a topic, made at its first use."""
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, topic: str, key: str, value: bytes = b"") -> None:
+        """Append a record of a key; without a value the key is dropped."""
+        self.topic(topic).append(bytes([len(key)]) + key.encode() + value)
+        self._changed.set()
+
+    async def _handle(self, request: CallerRequest) -> CallerAnswer:
+        self.calls.append(request.path)
+        if self.silent:
+            await asyncio.Event().wait()
+        await asyncio.sleep(self.delay_ms / 1000)
+        if self.refuse_status:
+            return CallerAnswer(self.refuse_status, JSON, b"{}")
+        query = dict(parse_qsl(request.target.partition(b"?")[2].decode()))
+        topic = self.topic(query["topic"])
+        match request.path:
+            case "/api/log-append":
+                return await self._append(topic, query, request.body)
+            case "/api/log-read":
+                return await self._read(topic, int(query["from"]), int(query.get("waitMs", 0)))
+            case "/api/log-newest":
+                return self._newest(topic, query.get("after", ""))
+        return CallerAnswer(404, JSON, b"{}")
+
+    async def _append(self, topic: Topic, query: dict[str, str], body: bytes) -> CallerAnswer:
+        if "at" in query and int(query["at"]) != topic.end:
+            return _json({"endOffset": topic.end}, 412)
+        start = topic.end
+        place = 0
+        while place < len(body):
+            (size_bytes,) = LENGTH.unpack_from(body, place)
+            place += LENGTH.size
+            topic.append(body[place : place + size_bytes])
+            place += size_bytes
+        self._changed.set()
+        if self.lost_answers:
+            self.lost_answers -= 1
+            await asyncio.Event().wait()
+        return _json({"offset": start, "endOffset": topic.end})
+
+    async def _read(self, topic: Topic, start: int, wait_ms: int) -> CallerAnswer:
+        if start >= topic.end:
+            await self._wait(topic, start, wait_ms)
+        if start < topic.first:
+            return _json({"firstOffset": topic.first}, 410)
+        parts = [POSITIONS.pack(topic.end, topic.first)]
+        for record in topic.records[start - topic.first :]:
+            parts += (LENGTH.pack(len(record)), record)
+        return CallerAnswer(200, [], b"".join(parts))
+
+    async def _wait(self, topic: Topic, start: int, wait_ms: int) -> None:
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                while start >= topic.end:
+                    self._changed.clear()
+                    await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _newest(self, topic: Topic, after: str) -> CallerAnswer:
+        names = sorted(name for name in topic.newest if name > after)
+        page = names[:PAGE_ITEMS]
+        items = [
+            {
+                "key": name,
+                "value": base64.b64encode(topic.newest[name][0]).decode(),
+                "offset": topic.newest[name][1],
+            }
+            for name in page
+        ]
+        more = len(names) > len(page)
+        return _json({"items": items, "hasMore": more, "endOffset": topic.end})
+
+
+def _json(document: dict[str, object], status: int = 200) -> CallerAnswer:
+    return CallerAnswer(status, JSON, json.dumps(document).encode())
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -62,6 +62,7 @@
     pace: int = 100
     connections: int = 0
     tasks: set = field(default_factory=set)
+    names: CallHeaders = NAMES
 
     async def start(self, context):
         """Listen until the scenario ends."""
@@ -104,12 +105,12 @@
             self._write(writer, 200, b"", incarnation=True)
             return True
         self.seen.append((lines[0], headers, body))
-        wanted = headers.get(NAMES.incarnation_wanted, b"").decode()
+        wanted = headers.get(self.names.incarnation_wanted, b"").decode()
         if wanted != self.incarnation:
             self._write(writer, 421, b"")
             return True
         what = self.script.pop(0) if self.script else self.default
-        return await self._answer(what, headers[NAMES.request_id], reader, writer)
+        return await self._answer(what, headers[self.names.request_id], reader, writer)
 
     async def _answer(self, what, request_id, reader, writer):
         if what == "reject":
@@ -154,17 +155,17 @@
         writer.write(self._head(status, len(body), request_id, **fields) + body)
 
     def _head(self, status, length, request_id=b"", receipt=True, not_run=False, incarnation=False):
-        lines = [b"HTTP/1.1 %d X" % status, NAMES.load + b": 0,0,4,%d" % self.pace]
+        lines = [b"HTTP/1.1 %d X" % status, self.names.load + b": 0,0,4,%d" % self.pace]
         if length is not None:
             lines.append(b"Content-Length: %d" % length)
         if request_id:
-            lines.append(NAMES.request_id + b": " + request_id)
+            lines.append(self.names.request_id + b": " + request_id)
         if not_run:
-            lines.append(NAMES.not_run + b": 1")
+            lines.append(self.names.not_run + b": 1")
         elif receipt and request_id:
-            lines.append(NAMES.receipt + b": " + RECEIPT.encode())
+            lines.append(self.names.receipt + b": " + RECEIPT.encode())
         if incarnation:
-            lines.append(NAMES.incarnation + b": " + self.incarnation.encode())
+            lines.append(self.names.incarnation + b": " + self.incarnation.encode())
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
--- /dev/null
+++ b/features/platform_adapter.feature
@@ -0,0 +1,35 @@
+Feature: The adapter to the users' platform
+  It translates the platform's names and calls, and decides nothing.
+
+  Scenario: A configuration, entries and members are read from the store
+    Given a stand-in of the store with a configuration, 5 entries and 4 other members
+    Then the adapter reads the configuration with all its fields
+    And it reads all entries though they come in pages
+    And it announces a member and finds all
+
+  Scenario: Changes are read as they come, also the end of an entry
+    Given a stand-in of the store with a configuration, 5 entries and 4 other members
+    When an entry is changed and another one dropped while the adapter waits
+    Then the adapter gets both with their offsets
+
+  Scenario: Lost history, refusals and silence are told apart
+    Given a stand-in of the store with a configuration, 5 entries and 4 other members
+    Then a read of lost history says so
+    And a refused call is known to have done nothing
+    And a call without an answer is not, and the next one works on a new connection
+
+  Scenario: A record that can't be read hides no other
+    Given a stand-in of the store with a configuration, 5 entries and 4 other members
+    When an entry lacks its address
+    Then the adapter names it and reads the others
+
+  Scenario: The settings that the platform fills in are valid
+    Given the template of the settings
+    Then filled in as the platform does, it is valid and complete
+    And a setting that is wrong is named
+
+  Scenario: A gateway serves from the stand-in of the store
+    Given a stand-in of the store and a gateway with the adapter
+    When a backend server and a configuration are written there
+    Then callers are served, with the platform's headers
+    And the directory answers in the platform's form
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,315 @@
+"""Steps that put the adapter of the users' platform before a stand-in of its store."""
+
+import asyncio
+import json
+import re
+import sys
+import tomllib
+from pathlib import Path
+
+from behave import given, then, when
+
+import features
+from cloverhook.errors import PlatformError, PlatformSilentError, SettingsError
+from cloverhook.gateway.daemon import Gateway
+from cloverhook.gateway.settings import GatewaySettings
+from cloverhook.gateway.store import Feed, HistoryLostError, MemberRecord
+from cloverhook_emulator.log_store_server import LogStoreServer
+from features import gateway_fleet as fleet
+from features.shared import run
+
+ROOT = Path(features.__file__).resolve().parent.parent
+sys.path.append(str(ROOT / "platform"))
+
+from cloverhook_platform import store_client  # noqa: E402
+from cloverhook_platform.directory import answer_directory  # noqa: E402
+from cloverhook_platform.names import HEADERS, MEMBERS_TOPIC, TOPICS  # noqa: E402
+from cloverhook_platform.store_client import HttpStore  # noqa: E402
+
+CONFIG = TOPICS[Feed.CONFIG]
+SERVERS = TOPICS[Feed.SERVERS]
+SHORT_MS = 200
+DOCUMENT = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-write",
+            "host": fleet.HOST,
+            "pathPrefix": "/write/",
+            "kind": "unsafe",
+            "timeout": 1.2,
+            "targetLatency": 0.4,
+            "priority": 1,
+            "service": "orders",
+            "maxAttempts": 2,
+        },
+        {
+            "name": "r-read",
+            "host": fleet.HOST,
+            "pathPrefix": "/read/",
+            "kind": "safe",
+            "timeout": 1,
+            "targetLatency": 0.3,
+            "priority": 2,
+            "trafficSplit": [
+                {"service": "orders", "weight": 90},
+                {"service": "menus", "weight": 10},
+            ],
+            "maxAttempts": 2,
+        },
+    ],
+    "services": [
+        {"name": "orders", "healthPath": "/health", "maxConnections": 220, "protocol": "h1"},
+        {"name": "menus", "healthPath": "/health", "maxConnections": 220, "protocol": "h1"},
+    ],
+    "limits": {
+        "maxHeaderBytes": 16_384,
+        "maxBodyBytes": 67_108_864,
+        "headerTimeout": 3,
+        "idleTimeout": 15,
+    },
+}
+FIELDS = {
+    "nodeName": "front-1",
+    "zone": "papine",
+    "ip": "10.1.0.35",
+    "bootstrap": True,
+    "listen": {
+        "front": "10.1.0.35:8144",
+        "ready": "10.1.0.35:8140",
+        "directory": "10.1.0.35:8143",
+    },
+    "internalPorts": [7660, 7675],
+    "seeds": ["10.1.0.35:8146", "10.2.0.28:8146"],
+    "platform": {"address": "10.200.1.7:8142"},
+    "bounds": {
+        "drain": 2,
+        "grace": 6,
+        "retryBudgetRatio": 0.2,
+        "retryWindow": 10,
+        "retryBudgetExtra": 56,
+        "ttl_max": 5,
+    },
+}
+
+
+def entry(address="10.0.0.1:9000", state="ready"):
+    """Return the value of an entry."""
+    fields = {
+        "service": "orders",
+        "address": address,
+        "zone": "papine",
+        "version": "v1",
+        "slots": 4,
+        "state": state,
+        "warmupLeft": 2.5,
+        "seq": 4,
+    }
+    return json.dumps(fields).encode()
+
+
+async def start_store(context):
+    """Start the stand-in and the adapter's client."""
+    address = fleet.free_address()
+    context.server = LogStoreServer()
+    await context.server.listen(address)
+    context.stack.callback(context.server.close)
+    context.client = HttpStore(address)
+    context.stack.callback(context.client.close)
+    return address
+
+
+@given("a stand-in of the store with a configuration, 5 entries and 4 other members")
+def step_store(context):
+    run(context, start_store(context))
+    server = context.server
+    server.put(CONFIG, "config", json.dumps(DOCUMENT).encode())
+    server.put(CONFIG, "else", b"{}")
+    for number in range(5):
+        server.put(SERVERS, f"i-{number}", entry())
+    for number in range(4):
+        server.put(MEMBERS_TOPIC, f"vm-{number}", b'["papine", "10.0.0.2:1", "10.0.0.2:2"]')
+
+
+@then("the adapter reads the configuration with all its fields")
+def step_config(context):
+    found = run(context, context.client.newest(Feed.CONFIG))
+    (config,) = found.configs
+    assert config.version == 7 and not found.unreadable
+    write, read = config.routes
+    assert not write.idempotent and read.idempotent
+    assert (write.timeout_ms, write.aim_ms, write.priority, write.attempts) == (1200, 400, 1, 2)
+    assert [(part.service, part.weight) for part in read.parts] == [("orders", 90), ("menus", 10)]
+    assert config.services["orders"].connections == 220
+    assert (config.limits.header_timeout_ms, config.limits.idle_timeout_ms) == (3_000, 15_000)
+
+
+@then("it reads all entries though they come in pages")
+def step_entries(context):
+    found = run(context, context.client.newest(Feed.SERVERS))
+    assert sorted(item.incarnation for item in found.servers) == [f"i-{x}" for x in range(5)]
+    assert found.end_offset == 5
+    server = found.servers[0].server
+    assert (server.service, server.data_center, server.slots) == ("orders", "papine", 4)
+    assert not server.draining
+
+
+@then("it announces a member and finds all")
+def step_members(context):
+    own = MemberRecord("vm-own", "papine", "10.0.0.3:1", "10.0.0.3:2")
+    run(context, context.client.announce(own))
+    found = run(context, context.client.members())
+    assert own in found and len(found) == 5
+
+
+@when("an entry is changed and another one dropped while the adapter waits")
+def step_change(context):
+    async def change():
+        task = asyncio.ensure_future(context.client.changes(Feed.SERVERS, 5, 5_000))
+        await fleet.until(lambda: context.server.calls)
+        context.server.put(SERVERS, "i-1", entry(state="draining"))
+        context.server.put(SERVERS, "i-2")
+        context.found = await task
+
+    run(context, change())
+
+
+@then("the adapter gets both with their offsets")
+def step_both(context):
+    first, second = context.found.servers
+    assert (first.incarnation, first.offset, first.server.draining) == ("i-1", 5, True)
+    assert (second.incarnation, second.offset, second.server) == ("i-2", 6, None)
+    assert context.found.end_offset == 7
+
+
+def raised(context, work):
+    """Return the error that a call raises."""
+    try:
+        run(context, work)
+    except (PlatformError, HistoryLostError) as error:
+        return error
+    raise AssertionError("no error was raised")
+
+
+@then("a read of lost history says so")
+def step_lost(context):
+    context.server.topic(SERVERS).forget()
+    error = raised(context, context.client.changes(Feed.SERVERS, 2, 100))
+    assert isinstance(error, HistoryLostError)
+
+
+@then("a refused call is known to have done nothing")
+def step_refused(context):
+    context.server.refuse_status = 429
+    error = raised(context, context.client.newest(Feed.SERVERS))
+    assert isinstance(error, PlatformError) and not isinstance(error, PlatformSilentError)
+    context.server.refuse_status = 0
+
+
+@then("a call without an answer is not, and the next one works on a new connection")
+def step_silent(context):
+    before, store_client.TIMEOUT_MS = store_client.TIMEOUT_MS, SHORT_MS
+    try:
+        context.server.lost_answers = 1
+        own = MemberRecord("vm-own", "papine", "10.0.0.3:1", "10.0.0.3:2")
+        assert isinstance(raised(context, context.client.announce(own)), PlatformSilentError)
+    finally:
+        store_client.TIMEOUT_MS = before
+    assert own in run(context, context.client.members())
+
+
+@when("an entry lacks its address")
+def step_unreadable(context):
+    context.server.put(SERVERS, "i-bad", b'{"service": "orders"}')
+
+
+@then("the adapter names it and reads the others")
+def step_named(context):
+    found = run(context, context.client.newest(Feed.SERVERS))
+    assert len(found.servers) == 5
+    assert len(found.unreadable) == 1 and "i-bad" in found.unreadable[0]
+
+
+@given("the template of the settings")
+def step_template(context):
+    context.template = (ROOT / "deploy" / "gateway.toml").read_text()
+
+
+def fill(template, fields):
+    """Fill in a template as far as this project uses its language."""
+
+    def value(path):
+        found = fields
+        for name in path.split("."):
+            found = found[int(name)] if name.isdigit() else found[name]
+        return found
+
+    def section(match):
+        return ", ".join(json.dumps(item) for item in value(match.group(1)))
+
+    def single(match):
+        found = value(match.group(1))
+        return found if isinstance(found, str) and not match.group(2) else json.dumps(found)
+
+    text = re.sub(r"\{\{#(\w+)\}\}\{\{\.\|json\}\}\{\{,\}\}\{\{/\w+\}\}", section, template)
+    return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", single, text)
+
+
+@then("filled in as the platform does, it is valid and complete")
+def step_valid(context):
+    context.document = tomllib.loads(fill(context.template, FIELDS))
+    settings = GatewaySettings.from_document(context.document)
+    assert settings.peer_address == "10.1.0.35:7660"
+    assert settings.seed_addresses == tuple(FIELDS["seeds"])
+    assert settings.first_start and settings.retry_extra == 56
+
+
+@then("a setting that is wrong is named")
+def step_wrong(context):
+    try:
+        GatewaySettings.from_document({**context.document, "retry_ratio": 2, "speed": 1})
+    except SettingsError as error:
+        assert "retry_ratio" in str(error) and "speed" in str(error)
+        return
+    raise AssertionError("wrong settings were taken")
+
+
+@given("a stand-in of the store and a gateway with the adapter")
+def step_gateway(context):
+    async def start():
+        address = await start_store(context)
+        context.settings = fleet.gateway_settings("vm-1", store_address=address)
+        gateway = Gateway(context.settings, HttpStore(address), HEADERS, answer_directory, len)
+        await gateway.start()
+        context.stack.push_async_callback(fleet.stop_gateway, gateway)
+        context.gateway = gateway
+
+    run(context, start())
+
+
+@when("a backend server and a configuration are written there")
+def step_written(context):
+    async def write():
+        context.backend = await fleet.Backend("i-0", names=HEADERS).start(context)
+        context.server.put(SERVERS, "i-0", entry(context.backend.address))
+        context.server.put(CONFIG, "config", json.dumps(DOCUMENT).encode())
+        await fleet.until(context.gateway._is_ready)
+
+    run(context, write())
+
+
+@then("callers are served, with the platform's headers")
+def step_served(context):
+    lines = ("X-Cloverhook-Request-Id: q-1", "X-Cloverhook-Deadline-Ms: 900")
+    address = context.settings.caller_address
+    answer = run(context, fleet.call(address, "/write/x", "POST", lines=lines, body=b"pay"))
+    assert answer.status == 200 and answer.headers["x-cloverhook-server-stamp"], answer
+    assert context.backend.ran == [b"q-1"]
+
+
+@then("the directory answers in the platform's form")
+def step_directory(context):
+    work = fleet.call(context.settings.directory_address, "/api/resolve?name=a&zone=papine")
+    answer = run(context, work)
+    document = json.loads(answer.body)
+    assert document == {"addresses": [context.settings.caller_address], "ttl": 5.0}, document
