--- /dev/null
+++ b/features/explain.feature
@@ -0,0 +1,26 @@
+Feature: Why a request ended as it did
+  The logs alone tell it, whatever stands between the lines and in whatever order they come.
+
+  Scenario Outline: The cause of a failed request is found from its identifier
+    Given gateways and backend servers whose log lines are kept
+    When a request fails because <trouble>
+    Then its story names the cause <cause>
+    And it names each backend server that was asked, its load, the age of that and the outcome
+    And it says what the gateway had learned before
+
+    Examples:
+      | trouble                               | cause           |
+      | every backend server rejects it       | refused         |
+      | its backend server stays silent       | deadline-in-run |
+      | its backend server breaks off         | connection-cut  |
+      | no route matches it                   | unknown-host    |
+
+  Scenario: A request that no line names
+    Given gateways and backend servers whose log lines are kept
+    Then the story of an unknown identifier says that nothing names it
+
+  Scenario: The command reads files and folders, and says when there is nothing
+    Given gateways and backend servers whose log lines are kept
+    When a request fails because every backend server rejects it
+    Then the command tells its story from a folder of logs of two collectors
+    And it complains about a file that is not there
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -191,10 +191,10 @@
     )
 
 
-async def start_gateway(context, name="vm-1", store=None, **fields):
+async def start_gateway(context, name="vm-1", store=None, write_log=len, **fields):
     """Start a gateway that ends with the scenario."""
     settings = gateway_settings(name, **fields)
-    gateway = Gateway(settings, store or context.store, NAMES, answer_directory, len)
+    gateway = Gateway(settings, store or context.store, NAMES, answer_directory, write_log)
     await gateway.start()
     context.stack.push_async_callback(stop_gateway, gateway)
     return gateway, settings
