Avoid endpoints that a peer can't reach; give up a connect after 120 ms

Change: an endpoint out of reach has the usual pace and the mark; a connect may take 120 ms. The feature 'A backend server that a peer can't reach attracts nothing' fails without it. Also: the code that reports a request's end is a module of its own.

--- a/cloverhook/gateway/backend_pool.py
+++ b/cloverhook/gateway/backend_pool.py
@@ -17,8 +17,8 @@
 
 __all__ = ["BackendPool"]
 
-CONNECT_TIMEOUT_MS = 400.0
-"""Many times the longest way; a backend server that does not accept by then is taken for lost."""
+CONNECT_TIMEOUT_MS = 120.0
+"""Many times the way between data centres, below the time a short request has for two tries."""
 KEEP_DEFAULT_MS = 3_000.0
 """How long an idle connection is kept where the backend server does not say."""
 KEEP_MARGIN_MS = 1_000.0
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -31,6 +31,7 @@
 from cloverhook.gateway.peering import Peering
 from cloverhook.gateway.prober import Prober
 from cloverhook.gateway.registry import BackendServer
+from cloverhook.gateway.request_report import RequestReport
 from cloverhook.gateway.retry_allowance import RetryAllowance
 from cloverhook.gateway.routes import IngressLimits
 from cloverhook.gateway.settings import GatewaySettings
@@ -122,8 +123,7 @@
             headers,
             lambda: self._members.count(monotonic_ms()),
             self._peering.count_changed,
-            self._log,
-            self._counters,
+            RequestReport(self._knowledge, self._log, self._counters),
         )
         self._callers = Ingress(self._serve_caller, self._limits)
         self._ready = Ingress(self._answer_ready)
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -7,9 +7,7 @@
 
 import asyncio
 import random
-import traceback
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import ErrorKind, answer_for
@@ -18,9 +16,9 @@
 from cloverhook.gateway.balancer import Balancer, Choice, WorkEstimates
 from cloverhook.gateway.call_headers import CallHeaders, find
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
-from cloverhook.gateway.counters import Counters
-from cloverhook.gateway.event_log import EventLog, Kind
 from cloverhook.gateway.knowledge import Knowledge
+from cloverhook.gateway.request_report import RequestReport
+from cloverhook.gateway.request_run import RequestRun
 from cloverhook.gateway.retry_allowance import RetryAllowance
 from cloverhook.gateway.routes import Route
 from cloverhook.gateway.splits import Splits
@@ -41,31 +39,6 @@
 """The part of an endpoint's connections that the gateways use together."""
 
 
-@dataclass(slots=True, eq=False)
-class _Run:
-    """A request on its way, with what has been tried."""
-
-    request: CallerRequest
-    request_id: bytes
-    route: Route
-    service: str
-    deadline_ms: float
-    attempts: list[Attempt] = field(default_factory=list)
-    results: list[AttemptResult] = field(default_factory=list)
-    tasks: dict[asyncio.Task[AttemptResult], Attempt] = field(default_factory=dict)
-    nudge: asyncio.Future[None] | None = None
-
-    @property
-    def tried(self) -> set[str]:
-        """The incarnations that have been tried."""
-        return {attempt.choice.server.incarnation for attempt in self.attempts}
-
-    @property
-    def maybe_runs(self) -> int:
-        """How many backend servers may have run the request, or may be running it."""
-        return sum(1 for attempt in self.attempts if attempt.sent)
-
-
 class Forwarder:
     """Serves callers' requests."""
 
@@ -79,8 +52,7 @@
         headers: CallHeaders,
         vms: Callable[[], int],
         on_count: Callable[[], None],
-        log: EventLog,
-        counters: Counters,
+        report: RequestReport,
     ) -> None:
         self._knowledge = knowledge
         self._balancer = balancer
@@ -89,13 +61,12 @@
         self._headers = headers
         self._vms = vms
         self._on_count = on_count
-        self._log = log
-        self._counters = counters
+        self._report = report
         self._estimates = estimates
         self._line = WaitingLine(balancer)
         self._waiting: dict[Waiter, asyncio.Future[Choice | None]] = {}
         self._splits = Splits()
-        self._running: dict[str, set[_Run]] = {}
+        self._running: dict[str, set[RequestRun]] = {}
 
     def pace_changed(self, incarnation: str) -> None:
         """Look again at the requests that run at a backend server whose pace has fallen."""
@@ -112,40 +83,35 @@
         """Return the answer to a caller's request; a fault of ours is logged and told as such."""
         try:
             return await self._handle(request)
-        except asyncio.CancelledError:
-            self._counters.add("answers", service="", cause=ErrorKind.CALLER_GONE.value)
-            raise
         except Exception:
-            request_id = find(request.headers, self._headers.request_id) or b""
-            trace = traceback.format_exc()
-            self._log.note(Kind.FAULT, part="forwarding", id=_text(request_id), error=trace)
+            self._report.fault(find(request.headers, self._headers.request_id) or b"")
             return self._error(ErrorKind.INTERNAL)
 
     async def _handle(self, request: CallerRequest) -> CallerAnswer:
         config = self._knowledge.config
         request_id = find(request.headers, self._headers.request_id) or b""
         if config is None:
-            return self._refuse(
-                request, request_id, ErrorKind.NO_BACKEND_SERVER, "no configuration"
-            )
+            kind, reason = ErrorKind.NO_BACKEND_SERVER, "no configuration"
+            return self._turn_away(request, request_id, kind, reason)
         route = config.find(request.host, request.path)
         if route is None:
-            return self._refuse(request, request_id, ErrorKind.UNKNOWN_HOST, "no route")
+            kind, reason = ErrorKind.UNKNOWN_HOST, "no route"
+            return self._turn_away(request, request_id, kind, reason)
         service = self._splits.next(route)
         deadline_ms = request.arrived_ms + self._time_left_ms(request, route)
-        run = _Run(request, request_id, route, service, deadline_ms)
+        run = RequestRun(request, request_id, route, service, deadline_ms)
         self._allowance.count(service, request.arrived_ms)
         try:
             answer = await self._bring_to_end(run)
         except asyncio.CancelledError:
-            self._report(run, self._error(ErrorKind.CALLER_GONE))
+            self._report.ended(run, self._error(ErrorKind.CALLER_GONE))
             raise
         finally:
             for task in run.tasks:
                 task.cancel()
             for attempt in run.attempts:
                 self._no_longer_at(run, attempt)
-        self._report(run, answer)
+        self._report.ended(run, answer)
         return answer
 
     def _time_left_ms(self, request: CallerRequest, route: Route) -> float:
@@ -154,7 +120,7 @@
             return route.timeout_ms
         return min(float(told), route.timeout_ms)
 
-    async def _bring_to_end(self, run: _Run) -> CallerAnswer:
+    async def _bring_to_end(self, run: RequestRun) -> CallerAnswer:
         choice = await self._admit(run)
         if choice is None:
             return self._final(run)
@@ -174,7 +140,7 @@
                 self._start(run)
         return self._final(run)
 
-    async def _wait(self, run: _Run) -> set[asyncio.Task[AttemptResult]]:
+    async def _wait(self, run: RequestRun) -> set[asyncio.Task[AttemptResult]]:
         """Wait for the end of an attempt, or until the request wants another look."""
         awaited: set[asyncio.Future] = set(run.tasks)
         if self._can_hedge(run):
@@ -188,7 +154,7 @@
         run.nudge = None
         return done
 
-    def _no_longer_at(self, run: _Run, attempt: Attempt) -> None:
+    def _no_longer_at(self, run: RequestRun, attempt: Attempt) -> None:
         incarnation = attempt.choice.server.incarnation
         runs = self._running.get(incarnation)
         if runs is not None:
@@ -196,7 +162,7 @@
             if not runs:
                 del self._running[incarnation]
 
-    async def _admit(self, run: _Run) -> Choice | None:
+    async def _admit(self, run: RequestRun) -> Choice | None:
         """Wait for room at a backend server; return None when the request is refused."""
         route = run.route
         waiter = Waiter(
@@ -251,7 +217,7 @@
         self._knowledge.board.of(choice.server.incarnation).in_flight += change
         self._on_count()
 
-    def _start(self, run: _Run) -> bool:
+    def _start(self, run: RequestRun) -> bool:
         """Start another attempt if one is allowed and there is a backend server for it."""
         now_ms = monotonic_ms()
         if run.deadline_ms - now_ms < LAST_MS:
@@ -263,15 +229,15 @@
             return False
         arrived = any(item.outcome is not Outcome.NOT_SENT for item in run.results) or run.tasks
         if arrived and not self._allowance.take(run.service, now_ms, self._vms()):
-            self._counters.add("repeats_denied", service=run.service)
+            self._report.repeated(run.service, allowed=False)
             return False
         if arrived:
-            self._counters.add("repeats", service=run.service)
+            self._report.repeated(run.service, allowed=True)
         self._count(choice, 1)
         self._begin(run, choice)
         return True
 
-    def _begin(self, run: _Run, choice: Choice) -> None:
+    def _begin(self, run: RequestRun, choice: Choice) -> None:
         """Start an attempt at a backend server where the request already counts."""
         attempt = Attempt(
             run.request,
@@ -301,7 +267,7 @@
             return 1
         return max(2, int(CONNECTION_SHARE * spec.connections / self._vms()))
 
-    def _may_repeat(self, run: _Run) -> bool:
+    def _may_repeat(self, run: RequestRun) -> bool:
         """Return whether the request may be sent once more after a failure."""
         if len(run.attempts) >= SENDS_LIMIT or run.tasks:
             return False
@@ -309,7 +275,7 @@
             return True
         return run.route.idempotent and run.maybe_runs < run.route.attempts
 
-    def _wait_ms(self, run: _Run) -> float:
+    def _wait_ms(self, run: RequestRun) -> float:
         """Return how long to wait before the next look at the request."""
         now_ms = monotonic_ms()
         waits = [run.deadline_ms]
@@ -319,7 +285,7 @@
                 waits.append(run.request.arrived_ms + HEDGE_SHARE * run.route.aim_ms)
         return min(waits) - now_ms + 0.1
 
-    def _can_hedge(self, run: _Run) -> bool:
+    def _can_hedge(self, run: RequestRun) -> bool:
         return (
             run.route.idempotent
             and len(run.tasks) == 1
@@ -327,7 +293,7 @@
             and run.maybe_runs < run.route.attempts
         )
 
-    def _wants_hedge(self, run: _Run) -> bool:
+    def _wants_hedge(self, run: RequestRun) -> bool:
         """Return whether a second backend server should start on the request now."""
         if not self._can_hedge(run):
             return False
@@ -339,7 +305,7 @@
         load = self._knowledge.board.of(attempt.choice.server.incarnation)
         return load.pace(now_ms) >= SLOW_PACE
 
-    def _final(self, run: _Run) -> CallerAnswer:
+    def _final(self, run: RequestRun) -> CallerAnswer:
         """Return the answer to a request that no backend server has answered well."""
         answered = [item for item in run.results if item.answer is not None]
         if answered:
@@ -355,7 +321,7 @@
             kind = ErrorKind.OVERLOADED
         return self._error(kind)
 
-    def _measured(self, run: _Run, result: AttemptResult) -> None:
+    def _measured(self, run: RequestRun, result: AttemptResult) -> None:
         choice = result.choice
         if choice.load < choice.server.slots:
             route = run.route
@@ -368,73 +334,9 @@
             headers.append((b"retry-after", b"%.3f" % (random.uniform(*RETURN_MS) / 1000)))
         return CallerAnswer(answer.status, headers, kind.value.encode())
 
-    def _refuse(
+    def _turn_away(
         self, request: CallerRequest, request_id: bytes, kind: ErrorKind, reason: str
     ) -> CallerAnswer:
         answer = self._error(kind)
-        self._counters.add("answers", service="", cause=kind.value)
-        self._log.note(
-            Kind.ANSWER,
-            id=_text(request_id),
-            host=request.host,
-            path=request.path,
-            status=answer.status,
-            cause=kind.value,
-            reason=reason,
-            config=self._knowledge.config_version,
-        )
+        self._report.turned_away(request, request_id, kind, reason, answer)
         return answer
-
-    def _report(self, run: _Run, answer: CallerAnswer) -> None:
-        """Count a request that has ended, and log it if it is a sampled or a troubled one."""
-        now_ms = monotonic_ms()
-        latency_ms = now_ms - run.request.arrived_ms
-        won = any(item.answer is answer for item in run.results)
-        cause = "answered" if won else answer.body.decode()
-        self._counters.add("answers", service=run.service, cause=cause)
-        self._counters.observe("latency", latency_ms, route=run.route.name)
-        request_id = _text(run.request_id)
-        troubled = not won or answer.status >= 500 or len(run.attempts) > 1
-        if not troubled and not self._log.sampled(request_id):
-            return
-        config = self._knowledge.config
-        for attempt in run.attempts:
-            self._log_attempt(run, attempt, request_id)
-        self._log.note(
-            Kind.ANSWER if troubled else Kind.SAMPLE,
-            id=request_id,
-            route=run.route.name,
-            service=run.service,
-            status=answer.status,
-            cause=cause,
-            latency_ms=round(latency_ms, 1),
-            time_limit_ms=round(run.deadline_ms - run.request.arrived_ms),
-            attempts=len(run.attempts),
-            config=config.version if config is not None else -1,
-            config_age_ms=round(now_ms - self._knowledge.config_at_ms),
-            registry=self._knowledge.registry.version,
-        )
-
-    def _log_attempt(self, run: _Run, attempt: Attempt, request_id: str) -> None:
-        choice: Choice = attempt.choice
-        result = next((item for item in run.results if item.choice is choice), None)
-        self._log.note(
-            Kind.ATTEMPT,
-            id=request_id,
-            server=choice.server.incarnation,
-            address=choice.server.address,
-            expected_ms=round(choice.expected_ms),
-            load=choice.load,
-            slots=choice.server.slots,
-            pace=round(choice.pace, 2),
-            figure_age_ms=round(min(choice.figure_age_ms, 1e6)),
-            candidates=choice.candidates,
-            outcome="given-up" if result is None else result.outcome.value,
-            status=0 if result is None else result.status,
-            latency_ms=-1 if result is None else round(result.latency_ms, 1),
-            detail="" if result is None else result.detail,
-        )
-
-
-def _text(request_id: bytes) -> str:
-    return request_id.decode("latin-1")
--- a/cloverhook/gateway/load.py
+++ b/cloverhook/gateway/load.py
@@ -16,7 +16,7 @@
 """A peer repeats its counts four times a second; one that has stopped no longer counts."""
 FAILURE_STEP = 0.25
 FAILURE_HALF_LIFE_MS = 2_000.0
-UNREACHABLE_MS = 1_000.0
+UNREACHABLE_MS = 1_500.0
 """How long an endpoint without a connection is avoided if no probe says otherwise."""
 
 
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -105,4 +105,9 @@
 def _figure(
     incarnation: str, running: int, waiting: int, pace: int, age_ms: float
 ) -> tuple[str, LoadFigure, float]:
-    return incarnation, LoadFigure(running, waiting, max(pace, 1) / 100, pace >= 0), age_ms
+    reachable = pace >= 0
+    return (
+        incarnation,
+        LoadFigure(running, waiting, pace / 100 if reachable else 1.0, reachable),
+        age_ms,
+    )
--- /dev/null
+++ b/cloverhook/gateway/request_report.py
@@ -0,0 +1,114 @@
+"""Counts and logs the requests that have ended.
+
+Layer: transport.  The lines of a request are written together at its end: all of a request that
+failed, was refused or was sent more than once, and of a sample of the others.
+"""
+
+import traceback
+
+from cloverhook.clock import monotonic_ms
+from cloverhook.errors import ErrorKind
+from cloverhook.gateway.attempt import Attempt
+from cloverhook.gateway.balancer import Choice
+from cloverhook.gateway.calls import CallerAnswer, CallerRequest
+from cloverhook.gateway.counters import Counters
+from cloverhook.gateway.event_log import EventLog, Kind
+from cloverhook.gateway.knowledge import Knowledge
+from cloverhook.gateway.request_run import RequestRun
+
+__all__ = ["RequestReport"]
+
+FAILURE_STATUSES = 500
+
+
+class RequestReport:
+    """What is kept of requests for those who ask afterwards."""
+
+    def __init__(self, knowledge: Knowledge, log: EventLog, counters: Counters) -> None:
+        self._knowledge = knowledge
+        self._log = log
+        self._counters = counters
+
+    def repeated(self, service: str, allowed: bool) -> None:
+        """Count a repeat, or one for which no allowance was left."""
+        self._counters.add("repeats" if allowed else "repeats_denied", service=service)
+
+    def fault(self, request_id: bytes) -> None:
+        """Log the exception that is being handled."""
+        trace = traceback.format_exc()
+        self._log.note(Kind.FAULT, part="forwarding", id=_text(request_id), error=trace)
+
+    def turned_away(
+        self,
+        request: CallerRequest,
+        request_id: bytes,
+        kind: ErrorKind,
+        reason: str,
+        answer: CallerAnswer,
+    ) -> None:
+        """Report a request that has no route."""
+        self._counters.add("answers", service="", cause=kind.value)
+        self._log.note(
+            Kind.ANSWER,
+            id=_text(request_id),
+            host=request.host,
+            path=request.path,
+            status=answer.status,
+            cause=kind.value,
+            reason=reason,
+            config=self._knowledge.config_version,
+        )
+
+    def ended(self, run: RequestRun, answer: CallerAnswer) -> None:
+        """Count a request that has ended; log it if it is a sampled or a troubled one."""
+        now_ms = monotonic_ms()
+        latency_ms = now_ms - run.request.arrived_ms
+        won = any(item.answer is answer for item in run.results)
+        cause = "answered" if won else answer.body.decode()
+        self._counters.add("answers", service=run.service, cause=cause)
+        self._counters.observe("latency", latency_ms, route=run.route.name)
+        request_id = _text(run.request_id)
+        troubled = not won or answer.status >= FAILURE_STATUSES or len(run.attempts) > 1
+        if not troubled and not self._log.sampled(request_id):
+            return
+        config = self._knowledge.config
+        for attempt in run.attempts:
+            self._log_attempt(run, attempt, request_id)
+        self._log.note(
+            Kind.ANSWER if troubled else Kind.SAMPLE,
+            id=request_id,
+            route=run.route.name,
+            service=run.service,
+            status=answer.status,
+            cause=cause,
+            latency_ms=round(latency_ms, 1),
+            time_limit_ms=round(run.deadline_ms - run.request.arrived_ms),
+            attempts=len(run.attempts),
+            config=config.version if config is not None else -1,
+            config_age_ms=round(now_ms - self._knowledge.config_at_ms),
+            registry=self._knowledge.registry.version,
+        )
+
+    def _log_attempt(self, run: RequestRun, attempt: Attempt, request_id: str) -> None:
+        choice: Choice = attempt.choice
+        result = next((item for item in run.results if item.choice is choice), None)
+        self._log.note(
+            Kind.ATTEMPT,
+            id=request_id,
+            server=choice.server.incarnation,
+            address=choice.server.address,
+            expected_ms=round(choice.expected_ms),
+            load=choice.load,
+            slots=choice.server.slots,
+            pace=round(choice.pace, 2),
+            figure_age_ms=round(min(choice.figure_age_ms, 1e6)),
+            candidates=choice.candidates,
+            outcome="given-up" if result is None else result.outcome.value,
+            status=0 if result is None else result.status,
+            latency_ms=-1 if result is None else round(result.latency_ms, 1),
+            detail="" if result is None else result.detail,
+        )
+
+
+def _text(request_id: bytes) -> str:
+    return request_id.decode("latin-1")
--- /dev/null
+++ b/cloverhook/gateway/request_run.py
@@ -0,0 +1,38 @@
+"""A request on its way through the gateway, with what has been tried.
+
+Layer: transport.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from cloverhook.gateway.attempt import Attempt, AttemptResult
+from cloverhook.gateway.calls import CallerRequest
+from cloverhook.gateway.routes import Route
+
+__all__ = ["RequestRun"]
+
+
+@dataclass(slots=True, eq=False)
+class RequestRun:
+    """A request on its way, with what has been tried."""
+
+    request: CallerRequest
+    request_id: bytes
+    route: Route
+    service: str
+    deadline_ms: float
+    attempts: list[Attempt] = field(default_factory=list)
+    results: list[AttemptResult] = field(default_factory=list)
+    tasks: dict[asyncio.Task[AttemptResult], Attempt] = field(default_factory=dict)
+    nudge: asyncio.Future[None] | None = None
+
+    @property
+    def tried(self) -> set[str]:
+        """The incarnations that have been tried."""
+        return {attempt.choice.server.incarnation for attempt in self.attempts}
+
+    @property
+    def maybe_runs(self) -> int:
+        """How many backend servers may have run the request, or may be running it."""
+        return sum(1 for attempt in self.attempts if attempt.sent)
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -53,6 +53,11 @@
     Then all requests go to the third of them
     And with the own ones full they go to the other data centre
 
+  Scenario: A backend server that a peer can't reach attracts nothing
+    Given a balancer over 6 backend servers, 3 of them in another data centre
+    When a peer tells that it can't reach two of the own data centre
+    Then all requests go to the third of them
+
   Scenario: A stale figure is not believed
     Given a balancer over 6 backend servers, 3 of them in another data centre
     When a figure that says 7 times as long is 800 ms old
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -227,6 +227,14 @@
     fill(context, "near-1")
 
 
+@when("a peer tells that it can't reach two of the own data centre")
+def step_peer_unreachable(context):
+    nobody = LoadFigure(0, 0, 1.0, reachable=False)
+    told = Loads("vm-2", (("near-0", nobody, 0.0), ("near-1", nobody, 0.0)))
+    for name, figure, age_ms in decode(encode(told)).figures:
+        context.board.of(name).report(figure, context.now_ms - age_ms)
+
+
 @then("all requests go to the third of them")
 def step_third(context):
     assert chosen(context) == {"near-2"}
