--- a/cloverhook/gateway/backend_pool.py
+++ b/cloverhook/gateway/backend_pool.py
@@ -25,7 +25,9 @@
 """A connection is given up this long before the backend server would close it."""
 KEEP_PREFIX = b"timeout="
 IDLE_LIMIT_MS = 60_000.0
-IDLE_FLOOR_MS = 250.0
+IDLE_FLOOR_MS = 400.0
+FORGOTTEN_IDLE_MS = 800.0
+"""A reset after less idle time has another cause, such as a backend server that is full."""
 IDLE_CUT = 0.5
 """A service whose connections are reset after some idle time keeps them for half of that."""
 UNSAFE_IDLE_MS = 2_000.0
@@ -82,6 +84,8 @@
         if not connection.idle_since_ms:
             return
         idle_ms = monotonic_ms() - connection.idle_since_ms
+        if idle_ms < FORGOTTEN_IDLE_MS:
+            return
         known_ms = self._idle_limit_ms.get(server.service, IDLE_LIMIT_MS)
         limit_ms = max(IDLE_FLOOR_MS, min(known_ms, idle_ms * IDLE_CUT))
         self._idle_limit_ms[server.service] = limit_ms
--- a/cloverhook/gateway/load.py
+++ b/cloverhook/gateway/load.py
@@ -10,8 +10,10 @@
 __all__ = ["LoadBoard", "LoadFigure", "ServerLoad"]
 
 USUAL_PACE = 1.0
-FRESH_FIGURE_MS = 700.0
-"""A figure older than this no longer tells the pace: neighbours change it twice a second."""
+UNKNOWN_PACE = 2.0
+"""What is assumed without a fresh figure: worse than usual, better than a known slow one."""
+FRESH_FIGURE_MS = 1_500.0
+"""Other data centres send a figure when it changes and after a second; one may be lost."""
 FRESH_COUNT_MS = 700.0
 """A peer repeats its counts four times a second; one that has stopped no longer counts."""
 FAILURE_STEP = 0.25
@@ -101,7 +103,7 @@
     def pace(self, now_ms: float) -> float:
         """Return how long work takes there now, as a multiple of usual."""
         if self._figure is None or self.age_ms(now_ms) > FRESH_FIGURE_MS:
-            return USUAL_PACE
+            return UNKNOWN_PACE if self._figure is not None else USUAL_PACE
         return self._figure.pace
 
     def unreachable(self, now_ms: float) -> bool:
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -60,8 +60,8 @@
 
   Scenario: A stale figure is not believed
     Given a balancer over 6 backend servers, 3 of them in another data centre
-    When a figure that says 7 times as long is 800 ms old
-    Then its backend server gets requests again
+    When a figure that says 7 times as long is 1600 ms old
+    Then its backend server is taken for neither the best nor the worst
 
   Scenario: A backend server that fails its requests gets few
     Given a balancer over 6 backend servers, 3 of them in another data centre
