Let two VMs read the store

Change: two VMs read, with longer waits; a reader that fails or ceases says so at once, and when none is left the next one starts without waiting. Test: a reader whose connection has gone silent; it waits for ever where only one VM reads.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -26,7 +26,7 @@
 from cloverhook.gateway.ingress import Ingress
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadFigure
-from cloverhook.gateway.members import Members
+from cloverhook.gateway.members import READERS, Members
 from cloverhook.gateway.peer_messages import Hello
 from cloverhook.gateway.peering import Peering
 from cloverhook.gateway.prober import Prober
@@ -271,7 +271,9 @@
             self._log.note(Kind.SERVER, source="hold time", gone=incarnation)
         self._tell_readiness()
         self._probe(now_ms)
-        self._peering.reading = self._follower.reading
+        if self._peering.reading != self._follower.reading:
+            self._peering.reading = self._follower.reading
+            self._peering.beat_now()
         self._peering.tick(now_ms)
         if now_ms >= self._sweep_due_ms:
             self._sweep_due_ms = now_ms + SWEEP_MS
@@ -301,11 +303,12 @@
         wanted = self._members.reads_store(self._follower.reading, now_ms, hurry)
         if not self._follower.active and wanted and not self._leaving:
             self._follower.start()
-        elif self._follower.active and not wanted and self._other_reads(now_ms):
-            self._follower.stop("another VM reads")
+        elif self._follower.active and not wanted and self._others_read(now_ms):
+            self._follower.stop("others read")
 
-    def _other_reads(self, now_ms: float) -> bool:
-        return any(member.reading for member in self._members.alive(now_ms))
+    def _others_read(self, now_ms: float) -> bool:
+        alive = self._members.alive(now_ms)
+        return sum(1 for member in alive if member.reading) >= READERS
 
     def _on_news(self, touched: tuple[str, ...]) -> None:
         """Pass on what the store has told."""
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -1,9 +1,10 @@
 """The VMs of the fleet as this one sees them, and which of them reads the store.
 
-Layer: coordination.  Every VM may read the store at any time, so nothing depends on who does; one
-reader is only cheaper, because each call is paid for.  A VM reads when it has heard of no reader
-that succeeds for a while, the earlier the higher it ranks, and stops when it hears of one that
-ranks higher.  No VM's word is needed for another's decision to be right.
+Layer: coordination.  Every VM may read the store at any time, so nothing depends on who does; few
+readers are only cheaper, because each call is paid for.  There are two, as nothing shows at once
+that the connection of one has gone silent.  A VM reads when it has heard of fewer readers that
+succeed for a while, the earlier the higher it ranks, and stops when it hears of two that rank
+higher.  No VM's word is needed for another's decision to be right.
 """
 
 from dataclasses import dataclass
@@ -12,12 +13,13 @@
 
 from cloverhook.gateway.peer_messages import Beat, Hello
 
-__all__ = ["Member", "Members"]
+__all__ = ["READERS", "Member", "Members"]
 
 SILENT_MS = 2_500.0
 """A member unheard for this long gets no callers: two beats of the slow kind were lost."""
+READERS = 2
 READER_SILENT_MS = 900.0
-"""Without a word of a reader for this long, another VM reads: two of its beats were lost."""
+"""Without a word of enough readers for this long, another VM reads: two beats were lost."""
 TAKEOVER_STEP_MS = 150.0
 """Each rank waits this much longer before it reads, so that the first one is heard by the rest."""
 FORGET_MS = 120_000.0
@@ -48,8 +50,8 @@
         self._own_vm = own_vm
         self._data_center = data_center
         self._members: dict[str, Member] = {}
-        self._reader_heard_ms = now_ms
-        self._reader = ""
+        self._enough_readers_ms = now_ms
+        self._was_read = False
 
     def all(self) -> tuple[Member, ...]:
         """Return every member, also silent ones."""
@@ -90,8 +92,6 @@
         member.leaving = beat.leaving
         member.config_version = max(member.config_version, beat.config_version)
         member.registry_version = max(member.registry_version, beat.registry_version)
-        if beat.reading:
-            self._reader, self._reader_heard_ms = beat.vm, now_ms
         return True
 
     def alive(self, now_ms: float) -> tuple[Member, ...]:
@@ -141,20 +141,19 @@
             for item in self._members.values()
             if item.reading and not item.leaving and now_ms - item.heard_ms < READER_SILENT_MS
         ]
+        own = _weight("reader", self._own_vm)
         if reading:
-            own = _weight("reader", self._own_vm)
-            return all(_weight("reader", item.vm) < own for item in others)
-        if others:
+            return sum(1 for item in others if _weight("reader", item.vm) > own) < READERS
+        if len(others) >= READERS:
+            self._enough_readers_ms = now_ms
+            self._was_read = True
             return False
-        ranked = sorted(
-            [self._own_vm, *(item.vm for item in self.alive(now_ms) if item.vm != self._reader)],
-            key=lambda vm: _weight("reader", vm),
-            reverse=True,
-        )
-        wait_ms = TAKEOVER_STEP_MS * ranked.index(self._own_vm)
-        if not hurry:
+        idle = [item.vm for item in self.alive(now_ms) if item not in others]
+        wait_ms = TAKEOVER_STEP_MS * sum(1 for vm in idle if _weight("reader", vm) > own)
+        patient = not (hurry or self._was_read)
+        if others or patient:
             wait_ms += READER_SILENT_MS
-        return now_ms - self._reader_heard_ms >= wait_ms
+        return now_ms - self._enough_readers_ms >= wait_ms
 
     def forget(self, now_ms: float) -> None:
         """Drop members that have been silent for long."""
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -16,9 +16,9 @@
 
 __all__ = ["StoreFollower"]
 
-WAIT_MS = 1_500
-"""With the client's own timeout on top, a silent connection shows before a change is overdue."""
-GAP_MS = 100.0
+WAIT_MS = 3_000
+"""A silent connection shows after this and the client's own timeout; another VM reads meanwhile."""
+GAP_MS = 200.0
 """Changes that come within this time are taken in one call: calls are paid for."""
 RETRY_MS = (100.0, 200.0, 400.0, 600.0)
 AWAY_MS = 400.0
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -92,13 +92,19 @@
     When a request of priority 1 waits for longer than its objective allows
     Then it is started or refused, and not held to its deadline
 
-  Scenario: One VM reads the store, and another takes over when it falls silent
+  Scenario: Two VMs read the store, and another takes over when one falls silent
     Given 5 VMs that hear each other
-    Then one of them reads the store within 2 seconds
-    When the reader falls silent
-    Then another one reads within 2 seconds
+    Then two of them read the store within 3 seconds
+    When a reader falls silent
+    Then two others read within 3 seconds
     When the former reader comes back
-    Then one of them reads the store within 2 seconds
+    Then two of them read the store within 3 seconds
+
+  Scenario: Both readers fall silent
+    Given 5 VMs that hear each other
+    Then two of them read the store within 3 seconds
+    When both readers fall silent
+    Then another one reads within 1 seconds
 
   Scenario: A VM that knows nothing after a restart reads at once
     Given 1 VMs that hear each other
--- a/features/gateway_peers.feature
+++ b/features/gateway_peers.feature
@@ -1,11 +1,17 @@
 Feature: Gateways among each other
   What one knows reaches all, and serving goes on without the store.
 
-  Scenario: One gateway reads the store for all
-    Given 3 gateways and 2 backend servers
+  Scenario: Two gateways read the store for all
+    Given 4 gateways and 2 backend servers
     When the configuration and the backend servers change
     Then all gateways follow
-    And in the next 3 seconds at most 1 of them reads the store
+    And in the next 3 seconds at most 2 of them read the store
+
+  Scenario: A reader whose connection to the store has gone silent
+    Given 3 gateways and 2 backend servers
+    When the store never answers one of the readers again
+    And the configuration and the backend servers change
+    Then all gateways follow
 
   Scenario: Serving goes on while the store is away
     Given 3 gateways and 2 backend servers
