--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -29,7 +29,7 @@
 
 @then('"{command}" comes to give {code:d} and "{output}" once the reads under way have ended')
 def step_comes_to(context, command, code, output):
-    """A read that waits for a record hears of the outage only when its wait ends."""
+    """Ask until it does: a read that waits hears of an outage only when its wait ends."""
 
     async def given():
         found, text, errors = await context.fleet.tool(*command.split())
