--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -47,10 +47,8 @@
 ANNOUNCE_RETRY_MS = 700.0
 ACCEPT_SHARE = 0.55
 """The part of a planned stop for which callers with old answers are still taken."""
-QUIET_MS = 700.0
-"""A leaving VM that has had no request for this long ends before its time."""
-GOODBYE_MS = 400.0
-"""What is left of a planned stop when the last requests are given up."""
+GOODBYE_MS = 800.0
+"""What is left of a planned stop when the last requests are given up: a slow VM needs it to end."""
 
 DirectoryHandler = Callable[[CallerRequest, list[str], float], CallerAnswer]
 
@@ -132,7 +130,6 @@
         self._told_version = -1
         self._probe_due_ms = 0.0
         self._sweep_due_ms = 0.0
-        self._last_request_ms = now_ms
         self._leaving = False
         self._was_ready = False
         self._stopped = asyncio.Event()
@@ -218,7 +215,6 @@
         return IngressLimits() if config is None else config.limits
 
     async def _serve_caller(self, request: CallerRequest) -> CallerAnswer:
-        self._last_request_ms = request.arrived_ms
         return await self._forwarder.handle(request)
 
     async def _answer_ready(self, request: CallerRequest) -> CallerAnswer:
