--- /dev/null
+++ b/features/gateway_soak.py
@@ -0,0 +1,467 @@
+"""A randomized soak: real gateway processes, callers that never rest, and faults from outside.
+
+`python -m features.gateway_soak FIRST COUNT` plays so many seeds.  Each starts gateways as
+processes of their own before the stand-in of the users' store and scripted backend servers, and
+brings about faults in series and overlapping: processes killed, paused, stopped and restarted by
+signals, the store silent, refusing, forgetful, backend servers that fail, drain, vanish or give
+their address to another incarnation, configurations that follow each other.  What is checked holds
+at any speed of the machine, so a busy one changes no verdict.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import SimpleNamespace
+
+import features
+from cloverhook_emulator.log_store_server import LogStoreServer
+from features import gateway_fleet as fleet
+
+ROOT = Path(features.__file__).resolve().parent.parent
+sys.path.append(str(ROOT / "platform"))
+
+from cloverhook_platform.names import HEADERS, TOPICS  # noqa: E402
+
+GATEWAYS = 4
+BACKENDS = 4
+CALLERS = 12
+STEPS = 10
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+ATTEMPTS = 2
+CALM_S = 60
+FAILING = ("reject", "reset", "error", "silent", "half", "foreign", "unframed-reset")
+
+
+@dataclass
+class GatewayProcess:
+    """A gateway's place: the process in it changes."""
+
+    name: str
+    addresses: dict
+    process: asyncio.subprocess.Process | None = None
+    disturbed: bool = False
+    lives: int = 0
+
+    @property
+    def alive(self):
+        """Return whether a process is there."""
+        return self.process is not None and self.process.returncode is None
+
+
+@dataclass
+class Call:
+    """What a caller sent, where, and what it got."""
+
+    request_id: str
+    idempotent: bool
+    gateway: GatewayProcess
+    life: int
+    answer: fleet.Answer | None = None
+
+
+@dataclass
+class Soak:
+    """One seed's run."""
+
+    seed: int
+    folder: Path
+    stack: AsyncExitStack
+    source: random.Random = None
+    store: LogStoreServer = field(default_factory=LogStoreServer)
+    store_address: str = ""
+    gateways: list = field(default_factory=list)
+    backends: list = field(default_factory=list)
+    gone: list = field(default_factory=list)
+    calls: list = field(default_factory=list)
+    faults: list = field(default_factory=list)
+    clean_ends: list = field(default_factory=list)
+    version: int = 0
+    number: int = 0
+
+    async def play(self):
+        """Play the seed and return what was found wrong."""
+        self.source = random.Random(self.seed)
+        self.store_address = fleet.free_address()
+        await self.store.listen(self.store_address)
+        self.stack.callback(self.store.close)
+        for _ in range(BACKENDS):
+            await self.add_backend()
+        self.put_config()
+        for index in range(GATEWAYS):
+            self.gateways.append(self._place(f"vm-{index}"))
+            await self.start(self.gateways[-1])
+        self.stack.push_async_callback(self.end_all)
+        await self.until_served()
+        callers = [asyncio.ensure_future(self.caller(index)) for index in range(CALLERS)]
+        for _ in range(STEPS):
+            await self.fault()
+            await asyncio.sleep(self.source.uniform(0.1, 0.6))
+        await self.calm()
+        await self.until_served()
+        for task in callers:
+            task.cancel()
+        await asyncio.wait(callers)
+        await asyncio.sleep(0.3)
+        return self.wrong()
+
+    # The deployment.
+
+    def _place(self, name):
+        addresses = {
+            key: fleet.free_address()
+            for key in ("caller_address", "ready_address", "directory_address", "peer_address")
+        }
+        settings = {
+            "vm": name,
+            "data_center": self.source.choice(("papine", "halfway-tree")),
+            "store_address": self.store_address,
+            "stop_s": 2,
+            **addresses,
+        }
+        text = "\n".join(f"{key} = {json.dumps(value)}" for key, value in settings.items())
+        (self.folder / f"{name}.toml").write_text(text)
+        return GatewayProcess(name, addresses)
+
+    async def start(self, gateway):
+        """Start a process in a gateway's place."""
+        log = (self.folder / f"{gateway.name}.log").open("ab")
+        environment = {
+            **os.environ,
+            "CLOVERHOOK_CONFIG": str(self.folder / f"{gateway.name}.toml"),
+        }
+        gateway.process = await asyncio.create_subprocess_exec(
+            sys.executable, "platform/main.py", cwd=ROOT, stdout=log, stderr=log, env=environment
+        )
+        log.close()
+        gateway.disturbed = False
+        gateway.lives += 1
+
+    async def end_all(self):
+        """End what the soak started, by its own process objects."""
+        for gateway in self.gateways:
+            if gateway.alive:
+                gateway.process.kill()
+                await gateway.process.wait()
+
+    async def add_backend(self, address_of=None):
+        """Start a backend server and register it."""
+        self.number += 1
+        backend = await fleet.Backend(f"i-{self.number}", names=HEADERS).start(self)
+        self.backends.append(backend)
+        self.put(backend)
+        return backend
+
+    def put(self, backend, state="ready"):
+        """Write a backend server's entry."""
+        entry = {
+            "service": fleet.SERVICE,
+            "address": backend.address,
+            "zone": "papine",
+            "slots": 4,
+            "state": state,
+            "warmupLeft": 0,
+        }
+        topic = TOPICS[next(feed for feed in TOPICS if feed.value == "servers")]
+        self.store.put(topic, backend.incarnation, json.dumps(entry).encode())
+
+    def put_config(self):
+        """Write the next version of the configuration."""
+        self.version += self.source.randrange(1, 4)
+        routes = [
+            {
+                "name": name,
+                "host": fleet.HOST,
+                "pathPrefix": prefix,
+                "kind": kind,
+                "timeout": 1.5,
+                "targetLatency": 0.5,
+                "priority": priority,
+                "service": fleet.SERVICE,
+                "maxAttempts": ATTEMPTS,
+            }
+            for name, prefix, kind, priority in (
+                ("read", fleet.SAFE, "safe", 2),
+                ("write", fleet.UNSAFE, "unsafe", 1),
+            )
+        ]
+        document = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": fleet.SERVICE, "healthPath": "/health", "maxConnections": 200}],
+            "limits": {
+                "maxHeaderBytes": 16_384,
+                "maxBodyBytes": 65_536,
+                "headerTimeout": 3,
+                "idleTimeout": 15,
+            },
+        }
+        topic = TOPICS[next(feed for feed in TOPICS if feed.value == "config")]
+        self.store.put(topic, "config", json.dumps(document).encode())
+
+    # Callers.
+
+    async def caller(self, index):
+        """Ask for addresses now and then, and call without rest."""
+        addresses, count = [], 0
+        while True:
+            if not addresses or count % 5 == 0:
+                addresses = await self.look_up() or addresses
+            count += 1
+            place = self.source.choice(addresses) if addresses else None
+            gateway = next(
+                (x for x in self.gateways if x.addresses["caller_address"] == place), None
+            )
+            if gateway is None:
+                await asyncio.sleep(0.02)
+                continue
+            await self.call(gateway, f"c{index}-{count}", self.source.random() < 0.5)
+            await asyncio.sleep(0.01)
+
+    async def look_up(self):
+        """Return what a gateway names."""
+        gateway = self.source.choice(self.gateways)
+        with contextlib.suppress(OSError, ValueError, TimeoutError):
+            async with asyncio.timeout(2):
+                address = gateway.addresses["directory_address"]
+                answer = await fleet.call(address, "/api/resolve?name=a&zone=papine")
+                return json.loads(answer.body)["addresses"]
+        return []
+
+    async def call(self, gateway, request_id, idempotent):
+        """Send a request and keep what comes back."""
+        made = Call(request_id, idempotent, gateway, gateway.lives)
+        self.calls.append(made)
+        path = fleet.SAFE if idempotent else fleet.UNSAFE
+        lines = (
+            f"{HEADERS.request_id.decode()}: {request_id}",
+            f"{HEADERS.timeout_ms.decode()}: 1200",
+        )
+        address = gateway.addresses["caller_address"]
+        method, body = ("GET", b"") if idempotent else ("POST", b"pay")
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(10):
+                made.answer = await fleet.call(address, path, method, lines=lines, body=body)
+        return made.answer
+
+    # Faults.
+
+    async def fault(self):
+        """Bring about one fault; many outlast the step."""
+        kinds = (
+            self.kill,
+            self.pause,
+            self.stop_planned,
+            self.hang_up,
+            self.store_trouble,
+            self.store_forgets,
+            self.backend_trouble,
+            self.backend_drains,
+            self.backend_vanishes,
+            self.address_reused,
+            self.change_config,
+        )
+        kind = self.source.choice(kinds)
+        self.faults.append(kind.__name__)
+        await kind()
+
+    def _running(self):
+        alive = [item for item in self.gateways if item.alive and not item.disturbed]
+        return self.source.choice(alive) if len(alive) > 1 else None
+
+    async def kill(self):
+        """Kill a gateway and start another process in its place."""
+        gateway = self._running()
+        if gateway is not None:
+            gateway.disturbed = True
+            gateway.process.kill()
+            await gateway.process.wait()
+            await self.start(gateway)
+
+    async def pause(self):
+        """Let a gateway stand still for a while."""
+        gateway = self._running()
+        if gateway is not None:
+            gateway.disturbed = True
+            gateway.process.send_signal(signal.SIGSTOP)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.source.uniform(0.2, 2.0), self._wake, gateway.process)
+
+    def _wake(self, process):
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+
+    async def stop_planned(self):
+        """Stop a gateway as planned; another process takes its place when it has ended."""
+        gateway = self._running()
+        if gateway is not None:
+            gateway.process.send_signal(signal.SIGTERM)
+            self.clean_ends.append(asyncio.ensure_future(self._replace(gateway, gateway.process)))
+
+    async def _replace(self, gateway, process):
+        code = await process.wait()
+        disturbed = gateway.disturbed
+        if gateway.process is process:
+            await self.start(gateway)
+        return 0 if disturbed else code
+
+    async def hang_up(self):
+        """Tell a gateway that its settings may have changed."""
+        gateway = self._running()
+        if gateway is not None:
+            gateway.process.send_signal(signal.SIGHUP)
+
+    async def store_trouble(self):
+        """Let the store refuse, be silent or slow for a while."""
+        self.store.refuse_status = self.source.choice((0, 429, 503))
+        self.store.silent = self.source.random() < 0.3
+        self.store.delay_ms = self.source.choice((0, 300))
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.source.uniform(0.3, 2.0), self._store_well)
+
+    def _store_well(self):
+        self.store.refuse_status, self.store.silent, self.store.delay_ms = 0, False, 0
+
+    async def store_forgets(self):
+        """Drop the store's history."""
+        for topic in self.store.topics.values():
+            topic.forget()
+
+    async def backend_trouble(self):
+        """Let a backend server fail some requests, or all for a while."""
+        backend = self.source.choice(self.backends)
+        what = self.source.choice(FAILING)
+        backend.script = [what] * self.source.randrange(1, 8)
+
+    async def backend_drains(self):
+        """Let one drain and end, after another has come."""
+        backend = self.backends.pop(0)
+        await self.add_backend()
+        self.put(backend, "draining")
+        self.gone.append(backend)
+
+    async def backend_vanishes(self):
+        """Let an entry vanish and come back, as after a lapse."""
+        backend = self.source.choice(self.backends)
+        topic = TOPICS[next(feed for feed in TOPICS if feed.value == "servers")]
+        self.store.put(topic, backend.incarnation)
+        asyncio.get_running_loop().call_later(self.source.uniform(0.1, 1.5), self.put, backend)
+
+    async def address_reused(self):
+        """Let another incarnation have an address; the old entry stays for a while."""
+        backend = self.source.choice(self.backends)
+        self.number += 1
+        before, backend.incarnation = backend.incarnation, f"i-{self.number}"
+        self.put(backend)
+        topic = TOPICS[next(feed for feed in TOPICS if feed.value == "servers")]
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.source.uniform(0.0, 1.0), self.store.put, topic, before)
+
+    async def change_config(self):
+        """Write further versions."""
+        for _ in range(self.source.randrange(1, 4)):
+            self.put_config()
+
+    # The end.
+
+    async def calm(self):
+        """End all faults."""
+        self._store_well()
+        for backend in self.backends:
+            backend.script, backend.default = [], "ok"
+        for gateway in self.gateways:
+            self._wake(gateway.process)
+        if self.clean_ends:
+            await asyncio.wait(self.clean_ends)
+        for gateway in self.gateways:
+            if not gateway.alive:
+                await self.start(gateway)
+
+    async def until_served(self):
+        """Wait until every gateway serves."""
+        async with asyncio.timeout(CALM_S):
+            for gateway in self.gateways:
+                count = 0
+                while True:
+                    count += 1
+                    name = f"calm-{gateway.name}-{gateway.lives}-{len(self.calls)}-{count}"
+                    answer = await self.call(gateway, name, True)
+                    if answer is not None and answer.status == 200:
+                        break
+                    await asyncio.sleep(0.05)
+
+    def wrong(self):
+        """Return every promise that was broken."""
+        runs = {}
+        for backend in (*self.backends, *self.gone):
+            for request_id in backend.ran:
+                runs[request_id.decode()] = runs.get(request_id.decode(), 0) + 1
+        found = [
+            f"a planned stop ended with {task.result()}"
+            for task in self.clean_ends
+            if task.result()
+        ]
+        for call in self.calls:
+            found += self._wrong_call(call, runs.get(call.request_id, 0))
+        return found
+
+    def _wrong_call(self, call, runs):
+        answer = call.answer
+        if not call.idempotent and runs > 1:
+            yield f"{call.request_id} may run once and ran {runs} times"
+        if call.idempotent and runs > ATTEMPTS:
+            yield f"{call.request_id} ran {runs} times"
+        if answer is None or not answer.status:
+            return
+        if not call.idempotent and runs and answer.status in PROMISES_NOT_RUN:
+            yield f"{call.request_id} ran and was told {answer.status}"
+        if answer.status == 200 and answer.whole:
+            if answer.headers.get(HEADERS.request_id.decode()) != call.request_id:
+                yield f"{call.request_id} got another request's answer"
+            if HEADERS.receipt.decode() not in answer.headers:
+                yield f"{call.request_id} got a success without a receipt"
+            if not runs:
+                yield f"{call.request_id} got a success and has not run"
+
+
+async def play(seed):
+    """Play one seed; return what was wrong, the faults and the number of calls."""
+    async with AsyncExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="cloverhook-soak-")))
+        context = SimpleNamespace(stack=stack)
+        soak = Soak(seed, folder, context.stack)
+        wrong = await soak.play()
+        faults = [
+            line
+            for log in sorted(folder.glob("*.log"))
+            for line in log.read_text(errors="replace").splitlines()
+            if '"kind":"fault"' in line or line.startswith("Traceback")
+        ]
+        return [*wrong, *faults], soak
+
+
+def main(arguments):
+    """Play the seeds that the arguments name and return the exit code."""
+    first, count = (int(item) for item in arguments)
+    bad = 0
+    for seed in range(first, first + count):
+        wrong, soak = asyncio.run(play(seed))
+        answered = sum(1 for x in soak.calls if x.answer is not None and x.answer.status == 200)
+        print(f"seed {seed}: {len(soak.calls)} calls, {answered} answered 200, {len(wrong)} wrong")
+        print(f"  faults: {' '.join(soak.faults)}")
+        for item in wrong[:10]:
+            print(f"  WRONG: {item}")
+        bad += bool(wrong)
+    print(f"{count - bad} seeds kept all promises, {bad} did not", flush=True)
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/features/steps/gateway_soak_steps.py
@@ -0,0 +1,23 @@
+"""Steps that play seeds of the soak."""
+
+from behave import then, when
+
+from features.gateway_soak import STEPS, play
+from features.shared import run
+
+
+@when("the soak plays seed {seed:d}")
+def step_play(context, seed):
+    context.wrong, context.soak = run(context, play(seed))
+
+
+@then("nothing that callers and backend servers have seen breaks a promise")
+def step_nothing_wrong(context):
+    assert not context.wrong, (context.wrong[:10], context.soak.faults)
+
+
+@then("callers were served, during the faults and after them")
+def step_served(context):
+    answered = [x for x in context.soak.calls if x.answer is not None and x.answer.status == 200]
+    assert len(context.soak.faults) == STEPS
+    assert len(answered) > len(context.soak.calls) / 2, (len(answered), len(context.soak.calls))
