--- a/features/gateway_soak.py
+++ b/features/gateway_soak.py
@@ -48,6 +48,7 @@
     addresses: dict
     process: asyncio.subprocess.Process | None = None
     disturbed: bool = False
+    stopping: bool = False
     lives: int = 0
 
     @property
@@ -141,7 +142,7 @@
             sys.executable, "platform/main.py", cwd=ROOT, stdout=log, stderr=log, env=environment
         )
         log.close()
-        gateway.disturbed = False
+        gateway.disturbed = gateway.stopping = False
         gateway.lives += 1
 
     async def end_all(self):
@@ -211,23 +212,24 @@
     async def caller(self, index):
         """Ask for addresses now and then, and call without rest."""
         addresses, count = [], 0
+        source = random.Random(f"{self.seed}-{index}")
         while True:
             if not addresses or count % 5 == 0:
-                addresses = await self.look_up() or addresses
+                addresses = await self.look_up(source) or addresses
             count += 1
-            place = self.source.choice(addresses) if addresses else None
+            place = source.choice(addresses) if addresses else None
             gateway = next(
                 (x for x in self.gateways if x.addresses["caller_address"] == place), None
             )
             if gateway is None:
                 await asyncio.sleep(0.02)
                 continue
-            await self.call(gateway, f"c{index}-{count}", self.source.random() < 0.5)
+            await self.call(gateway, f"c{index}-{count}", source.random() < 0.5)
             await asyncio.sleep(0.01)
 
-    async def look_up(self):
+    async def look_up(self, source):
         """Return what a gateway names."""
-        gateway = self.source.choice(self.gateways)
+        gateway = source.choice(self.gateways)
         with contextlib.suppress(OSError, ValueError, TimeoutError):
             async with asyncio.timeout(2):
                 address = gateway.addresses["directory_address"]
@@ -282,8 +284,9 @@
         if gateway is not None:
             gateway.disturbed = True
             gateway.process.kill()
-            await gateway.process.wait()
-            await self.start(gateway)
+            if not gateway.stopping:
+                await gateway.process.wait()
+                await self.start(gateway)
 
     async def pause(self):
         """Let a gateway stand still for a while."""
@@ -301,15 +304,15 @@
     async def stop_planned(self):
         """Stop a gateway as planned; another process takes its place when it has ended."""
         gateway = self._running()
-        if gateway is not None:
+        if gateway is not None and not gateway.stopping:
+            gateway.stopping = True
             gateway.process.send_signal(signal.SIGTERM)
             self.clean_ends.append(asyncio.ensure_future(self._replace(gateway, gateway.process)))
 
     async def _replace(self, gateway, process):
         code = await process.wait()
         disturbed = gateway.disturbed
-        if gateway.process is process:
-            await self.start(gateway)
+        await self.start(gateway)
         return 0 if disturbed else code
 
     async def hang_up(self):
@@ -439,10 +442,10 @@
         soak = Soak(seed, folder, context.stack)
         wrong = await soak.play()
         faults = [
-            line
+            f"{log.name}: {line}"
             for log in sorted(folder.glob("*.log"))
             for line in log.read_text(errors="replace").splitlines()
-            if '"kind":"fault"' in line or line.startswith("Traceback")
+            if not line.startswith("{") or '"kind":"fault"' in line
         ]
         return [*wrong, *faults], soak
 
