--- a/features/gateway_soak.py
+++ b/features/gateway_soak.py
@@ -152,7 +152,7 @@
                 gateway.process.kill()
                 await gateway.process.wait()
 
-    async def add_backend(self, address_of=None):
+    async def add_backend(self):
         """Start a backend server and register it."""
         self.number += 1
         backend = await fleet.Backend(f"i-{self.number}", names=HEADERS).start(self)
@@ -440,7 +440,11 @@
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="cloverhook-soak-")))
         context = SimpleNamespace(stack=stack)
         soak = Soak(seed, folder, context.stack)
-        wrong = await soak.play()
+        try:
+            wrong = await soak.play()
+        except TimeoutError:
+            wrong = [f"not every gateway served within {CALM_S} s of calm"]
+            wrong += [f"{item.name}: {item.process.returncode}" for item in soak.gateways]
         faults = [
             f"{log.name}: {line}"
             for log in sorted(folder.glob("*.log"))
