--- a/features/gateway_soak.feature
+++ b/features/gateway_soak.feature
@@ -11,3 +11,13 @@
       | 1    |
       | 2    |
       | 3    |
+
+    Examples: Seeds that have failed; docs/FINDINGS.md says why
+      | seed | seen                                            |
+      | 108  | a planned stop of a process that had just begun |
+      | 113  | a gateway that the soak started twice           |
+      | 114  | as 108                                          |
+      | 116  | as 113                                          |
+      | 128  | not every gateway served at the start; open     |
+      | 136  | as 108                                          |
+      | 140  | as 128                                          |
--- a/features/run.py
+++ b/features/run.py
@@ -17,6 +17,7 @@
 KNOWN_RED_LIMIT = 3
 WORKERS = 4
 SLOWEST_FIRST = (
+    "gateway_soak",
     "failure",
     "planned",
     "operators",
