Tell peers what has vanished from a whole list, under a version they can trust

Change: what vanished is passed on, and the version is that of the newest record. The feature 'What a whole list no longer holds goes at the peers too' fails without it.

--- a/cloverhook/gateway/knowledge.py
+++ b/cloverhook/gateway/knowledge.py
@@ -56,19 +56,18 @@
 
     def take_server_list(
         self, records: tuple[ServerRecord, ...], end_offset: int, now_ms: float
-    ) -> bool:
-        """Take the store's whole list; return whether it is news.
+    ) -> tuple[str, ...]:
+        """Take the store's whole list; return the incarnations that changed or vanished.
 
         A list that ends before what is known was read from a copy that lags, and is left out.
         """
-        if end_offset <= self.registry.version:
-            return False
-        changed = False
-        for record in records:
-            changed |= self.take_server(record, now_ms)
+        newest_offset = end_offset - 1
+        if newest_offset < self.registry.version:
+            return ()
+        changed = [record.incarnation for record in records if self.take_server(record, now_ms)]
         names = {record.incarnation for record in records}
         away = self.store_was_away(now_ms)
-        return bool(self.registry.keep_only(names, end_offset, now_ms, away)) or changed
+        return (*changed, *self.registry.keep_only(names, newest_offset, now_ms, away))
 
     def expire(self, now_ms: float) -> tuple[str, ...]:
         """Drop backend servers whose hold time has passed; return their incarnations."""
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -109,8 +109,9 @@
                 self._on_news(())
             return
         if whole:
-            if knowledge.take_server_list(found.servers, found.end_offset, now_ms):
-                self._on_news(tuple(item.incarnation for item in found.servers))
+            touched = knowledge.take_server_list(found.servers, found.end_offset, now_ms)
+            if touched:
+                self._on_news(touched)
             return
         touched = [
             record.incarnation for record in found.servers if knowledge.take_server(record, now_ms)
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -38,6 +38,11 @@
     When one of them drains and vanishes
     Then it is gone at once
 
+  Scenario: What a whole list no longer holds goes at the peers too
+    Given a registry with 4 backend servers
+    When a VM reads a whole list without one of them and tells a peer what changed
+    Then both drop that one, also when the peer reads the same list
+
   Scenario: A peer that lags does not take anything back
     Given a registry with 4 backend servers and a copy of it from before a change
     When the copy is adopted
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -8,6 +8,7 @@
 from cloverhook.errors import MessageError
 from cloverhook.gateway.balancer import Balancer, WorkEstimates
 from cloverhook.gateway.event_log import BUFFER_LIMIT_BYTES, EventLog, Kind
+from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadBoard, LoadFigure
 from cloverhook.gateway.members import Members
 from cloverhook.gateway.peer_messages import Beat, Hello, InFlight, Loads, decode, encode
@@ -168,6 +169,27 @@
     assert context.registry.get("i-1") is None
 
 
+@when("a VM reads a whole list without one of them and tells a peer what changed")
+def step_list_without(context):
+    entries = tuple(ServerRecord(f"i-{x}", x, server(f"i-{x}")) for x in range(4))
+    context.both = Knowledge(), Knowledge()
+    for knowledge in context.both:
+        knowledge.take_server_list(entries, 4, context.now_ms)
+    context.list = (*entries[1:], ServerRecord("i-9", 5, server("i-9")))
+    reader, peer = context.both
+    touched = reader.take_server_list(context.list, 6, context.now_ms)
+    peer.registry.adopt(reader.registry.to_document(context.now_ms, touched), context.now_ms)
+
+
+@then("both drop that one, also when the peer reads the same list")
+def step_both_drop(context):
+    context.both[1].take_server_list(context.list, 6, context.now_ms)
+    for knowledge in context.both:
+        knowledge.expire(context.now_ms + 3_000)
+        names = {item.incarnation for item in knowledge.registry.servers()}
+        assert names == {"i-1", "i-2", "i-3", "i-9"}, names
+
+
 @given("a registry with 4 backend servers and a copy of it from before a change")
 def step_copy(context):
     step_filled(context, 4)
