Wait long for changes of the configuration; the kernel watches the store

Cause: each call to the store is paid for, and two readers asked two feeds every 3 s only to notice that a connection had gone silent.

Change: the connection to the store has keep-alives that end it after 3 s of silence, and the wait is 20 s for the configuration and 5 s for backend servers, whose entries are held longer when the store has been away.

--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -16,8 +16,10 @@
 
 __all__ = ["StoreFollower"]
 
-WAIT_MS = 3_000
-"""A silent connection shows after this and the client's own timeout; another VM reads meanwhile."""
+WAIT_MS = {Feed.CONFIG: 20_000, Feed.SERVERS: 5_000}
+"""Each call is paid for.  A silent connection shows earlier, by the kernel's own questions, and
+another VM reads meanwhile.  Backend servers are asked for more often: entries that vanish are held
+for longer if the store has been away, which a call shows that gets no answer."""
 GAP_MS = 200.0
 """Changes that come within this time are taken in one call: calls are paid for."""
 RETRY_MS = (100.0, 200.0, 400.0, 600.0)
@@ -82,7 +84,7 @@
                 if offset is None:
                     found = await self._store.newest(feed)
                 else:
-                    found = await self._store.changes(feed, offset, WAIT_MS)
+                    found = await self._store.changes(feed, offset, WAIT_MS[feed])
             except HistoryLostError:
                 self._log.note(Kind.STORE, feed=feed.value, state="history-lost", offset=offset)
                 offset = None
--- a/cloverhook/socket_options.py
+++ b/cloverhook/socket_options.py
@@ -8,7 +8,7 @@
 import socket
 from dataclasses import dataclass
 
-__all__ = ["CALLER_LIVENESS", "UPSTREAM_LIVENESS", "Liveness"]
+__all__ = ["CALLER_LIVENESS", "STORE_LIVENESS", "UPSTREAM_LIVENESS", "Liveness"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,3 +35,5 @@
 
 UPSTREAM_LIVENESS = Liveness(idle_s=3, interval_s=1, probes=3, unacknowledged_ms=3_000)
 CALLER_LIVENESS = Liveness(idle_s=10, interval_s=5, probes=3, unacknowledged_ms=20_000)
+STORE_LIVENESS = Liveness(idle_s=1, interval_s=1, probes=2, unacknowledged_ms=2_000)
+"""A store that is waited on for long is missed within 3 s: a configuration has to come in time."""
--- a/cloverhook/upstream_connection.py
+++ b/cloverhook/upstream_connection.py
@@ -15,7 +15,7 @@
 
 from cloverhook.errors import UpstreamError
 from cloverhook.headers import Headers
-from cloverhook.socket_options import UPSTREAM_LIVENESS
+from cloverhook.socket_options import UPSTREAM_LIVENESS, Liveness
 
 __all__ = ["HEADER_LIMIT_BYTES", "AnswerHead", "RequestHead", "UpstreamConnection"]
 
@@ -66,7 +66,9 @@
         self,
         header_limit_bytes: int = HEADER_LIMIT_BYTES,
         on_closed: Callable[[], None] | None = None,
+        liveness: Liveness = UPSTREAM_LIVENESS,
     ) -> None:
+        self._liveness = liveness
         self._loop = asyncio.get_running_loop()
         self._header_limit_bytes = header_limit_bytes
         self._on_closed = on_closed
@@ -103,7 +105,7 @@
         """Keep the transport."""
         self._transport = transport
         sock = transport.get_extra_info("socket")
-        UPSTREAM_LIVENESS.apply(sock)
+        self._liveness.apply(sock)
         self._poll.register(sock.fileno(), select.POLLIN)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -18,6 +18,10 @@
     And a refused call is known to have done nothing
     And a call without an answer is not, and the next one works on a new connection
 
+  Scenario: A store that can't be reached any more is missed while a call waits for changes
+    Given a stand-in of the store with a configuration, 5 entries and 4 other members
+    Then the kernel gives up the connection of a waiting call after 3 seconds of silence
+
   Scenario: A record that can't be read hides no other
     Given a stand-in of the store with a configuration, 5 entries and 4 other members
     When an entry lacks its address
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import re
+import socket
 import sys
 import tomllib
 from pathlib import Path
@@ -313,3 +314,20 @@
     answer = run(context, work)
     document = json.loads(answer.body)
     assert document == {"addresses": [context.settings.caller_address], "ttl": 5.0}, document
+
+
+@then("the kernel gives up the connection of a waiting call after {limit_s:d} seconds of silence")
+def step_liveness(context, limit_s):
+    async def check():
+        connection = await context.client._connect()
+        sock = connection._transport.get_extra_info("socket")
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+        idle_s, interval_s, probes = (
+            sock.getsockopt(socket.IPPROTO_TCP, option)
+            for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT)
+        )
+        assert idle_s + interval_s * probes <= limit_s
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) <= limit_s * 1_000
+        connection.close()
+
+    run(context, check())
