Ask an endpoint for its load before a request that can't be repeated

Change: over the connection that it is about to use, such a request first asks the endpoint for its load, which takes about 1 ms, and goes elsewhere if that has turned slow or does not answer. So it is not sent into a connection that has gone silent either. Idempotent requests don't ask: they can be given a second endpoint.

--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -1,9 +1,14 @@
 """One attempt of a request at one backend server.
 
-Layer: transport.  An attempt ends in one of the ways of `Outcome`; only `NOT_SENT` and `REJECTED`
-say for certain that the request did not run there.
+Layer: transport.  An attempt ends in one of the ways of `Outcome`; only `NOT_SENT`, `DECLINED` and
+`REJECTED` say for certain that the request did not run there.
+
+A request that must not be sent twice asks first: over the connection that it is about to use, it
+asks the endpoint for its load, and goes elsewhere if that has turned slow since the last figure or
+does not answer.  Once sent there would be no way back.
 """
 
+import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -14,7 +19,8 @@
 from cloverhook.gateway.balancer import Choice
 from cloverhook.gateway.call_headers import CallHeaders, find, load_figure, passed_on
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
-from cloverhook.gateway.load import LoadBoard
+from cloverhook.gateway.load import SLOW_PACE, LoadBoard, ServerLoad
+from cloverhook.gateway.load_probe import ask_load
 from cloverhook.upstream_connection import AnswerHead, RequestHead, UpstreamConnection
 
 __all__ = ["Attempt", "AttemptResult", "Outcome"]
@@ -23,6 +29,9 @@
 FAILURE_STATUSES = 500
 FORGOTTEN_MS = 20.0
 """A reset within this time of the send comes from an end that had forgotten the connection."""
+ASK_AGE_MS = 15.0
+"""A figure that is younger needs no question; an answer takes about 1 ms in the data centre."""
+ASK_TIMEOUT_MS = 60.0
 KEPT_BODY_BYTES = 262_144
 """An answer of up to this size is taken whole before its caller gets a byte, so that one that
 breaks off can be asked for again."""
@@ -34,6 +43,7 @@
     ANSWERED = "answered"
     REJECTED = "rejected"
     NOT_SENT = "not-sent"
+    DECLINED = "declined"
     CUT = "cut"
 
 
@@ -50,6 +60,11 @@
     usual_ms: float = 0.0
     """How long the work would have taken at the usual pace, by the figures known meanwhile."""
 
+    @property
+    def arrived(self) -> bool:
+        """Whether the request may have reached the backend server."""
+        return self.outcome not in (Outcome.NOT_SENT, Outcome.DECLINED)
+
     @property
     def failed(self) -> bool:
         """Whether another backend server might do better."""
@@ -67,7 +82,11 @@
         deadline_ms: float,
         idempotent: bool,
         headers: CallHeaders,
+        ask_path: str | None = None,
     ) -> None:
+        """With `ask_path`, the endpoint is asked for its load there before the request is sent."""
+        self._ask_path = ask_path
+        self._declined = False
         self.choice = choice
         self.sent = False
         self.began_ms = monotonic_ms()
@@ -88,6 +107,8 @@
         try:
             left_ms = self._deadline_ms - started_ms
             connection = await pool.acquire(server, limit, self._idempotent, left_ms)
+            if self._ask_path and self._should_ask(load, started_ms):
+                await self._ask(connection, load, self._ask_path)
             head = await self._send(connection)
             figure = load_figure(find(head.headers, self._headers.load))
             if figure is not None:
@@ -109,6 +130,30 @@
         self._learn(result, board)
         return replace(result, usual_ms=load.progress_ms(monotonic_ms()) - begun_ms)
 
+    def _should_ask(self, load: ServerLoad, now_ms: float) -> bool:
+        """Return whether a question is of use: it is where the endpoint tells its load at all."""
+        return load.figure is not None and load.age_ms(now_ms) > ASK_AGE_MS
+
+    async def _ask(self, connection: UpstreamConnection, load: ServerLoad, path: str) -> None:
+        """Ask for the load.  Raises `UpstreamError` if the request should go elsewhere."""
+        server = self.choice.server
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_MS / 1000):
+                _, figure = await ask_load(connection, server, path, self._headers)
+        except TimeoutError as error:
+            connection.close()
+            raise UpstreamError("no answer to the question for its load", sent=False) from error
+        except UpstreamError as error:
+            raise UpstreamError(f"asked for its load: {error}", sent=False) from error
+        if figure is None:
+            return
+        load.report(figure, monotonic_ms(), counted=1)
+        if not figure.reachable:
+            raise UpstreamError("another incarnation answers there", sent=False)
+        if figure.pace >= SLOW_PACE > self.choice.pace:
+            self._declined = True
+            raise UpstreamError(f"it has turned slow, pace {figure.pace:g}", sent=False)
+
     async def _send(self, connection: UpstreamConnection) -> AnswerHead:
         request, names = self._request, self._headers
         left_ms = max(1, int(self._deadline_ms - monotonic_ms()))
@@ -177,6 +222,8 @@
 
     def _failed(self, error: UpstreamError, latency_ms: float) -> AttemptResult:
         outcome = Outcome.CUT if self.sent else Outcome.NOT_SENT
+        if self._declined:
+            outcome = Outcome.DECLINED
         return AttemptResult(outcome, self.choice, latency_ms, detail=str(error))
 
     def _learn(self, result: AttemptResult, board: LoadBoard) -> None:
@@ -185,6 +232,8 @@
         load = board.of(self.choice.server.incarnation)
         if result.outcome is Outcome.NOT_SENT:
             load.not_reached(now_ms)
+        elif result.outcome is Outcome.DECLINED:
+            return
         elif result.failed:
             load.failed(now_ms)
         else:
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -17,6 +17,7 @@
 from cloverhook.gateway.call_headers import CallHeaders, find
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
 from cloverhook.gateway.knowledge import Knowledge
+from cloverhook.gateway.load import SLOW_PACE
 from cloverhook.gateway.request_report import RequestReport
 from cloverhook.gateway.request_run import RequestRun
 from cloverhook.gateway.retry_allowance import RetryAllowance
@@ -28,9 +29,10 @@
 
 SENDS_LIMIT = 4
 """A request that keeps being rejected is offered to this many backend servers, then refused."""
+ASKS_LIMIT = 2
+"""So many endpoints are asked for their load before a request; the next one gets it at once."""
 HEDGE_SHARE = 0.7
 """A silent endpoint at its usual pace gets company after this share of the objective."""
-SLOW_PACE = 2.5
 FIGURE_LAG_MS = 150.0
 """Work keeps the pace at which it began; a figure may tell of that pace so much later."""
 LAST_MS = 10.0
@@ -231,7 +233,7 @@
         choice = self._balancer.choose(run.service, work_ms, now_ms, run.tried)
         if choice is None:
             return False
-        arrived = any(item.outcome is not Outcome.NOT_SENT for item in run.results) or run.tasks
+        arrived = any(item.arrived for item in run.results) or run.tasks
         if arrived and not self._allowance.take(run.service, now_ms, self._vms()):
             self._report.repeated(run.service, allowed=False)
             return False
@@ -250,6 +252,7 @@
             run.deadline_ms,
             run.route.idempotent,
             self._headers,
+            self._ask_path(run),
         )
         limit = self._connection_limit(run.service)
         work = attempt.run(self._pool, self._knowledge.board, limit)
@@ -259,6 +262,13 @@
         run.attempts.append(attempt)
         self._running.setdefault(choice.server.incarnation, set()).add(run)
 
+    def _ask_path(self, run: RequestRun) -> str | None:
+        """Return where to ask an endpoint for its load before a request that can't be repeated."""
+        if run.route.idempotent or len(run.attempts) >= ASKS_LIMIT:
+            return None
+        spec = self._knowledge.config.services.get(run.service)
+        return None if spec is None else spec.health_path
+
     def _attempt_over(self, choice: Choice) -> None:
         """Let the next request in; also an attempt that was cancelled before it began ends here."""
         self._count(choice, -1)
--- a/cloverhook/gateway/load.py
+++ b/cloverhook/gateway/load.py
@@ -7,8 +7,11 @@
 
 from dataclasses import dataclass
 
-__all__ = ["LoadBoard", "LoadFigure", "ServerLoad"]
+__all__ = ["SLOW_PACE", "LoadBoard", "LoadFigure", "ServerLoad"]
 
+SLOW_PACE = 2.5
+"""Work that takes this many times as long is worth asking a second endpoint for, or avoiding the
+endpoint where that can't be done."""
 USUAL_PACE = 1.0
 UNKNOWN_PACE = 2.0
 """What is assumed without a fresh figure: worse than usual, better than a known slow one."""
--- /dev/null
+++ b/cloverhook/gateway/load_probe.py
@@ -0,0 +1,32 @@
+"""Asks a backend server for its load, over a connection that is open already.
+
+Layer: transport.
+"""
+
+from cloverhook.gateway.call_headers import CallHeaders, find, load_figure
+from cloverhook.gateway.load import LoadFigure
+from cloverhook.gateway.registry import BackendServer
+from cloverhook.upstream_connection import AnswerHead, RequestHead, UpstreamConnection
+
+__all__ = ["NOBODY", "ask_load"]
+
+NOBODY = LoadFigure(0, 0, 1.0, reachable=False)
+"""The figure of an endpoint that can't be reached."""
+
+
+async def ask_load(
+    connection: UpstreamConnection, server: BackendServer, path: str, names: CallHeaders
+) -> tuple[AnswerHead, LoadFigure | None]:
+    """Return the answer's head and the load figure; `NOBODY` where another incarnation answers.
+
+    The figure is None where the endpoint tells none.  Raises `UpstreamError`.
+    """
+    host = [(b"host", server.address.encode())]
+    head = await connection.send(RequestHead(b"GET", path.encode(), host))
+    more = True
+    while more:
+        _, more = await connection.read()
+    named = find(head.headers, names.incarnation)
+    if named is not None and named.decode("latin-1") != server.incarnation:
+        return head, NOBODY
+    return head, load_figure(find(head.headers, names.load))
--- a/cloverhook/gateway/prober.py
+++ b/cloverhook/gateway/prober.py
@@ -11,17 +11,16 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import UpstreamError
 from cloverhook.gateway.backend_pool import BackendPool
-from cloverhook.gateway.call_headers import CallHeaders, find, load_figure
+from cloverhook.gateway.call_headers import CallHeaders
 from cloverhook.gateway.load import LoadFigure
+from cloverhook.gateway.load_probe import NOBODY, ask_load
 from cloverhook.gateway.registry import BackendServer
-from cloverhook.upstream_connection import RequestHead
 
 __all__ = ["Prober"]
 
 TIMEOUT_MS = 350.0
 SILENCES = 2
 """A backend server is out of reach after so many probes in a row without an answer."""
-NOBODY = LoadFigure(0, 0, 1.0, reachable=False)
 CONNECTION_LIMIT = 1_000
 
 
@@ -83,17 +82,10 @@
         connection = await self._pool.acquire(server, CONNECTION_LIMIT, True, TIMEOUT_MS)
         head = None
         try:
-            request = RequestHead(b"GET", path.encode(), [(b"host", server.address.encode())])
-            head = await connection.send(request)
-            more = True
-            while more:
-                _, more = await connection.read()
+            head, figure = await ask_load(connection, server, path, self._headers)
         finally:
             if head is None or connection.usable is False:
                 connection.close()
             else:
                 self._pool.release(server, connection, head)
-        named = find(head.headers, self._headers.incarnation)
-        if named is not None and named.decode("latin-1") != server.incarnation:
-            return NOBODY
-        return load_figure(find(head.headers, self._headers.load))
+        return figure
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -45,6 +45,18 @@
       | foreign        | 200    | 1    |
       | unframed       | 200    | 1    |
 
+  Scenario: A request that may run once avoids a backend server that has just turned slow
+    Given a gateway that measures nothing and 2 backend servers
+    When callers have read from both of them, and then one works 7 times as long
+    And a caller writes 10 times
+    Then all answers are 200 and the slow one ran none of them
+
+  Scenario: A request that may run once is not sent where a question finds nobody
+    Given a gateway that measures nothing and 2 backend servers
+    When callers have read from both of them, and then one answers no question
+    And a caller writes 10 times
+    Then all answers are 200 and the slow one ran none of them
+
   Scenario: A refusal says when to come back, and is true
     Given a gateway and 2 backend servers
     And every backend server rejects all requests
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -60,6 +60,7 @@
     cut: int = 0
     address: str = ""
     pace: int = 100
+    deaf: bool = False
     connections: int = 0
     tasks: set = field(default_factory=set)
     names: CallHeaders = NAMES
@@ -102,6 +103,8 @@
         }
         body = await reader.readexactly(int(headers.get(b"content-length", 0)))
         if lines[0].startswith(b"GET /health"):
+            if self.deaf:
+                return not await reader.read(1)
             self._write(writer, 200, b"", incarnation=True)
             return True
         self.seen.append((lines[0], headers, body))
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from cloverhook.gateway.attempt import ASK_AGE_MS
 from cloverhook.gateway.store import MemoryStore
 from features import gateway_fleet as fleet
 from features.shared import run
@@ -274,3 +275,58 @@
 @then("no backend server has seen anything")
 def step_unseen(context):
     assert not any(backend.seen for backend in context.backends)
+
+
+@given("a gateway that measures nothing and {count:d} backend servers")
+def step_unmeasured(context, count):
+    run(context, fleet.start_fleet(context, count, probes_per_s=0))
+
+
+def read_from_all(context):
+    """Send reads until each backend server has answered some."""
+    while not all(len(backend.ran) >= 3 for backend in context.backends):
+        paths = [fleet.call(caller_address(context), fleet.SAFE) for _ in range(8)]
+        run(context, gather(paths))
+    run(context, asyncio.sleep(2 * ASK_AGE_MS / 1000))
+
+
+async def gather(calls):
+    """Make calls at once."""
+    return await asyncio.gather(*calls)
+
+
+@when("callers have read from both of them, and then one works 7 times as long")
+def step_turns_slow(context):
+    for backend in context.backends:
+        backend.work_ms = 10.0
+    read_from_all(context)
+    context.backends[0].pace = 700
+    context.backends[0].ran.clear()
+
+
+@when("callers have read from both of them, and then one answers no question")
+def step_turns_deaf(context):
+    for backend in context.backends:
+        backend.work_ms = 10.0
+    read_from_all(context)
+    context.backends[0].deaf = True
+    context.backends[0].ran.clear()
+
+
+@when("a caller writes {count:d} times")
+def step_writes(context, count):
+    calls = [
+        fleet.call(caller_address(context), fleet.UNSAFE, "POST", request_id=f"w-{number}")
+        for number in range(count)
+    ]
+
+    async def one_by_one():
+        return [await call for call in calls]
+
+    context.answers = run(context, one_by_one())
+
+
+@then("all answers are 200 and the slow one ran none of them")
+def step_slow_unused(context):
+    assert [answer.status for answer in context.answers] == [200] * len(context.answers)
+    assert context.backends[0].ran == [], context.backends[0].ran
