Learn of neighbours by asking a peer for its list, not by introductions

Cause: seeds introduced a newcomer to their own data centre only.

Change: a VM asks a peer over TCP who is in its data centre, soon after its start and every 30 s. Of two that start together the later to ask learns of the other. A beat says how often its sender beats, so that data centres of different sizes agree on when it is silent.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -286,6 +286,7 @@
             self._peering.reading = self._follower.reading
             self._peering.beat_now()
         self._peering.tick(now_ms)
+        self._peering.ask_who_is_there(now_ms)
         if now_ms >= self._sweep_due_ms:
             self._sweep_due_ms = now_ms + SWEEP_MS
             self._sweep(now_ms)
--- a/cloverhook/gateway/discovery.py
+++ b/cloverhook/gateway/discovery.py
@@ -1,9 +1,9 @@
 """Decides when a VM looks for the others in the store, and writes itself down there.
 
-Layer: coordination.  Who starts greets the seeds of its settings, and they introduce it to their
-neighbours, so most VMs need no call to the store, which is paid for.  Where a seed is missing, the
-store is the way in: the newcomer writes itself down and reads who else has done so, and a few of
-those that have been there before keep themselves written down for it.
+Layer: coordination.  Who starts greets the seeds of its settings and asks them who else is there,
+so most VMs need no call to the store, which is paid for.  Where a seed is missing, the store is the
+way in: the newcomer writes itself down and reads who else has done so, and a few of those that have
+been there before keep themselves written down for it.
 """
 
 from cloverhook.gateway.members import Members, rank_weight
@@ -13,7 +13,7 @@
 PATIENCE_MS = 1_500.0
 """Seeds that start with the rest of the fleet are heard within this time."""
 ANNOUNCERS = 3
-"""One VM that lives is enough for a newcomer to be introduced to all."""
+"""One VM that lives is enough for a newcomer to learn of all."""
 
 
 class Discovery:
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -19,8 +19,8 @@
 """A member unheard for this long gets no callers: two beats of the slow kind were lost."""
 CROWD_VMS = 16
 """With more neighbours than this, messages that grow with their square are saved."""
-CROWD_FAR_SILENT_MS = 7_500.0
-"""The same for a member of another data centre in a crowded fleet, which beats every 3 s."""
+SILENT_BEATS = 2.5
+"""A member of another data centre that beats more seldom may miss two beats as well."""
 NAMED_NEAR_VMS = 12
 """So many live VMs of the own data centre are enough for callers; they are known best."""
 READERS = 2
@@ -94,7 +94,7 @@
             self._near_count = len(self.near())
         member.heard_ms = now_ms
         far = beat.data_center != self._data_center
-        member.silent_ms = CROWD_FAR_SILENT_MS if far and self.crowded() else SILENT_MS
+        member.silent_ms = max(SILENT_MS, SILENT_BEATS * beat.every_ms) if far else SILENT_MS
         member.ready = beat.ready
         member.reading = beat.reading
         member.leaving = beat.leaving
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -43,7 +43,8 @@
 class Beat:
     """A sign of life: who sends it, what it does and which versions it knows.
 
-    `reading` says that it follows the store now; `wants_answer` asks for a beat in return.
+    `reading` says that it follows the store now, and `every_ms` how often it beats to another data
+    centre; `wants_answer` asks for a beat in return.
     """
 
     vm: str
@@ -56,6 +57,7 @@
     leaving: bool
     config_version: int
     registry_version: int
+    every_ms: float = 1_000.0
     wants_answer: bool = False
 
 
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -9,7 +9,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any
 
 from cloverhook.clock import monotonic_ms
@@ -47,6 +46,9 @@
 FIRST_GREET_MS = 300.0
 FIRST_GREETS_MS = 3_000.0
 """At the start of a fleet a seed may come a little later than others, which greet it again soon."""
+LIST_MS = (300.0, 1_000.0, 3_000.0, 10_000.0, 30_000.0)
+"""After these times a VM asks another one who is there; the last is repeated.  Of two that start at
+once the later one to ask learns of the other; all else repairs what got lost."""
 GREET_FAR = 2
 """So many addresses of a data centre where nobody is known are greeted at a time."""
 DATAGRAM_BYTES = 1_200
@@ -85,6 +87,9 @@
         self._far_due_ms = 0.0
         self._greet_due_ms = 0.0
         self._fetch: asyncio.Task[None] | None = None
+        self._list: asyncio.Task[None] | None = None
+        self._lists = 0
+        self._list_due_ms = 0.0
         self._counted: dict[str, frozenset[str]] = {}
         self._count_timer: asyncio.TimerHandle | None = None
         self._counts_due_ms = 0.0
@@ -153,6 +158,7 @@
             self.leaving,
             knowledge.config_version,
             knowledge.registry.version,
+            self._far_beat_ms(),
             wants_answer,
         )
 
@@ -167,7 +173,7 @@
         return CROWD_FAR_BEAT_MS if self._members.crowded() else FAR_BEAT_MS
 
     def _greet(self, now_ms: float) -> None:
-        """Ask for a beat from the addresses that have never sent one; they introduce this VM.
+        """Ask for a beat from the addresses that have never sent one.
 
         Where nobody lives in another data centre, its silent VMs are asked too.
         """
@@ -193,6 +199,27 @@
             for address in found:
                 self.link.send_encoded(address, data)
 
+    def ask_who_is_there(self, now_ms: float) -> None:
+        """Ask a peer for the addresses in the own data centre, if that is due, to greet them."""
+        if now_ms < self._list_due_ms:
+            return
+        alive = self._members.alive(now_ms)
+        if not alive or (self._list is not None and not self._list.done()):
+            return
+        self._list_due_ms = now_ms + LIST_MS[min(self._lists, len(LIST_MS) - 1)]
+        self._lists += 1
+        self._list = asyncio.create_task(self._fetch_addresses(random.choice(alive)))
+
+    async def _fetch_addresses(self, member: Member) -> None:
+        asked = {"addresses": self._own.data_center}
+        try:
+            state = await self.link.fetch(member.peer_address, asked)
+        except MessageError as error:
+            self._log.note(Kind.MEMBER, member=member.vm, state="no-answer", error=str(error))
+            return
+        for address in state.get("addresses", ()):
+            self.add_address(address, self._own.data_center)
+
     def _on_message(self, message: PeerMessage, sender: str, relayed: bool = False) -> None:
         if message.vm == self._own.vm:
             return
@@ -257,8 +284,6 @@
             self._log.note(Kind.MEMBER, member=beat.vm, state="joined", at=beat.peer_address)
         if beat.wants_answer or (back and near):
             self.link.send_encoded(beat.peer_address, encode(self._beat()))
-        if back and beat.wants_answer:
-            self.spread.near(encode(replace(beat, wants_answer=False)), now_ms)
         if self._is_behind(beat.config_version, beat.registry_version):
             self._catch_up(beat.vm, near or relayed)
 
@@ -325,6 +350,10 @@
 
     def _state_for(self, asked: dict[str, Any]) -> dict[str, Any]:
         """Return what a peer that knows the versions `asked` lacks."""
+        if "addresses" in asked:
+            members = self._members.alive(monotonic_ms())
+            found = [item for item in members if item.data_center == asked["addresses"]]
+            return {"addresses": [item.peer_address for item in found]}
         knowledge = self._knowledge
         state: dict[str, Any] = {}
         if knowledge.config is not None and knowledge.config_version > asked.get("config", -1):
--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -68,6 +68,12 @@
     Then every gateway knows the other 4
     And none of the 3 has written itself down in the store
 
+  Scenario: A data centre without a seed needs no call either
+    Given a store and 2 gateways that are seeds
+    When 3 more gateways of another data centre start that know the seeds
+    Then every gateway knows the other 4
+    And none of the 3 has written itself down in the store
+
   Scenario: A VM whose seeds are gone is found through the store
     Given a store and 2 gateways that are seeds
     When 3 more gateways start that know the seeds
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -534,7 +534,7 @@
 def step_garbage(context):
     source = random.Random(5)
     messages = (
-        Beat("vm", 1, NEAR, "a:1", "b:2", True, False, False, 1, 1, True),
+        Beat("vm", 1, NEAR, "a:1", "b:2", True, False, False, 1, 1, 3_000.0, True),
         Relay("vm", b"inner"),
         Loads("vm", (("i", LoadFigure(1, 2, 7.0), 3.0),)),
         InFlight("vm", {"i": 2}),
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_spread_steps.py
@@ -424,10 +424,10 @@
     assert low <= min(rates) and max(rates) <= high, rates
 
 
-async def start_at(context, name, host, seeds):
+async def start_at(context, name, host, seeds, **fields):
     """Start a gateway at a loopback address of its own, with the peers' common port."""
-    port = context.seed_ports[0]
-    fields = {"peer_address": f"{host}:{port}", "seed_addresses": tuple(seeds)}
+    address = f"{host}:{context.seed_ports[0]}"
+    fields = {"peer_address": address, "seed_addresses": tuple(seeds), **fields}
     context.gateways.append(await fleet.start_gateway(context, name, **fields))
 
 
@@ -452,6 +452,16 @@
     run(context, start())
 
 
+@when("3 more gateways of another data centre start that know the seeds")
+def step_more_far(context):
+    async def start():
+        for index in range(3):
+            host = f"127.0.0.{index + 3}"
+            await start_at(context, f"vm-{index}", host, context.seeds, data_center=FAR)
+
+    run(context, start())
+
+
 @then("none of the 3 has written itself down in the store")
 def step_unwritten(context):
     names = {record.vm for record in run(context, context.store.members())}
