Mark messages with the fleet, so that a stranger at a reused address is no peer

Nothing told the gateways of two fleets apart. One that greeted the address of a VM that is gone, and found a VM of another fleet there, took its configuration and its registry version, and left out its own store's changes from then on.

Change: datagrams and questions for a state start with a hash of the store's address. The scenario is red without the mark.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -96,6 +96,7 @@
             self._log,
             self._on_peer_figure,
             self._on_room,
+            fleet=settings.store_address,
         )
         self._follower = StoreFollower(
             store, self._knowledge, self._on_news, self._log, self._counters
--- a/cloverhook/gateway/peer_link.py
+++ b/cloverhook/gateway/peer_link.py
@@ -2,6 +2,9 @@
 
 Layer: transport.  A datagram may be lost; everything in one is said again.  A whole state is asked
 for over TCP, on the same port, and comes compressed.
+
+Everything starts with the mark of the fleet.  The address of a VM that is gone may be given to one
+of another fleet, whose versions would count as newer than the own ones.
 """
 
 import asyncio
@@ -11,6 +14,7 @@
 from typing import Any
 
 import cbor2
+import xxhash
 
 from cloverhook.errors import MessageError
 from cloverhook.gateway.peer_messages import PeerMessage, decode, encode
@@ -18,6 +22,7 @@
 __all__ = ["PeerLink"]
 
 LENGTH = struct.Struct(">I")
+MARK = struct.Struct(">I")
 STATE_LIMIT_BYTES = 16 * 1024 * 1024
 FETCH_TIMEOUT_S = 1.0
 
@@ -32,7 +37,10 @@
         on_message: Callable[[PeerMessage, str], None],
         state_for: Callable[[Asked], dict[str, Any]],
         on_garbage: Callable[[str, MessageError], None],
+        fleet: str = "",
     ) -> None:
+        """`fleet` is what all VMs of a fleet have in common and no other fleet has."""
+        self._mark = MARK.pack(xxhash.xxh32_intdigest(fleet.encode()))
         self._on_message = on_message
         self._state_for = state_for
         self._on_garbage = on_garbage
@@ -64,7 +72,7 @@
         """Send a message that is encoded already."""
         if self._transport is not None and not self._transport.is_closing():
             self.sent_bytes += len(data)
-            self._transport.sendto(data, _split(address))
+            self._transport.sendto(self._mark + data, _split(address))
 
     async def fetch(self, address: str, asked: Asked) -> dict[str, Any]:
         """Ask a peer for its state.  Raises `MessageError` when none comes."""
@@ -73,7 +81,7 @@
             async with asyncio.timeout(FETCH_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(host, port)
                 try:
-                    _put(writer, cbor2.dumps(asked))
+                    _put(writer, self._mark + cbor2.dumps(asked))
                     return cbor2.loads(zlib.decompress(await _get(reader)))
                 finally:
                     writer.close()
@@ -90,19 +98,25 @@
         """Decode a message and hand it on."""
         sender = f"{addr[0]}:{addr[1]}"
         try:
-            message = decode(data)
+            message = decode(self._own(data))
         except MessageError as error:
             self._on_garbage(sender, error)
             return
         self._on_message(message, sender)
 
+    def _own(self, data: bytes) -> bytes:
+        """Return what follows the fleet's mark.  Raises `MessageError` for another fleet's."""
+        if not data.startswith(self._mark):
+            raise MessageError("it is not of this fleet")
+        return data[MARK.size :]
+
     def error_received(self, exc: Exception) -> None:
         """Ignore that a peer's port is closed: its silence says the same."""
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
-                asked = cbor2.loads(await _get(reader))
+                asked = cbor2.loads(self._own(await _get(reader)))
                 _put(writer, zlib.compress(cbor2.dumps(self._state_for(asked))))
                 await writer.drain()
         except (OSError, TimeoutError, asyncio.IncompleteReadError, MessageError) as error:
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -71,6 +71,7 @@
         log: EventLog,
         on_figure: Callable[[str], None],
         on_counts: Callable[[], None],
+        fleet: str = "",
     ) -> None:
         self._own = own
         self._on_figure = on_figure
@@ -78,7 +79,7 @@
         self._knowledge = knowledge
         self._members = members
         self._log = log
-        self.link = PeerLink(self._on_message, self._state_for, self._on_garbage)
+        self.link = PeerLink(self._on_message, self._state_for, self._on_garbage, fleet)
         self.spread = Spread(own.vm, self.link, members)
         self.load_news = LoadNews(own.vm, self.spread)
         self._started_ms = monotonic_ms()
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import socket
 from dataclasses import dataclass, field, replace
 
@@ -22,6 +23,8 @@
 RECEIPT = "stamp"
 WAIT_S = 20
 NAMES = CallHeaders()
+FLEET = f"127.0.0.1:{random.SystemRandom().randrange(1, 65_536)}"
+"""Runs side by side may get each other's ports; this tells their fleets apart."""
 
 
 def free_address():
@@ -187,7 +190,7 @@
             "ready_address": free_address(),
             "directory_address": free_address(),
             "peer_address": free_address(),
-            "store_address": "127.0.0.1:1",
+            "store_address": FLEET,
             "stop_s": 2,
             **fields,
         }
--- a/features/gateway_peers.feature
+++ b/features/gateway_peers.feature
@@ -47,3 +47,8 @@
   Scenario: Each backend server is measured by one gateway alone
     Given 3 gateways and 2 backend servers
     Then each backend server comes to be measured over one connection
+
+  Scenario: A VM of another fleet at a reused address is no peer
+    Given 2 gateways and 1 backend servers
+    When a gateway of another fleet, with a newer configuration, takes the address of one that is gone
+    Then the one that is left neither names it nor takes its configuration
--- a/features/steps/gateway_peer_steps.py
+++ b/features/steps/gateway_peer_steps.py
@@ -239,3 +239,37 @@
                 pass
 
     run(context, check())
+
+
+@when(
+    "a gateway of another fleet, with a newer configuration, takes the address of one that is gone"
+)
+def step_reused_address(context):
+    async def change():
+        gone, settings = context.gateways.pop()
+        await fleet.stop_gateway(gone)
+        store = MemoryStore()
+        store.put_config(fleet.config(NEW_VERSION + 1))
+        store.put_server((await fleet.Backend("i-other").start(context)).entry())
+        other, context.stranger = await fleet.start_gateway(
+            context,
+            "vm-other",
+            store,
+            peer_address=settings.peer_address,
+            store_address="127.0.0.2:1",
+        )
+        await fleet.until(other._is_ready)
+        left, left_settings = context.gateways[0]
+        other._peering.add_address(left_settings.peer_address)
+        left._peering.add_address(settings.peer_address)
+        await asyncio.sleep(2.5)
+
+    run(context, change())
+
+
+@then("the one that is left neither names it nor takes its configuration")
+def step_stranger(context):
+    gateway, settings = context.gateways[0]
+    assert context.stranger.caller_address not in run(context, named_by(settings))
+    assert gateway._knowledge.config_version == 1
+    assert gateway._knowledge.registry.get("i-other") is None
