--- a/cloverhook/gateway/call_headers.py
+++ b/cloverhook/gateway/call_headers.py
@@ -7,27 +7,14 @@
 from dataclasses import dataclass
 
 from cloverhook.gateway.load import LoadFigure
+from cloverhook.hop_by_hop import HOP_BY_HOP, KEPT_ALWAYS, find
 
-__all__ = ["HOP_BY_HOP", "CallHeaders", "HeaderList", "find", "load_figure", "passed_on"]
+__all__ = ["CallHeaders", "HeaderList", "find", "load_figure", "passed_on"]
 
 HeaderList = list[tuple[bytes, bytes]]
 
-HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-        b"content-length",
-    )
-)
-KEPT_ALWAYS = frozenset((b"host",))
+NEVER_PASSED_ON = HOP_BY_HOP | {b"content-length"}
+"""A body is framed anew on each connection."""
 PERCENT = 100.0
 
 
@@ -67,14 +54,6 @@
         return frozenset((self.load, self.not_run, self.incarnation))
 
 
-def find(headers: HeaderList, name: bytes) -> bytes | None:
-    """Return the first value of a header, or None."""
-    for key, value in headers:
-        if key == name:
-            return value
-    return None
-
-
 def passed_on(headers: HeaderList, left_out: frozenset[bytes]) -> HeaderList:
     """Return the headers that concern more than one connection, less those left out."""
     named: set[bytes] = set()
@@ -82,7 +61,7 @@
     for pair in headers:
         if pair[0] == b"connection":
             named.update(token.strip().lower() for token in pair[1].split(b","))
-        elif pair[0] not in HOP_BY_HOP and pair[0] not in left_out:
+        elif pair[0] not in NEVER_PASSED_ON and pair[0] not in left_out:
             kept.append(pair)
     named -= KEPT_ALWAYS
     return [pair for pair in kept if pair[0] not in named] if named else kept
--- a/cloverhook/headers.py
+++ b/cloverhook/headers.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 
 from cloverhook.errors import ErrorKind, Outcome, RequestError
+from cloverhook.hop_by_hop import HOP_BY_HOP, KEPT_ALWAYS, find
 
 __all__ = [
     "ATTEMPT",
@@ -45,37 +46,14 @@
 IDEMPOTENCY_KEY = b"idempotency-key"
 REPLAYED = b"cloverhook-replayed"
 
-HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-    )
-)
 CONTROL_PREFIX = b"cloverhook-"
 NEVER_PASSED_ON = HOP_BY_HOP | {REQUEST_ID}
-KEPT_ALWAYS = frozenset((b"content-length", b"host"))
 USABLE_REQUEST_ID = re.compile(rb"[\x21-\x7e]{1,128}")
 MAX_TIMEOUT_DIGITS = 9
 REQUEST_ID_BYTES = 16
 OUTCOMES = {outcome.value.encode(): outcome for outcome in Outcome}
 
 
-def find(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
-    """Return the first value of a header, or None."""
-    for key, value in headers:
-        if key == name:
-            return value
-    return None
-
-
 def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return the headers that go on to the other side.
 
--- /dev/null
+++ b/cloverhook/hop_by_hop.py
@@ -0,0 +1,34 @@
+"""What any HTTP intermediary needs to know of headers.
+
+Layer: state.  Names are in lower case.
+"""
+
+from collections.abc import Iterable
+
+__all__ = ["HOP_BY_HOP", "KEPT_ALWAYS", "find"]
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    )
+)
+"""Headers that concern one connection only (RFC 9110, 7.6.1)."""
+KEPT_ALWAYS = frozenset((b"content-length", b"host"))
+"""Headers that a `Connection` header can't take away: the request would mean something else."""
+
+
+def find(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
+    """Return the first value of a header, or None."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
