Ask the servers' feed anew when the configuration's goes silent; start faults

Both readers waited for a store that took calls and answered none; keep-alives are answered by its kernel, so only the wait's own end shows it.

Change: the configuration is waited for 3 s again, backend servers for 10 s; when the first gets no answer the second is given up and asked anew.

Also: a gateway that can't listen logs why and ends with 3. The tests took their ports from the range of outgoing connections; they no longer do.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -44,6 +44,7 @@
 
 TICK_MS = 50.0
 SWEEP_MS = 1_000.0
+EXIT_CANT_LISTEN = 3
 ANNOUNCE_LOOK_MS = 200.0
 ANNOUNCE_RETRY_MS = 700.0
 ACCEPT_SHARE = 0.55
@@ -188,6 +189,11 @@
         self._add_seeds()
         self._log.note(Kind.RELOADED)
 
+    def start_failed(self, error: OSError) -> None:
+        """Say why the process ends at its start."""
+        self._log.note(Kind.FAULT, part="start", error=str(error))
+        self._log.flush()
+
     def reload_failed(self, error: SettingsError) -> None:
         """Keep the settings in force and say why."""
         self._log.note(Kind.RELOADED, error=str(error))
@@ -385,8 +391,8 @@
                 await asyncio.sleep(ANNOUNCE_RETRY_MS / 1000)
 
 
-async def serve(gateway: Gateway, read_settings: Callable[[], GatewaySettings]) -> None:
-    """Run a gateway until it is told to stop."""
+async def serve(gateway: Gateway, read_settings: Callable[[], GatewaySettings]) -> int:
+    """Run a gateway until it is told to stop, and return the process's exit code."""
     loop = asyncio.get_running_loop()
     with contextlib.suppress(OSError):
         os.set_blocking(1, False)
@@ -400,7 +406,12 @@
     loop.add_signal_handler(signal.SIGTERM, gateway.leave)
     loop.add_signal_handler(signal.SIGINT, gateway.leave)
     loop.add_signal_handler(signal.SIGHUP, reload)
-    await gateway.start()
+    try:
+        await gateway.start()
+    except OSError as error:
+        gateway.start_failed(error)
+        return EXIT_CANT_LISTEN
     gc.collect()
     gc.freeze()
     await gateway.run_until_stopped()
+    return 0
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -1,7 +1,8 @@
 """Follows the feeds of the store for as long as this VM is the one to read.
 
-Layer: coordination.  A feed is read whole once and then by its changes.  The store's client has to
-notice by itself that a connection has gone silent: a wait for changes is long.
+Layer: coordination.  A feed is read whole once and then by its changes.  The wait for changes of
+the configuration is short enough that a store which has gone silent is noticed before a change is
+overdue; the other feed, whose calls wait for longer, then asks anew.
 """
 
 import asyncio
@@ -16,10 +17,8 @@
 
 __all__ = ["StoreFollower"]
 
-WAIT_MS = {Feed.CONFIG: 20_000, Feed.SERVERS: 5_000}
-"""Each call is paid for.  A silent connection shows earlier, by the kernel's own questions, and
-another VM reads meanwhile.  Backend servers are asked for more often: entries that vanish are held
-for longer if the store has been away, which a call shows that gets no answer."""
+WAIT_MS = {Feed.CONFIG: 3_000, Feed.SERVERS: 10_000}
+"""Each call is paid for.  A silent store shows after the shorter wait and the client's timeout."""
 GAP_MS = 200.0
 """Changes that come within this time are taken in one call: calls are paid for."""
 RETRY_MS = (100.0, 200.0, 400.0, 600.0)
@@ -47,7 +46,8 @@
         self._on_news = on_news
         self._log = log
         self._counters = counters
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks: dict[Feed, asyncio.Task[None]] = {}
+        self._offsets: dict[Feed, int] = {}
         self._answers: dict[Feed, bool] = {}
         self._failing_since_ms: dict[Feed, float] = {}
 
@@ -64,22 +64,31 @@
     def start(self) -> None:
         """Begin to read."""
         self._answers.clear()
-        self._tasks = [asyncio.create_task(self._follow(feed)) for feed in Feed]
+        self._offsets.clear()
+        for feed in Feed:
+            self._ask(feed)
         self._log.note(Kind.READER, action="start", registry=self._knowledge.registry.version)
 
     def stop(self, reason: str) -> None:
         """Stop reading."""
-        for task in self._tasks:
+        for task in self._tasks.values():
             task.cancel()
-        self._tasks = []
+        self._tasks.clear()
         self._answers.clear()
         self._failing_since_ms.clear()
         self._log.note(Kind.READER, action="stop", reason=reason)
 
+    def _ask(self, feed: Feed) -> None:
+        """Follow a feed from what has been read of it; a call that waits is given up."""
+        waiting = self._tasks.get(feed)
+        if waiting is not None:
+            waiting.cancel()
+        self._tasks[feed] = asyncio.create_task(self._follow(feed))
+
     async def _follow(self, feed: Feed) -> None:
-        offset: int | None = None
         failures = 0
         while True:
+            offset = self._offsets.get(feed)
             try:
                 if offset is None:
                     found = await self._store.newest(feed)
@@ -87,7 +96,7 @@
                     found = await self._store.changes(feed, offset, WAIT_MS[feed])
             except HistoryLostError:
                 self._log.note(Kind.STORE, feed=feed.value, state="history-lost", offset=offset)
-                offset = None
+                del self._offsets[feed]
                 continue
             except PlatformError as error:
                 self._failed(feed, error)
@@ -97,7 +106,7 @@
             failures = 0
             self._answered(feed)
             self._take(feed, found, whole=offset is None)
-            offset = found.end_offset
+            self._offsets[feed] = found.end_offset
             await asyncio.sleep(GAP_MS / 1000)
 
     def _take(self, feed: Feed, found: FeedSlice, whole: bool) -> None:
@@ -137,5 +146,7 @@
         if feed not in self._failing_since_ms:
             self._failing_since_ms[feed] = monotonic_ms()
             self._log.note(Kind.STORE, feed=feed.value, state="lost", error=str(error))
+            if feed is Feed.CONFIG:
+                self._ask(Feed.SERVERS)
         self._answers[feed] = False
         self._counters.add("store_calls", feed=feed.value, answered="no")
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -119,3 +119,8 @@
     Given a gateway and 1 backend servers
     Then a request with two lengths, or a length and chunks, or two hosts is refused
     And no backend server has seen anything
+
+  Scenario: A gateway whose address is taken says so and ends
+    Given a gateway and 1 backend servers
+    When another one is started at its callers' address
+    Then it ends with 3 and a line that names the address
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -23,15 +23,32 @@
 RECEIPT = "stamp"
 WAIT_S = 20
 NAMES = CallHeaders()
+PORTS = random.SystemRandom()
+PORT_RANGE = (10_000, 32_000)
+"""Below the range that the kernel takes the ports of outgoing connections from."""
+GIVEN_PORTS = set()
 FLEET = f"127.0.0.1:{random.SystemRandom().randrange(1, 65_536)}"
 """Runs side by side may get each other's ports; this tells their fleets apart."""
 
 
 def free_address():
-    """Return an address on loopback that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return an address on loopback that nobody listens on.
+
+    Its port is not one that the kernel gives to outgoing connections: one of those could take it
+    before its listener starts, or while a gateway is down between two starts.
+    """
+    while True:
+        port = PORTS.randrange(*PORT_RANGE)
+        if port in GIVEN_PORTS:
+            continue
+        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+            try:
+                stream.bind(("127.0.0.1", port))
+                datagrams.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        GIVEN_PORTS.add(port)
+        return f"127.0.0.1:{port}"
 
 
 def route(name, prefix, idempotent, **fields):
--- a/features/gateway_peers.feature
+++ b/features/gateway_peers.feature
@@ -13,6 +13,12 @@
     And the configuration and the backend servers change
     Then all gateways follow
 
+  Scenario: A store that has gone silent is noticed on both feeds
+    Given 1 gateways and 2 backend servers
+    When a call for backend servers gets no answer, and one for the configuration is given up
+    And the configuration and the backend servers change
+    Then all gateways follow
+
   Scenario: Serving goes on while the store is away
     Given 3 gateways and 2 backend servers
     When the store answers nobody
--- a/features/gateway_soak.py
+++ b/features/gateway_soak.py
@@ -445,13 +445,15 @@
         except TimeoutError:
             wrong = [f"not every gateway served within {CALM_S} s of calm"]
             wrong += [f"{item.name}: {item.process.returncode}" for item in soak.gateways]
-        faults = [
-            f"{log.name}: {line}"
-            for log in sorted(folder.glob("*.log"))
-            for line in log.read_text(errors="replace").splitlines()
-            if not line.startswith("{") or '"kind":"fault"' in line
-        ]
-        return [*wrong, *faults], soak
+        return [*wrong, *log_faults(folder)], soak
+
+
+def log_faults(folder):
+    """Return what the gateways' logs say of faults; the last line of a trace tells the most."""
+    for log in sorted(folder.glob("*.log")):
+        lines = log.read_text(errors="replace").splitlines()
+        strange = [item for item in lines if not item.startswith("{") or '"kind":"fault"' in item]
+        yield from (f"{log.name}: {line}" for line in reversed(strange))
 
 
 def main(arguments):
--- a/features/steps/gateway_peer_steps.py
+++ b/features/steps/gateway_peer_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from cloverhook.errors import PlatformSilentError
-from cloverhook.gateway.store import MemoryStore
+from cloverhook.gateway.store import Feed, MemoryStore
 from features import gateway_fleet as fleet
 from features.shared import run
 
@@ -273,3 +273,25 @@
     assert context.stranger.caller_address not in run(context, named_by(settings))
     assert gateway._knowledge.config_version == 1
     assert gateway._knowledge.registry.get("i-other") is None
+
+
+@when("a call for backend servers gets no answer, and one for the configuration is given up")
+def step_silent_feed(context):
+    changes = context.store.changes
+    silent = {Feed.SERVERS, Feed.CONFIG}
+    waiting = set()
+
+    async def once_silent(feed, from_offset, wait_ms):
+        if feed not in silent:
+            return await changes(feed, from_offset, wait_ms)
+        silent.remove(feed)
+        waiting.add(feed)
+        if feed is Feed.SERVERS:
+            await asyncio.Event().wait()
+        while Feed.SERVERS not in waiting:
+            await asyncio.sleep(0.01)
+        raise PlatformSilentError("no answer")
+
+    context.store.changes = once_silent
+    context.store._changed.set()  # The present calls end.
+    run(context, fleet.until(lambda: waiting == set(Feed)))
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from cloverhook.gateway.attempt import ASK_AGE_MS
+from cloverhook.gateway.daemon import Gateway, serve
 from cloverhook.gateway.store import MemoryStore
 from features import gateway_fleet as fleet
 from features.shared import run
@@ -330,3 +331,28 @@
 def step_slow_unused(context):
     assert [answer.status for answer in context.answers] == [200] * len(context.answers)
     assert context.backends[0].ran == [], context.backends[0].ran
+
+
+@when("another one is started at its callers' address")
+def step_taken(context):
+    lines = []
+    taken = caller_address(context)
+    settings = fleet.gateway_settings("vm-late", caller_address=taken)
+    context.taken, context.lines = taken, lines
+
+    def write(data):
+        lines.append(data.decode())
+        return len(data)
+
+    async def start():
+        gateway = Gateway(settings, context.store, fleet.NAMES, fleet.answer_directory, write)
+        return await serve(gateway, lambda: settings)
+
+    context.exit_code = run(context, start())
+
+
+@then("it ends with {code:d} and a line that names the address")
+def step_ended(context, code):
+    assert context.exit_code == code
+    fault = next(line for line in context.lines if '"fault"' in line)
+    assert context.taken.partition(":")[2] in fault, fault
