--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -84,6 +84,14 @@
     Then the answer is 200, whole and its own
     And the request ran 2 times
 
+  Scenario: A fallen pace brings company to a read that has just begun, not to a later one
+    Given a gateway that measures nothing and 2 backend servers
+    And work that takes 400 ms
+    When the pace of its backend server falls 300 ms after a read has begun
+    Then 1 backend servers have seen the read
+    When the pace of its backend server falls 30 ms after a read has begun
+    Then 2 backend servers have seen the read
+
   Scenario: An address that belongs to another incarnation now runs nothing
     Given a gateway and 1 backend servers
     And its address belongs to another incarnation now
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -80,6 +80,23 @@
     Then the load is 4
     And it is 1 again when the next figure says so
 
+  Scenario: How much work an endpoint should have done follows its figures
+    Given a load figure of pace 1 at 0 ms, 7 at 100 ms and 2 at 800 ms
+    Then at 1000 ms it should have done 300 ms of work at the usual pace
+    And a figure of 50 ms that comes late changes nothing
+
+  Scenario: Of endpoints that are alike, one with a connection is preferred
+    Given a balancer over 6 backend servers, 3 of them in another data centre
+    When only one of the own data centre has an idle connection
+    Then it gets most of 100 requests, and none once it is full
+
+  Scenario: A rate of requests is that of the time that is kept
+    Given an allowance that counts over 10 s
+    When 50 requests have come in 5 s
+    Then their rate is 10 a second
+    When 60 seconds pass without any
+    Then their rate is 0 a second
+
   Scenario: Repeats of all VMs together stay within the allowance
     Given 13 VMs with an allowance of 0.2 of the requests and 56 more in 10 s
     When each repeats as much as it may over 3 windows of 50 requests
--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -15,6 +15,17 @@
     When it has learned of a change from a peer and reads the next one in the store
     Then what it passes on builds on the peer's version
 
+  Scenario: Figures of one round of probes share a datagram, and other data centres hear changes
+    Given a VM that measures 12 backend servers, with 2 neighbours and a VM elsewhere
+    When it measures all of them
+    Then each neighbour gets 1 datagram and the VM elsewhere gets 1
+    When it measures all of them 100 ms later and nothing has changed
+    Then each neighbour gets 1 datagram and the VM elsewhere gets 0
+    When it measures all of them 200 ms later and one is 7 times as slow
+    Then each neighbour gets 1 datagram and the VM elsewhere gets 1
+    When it measures all of them 1300 ms later and nothing has changed
+    Then each neighbour gets 1 datagram and the VM elsewhere gets 1
+
   Scenario: What has waited through a pause is not relayed
     Given a VM with 3 neighbours that are alive
     When a message to be relayed comes
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -582,3 +582,59 @@
     names = [f"r-{number}" for number in range(1_000)]
     assert [context.log.sampled(name) for name in names] == [other.sampled(n) for n in names]
     assert 0 < sum(other.sampled(name) for name in names) < 100
+
+
+@given("a load figure of pace 1 at 0 ms, 7 at 100 ms and 2 at 800 ms")
+def step_figures(context):
+    context.load = LoadBoard().of("i-0")
+    for at_ms, pace in ((0.0, 1.0), (100.0, 7.0), (800.0, 2.0)):
+        context.load.report(LoadFigure(0, 0, pace), at_ms)
+
+
+@then("at {at_ms:d} ms it should have done {work_ms:d} ms of work at the usual pace")
+def step_progress(context, at_ms, work_ms):
+    context.expected = at_ms, work_ms
+    assert abs(context.load.progress_ms(at_ms) - work_ms) < 0.01, context.load.progress_ms(at_ms)
+
+
+@then("a figure of 50 ms that comes late changes nothing")
+def step_late_figure(context):
+    context.load.report(LoadFigure(0, 0, 50.0), 50.0)
+    step_progress(context, *context.expected)
+
+
+@when("only one of the own data centre has an idle connection")
+def step_one_connection(context):
+    context.balancer._has_connection = lambda incarnation: incarnation == "near-1"
+
+
+@then("it gets most of 100 requests, and none once it is full")
+def step_preferred(context):
+    choose = context.balancer.choose
+    names = [choose(fleet.SERVICE, WORK_MS, context.now_ms).server.incarnation for _ in range(100)]
+    assert names.count("near-1") > 50, names.count("near-1")
+    fill(context, "near-1")
+    assert "near-1" not in chosen(context)
+
+
+@given("an allowance that counts over 10 s")
+def step_rate_allowance(context):
+    context.now_ms = 0.0
+    context.allowance = RetryAllowance(0.2, 10, 10_000)
+
+
+@when("50 requests have come in 5 s")
+def step_rate_requests(context):
+    for _ in range(50):
+        context.allowance.count("s", context.now_ms)
+        context.now_ms += 100.0
+
+
+@when("{time_s:d} seconds pass without any")
+def step_rate_idle(context, time_s):
+    context.now_ms += time_s * 1_000
+
+
+@then("their rate is {rate:d} a second")
+def step_rate(context, rate):
+    assert abs(context.allowance.requests_per_s("s", context.now_ms) - rate) < 0.5
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_spread_steps.py
@@ -9,6 +9,7 @@
 from cloverhook.gateway.event_log import EventLog
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadBoard, LoadFigure
+from cloverhook.gateway.load_news import LoadNews
 from cloverhook.gateway.measuring import Measuring
 from cloverhook.gateway.members import Members
 from cloverhook.gateway.peer_messages import Beat, Identity, InFlight, Relay, decode
@@ -523,3 +524,50 @@
     for name in context.needing:
         context.discoveries[name].announced()
     context.dead |= context.needing
+
+
+@given("a VM that measures {count:d} backend servers, with 2 neighbours and a VM elsewhere")
+def step_measurer(context, count):
+    context.wire = Wire()
+    members = members_of("vm-0", ("vm-1", "vm-2"), monotonic_ms())
+    members.heard(beat("vm-far", FAR), monotonic_ms())
+    context.news = LoadNews("vm-0", Spread("vm-0", context.wire, members))
+    context.figures = {f"i-{number}": LoadFigure(0, 0, 1.0) for number in range(count)}
+
+
+def measure(context, at_ms):
+    """Hand all figures to the news, as measured at a time, and wait for its datagrams."""
+    context.wire.sent.clear()
+
+    async def hand_over():
+        for name, figure in context.figures.items():
+            context.news.add(name, figure, at_ms)
+        await asyncio.sleep(0.05)
+
+    run(context, hand_over())
+
+
+@when("it measures all of them")
+def step_measure(context):
+    measure(context, 0.0)
+
+
+@when("it measures all of them {at_ms:d} ms later and nothing has changed")
+def step_measure_same(context, at_ms):
+    measure(context, at_ms)
+
+
+@when("it measures all of them {at_ms:d} ms later and one is 7 times as slow")
+def step_measure_slow(context, at_ms):
+    context.figures["i-3"] = LoadFigure(0, 0, 7.0)
+    measure(context, at_ms)
+
+
+@then("each neighbour gets {near:d} datagram and the VM elsewhere gets {far:d}")
+def step_datagrams(context, near, far):
+    by_address = {}
+    for address, data in context.wire.sent:
+        by_address.setdefault(address, []).append(data)
+    assert len(by_address["vm-1:2"]) == len(by_address["vm-2:2"]) == near, by_address
+    assert len(by_address.get("vm-far:2", ())) == far, by_address
+    assert len(decode(by_address["vm-1:2"][0]).figures) == len(context.figures)
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -5,8 +5,10 @@
 
 from behave import given, then, when
 
+from cloverhook.clock import monotonic_ms
 from cloverhook.gateway.attempt import ASK_AGE_MS
 from cloverhook.gateway.daemon import Gateway, serve
+from cloverhook.gateway.load import LoadFigure
 from cloverhook.gateway.store import MemoryStore
 from features import gateway_fleet as fleet
 from features.shared import run
@@ -356,3 +358,35 @@
     assert context.exit_code == code
     fault = next(line for line in context.lines if '"fault"' in line)
     assert context.taken.partition(":")[2] in fault, fault
+
+
+@given("work that takes {work_ms:d} ms")
+def step_work_takes(context, work_ms):
+    for backend in context.backends:
+        backend.work_ms = float(work_ms)
+
+
+@when("the pace of its backend server falls {after_ms:d} ms after a read has begun")
+def step_pace_falls(context, after_ms):
+    gateway = context.gateways[0][0]
+    board = gateway._knowledge.board
+
+    async def read():
+        for backend in context.backends:
+            backend.seen.clear()
+            board.of(backend.incarnation).report(LoadFigure(0, 0, 1.0), monotonic_ms())
+        answer = asyncio.ensure_future(fleet.call(caller_address(context), fleet.SAFE))
+        await fleet.until(lambda: any(backend.seen for backend in context.backends))
+        busy = next(backend for backend in context.backends if backend.seen)
+        (began,) = gateway._forwarder._running[busy.incarnation]
+        began.attempts[-1].began_ms = monotonic_ms() - after_ms  # A stall must not count.
+        server = gateway._knowledge.registry.get(busy.incarnation)
+        gateway._on_figure(server, LoadFigure(1, 0, 7.0), monotonic_ms())
+        assert (await answer).status == 200
+
+    run(context, read())
+
+
+@then("{count:d} backend servers have seen the read")
+def step_seen(context, count):
+    assert sum(bool(backend.seen) for backend in context.backends) == count
