--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -10,6 +10,12 @@
     When the backend server works 7 times as long
     Then all gateways know that pace
 
+  Scenario: A configuration crosses to another data centre once for each reader
+    Given 3 gateways in each of two data centres and a backend server in each
+    Then every gateway knows the other 5
+    When the configuration changes, and neighbours wait long for each other
+    Then every gateway has it, and it has crossed 2 times at most
+
   Scenario: Changes are told with the version that they build on
     Given 1 gateways and 1 backend servers
     When it has learned of a change from a peer and reads the next one in the store
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_spread_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.gateway import peering as peering_module
 from cloverhook.gateway.discovery import Discovery
 from cloverhook.gateway.event_log import EventLog
 from cloverhook.gateway.knowledge import Knowledge
@@ -571,3 +572,44 @@
     assert len(by_address["vm-1:2"]) == len(by_address["vm-2:2"]) == near, by_address
     assert len(by_address.get("vm-far:2", ())) == far, by_address
     assert len(decode(by_address["vm-1:2"][0]).figures) == len(context.figures)
+
+
+def count_crossings(gateway, settings, crossed):
+    """Note each configuration that a gateway fetches from another data centre."""
+    fetch = gateway._peering.link.fetch
+
+    async def counting(address, asked):
+        state = await fetch(address, asked)
+        members = {item.peer_address: item for item in gateway._members.all()}
+        if "config" in state and members[address].data_center != settings.data_center:
+            crossed.append(settings.vm)
+        return state
+
+    gateway._peering.link.fetch = counting
+
+
+@when("the configuration changes, and neighbours wait long for each other")
+def step_config_crosses(context):
+    context.crossed = []
+    before = peering_module.NEIGHBOUR_FIRST_MS
+    peering_module.NEIGHBOUR_FIRST_MS = 60_000.0
+    for gateway, settings in context.gateways:
+        count_crossings(gateway, settings, context.crossed)
+
+    async def change():
+        await fleet.until(lambda: sum(item._follower.active for item, _ in context.gateways) == 2)
+        context.store.put_config(fleet.config(5))
+        await fleet.until(
+            lambda: {item._knowledge.config_version for item, _ in context.gateways} == {5}
+        )
+
+    try:
+        run(context, change())
+    finally:
+        peering_module.NEIGHBOUR_FIRST_MS = before
+
+
+@then("every gateway has it, and it has crossed {most:d} times at most")
+def step_crossings(context, most):
+    assert {item._knowledge.config_version for item, _ in context.gateways} == {5}
+    assert len(context.crossed) <= most, context.crossed
