--- a/features/gateway_soak.py
+++ b/features/gateway_soak.py
@@ -75,6 +75,7 @@
     seed: int
     folder: Path
     stack: AsyncExitStack
+    size: int = GATEWAYS
     source: random.Random = None
     store: LogStoreServer = field(default_factory=LogStoreServer)
     store_address: str = ""
@@ -96,7 +97,7 @@
         for _ in range(BACKENDS):
             await self.add_backend()
         self.put_config()
-        for index in range(GATEWAYS):
+        for index in range(self.size):
             self.gateways.append(self._place(f"vm-{index}"))
             await self.start(self.gateways[-1])
         self.stack.push_async_callback(self.end_all)
@@ -434,12 +435,12 @@
                 yield f"{call.request_id} got a success and has not run"
 
 
-async def play(seed):
-    """Play one seed; return what was wrong, the faults and the number of calls."""
+async def play(seed, size=GATEWAYS):
+    """Play one seed with so many gateways; return what was wrong, and the run."""
     async with AsyncExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="cloverhook-soak-")))
         context = SimpleNamespace(stack=stack)
-        soak = Soak(seed, folder, context.stack)
+        soak = Soak(seed, folder, context.stack, size)
         try:
             wrong = await soak.play()
         except TimeoutError:
@@ -457,11 +458,14 @@
 
 
 def main(arguments):
-    """Play the seeds that the arguments name and return the exit code."""
-    first, count = (int(item) for item in arguments)
+    """Play the seeds that the arguments name and return the exit code.
+
+    They are the first seed, how many to play, and how many gateways to play them with.
+    """
+    first, count, size = (int(item) for item in (*arguments, GATEWAYS)[:3])
     bad = 0
     for seed in range(first, first + count):
-        wrong, soak = asyncio.run(play(seed))
+        wrong, soak = asyncio.run(play(seed, size))
         answered = sum(1 for x in soak.calls if x.answer is not None and x.answer.status == 200)
         print(f"seed {seed}: {len(soak.calls)} calls, {answered} answered 200, {len(wrong)} wrong")
         print(f"  faults: {' '.join(soak.faults)}")
