Keep the connection of a declined request; stop greeting who never answers

A connection over which an endpoint was asked and found slow was neither put back nor closed: it stayed open, and counted against the limit, until the endpoint closed it. Addresses of VMs that were replaced were greeted every second for as long as the process lives. Each has a test that is red without the change.

--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -86,7 +86,7 @@
     ) -> None:
         """With `ask_path`, the endpoint is asked for its load there before the request is sent."""
         self._ask_path = ask_path
-        self._declined = False
+        self._declined: AnswerHead | None = None
         self.choice = choice
         self.sent = False
         self.began_ms = monotonic_ms()
@@ -127,6 +127,8 @@
         finally:
             if connection is not None and not kept and not connection.usable:
                 connection.close()
+        if self._declined is not None:
+            pool.release(server, connection, self._declined)
         self._learn(result, board)
         return replace(result, usual_ms=load.progress_ms(monotonic_ms()) - begun_ms)
 
@@ -139,7 +141,7 @@
         server = self.choice.server
         try:
             async with asyncio.timeout(ASK_TIMEOUT_MS / 1000):
-                _, figure = await ask_load(connection, server, path, self._headers)
+                head, figure = await ask_load(connection, server, path, self._headers)
         except TimeoutError as error:
             connection.close()
             raise UpstreamError("no answer to the question for its load", sent=False) from error
@@ -151,7 +153,7 @@
         if not figure.reachable:
             raise UpstreamError("another incarnation answers there", sent=False)
         if figure.pace >= SLOW_PACE > self.choice.pace:
-            self._declined = True
+            self._declined = head
             raise UpstreamError(f"it has turned slow, pace {figure.pace:g}", sent=False)
 
     async def _send(self, connection: UpstreamConnection) -> AnswerHead:
@@ -222,7 +224,7 @@
 
     def _failed(self, error: UpstreamError, latency_ms: float) -> AttemptResult:
         outcome = Outcome.CUT if self.sent else Outcome.NOT_SENT
-        if self._declined:
+        if self._declined is not None:
             outcome = Outcome.DECLINED
         return AttemptResult(outcome, self.choice, latency_ms, detail=str(error))
 
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -43,6 +43,8 @@
 """In a crowded data centre each VM beats more seldom: what a VM hears grows with their number."""
 READER_BEAT_MS = 300.0
 GREET_MS = 1_000.0
+GREET_LIMIT_MS = 120_000.0
+"""An address that has not answered for this long is greeted no more."""
 FIRST_GREET_MS = 300.0
 FIRST_GREETS_MS = 3_000.0
 """At the start of a fleet a seed may come a little later than others, which greet it again soon."""
@@ -84,6 +86,7 @@
         self.load_news = LoadNews(own.vm, self.spread)
         self._started_ms = monotonic_ms()
         self._addresses: dict[str, str | None] = {}
+        self._greeted_since_ms: dict[str, float] = {}
         self._near_due_ms = 0.0
         self._far_due_ms = 0.0
         self._greet_due_ms = 0.0
@@ -179,6 +182,7 @@
         Where nobody lives in another data centre, its silent VMs are asked too.
         """
         heard = {item.peer_address for item in self._members.all()}
+        self._forget_unanswered(heard, now_ms)
         far: dict[str, list[str]] = {}
         found = []
         for address, data_center in self._addresses.items():
@@ -200,6 +204,17 @@
             for address in found:
                 self.link.send_encoded(address, data)
 
+    def _forget_unanswered(self, heard: set[str], now_ms: float) -> None:
+        """Drop the addresses that have not answered for long, unless the settings name them.
+
+        The VMs there were replaced.  The settings' addresses have no data centre.
+        """
+        for address, data_center in tuple(self._addresses.items()):
+            if address in heard or data_center is None:
+                self._greeted_since_ms.pop(address, None)
+            elif now_ms - self._greeted_since_ms.setdefault(address, now_ms) > GREET_LIMIT_MS:
+                del self._addresses[address], self._greeted_since_ms[address]
+
     def ask_who_is_there(self, now_ms: float) -> None:
         """Ask a peer for the addresses in the own data centre, if that is due, to greet them."""
         if now_ms < self._list_due_ms:
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -50,6 +50,7 @@
     When callers have read from both of them, and then one works 7 times as long
     And a caller writes 10 times
     Then all answers are 200 and the slow one ran none of them
+    And the connection over which it was asked is kept for use
 
   Scenario: A request that may run once is not sent where a question finds nobody
     Given a gateway that measures nothing and 2 backend servers
--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -98,6 +98,11 @@
     When the seeds are gone for good and a gateway starts that knows only them
     Then every gateway knows the other 3
 
+  Scenario: An address that never answers is greeted for a while only, a seed's for good
+    Given a VM that knows the address of a seed and that of a VM that was replaced
+    Then in the first minute it greets both
+    And after 5 minutes it greets the seed alone
+
   Scenario: A few VMs write themselves down when a seed falls silent
     Given 9 VMs that have met their seeds
     Then none of them needs the store
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_spread_steps.py
@@ -613,3 +613,32 @@
 def step_crossings(context, most):
     assert {item._knowledge.config_version for item, _ in context.gateways} == {5}
     assert len(context.crossed) <= most, context.crossed
+
+
+@given("a VM that knows the address of a seed and that of a VM that was replaced")
+def step_addresses(context):
+    context.peering = peering_of("vm-0", ())
+    context.peering.add_address("seed:2")
+    context.peering.add_address("replaced:2", NEAR)
+    context.now_ms = monotonic_ms()
+
+
+def greeted(context, duration_ms):
+    """Return which addresses are greeted in the last 5 s of a time."""
+    end_ms = context.now_ms + duration_ms
+    while context.now_ms < end_ms:
+        context.now_ms += 500.0
+        if context.now_ms < end_ms - 5_000.0:
+            context.peering.link.sent.clear()
+        context.peering.tick(context.now_ms)
+    return {address for address, _ in context.peering.link.sent}
+
+
+@then("in the first minute it greets both")
+def step_greets_both(context):
+    assert greeted(context, 60_000) == {"seed:2", "replaced:2"}
+
+
+@then("after {minutes:d} minutes it greets the seed alone")
+def step_greets_seed(context, minutes):
+    assert greeted(context, minutes * 60_000) == {"seed:2"}
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -390,3 +390,11 @@
 @then("{count:d} backend servers have seen the read")
 def step_seen(context, count):
     assert sum(bool(backend.seen) for backend in context.backends) == count
+
+
+@then("the connection over which it was asked is kept for use")
+def step_kept(context):
+    pool = context.gateways[0][0]._pool
+    for backend in context.backends:
+        idle = len(pool._idle.get(backend.incarnation, ()))
+        assert idle == pool._open.get(backend.incarnation, 0), (backend.incarnation, idle)
