Give each test run its own ports; ask a clean end of who can hear the signal

The soak now looks at the process's caught signals when it sends the stop, and says in its output which it was.

--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 import socket
 from dataclasses import dataclass, field, replace
@@ -23,32 +24,53 @@
 RECEIPT = "stamp"
 WAIT_S = 20
 NAMES = CallHeaders()
-PORTS = random.SystemRandom()
-PORT_RANGE = (10_000, 32_000)
-"""Below the range that the kernel takes the ports of outgoing connections from."""
-GIVEN_PORTS = set()
+FIRST_MARK = 9_900
+FIRST_PORT = 10_000
+BLOCK_PORTS = 1_000
+BLOCKS = 22
+"""All below the range that the kernel takes the ports of outgoing connections from."""
+MARKS = []
+PORTS = []
 FLEET = f"127.0.0.1:{random.SystemRandom().randrange(1, 65_536)}"
 """Runs side by side may get each other's ports; this tells their fleets apart."""
 
 
+def own_ports():
+    """Return the ports that this process alone gives away, until it ends.
+
+    Runs side by side each hold a block of them: a port that is free now may else be taken by
+    another run before its listener starts.
+    """
+    for block in random.SystemRandom().sample(range(BLOCKS), BLOCKS):
+        mark = socket.socket()
+        try:
+            mark.bind(("127.0.0.1", FIRST_MARK + block))
+        except OSError:
+            mark.close()
+            continue
+        MARKS.append(mark)
+        first = FIRST_PORT + block * BLOCK_PORTS
+        return itertools.cycle(range(first, first + BLOCK_PORTS))
+    raise OSError("every block of ports is held by another run")
+
+
 def free_address():
     """Return an address on loopback that nobody listens on.
 
     Its port is not one that the kernel gives to outgoing connections: one of those could take it
     before its listener starts, or while a gateway is down between two starts.
     """
-    while True:
-        port = PORTS.randrange(*PORT_RANGE)
-        if port in GIVEN_PORTS:
-            continue
+    if not PORTS:
+        PORTS.append(own_ports())
+    for port in itertools.islice(PORTS[0], BLOCK_PORTS):
         with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagrams:
             try:
                 stream.bind(("127.0.0.1", port))
                 datagrams.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        GIVEN_PORTS.add(port)
         return f"127.0.0.1:{port}"
+    raise OSError("every port of this run is in use")
 
 
 def route(name, prefix, idempotent, **fields):
--- a/features/gateway_soak.feature
+++ b/features/gateway_soak.feature
@@ -21,3 +21,4 @@
       | 128  | not every gateway served at the start; open     |
       | 136  | as 108                                          |
       | 140  | as 128                                          |
+      | 324  | a stop before the process had a handler for it  |
--- a/features/gateway_soak.py
+++ b/features/gateway_soak.py
@@ -57,6 +57,13 @@
         return self.process is not None and self.process.returncode is None
 
 
+def handles_stop(pid):
+    """Return whether a process has a handler for the signal of a planned stop at this moment."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    caught = next(line for line in status.splitlines() if line.startswith("SigCgt:"))
+    return bool(int(caught.split()[1], 16) & 1 << signal.SIGTERM - 1)
+
+
 @dataclass
 class Call:
     """What a caller sent, where, and what it got."""
@@ -307,14 +314,20 @@
         gateway = self._running()
         if gateway is not None and not gateway.stopping:
             gateway.stopping = True
+            handled = handles_stop(gateway.process.pid)
             gateway.process.send_signal(signal.SIGTERM)
-            self.clean_ends.append(asyncio.ensure_future(self._replace(gateway, gateway.process)))
+            work = self._replace(gateway, gateway.process, handled)
+            self.clean_ends.append(asyncio.ensure_future(work))
 
-    async def _replace(self, gateway, process):
+    async def _replace(self, gateway, process, handled):
         code = await process.wait()
         disturbed = gateway.disturbed
         await self.start(gateway)
-        return 0 if disturbed else code
+        if disturbed or not code or (code == -signal.SIGTERM and not handled):
+            return ""  # Before it has a handler a process serves nobody, so nothing was cut.
+        return (
+            f"{code}; it {'handled' if handled else 'did not handle yet'} the signal when it came"
+        )
 
     async def hang_up(self):
         """Tell a gateway that its settings may have changed."""
