--- a/cloverhook/gateway/prober.py
+++ b/cloverhook/gateway/prober.py
@@ -1,8 +1,8 @@
-"""Measures the backend servers that this VM owns, and says what it found.
+"""Measures backend servers, and says what it found.
 
-Layer: transport.  One VM asks each backend server, from the same data centre where there is one,
-so that the fleet as a whole asks once.  An endpoint's pace changes within half a second, and a
-figure that is a tenth of a second old still tells where to go.
+Layer: transport.  `measuring` says which ones: each is asked by one VM, of the same data centre
+where there is one, so that the fleet as a whole asks once.  An endpoint's pace changes within half
+a second, and a figure that is a tenth of a second old still tells where to go.
 """
 
 import asyncio
