Read TOML in one place, run the program apart from the wiring, drop dead code

Four programs read a TOML file each in its own way, and two of the copies let a file that is no text end in a trace; one function does it now, with a test (red for both before). Signals, start and exit code of a gateway move from daemon.py, which only wires the parts, to program.py. An unused way to send and an unread count go. Two steps of gateway_spread no longer depend on how long a stall lasts. Serving is unchanged.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -5,11 +5,8 @@
 """
 
 import asyncio
-import contextlib
-import gc
 import os
 import random
-import signal
 import time
 import traceback
 from collections.abc import Callable
@@ -40,11 +37,10 @@
 from cloverhook.gateway.store import MemberRecord, Store
 from cloverhook.gateway.store_follower import StoreFollower
 
-__all__ = ["DirectoryHandler", "Gateway", "serve"]
+__all__ = ["DirectoryHandler", "Gateway"]
 
 TICK_MS = 50.0
 SWEEP_MS = 1_000.0
-EXIT_CANT_LISTEN = 3
 ANNOUNCE_LOOK_MS = 200.0
 ANNOUNCE_RETRY_MS = 700.0
 ACCEPT_SHARE = 0.55
@@ -389,29 +385,3 @@
             except PlatformError as error:
                 self._log.note(Kind.STORE, feed="members", state="lost", error=str(error))
                 await asyncio.sleep(ANNOUNCE_RETRY_MS / 1000)
-
-
-async def serve(gateway: Gateway, read_settings: Callable[[], GatewaySettings]) -> int:
-    """Run a gateway until it is told to stop, and return the process's exit code."""
-    loop = asyncio.get_running_loop()
-    with contextlib.suppress(OSError):
-        os.set_blocking(1, False)
-
-    def reload() -> None:
-        try:
-            gateway.reload(read_settings())
-        except SettingsError as error:
-            gateway.reload_failed(error)
-
-    loop.add_signal_handler(signal.SIGTERM, gateway.leave)
-    loop.add_signal_handler(signal.SIGINT, gateway.leave)
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    try:
-        await gateway.start()
-    except OSError as error:
-        gateway.start_failed(error)
-        return EXIT_CANT_LISTEN
-    gc.collect()
-    gc.freeze()
-    await gateway.run_until_stopped()
-    return 0
--- a/cloverhook/gateway/peer_link.py
+++ b/cloverhook/gateway/peer_link.py
@@ -17,7 +17,7 @@
 import xxhash
 
 from cloverhook.errors import MessageError
-from cloverhook.gateway.peer_messages import PeerMessage, decode, encode
+from cloverhook.gateway.peer_messages import PeerMessage, decode
 
 __all__ = ["PeerLink"]
 
@@ -46,7 +46,6 @@
         self._on_garbage = on_garbage
         self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
-        self.sent_bytes = 0
 
     async def open(self, address: str) -> None:
         """Open both sockets."""
@@ -64,14 +63,9 @@
         if self._server is not None:
             self._server.close()
 
-    def send(self, address: str, message: PeerMessage) -> None:
-        """Send a message, which may be lost."""
-        self.send_encoded(address, encode(message))
-
     def send_encoded(self, address: str, data: bytes) -> None:
-        """Send a message that is encoded already."""
+        """Send an encoded message, which may be lost."""
         if self._transport is not None and not self._transport.is_closing():
-            self.sent_bytes += len(data)
             self._transport.sendto(self._mark + data, _split(address))
 
     async def fetch(self, address: str, asked: Asked) -> dict[str, Any]:
--- a/cloverhook/gateway/settings.py
+++ b/cloverhook/gateway/settings.py
@@ -4,15 +4,14 @@
 gateway reads both from the platform's store.
 """
 
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, fields
-from pathlib import Path
 from typing import Any
 
 from cloverhook.checking import Address, Integer, Items, Number, Text, faults_of, table_of
 from cloverhook.checking import kind_field as kind
-from cloverhook.errors import Fault, SettingsError
+from cloverhook.errors import SettingsError
+from cloverhook.toml_file import read_toml
 
 __all__ = ["GatewaySettings"]
 
@@ -54,11 +53,7 @@
     @classmethod
     def from_file(cls, path: str) -> "GatewaySettings":
         """Read settings from a TOML file.  Raises `SettingsError` with every fault."""
-        try:
-            document = tomllib.loads(Path(path).read_text())
-        except (OSError, tomllib.TOMLDecodeError) as error:
-            raise SettingsError((Fault(path, str(error), "a readable TOML file"),)) from error
-        return cls.from_document(document)
+        return cls.from_document(read_toml(path, SettingsError))
 
     @classmethod
     def from_document(cls, document: Mapping[str, Any]) -> "GatewaySettings":
--- a/cloverhook/porcelain.py
+++ b/cloverhook/porcelain.py
@@ -7,12 +7,10 @@
 
 import asyncio
 import time
-import tomllib
 import uuid
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
-from pathlib import Path
 from typing import Any
 
 from cloverhook.differences import Difference, differences
@@ -30,6 +28,7 @@
     SwitchPreset,
     encode_record,
 )
+from cloverhook.toml_file import read_toml
 
 __all__ = [
     "ChangeResult",
@@ -95,10 +94,7 @@
 
 def load(path: str) -> dict[str, Any]:
     """Return a TOML file's document.  Raises `ConfigError` when it can't be read."""
-    try:
-        return tomllib.loads(Path(path).read_text())
-    except (OSError, ValueError) as error:
-        raise ConfigError((Fault(path, str(error), "a readable TOML file"),)) from error
+    return read_toml(path, ConfigError)
 
 
 def check(path: str) -> Brand:
--- a/cloverhook/settings.py
+++ b/cloverhook/settings.py
@@ -6,7 +6,6 @@
 """
 
 import os
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -24,6 +23,7 @@
     table_of,
 )
 from cloverhook.errors import Fault, SettingsError
+from cloverhook.toml_file import read_toml
 
 __all__ = ["DaemonSettings"]
 
@@ -78,11 +78,7 @@
     @classmethod
     def from_file(cls, path: str) -> "DaemonSettings":
         """Read settings from a TOML file.  Raises `SettingsError` with every fault."""
-        try:
-            document = tomllib.loads(Path(path).read_text())
-        except (OSError, tomllib.TOMLDecodeError) as error:
-            raise SettingsError((Fault(path, str(error), "a readable TOML file"),)) from error
-        return cls.from_document(document)
+        return cls.from_document(read_toml(path, SettingsError))
 
     @classmethod
     def from_document(cls, document: Mapping[str, Any]) -> "DaemonSettings":
--- /dev/null
+++ b/cloverhook/toml_file.py
@@ -0,0 +1,20 @@
+"""Reads a TOML file for any of the programs.
+
+Layer: state.
+"""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from cloverhook.errors import ConfigError, Fault, SettingsError
+
+__all__ = ["read_toml"]
+
+
+def read_toml(path: str, failure: type[SettingsError | ConfigError]) -> dict[str, Any]:
+    """Return a file's document.  Raises `failure` when it can't be read, is no text or no TOML."""
+    try:
+        return tomllib.loads(Path(path).read_text())
+    except (OSError, ValueError) as error:
+        raise failure((Fault(path, str(error), "a readable TOML file"),)) from error
--- a/cloverhook/tool_settings.py
+++ b/cloverhook/tool_settings.py
@@ -4,13 +4,13 @@
 """
 
 import os
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 
 from cloverhook.checking import Address, Items, Table, Text, faults_of
 from cloverhook.errors import Fault, SettingsError
 from cloverhook.settings import URL
+from cloverhook.toml_file import read_toml
 
 __all__ = ["ToolSettings"]
 
@@ -33,10 +33,7 @@
     @classmethod
     def from_file(cls, path: str) -> "ToolSettings":
         """Read settings from a TOML file.  Raises `SettingsError` with every fault."""
-        try:
-            document = tomllib.loads(Path(path).read_text())
-        except (OSError, ValueError) as error:
-            raise SettingsError((Fault(path, str(error), "a readable TOML file"),)) from error
+        document = read_toml(path, SettingsError)
         faults = faults_of(SETTINGS, "", document)
         if faults:
             raise SettingsError(faults)
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -133,3 +133,7 @@
     Given a gateway and 1 backend servers
     When another one is started at its callers' address
     Then it ends with 3 and a line that names the address
+
+  Scenario: Settings that are no text are refused with the file's name
+    Given a settings file that is no text
+    Then a gateway, a daemon and the tool refuse it with one fault that names it
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_spread_steps.py
@@ -103,7 +103,12 @@
             send(address, data)
 
         gateway._peering.link.send_encoded = record
-        await asyncio.sleep(time_s)
+        async with asyncio.timeout(fleet.WAIT_S):
+            while True:
+                beats.clear()
+                await asyncio.sleep(time_s)
+                if not gateway._follower.active:
+                    break  # After a stall of this process it may have read for a while.
         gateway._peering.link.send_encoded = send
         assert 1 <= len(beats) <= limit, len(beats)
 
@@ -530,8 +535,9 @@
 @given("a VM that measures {count:d} backend servers, with 2 neighbours and a VM elsewhere")
 def step_measurer(context, count):
     context.wire = Wire()
-    members = members_of("vm-0", ("vm-1", "vm-2"), monotonic_ms())
-    members.heard(beat("vm-far", FAR), monotonic_ms())
+    heard_ms = monotonic_ms() + 600_000.0  # They stay alive, however long this process stalls.
+    members = members_of("vm-0", ("vm-1", "vm-2"), heard_ms)
+    members.heard(beat("vm-far", FAR), heard_ms)
     context.news = LoadNews("vm-0", Spread("vm-0", context.wire, members))
     context.figures = {f"i-{number}": LoadFigure(0, 0, 1.0) for number in range(count)}
 
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -1,15 +1,22 @@
 """Steps that send requests through a gateway in this process."""
 
 import asyncio
+import tempfile
 from dataclasses import replace
+from pathlib import Path
 
 from behave import given, then, when
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.errors import SettingsError
 from cloverhook.gateway.attempt import ASK_AGE_MS
-from cloverhook.gateway.daemon import Gateway, serve
+from cloverhook.gateway.daemon import Gateway
 from cloverhook.gateway.load import LoadFigure
+from cloverhook.gateway.program import serve
+from cloverhook.gateway.settings import GatewaySettings
 from cloverhook.gateway.store import MemoryStore
+from cloverhook.settings import DaemonSettings
+from cloverhook.tool_settings import ToolSettings
 from features import gateway_fleet as fleet
 from features.shared import run
 
@@ -398,3 +405,21 @@
     for backend in context.backends:
         idle = len(pool._idle.get(backend.incarnation, ()))
         assert idle == pool._open.get(backend.incarnation, 0), (backend.incarnation, idle)
+
+
+@given("a settings file that is no text")
+def step_no_text(context):
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    context.path = Path(folder) / "settings.toml"
+    context.path.write_bytes(b'vm = "\xff\xfe"')
+
+
+@then("a gateway, a daemon and the tool refuse it with one fault that names it")
+def step_no_text_refused(context):
+    for settings in (GatewaySettings, DaemonSettings, ToolSettings):
+        try:
+            settings.from_file(str(context.path))
+        except SettingsError as error:
+            assert str(context.path) in str(error), error
+        else:
+            raise AssertionError(settings)
