--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -158,6 +158,7 @@
             asyncio.create_task(keep_running(self._announce, "announce", self._log)),
         ]
         self._log.note(Kind.STARTED, pid=os.getpid(), data_center=settings.data_center)
+        self._follow_or_not(monotonic_ms())  # A tick later would be 50 ms without an answer.
 
     async def run_until_stopped(self) -> None:
         """Serve until a planned stop has ended."""
@@ -237,8 +238,9 @@
         return CallerAnswer(200 if self._is_ready() else 503, [])
 
     async def _serve_directory(self, request: CallerRequest) -> CallerAnswer:
-        addresses = self._members.caller_addresses(monotonic_ms())
-        if self._is_ready():
+        now_ms = monotonic_ms()
+        addresses = self._members.caller_addresses(now_ms)
+        if self._is_ready() and (not addresses or self._members.serves_callers(now_ms)):
             addresses.append(self._settings.caller_address)
         random.shuffle(addresses)  # An answer may hold a part of them: each VM gets callers.
         return self._answer_directory(request, addresses, self._settings.address_ttl_s * 1000)
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -23,6 +23,11 @@
 """A member of another data centre that beats more seldom may miss two beats as well."""
 NAMED_NEAR_VMS = 12
 """So many live VMs of the own data centre are enough for callers; they are known best."""
+SERVING_VMS = 12
+"""Of a crowded data centre so many VMs are named to callers.  They tell each other what they have
+in flight, which all of them could not; who knows that fills no endpoint that another has filled."""
+SERVING_MS = 100.0
+"""The order is worked out anew after this time."""
 READERS = 2
 READER_SILENT_MS = 900.0
 """Without a word of enough readers for this long, another VM reads: two beats were lost."""
@@ -64,6 +69,8 @@
         self._near_count = 0
         self._enough_readers_ms = now_ms
         self._was_read = False
+        self._serving: tuple[str, ...] = ()
+        self._serving_due_ms = 0.0
 
     def all(self) -> tuple[Member, ...]:
         """Return every member, also silent ones."""
@@ -124,8 +131,34 @@
         near = [item for item in heard if item.data_center == self._data_center]
         if len(near) >= NAMED_NEAR_VMS:
             heard = near
+        if self.crowded():
+            heard = [item for item in heard if self._serves(item.vm, now_ms)]
         return [item.caller_address for item in heard]
 
+    def serves_callers(self, now_ms: float) -> bool:
+        """Return whether this VM, if it is ready, is one of those that callers are sent to."""
+        return not self.crowded() or self._serves(self._own_vm, now_ms)
+
+    def serving(self, now_ms: float) -> tuple[str, ...]:
+        """Return the VMs of the own data centre that callers are sent to.
+
+        Every VM works them out for itself, from whom it hears: the first ones of an order.
+        """
+        if now_ms >= self._serving_due_ms:
+            self._serving_due_ms = now_ms + SERVING_MS
+            found = [
+                item.vm
+                for item in self.near()
+                if item.ready and not item.leaving and item.is_alive(now_ms)
+            ]
+            found.append(self._own_vm)
+            found.sort(key=lambda vm: rank_weight("callers", vm), reverse=True)
+            self._serving = tuple(found[:SERVING_VMS])
+        return self._serving
+
+    def _serves(self, vm: str, now_ms: float) -> bool:
+        return vm in self.serving(now_ms)
+
     def data_center_vms(self, data_center: str, now_ms: float) -> list[str]:
         """Return the VMs of a data centre that are alive, this one included if it lies there."""
         found = [
@@ -135,6 +168,16 @@
         ]
         return [*found, self._own_vm] if data_center == self._data_center else found
 
+    def holders(self, config_version: int, registry_version: int, now_ms: float) -> list[Member]:
+        """Return the live neighbours that know these versions or newer ones, by what they said."""
+        return [
+            item
+            for item in self.near()
+            if item.is_alive(now_ms)
+            and item.config_version >= config_version
+            and item.registry_version >= registry_version
+        ]
+
     def crowded(self) -> bool:
         """Return whether the own data centre has many VMs."""
         return self._near_count > CROWD_VMS
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -53,6 +53,12 @@
 LIST_MS = (300.0, 1_000.0, 3_000.0, 10_000.0, 30_000.0)
 """After these times a VM asks another one who is there; the last is repeated.  Of two that start at
 once the later one to ask learns of the other; all else repairs what got lost."""
+FETCH_SPREAD_MS = 150.0
+"""In a crowded data centre not all fetch a state at the same moment, from the only one that has it:
+over a link of 5 Mbit/s 40 copies of 10 KB take 0.7 s."""
+FETCH_TRIES = 3
+HOLDERS_TOLD = 8
+"""Who has fetched a state there tells so many neighbours, which may fetch it from there."""
 GREET_FAR = 2
 """So many addresses of a data centre where nobody is known are greeted at a time."""
 DATAGRAM_BYTES = 1_200
@@ -60,7 +66,12 @@
 COUNT_DELAY_MS = 2.0
 """Changes within this time go into one datagram."""
 COUNT_REPEAT_MS = 250.0
+TELLER_MS = 2_000.0
+"""A neighbour that has had requests within this time is told of those of others."""
 ADDRESSES = Items(Address())
+CHANGE_RELAYS = 3
+"""Of a fleet a third may be cut off before it shows; with one relay each third change was lost, and
+a VM used an endpoint 2.6 s after its leaving was acknowledged."""
 NEIGHBOUR_FIRST_MS = 300.0
 """How long a neighbour may take to fetch a state from another data centre and to tell of it."""
 
@@ -92,11 +103,13 @@
         self._greeted_since_ms: dict[str, float] = {}
         self._near_due_ms = 0.0
         self._far_due_ms = 0.0
+        self._relays = 1
         self._greet_due_ms = 0.0
         self._fetch: asyncio.Task[None] | None = None
         self._list: asyncio.Task[None] | None = None
         self._lists = 0
         self._list_due_ms = 0.0
+        self._told_ms: dict[str, float] = {}
         self._counted: dict[str, frozenset[str]] = {}
         self._count_timer: asyncio.TimerHandle | None = None
         self._counts_due_ms = 0.0
@@ -130,13 +143,16 @@
         if now_ms >= self._far_due_ms:
             self._far_due_ms = now_ms + self._far_beat_ms()
             data = encode(self._beat())
-            self.spread.far(data, now_ms)
+            relays, self._relays = self._relays, 1
+            self.spread.far(data, now_ms, relays)
             silent = (item for item in self._members.near() if not item.is_alive(now_ms))
             self.spread.to(silent, data)
 
     def beat_now(self) -> None:
         """Tell everyone at once: something has changed."""
         self._near_due_ms = self._far_due_ms = 0.0
+        if self._members.crowded():
+            self._relays = CHANGE_RELAYS
 
     def tell_servers(self, base_version: int, touched: tuple[str, ...]) -> None:
         """Send what has changed in the registry to everyone, if it fits into a datagram.
@@ -150,7 +166,8 @@
         if len(data) > DATAGRAM_BYTES:
             self.beat_now()
             return
-        self.spread.everyone(data, now_ms)
+        self.spread.near(data, now_ms)
+        self.spread.far(data, now_ms, relays=CHANGE_RELAYS)
 
     def _beat(self, wants_answer: bool = False) -> Beat:
         own, knowledge = self._own, self._knowledge
@@ -274,12 +291,8 @@
         self._on_message(inner, sender, relayed=True)
 
     def count_changed(self) -> None:
-        """Tell the own data centre soon how many requests are in flight where.
-
-        In a crowded one each VM has few requests, and all together would send too many messages:
-        there the figures of the probes tell what the others have in flight.
-        """
-        if self._count_timer is None and not self._members.crowded():
+        """Tell the own data centre soon how many requests are in flight where."""
+        if self._count_timer is None:
             loop = asyncio.get_running_loop()
             self._count_timer = loop.call_later(COUNT_DELAY_MS / 1000, self._tell_counts)
 
@@ -288,10 +301,28 @@
         now_ms = monotonic_ms()
         self._counts_due_ms = now_ms + COUNT_REPEAT_MS
         counts = self._knowledge.board.in_flight()
-        self.spread.near(encode(InFlight(self._own.vm, counts)), now_ms)
+        self.spread.to(self._who_counts(now_ms), encode(InFlight(self._own.vm, counts)))
+
+    def _who_counts(self, now_ms: float) -> list[Member]:
+        """Return the neighbours to tell counts in flight: in a crowded data centre few have any.
+
+        They are those that callers are sent to, and those that callers with old addresses use.
+        """
+        near = [item for item in self._members.near() if item.is_alive(now_ms)]
+        if not self._members.crowded():
+            return near
+        serving = self._members.serving(now_ms)
+        since_ms = now_ms - TELLER_MS
+        return [
+            item
+            for item in near
+            if item.vm in serving or self._told_ms.get(item.vm, -TELLER_MS) > since_ms
+        ]
 
     def _on_in_flight(self, message: InFlight, now_ms: float) -> None:
         board = self._knowledge.board
+        if message.counts:
+            self._told_ms[message.vm] = now_ms
         before = self._counted.get(message.vm, frozenset())
         self._counted[message.vm] = frozenset(message.counts)
         for incarnation in before - message.counts.keys():
@@ -333,21 +364,31 @@
 
         That one is the VM which has relayed the news.
         """
-        if at_once:
-            self._fetch_from(vm)
+        wait_ms = 0.0 if at_once else NEIGHBOUR_FIRST_MS
+        if at_once and self._members.crowded():
+            wait_ms = random.uniform(0.0, FETCH_SPREAD_MS)
+        if not wait_ms:
+            self._fetch_if_behind(vm)
             return
         loop = asyncio.get_running_loop()
-        loop.call_later(NEIGHBOUR_FIRST_MS / 1000, self._fetch_if_behind, vm)
+        loop.call_later(wait_ms / 1000, self._fetch_if_behind, vm)
 
     def _fetch_if_behind(self, vm: str) -> None:
+        """Fetch what a peer knows, from it or from a neighbour that has it meanwhile."""
         member = self._members.get(vm)
-        if member and self._is_behind(member.config_version, member.registry_version):
-            self._fetch_from(vm)
-
-    def _fetch_from(self, vm: str) -> None:
-        member = self._members.get(vm)
-        if member is not None and (self._fetch is None or self._fetch.done()):
-            self._fetch = asyncio.create_task(self._fetch_state(member))
+        if member is None or not (self._fetch is None or self._fetch.done()):
+            return
+        if self._is_behind(member.config_version, member.registry_version):
+            self._fetch = asyncio.create_task(self._fetch_what_is_known(member))
+
+    async def _fetch_what_is_known(self, member: Member) -> None:
+        """Ask a few holders in turn: one whose link is slow or which is gone answers none."""
+        wanted = member.config_version, member.registry_version
+        for _ in range(FETCH_TRIES):
+            holders = self._members.holders(*wanted, monotonic_ms())
+            await self._fetch_state(random.choice(holders) if holders else member)
+            if not self._is_behind(*wanted):
+                return
 
     async def _fetch_state(self, member: Member) -> None:
         knowledge = self._knowledge
@@ -374,8 +415,14 @@
         if registry and knowledge.registry.adopt(registry, now_ms):
             version = knowledge.registry.version
             self._log.note(Kind.SERVER, source=member.vm, version=version, whole=True)
-        if (config or registry) and member.data_center != self._own.data_center:
+        if not config and not registry:
+            return
+        if member.data_center != self._own.data_center:
             self._near_due_ms = 0.0  # The neighbours wait to hear of it.
+        elif self._members.crowded():
+            near = self._members.near()
+            told = random.sample(near, min(HOLDERS_TOLD, len(near)))
+            self.spread.to(told, encode(self._beat()))
 
     def _state_for(self, asked: dict[str, Any]) -> dict[str, Any]:
         """Return what a peer that knows the versions `asked` lacks."""
--- a/cloverhook/gateway/spread.py
+++ b/cloverhook/gateway/spread.py
@@ -38,14 +38,15 @@
         """Send to every VM of the own data centre that is alive."""
         self.to((item for item in self._members.near() if item.is_alive(now_ms)), data)
 
-    def far(self, data: bytes, now_ms: float) -> None:
-        """Send to one VM of each other data centre, which relays it."""
+    def far(self, data: bytes, now_ms: float, relays: int = 1) -> None:
+        """Send to so many VMs of each other data centre, which relay it."""
         wrapped = encode(Relay(self._own_vm, data))
         for data_center, members in self._members.far(now_ms).items():
             turn = self._turns.get(data_center, 0)
-            self._turns[data_center] = turn + 1
-            member = members[turn % len(members)]
-            self._link.send_encoded(member.peer_address, wrapped)
+            wanted = min(relays, len(members))
+            self._turns[data_center] = turn + wanted
+            for place in range(turn, turn + wanted):
+                self._link.send_encoded(members[place % len(members)].peer_address, wrapped)
 
     def everyone(self, data: bytes, now_ms: float) -> None:
         """Send to all VMs."""
--- a/cloverhook/gateway/waiting_line.py
+++ b/cloverhook/gateway/waiting_line.py
@@ -29,7 +29,7 @@
 LAST_SLACK = 0.2
 """A last slot, which makes other work slow, is taken when waiting longer would make the request
 late.  Taken at once, they are worth 0.02 less; never taken, 0.05 less in overload."""
-LATE_SHARE = 0.8
+LATE_SHARE = 0.5
 """A late request is started only if it is expected to use at most this part of the time it has."""
 LATE_WAIT_SHARE = 0.5
 """An important request that can't be in time waits for a late start for half of its time at most,
--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -48,7 +48,7 @@
 
   Scenario: Counts in flight are told to a few neighbours, and not to many
     Given 41 VMs of one data centre
-    Then none tells its counts in flight
+    Then each tells its counts in flight to the same 12 that callers are sent to
     Given 7 VMs of one data centre
     Then each tells its counts in flight to the 6 others
 
@@ -56,7 +56,16 @@
     Given 41 VMs in each of two data centres that know each other
     Then each hears at most 60 beats in a second
     And after 20 seconds each knows all others to be alive
-    And each names the VMs of its own data centre to callers
+    And all of a data centre name the same 12 of its VMs to callers
+
+  Scenario: Another VM takes the place of one that callers were sent to
+    Given 41 VMs in each of two data centres that know each other
+    When one that callers are sent to falls silent
+    Then 4 seconds later another one is named in its place, and no other has changed
+
+  Scenario: A state is fetched from whoever has it by then
+    Given 41 VMs of one data centre
+    Then one that is behind asks a neighbour that has the version, and another one if none answers
 
   Scenario: Backend servers are measured by few, and another VM steps in for a silent one
     Given 5 VMs of one data centre and 30 backend servers in it
