--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -119,3 +119,8 @@
     Then 3 of them need the store
     When those have written themselves down and die
     Then 3 of them need the store
+
+  Scenario: Changes reach a data centre whose next relay is dead
+    Given a VM with 3 VMs in another data centre
+    When it tells a change of the registry while the next relay is dead
+    Then the other two there have been sent it too
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_spread_steps.py
@@ -710,3 +710,20 @@
 @then("after {minutes:d} minutes it greets the seed alone")
 def step_greets_seed(context, minutes):
     assert greeted(context, minutes * 60_000) == {"seed:2"}
+
+
+@when("it tells a change of the registry while the next relay is dead")
+def step_change_told(context):
+    names = ["vm-0", "vm-1", "vm-2", "vm-3"]
+    peering = peering_of("vm-0", names, data_center=FAR)
+    entry = BackendServer("i-1", fleet.SERVICE, "127.0.0.1:1", NEAR, draining=True)
+    peering._knowledge.registry.apply(ServerRecord("i-1", 4, entry), 0.0, False)
+    peering.tell_servers(3, ("i-1",))
+    context.sent = peering.link.sent
+    context.dead = context.sent[0][0]
+
+
+@then("the other two there have been sent it too")
+def step_change_reached(context):
+    reached = {address for address, data in context.sent if isinstance(decode(data), Relay)}
+    assert len(reached - {context.dead}) == 2, reached
