--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -119,15 +119,9 @@
         return 1 + len(recent)
 
     def caller_addresses(self, now_ms: float) -> list[str]:
-        """Return the addresses of the other VMs that callers may use.
-
-        A VM that suddenly hears less than half of the others is more likely cut off itself, and
-        goes on naming all that were ready.
-        """
+        """Return the addresses of the other VMs that callers may use."""
         serving = [item for item in self._members.values() if item.ready and not item.leaving]
-        heard = [item for item in serving if item.is_alive(now_ms)]
-        if len(heard) < MAJORITY * len(serving):
-            heard = serving
+        heard = _heard_or_all(serving, now_ms)
         near = [item for item in heard if item.data_center == self._data_center]
         if len(near) >= NAMED_NEAR_VMS:
             heard = near
@@ -146,11 +140,8 @@
         """
         if now_ms >= self._serving_due_ms:
             self._serving_due_ms = now_ms + SERVING_MS
-            found = [
-                item.vm
-                for item in self.near()
-                if item.ready and not item.leaving and item.is_alive(now_ms)
-            ]
+            near = [item for item in self.near() if item.ready and not item.leaving]
+            found = [item.vm for item in _heard_or_all(near, now_ms)]
             found.append(self._own_vm)
             found.sort(key=lambda vm: rank_weight("callers", vm), reverse=True)
             self._serving = tuple(found[:SERVING_VMS])
@@ -229,6 +220,16 @@
         self._near_count = len(self.near())
 
 
+def _heard_or_all(members: list[Member], now_ms: float) -> list[Member]:
+    """Return the members that are alive, or all where most are silent.
+
+    A VM that suddenly hears less than half of the others is more likely cut off itself.  Callers
+    still reach those, and should not be sent to the one VM that knows least.
+    """
+    heard = [item for item in members if item.is_alive(now_ms)]
+    return members if len(heard) < MAJORITY * len(members) else heard
+
+
 def rank_weight(key: str, vm: str) -> int:
     """Return the weight of a VM for a task; all VMs give the task to the heaviest that lives."""
     return xxhash.xxh3_64_intdigest(f"{key}\0{vm}".encode())
--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -63,6 +63,11 @@
     When one that callers are sent to falls silent
     Then 4 seconds later another one is named in its place, and no other has changed
 
+  Scenario: A VM that is cut off goes on naming those that callers were sent to
+    Given 41 VMs in each of two data centres that know each other
+    When one of them is cut off from all others
+    Then 10 seconds later it names the same 12
+
   Scenario: A state is fetched from whoever has it by then
     Given 41 VMs of one data centre
     Then one that is behind asks a neighbour that has the version, and another one if none answers
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_spread_steps.py
@@ -727,3 +727,18 @@
 def step_change_reached(context):
     reached = {address for address, data in context.sent if isinstance(decode(data), Relay)}
     assert len(reached - {context.dead}) == 2, reached
+
+
+@when("one of them is cut off from all others")
+def step_cut_off(context):
+    pass_crowd_time(context, 3_000)
+    context.alone = next(iter(context.crowd.values()))
+    context.before = named_to_callers(context)
+    context.crowd = {context.alone._own.peer_address: context.alone}
+
+
+@then("{time_s:d} seconds later it names the same {count:d}")
+def step_names_same(context, time_s, count):
+    pass_crowd_time(context, time_s * 1_000)
+    ((key, named),) = named_to_callers(context).items()
+    assert named == context.before[key] and len(named) == count, named
