--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -110,6 +110,12 @@
     pace: float
     figure_age_ms: float
     candidates: int
+    endpoints: int = 1
+
+    @property
+    def spare_share(self) -> float:
+        """The share of the service's endpoints that could have been chosen."""
+        return self.candidates / self.endpoints
 
 
 class Balancer:
@@ -171,6 +177,7 @@
             load.pace(now_ms),
             load.age_ms(now_ms),
             candidates,
+            len(self._registry.of_service(service)),
         )
 
     def _expected_ms(
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -33,6 +33,10 @@
 """So many endpoints are asked for their load before a request; the next one gets it at once."""
 HEDGE_SHARE = 0.7
 """A silent endpoint at its usual pace gets company after this share of the objective."""
+SPARE_SHARE = 0.5
+"""A silent endpoint gets company only while this share of its service's endpoints has room.  At 2
+slots an endpoint, company at any time is worth 0.025 of a day with trouble less, none at all as
+much, but 0.02 less of a quiet day; with 0.7 the days with trouble are worth 0.01 less."""
 FIGURE_LAG_MS = 150.0
 """Work keeps the pace at which it began; a figure may tell of that pace so much later."""
 LAST_MS = 10.0
@@ -232,10 +236,10 @@
             return False
         route = run.route
         work_ms = self._estimates.work_ms(route.name, route.aim_ms)
-        # In company an attempt must not keep another request waiting: only where a slot is free.
+        # Beside a first attempt, one must not keep another request waiting.
         room = Room.UNHARMED if run.tasks else Room.SLOT
         choice = self._balancer.choose(run.service, work_ms, now_ms, run.tried, room)
-        if choice is None:
+        if choice is None or (run.tasks and choice.spare_share < SPARE_SHARE):
             return False
         arrived = any(item.arrived for item in run.results) or run.tasks
         if arrived and not self._allowance.take(run.service, now_ms, self._vms()):
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -8,6 +8,7 @@
 """
 
 from dataclasses import dataclass
+from math import ceil
 
 import xxhash
 
@@ -24,8 +25,11 @@
 NAMED_NEAR_VMS = 12
 """So many live VMs of the own data centre are enough for callers; they are known best."""
 SERVING_VMS = 12
-"""Of a crowded data centre so many VMs are named to callers.  They tell each other what they have
-in flight, which all of them could not; who knows that fills no endpoint that another has filled."""
+"""Of a crowded data centre so many VMs at least are named to callers.  They tell each other what
+they have in flight, which all of them could not; who knows that fills no full endpoint."""
+SERVING_BUSY_PERCENT = 25
+"""There are more where all of a data centre together use so much of a core for each: a VM may have
+less than half a core, and a burst may double the load before another one is named."""
 SERVING_MS = 100.0
 """The order is worked out anew after this time."""
 READERS = 2
@@ -53,6 +57,7 @@
     config_version: int = -1
     registry_version: int = -1
     silent_ms: float = SILENT_MS
+    busy_percent: int = 0
 
     def is_alive(self, now_ms: float) -> bool:
         """Return whether it was heard a moment ago."""
@@ -105,6 +110,7 @@
         member.ready = beat.ready
         member.reading = beat.reading
         member.leaving = beat.leaving
+        member.busy_percent = beat.busy_percent
         member.config_version = max(member.config_version, beat.config_version)
         member.registry_version = max(member.registry_version, beat.registry_version)
         return back
@@ -144,7 +150,9 @@
             found = [item.vm for item in _heard_or_all(near, now_ms)]
             found.append(self._own_vm)
             found.sort(key=lambda vm: rank_weight("callers", vm), reverse=True)
-            self._serving = tuple(found[:SERVING_VMS])
+            busy_percent = sum(item.busy_percent for item in near if item.is_alive(now_ms))
+            wanted = max(SERVING_VMS, ceil(busy_percent / SERVING_BUSY_PERCENT))
+            self._serving = tuple(found[:wanted])
         return self._serving
 
     def _serves(self, vm: str, now_ms: float) -> bool:
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -9,6 +9,7 @@
 """
 
 from dataclasses import astuple, dataclass, fields
+from math import inf
 from typing import Any
 
 import cbor2
@@ -51,7 +52,7 @@
     """A sign of life: who sends it, what it does and which versions it knows.
 
     `reading` says that it follows the store now, and `every_ms` how often it beats to another data
-    centre; `wants_answer` asks for a beat in return.
+    centre; `wants_answer` asks for a beat in return; `busy_percent` is what it uses of a core.
     """
 
     vm: str
@@ -66,6 +67,7 @@
     registry_version: int = kind_field(VERSION)
     every_ms: float = kind_field(Number(0, LONGEST_MS), 1_000.0)
     wants_answer: bool = False
+    busy_percent: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,7 +169,7 @@
     whole = running, waiting, pace
     if not isinstance(incarnation, str) or any(type(item) is not int for item in whole):
         raise TypeError("a load figure of other types")
-    if min(running, waiting) < 0 or not 0 <= age_ms <= LONGEST_MS:
+    if min(running, waiting) < 0 or not 0 <= age_ms < inf:
         raise ValueError("a load figure out of range")
     reachable = pace >= 0
     return (
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -14,6 +14,7 @@
 from cloverhook.checking import Address, Items, faults_of
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
+from cloverhook.gateway.busy_meter import BusyMeter
 from cloverhook.gateway.event_log import EventLog, Kind
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load_news import LoadNews
@@ -99,6 +100,7 @@
         self.spread = Spread(own.vm, self.link, members)
         self.load_news = LoadNews(own.vm, self.spread)
         self._started_ms = monotonic_ms()
+        self._busy = BusyMeter(self._started_ms)
         self._addresses: dict[str, str | None] = {}
         self._greeted_since_ms: dict[str, float] = {}
         self._near_due_ms = 0.0
@@ -184,6 +186,7 @@
             knowledge.registry.version,
             self._far_beat_ms(),
             wants_answer,
+            round(100 * self._busy.share(monotonic_ms())),
         )
 
     def _near_beat_ms(self) -> float:
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -85,6 +85,17 @@
     Then the answer is 200, whole and its own
     And the request ran 2 times
 
+  Scenario Outline: A silent backend server gets company only while most others have room
+    Given a gateway and 4 backend servers of which <full> have no slot free
+    And the first backend server to be asked does silent
+    When a caller reads
+    Then <seen> backend servers have seen it
+
+    Examples:
+      | full | seen |
+      | 1    | 2    |
+      | 2    | 1    |
+
   Scenario: A fallen pace brings company to a read that has just begun, not to a later one
     Given a gateway that measures nothing and 2 backend servers
     And work that takes 400 ms
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -22,6 +22,7 @@
 SAFE = "/read/"
 UNSAFE = "/write/"
 RECEIPT = "stamp"
+SLOTS = 4
 WAIT_S = 20
 NAMES = CallHeaders()
 FIRST_MARK = 9_900
@@ -102,6 +103,7 @@
     cut: int = 0
     address: str = ""
     pace: int = 100
+    running: int = 0
     deaf: bool = False
     connections: int = 0
     tasks: set = field(default_factory=set)
@@ -130,7 +132,7 @@
 
     def entry(self, **fields):
         """Return the registry's entry."""
-        entry = BackendServer(self.incarnation, self.service, self.address, DATA_CENTER, slots=4)
+        entry = BackendServer(self.incarnation, self.service, self.address, DATA_CENTER, SLOTS)
         return replace(entry, **fields)
 
     async def _serve(self, reader, writer):
@@ -210,7 +212,10 @@
         writer.write(self._head(status, len(body), request_id, **fields) + body)
 
     def _head(self, status, length, request_id=b"", receipt=True, not_run=False, incarnation=False):
-        lines = [b"HTTP/1.1 %d X" % status, self.names.load + b": 0,0,4,%d" % self.pace]
+        lines = [
+            b"HTTP/1.1 %d X" % status,
+            self.names.load + b": %d,0,4,%d" % (self.running, self.pace),
+        ]
         if length is not None:
             lines.append(b"Content-Length: %d" % length)
         if request_id:
--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -63,6 +63,12 @@
     When one that callers are sent to falls silent
     Then 4 seconds later another one is named in its place, and no other has changed
 
+  Scenario: More VMs serve the callers of a crowded data centre when its load is high
+    Given 41 VMs of one data centre of which each uses 5 percent of a core
+    Then 12 of them serve callers
+    Given 41 VMs of one data centre of which each uses 20 percent of a core
+    Then 32 of them serve callers
+
   Scenario: A VM that is cut off goes on naming those that callers were sent to
     Given 41 VMs in each of two data centres that know each other
     When one of them is cut off from all others
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_spread_steps.py
@@ -1,12 +1,14 @@
 """Steps on how news spreads, and who measures."""
 
 import asyncio
+from dataclasses import replace
 
 from behave import given, then, when
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
 from cloverhook.gateway import peering as peering_module
+from cloverhook.gateway.busy_meter import BusyMeter
 from cloverhook.gateway.discovery import Discovery
 from cloverhook.gateway.event_log import EventLog
 from cloverhook.gateway.knowledge import Knowledge
@@ -279,6 +281,7 @@
                 members.heard(beat(other, where), 0.0)
         peering = Peering(own, Knowledge(), members, EventLog(name, len), None, lambda: None)
         peering.ready = True
+        peering._busy = BusyMeter(0.0, lambda: 0.0)  # Not the time that the test itself uses.
         peering.link = peering.spread._link = Wire()
         context.crowd[f"{name}:2"] = peering
     context.now_ms = 0.0
@@ -742,3 +745,16 @@
     pass_crowd_time(context, time_s * 1_000)
     ((key, named),) = named_to_callers(context).items()
     assert named == context.before[key] and len(named) == count, named
+
+
+@given("{count:d} VMs of one data centre of which each uses {percent:d} percent of a core")
+def step_busy(context, count, percent):
+    names = [f"vm-{number}" for number in range(count)]
+    context.members = Members(names[0], NEAR, 0.0)
+    for name in names[1:]:
+        context.members.heard(replace(beat(name), busy_percent=percent), 0.0)
+
+
+@then("{count:d} of them serve callers")
+def step_serving_count(context, count):
+    assert len(context.members.serving(0.0)) == count
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -44,6 +44,28 @@
     run(context, fleet.start_fleet(context, count))
 
 
+@given("a gateway and {count:d} backend servers of which {full:d} have no slot free")
+def step_some_full(context, count, full):
+    async def start():
+        await fleet.start_fleet(context, count)
+        board = context.gateways[0][0]._knowledge.board
+        for backend in context.backends[:full]:
+            backend.running = fleet.SLOTS
+        await fleet.until(
+            lambda: all(
+                board.of(item.incarnation).load(monotonic_ms()) == fleet.SLOTS
+                for item in context.backends[:full]
+            )
+        )
+
+    run(context, start())
+
+
+@then("{count:d} backend servers have seen it")
+def step_seen_by(context, count):
+    assert sum(bool(backend.seen) for backend in context.backends) == count
+
+
 @given("a gateway whose store holds nothing")
 def step_empty(context):
     async def start():
