--- a/cloverhook/gateway/peer_link.py
+++ b/cloverhook/gateway/peer_link.py
@@ -131,6 +131,8 @@
             cbor2.CBORError,
         ) as error:
             self._on_garbage("a peer that asked for the state", MessageError(repr(error)))
+        except asyncio.CancelledError:
+            pass  # The process ends.  Streams of Python 3.11 print a trace for a cancelled task.
         finally:
             writer.close()
 
--- a/cloverhook_emulator/demo.py
+++ b/cloverhook_emulator/demo.py
@@ -136,6 +136,8 @@
 
 def _main(arguments: list[str]) -> int:
     del arguments
+    # A shell without job control starts what runs in the background with SIGINT ignored.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     try:
         return asyncio.run(_run_until_signal())
     except (KeyboardInterrupt, asyncio.CancelledError):
--- a/features/gateway_peers.feature
+++ b/features/gateway_peers.feature
@@ -58,3 +58,8 @@
     Given 2 gateways and 1 backend servers
     When a gateway of another fleet, with a newer configuration, takes the address of one that is gone
     Then the one that is left neither names it nor takes its configuration
+
+  Scenario: A gateway that ends while a peer asks it for its state leaves no trace in its log
+    Given a gateway and a peer that has connected to ask for its state and says nothing
+    When the tasks of the gateway's process are cancelled
+    Then nothing was reported as unhandled
--- a/features/steps/gateway_peer_steps.py
+++ b/features/steps/gateway_peer_steps.py
@@ -295,3 +295,42 @@
     context.store.changes = once_silent
     context.store._changed.set()  # The present calls end.
     run(context, fleet.until(lambda: waiting == set(Feed)))
+
+
+@given("a gateway and a peer that has connected to ask for its state and says nothing")
+def step_silent_asker(context):
+    async def start():
+        await fleet.start_fleet(context, 1)
+        _, settings = context.gateways[0]
+        host, _, port = settings.peer_address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        context.stack.callback(writer.close)
+        await fleet.until(serving_peers)
+
+    run(context, start())
+
+
+def serving_peers():
+    """Return the tasks that wait for what a peer asks."""
+    return [task for task in asyncio.all_tasks() if "PeerLink._serve" in repr(task.get_coro())]
+
+
+@when("the tasks of the gateway's process are cancelled")
+def step_cancelled(context):
+    async def cancel():
+        context.unhandled = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, found: context.unhandled.append(found)
+        )
+        tasks = serving_peers()
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        await asyncio.sleep(0.05)
+
+    run(context, cancel())
+
+
+@then("nothing was reported as unhandled")
+def step_none_unhandled(context):
+    assert not context.unhandled, context.unhandled
