--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -58,6 +58,7 @@
 """In a crowded data centre not all fetch a state at the same moment, from the only one that has it:
 over a link of 5 Mbit/s 40 copies of 10 KB take 0.7 s."""
 FETCH_TRIES = 3
+"""A try takes up to a second; a change has to be in force within two."""
 HOLDERS_TOLD = 8
 """Who has fetched a state there tells so many neighbours, which may fetch it from there."""
 GREET_FAR = 2
@@ -316,11 +317,8 @@
             return near
         serving = self._members.serving(now_ms)
         since_ms = now_ms - TELLER_MS
-        return [
-            item
-            for item in near
-            if item.vm in serving or self._told_ms.get(item.vm, -TELLER_MS) > since_ms
-        ]
+        self._told_ms = {vm: at_ms for vm, at_ms in self._told_ms.items() if at_ms > since_ms}
+        return [item for item in near if item.vm in serving or item.vm in self._told_ms]
 
     def _on_in_flight(self, message: InFlight, now_ms: float) -> None:
         board = self._knowledge.board
@@ -355,6 +353,8 @@
         registry = self._knowledge.registry
         if changes.base_version > registry.version:
             member = self._members.get(changes.vm)
+            if member is not None:
+                member.registry_version = max(member.registry_version, changes.base_version)
             near = member is not None and member.data_center == self._own.data_center
             self._catch_up(changes.vm, near or relayed)
         elif registry.adopt(changes.document, now_ms):
--- a/cloverhook/gateway/spread.py
+++ b/cloverhook/gateway/spread.py
@@ -48,11 +48,6 @@
             for place in range(turn, turn + wanted):
                 self._link.send_encoded(members[place % len(members)].peer_address, wrapped)
 
-    def everyone(self, data: bytes, now_ms: float) -> None:
-        """Send to all VMs."""
-        self.near(data, now_ms)
-        self.far(data, now_ms)
-
     def relay(self, message: Relay, now_ms: float) -> None:
         """Pass a message on to the neighbours."""
         if now_ms >= self._relays_from_ms:
--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -74,6 +74,10 @@
     When one of them is cut off from all others
     Then 10 seconds later it names the same 12
 
+  Scenario: Who misses a change asks for the state, also before a beat says that there is news
+    Given 41 VMs of one data centre
+    Then a change that builds on more than one knows makes it fetch the state
+
   Scenario: A state is fetched from whoever has it by then
     Given 41 VMs of one data centre
     Then one that is behind asks a neighbour that has the version, and another one if none answers
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_spread_steps.py
@@ -16,7 +16,7 @@
 from cloverhook.gateway.load_news import LoadNews
 from cloverhook.gateway.measuring import Measuring
 from cloverhook.gateway.members import Members
-from cloverhook.gateway.peer_messages import Beat, Identity, InFlight, Relay, decode
+from cloverhook.gateway.peer_messages import Beat, Identity, InFlight, Relay, ServerChanges, decode
 from cloverhook.gateway.peering import Peering
 from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
 from cloverhook.gateway.spread import Spread
@@ -758,3 +758,24 @@
 @then("{count:d} of them serve callers")
 def step_serving_count(context, count):
     assert len(context.members.serving(0.0)) == count
+
+
+@then("a change that builds on more than one knows makes it fetch the state")
+def step_fetch_after_change(context):
+    own, teller, *_ = context.names
+    peering = peering_of(own, context.names)
+    asked = []
+
+    async def fetch(address, _):
+        asked.append(address)
+        raise MessageError("no answer")
+
+    async def miss():
+        peering.link.fetch = fetch
+        document = Registry().to_document(0.0)
+        changes = ServerChanges(teller, 40, {**document, "version": 41, "whole": False})
+        peering._on_changes(changes, monotonic_ms(), relayed=False)
+        await fleet.until(lambda: asked)
+
+    run(context, miss())
+    assert asked[0] == peering._members.get(teller).peer_address, asked
