--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -31,9 +31,8 @@
     decode,
     encode,
 )
-from cloverhook.gateway.registry import REGISTRY_DOCUMENT
-from cloverhook.gateway.routes import GatewayConfig
 from cloverhook.gateway.spread import Spread
+from cloverhook.gateway.state_fetch import StateFetch, state_for
 from cloverhook.gateway.store import MemberRecord
 
 __all__ = ["Peering"]
@@ -54,11 +53,6 @@
 LIST_MS = (300.0, 1_000.0, 3_000.0, 10_000.0, 30_000.0)
 """After these times a VM asks another one who is there; the last is repeated.  Of two that start at
 once the later one to ask learns of the other; all else repairs what got lost."""
-FETCH_SPREAD_MS = 150.0
-"""In a crowded data centre not all fetch a state at the same moment, from the only one that has it:
-over a link of 5 Mbit/s 40 copies of 10 KB take 0.7 s."""
-FETCH_TRIES = 3
-"""A try takes up to a second; a change has to be in force within two."""
 HOLDERS_TOLD = 8
 """Who has fetched a state there tells so many neighbours, which may fetch it from there."""
 GREET_FAR = 2
@@ -74,8 +68,6 @@
 CHANGE_RELAYS = 3
 """Of a fleet a third may be cut off before it shows; with one relay each third change was lost, and
 a VM used an endpoint 2.6 s after its leaving was acknowledged."""
-NEIGHBOUR_FIRST_MS = 300.0
-"""How long a neighbour may take to fetch a state from another data centre and to tell of it."""
 
 
 class Peering:
@@ -108,7 +100,14 @@
         self._far_due_ms = 0.0
         self._relays = 1
         self._greet_due_ms = 0.0
-        self._fetch: asyncio.Task[None] | None = None
+        self._states = StateFetch(
+            knowledge,
+            members,
+            log,
+            lambda address, asked: self.link.fetch(address, asked),
+            self._fetched,
+            self._on_garbage,
+        )
         self._list: asyncio.Task[None] | None = None
         self._lists = 0
         self._list_due_ms = 0.0
@@ -339,15 +338,8 @@
             self._log.note(Kind.MEMBER, member=beat.vm, state="joined", at=beat.peer_address)
         if beat.wants_answer or (back and near):
             self.link.send_encoded(beat.peer_address, encode(self._beat()))
-        if self._is_behind(beat.config_version, beat.registry_version):
-            self._catch_up(beat.vm, near or relayed)
-
-    def _is_behind(self, config_version: int, registry_version: int) -> bool:
-        knowledge = self._knowledge
-        return (
-            config_version > knowledge.config_version
-            or registry_version > knowledge.registry.version
-        )
+        if self._states.is_behind(beat.config_version, beat.registry_version):
+            self._states.catch_up(beat.vm, near or relayed)
 
     def _on_changes(self, changes: ServerChanges, now_ms: float, relayed: bool) -> None:
         registry = self._knowledge.registry
@@ -356,90 +348,23 @@
             if member is not None:
                 member.registry_version = max(member.registry_version, changes.base_version)
             near = member is not None and member.data_center == self._own.data_center
-            self._catch_up(changes.vm, near or relayed)
+            self._states.catch_up(changes.vm, near or relayed)
         elif registry.adopt(changes.document, now_ms):
             self._log.note(
                 Kind.SERVER, source=changes.vm, version=registry.version, servers=len(registry)
             )
 
-    def _catch_up(self, vm: str, at_once: bool) -> None:
-        """Fetch a peer's state; from another data centre one VM does, and the others wait for it.
-
-        That one is the VM which has relayed the news.
-        """
-        wait_ms = 0.0 if at_once else NEIGHBOUR_FIRST_MS
-        if at_once and self._members.crowded():
-            wait_ms = random.uniform(0.0, FETCH_SPREAD_MS)
-        if not wait_ms:
-            self._fetch_if_behind(vm)
-            return
-        loop = asyncio.get_running_loop()
-        loop.call_later(wait_ms / 1000, self._fetch_if_behind, vm)
-
-    def _fetch_if_behind(self, vm: str) -> None:
-        """Fetch what a peer knows, from it or from a neighbour that has it meanwhile."""
-        member = self._members.get(vm)
-        if member is None or not (self._fetch is None or self._fetch.done()):
-            return
-        if self._is_behind(member.config_version, member.registry_version):
-            self._fetch = asyncio.create_task(self._fetch_what_is_known(member))
-
-    async def _fetch_what_is_known(self, member: Member) -> None:
-        """Ask a few holders in turn: one whose link is slow or which is gone answers none."""
-        wanted = member.config_version, member.registry_version
-        for _ in range(FETCH_TRIES):
-            holders = self._members.holders(*wanted, monotonic_ms())
-            await self._fetch_state(random.choice(holders) if holders else member)
-            if not self._is_behind(*wanted):
-                return
-
-    async def _fetch_state(self, member: Member) -> None:
-        knowledge = self._knowledge
-        asked = {
-            "config": knowledge.config_version,
-            "registry": knowledge.registry.version,
-        }
-        try:
-            state = await self.link.fetch(member.peer_address, asked)
-        except MessageError as error:
-            self._log.note(Kind.MEMBER, member=member.vm, state="no-answer", error=str(error))
-            return
-        now_ms = monotonic_ms()
-        config, registry = state.get("config"), state.get("registry")
-        try:
-            found = GatewayConfig.from_document(config) if config else None
-            if registry and faults_of(REGISTRY_DOCUMENT, "", registry):
-                raise MessageError("no registry")
-        except MessageError as error:
-            self._on_garbage(member.peer_address, error)
-            return
-        if found is not None and knowledge.take_config(found, now_ms):
-            self._log.note(Kind.CONFIG, version=knowledge.config_version, source=member.vm)
-        if registry and knowledge.registry.adopt(registry, now_ms):
-            version = knowledge.registry.version
-            self._log.note(Kind.SERVER, source=member.vm, version=version, whole=True)
-        if not config and not registry:
-            return
+    def _fetched(self, member: Member) -> None:
+        """Tell those who wait for a state that it can be had here."""
         if member.data_center != self._own.data_center:
-            self._near_due_ms = 0.0  # The neighbours wait to hear of it.
+            self._near_due_ms = 0.0
         elif self._members.crowded():
             near = self._members.near()
             told = random.sample(near, min(HOLDERS_TOLD, len(near)))
             self.spread.to(told, encode(self._beat()))
 
     def _state_for(self, asked: dict[str, Any]) -> dict[str, Any]:
-        """Return what a peer that knows the versions `asked` lacks."""
-        if "addresses" in asked:
-            members = self._members.alive(monotonic_ms())
-            found = [item for item in members if item.data_center == asked["addresses"]]
-            return {"addresses": [item.peer_address for item in found]}
-        knowledge = self._knowledge
-        state: dict[str, Any] = {}
-        if knowledge.config is not None and knowledge.config_version > asked.get("config", -1):
-            state["config"] = knowledge.config.to_document()
-        if knowledge.registry.version > asked.get("registry", -1):
-            state["registry"] = knowledge.registry.to_document(monotonic_ms())
-        return state
+        return state_for(asked, self._knowledge, self._members, monotonic_ms())
 
     def _on_garbage(self, sender: str, error: MessageError) -> None:
         self._log.note(Kind.MEMBER, member=sender, state="garbage", error=str(error))
--- /dev/null
+++ b/cloverhook/gateway/state_fetch.py
@@ -0,0 +1,132 @@
+"""Fetches the state of a peer that knows more.
+
+Layer: transport.  Who hears of newer versions asks for the state: in the sender's data centre at
+once, elsewhere one VM does and its neighbours fetch it from there.  In a crowded data centre not
+all ask at the same moment, nor all the same VM: whoever has the state by then gives it.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from cloverhook.checking import faults_of
+from cloverhook.clock import monotonic_ms
+from cloverhook.errors import MessageError
+from cloverhook.gateway.event_log import EventLog, Kind
+from cloverhook.gateway.knowledge import Knowledge
+from cloverhook.gateway.members import Member, Members
+from cloverhook.gateway.registry import REGISTRY_DOCUMENT
+from cloverhook.gateway.routes import GatewayConfig
+
+__all__ = ["StateFetch", "state_for"]
+
+NEIGHBOUR_FIRST_MS = 300.0
+"""How long a neighbour may take to fetch a state from another data centre and to tell of it."""
+FETCH_SPREAD_MS = 150.0
+"""Over a link of 5 Mbit/s 40 copies of 10 KB take 0.7 s: in a crowded data centre the questions are
+spread over this time."""
+FETCH_TRIES = 3
+"""A try takes up to a second; a change has to be in force within two."""
+
+State = dict[str, Any]
+
+
+class StateFetch:
+    """The one fetch of a state that is under way, if there is one."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        members: Members,
+        log: EventLog,
+        fetch: Callable[[str, State], Awaitable[State]],
+        on_fetched: Callable[[Member], None],
+        on_garbage: Callable[[str, MessageError], None],
+    ) -> None:
+        """`fetch` asks an address for a state; `on_fetched` hears from whom one has come."""
+        self._knowledge = knowledge
+        self._members = members
+        self._log = log
+        self._fetch = fetch
+        self._on_fetched = on_fetched
+        self._on_garbage = on_garbage
+        self._task: asyncio.Task[None] | None = None
+
+    def is_behind(self, config_version: int, registry_version: int) -> bool:
+        """Return whether there is more to know than is known here."""
+        knowledge = self._knowledge
+        return (
+            config_version > knowledge.config_version
+            or registry_version > knowledge.registry.version
+        )
+
+    def catch_up(self, vm: str, at_once: bool) -> None:
+        """Fetch a peer's state soon; `at_once` where no neighbour can be expected to do it."""
+        wait_ms = 0.0 if at_once else NEIGHBOUR_FIRST_MS
+        if at_once and self._members.crowded():
+            wait_ms = random.uniform(0.0, FETCH_SPREAD_MS)
+        if not wait_ms:
+            self._fetch_if_behind(vm)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(wait_ms / 1000, self._fetch_if_behind, vm)
+
+    def _fetch_if_behind(self, vm: str) -> None:
+        """Fetch what a peer knows, from it or from a neighbour that has it meanwhile."""
+        member = self._members.get(vm)
+        if member is None or not (self._task is None or self._task.done()):
+            return
+        if self.is_behind(member.config_version, member.registry_version):
+            self._task = asyncio.create_task(self._fetch_what_is_known(member))
+
+    async def _fetch_what_is_known(self, member: Member) -> None:
+        """Ask a few holders in turn: one whose link is slow or which is gone answers none."""
+        wanted = member.config_version, member.registry_version
+        for _ in range(FETCH_TRIES):
+            holders = self._members.holders(*wanted, monotonic_ms())
+            await self._fetch_state(random.choice(holders) if holders else member)
+            if not self.is_behind(*wanted):
+                return
+
+    async def _fetch_state(self, member: Member) -> None:
+        knowledge = self._knowledge
+        asked = {
+            "config": knowledge.config_version,
+            "registry": knowledge.registry.version,
+        }
+        try:
+            state = await self._fetch(member.peer_address, asked)
+        except MessageError as error:
+            self._log.note(Kind.MEMBER, member=member.vm, state="no-answer", error=str(error))
+            return
+        now_ms = monotonic_ms()
+        config, registry = state.get("config"), state.get("registry")
+        try:
+            found = GatewayConfig.from_document(config) if config else None
+            if registry and faults_of(REGISTRY_DOCUMENT, "", registry):
+                raise MessageError("no registry")
+        except MessageError as error:
+            self._on_garbage(member.peer_address, error)
+            return
+        if found is not None and knowledge.take_config(found, now_ms):
+            self._log.note(Kind.CONFIG, version=knowledge.config_version, source=member.vm)
+        if registry and knowledge.registry.adopt(registry, now_ms):
+            version = knowledge.registry.version
+            self._log.note(Kind.SERVER, source=member.vm, version=version, whole=True)
+        if config or registry:
+            self._on_fetched(member)
+
+
+def state_for(asked: State, knowledge: Knowledge, members: Members, now_ms: float) -> State:
+    """Return what a peer that knows the versions `asked` lacks, or the addresses that it wants."""
+    if "addresses" in asked:
+        alive = members.alive(now_ms)
+        found = [item for item in alive if item.data_center == asked["addresses"]]
+        return {"addresses": [item.peer_address for item in found]}
+    state: State = {}
+    if knowledge.config is not None and knowledge.config_version > asked.get("config", -1):
+        state["config"] = knowledge.config.to_document()
+    if knowledge.registry.version > asked.get("registry", -1):
+        state["registry"] = knowledge.registry.to_document(now_ms)
+    return state
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_spread_steps.py
@@ -7,7 +7,7 @@
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
-from cloverhook.gateway import peering as peering_module
+from cloverhook.gateway import state_fetch
 from cloverhook.gateway.busy_meter import BusyMeter
 from cloverhook.gateway.discovery import Discovery
 from cloverhook.gateway.event_log import EventLog
@@ -381,12 +381,12 @@
         peering.link.fetch = fetch
         for name in (holder, other):
             peering._members.get(name).config_version = 7
-        peering._catch_up(holder, at_once=True)
-        await fleet.until(lambda: len(asked) == peering_module.FETCH_TRIES)
+        peering._states.catch_up(holder, at_once=True)
+        await fleet.until(lambda: len(asked) == state_fetch.FETCH_TRIES)
 
     run(context, catch_up())
     known = {peering._members.get(name).peer_address for name in (holder, other)}
-    assert set(asked) <= known and len(asked) == peering_module.FETCH_TRIES, asked
+    assert set(asked) <= known and len(asked) == state_fetch.FETCH_TRIES, asked
 
 
 class MeasuringFleet:
@@ -662,8 +662,8 @@
 @when("the configuration changes, and neighbours wait long for each other")
 def step_config_crosses(context):
     context.crossed = []
-    before = peering_module.NEIGHBOUR_FIRST_MS
-    peering_module.NEIGHBOUR_FIRST_MS = 60_000.0
+    before = state_fetch.NEIGHBOUR_FIRST_MS
+    state_fetch.NEIGHBOUR_FIRST_MS = 60_000.0
     for gateway, settings in context.gateways:
         count_crossings(gateway, settings, context.crossed)
 
@@ -677,7 +677,7 @@
     try:
         run(context, change())
     finally:
-        peering_module.NEIGHBOUR_FIRST_MS = before
+        state_fetch.NEIGHBOUR_FIRST_MS = before
 
 
 @then("every gateway has it, and it has crossed {most:d} times at most")
