--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -19,9 +19,9 @@
 __all__ = ["StoreFollower"]
 
 WAIT_MS = {Feed.CONFIG: 1_200, Feed.SERVERS: 10_000}
-"""Each call is paid for.  A silent store shows after the shorter wait and the client's timeout; and a
-slow one may leave a call that waits without a record that is there, until the wait ends: with 3 s a
-version reached two readers 1.2 s after another VM that asked anew, and 3 s after its write."""
+"""Each call is paid for.  A silent store shows after the shorter wait and the client's timeout.  A
+slow one may leave a waiting call without a record that is there until the wait ends: with 3 s, two
+readers had a version 1.2 s later than a VM that asked anew."""
 GAP_MS = 200.0
 """Changes that come within this time are taken in one call: calls are paid for."""
 RETRY_MS = (100.0, 200.0, 400.0, 600.0)
