--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -35,8 +35,8 @@
 """A silent endpoint at its usual pace gets company after this share of the objective."""
 SPARE_SHARE = 0.5
 """A silent endpoint gets company only while this share of its service's endpoints has room.  At 2
-slots an endpoint, company at any time is worth 0.025 of a day with trouble less, none at all as
-much, but 0.02 less of a quiet day; with 0.7 the days with trouble are worth 0.01 less."""
+slots an endpoint, company at any time is worth 0.02 of a day with trouble less, none at all 0.01,
+and 0.02 of a quiet day; single scores, of which some differed by 0.02."""
 FIGURE_LAG_MS = 150.0
 """Work keeps the pace at which it began; a figure may tell of that pace so much later."""
 LAST_MS = 10.0
