Tell load figures to those who place requests, and let standby VMs beat seldom

Hypothesis: what a VM spends grows with the fleet as every figure and beat reaches every VM. Cause: at 313 VMs one VM got 400 and sent 1,420 datagrams a second (cProfile in the process, to 2.5 s of traffic), though 51 of the 63 VMs of a data centre get no request; each start took a registry row by row and indexed it whole each time (9.6 ms for 360 endpoints, 0.9 ms now, timeit). Change: figures go to the 12 VMs that serve callers and the 8 that would be next, which measure in place of any VM; the others beat each 3 s near and 6 s far, the more seldom the more there are; relays are VMs heard a moment ago; figures for other data centres are gathered for 60 ms; a registry is indexed once for many records. The scenarios of gateway_spread.feature on beats, audience and relays are red on the code before. Ruled out: fewer relays for changes, which lost changes before.

--- a/cloverhook/gateway/knowledge.py
+++ b/cloverhook/gateway/knowledge.py
@@ -64,9 +64,9 @@
         newest_offset = end_offset - 1
         if newest_offset < self.registry.version:
             return ()
-        changed = [record.name for record in records if self.take_server(record, now_ms)]
-        names = {record.name for record in records if record.server is not None}
         away = self.store_was_away(now_ms)
+        changed = self.registry.apply_all(records, now_ms, away)
+        names = {record.name for record in records if record.server is not None}
         return (*changed, *self.registry.keep_only(names, newest_offset, now_ms, away))
 
     def expire(self, now_ms: float) -> tuple[str, ...]:
--- a/cloverhook/gateway/load_news.py
+++ b/cloverhook/gateway/load_news.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.gateway.load import LoadFigure
@@ -16,6 +17,9 @@
 
 FLUSH_MS = 4.0
 """Answers to probes that were sent together come within about this time."""
+CROWD_FAR_FLUSH_MS = 60.0
+"""Between crowded data centres each datagram is relayed to 20 VMs; what changes within this time
+goes into one.  Requests cross only where their own data centre has no room."""
 ROWS_LIMIT = 40
 """A datagram should fit into one packet; a row takes up to 30 bytes."""
 FAR_LOAD_MS = 150.0
@@ -31,22 +35,30 @@
 class LoadNews:
     """Figures that wait for the next datagram; times are on the monotonic clock."""
 
-    def __init__(self, own_vm: str, spread: Spread) -> None:
+    def __init__(
+        self, own_vm: str, spread: Spread, crowded: Callable[[], bool] = lambda: False
+    ) -> None:
+        """`crowded` says whether the own data centre has many VMs."""
         self._own_vm = own_vm
+        self._crowded = crowded
         self._spread = spread
         self._near: Measured = {}
         self._far: Measured = {}
         self._far_sent: Measured = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._far_timer: asyncio.TimerHandle | None = None
 
     def add(self, incarnation: str, figure: LoadFigure, at_ms: float) -> None:
         """Take a figure that was measured at a time, and send it soon."""
         self._near[incarnation] = (figure, at_ms)
         if self._is_far_news(incarnation, figure, at_ms):
             self._far_sent[incarnation] = self._far[incarnation] = (figure, at_ms)
+        loop = asyncio.get_running_loop()
         if self._timer is None:
-            loop = asyncio.get_running_loop()
             self._timer = loop.call_later(FLUSH_MS / 1000, self._flush)
+        if self._far and self._far_timer is None:
+            delay_ms = CROWD_FAR_FLUSH_MS if self._crowded() else FLUSH_MS
+            self._far_timer = loop.call_later(delay_ms / 1000, self._flush_far)
 
     def forget(self, incarnation: str) -> None:
         """Drop what was sent of an incarnation that is gone."""
@@ -56,10 +68,14 @@
         self._timer = None
         now_ms = monotonic_ms()
         for data in self._datagrams(self._near, now_ms):
-            self._spread.near(data, now_ms)
+            self._spread.audience(data, now_ms)
+        self._near.clear()
+
+    def _flush_far(self) -> None:
+        self._far_timer = None
+        now_ms = monotonic_ms()
         for data in self._datagrams(self._far, now_ms):
             self._spread.far(data, now_ms)
-        self._near.clear()
         self._far.clear()
 
     def _datagrams(self, measured: Measured, now_ms: float) -> list[bytes]:
--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -10,7 +10,7 @@
 endpoint is measured the more often, the more requests it gets.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from cloverhook.gateway.load import LoadBoard
 from cloverhook.gateway.members import Members, rank_weight
@@ -66,8 +66,10 @@
             return []
         if now_ms >= self._order_due_ms:
             self._order_due_ms = now_ms + ORDER_MS
-            self._order(now_ms)
-            self._set_intervals(now_ms)
+            self._ranked = []
+            if self._members.is_informed(now_ms):
+                self._order(now_ms)
+                self._set_intervals(now_ms)
         found = [server for server, rank in self._ranked if self._is_due(server, rank, now_ms)]
         for server in found:
             interval_ms = self._intervals_ms.get(server.service, ORDER_MS)
@@ -106,9 +108,10 @@
         sites: dict[str, list[BackendServer]] = {}
         for server in self._registry.servers():
             sites.setdefault(server.data_center, []).append(server)
-        self._ranked = []
         for data_center, servers in sites.items():
             places = self._places(data_center, -(-len(servers) // GROUP_SIZE), now_ms)
+            if places[0] is None:
+                continue
             for server in servers:
                 rank = places[rank_weight("group", server.incarnation) % len(places)]
                 if rank is not None:
@@ -117,6 +120,8 @@
     def _places(self, data_center: str, groups: int, now_ms: float) -> list[int | None]:
         """Return this VM's place in the order of each group, or None where it has none."""
         vms = self._members.data_center_vms(data_center, now_ms)
+        if self._members.crowded():
+            return self._crowd_places(data_center, vms, groups, now_ms)
         if not vms:
             alive = self._members.alive(now_ms)
             vms = [item.vm for item in alive if item.ready] + [self._own_vm]
@@ -124,6 +129,30 @@
             return [None] * groups
         return [self._place(f"{data_center}/{group}", vms) for group in range(groups)]
 
-    def _place(self, key: str, vms: list[str]) -> int:
+    def _crowd_places(
+        self, data_center: str, vms: list[str], groups: int, now_ms: float
+    ) -> list[int | None]:
+        """Return the same where only a part of the VMs is told the figures, and so their absence.
+
+        Those that would serve callers next go before those that do.  Where a data centre has no
+        VM, one of the others measures it, and the next one once that has failed as a whole.
+        """
+        informed = self._members.informed(now_ms)
+        if vms and self._own_vm not in vms:
+            return [None] * groups
+        before = 0 if vms else len(informed) * self._sites_before(data_center, now_ms)
+        serving = self._members.serving(now_ms)
+        spare = [vm for vm in informed if vm not in serving]
+        peers = spare if self._own_vm in spare else serving
+        before += 0 if peers is spare else len(spare)
+        return [before + self._place(f"{data_center}/{group}", peers) for group in range(groups)]
+
+    def _sites_before(self, data_center: str, now_ms: float) -> int:
+        """Return how many data centres go before the own one in measuring an empty one."""
+        own = rank_weight(data_center, self._members.data_center)
+        others = self._members.far(now_ms)
+        return sum(1 for name in others if rank_weight(data_center, name) > own)
+
+    def _place(self, key: str, vms: Sequence[str]) -> int:
         own = rank_weight(key, self._own_vm)
         return sum(1 for vm in vms if rank_weight(key, vm) > own)
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -30,8 +30,15 @@
 SERVING_BUSY_PERCENT = 25
 """There are more where all of a data centre together use so much of a core for each: a VM may have
 less than half a core, and a burst may double the load before another one is named."""
+UNDERSTUDY_VMS = 8
+"""So many VMs that would serve callers next are told the load figures too, and measure: the first
+of them places requests well from its first one on, and the serving ones are spared the probes."""
 SERVING_MS = 100.0
 """The order is worked out anew after this time."""
+TELLER_MS = 2_000.0
+"""A neighbour that has had requests within this time is told of those of others."""
+RECENT_MS = 3_500.0
+"""A VM that was heard within this time passes on news: one that is dead does so for no longer."""
 READERS = 2
 READER_SILENT_MS = 900.0
 """Without a word of enough readers for this long, another VM reads: two beats were lost."""
@@ -69,13 +76,25 @@
 
     def __init__(self, own_vm: str, data_center: str, now_ms: float) -> None:
         self._own_vm = own_vm
-        self._data_center = data_center
+        self.data_center = data_center
         self._members: dict[str, Member] = {}
-        self._near_count = 0
+        self._near: dict[str, Member] = {}
+        self._told_ms: dict[str, float] = {}
         self._enough_readers_ms = now_ms
         self._was_read = False
         self._serving: tuple[str, ...] = ()
+        self._informed: tuple[str, ...] = ()
         self._serving_due_ms = 0.0
+        self._readers: dict[str, Member] = {}
+        self._relays: dict[str, list[Member]] = {}
+        self._relays_due_ms = 0.0
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def near_count(self) -> int:
+        """Return how many other VMs of the own data centre are known."""
+        return len(self._near)
 
     def all(self) -> tuple[Member, ...]:
         """Return every member, also silent ones."""
@@ -102,19 +121,28 @@
                 beat.peer_address,
                 now_ms,
             )
-            self._members[beat.vm] = member
-            self._near_count = len(self.near())
+            self._put(member)
         member.heard_ms = now_ms
-        far = beat.data_center != self._data_center
-        member.silent_ms = max(SILENT_MS, SILENT_BEATS * beat.every_ms) if far else SILENT_MS
+        member.silent_ms = max(SILENT_MS, SILENT_BEATS * beat.every_ms)
         member.ready = beat.ready
         member.reading = beat.reading
         member.leaving = beat.leaving
         member.busy_percent = beat.busy_percent
         member.config_version = max(member.config_version, beat.config_version)
         member.registry_version = max(member.registry_version, beat.registry_version)
+        if beat.reading:
+            self._readers[beat.vm] = member
+        else:
+            self._readers.pop(beat.vm, None)
         return back
 
+    def _put(self, member: Member) -> None:
+        """Take a VM, or a new process of one, in place of what was known under its name."""
+        self._members[member.vm] = member
+        self._near.pop(member.vm, None)
+        if member.data_center == self.data_center:
+            self._near[member.vm] = member
+
     def alive(self, now_ms: float) -> tuple[Member, ...]:
         """Return the members heard a moment ago."""
         return tuple(item for item in self._members.values() if item.is_alive(now_ms))
@@ -128,7 +156,7 @@
         """Return the addresses of the other VMs that callers may use."""
         serving = [item for item in self._members.values() if item.ready and not item.leaving]
         heard = _heard_or_all(serving, now_ms)
-        near = [item for item in heard if item.data_center == self._data_center]
+        near = [item for item in heard if item.data_center == self.data_center]
         if len(near) >= NAMED_NEAR_VMS:
             heard = near
         if self.crowded():
@@ -144,17 +172,61 @@
 
         Every VM works them out for itself, from whom it hears: the first ones of an order.
         """
-        if now_ms >= self._serving_due_ms:
-            self._serving_due_ms = now_ms + SERVING_MS
-            near = [item for item in self.near() if item.ready and not item.leaving]
-            found = [item.vm for item in _heard_or_all(near, now_ms)]
-            found.append(self._own_vm)
-            found.sort(key=lambda vm: rank_weight("callers", vm), reverse=True)
-            busy_percent = sum(item.busy_percent for item in near if item.is_alive(now_ms))
-            wanted = max(SERVING_VMS, ceil(busy_percent / SERVING_BUSY_PERCENT))
-            self._serving = tuple(found[:wanted])
+        self._set_serving(now_ms)
         return self._serving
 
+    def informed(self, now_ms: float) -> tuple[str, ...]:
+        """Return the VMs of the own data centre that need load figures, in the same order.
+
+        They are those that callers are sent to, and the next ones that would be.
+        """
+        self._set_serving(now_ms)
+        return self._informed
+
+    def is_informed(self, now_ms: float) -> bool:
+        """Return whether this VM is among those that need load figures."""
+        return not self.crowded() or self._own_vm in self.informed(now_ms)
+
+    def _set_serving(self, now_ms: float) -> None:
+        if now_ms < self._serving_due_ms:
+            return
+        self._serving_due_ms = now_ms + SERVING_MS
+        near = [item for item in self._near.values() if item.ready and not item.leaving]
+        found = [item.vm for item in _heard_or_all(near, now_ms)]
+        found.append(self._own_vm)
+        found.sort(key=lambda vm: rank_weight("callers", vm), reverse=True)
+        busy_percent = sum(item.busy_percent for item in near if item.is_alive(now_ms))
+        wanted = max(SERVING_VMS, ceil(busy_percent / SERVING_BUSY_PERCENT))
+        self._serving = tuple(found[:wanted])
+        self._informed = tuple(found[: wanted + UNDERSTUDY_VMS])
+
+    def tells_counts(self, vm: str, now_ms: float) -> None:
+        """Note that a VM has requests in flight: it places them, whether callers are sent to it."""
+        self._told_ms[vm] = now_ms
+
+    def counters(self, now_ms: float) -> list[Member]:
+        """Return the live neighbours that place requests, and so are told the counts in flight.
+
+        They are those that callers are sent to, and those that callers with old addresses use.
+        """
+        return self._neighbours(self.serving(now_ms), now_ms)
+
+    def audience(self, now_ms: float) -> list[Member]:
+        """Return the live neighbours that are told load figures: who places requests, or may soon.
+
+        In a data centre that is not crowded, all are.
+        """
+        return self._neighbours(self.informed(now_ms), now_ms)
+
+    def _neighbours(self, named: tuple[str, ...], now_ms: float) -> list[Member]:
+        """Return the live neighbours of these names, and those that have told counts lately."""
+        if not self.crowded():
+            return [item for item in self._near.values() if item.is_alive(now_ms)]
+        since_ms = now_ms - TELLER_MS
+        self._told_ms = {vm: at_ms for vm, at_ms in self._told_ms.items() if at_ms > since_ms}
+        found = (self._near.get(vm) for vm in {*named, *self._told_ms})
+        return [item for item in found if item is not None and item.is_alive(now_ms)]
+
     def _serves(self, vm: str, now_ms: float) -> bool:
         return vm in self.serving(now_ms)
 
@@ -165,7 +237,7 @@
             for item in self._members.values()
             if item.data_center == data_center and item.ready and item.is_alive(now_ms)
         ]
-        return [*found, self._own_vm] if data_center == self._data_center else found
+        return [*found, self._own_vm] if data_center == self.data_center else found
 
     def holders(self, config_version: int, registry_version: int, now_ms: float) -> list[Member]:
         """Return the live neighbours that know these versions or newer ones, by what they said."""
@@ -179,23 +251,36 @@
 
     def crowded(self) -> bool:
         """Return whether the own data centre has many VMs."""
-        return self._near_count > CROWD_VMS
+        return len(self._near) > CROWD_VMS
 
     def near(self) -> list[Member]:
         """Return the other VMs of the own data centre, also silent ones."""
-        return [item for item in self._members.values() if item.data_center == self._data_center]
+        return list(self._near.values())
 
     def far(self, now_ms: float) -> dict[str, list[Member]]:
         """Return the VMs of each other data centre that are alive, or all where none is."""
         groups: dict[str, list[Member]] = {}
         for item in self._members.values():
-            if item.data_center != self._data_center:
+            if item.data_center != self.data_center:
                 groups.setdefault(item.data_center, []).append(item)
         return {
             name: [item for item in group if item.is_alive(now_ms)] or group
             for name, group in groups.items()
         }
 
+    def relays(self, now_ms: float) -> dict[str, list[Member]]:
+        """Return the VMs of each other data centre that are likely to pass on news.
+
+        They were heard a moment ago: some beat so seldom that a dead one counts as alive for long.
+        """
+        if now_ms >= self._relays_due_ms:
+            self._relays_due_ms = now_ms + SERVING_MS
+            self._relays = {
+                name: [item for item in group if now_ms - item.heard_ms < RECENT_MS] or group
+                for name, group in self.far(now_ms).items()
+            }
+        return self._relays
+
     def reads_store(self, reading: bool, now_ms: float, hurry: bool = False) -> bool:
         """Return whether this VM should read the store; `reading` is whether it does so well.
 
@@ -203,8 +288,8 @@
         """
         others = [
             item
-            for item in self._members.values()
-            if item.reading and not item.leaving and now_ms - item.heard_ms < READER_SILENT_MS
+            for item in self._readers.values()
+            if not item.leaving and now_ms - item.heard_ms < READER_SILENT_MS
         ]
         own = rank_weight("reader", self._own_vm)
         if reading:
@@ -225,7 +310,8 @@
         for vm, item in tuple(self._members.items()):
             if now_ms - item.heard_ms > FORGET_MS:
                 del self._members[vm]
-        self._near_count = len(self.near())
+                self._near.pop(vm, None)
+                self._readers.pop(vm, None)
 
 
 def _heard_or_all(members: list[Member], now_ms: float) -> list[Member]:
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -14,6 +14,7 @@
 from cloverhook.checking import Address, Items, faults_of
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
+from cloverhook.gateway.beat_pace import BeatPace
 from cloverhook.gateway.busy_meter import BusyMeter
 from cloverhook.gateway.event_log import EventLog, Kind
 from cloverhook.gateway.knowledge import Knowledge
@@ -37,13 +38,6 @@
 
 __all__ = ["Peering"]
 
-NEAR_BEAT_MS = 400.0
-FAR_BEAT_MS = 1_000.0
-"""Bytes between data centres are paid for, so members there hear less often."""
-CROWD_NEAR_BEAT_MS = 1_000.0
-CROWD_FAR_BEAT_MS = 3_000.0
-"""In a crowded data centre each VM beats more seldom: what a VM hears grows with their number."""
-READER_BEAT_MS = 300.0
 GREET_MS = 1_000.0
 GREET_LIMIT_MS = 120_000.0
 """An address that has not answered for this long is greeted no more."""
@@ -62,8 +56,6 @@
 COUNT_DELAY_MS = 2.0
 """Changes within this time go into one datagram."""
 COUNT_REPEAT_MS = 250.0
-TELLER_MS = 2_000.0
-"""A neighbour that has had requests within this time is told of those of others."""
 ADDRESSES = Items(Address())
 CHANGE_RELAYS = 3
 """Of a fleet a third may be cut off before it shows; with one relay each third change was lost, and
@@ -91,9 +83,10 @@
         self._log = log
         self.link = PeerLink(self._on_message, self._state_for, self._on_garbage, fleet)
         self.spread = Spread(own.vm, self.link, members)
-        self.load_news = LoadNews(own.vm, self.spread)
+        self.load_news = LoadNews(own.vm, self.spread, members.crowded)
         self._started_ms = monotonic_ms()
         self._busy = BusyMeter(self._started_ms)
+        self._pace = BeatPace(members)
         self._addresses: dict[str, str | None] = {}
         self._greeted_since_ms: dict[str, float] = {}
         self._near_due_ms = 0.0
@@ -111,7 +104,6 @@
         self._list: asyncio.Task[None] | None = None
         self._lists = 0
         self._list_due_ms = 0.0
-        self._told_ms: dict[str, float] = {}
         self._counted: dict[str, frozenset[str]] = {}
         self._count_timer: asyncio.TimerHandle | None = None
         self._counts_due_ms = 0.0
@@ -138,13 +130,15 @@
             self._greet(now_ms)
         if now_ms >= self._counts_due_ms and self._knowledge.board.in_flight():
             self._counts_due_ms = now_ms + COUNT_REPEAT_MS
-            self.count_changed()
+            self._tell_counts(self._members.audience(now_ms), now_ms)
         if now_ms >= self._near_due_ms:
-            self._near_due_ms = now_ms + self._near_beat_ms()
-            self.spread.near(encode(self._beat()), now_ms)
+            every_ms = self._pace.near_ms(self.reading, now_ms)
+            self._near_due_ms = now_ms + every_ms
+            self.spread.near(encode(self._beat(every_ms)), now_ms)
         if now_ms >= self._far_due_ms:
-            self._far_due_ms = now_ms + self._far_beat_ms()
-            data = encode(self._beat())
+            every_ms = self._pace.far_ms(self.reading, now_ms)
+            self._far_due_ms = now_ms + every_ms
+            data = encode(self._beat(every_ms))
             relays, self._relays = self._relays, 1
             self.spread.far(data, now_ms, relays)
             silent = (item for item in self._members.near() if not item.is_alive(now_ms))
@@ -171,8 +165,11 @@
         self.spread.near(data, now_ms)
         self.spread.far(data, now_ms, relays=CHANGE_RELAYS)
 
-    def _beat(self, wants_answer: bool = False) -> Beat:
-        own, knowledge = self._own, self._knowledge
+    def _beat(self, every_ms: float | None = None, wants_answer: bool = False) -> Beat:
+        """Return a sign of life; one out of turn counts for as long as those to far VMs do."""
+        own, knowledge, now_ms = self._own, self._knowledge, monotonic_ms()
+        if every_ms is None:
+            every_ms = self._pace.far_ms(self.reading, now_ms)
         return Beat(
             own.vm,
             own.incarnation,
@@ -184,21 +181,11 @@
             self.leaving,
             knowledge.config_version,
             knowledge.registry.version,
-            self._far_beat_ms(),
+            every_ms,
             wants_answer,
-            round(100 * self._busy.share(monotonic_ms())),
+            round(100 * self._busy.share(now_ms)),
         )
 
-    def _near_beat_ms(self) -> float:
-        if self.reading:
-            return READER_BEAT_MS
-        return CROWD_NEAR_BEAT_MS if self._members.crowded() else NEAR_BEAT_MS
-
-    def _far_beat_ms(self) -> float:
-        if self.reading:
-            return READER_BEAT_MS
-        return CROWD_FAR_BEAT_MS if self._members.crowded() else FAR_BEAT_MS
-
     def _greet(self, now_ms: float) -> None:
         """Ask for a beat from the addresses that have never sent one.
 
@@ -290,39 +277,29 @@
         if isinstance(inner, Relay):
             self._on_garbage(sender, MessageError("a relay within a relay"))
             return
-        self.spread.relay(message, now_ms)
+        self.spread.relay(message, now_ms, to_audience=isinstance(inner, Loads))
         self._on_message(inner, sender, relayed=True)
 
     def count_changed(self) -> None:
-        """Tell the own data centre soon how many requests are in flight where."""
+        """Tell those who place requests too soon how many are in flight where."""
         if self._count_timer is None:
             loop = asyncio.get_running_loop()
-            self._count_timer = loop.call_later(COUNT_DELAY_MS / 1000, self._tell_counts)
+            self._count_timer = loop.call_later(COUNT_DELAY_MS / 1000, self._tell_changed_counts)
 
-    def _tell_counts(self) -> None:
+    def _tell_changed_counts(self) -> None:
         self._count_timer = None
         now_ms = monotonic_ms()
-        self._counts_due_ms = now_ms + COUNT_REPEAT_MS
-        counts = self._knowledge.board.in_flight()
-        self.spread.to(self._who_counts(now_ms), encode(InFlight(self._own.vm, counts)))
+        self._tell_counts(self._members.counters(now_ms), now_ms)
 
-    def _who_counts(self, now_ms: float) -> list[Member]:
-        """Return the neighbours to tell counts in flight: in a crowded data centre few have any.
-
-        They are those that callers are sent to, and those that callers with old addresses use.
-        """
-        near = [item for item in self._members.near() if item.is_alive(now_ms)]
-        if not self._members.crowded():
-            return near
-        serving = self._members.serving(now_ms)
-        since_ms = now_ms - TELLER_MS
-        self._told_ms = {vm: at_ms for vm, at_ms in self._told_ms.items() if at_ms > since_ms}
-        return [item for item in near if item.vm in serving or item.vm in self._told_ms]
+    def _tell_counts(self, members: list[Member], now_ms: float) -> None:
+        """Tell these; now and then it is the whole audience, so that all know who has requests."""
+        counts = self._knowledge.board.in_flight()
+        self.spread.to(members, encode(InFlight(self._own.vm, counts)))
 
     def _on_in_flight(self, message: InFlight, now_ms: float) -> None:
         board = self._knowledge.board
         if message.counts:
-            self._told_ms[message.vm] = now_ms
+            self._members.tells_counts(message.vm, now_ms)
         before = self._counted.get(message.vm, frozenset())
         self._counted[message.vm] = frozenset(message.counts)
         for incarnation in before - message.counts.keys():
--- a/cloverhook/gateway/registry.py
+++ b/cloverhook/gateway/registry.py
@@ -12,7 +12,8 @@
 overwritten by something that is no entry, as another writer may do.
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import asdict, dataclass, field, replace
 from typing import Any
 
@@ -119,6 +120,7 @@
         self._by_incarnation: dict[str, BackendServer] = {}
         self._born_ms: dict[str, int] = {}
         self._ended: list[str] = []
+        self._indexing = True
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -166,6 +168,13 @@
         self._changed(record.offset)
         return True
 
+    def apply_all(
+        self, records: Iterable[ServerRecord], now_ms: float, store_was_away: bool
+    ) -> list[str]:
+        """Take many records; return the names of those that changed anything."""
+        with self._index_once():
+            return [item.name for item in records if self.apply(item, now_ms, store_was_away)]
+
     def _is_later_start(self, after: BackendServer | None) -> bool:
         """Return whether a record is of a later start than the registered one.
 
@@ -244,18 +253,19 @@
         if document["version"] <= self.version:
             return False
         names = {row["server"]["name"] for row in document["servers"]}
-        for name, offset in document["gone"].items():
-            if offset > self._offsets.get(name, -1) and name not in names:
-                self._gone[name] = max(offset, self._gone.get(name, -1))
-                self._drop(name)
-        for row in document["servers"]:
-            offset, left_ms = row["offset"], row.get("left_ms")
-            server = BackendServer.from_row(row["server"], now_ms)
-            name = server.name
-            self.apply(ServerRecord(name, offset, server), now_ms, False)
-            if left_ms is not None and self._offsets.get(name) == offset:
-                self._gone[name] = document["gone"].get(name, offset)
-                self._leaves_at_ms.setdefault(name, now_ms + left_ms)
+        with self._index_once():
+            for name, offset in document["gone"].items():
+                if offset > self._offsets.get(name, -1) and name not in names:
+                    self._gone[name] = max(offset, self._gone.get(name, -1))
+                    self._drop(name)
+            for row in document["servers"]:
+                offset, left_ms = row["offset"], row.get("left_ms")
+                server = BackendServer.from_row(row["server"], now_ms)
+                name = server.name
+                self.apply(ServerRecord(name, offset, server), now_ms, False)
+                if left_ms is not None and self._offsets.get(name) == offset:
+                    self._gone[name] = document["gone"].get(name, offset)
+                    self._leaves_at_ms.setdefault(name, now_ms + left_ms)
         if document["whole"]:
             self.keep_only(names, document["version"], now_ms, False)
         self._changed(document["version"])
@@ -303,7 +313,19 @@
         self.version = max(self.version, offset)
         self._index()
 
+    @contextmanager
+    def _index_once(self) -> Iterator[None]:
+        """Put off indexing to the end of many changes: their work grew with the square."""
+        self._indexing = False
+        try:
+            yield
+        finally:
+            self._indexing = True
+            self._index()
+
     def _index(self) -> None:
+        if not self._indexing:
+            return
         found: dict[str, list[BackendServer]] = {}
         for server in self._servers.values():
             found.setdefault(server.service, []).append(server)
--- a/cloverhook/gateway/spread.py
+++ b/cloverhook/gateway/spread.py
@@ -38,19 +38,27 @@
         """Send to every VM of the own data centre that is alive."""
         self.to((item for item in self._members.near() if item.is_alive(now_ms)), data)
 
+    def audience(self, data: bytes, now_ms: float) -> None:
+        """Send to the VMs of the own data centre that place requests, or may soon."""
+        self.to(self._members.audience(now_ms), data)
+
     def far(self, data: bytes, now_ms: float, relays: int = 1) -> None:
         """Send to so many VMs of each other data centre, which relay it."""
         wrapped = encode(Relay(self._own_vm, data))
-        for data_center, members in self._members.far(now_ms).items():
+        for data_center, members in self._members.relays(now_ms).items():
             turn = self._turns.get(data_center, 0)
             wanted = min(relays, len(members))
             self._turns[data_center] = turn + wanted
             for place in range(turn, turn + wanted):
                 self._link.send_encoded(members[place % len(members)].peer_address, wrapped)
 
-    def relay(self, message: Relay, now_ms: float) -> None:
-        """Pass a message on to the neighbours."""
-        if now_ms >= self._relays_from_ms:
+    def relay(self, message: Relay, now_ms: float, to_audience: bool = False) -> None:
+        """Pass a message on to the neighbours, or to those alone that are told load figures."""
+        if now_ms < self._relays_from_ms:
+            return
+        if to_audience:
+            self.audience(message.data, now_ms)
+        else:
             self.near(message.data, now_ms)
 
     def paused(self, now_ms: float) -> None:
--- /dev/null
+++ b/features/gateway_crowd.py
@@ -0,0 +1,110 @@
+"""VMs that know each other, without sockets and on a clock of their own."""
+
+from cloverhook.clock import monotonic_ms
+from cloverhook.gateway.busy_meter import BusyMeter
+from cloverhook.gateway.event_log import EventLog
+from cloverhook.gateway.knowledge import Knowledge
+from cloverhook.gateway.members import Members
+from cloverhook.gateway.peer_messages import Beat, Identity, Relay, decode
+from cloverhook.gateway.peering import Peering
+
+NEAR = "papine"
+FAR = "halfway-tree"
+NEAR_HOSTS = "10.1.0."
+FAR_HOSTS = "10.2.0."
+
+
+def beat(name, data_center=NEAR):
+    """Return a ready VM's sign of life."""
+    addresses = f"{name}:1", f"{name}:2"
+    return Beat(name, 1, data_center, *addresses, True, False, False, 1, 1)
+
+
+def members_of(own, names, now_ms=0.0, data_center=NEAR):
+    """Return what a VM knows of others that it has just heard."""
+    members = Members(own, NEAR, now_ms)
+    for name in names:
+        if name != own:
+            members.heard(beat(name, data_center), now_ms)
+    return members
+
+
+class Wire:
+    """Stands in for the sockets and keeps what was sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send_encoded(self, address, data):
+        """Keep a datagram."""
+        self.sent.append((address, data))
+
+
+def peering_of(name, names, data_center=NEAR):
+    """Return a VM's talk with others that it has just heard, and the wire that it sends on."""
+    own = Identity(name, 1, data_center, f"{name}:1", f"{name}:2")
+    members = Members(name, data_center, 0.0)
+    for other in names:
+        if other != name:
+            members.heard(beat(other), monotonic_ms())
+    peering = Peering(own, Knowledge(), members, EventLog(name, len), None, lambda: None)
+    peering.link = peering.spread._link = Wire()
+    return peering
+
+
+def start_crowd(context, count):
+    """Let two data centres of so many VMs know each other."""
+    context.crowd = {}
+    hosts = {NEAR: NEAR_HOSTS, FAR: FAR_HOSTS}
+    names = {f"{hosts[place]}{number}": place for place in hosts for number in range(count)}
+    for name, place in names.items():
+        own = Identity(name, 1, place, f"{name}:1", f"{name}:2")
+        members = Members(name, place, 0.0)
+        for other, where in names.items():
+            if other != name:
+                members.heard(beat(other, where), 0.0)
+        peering = Peering(own, Knowledge(), members, EventLog(name, len), None, lambda: None)
+        peering.ready = True
+        peering._busy = BusyMeter(0.0, lambda: 0.0)  # Not the time that the test itself uses.
+        peering.link = peering.spread._link = Wire()
+        context.crowd[f"{name}:2"] = peering
+    context.now_ms = 0.0
+
+
+def pass_crowd_time(context, duration_ms):
+    """Let time pass; return how many datagrams each VM got."""
+    got = dict.fromkeys(context.crowd, 0)
+    end_ms = context.now_ms + duration_ms
+    while context.now_ms < end_ms:
+        context.now_ms += 50.0
+        for peering in context.crowd.values():
+            peering.tick(context.now_ms)
+        while any(peering.link.sent for peering in context.crowd.values()):
+            for peering in context.crowd.values():
+                sent, peering.link.sent = peering.link.sent, []
+                for address, data in sent:
+                    if address not in context.crowd:
+                        continue
+                    got[address] += 1
+                    deliver(context.crowd[address], decode(data), context.now_ms)
+    return got
+
+
+def deliver(peering, message, now_ms):
+    """Hand a message to a VM, on the scenario's clock."""
+    if isinstance(message, Relay):
+        peering.spread.relay(message, now_ms)
+        message = decode(message.data)
+    peering._on_beat(message, now_ms, relayed=False)
+
+
+def named_to_callers(context):
+    """Return what each VM of a crowd tells callers, by its name and data centre."""
+    found = {}
+    for peering in context.crowd.values():
+        members, own = peering._members, peering._own
+        named = set(members.caller_addresses(context.now_ms))
+        if members.serves_callers(context.now_ms):
+            named.add(own.caller_address)
+        found[own.data_center, own.vm] = frozenset(named)
+    return found
--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -58,6 +58,21 @@
     And after 20 seconds each knows all others to be alive
     And all of a data centre name the same 12 of its VMs to callers
 
+  Scenario: What a VM hears doesn't grow with the number of standby VMs
+    Given 110 VMs in each of two data centres that know each other
+    Then each hears at most 70 beats in a second
+    And after 20 seconds each knows all others to be alive
+
+  Scenario: Load figures go to those that place requests, or may soon
+    Given 41 VMs in each of two data centres that know each other
+    Then 20 of a data centre are told load figures, of which callers are sent to 12
+    And one that has requests all the same is told load figures too
+
+  Scenario: Dead VMs of another data centre are not asked to pass on news for long
+    Given 41 VMs in each of two data centres that know each other
+    When a third of the other data centre dies without a sign
+    Then 4 seconds later nothing is sent to the dead ones to be relayed
+
   Scenario: Another VM takes the place of one that callers were sent to
     Given 41 VMs in each of two data centres that know each other
     When one that callers are sent to falls silent
@@ -90,6 +105,19 @@
     When it is back
     Then within 150 ms each backend server is measured by one VM alone
 
+  Scenario: In a crowded data centre the VMs that serve callers are spared the probes
+    Given 41 VMs of one data centre and 60 backend servers in it
+    Then in a second each backend server is measured by one VM alone, 3 measure at most
+    And none of those that measure serves callers
+    When a VM that measures has died without a sign
+    Then within 550 ms each backend server is measured again
+    When it is back
+    Then in a second each backend server is measured by one VM alone, 3 measure at most
+
+  Scenario: A data centre without a VM is measured by few VMs of a crowded one
+    Given 41 VMs of one data centre and 60 backend servers in another one
+    Then in a second each backend server is measured by one VM alone, 3 measure at most
+
   Scenario: A data centre without a VM is measured from another one
     Given 5 VMs of one data centre and 30 backend servers in another one
     Then each backend server is measured by one VM alone, and 3 or fewer VMs measure
--- /dev/null
+++ b/features/steps/gateway_crowd_steps.py
@@ -0,0 +1,143 @@
+"""Steps on data centres with many VMs: who hears what, and who serves callers."""
+
+from unittest import mock
+
+from behave import given, then, when
+
+from cloverhook.gateway import load_news
+from cloverhook.gateway.load import LoadFigure
+from cloverhook.gateway.peer_messages import Loads, Relay, encode
+from features.gateway_crowd import (
+    FAR,
+    FAR_HOSTS,
+    NEAR,
+    NEAR_HOSTS,
+    named_to_callers,
+    pass_crowd_time,
+    start_crowd,
+)
+from features.shared import run
+
+
+@given("{count:d} VMs in each of two data centres that know each other")
+def step_crowd(context, count):
+    start_crowd(context, count)
+
+
+@then("each hears at most {limit:d} beats in a second")
+def step_few_beats(context, limit):
+    pass_crowd_time(context, 3_000)
+    got = pass_crowd_time(context, 3_000)
+    assert max(got.values()) <= 3 * limit, max(got.values())
+
+
+@then("after {time_s:d} seconds each knows all others to be alive")
+def step_crowd_alive(context, time_s):
+    pass_crowd_time(context, time_s * 1_000)
+    for peering in context.crowd.values():
+        assert len(peering._members.alive(context.now_ms)) == len(context.crowd) - 1
+
+
+@then("all of a data centre name the same {count:d} of its VMs to callers")
+def step_names_near(context, count):
+    for place, hosts in ((NEAR, NEAR_HOSTS), (FAR, FAR_HOSTS)):
+        found = named_to_callers(context)
+        (named,) = {answer for (where, _), answer in found.items() if where == place}
+        assert len(named) == count and all(item.startswith(hosts) for item in named), named
+
+
+@when("one that callers are sent to falls silent")
+def step_serving_silent(context):
+    pass_crowd_time(context, 3_000)
+    context.before = named_to_callers(context)
+    context.silent_vm = next(iter(context.crowd.values()))._members.serving(context.now_ms)[0]
+    del context.crowd[f"{context.silent_vm}:2"]
+
+
+@then("{time_s:d} seconds later another one is named in its place, and no other has changed")
+def step_replaced(context, time_s):
+    pass_crowd_time(context, time_s * 1_000)
+    after = named_to_callers(context)
+    for key, named in after.items():
+        gone, new = context.before[key] - named, named - context.before[key]
+        silent = f"{context.silent_vm}:1"
+        assert gone == ({silent} if silent in context.before[key] else set()), gone
+        assert len(new) == len(gone), new
+
+
+@when("one of them is cut off from all others")
+def step_cut_off(context):
+    pass_crowd_time(context, 3_000)
+    context.alone = next(iter(context.crowd.values()))
+    context.before = named_to_callers(context)
+    context.crowd = {context.alone._own.peer_address: context.alone}
+
+
+@then("{time_s:d} seconds later it names the same {count:d}")
+def step_names_same(context, time_s, count):
+    pass_crowd_time(context, time_s * 1_000)
+    ((key, named),) = named_to_callers(context).items()
+    assert named == context.before[key] and len(named) == count, named
+
+
+def told_figures(context, peering, relayed):
+    """Return which VMs one of a crowd sends a load figure of its own, or a relayed one."""
+
+    async def tell():
+        peering.link.sent.clear()
+        if relayed:
+            data = encode(Loads("vm-far", (("i-0", LoadFigure(1, 0, 2.0), 0.0),)))
+            peering._on_relay(Relay("vm-far", data), "vm-far:2", context.now_ms)
+        else:
+            with mock.patch.object(load_news, "monotonic_ms", lambda: context.now_ms):
+                peering.load_news.add("i-0", LoadFigure(1, 0, 2.0), context.now_ms)
+                peering.load_news._flush()
+
+    run(context, tell())
+    told, peering.link.sent = {address for address, _ in peering.link.sent}, []
+    return told
+
+
+@then("{count:d} of a data centre are told load figures, of which callers are sent to {serving:d}")
+def step_audience(context, count, serving):
+    pass_crowd_time(context, 1_000)
+    for peering in list(context.crowd.values())[:5]:
+        peering._on_figure = lambda incarnation: None
+        informed = peering._members.informed(context.now_ms)
+        assert informed[:serving] == peering._members.serving(context.now_ms)
+        expected = {f"{vm}:2" for vm in informed} - {peering._own.peer_address}
+        assert len(informed) == count
+        for relayed in (False, True):
+            assert told_figures(context, peering, relayed) == expected
+
+
+@then("one that has requests all the same is told load figures too")
+def step_teller(context):
+    pass_crowd_time(context, 1_000)
+    peering = next(iter(context.crowd.values()))
+    members = peering._members
+    standby = next(
+        item for item in members.near() if item.vm not in members.informed(context.now_ms)
+    )
+    assert standby.peer_address not in told_figures(context, peering, False)
+    members.tells_counts(standby.vm, context.now_ms)
+    assert standby.peer_address in told_figures(context, peering, False)
+
+
+@when("a third of the other data centre dies without a sign")
+def step_far_deaths(context):
+    pass_crowd_time(context, 8_000)
+    far = [address for address in context.crowd if address.startswith(FAR_HOSTS)]
+    context.dead = set(far[::3])
+    for address in context.dead:
+        del context.crowd[address]
+
+
+@then("{time_s:d} seconds later nothing is sent to the dead ones to be relayed")
+def step_no_dead_relay(context, time_s):
+    pass_crowd_time(context, time_s * 1_000)
+    for address, peering in context.crowd.items():
+        if address.startswith(NEAR_HOSTS):
+            relays = peering._members.relays(context.now_ms)[FAR]
+            assert len(relays) >= 10
+            assert context.dead.isdisjoint(item.peer_address for item in relays)
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_spread_steps.py
@@ -8,54 +8,21 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
 from cloverhook.gateway import state_fetch
-from cloverhook.gateway.busy_meter import BusyMeter
 from cloverhook.gateway.discovery import Discovery
-from cloverhook.gateway.event_log import EventLog
-from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadBoard, LoadFigure
 from cloverhook.gateway.load_news import LoadNews
 from cloverhook.gateway.measuring import Measuring
 from cloverhook.gateway.members import Members
-from cloverhook.gateway.peer_messages import Beat, Identity, InFlight, Relay, ServerChanges, decode
-from cloverhook.gateway.peering import Peering
+from cloverhook.gateway.peer_messages import Beat, InFlight, Relay, ServerChanges, decode
 from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
 from cloverhook.gateway.spread import Spread
 from features import gateway_fleet as fleet
+from features.gateway_crowd import FAR, NEAR, Wire, beat, members_of, peering_of
 from features.shared import run
 
-NEAR = "papine"
-FAR = "halfway-tree"
-NEAR_HOSTS = "10.1.0."
-FAR_HOSTS = "10.2.0."
 PROBE_MS = 50
 
 
-def beat(name, data_center=NEAR):
-    """Return a ready VM's sign of life."""
-    addresses = f"{name}:1", f"{name}:2"
-    return Beat(name, 1, data_center, *addresses, True, False, False, 1, 1)
-
-
-def members_of(own, names, now_ms=0.0, data_center=NEAR):
-    """Return what a VM knows of others that it has just heard."""
-    members = Members(own, NEAR, now_ms)
-    for name in names:
-        if name != own:
-            members.heard(beat(name, data_center), now_ms)
-    return members
-
-
-class Wire:
-    """Stands in for the sockets and keeps what was sent."""
-
-    def __init__(self):
-        self.sent = []
-
-    def send_encoded(self, address, data):
-        """Keep a datagram."""
-        self.sent.append((address, data))
-
-
 @given("3 gateways in each of two data centres and a backend server in each")
 def step_two_data_centers(context):
     async def start():
@@ -224,18 +191,6 @@
     context.names = [f"vm-{number}" for number in range(count)]
 
 
-def peering_of(name, names, data_center=NEAR):
-    """Return a VM's talk with others that it has just heard, and the wire that it sends on."""
-    own = Identity(name, 1, data_center, f"{name}:1", f"{name}:2")
-    members = Members(name, data_center, 0.0)
-    for other in names:
-        if other != name:
-            members.heard(beat(other), monotonic_ms())
-    peering = Peering(own, Knowledge(), members, EventLog(name, len), None, lambda: None)
-    peering.link = peering.spread._link = Wire()
-    return peering
-
-
 def told_counts(context):
     """Return which VMs each VM tells its counts in flight."""
     told = {}
@@ -268,105 +223,6 @@
         assert told == set(context.names) - {name} and len(told) == count, told
 
 
-@given("41 VMs in each of two data centres that know each other")
-def step_crowd(context):
-    context.crowd = {}
-    hosts = {NEAR: NEAR_HOSTS, FAR: FAR_HOSTS}
-    names = {f"{hosts[place]}{number}": place for place in hosts for number in range(41)}
-    for name, place in names.items():
-        own = Identity(name, 1, place, f"{name}:1", f"{name}:2")
-        members = Members(name, place, 0.0)
-        for other, where in names.items():
-            if other != name:
-                members.heard(beat(other, where), 0.0)
-        peering = Peering(own, Knowledge(), members, EventLog(name, len), None, lambda: None)
-        peering.ready = True
-        peering._busy = BusyMeter(0.0, lambda: 0.0)  # Not the time that the test itself uses.
-        peering.link = peering.spread._link = Wire()
-        context.crowd[f"{name}:2"] = peering
-    context.now_ms = 0.0
-
-
-def pass_crowd_time(context, duration_ms):
-    """Let time pass; return how many datagrams each VM got."""
-    got = dict.fromkeys(context.crowd, 0)
-    end_ms = context.now_ms + duration_ms
-    while context.now_ms < end_ms:
-        context.now_ms += 50.0
-        for peering in context.crowd.values():
-            peering.tick(context.now_ms)
-        while any(peering.link.sent for peering in context.crowd.values()):
-            for peering in context.crowd.values():
-                sent, peering.link.sent = peering.link.sent, []
-                for address, data in sent:
-                    if address not in context.crowd:
-                        continue
-                    got[address] += 1
-                    deliver(context.crowd[address], decode(data), context.now_ms)
-    return got
-
-
-def deliver(peering, message, now_ms):
-    """Hand a message to a VM, on the scenario's clock."""
-    if isinstance(message, Relay):
-        peering.spread.relay(message, now_ms)
-        message = decode(message.data)
-    peering._on_beat(message, now_ms, relayed=False)
-
-
-@then("each hears at most {limit:d} beats in a second")
-def step_few_beats(context, limit):
-    pass_crowd_time(context, 3_000)
-    got = pass_crowd_time(context, 3_000)
-    assert max(got.values()) <= 3 * limit, max(got.values())
-
-
-@then("after {time_s:d} seconds each knows all others to be alive")
-def step_crowd_alive(context, time_s):
-    pass_crowd_time(context, time_s * 1_000)
-    for peering in context.crowd.values():
-        assert len(peering._members.alive(context.now_ms)) == len(context.crowd) - 1
-
-
-def named_to_callers(context):
-    """Return what each VM of a crowd tells callers, by its name and data centre."""
-    found = {}
-    for peering in context.crowd.values():
-        members, own = peering._members, peering._own
-        named = set(members.caller_addresses(context.now_ms))
-        if members.serves_callers(context.now_ms):
-            named.add(own.caller_address)
-        found[own.data_center, own.vm] = frozenset(named)
-    return found
-
-
-@then("all of a data centre name the same {count:d} of its VMs to callers")
-def step_names_near(context, count):
-    for place, hosts in ((NEAR, NEAR_HOSTS), (FAR, FAR_HOSTS)):
-        found = named_to_callers(context)
-        (named,) = {answer for (where, _), answer in found.items() if where == place}
-        assert len(named) == count and all(item.startswith(hosts) for item in named), named
-
-
-@when("one that callers are sent to falls silent")
-def step_serving_silent(context):
-    pass_crowd_time(context, 3_000)
-    context.before = named_to_callers(context)
-    context.silent_vm = next(iter(context.crowd.values()))._members.serving(context.now_ms)[0]
-    del context.crowd[f"{context.silent_vm}:2"]
-
-
-@then("{time_s:d} seconds later another one is named in its place, and no other has changed")
-def step_replaced(context, time_s):
-    pass_crowd_time(context, time_s * 1_000)
-    after = named_to_callers(context)
-    for key, named in after.items():
-        gone, new = context.before[key] - named, named - context.before[key]
-        silent = f"{context.silent_vm}:1"
-        assert gone == ({silent} if silent in context.before[key] else set()), gone
-        assert len(new) == len(gone), new
-
-
 @then("one that is behind asks a neighbour that has the version, and another one if none answers")
 def step_fetch(context):
     own, holder, other, *_ = context.names
@@ -444,6 +300,23 @@
     context.vms = MeasuringFleet(vms, count, FAR)
 
 
+@then("in a second each backend server is measured by one VM alone, {limit:d} measure at most")
+def step_one_each_in_a_second(context, limit):
+    context.found = {server: [] for server in context.vms.servers}
+    for _ in range(1_000 // PROBE_MS):
+        for server, by in context.vms.step().items():
+            context.found[server] += by
+    assert all(len(set(by)) == 1 for by in context.found.values()), context.found
+    assert len({by[0] for by in context.found.values()}) <= limit, context.found
+
+
+@then("none of those that measure serves callers")
+def step_measurers_spared(context):
+    measuring = {by[0] for by in context.found.values()}
+    for name in measuring:
+        assert name not in context.vms.members[name].serving(context.vms.now_ms), name
+
+
 @then("each backend server is measured by one VM alone, and {limit:d} or fewer VMs measure")
 def step_one_each(context, limit):
     for _ in range(20):
@@ -732,21 +605,6 @@
     assert len(reached - {context.dead}) == 2, reached
 
 
-@when("one of them is cut off from all others")
-def step_cut_off(context):
-    pass_crowd_time(context, 3_000)
-    context.alone = next(iter(context.crowd.values()))
-    context.before = named_to_callers(context)
-    context.crowd = {context.alone._own.peer_address: context.alone}
-
-
-@then("{time_s:d} seconds later it names the same {count:d}")
-def step_names_same(context, time_s, count):
-    pass_crowd_time(context, time_s * 1_000)
-    ((key, named),) = named_to_callers(context).items()
-    assert named == context.before[key] and len(named) == count, named
-
-
 @given("{count:d} VMs of one data centre of which each uses {percent:d} percent of a core")
 def step_busy(context, count, percent):
     names = [f"vm-{number}" for number in range(count)]
