Trust endpoints by what requests met, and tell the fleet of failures

A silent endpoint was never found out where a second attempt answered: the cancelled one taught nothing. Change: trust.py, no input or output: two failures in a row suspend an endpoint for 1 s, then it is on trial, one repeatable request at a time, and a failed trial doubles the time up to 8 s. Failures are told to those who place requests. A VM that sees three in ten endpoints fail at once is not believed; with seven in ten suspended all are used. What can't be repeated avoids who is in doubt. Ruled out: the probe's status, which is false either way; telling suspensions in place of failures, which would make one VM's trouble everybody's.

--- a/bench/gateway_replay.py
+++ b/bench/gateway_replay.py
@@ -19,7 +19,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from cloverhook.gateway.balancer import Balancer, Choice, WorkEstimates
+from cloverhook.gateway.balancer import Balancer, Choice, Room, WorkEstimates
 from cloverhook.gateway.forwarding import RETURN_MS
 from cloverhook.gateway.load import LoadBoard, LoadFigure
 from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
@@ -39,6 +39,8 @@
 LATE_CREDIT = 0.1
 WINDOW_MS = 2_000.0
 WORST_WINDOWS = 2
+ATTEMPTS = 2
+"""A request that can be repeated is sent to so many endpoints at most."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,11 +55,12 @@
     aim_ms: float
     timeout_ms: float
     deadline_ms: float
+    repeatable: bool = True
 
 
 KINDS = (
     Kind("check", 0.7, 1.0, 2, 120.0, 300.0, 800.0, 1_500.0),
-    Kind("cancel", 0.3, 2.0, 1, 160.0, 400.0, 1_000.0, 2_000.0),
+    Kind("cancel", 0.3, 2.0, 1, 160.0, 400.0, 1_000.0, 2_000.0, repeatable=False),
 )
 
 
@@ -66,7 +69,9 @@
     """VMs and endpoints.
 
     Of the endpoints `slow_share` works `slow_by` times as long, drawn anew every `slow_every_ms`;
-    with more than one slot, work that begins in the last one takes `knee` times as long.
+    with more than one slot, work that begins in the last one takes `knee` times as long.  From
+    `lying_from_ms` on `lying_share` of them fail all they get, though their figures say nothing of
+    it: by a reset at once, or with `hanging` by no answer at all.
     """
 
     vms: int = 5
@@ -78,6 +83,9 @@
     slow_by: float = 4.0
     slow_every_ms: float = 300.0
     probe_ms: float = 60.0
+    lying_share: float = 0.0
+    lying_from_ms: float = 3_000.0
+    hanging: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +126,7 @@
     until_ms: float
     tries: int = 0
     result: str = ""
+    tried: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True, eq=False)
@@ -137,6 +146,7 @@
     pace: float = 1.0
     running: list[_Work] = field(default_factory=list)
     queued: list[_Work] = field(default_factory=list)
+    lies: bool = False
 
     def figure(self) -> LoadFigure:
         return LoadFigure(len(self.running), len(self.queued), self.pace)
@@ -166,7 +176,8 @@
                 f"i-{number}", SERVICE, f"10.0.0.{number}:1", DATA_CENTER, deployment.slots
             )
             registry.apply(ServerRecord(server.name, number, server), 0.0, False)
-            self.endpoints[server.incarnation] = _Endpoint(server)
+            lies = number < deployment.lying_share * deployment.endpoints
+            self.endpoints[server.incarnation] = _Endpoint(server, lies=lies)
         self.vms = [_Vm(f"vm-{x}", registry, self.source) for x in range(deployment.vms)]
         self.requests: list[_Request] = []
         self.rejected = 0
@@ -215,6 +226,7 @@
             kind.aim_ms,
             min(self.now_ms + kind.timeout_ms, request.until_ms),
             urgent=kind.priority <= min(item.priority for item in self.load.kinds),
+            repeatable=kind.repeatable,
         )
         vm.requests[waiter] = request
         self.at(self.now_ms + WAY_MS, lambda: (vm.line.add(waiter), self._look(vm)))
@@ -259,6 +271,10 @@
     def _at_endpoint(self, work: _Work) -> None:
         endpoint = self.endpoints[work.choice.server.incarnation]
         self.arrivals += 1
+        if endpoint.lies and self.now_ms >= self.deployment.lying_from_ms:
+            if not self.deployment.hanging:
+                self.at(self.now_ms + WAY_MS, lambda: self._failed(work))
+            return
         if len(endpoint.running) < self.deployment.slots:
             self._run(endpoint, work)
         elif len(endpoint.queued) < self.deployment.queue:
@@ -295,6 +311,8 @@
         vm, choice, kind = work.vm, work.choice, work.request.kind
         load = vm.board.of(choice.server.incarnation)
         load.report(endpoint.figure(), self.now_ms, counted=1)
+        load.succeeded(self.now_ms)
+        load.trust.answered(self.now_ms)
         latency_ms = self.now_ms - work.begun_ms
         if choice.load < choice.server.slots:
             vm.estimates.measured(kind.name, kind.aim_ms, latency_ms, choice)
@@ -303,9 +321,36 @@
         self._count(vm, choice, -1)
         self._look(vm)
 
+    def _failed(self, work: _Work) -> None:
+        """Tell all VMs of a failure, and send the request elsewhere if that may be done."""
+        work.over = True
+        vm, request, kind = work.vm, work.request, work.request.kind
+        self._count(vm, work.choice, -1)
+        self._distrust(vm, work.choice)
+        request.result = "failed"
+        request.tried.append(work.choice.server.incarnation)
+        if kind.repeatable and len(request.tried) < ATTEMPTS:
+            choice = vm.line._balancer.choose(
+                SERVICE, kind.work_ms, self.now_ms, request.tried, Room.SLOT
+            )
+            if choice is not None:
+                self._start(request, vm, choice, work.until_ms)
+        self._look(vm)
+
+    def _distrust(self, vm: _Vm, choice: Choice) -> None:
+        name = choice.server.incarnation
+        vm.board.of(name).failed(self.now_ms)
+        vm.board.of(name).trust.failed(self.now_ms)
+        for other in self.vms:
+            if other is not vm:
+                trust = other.board.of(name).trust
+                self.at(self.now_ms + NEWS_MS, lambda trust=trust: trust.failed(self.now_ms))
+
     def _give_up(self, work: _Work) -> None:
         if work.over:
             return
+        if self.endpoints[work.choice.server.incarnation].lies:
+            self._distrust(work.vm, work.choice)
         self._leave(self.endpoints[work.choice.server.incarnation], work)
         work.request.result = "failed"
         self._count(work.vm, work.choice, -1)
--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -27,6 +27,8 @@
 
 MISDIRECTED = 421
 FAILURE_STATUSES = 500
+TIME_OUT = 504
+"""An endpoint says so of a request whose time has passed: that may be the caller's doing."""
 FORGOTTEN_MS = 20.0
 """A reset within this time of the send comes from an end that had forgotten the connection."""
 ASK_AGE_MS = 15.0
@@ -57,6 +59,8 @@
     status: int = 0
     answer: CallerAnswer | None = None
     detail: str = ""
+    at_fault: bool = False
+    """Whether the backend server has failed a request that it should have answered."""
     usual_ms: float = 0.0
     """How long the work would have taken at the usual pace, by the figures known meanwhile."""
 
@@ -90,6 +94,7 @@
         self.choice = choice
         self.sent = False
         self.began_ms = monotonic_ms()
+        self.progress_at_start_ms = 0.0
         self._request = request
         self._request_id = request_id
         self._deadline_ms = deadline_ms
@@ -101,7 +106,7 @@
         server = self.choice.server
         load = board.of(server.incarnation)
         started_ms = monotonic_ms()
-        begun_ms = load.progress_ms(started_ms)
+        self.progress_at_start_ms = load.progress_ms(started_ms)
         connection: UpstreamConnection | None = None
         kept = False
         try:
@@ -120,17 +125,23 @@
         except UpstreamError as error:
             self.sent = self.sent and error.sent
             result = self._failed(error, monotonic_ms() - started_ms)
+            forgotten = False
             if connection is not None and connection.silent:
                 pool.went_silent(server, started_ms)
-                if result.latency_ms < FORGOTTEN_MS and self.choice.load < server.slots:
+                quick = result.latency_ms < FORGOTTEN_MS
+                if quick and self.choice.load < server.slots:
                     pool.was_forgotten(server, connection)
+                forgotten = quick and connection.idle_since_ms > 0.0
+            result = replace(result, at_fault=self.sent and not forgotten)
         finally:
             if connection is not None and not kept and not connection.usable:
                 connection.close()
         if self._declined is not None:
             pool.release(server, connection, self._declined)
         self._learn(result, board)
-        return replace(result, usual_ms=load.progress_ms(monotonic_ms()) - begun_ms)
+        return replace(
+            result, usual_ms=load.progress_ms(monotonic_ms()) - self.progress_at_start_ms
+        )
 
     def _should_ask(self, load: ServerLoad, now_ms: float) -> bool:
         """Return whether a question is of use: it is where the endpoint tells its load at all."""
@@ -207,7 +218,10 @@
             rest,
             int(length) if length is not None else None,
         )
-        return AttemptResult(Outcome.ANSWERED, self.choice, latency_ms, head.status, answer)
+        at_fault = head.status >= FAILURE_STATUSES and head.status != TIME_OUT
+        return AttemptResult(
+            Outcome.ANSWERED, self.choice, latency_ms, head.status, answer, at_fault=at_fault
+        )
 
     async def _rest(
         self, connection: UpstreamConnection, pool: BackendPool, head: AnswerHead
--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -45,6 +45,13 @@
 """A new connection costs its endpoint some time, and a price; less than a busier one is worth."""
 FAILURE_WEIGHT = 8.0
 UNREACHABLE_WEIGHT = 50.0
+DOUBT_WEIGHT = 6.0
+"""So much worse others must be before a request that can't be repeated goes where one failed."""
+PANIC_SHARE = 0.7
+"""With more of a service's endpoints suspended than this, all are used as if none were: it is more
+likely that the way there fails than that so few are left."""
+PANIC_MS = 200.0
+"""That share is worked out anew after this time."""
 HELD_WEIGHT = 4.0
 """An entry that has vanished from the store may still serve, but others go first."""
 WORK_STEP = 0.1
@@ -139,7 +146,9 @@
         "found",
         "harmed",
         "now_ms",
+        "repeatable",
         "room",
+        "service",
         "tried",
         "work_ms",
     )
@@ -151,9 +160,11 @@
         now_ms: float,
         tried: Collection[str],
         room: Room,
+        repeatable: bool,
         estimates: WorkEstimates,
     ) -> None:
-        self.work_ms, self.now_ms, self.tried, self.room = work_ms, now_ms, tried, room
+        self.service, self.work_ms, self.now_ms = service, work_ms, now_ms
+        self.tried, self.room, self.repeatable = tried, room, repeatable
         self.crowding = estimates.crowding(service)
         self.harmed = estimates.harmed_when_full(service)
         self._limits: dict[int, float] = {}
@@ -189,6 +200,7 @@
         self._data_center = data_center
         self._source = source
         self._random = source.random
+        self._panic: dict[str, tuple[float, bool]] = {}
         self._candidates: dict[
             tuple[str, Room], tuple[tuple[BackendServer, ...], tuple[Candidates, Candidates]]
         ] = {}
@@ -200,9 +212,13 @@
         now_ms: float,
         tried: Collection[str] = (),
         room: Room = Room.ANY,
+        repeatable: bool = True,
     ) -> Choice | None:
-        """Return the best backend server found that has not been tried and has room, or None."""
-        look = _Look(service, work_ms, now_ms, tried, room, self._estimates)
+        """Return the best backend server found that has not been tried and has room, or None.
+
+        A request that is not `repeatable` is sent nowhere on trial.
+        """
+        look = _Look(service, work_ms, now_ms, tried, room, repeatable, self._estimates)
         near, far = self._candidates_of(service, room)
         self._weigh(look, near, NEAR_DRAWN)
         if look.best is None or look.best_rank > work_ms * (1.0 + CROSSING_SHARE):
@@ -246,15 +262,40 @@
                 continue
             if server.incarnation in look.tried:
                 continue
+            if load.trust.in_question and not self._may_get(look, load):
+                continue
             look.found += 1
             pace = load.pace(now_ms)
             if server.warm_at_ms > now_ms:
                 pace *= COLD_PACE
             expected_ms = self._expected_ms(server, pace, busy, work_ms, look.crowding)
             rank = self._rank(server, load, busy, expected_ms, work_ms, now_ms)
+            if not look.repeatable and load.trust.is_doubted(now_ms):
+                rank *= DOUBT_WEIGHT
             if look.best is None or rank < look.best_rank:
                 look.best, look.best_expected_ms, look.best_rank = server, expected_ms, rank
 
+    def _may_get(self, look: "_Look", load: ServerLoad) -> bool:
+        """Return whether an endpoint that has failed requests may get this one."""
+        trust, now_ms = load.trust, look.now_ms
+        if trust.is_on_trial(now_ms):
+            allowed = look.repeatable and not load.in_flight
+        else:
+            allowed = not trust.is_suspended(now_ms)
+        return allowed or self._panics(look.service, now_ms)
+
+    def _panics(self, service: str, now_ms: float) -> bool:
+        """Return whether so many endpoints of a service are suspended that none should be."""
+        due_ms, panics = self._panic.get(service, (0.0, False))
+        if now_ms < due_ms:
+            return panics
+        servers = self._registry.of_service(service)
+        loads = (self._board.of(server.incarnation) for server in servers)
+        suspended = sum(1 for load in loads if load.trust.is_suspended(now_ms))
+        panics = suspended > PANIC_SHARE * len(servers)
+        self._panic[service] = now_ms + PANIC_MS, panics
+        return panics
+
     def _expected_ms(
         self, server: BackendServer, pace: float, busy: float, work_ms: float, crowding: float
     ) -> float:
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -130,6 +130,7 @@
             headers,
             lambda: self._members.count(monotonic_ms()),
             self._peering.count_changed,
+            self._peering.failure_news.failed,
             RequestReport(self._knowledge, self._log, self._counters),
         )
         self._callers = Ingress(self._serve_caller, self._limits)
@@ -304,6 +305,7 @@
         self._prober.sweep(known)
         self._knowledge.board.sweep(known)
         self._members.forget(now_ms)
+        self._peering.failure_news.forget(now_ms)
 
     def _tell_readiness(self) -> None:
         ready = self._is_ready()
--- /dev/null
+++ b/cloverhook/gateway/failure_news.py
@@ -0,0 +1,72 @@
+"""Tells other VMs at which endpoints requests have failed, and takes what they tell.
+
+Layer: transport.  Who learns of it only by its own requests fails one at each lying endpoint; there
+may be dozens of both.
+"""
+
+import asyncio
+
+from cloverhook.clock import monotonic_ms
+from cloverhook.gateway.event_log import EventLog, Kind
+from cloverhook.gateway.knowledge import Knowledge
+from cloverhook.gateway.peer_messages import Failures, encode
+from cloverhook.gateway.spread import Spread
+from cloverhook.gateway.trust import Accusations
+
+__all__ = ["FailureNews"]
+
+FLUSH_MS = 5.0
+"""Failures within this time go into one datagram; the next request may come as soon."""
+NAMES_LIMIT = 40
+"""A datagram should fit into one packet."""
+
+
+class FailureNews:
+    """Failures that wait for the next datagram, and the effect of those that are told."""
+
+    def __init__(self, own_vm: str, spread: Spread, knowledge: Knowledge, log: EventLog) -> None:
+        self._own_vm = own_vm
+        self._spread = spread
+        self._knowledge = knowledge
+        self._log = log
+        self._accusations = Accusations()
+        self._waiting: list[str] = []
+        self._timer: asyncio.TimerHandle | None = None
+
+    def failed(self, incarnation: str) -> None:
+        """Take a request of this VM that an endpoint has failed."""
+        now_ms = monotonic_ms()
+        self._distrust(incarnation, self._own_vm, now_ms)
+        if not self._is_believed(self._own_vm, incarnation, now_ms):
+            return
+        self._waiting.append(incarnation)
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(FLUSH_MS / 1000, self._flush)
+
+    def told(self, message: Failures, now_ms: float) -> None:
+        """Take what another VM tells."""
+        for incarnation in message.incarnations[:NAMES_LIMIT]:
+            if self._is_believed(message.vm, incarnation, now_ms):
+                self._distrust(incarnation, message.vm, now_ms)
+
+    def forget(self, now_ms: float) -> None:
+        """Drop what no longer counts."""
+        self._accusations.forget(now_ms)
+
+    def _is_believed(self, vm: str, incarnation: str, now_ms: float) -> bool:
+        endpoints = len(self._knowledge.registry)
+        return self._accusations.believed(vm, incarnation, endpoints, now_ms)
+
+    def _distrust(self, incarnation: str, source: str, now_ms: float) -> None:
+        if self._knowledge.registry.get(incarnation) is None:
+            return
+        if self._knowledge.board.of(incarnation).trust.failed(now_ms):
+            self._log.note(Kind.ENDPOINT, server=incarnation, suspended=True, source=source)
+
+    def _flush(self) -> None:
+        self._timer = None
+        now_ms = monotonic_ms()
+        data = encode(Failures(self._own_vm, self._waiting[:NAMES_LIMIT]))
+        self._waiting.clear()
+        self._spread.audience(data, now_ms)
+        self._spread.far(data, now_ms)
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -39,6 +39,8 @@
 and 0.02 of a quiet day; single scores, of which some differed by 0.02."""
 FIGURE_LAG_MS = 150.0
 """Work keeps the pace at which it began; a figure may tell of that pace so much later."""
+SILENT_WORKS = 2.5
+"""An endpoint that could have done the work so many times and says nothing has failed it."""
 LAST_MS = 10.0
 """With less time left, no attempt is worth starting."""
 RETURN_MS = (30.0, 80.0)
@@ -62,6 +64,7 @@
         headers: CallHeaders,
         vms: Callable[[], int],
         on_count: Callable[[], None],
+        on_failure: Callable[[str], None],
         report: RequestReport,
     ) -> None:
         self._knowledge = knowledge
@@ -71,6 +74,7 @@
         self._headers = headers
         self._vms = vms
         self._on_count = on_count
+        self._on_failure = on_failure
         self._report = report
         self._estimates = estimates
         self._line = WaitingLine(balancer)
@@ -119,8 +123,9 @@
             self._report.ended(run, self._error(ErrorKind.CALLER_GONE))
             raise
         finally:
-            for task in run.tasks:
+            for task, attempt in run.tasks.items():
                 task.cancel()
+                self._judge_silence(run, attempt)
             for attempt in run.attempts:
                 self._no_longer_at(run, attempt)
         self._report.ended(run, answer)
@@ -142,6 +147,7 @@
             for task in done:
                 del run.tasks[task]
                 run.results.append(task.result())
+                self._judge(task.result())
             good = next((item for item in run.results if not item.failed), None)
             if good is not None:
                 self._measured(run, good)
@@ -152,6 +158,27 @@
                 self._start(run)
         return self._final(run)
 
+    def _judge(self, result: AttemptResult) -> None:
+        """Keep what an attempt says of whether its endpoint can be trusted."""
+        incarnation = result.choice.server.incarnation
+        if result.at_fault:
+            self._on_failure(incarnation)
+        elif not result.failed:
+            self._knowledge.board.of(incarnation).trust.answered(monotonic_ms())
+
+    def _judge_silence(self, run: RequestRun, attempt: Attempt) -> None:
+        """Count it as a failure if work should have ended long ago that is given up now."""
+        choice, now_ms = attempt.choice, monotonic_ms()
+        if not attempt.sent or choice.load >= choice.server.slots:
+            return
+        work_ms = self._estimates.work_ms(run.route.name, run.route.aim_ms)
+        load = self._knowledge.board.of(choice.server.incarnation)
+        done_ms = load.progress_ms(now_ms) - attempt.progress_at_start_ms
+        if load.figure is None:
+            done_ms = now_ms - attempt.began_ms
+        if done_ms >= SILENT_WORKS * work_ms:
+            self._on_failure(choice.server.incarnation)
+
     async def _wait(self, run: RequestRun) -> set[asyncio.Task[AttemptResult]]:
         """Wait for the end of an attempt, or until the request wants another look."""
         awaited: set[asyncio.Future] = set(run.tasks)
@@ -185,6 +212,7 @@
             route.aim_ms,
             run.deadline_ms,
             urgent=route.priority <= self._first_priority(run.service),
+            repeatable=route.idempotent,
         )
         future: asyncio.Future[Choice | None] = asyncio.get_running_loop().create_future()
         self._waiting[waiter] = future
@@ -238,7 +266,9 @@
         work_ms = self._estimates.work_ms(route.name, route.aim_ms)
         # Beside a first attempt, one must not keep another request waiting.
         room = Room.UNHARMED if run.tasks else Room.SLOT
-        choice = self._balancer.choose(run.service, work_ms, now_ms, run.tried, room)
+        choice = self._balancer.choose(
+            run.service, work_ms, now_ms, run.tried, room, route.idempotent
+        )
         if choice is None or (run.tasks and choice.spare_share < SPARE_SHARE):
             return False
         arrived = any(item.arrived for item in run.results) or run.tasks
--- a/cloverhook/gateway/load.py
+++ b/cloverhook/gateway/load.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from functools import partial
 
+from cloverhook.gateway.trust import Trust
+
 __all__ = ["SLOW_PACE", "LoadBoard", "LoadFigure", "ServerLoad"]
 
 SLOW_PACE = 2.5
@@ -54,6 +56,7 @@
         "_progress_to_ms",
         "_unreachable_until_ms",
         "_used",
+        "trust",
     )
 
     def __init__(self, used: Callable[[int], None] = lambda count: None) -> None:
@@ -61,6 +64,7 @@
         self._used = used
         self._in_flight = 0
         self._changed: list[Callable[[], None]] = []
+        self.trust = Trust()
         self._peers: dict[str, tuple[int, float]] = {}
         self._figure: LoadFigure | None = None
         self._figure_ms = -1e12
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     "Beat",
+    "Failures",
     "IS_REGISTRY_DOCUMENT",
     "Identity",
     "InFlight",
@@ -96,6 +97,14 @@
     counts: dict[str, int]
 
 
+@dataclass(frozen=True, slots=True)
+class Failures:
+    """Incarnations at which a request of a VM has just failed, each as often as one did."""
+
+    vm: str
+    incarnations: list[str]
+
+
 @dataclass(frozen=True, slots=True)
 class Relay:
     """An encoded message for each VM of the receiver's data centre, the receiver included."""
@@ -104,9 +113,9 @@
     data: bytes
 
 
-PeerMessage = Beat | Loads | ServerChanges | InFlight | Relay
-KINDS: tuple[type, ...] = (Beat, Loads, ServerChanges, InFlight, Relay)
-PLAIN_FIELDS = {kind: tuple(item.name for item in fields(kind)) for kind in (Beat, Relay)}
+PeerMessage = Beat | Loads | ServerChanges | InFlight | Relay | Failures
+KINDS: tuple[type, ...] = (Beat, Loads, ServerChanges, InFlight, Relay, Failures)
+PLAIN_FIELDS = {kind: tuple(item.name for item in fields(kind)) for kind in (Beat, Relay, Failures)}
 """The kinds whose fields follow each other in a datagram as they are."""
 BEAT_CHECKS = tuple((name, checker(kind)) for name, kind in table_of(Beat).fields.items())
 IS_REGISTRY_DOCUMENT = checker(REGISTRY_DOCUMENT)
@@ -154,6 +163,9 @@
             return isinstance(counts, dict) and all(map(_is_count, counts, counts.values()))
         case Relay():
             return isinstance(message.data, bytes)
+        case Failures():
+            names = message.incarnations
+            return isinstance(names, list) and all(isinstance(name, str) for name in names)
     return True
 
 
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -17,12 +17,14 @@
 from cloverhook.gateway.beat_pace import BeatPace
 from cloverhook.gateway.busy_meter import BusyMeter
 from cloverhook.gateway.event_log import EventLog, Kind
+from cloverhook.gateway.failure_news import FailureNews
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load_news import LoadNews
 from cloverhook.gateway.members import Member, Members
 from cloverhook.gateway.peer_link import PeerLink
 from cloverhook.gateway.peer_messages import (
     Beat,
+    Failures,
     Identity,
     InFlight,
     Loads,
@@ -57,6 +59,8 @@
 """Changes within this time go into one datagram."""
 COUNT_REPEAT_MS = 250.0
 ADDRESSES = Items(Address())
+FOR_THE_AUDIENCE = (Loads, Failures)
+"""What only those need who place requests."""
 CHANGE_RELAYS = 3
 """Of a fleet a third may be cut off before it shows; with one relay each third change was lost, and
 a VM used an endpoint 2.6 s after its leaving was acknowledged."""
@@ -84,6 +88,7 @@
         self.link = PeerLink(self._on_message, self._state_for, self._on_garbage, fleet)
         self.spread = Spread(own.vm, self.link, members)
         self.load_news = LoadNews(own.vm, self.spread, members.crowded)
+        self.failure_news = FailureNews(own.vm, self.spread, knowledge, log)
         self._started_ms = monotonic_ms()
         self._busy = BusyMeter(self._started_ms)
         self._pace = BeatPace(members)
@@ -263,6 +268,8 @@
                     self._on_figure(incarnation)
             case InFlight():
                 self._on_in_flight(message, now_ms)
+            case Failures():
+                self.failure_news.told(message, now_ms)
             case ServerChanges():
                 self._on_changes(message, now_ms, relayed)
             case Relay():
@@ -277,7 +284,7 @@
         if isinstance(inner, Relay):
             self._on_garbage(sender, MessageError("a relay within a relay"))
             return
-        self.spread.relay(message, now_ms, to_audience=isinstance(inner, Loads))
+        self.spread.relay(message, now_ms, to_audience=isinstance(inner, FOR_THE_AUDIENCE))
         self._on_message(inner, sender, relayed=True)
 
     def count_changed(self) -> None:
--- /dev/null
+++ b/cloverhook/gateway/trust.py
@@ -0,0 +1,123 @@
+"""Whether an endpoint can be trusted with requests, by what became of those that it got.
+
+Layer: state.  An endpoint may say that it is well and fail all it gets, and it then looks idle and
+draws ever more; or it may say that it is ill and answer well.  So neither its own word nor the
+answer to a probe counts here, only requests: two that failed without one between that was answered
+well suspend the endpoint.  Failures are told to the other VMs, so that it is not found out by each
+of them.  After its time it is on trial: one request at a time that can be repeated, until one is
+answered well; a failure then suspends it for twice as long.
+
+>>> trust = Trust()
+>>> trust.failed(0.0), trust.failed(10.0)
+(False, True)
+>>> trust.is_suspended(500.0), trust.is_suspended(1_500.0), trust.is_on_trial(1_500.0)
+(True, False, True)
+"""
+
+from collections import deque
+
+__all__ = ["Accusations", "Trust"]
+
+FAILURES = 2
+"""A single failure may be a connection's fault; where 3 in 100 answers are lost, two in a row are
+one in a thousand."""
+FAILURES_MS = 1_500.0
+"""Two failures further apart are no row: answers to other VMs between them are not told."""
+SUSPEND_MS = 1_000.0
+SUSPEND_MOST_MS = 8_000.0
+"""An endpoint that is mended is used again within this time."""
+SETTLE_MS = 500.0
+"""Failures of requests that were under way when an endpoint was suspended count once."""
+PARDON_MS = 10_000.0
+"""After this time a failure is no longer held against an endpoint that has answered nothing since,
+and after as long without a suspension the next one is a short one again."""
+ACCUSE_MS = 2_000.0
+ACCUSE_SHARE = 0.3
+ACCUSE_FEWEST = 4
+"""A VM that sees more endpoints fail within that time than this share of all, and than this number,
+is taken to be in trouble itself."""
+
+
+class Trust:
+    """What requests have shown of one incarnation; times are on the monotonic clock."""
+
+    __slots__ = ("_failed_ms", "_failures", "_on_trial", "_since_ms", "_suspensions", "_until_ms")
+
+    def __init__(self) -> None:
+        self._failures = 0
+        self._failed_ms = 0.0
+        self._suspensions = 0
+        self._since_ms = self._until_ms = -PARDON_MS
+        self._on_trial = False
+
+    @property
+    def in_question(self) -> bool:
+        """Whether there is anything to ask further: most endpoints have failed nobody lately."""
+        return self._failures > 0 or self._on_trial
+
+    def failed(self, now_ms: float) -> bool:
+        """Take a failure, met here or told by another VM; return whether it suspends."""
+        if self.is_suspended(now_ms) and now_ms - self._since_ms < SETTLE_MS:
+            return False
+        if now_ms - self._failed_ms > FAILURES_MS:
+            self._failures = 0
+        self._failures += 1
+        self._failed_ms = now_ms
+        if self._on_trial or self._failures >= FAILURES:
+            self._suspend(now_ms)
+            return True
+        return False
+
+    def answered(self, now_ms: float) -> None:
+        """Take an answer; one that comes during a suspension was asked for before it."""
+        if not self.is_suspended(now_ms):
+            self._failures = 0
+            self._on_trial = False
+
+    def is_suspended(self, now_ms: float) -> bool:
+        """Return whether no request should go there now."""
+        return now_ms < self._until_ms
+
+    def is_on_trial(self, now_ms: float) -> bool:
+        """Return whether it was suspended, may be tried again and has answered nothing since."""
+        return self._on_trial and now_ms >= self._until_ms
+
+    def is_doubted(self, now_ms: float) -> bool:
+        """Return whether a failure has not been followed by an answer here."""
+        return self._failures > 0 and now_ms - self._failed_ms <= PARDON_MS
+
+    def _suspend(self, now_ms: float) -> None:
+        if now_ms - self._until_ms > PARDON_MS:
+            self._suspensions = 0
+        length_ms = min(SUSPEND_MS * 2**self._suspensions, SUSPEND_MOST_MS)
+        self._suspensions += 1
+        self._failures = 0
+        self._on_trial = True
+        self._since_ms, self._until_ms = now_ms, now_ms + length_ms
+
+
+class Accusations:
+    """The failures that each VM has told of, to tell an endpoint's trouble from a VM's own.
+
+    >>> heard = Accusations()
+    >>> [heard.believed("vm-1", f"i-{n}", 10, 0.0) for n in range(6)]
+    [True, True, True, True, False, False]
+    """
+
+    def __init__(self) -> None:
+        self._told: dict[str, deque[tuple[float, str]]] = {}
+
+    def believed(self, vm: str, incarnation: str, endpoints: int, now_ms: float) -> bool:
+        """Take a VM's word that an endpoint has failed; return whether that counts."""
+        told = self._told.setdefault(vm, deque())
+        told.append((now_ms, incarnation))
+        while told[0][0] < now_ms - ACCUSE_MS:
+            told.popleft()
+        accused = len({name for _, name in told})
+        return accused <= max(ACCUSE_FEWEST, ACCUSE_SHARE * endpoints)
+
+    def forget(self, now_ms: float) -> None:
+        """Drop the VMs that have told nothing lately."""
+        for vm, told in tuple(self._told.items()):
+            if told[-1][0] < now_ms - ACCUSE_MS:
+                del self._told[vm]
--- a/cloverhook/gateway/waiting_line.py
+++ b/cloverhook/gateway/waiting_line.py
@@ -55,6 +55,7 @@
     deadline_ms: float
     tried: Collection[str] = ()
     urgent: bool = True
+    repeatable: bool = True
     number: int = field(default=0)
 
     @property
@@ -86,8 +87,8 @@
     choice: Choice | None
 
 
-Found = dict[tuple[Room, int, tuple[str, ...]], Choice | None]
-"""The choices of one look, by room, work and the endpoints tried."""
+Found = dict[tuple[Room, int, bool, tuple[str, ...]], Choice | None]
+"""The choices of one look, by room, work, whether it can be repeated, and the endpoints tried."""
 
 
 class WaitingLine:
@@ -136,10 +137,11 @@
 
     def _best(self, waiter: Waiter, now_ms: float, room: Room, found: Found) -> Choice | None:
         """Return the best endpoint for a waiter; `found` keeps those of one look."""
-        key = room, int(WORK_STEPS * log2(max(1.0, waiter.work_ms))), tuple(waiter.tried)
+        work_step = int(WORK_STEPS * log2(max(1.0, waiter.work_ms)))
+        key = room, work_step, waiter.repeatable, tuple(waiter.tried)
         if key not in found:
             request = waiter.service, waiter.work_ms, now_ms, waiter.tried
-            found[key] = self._balancer.choose(*request, room)
+            found[key] = self._balancer.choose(*request, room, waiter.repeatable)
         return found[key]
 
     def _decide(self, waiter: Waiter, now_ms: float, found: Found) -> Decision | None:
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -105,6 +105,7 @@
     pace: int = 100
     running: int = 0
     deaf: bool = False
+    ill: bool = False
     connections: int = 0
     tasks: set = field(default_factory=set)
     names: CallHeaders = NAMES
@@ -156,7 +157,7 @@
         if lines[0].startswith(b"GET /health"):
             if self.deaf:
                 return not await reader.read(1)
-            self._write(writer, 200, b"", incarnation=True)
+            self._write(writer, 503 if self.ill else 200, b"", incarnation=True)
             return True
         self.seen.append((lines[0], headers, body))
         wanted = headers.get(self.names.incarnation_wanted, b"").decode()
--- /dev/null
+++ b/features/gateway_trust.feature
@@ -0,0 +1,43 @@
+Feature: Endpoints are trusted for what requests met
+  An endpoint's own word and the answer to a probe can be false either way.
+
+  Scenario Outline: Who fails what it gets, though its probe is answered, is found out by the fleet
+    Given a gateway and 4 backend servers
+    And another gateway that hears it
+    And the first backend server <fails> all it gets
+    When callers read 60 times from both gateways by turns
+    Then each of these answers is 200
+    And at most 6 requests went to the first backend server
+    When callers write 20 times
+    Then each of these answers is 200
+
+    Examples:
+      | fails       |
+      | resets      |
+      | answers 500 |
+
+  Scenario: Who says it is ill and answers well is used
+    Given a gateway and 2 backend servers
+    And the first backend server says that it is ill
+    When 6 callers read at once
+    Then each of these answers is 200
+    And at least 2 requests went to the first backend server
+
+  Scenario: One that is mended is used again
+    Given an endpoint that was suspended
+    Then it gets nothing for a second, and then one request that can be repeated
+    When that one is answered well
+    Then it gets any request
+
+  Scenario: One that goes on failing is tried ever more seldom
+    Given an endpoint that was suspended
+    When each trial fails for a minute
+    Then it was tried 6 to 12 times
+
+  Scenario: The failures of a VM that sees most endpoints fail don't count
+    Given 20 endpoints that one VM says have all failed twice
+    Then at most 6 of them are suspended
+
+  Scenario: With nearly all of a service suspended, all are used
+    Given 20 endpoints of which 18 are suspended
+    Then requests go to more than 2 of them
--- a/features/load_replay.feature
+++ b/features/load_replay.feature
@@ -26,3 +26,16 @@
   Scenario: The important requests are not served worse than the others
     Given a replay of 5 VMs at 50 requests a second, 1.6 times as many in a burst
     Then of the important requests as large a part is served in time as of the others
+
+  Scenario Outline: An endpoint that says it is well and fails what it gets is found out
+    Given a replay of <vms> VMs and <endpoints> endpoints, <share> of which <fail> what they get
+    When it is played with trust by what requests met and without
+    Then with it the load is worth at least <gain> more
+    And of the important requests at least <served> is served in time
+
+    Examples:
+      | vms | endpoints | share | fail  | gain | served |
+      | 12  | 60        | 0.3   | reset | 0.01 | 0.95   |
+      | 12  | 60        | 0.6   | reset | 0.08 | 0.92   |
+      | 5   | 15        | 0.3   | reset | 0.004 | 0.94  |
+      | 12  | 60        | 0.3   | hang  | 0.01 | 0.95   |
--- /dev/null
+++ b/features/steps/gateway_trust_steps.py
@@ -0,0 +1,189 @@
+"""Steps on endpoints that lie about their health."""
+
+import asyncio
+import random
+
+from behave import given, then, when
+
+from cloverhook.gateway.balancer import Balancer, Room, WorkEstimates
+from cloverhook.gateway.event_log import EventLog
+from cloverhook.gateway.failure_news import FailureNews
+from cloverhook.gateway.knowledge import Knowledge
+from cloverhook.gateway.peer_messages import Failures
+from cloverhook.gateway.registry import BackendServer, ServerRecord
+from cloverhook.gateway.trust import Trust
+from features import gateway_fleet as fleet
+from features.shared import run
+
+FAILS = {"resets": "reset", "answers 500": "error"}
+WORK_MS = 50.0
+
+
+@given("another gateway that hears it")
+def step_other_gateway(context):
+    async def start():
+        other = await fleet.start_gateway(context, "vm-other")
+        context.gateways.append(other)
+        addresses = [settings.peer_address for _, settings in context.gateways]
+        for gateway, _ in context.gateways:
+            for address in addresses:
+                gateway._peering.add_address(address)
+        await fleet.until(lambda: all(len(item._members) == 1 for item, _ in context.gateways))
+        await fleet.until(other[0]._is_ready)
+
+    run(context, start())
+
+
+@given("the first backend server {how} all it gets")
+def step_fails(context, how):
+    context.backends[0].default = FAILS[how]
+
+
+@given("the first backend server says that it is ill")
+def step_ill(context):
+    context.backends[0].ill = True
+
+
+async def call_all(context, count, path):
+    """Send requests one after the other, to the gateways by turns."""
+    context.statuses = []
+    for number in range(count):
+        _, settings = context.gateways[number % len(context.gateways)]
+        answer = await fleet.call(settings.caller_address, path, request_id=f"r-{path}-{number}")
+        context.statuses.append(answer.status)
+
+
+@when("{count:d} callers read at once")
+def step_read_at_once(context, count):
+    async def read():
+        address = context.gateways[0][1].caller_address
+        calls = [fleet.call(address, request_id=f"r-{number}") for number in range(count)]
+        context.statuses = [answer.status for answer in await asyncio.gather(*calls)]
+
+    for backend in context.backends:
+        backend.work_ms = 20.0
+    run(context, read())
+
+
+@when("callers read {count:d} times from both gateways by turns")
+def step_read(context, count):
+    run(context, call_all(context, count, fleet.SAFE))
+
+
+@when("callers write {count:d} times")
+def step_write(context, count):
+    run(context, call_all(context, count, fleet.UNSAFE))
+
+
+@then("each of these answers is 200")
+def step_all_good(context):
+    assert context.statuses == [200] * len(context.statuses), context.statuses
+
+
+@then("at most {count:d} requests went to the first backend server")
+def step_few(context, count):
+    assert len(context.backends[0].seen) <= count, len(context.backends[0].seen)
+
+
+@then("at least {count:d} requests went to the first backend server")
+def step_some(context, count):
+    assert len(context.backends[0].seen) >= count, len(context.backends[0].seen)
+
+
+def start_endpoints(context, count):
+    """Know so many endpoints of one service, on a clock of the scenario's own."""
+    context.now_ms = 0.0
+    context.knowledge = Knowledge()
+    registry = context.knowledge.registry
+    for number in range(count):
+        entry = BackendServer(f"i-{number}", fleet.SERVICE, "10.0.0.1:80", "here", fleet.SLOTS)
+        registry.apply(ServerRecord(entry.name, number, entry), 0.0, False)
+    context.balancer = Balancer(
+        registry, context.knowledge.board, WorkEstimates(), "here", random.Random(3)
+    )
+
+
+def chosen(context, repeatable):
+    """Return the endpoint that a request would go to, or None."""
+    choice = context.balancer.choose(
+        fleet.SERVICE, WORK_MS, context.now_ms, (), Room.SLOT, repeatable
+    )
+    return None if choice is None else choice.server.incarnation
+
+
+@given("an endpoint that was suspended")
+def step_suspended(context):
+    # Nothing is suspended where that leaves nobody: the others of its service are full.
+    start_endpoints(context, 4)
+    context.board = context.knowledge.board
+    for number in range(1, 4):
+        context.board.of(f"i-{number}").in_flight = fleet.SLOTS
+    context.trust = context.board.of("i-0").trust
+    assert not context.trust.failed(0.0)
+    assert context.trust.failed(10.0)
+
+
+@then("it gets nothing for a second, and then one request that can be repeated")
+def step_trial(context):
+    for context.now_ms in range(10, 1_000, 50):
+        assert chosen(context, True) is None and chosen(context, False) is None
+    context.now_ms = 1_200.0
+    assert chosen(context, False) is None
+    assert chosen(context, True) == "i-0"
+    context.board.of("i-0").in_flight = 1
+    assert chosen(context, True) is None
+
+
+@when("that one is answered well")
+def step_answered(context):
+    context.board.of("i-0").in_flight = 0
+    context.trust.answered(context.now_ms)
+
+
+@then("it gets any request")
+def step_trusted(context):
+    assert chosen(context, True) == chosen(context, False) == "i-0"
+
+
+@when("each trial fails for a minute")
+def step_trials_fail(context):
+    context.trials = 0
+    for context.now_ms in range(10, 60_000, 20):
+        if chosen(context, True) is not None:
+            context.trials += 1
+            context.trust.failed(context.now_ms + 5.0)
+
+
+@then("it was tried {low:d} to {high:d} times")
+def step_tried(context, low, high):
+    assert low <= context.trials <= high, context.trials
+
+
+@given("{count:d} endpoints that one VM says have all failed twice")
+def step_accused(context, count):
+    start_endpoints(context, count)
+    news = FailureNews("vm-0", None, context.knowledge, EventLog("vm-0", len))
+    for number in range(count):
+        news.told(Failures("vm-1", [f"i-{number}"] * 2), context.now_ms)
+
+
+@then("at most {count:d} of them are suspended")
+def step_few_suspended(context, count):
+    board, servers = context.knowledge.board, context.knowledge.registry.servers()
+    trusts = [board.of(server.incarnation).trust for server in servers]
+    suspended = sum(1 for trust in trusts if trust.is_suspended(context.now_ms))
+    assert 1 <= suspended <= count, suspended
+
+
+@given("{count:d} endpoints of which {suspended:d} are suspended")
+def step_many_suspended(context, count, suspended):
+    start_endpoints(context, count)
+    for number in range(suspended):
+        trust: Trust = context.knowledge.board.of(f"i-{number}").trust
+        trust.failed(0.0)
+        trust.failed(0.0)
+
+
+@then("requests go to more than {count:d} of them")
+def step_panic(context, count):
+    assert len({chosen(context, True) for _ in range(100)}) > count
--- a/features/steps/load_replay_steps.py
+++ b/features/steps/load_replay_steps.py
@@ -8,7 +8,7 @@
 
 from bench import gateway_replay
 from bench.gateway_replay import Deployment, Load, play
-from cloverhook.gateway import waiting_line
+from cloverhook.gateway import trust, waiting_line
 
 SEEDS = range(8)
 WITHOUT = {
@@ -16,6 +16,7 @@
     "leaving the last slot at first": (waiting_line, "LAST_SLACK", math.inf),
     "putting off soon": (waiting_line, "PUT_OFF_SHARE", math.inf),
     "returning soon": (gateway_replay, "RETURN_MS", (150.0, 450.0)),
+    "trust by what requests met": (trust, "FAILURES", math.inf),
 }
 """What a mechanism's constant is when it is switched off.  Without slack for it no last slot is
 ever taken."""
@@ -37,6 +38,17 @@
     context.load = Load(float(rate), burst)
 
 
+@given(
+    "a replay of {vms:d} VMs and {endpoints:d} endpoints, {share:g} of which {fail} what they get"
+)
+def step_lying(context, vms, endpoints, share, fail):
+    context.deployment = Deployment(
+        vms=vms, endpoints=endpoints, lying_share=share, hanging=fail == "hang"
+    )
+    # Six tenths of them fail: the rest has to bear the load.
+    context.load = Load(1.4 * endpoints, length_ms=9_000.0)
+
+
 @when("it is played with {mechanism} and without")
 def step_played(context, mechanism):
     module, name, value = WITHOUT[mechanism]
@@ -70,3 +82,10 @@
     found = outcomes(context)
     shares = {name: sum(item.by_kind[name] for item in found) for name in found[0].by_kind}
     assert shares["cancel"] >= shares["check"], shares
+
+
+@then("of the important requests at least {share:g} is served in time")
+def step_important_served(context, share):
+    found = outcomes(context)
+    served = sum(item.by_kind["cancel"] for item in found) / len(found)
+    assert served >= share, served
