--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -24,7 +24,7 @@
 from cloverhook.gateway.ingress import Ingress
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadFigure
-from cloverhook.gateway.measuring import Measuring
+from cloverhook.gateway.measuring import FIRST_LISTEN_MS, LISTEN_MS, Measuring
 from cloverhook.gateway.members import READERS, Members
 from cloverhook.gateway.peer_messages import Identity
 from cloverhook.gateway.peering import Peering
@@ -120,6 +120,7 @@
             self._knowledge.board,
             settings.probes_per_s,
             allowance.requests_per_s,
+            now_ms + (FIRST_LISTEN_MS if settings.first_start else LISTEN_MS),
         )
         self._forwarder = Forwarder(
             self._knowledge,
@@ -128,7 +129,7 @@
             self._pool,
             allowance,
             headers,
-            lambda: self._members.count(monotonic_ms()),
+            self._members.count,
             self._peering.count_changed,
             self._peering.failure_news.failed,
             RequestReport(self._knowledge, self._log, self._counters),
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -204,6 +204,7 @@
     async def _admit(self, run: RequestRun) -> Choice | None:
         """Wait for room at a backend server; return None when the request is refused."""
         route = run.route
+        first_priorities = self._knowledge.config.first_priorities
         waiter = Waiter(
             run.service,
             route.priority,
@@ -211,7 +212,7 @@
             run.request.arrived_ms,
             route.aim_ms,
             run.deadline_ms,
-            urgent=route.priority <= self._first_priority(run.service),
+            urgent=route.priority <= first_priorities.get(run.service, 0),
             repeatable=route.idempotent,
         )
         future: asyncio.Future[Choice | None] = asyncio.get_running_loop().create_future()
@@ -243,16 +244,6 @@
                 self._count(decision.choice, 1)
             future.set_result(decision.choice)
 
-    def _first_priority(self, service: str) -> int:
-        """Return the highest priority among the routes to a service."""
-        config = self._knowledge.config
-        ranks = [
-            route.priority
-            for route in config.routes
-            if any(part.service == service for part in route.parts)
-        ]
-        return min(ranks, default=0)
-
     def _count(self, choice: Choice, change: int) -> None:
         self._knowledge.board.of(choice.server.incarnation).in_flight += change
         self._on_count()
--- a/cloverhook/gateway/load_news.py
+++ b/cloverhook/gateway/load_news.py
@@ -17,9 +17,10 @@
 
 FLUSH_MS = 4.0
 """Answers to probes that were sent together come within about this time."""
-CROWD_FAR_FLUSH_MS = 60.0
+CROWD_FAR_FLUSH_MS = 250.0
 """Between crowded data centres each datagram is relayed to 20 VMs; what changes within this time
-goes into one.  Requests cross only where their own data centre has no room."""
+goes into one.  Requests cross only where their own data centre has no room, and a pace that changes
+several times a second says nothing by then: it is told once a second, with the rest."""
 ROWS_LIMIT = 40
 """A datagram should fit into one packet; a row takes up to 30 bytes."""
 FAR_LOAD_MS = 150.0
@@ -89,6 +90,7 @@
         sent, sent_ms = self._far_sent.get(incarnation, (figure, -1e12))
         ratio = max(figure.pace, sent.pace) / max(min(figure.pace, sent.pace), 0.01)
         step = abs(figure.running + figure.waiting - sent.running - sent.waiting)
-        changed = ratio >= FAR_PACE_RATIO or figure.reachable != sent.reachable
+        changed = figure.reachable != sent.reachable
+        changed |= ratio >= FAR_PACE_RATIO and not self._crowded()
         changed |= step >= FAR_LOAD_STEP and at_ms - sent_ms >= FAR_LOAD_MS
         return changed or at_ms - sent_ms >= FAR_FIGURE_MS
--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -16,7 +16,7 @@
 from cloverhook.gateway.members import Members, rank_weight
 from cloverhook.gateway.registry import BackendServer, Registry
 
-__all__ = ["Measuring"]
+__all__ = ["FIRST_LISTEN_MS", "LISTEN_MS", "Measuring"]
 
 GROUP_SIZE = 24
 """About 8% of a core at 20 probes a second; their figures share one datagram."""
@@ -32,6 +32,10 @@
 """Each figure goes to every VM of a data centre; a crowded one gets fewer."""
 SLACK_MS = 5.0
 """A probe that is due within this time goes out now, with the others."""
+FIRST_LISTEN_MS = 2_000.0
+LISTEN_MS = 300.0
+"""A VM that has just started knows nobody and would measure everything: it listens first.  At the
+first start of 313 VMs that was every VM at each of 360 endpoints; later its callers are waiting."""
 ORDER_MS = 250.0
 """The orders are worked out anew after this time; they change only with the VMs."""
 
@@ -47,8 +51,13 @@
         board: LoadBoard,
         most_per_s: float,
         requests_per_s: Callable[[str, float], float],
+        listen_until_ms: float = 0.0,
     ) -> None:
-        """`requests_per_s` says how many requests of a service this VM gets at a time."""
+        """`requests_per_s` says how many requests of a service this VM gets at a time.
+
+        Before `listen_until_ms` nothing is measured.
+        """
+        self._listen_until_ms = listen_until_ms
         self._own_vm = own_vm
         self._most_per_s = most_per_s
         self._requests_per_s = requests_per_s
@@ -62,7 +71,7 @@
 
     def due(self, now_ms: float) -> list[BackendServer]:
         """Return the backend servers to probe now; to be asked often."""
-        if not self._most_per_s:
+        if not self._most_per_s or now_ms < self._listen_until_ms:
             return []
         if now_ms >= self._order_due_ms:
             self._order_due_ms = now_ms + ORDER_MS
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -147,10 +147,9 @@
         """Return the members heard a moment ago."""
         return tuple(item for item in self._members.values() if item.is_alive(now_ms))
 
-    def count(self, now_ms: float) -> int:
+    def count(self) -> int:
         """Return how many VMs may be serving, this one included; silent ones count for a while."""
-        recent = [item for item in self._members.values() if now_ms - item.heard_ms < FORGET_MS]
-        return 1 + len(recent)
+        return 1 + len(self._members)
 
     def caller_addresses(self, now_ms: float) -> list[str]:
         """Return the addresses of the other VMs that callers may use."""
--- a/cloverhook/gateway/routes.py
+++ b/cloverhook/gateway/routes.py
@@ -85,13 +85,17 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewayConfig:
-    """One version of the configuration, with its routes by host, longest prefix first."""
+    """One version of the configuration, with its routes by host, longest prefix first.
+
+    `first_priorities` has the highest priority of the routes to each service.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, ServiceSpec]
     limits: IngressLimits = IngressLimits()
     by_host: Mapping[str, tuple[Route, ...]] = field(default_factory=dict, compare=False)
+    first_priorities: Mapping[str, int] = field(default_factory=dict, compare=False)
 
     @classmethod
     def of(
@@ -106,7 +110,12 @@
         for route in sorted(routes, key=lambda item: len(item.path_prefix), reverse=True):
             by_host.setdefault(route.host, []).append(route)
         searched = {host: tuple(items) for host, items in by_host.items()}
-        return cls(version, routes, {item.name: item for item in services}, limits, searched)
+        first: dict[str, int] = {}
+        for route in routes:
+            for part in route.parts:
+                first[part.service] = min(route.priority, first.get(part.service, route.priority))
+        by_name = {item.name: item for item in services}
+        return cls(version, routes, by_name, limits, searched, first)
 
     @classmethod
     def from_document(cls, document: Mapping[str, Any]) -> "GatewayConfig":
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -22,8 +22,10 @@
 """Each call is paid for.  A silent store shows after the shorter wait and the client's timeout.  A
 slow one may leave a waiting call without a record that is there until the wait ends: with 3 s, two
 readers had a version 1.2 s later than a VM that asked anew."""
-GAP_MS = 200.0
-"""Changes that come within this time are taken in one call: calls are paid for."""
+GAP_MS = {Feed.CONFIG: 200.0, Feed.SERVERS: 500.0}
+"""Changes that come within this time are taken in one call: calls are paid for.  Each report of an
+endpoint is a change, a few hundred a second in a large fleet, so the other feed is read this often;
+one that leaves serves on for two seconds, and two VMs read at different times."""
 RETRY_MS = (100.0, 200.0, 400.0, 600.0)
 AWAY_MS = 400.0
 """A store that answers nobody for this long has been away: entries may lapse meanwhile."""
@@ -111,7 +113,7 @@
             self._answered(feed)
             self._take(feed, found, whole=offset is None)
             self._offsets[feed] = found.end_offset
-            await asyncio.sleep(GAP_MS / 1000)
+            await asyncio.sleep(GAP_MS[feed] / 1000)
 
     def _take(self, feed: Feed, found: FeedSlice, whole: bool) -> None:
         now_ms = monotonic_ms()
--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -114,6 +114,11 @@
     When it is back
     Then in a second each backend server is measured by one VM alone, 3 measure at most
 
+  Scenario: A VM that has just started listens before it measures
+    Given 1 VMs of one data centre and 30 backend servers in it
+    When it has been started to listen for 300 ms
+    Then it measures nothing before and all 30 after that
+
   Scenario: A data centre without a VM is measured by few VMs of a crowded one
     Given 41 VMs of one data centre and 60 backend servers in another one
     Then in a second each backend server is measured by one VM alone, 3 measure at most
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_spread_steps.py
@@ -559,6 +559,20 @@
     assert len(context.crossed) <= most, context.crossed
 
 
+@when("it has been started to listen for {listen_ms:d} ms")
+def step_listens(context, listen_ms):
+    (measuring,) = context.vms.measuring.values()
+    measuring._listen_until_ms = context.listen_ms = listen_ms
+
+
+@then("it measures nothing before and all {count:d} after that")
+def step_listened(context, count):
+    (measuring,) = context.vms.measuring.values()
+    for now_ms in range(0, context.listen_ms, PROBE_MS):
+        assert measuring.due(now_ms) == []
+    assert len(measuring.due(context.listen_ms)) == count
+
+
 @given("a VM that knows the address of a seed and that of a VM that was replaced")
 def step_addresses(context):
     context.peering = peering_of("vm-0", ())
