Count failures of requests begun before another as one; measure a group while listening

Change: a request counts as failed by silence only where nobody was answered meanwhile and the figure shows a free slot; requests begun before another failure count with it. All near endpoints and the far ones are weighed where the near ones are few. A VM that starts while callers wait measures a group of 24 in its first 0.3 s, not nothing; a connection counts 0.07 of the work again.

--- a/bench/gateway_replay.py
+++ b/bench/gateway_replay.py
@@ -11,6 +11,7 @@
 True
 """
 
+import functools
 import heapq
 import itertools
 import random
@@ -23,6 +24,7 @@
 from cloverhook.gateway.forwarding import RETURN_MS
 from cloverhook.gateway.load import LoadBoard, LoadFigure
 from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
+from cloverhook.gateway.trust import Trust
 from cloverhook.gateway.waiting_line import Waiter, WaitingLine
 
 __all__ = ["Deployment", "Kind", "Load", "Outcome", "play"]
@@ -326,7 +328,7 @@
         work.over = True
         vm, request, kind = work.vm, work.request, work.request.kind
         self._count(vm, work.choice, -1)
-        self._distrust(vm, work.choice)
+        self._distrust(work)
         request.result = "failed"
         request.tried.append(work.choice.server.incarnation)
         if kind.repeatable and len(request.tried) < ATTEMPTS:
@@ -337,20 +339,24 @@
                 self._start(request, vm, choice, work.until_ms)
         self._look(vm)
 
-    def _distrust(self, vm: _Vm, choice: Choice) -> None:
-        name = choice.server.incarnation
-        vm.board.of(name).failed(self.now_ms)
-        vm.board.of(name).trust.failed(self.now_ms)
+    def _distrust(self, work: _Work) -> None:
+        name, began_ms = work.choice.server.incarnation, work.begun_ms
+        work.vm.board.of(name).failed(self.now_ms)
+        work.vm.board.of(name).trust.failed(self.now_ms, began_ms)
         for other in self.vms:
-            if other is not vm:
+            if other is not work.vm:
                 trust = other.board.of(name).trust
-                self.at(self.now_ms + NEWS_MS, lambda trust=trust: trust.failed(self.now_ms))
+                news = functools.partial(self._told_failure, trust, began_ms)
+                self.at(self.now_ms + NEWS_MS, news)
+
+    def _told_failure(self, trust: Trust, began_ms: float) -> None:
+        trust.failed(self.now_ms, began_ms)
 
     def _give_up(self, work: _Work) -> None:
         if work.over:
             return
         if self.endpoints[work.choice.server.incarnation].lies:
-            self._distrust(work.vm, work.choice)
+            self._distrust(work)
         self._leave(self.endpoints[work.choice.server.incarnation], work)
         work.request.result = "failed"
         self._count(work.vm, work.choice, -1)
--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -41,7 +41,7 @@
 """So many of the own data centre are weighed: where two in five are slow at any time, one of these
 is at its usual pace with near certainty, and the VMs don't all choose the same."""
 FAR_DRAWN = 16
-CONNECT_SHARE = 0.2
+CONNECT_SHARE = 0.07
 """A new connection costs its endpoint some time, and a price; less than a busier one is worth."""
 FAILURE_WEIGHT = 8.0
 UNREACHABLE_WEIGHT = 50.0
@@ -221,7 +221,8 @@
         look = _Look(service, work_ms, now_ms, tried, room, repeatable, self._estimates)
         near, far = self._candidates_of(service, room)
         self._weigh(look, near, NEAR_DRAWN)
-        if look.best is None or look.best_rank > work_ms * (1.0 + CROSSING_SHARE):
+        few_near = near.total <= NEAR_DRAWN
+        if look.best is None or few_near or look.best_rank > work_ms * (1.0 + CROSSING_SHARE):
             self._weigh(look, far, FAR_DRAWN)
         if look.best is None:
             return None
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -24,7 +24,7 @@
 from cloverhook.gateway.ingress import Ingress
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadFigure
-from cloverhook.gateway.measuring import FIRST_LISTEN_MS, LISTEN_MS, Measuring
+from cloverhook.gateway.measuring import FIRST_LISTEN_MS, GROUP_SIZE, LISTEN_MS, Measuring
 from cloverhook.gateway.members import READERS, Members
 from cloverhook.gateway.peer_messages import Identity
 from cloverhook.gateway.peering import Peering
@@ -121,6 +121,7 @@
             settings.probes_per_s,
             allowance.requests_per_s,
             now_ms + (FIRST_LISTEN_MS if settings.first_start else LISTEN_MS),
+            0 if settings.first_start else GROUP_SIZE,
         )
         self._forwarder = Forwarder(
             self._knowledge,
--- a/cloverhook/gateway/failure_news.py
+++ b/cloverhook/gateway/failure_news.py
@@ -17,7 +17,7 @@
 
 FLUSH_MS = 5.0
 """Failures within this time go into one datagram; the next request may come as soon."""
-NAMES_LIMIT = 40
+ROWS_LIMIT = 40
 """A datagram should fit into one packet."""
 
 
@@ -30,24 +30,24 @@
         self._knowledge = knowledge
         self._log = log
         self._accusations = Accusations()
-        self._waiting: list[str] = []
+        self._waiting: list[tuple[str, float]] = []
         self._timer: asyncio.TimerHandle | None = None
 
-    def failed(self, incarnation: str) -> None:
-        """Take a request of this VM that an endpoint has failed."""
+    def failed(self, incarnation: str, began_ms: float) -> None:
+        """Take a request of this VM, begun at a time, that an endpoint has failed."""
         now_ms = monotonic_ms()
-        self._distrust(incarnation, self._own_vm, now_ms)
+        self._distrust(incarnation, self._own_vm, now_ms, began_ms)
         if not self._is_believed(self._own_vm, incarnation, now_ms):
             return
-        self._waiting.append(incarnation)
+        self._waiting.append((incarnation, began_ms))
         if self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(FLUSH_MS / 1000, self._flush)
 
     def told(self, message: Failures, now_ms: float) -> None:
         """Take what another VM tells."""
-        for incarnation in message.incarnations[:NAMES_LIMIT]:
+        for incarnation, age_ms in message.rows[:ROWS_LIMIT]:
             if self._is_believed(message.vm, incarnation, now_ms):
-                self._distrust(incarnation, message.vm, now_ms)
+                self._distrust(incarnation, message.vm, now_ms, now_ms - age_ms)
 
     def forget(self, now_ms: float) -> None:
         """Drop what no longer counts."""
@@ -57,16 +57,17 @@
         endpoints = len(self._knowledge.registry)
         return self._accusations.believed(vm, incarnation, endpoints, now_ms)
 
-    def _distrust(self, incarnation: str, source: str, now_ms: float) -> None:
+    def _distrust(self, incarnation: str, source: str, now_ms: float, began_ms: float) -> None:
         if self._knowledge.registry.get(incarnation) is None:
             return
-        if self._knowledge.board.of(incarnation).trust.failed(now_ms):
+        if self._knowledge.board.of(incarnation).trust.failed(now_ms, began_ms):
             self._log.note(Kind.ENDPOINT, server=incarnation, suspended=True, source=source)
 
     def _flush(self) -> None:
         self._timer = None
         now_ms = monotonic_ms()
-        data = encode(Failures(self._own_vm, self._waiting[:NAMES_LIMIT]))
+        rows = [(name, round(now_ms - began_ms)) for name, began_ms in self._waiting]
         self._waiting.clear()
+        data = encode(Failures(self._own_vm, rows[:ROWS_LIMIT]))
         self._spread.audience(data, now_ms)
         self._spread.far(data, now_ms)
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -64,7 +64,7 @@
         headers: CallHeaders,
         vms: Callable[[], int],
         on_count: Callable[[], None],
-        on_failure: Callable[[str], None],
+        on_failure: Callable[[str, float], None],
         report: RequestReport,
     ) -> None:
         self._knowledge = knowledge
@@ -145,9 +145,9 @@
         while run.tasks:
             done = await self._wait(run)
             for task in done:
-                del run.tasks[task]
+                attempt = run.tasks.pop(task)
                 run.results.append(task.result())
-                self._judge(task.result())
+                self._judge(task.result(), attempt)
             good = next((item for item in run.results if not item.failed), None)
             if good is not None:
                 self._measured(run, good)
@@ -158,26 +158,32 @@
                 self._start(run)
         return self._final(run)
 
-    def _judge(self, result: AttemptResult) -> None:
+    def _judge(self, result: AttemptResult, attempt: Attempt) -> None:
         """Keep what an attempt says of whether its endpoint can be trusted."""
         incarnation = result.choice.server.incarnation
         if result.at_fault:
-            self._on_failure(incarnation)
+            self._on_failure(incarnation, attempt.began_ms)
         elif not result.failed:
             self._knowledge.board.of(incarnation).trust.answered(monotonic_ms())
 
     def _judge_silence(self, run: RequestRun, attempt: Attempt) -> None:
-        """Count it as a failure if work should have ended long ago that is given up now."""
-        choice, now_ms = attempt.choice, monotonic_ms()
-        if not attempt.sent or choice.load >= choice.server.slots:
+        """Count it as a failure if work should have ended long ago that is given up now.
+
+        An endpoint that is full, or answers others meanwhile, is only slow or lets a request wait.
+        """
+        server, now_ms = attempt.choice.server, monotonic_ms()
+        load = self._knowledge.board.of(server.incarnation)
+        figure = load.figure
+        if not attempt.sent or load.trust.answered_since(attempt.began_ms):
+            return
+        if figure is not None and figure.running + figure.waiting >= server.slots:
             return
         work_ms = self._estimates.work_ms(run.route.name, run.route.aim_ms)
-        load = self._knowledge.board.of(choice.server.incarnation)
         done_ms = load.progress_ms(now_ms) - attempt.progress_at_start_ms
-        if load.figure is None:
+        if figure is None:
             done_ms = now_ms - attempt.began_ms
         if done_ms >= SILENT_WORKS * work_ms:
-            self._on_failure(choice.server.incarnation)
+            self._on_failure(server.incarnation, attempt.began_ms)
 
     async def _wait(self, run: RequestRun) -> set[asyncio.Task[AttemptResult]]:
         """Wait for the end of an attempt, or until the request wants another look."""
--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -16,7 +16,7 @@
 from cloverhook.gateway.members import Members, rank_weight
 from cloverhook.gateway.registry import BackendServer, Registry
 
-__all__ = ["FIRST_LISTEN_MS", "LISTEN_MS", "Measuring"]
+__all__ = ["FIRST_LISTEN_MS", "GROUP_SIZE", "LISTEN_MS", "Measuring"]
 
 GROUP_SIZE = 24
 """About 8% of a core at 20 probes a second; their figures share one datagram."""
@@ -34,8 +34,8 @@
 """A probe that is due within this time goes out now, with the others."""
 FIRST_LISTEN_MS = 2_000.0
 LISTEN_MS = 300.0
-"""A VM that has just started knows nobody and would measure everything: it listens first.  At the
-first start of 313 VMs that was every VM at each of 360 endpoints; later its callers are waiting."""
+"""A VM that has just started knows nobody and would measure everything, as each of 313 VMs did at
+360 endpoints: it listens first.  At a later start callers are waiting, so it measures a group."""
 ORDER_MS = 250.0
 """The orders are worked out anew after this time; they change only with the VMs."""
 
@@ -52,12 +52,14 @@
         most_per_s: float,
         requests_per_s: Callable[[str, float], float],
         listen_until_ms: float = 0.0,
+        while_listening: int = 0,
     ) -> None:
         """`requests_per_s` says how many requests of a service this VM gets at a time.
 
-        Before `listen_until_ms` nothing is measured.
+        Before `listen_until_ms` so many backend servers are measured as `while_listening` says.
         """
         self._listen_until_ms = listen_until_ms
+        self._while_listening = while_listening
         self._own_vm = own_vm
         self._most_per_s = most_per_s
         self._requests_per_s = requests_per_s
@@ -71,7 +73,7 @@
 
     def due(self, now_ms: float) -> list[BackendServer]:
         """Return the backend servers to probe now; to be asked often."""
-        if not self._most_per_s or now_ms < self._listen_until_ms:
+        if not self._most_per_s:
             return []
         if now_ms >= self._order_due_ms:
             self._order_due_ms = now_ms + ORDER_MS
@@ -79,6 +81,9 @@
             if self._members.is_informed(now_ms):
                 self._order(now_ms)
                 self._set_intervals(now_ms)
+            if now_ms < self._listen_until_ms:
+                self._order_due_ms = min(self._order_due_ms, self._listen_until_ms)
+                self._ranked = self._first_ones()
         found = [server for server, rank in self._ranked if self._is_due(server, rank, now_ms)]
         for server in found:
             interval_ms = self._intervals_ms.get(server.service, ORDER_MS)
@@ -126,6 +131,16 @@
                 if rank is not None:
                     self._ranked.append((server, rank))
 
+    def _first_ones(self) -> list[tuple[BackendServer, int]]:
+        """Return a few backend servers to begin with, others at each VM, near ones before far."""
+
+        def order(item: tuple[BackendServer, int]) -> tuple[bool, int]:
+            server, _ = item
+            is_far = server.data_center != self._members.data_center
+            return is_far, rank_weight(self._own_vm, server.incarnation)
+
+        return sorted(self._ranked, key=order)[: self._while_listening]
+
     def _places(self, data_center: str, groups: int, now_ms: float) -> list[int | None]:
         """Return this VM's place in the order of each group, or None where it has none."""
         vms = self._members.data_center_vms(data_center, now_ms)
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -99,10 +99,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Failures:
-    """Incarnations at which a request of a VM has just failed, each as often as one did."""
+    """Incarnations at which a request of a VM has just failed, with its age when this was sent."""
 
     vm: str
-    incarnations: list[str]
+    rows: list[tuple[str, float]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,8 +164,7 @@
         case Relay():
             return isinstance(message.data, bytes)
         case Failures():
-            names = message.incarnations
-            return isinstance(names, list) and all(isinstance(name, str) for name in names)
+            return isinstance(message.rows, list) and all(map(_is_failure, message.rows))
     return True
 
 
@@ -173,6 +172,13 @@
     return isinstance(incarnation, str) and type(count) is int and count >= 0
 
 
+def _is_failure(row: object) -> bool:
+    if not isinstance(row, list) or len(row) != 2:
+        return False
+    incarnation, age_ms = row
+    return isinstance(incarnation, str) and type(age_ms) in (int, float) and 0 <= age_ms < inf
+
+
 def _row(incarnation: str, figure: LoadFigure, age_ms: float) -> list[Any]:
     pace = round(figure.pace * 100) if figure.reachable else -1
     return [incarnation, figure.running, figure.waiting, pace, round(age_ms)]
--- a/cloverhook/gateway/trust.py
+++ b/cloverhook/gateway/trust.py
@@ -8,7 +8,7 @@
 answered well; a failure then suspends it for twice as long.
 
 >>> trust = Trust()
->>> trust.failed(0.0), trust.failed(10.0)
+>>> trust.failed(0.0, began_ms=-5.0), trust.failed(10.0, began_ms=5.0)
 (False, True)
 >>> trust.is_suspended(500.0), trust.is_suspended(1_500.0), trust.is_on_trial(1_500.0)
 (True, False, True)
@@ -26,8 +26,6 @@
 SUSPEND_MS = 1_000.0
 SUSPEND_MOST_MS = 8_000.0
 """An endpoint that is mended is used again within this time."""
-SETTLE_MS = 500.0
-"""Failures of requests that were under way when an endpoint was suspended count once."""
 PARDON_MS = 10_000.0
 """After this time a failure is no longer held against an endpoint that has answered nothing since,
 and after as long without a suspension the next one is a short one again."""
@@ -41,13 +39,20 @@
 class Trust:
     """What requests have shown of one incarnation; times are on the monotonic clock."""
 
-    __slots__ = ("_failed_ms", "_failures", "_on_trial", "_since_ms", "_suspensions", "_until_ms")
+    __slots__ = (
+        "_answered_ms",
+        "_failed_ms",
+        "_failures",
+        "_on_trial",
+        "_suspensions",
+        "_until_ms",
+    )
 
     def __init__(self) -> None:
         self._failures = 0
-        self._failed_ms = 0.0
+        self._failed_ms = self._answered_ms = -PARDON_MS
         self._suspensions = 0
-        self._since_ms = self._until_ms = -PARDON_MS
+        self._until_ms = -PARDON_MS
         self._on_trial = False
 
     @property
@@ -55,9 +60,12 @@
         """Whether there is anything to ask further: most endpoints have failed nobody lately."""
         return self._failures > 0 or self._on_trial
 
-    def failed(self, now_ms: float) -> bool:
-        """Take a failure, met here or told by another VM; return whether it suspends."""
-        if self.is_suspended(now_ms) and now_ms - self._since_ms < SETTLE_MS:
+    def failed(self, now_ms: float, began_ms: float) -> bool:
+        """Take a failure, met here or told by another VM; return whether it suspends.
+
+        Requests that were under way when another one failed, as in a crash, count with that one.
+        """
+        if began_ms < self._failed_ms:
             return False
         if now_ms - self._failed_ms > FAILURES_MS:
             self._failures = 0
@@ -68,8 +76,13 @@
             return True
         return False
 
+    def answered_since(self, since_ms: float) -> bool:
+        """Return whether a request was answered well there since a time."""
+        return self._answered_ms >= since_ms
+
     def answered(self, now_ms: float) -> None:
         """Take an answer; one that comes during a suspension was asked for before it."""
+        self._answered_ms = now_ms
         if not self.is_suspended(now_ms):
             self._failures = 0
             self._on_trial = False
@@ -93,7 +106,7 @@
         self._suspensions += 1
         self._failures = 0
         self._on_trial = True
-        self._since_ms, self._until_ms = now_ms, now_ms + length_ms
+        self._until_ms = now_ms + length_ms
 
 
 class Accusations:
--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -114,10 +114,15 @@
     When it is back
     Then in a second each backend server is measured by one VM alone, 3 measure at most
 
-  Scenario: A VM that has just started listens before it measures
+  Scenario Outline: A VM that has just started listens before it measures all
     Given 1 VMs of one data centre and 30 backend servers in it
-    When it has been started to listen for 300 ms
-    Then it measures nothing before and all 30 after that
+    When it has been started to listen for 300 ms and to measure <count> meanwhile
+    Then it measures <count> before and all 30 after that
+
+    Examples:
+      | count |
+      | 0     |
+      | 24    |
 
   Scenario: A data centre without a VM is measured by few VMs of a crowded one
     Given 41 VMs of one data centre and 60 backend servers in another one
