--- a/cloverhook/gateway/failure_news.py
+++ b/cloverhook/gateway/failure_news.py
@@ -16,7 +16,7 @@
 __all__ = ["FailureNews"]
 
 FLUSH_MS = 5.0
-"""Failures within this time go into one datagram; the next request may come as soon."""
+"""Failures within this time go into one datagram; other VMs place few requests meanwhile."""
 ROWS_LIMIT = 40
 """A datagram should fit into one packet."""
 
--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -105,12 +105,15 @@
     def _set_intervals(self, now_ms: float) -> None:
         """Set how often the endpoints of each service are measured.
 
-        Callers choose VMs at random, so the others get about as many requests as this one.
+        Callers choose VMs at random, so the others that they are sent to get about as many requests
+        as this one.
         """
         most_per_s = self._most_per_s
+        vms = 1 + sum(1 for item in self._members.alive(now_ms) if item.ready)
         if self._members.crowded():
             most_per_s = min(most_per_s, CROWD_MOST_PROBES_PER_S)
-        vms = 1 + sum(1 for item in self._members.alive(now_ms) if item.ready)
+            data_centers = 1 + len(self._members.far(now_ms))
+            vms = min(vms, data_centers * len(self._members.serving(now_ms)))
         for service in {server.service for server in self._registry.servers()}:
             endpoints = len(self._registry.of_service(service))
             requests_per_s = self._requests_per_s(service, now_ms) * vms / endpoints
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -135,7 +135,7 @@
             self._greet(now_ms)
         if now_ms >= self._counts_due_ms and self._knowledge.board.in_flight():
             self._counts_due_ms = now_ms + COUNT_REPEAT_MS
-            self._tell_counts(self._members.audience(now_ms), now_ms)
+            self._tell_counts(self._members.audience(now_ms))
         if now_ms >= self._near_due_ms:
             every_ms = self._pace.near_ms(self.reading, now_ms)
             self._near_due_ms = now_ms + every_ms
@@ -296,9 +296,11 @@
     def _tell_changed_counts(self) -> None:
         self._count_timer = None
         now_ms = monotonic_ms()
-        self._tell_counts(self._members.counters(now_ms), now_ms)
+        if not self._members.crowded():
+            self._counts_due_ms = now_ms + COUNT_REPEAT_MS  # All hear this one.
+        self._tell_counts(self._members.counters(now_ms))
 
-    def _tell_counts(self, members: list[Member], now_ms: float) -> None:
+    def _tell_counts(self, members: list[Member]) -> None:
         """Tell these; now and then it is the whole audience, so that all know who has requests."""
         counts = self._knowledge.board.in_flight()
         self.spread.to(members, encode(InFlight(self._own.vm, counts)))
--- a/cloverhook/gateway/trust.py
+++ b/cloverhook/gateway/trust.py
@@ -65,7 +65,7 @@
         return self._failures > 0 or self._on_trial
 
     def failed(self, now_ms: float, began_ms: float) -> bool:
-        """Take a failure, met here or told by another VM; return whether it suspends.
+        """Take a failure that was met here; return whether it suspends.
 
         Requests that were under way when another one failed, as in a crash, count with that one.
         """
