--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -41,6 +41,7 @@
 """So many of the own data centre are weighed: where two in five are slow at any time, one of these
 is at its usual pace with near certainty, and the VMs don't all choose the same."""
 FAR_DRAWN = 16
+"""So many of the others are weighed: they are asked for where the own ones have little room."""
 CONNECT_SHARE = 0.07
 """A new connection costs its endpoint some time, and a price; less than a busier one is worth."""
 FAILURE_WEIGHT = 8.0
--- a/cloverhook/gateway/beat_pace.py
+++ b/cloverhook/gateway/beat_pace.py
@@ -11,12 +11,15 @@
 __all__ = ["BeatPace"]
 
 NEAR_MS = 400.0
+"""A dead neighbour should get no callers after a few of these."""
 FAR_MS = 1_000.0
 """Bytes between data centres are paid for, so members there hear less often."""
 CROWD_NEAR_MS = 1_000.0
 CROWD_FAR_MS = 3_000.0
+"""What a VM hears grows with the number of those that beat; these are at most a few dozen."""
 STANDBY_NEAR_MS = 3_000.0
 STANDBY_FAR_MS = 6_000.0
+"""A standby VM that died is missed by nobody but those that pass on news, who pick others."""
 STANDBY_NEAR_MS_A_VM = 60.0
 """A VM hears at most 17 standby neighbours a second, however many there are."""
 STANDBY_FAR_MS_A_VM = 20.0
--- a/cloverhook/gateway/failure_news.py
+++ b/cloverhook/gateway/failure_news.py
@@ -77,5 +77,5 @@
         ]
         self._waiting.clear()
         data = encode(Failures(self._own_vm, rows[:ROWS_LIMIT]))
-        self._spread.audience(data, now_ms)
+        self._spread.to_audience(data, now_ms)
         self._spread.far(data, now_ms)
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -34,9 +34,8 @@
 HEDGE_SHARE = 0.7
 """A silent endpoint at its usual pace gets company after this share of the objective."""
 SPARE_SHARE = 0.5
-"""A silent endpoint gets company only while this share of its service's endpoints has room.  At 2
-slots an endpoint, company at any time is worth 0.02 of a day with trouble less, none at all 0.01,
-and 0.02 of a quiet day; single scores, of which some differed by 0.02."""
+"""A silent endpoint gets company only while this share of its service's endpoints has room: in
+overload a second attempt takes the slot of a request that has had none."""
 FIGURE_LAG_MS = 150.0
 """Work keeps the pace at which it began; a figure may tell of that pace so much later."""
 SILENT_WORKS = 6.0
--- a/cloverhook/gateway/load_news.py
+++ b/cloverhook/gateway/load_news.py
@@ -69,7 +69,7 @@
         self._timer = None
         now_ms = monotonic_ms()
         for data in self._datagrams(self._near, now_ms):
-            self._spread.audience(data, now_ms)
+            self._spread.to_audience(data, now_ms)
         self._near.clear()
 
     def _flush_far(self) -> None:
--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -23,11 +23,10 @@
 STEP_IN_MS = 350.0
 """Two of the slowest probes in a row without a figure: their sender is dead, paused or cut off."""
 PROBES_PER_REQUEST = 3.0
-"""With 28 endpoints of 6 requests a second each, 10 probes a second were worth 0.005 of a day more
-than 20; with 36 of 9 a second, 20 were worth 0.004 more than 10."""
+"""An endpoint's pace changes several times a second: a request should find a figure that is at most
+a third of the time between requests old, and probes are paid for."""
 FEWEST_PROBES_PER_S = 6.0
-"""With 30 endpoints of 2 requests a second each, 6 in place of 10 are worth 0.005 of a quiet day;
-two scores each."""
+"""An endpoint that hardly anybody calls is measured often enough to know when it has turned slow."""
 CROWD_MOST_PROBES_PER_S = 10.0
 """Each figure goes to every VM of a data centre; a crowded one gets fewer."""
 SLACK_MS = 5.0
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -207,7 +207,7 @@
         """Note that a VM has requests in flight: it places them, whether callers are sent to it."""
         self._told_ms[vm] = now_ms
 
-    def counters(self, now_ms: float) -> list[Member]:
+    def count_audience(self, now_ms: float) -> list[Member]:
         """Return the live neighbours that place requests, and so are told the counts in flight.
 
         They are those that callers are sent to, and those that callers with old addresses use.
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -284,7 +284,7 @@
         if isinstance(inner, Relay):
             self._on_garbage(sender, MessageError("a relay within a relay"))
             return
-        self.spread.relay(message, now_ms, to_audience=isinstance(inner, FOR_THE_AUDIENCE))
+        self.spread.relay(message, now_ms, audience_only=isinstance(inner, FOR_THE_AUDIENCE))
         self._on_message(inner, sender, relayed=True)
 
     def count_changed(self) -> None:
@@ -298,7 +298,7 @@
         now_ms = monotonic_ms()
         if not self._members.crowded():
             self._counts_due_ms = now_ms + COUNT_REPEAT_MS  # All hear this one.
-        self._tell_counts(self._members.counters(now_ms))
+        self._tell_counts(self._members.count_audience(now_ms))
 
     def _tell_counts(self, members: list[Member]) -> None:
         """Tell these; now and then it is the whole audience, so that all know who has requests."""
--- a/cloverhook/gateway/spread.py
+++ b/cloverhook/gateway/spread.py
@@ -38,7 +38,7 @@
         """Send to every VM of the own data centre that is alive."""
         self.to((item for item in self._members.near() if item.is_alive(now_ms)), data)
 
-    def audience(self, data: bytes, now_ms: float) -> None:
+    def to_audience(self, data: bytes, now_ms: float) -> None:
         """Send to the VMs of the own data centre that place requests, or may soon."""
         self.to(self._members.audience(now_ms), data)
 
@@ -52,12 +52,12 @@
             for place in range(turn, turn + wanted):
                 self._link.send_encoded(members[place % len(members)].peer_address, wrapped)
 
-    def relay(self, message: Relay, now_ms: float, to_audience: bool = False) -> None:
+    def relay(self, message: Relay, now_ms: float, audience_only: bool = False) -> None:
         """Pass a message on to the neighbours, or to those alone that are told load figures."""
         if now_ms < self._relays_from_ms:
             return
-        if to_audience:
-            self.audience(message.data, now_ms)
+        if audience_only:
+            self.to_audience(message.data, now_ms)
         else:
             self.near(message.data, now_ms)
 
