--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -26,9 +26,9 @@
 """An endpoint's pace changes several times a second: a request should find a figure that is at most
 a third of the time between requests old, and probes are paid for."""
 FEWEST_PROBES_PER_S = 6.0
-"""An endpoint that hardly anybody calls is measured often enough to know when it has turned slow."""
+"""An endpoint that hardly anybody calls is measured often enough to know when it turns slow."""
 CROWD_MOST_PROBES_PER_S = 10.0
-"""Each figure goes to every VM of a data centre; a crowded one gets fewer."""
+"""Each figure goes to 20 VMs of a crowded data centre, and there are many endpoints."""
 SLACK_MS = 5.0
 """A probe that is due within this time goes out now, with the others."""
 FIRST_LISTEN_MS = 2_000.0
