Listen for 2 s before measuring all, also after a loss of power

Change: 2 s, in which a group of 24 is measured, as before in 0.3 s. Ruled out: nothing measured in that time, which leaves small fleets without figures when they need them.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -24,7 +24,7 @@
 from cloverhook.gateway.ingress import Ingress
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadFigure
-from cloverhook.gateway.measuring import FIRST_LISTEN_MS, GROUP_SIZE, LISTEN_MS, Measuring
+from cloverhook.gateway.measuring import GROUP_SIZE, LISTEN_MS, Measuring
 from cloverhook.gateway.members import READERS, Members
 from cloverhook.gateway.peer_messages import Identity
 from cloverhook.gateway.peering import Peering
@@ -120,7 +120,7 @@
             self._knowledge.board,
             settings.probes_per_s,
             allowance.requests_per_s,
-            now_ms + (FIRST_LISTEN_MS if settings.first_start else LISTEN_MS),
+            now_ms + LISTEN_MS,
             0 if settings.first_start else GROUP_SIZE,
         )
         self._forwarder = Forwarder(
--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -16,7 +16,7 @@
 from cloverhook.gateway.members import Members, rank_weight
 from cloverhook.gateway.registry import BackendServer, Registry
 
-__all__ = ["FIRST_LISTEN_MS", "GROUP_SIZE", "LISTEN_MS", "Measuring"]
+__all__ = ["GROUP_SIZE", "LISTEN_MS", "Measuring"]
 
 GROUP_SIZE = 24
 """About 8% of a core at 20 probes a second; their figures share one datagram."""
@@ -31,10 +31,10 @@
 """Each figure goes to 20 VMs of a crowded data centre, and there are many endpoints."""
 SLACK_MS = 5.0
 """A probe that is due within this time goes out now, with the others."""
-FIRST_LISTEN_MS = 2_000.0
-LISTEN_MS = 300.0
+LISTEN_MS = 2_000.0
 """A VM that has just started knows nobody and would measure everything, as each of 313 VMs did at
-360 endpoints: it listens first.  At a later start callers are waiting, so it measures a group."""
+360 endpoints: it listens first.  At a later start callers are waiting, so it measures a group.
+After a loss of power 0.3 s were too short to meet the others: 122,000 connections were opened."""
 ORDER_MS = 250.0
 """The orders are worked out anew after this time; they change only with the VMs."""
 
