--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -45,8 +45,7 @@
 """With less time left, no attempt is worth starting."""
 RETURN_MS = (30.0, 80.0)
 """Refused callers are told to come back after a random time between these, not all at once: late
-enough for a slot to come free, soon enough to be in time.  After 60 to 160 ms the overloads of
-`bench.gateway_replay` are worth 0.01 less, after 150 to 450 ms 0.02."""
+enough for a slot to come free, soon enough for the answer to be in time."""
 CONNECTION_SHARE = 0.8
 """The part of an endpoint's connections that the gateways use together."""
 
--- a/cloverhook/gateway/waiting_line.py
+++ b/cloverhook/gateway/waiting_line.py
@@ -26,11 +26,10 @@
 """A request waits for a slot only while its work, taken for this much longer, would be in time."""
 PUT_OFF_SHARE = 0.04
 """One that is not among the most important of its service waits for this share of its objective at
-most.  With 0.12 the loads of `bench.gateway_replay` are worth 0.015 less, with no limit 0.04: who
-waits long begins too late to be in time, and takes a slot from one that still could."""
+most: who waits long begins too late to be in time, and takes a slot from one that still could."""
 LAST_SLACK = 0.2
 """A last slot, which makes other work slow, is taken when waiting longer would make the request
-late.  Taken at once, the replay's severe overload is worth 0.05 less; never, its mild one 0.03."""
+late: taken at once it slows others down for nothing, never taken it is idle in overload."""
 LATE_SHARE = 0.5
 """A late request is started only if it is expected to use at most this part of the time it has."""
 LATE_WAIT_SHARE = 0.5
