A log that loses what nobody has read is another scenario than one that loses what all have read

Traced by what the last callers were told, which the fixture now prints: all daemons refused keyed writes as unsettled for 30 s. The step cut the log at its present end; where the newest records had been read by no daemon, each of them had missed a record and refused keyed writes for the window in which a key may be held, as it should (at_most_once.feature tests that decision). Change: the step takes the log's end, waits until each daemon has answered a keyed write due after that, and then cuts the log there: everything it held is lost, as before, and has been read. Ruled out: a daemon that stops following the log (each answered reads and told Unsure, not silence), and a slow machine (the refusals came at once).

--- a/features/loaded_fleet.py
+++ b/features/loaded_fleet.py
@@ -9,6 +9,7 @@
 import signal
 import tomllib
 import uuid
+from collections import Counter
 
 import aiohttp
 
@@ -34,6 +35,7 @@
 TIMEOUT_MS = 1_500
 LIFETIME_MS = 400
 WAIT_S = 30
+LINES_SHOWN = 30
 FAULT_TEXTS = ("Traceback", "fault of ours")
 
 CONFIG = """
@@ -125,7 +127,22 @@
             ends = self.load.result.ends[start:]
             return sum(end.status == 200 and matches(end) for end in ends) >= count
 
-        await self.until(enough)
+        try:
+            await self.until(enough)
+        except TimeoutError as error:
+            raise AssertionError(self._what_was_told(start)) from error
+
+    def _what_was_told(self, start):
+        """Return how the calls since a number ended, and the last lines that each daemon wrote."""
+        ends = Counter(
+            (end.method, bool(end.idempotency_key), end.address, end.status, end.error)
+            for end in self.load.result.ends[start:]
+        )
+        lines = [f"{count} x {end}" for end, count in ends.most_common()]
+        for vm, daemon in self.fleet.daemons.items():
+            written = daemon.process.log.read_text().splitlines()
+            lines += (f"{vm}  {line}" for line in written[-LINES_SHOWN:])
+        return "\n".join(lines)
 
     async def serves(self, vm):
         """Return whether a daemon has the brand and every daemon hands its address out."""
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -9,6 +9,7 @@
 
 from cloverhook.claim_log import STREAM as CLAIM_STREAM
 from cloverhook.records import CONFIG_STREAM
+from cloverhook_emulator.caller import now_ms
 from cloverhook_emulator.cut_proxy import Mode
 from cloverhook_emulator.fleet_runner import Fleet
 from features.loaded_fleet import LoadedFleet
@@ -160,16 +161,45 @@
 @when("the log keeps nothing of what it held")
 def step_truncated(context):
     async def truncate():
-        for stream in (CONFIG_STREAM, CLAIM_STREAM):
-            path = f"/v1/streams/{stream}/records?from=0"
-            async with context.session.get(f"{context.fleet.platform_url}{path}") as answer:
-                end = (await answer.json())["next_offset"]
+        ends = [
+            (stream, await _end_of(context, stream)) for stream in (CONFIG_STREAM, CLAIM_STREAM)
+        ]
+        await _until_all_have_read(context)
+        for stream, end in ends:
             document = {"first_offset": end}
             await call(context, "POST", f"/v1/streams/{stream}/truncate", document)
 
     run(context, truncate())
 
 
+async def _end_of(context, stream):
+    path = f"/v1/streams/{stream}/records?from=0"
+    async with context.session.get(f"{context.fleet.platform_url}{path}") as answer:
+        return (await answer.json())["next_offset"]
+
+
+async def _until_all_have_read(context):
+    """Wait until each daemon has read the log up to now, as its answer to a new keyed write shows.
+
+    A daemon that has missed a record rightly refuses keyed writes for a whole window.  Where the
+    records that are lost had not been read by any daemon, all three refused them for 30 s.
+    """
+    loaded = context.loaded
+    asked_ms = now_ms()
+
+    async def has_read(address):
+        return any(
+            end.status == 200
+            and end.idempotency_key
+            and end.address == address
+            and end.intended_ms > asked_ms
+            for end in loaded.load.result.ends
+        )
+
+    for daemon in context.fleet.daemons.values():
+        await loaded.until(lambda address=daemon.caller_address: has_read(address))
+
+
 @when('"{vm}" starts with the address of a peer and answers {count:d} calls')
 def step_fresh(context, vm, count):
     async def start():
