Look at other VMs' backend servers when one could be due, tick less often at standby VMs

A walk over the backend servers that others should measure ran at each tick; of the ticks of a VM that serves callers it was more than half (profile of five VMs of 132: 0.23 s of 0.37 s in 12 s). It now runs when the first of them could be due. A VM that serves nobody ticks each 100 ms.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -41,6 +41,8 @@
 __all__ = ["DirectoryHandler", "Gateway"]
 
 TICK_MS = 50.0
+STANDBY_TICK_MS = 100.0
+"""A VM that no callers are sent to and that measures nothing has little to see to."""
 SWEEP_MS = 1_000.0
 ANNOUNCE_LOOK_MS = 200.0
 ANNOUNCE_RETRY_MS = 700.0
@@ -270,7 +272,7 @@
     async def _tick(self) -> None:
         watch = PauseWatch(monotonic_ms())
         while True:
-            await asyncio.sleep(TICK_MS / 1000)
+            await asyncio.sleep(self._tick_ms() / 1000)
             now_ms = monotonic_ms()
             if watch.observe(now_ms):
                 self._log.note(Kind.PAUSED)
@@ -281,6 +283,13 @@
                 self._log.note(Kind.FAULT, part="tick", error=traceback.format_exc())
             self._log.flush()
 
+    def _tick_ms(self) -> float:
+        """Return the time to the next tick: less often where nobody waits for what it does."""
+        busy = self._knowledge.board.has_requests() or self._forwarder.waiting()
+        if busy or self._members.is_informed(monotonic_ms()):
+            return TICK_MS
+        return STANDBY_TICK_MS
+
     def _do_what_is_due(self, now_ms: float) -> None:
         self._follow_or_not(now_ms)
         for incarnation in self._knowledge.expire(now_ms):
--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -68,7 +68,9 @@
         self._registry = registry
         self._board = board
         self._ranked: list[tuple[BackendServer, int]] = []
+        self._own: list[BackendServer] = []
         self._order_due_ms = 0.0
+        self._step_in_due_ms = 0.0
 
     def due(self, now_ms: float) -> list[BackendServer]:
         """Return the backend servers to probe now; to be asked often."""
@@ -83,7 +85,10 @@
             if now_ms < self._listen_until_ms:
                 self._order_due_ms = min(self._order_due_ms, self._listen_until_ms)
                 self._ranked = self._first_ones()
-        found = [server for server, rank in self._ranked if self._is_due(server, rank, now_ms)]
+            self._own = [server for server, rank in self._ranked if rank == 0]
+            self._step_in_due_ms = now_ms
+        found = [server for server in self._own if self._is_planned(server, now_ms)]
+        found += self._to_step_in(now_ms)
         for server in found:
             interval_ms = self._intervals_ms.get(server.service, ORDER_MS)
             planned_ms = self._next_ms.get(server.incarnation, now_ms)
@@ -94,12 +99,28 @@
         """Drop the plan for a backend server that is gone."""
         self._next_ms.pop(incarnation, None)
 
-    def _is_due(self, server: BackendServer, rank: int, now_ms: float) -> bool:
-        if now_ms < self._next_ms.get(server.incarnation, 0.0) - SLACK_MS:
-            return False
-        if rank == 0:
-            return True
-        return self._board.of(server.incarnation).unmeasured_ms(now_ms) >= rank * STEP_IN_MS
+    def _is_planned(self, server: BackendServer, now_ms: float) -> bool:
+        return now_ms >= self._next_ms.get(server.incarnation, 0.0) - SLACK_MS
+
+    def _to_step_in(self, now_ms: float) -> list[BackendServer]:
+        """Return the backend servers that another VM should measure and no VM has.
+
+        The walk is repeated when the first of them could be due, not at each tick: over 72 of them
+        it was more than half of what the ticks cost a VM that serves callers.
+        """
+        if now_ms < self._step_in_due_ms:
+            return []
+        found, soonest_ms = [], ORDER_MS
+        for server, rank in self._ranked:
+            if rank == 0:
+                continue
+            unmeasured_ms = self._board.of(server.incarnation).unmeasured_ms(now_ms)
+            left_ms = rank * STEP_IN_MS - unmeasured_ms
+            soonest_ms = min(soonest_ms, left_ms)
+            if left_ms <= 0 and self._is_planned(server, now_ms):
+                found.append(server)
+        self._step_in_due_ms = now_ms + soonest_ms
+        return found
 
     def _set_intervals(self, now_ms: float) -> None:
         """Set how often the endpoints of each service are measured.
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -194,10 +194,9 @@
 def _figure(
     incarnation: str, running: int, waiting: int, pace: int, age_ms: float
 ) -> tuple[str, LoadFigure, float]:
-    whole = running, waiting, pace
-    if not isinstance(incarnation, str) or any(type(item) is not int for item in whole):
+    if not (type(running) is type(waiting) is type(pace) is int and isinstance(incarnation, str)):
         raise TypeError("a load figure of other types")
-    if min(running, waiting) < 0 or not 0 <= age_ms < inf:
+    if running < 0 or waiting < 0 or not 0 <= age_ms < inf:
         raise ValueError("a load figure out of range")
     reachable = pace >= 0
     return (
