A VM that is cut off measures for itself what it uses, and does not name itself to callers

Cause: a VM that callers are sent to is the ninth or later in the order of each group of endpoints. Cut off from the others it measured each endpoint after 9 x 350 ms and more, again and again, while a figure is believed for 1.5 s; by reading, and shown by the test, in which its figures were not there at all after 1 s. Change: a VM of a crowded data centre that has heard no message for 600 ms, or hears less than half of its neighbours, counts as cut off; with requests in flight it measures 24 endpoints of its own draw as often as usual, without requests none; its answers to callers name the others alone. Test: gateway_spread.feature, red before.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -244,7 +244,7 @@
     async def _serve_directory(self, request: CallerRequest) -> CallerAnswer:
         now_ms = monotonic_ms()
         addresses = self._members.caller_addresses(now_ms)
-        if self._is_ready() and (not addresses or self._members.serves_callers(now_ms)):
+        if self._is_ready() and (not addresses or self._members.names_itself(now_ms)):
             addresses.append(self._settings.caller_address)
         random.shuffle(addresses)  # An answer may hold a part of them: each VM gets callers.
         return self._answer_directory(request, addresses, self._settings.address_ttl_s * 1000)
--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -79,12 +79,15 @@
         if now_ms >= self._order_due_ms:
             self._order_due_ms = now_ms + ORDER_MS
             self._ranked = []
-            if self._members.is_informed(now_ms):
+            if self._members.is_cut_off(now_ms):
+                self._rank_for_itself()
+                self._set_intervals(now_ms)
+            elif self._members.is_informed(now_ms):
                 self._order(now_ms)
                 self._set_intervals(now_ms)
             if now_ms < self._listen_until_ms:
                 self._order_due_ms = min(self._order_due_ms, self._listen_until_ms)
-                self._ranked = self._first_ones()
+                self._ranked = self._first_ones(self._while_listening)
             self._own = [server for server, rank in self._ranked if rank == 0]
             self._step_in_due_ms = now_ms
         found = [server for server in self._own if self._is_planned(server, now_ms)]
@@ -154,7 +157,17 @@
                 if rank is not None:
                     self._ranked.append((server, rank))
 
-    def _first_ones(self) -> list[tuple[BackendServer, int]]:
+    def _rank_for_itself(self) -> None:
+        """Measure a group for this VM alone, if it has requests, while it hears no other VM.
+
+        A VM that callers are sent to is the ninth or later in the order of each group: cut off, it
+        had a figure of each endpoint every 2.8 s or more seldom, and placed requests blindly.
+        """
+        if self._board.has_requests():
+            self._ranked = [(server, 0) for server in self._registry.servers()]
+            self._ranked = self._first_ones(GROUP_SIZE)
+
+    def _first_ones(self, count: int) -> list[tuple[BackendServer, int]]:
         """Return a few backend servers to begin with, others at each VM, near ones before far."""
 
         def order(item: tuple[BackendServer, int]) -> tuple[bool, int]:
@@ -162,7 +175,7 @@
             is_far = server.data_center != self._members.data_center
             return is_far, rank_weight(self._own_vm, server.incarnation)
 
-        return sorted(self._ranked, key=order)[: self._while_listening]
+        return sorted(self._ranked, key=order)[:count]
 
     def _places(self, data_center: str, groups: int, now_ms: float) -> list[int | None]:
         """Return this VM's place in the order of each group, or None where it has none."""
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -48,6 +48,9 @@
 RANKED_MS = 7_500.0
 """A VM that was not heard for this long is not waited for, however seldom it beats: one that is cut
 off from all others would wait for hundreds."""
+ALONE_MS = 600.0
+"""A VM of a crowded data centre hears dozens of messages a second.  One that has heard none for so
+long is cut off, which the silence of single members would show after two seconds more."""
 FORGET_MS = 120_000.0
 MAJORITY = 0.5
 
@@ -94,6 +97,7 @@
         self._relays: dict[str, list[Member]] = {}
         self._relays_due_ms = 0.0
         self._unheard = 0
+        self._any_heard_ms = now_ms
 
     def __len__(self) -> int:
         return len(self._members)
@@ -128,7 +132,7 @@
                 now_ms,
             )
             self._put(member)
-        member.heard_ms = now_ms
+        member.heard_ms = self._any_heard_ms = now_ms
         member.silent_ms = max(SILENT_MS, SILENT_BEATS * beat.every_ms)
         member.ready = beat.ready
         member.reading = beat.reading
@@ -143,6 +147,26 @@
             self._readers.pop(beat.vm, None)
         return back
 
+    def hears(self, now_ms: float) -> None:
+        """Note that some message of another VM has come."""
+        self._any_heard_ms = now_ms
+
+    def is_cut_off(self, now_ms: float) -> bool:
+        """Return whether this VM of a crowded data centre hears hardly any of its neighbours.
+
+        It then places requests without the counts and figures of others.
+        """
+        if not self.crowded():
+            return False
+        return now_ms - self._any_heard_ms > ALONE_MS or _most_silent(self.near(), now_ms)
+
+    def names_itself(self, now_ms: float) -> bool:
+        """Return whether this VM, if it is ready, tells callers its own address.
+
+        One that is cut off does not: callers still reach the others, which place requests better.
+        """
+        return self.serves_callers(now_ms) and not self.is_cut_off(now_ms)
+
     def _put(self, member: Member) -> None:
         """Take a VM, or a new process of one, in place of what was known under its name."""
         self._members[member.vm] = member
@@ -333,12 +357,18 @@
     still reach those, and should not be sent to the one VM that knows least.  It shows first in
     those that beat often: others count as alive for seconds more, and know no load figures.
     """
-    heard = [item for item in members if item.is_alive(now_ms)]
-    often = [item for item in members if item.silent_ms <= SILENT_MS]
-    still = sum(1 for item in often if item.is_alive(now_ms))
-    if still < MAJORITY * len(often) or len(heard) < MAJORITY * len(members):
+    if _most_silent(members, now_ms):
         return members
-    return heard
+    return [item for item in members if item.is_alive(now_ms)]
+
+
+def _most_silent(members: list[Member], now_ms: float) -> bool:
+    """Return whether most members are silent, or most of those that beat often."""
+    often = [item for item in members if item.silent_ms <= SILENT_MS]
+    for group in (often, members):
+        if sum(1 for item in group if item.is_alive(now_ms)) < MAJORITY * len(group):
+            return True
+    return False
 
 
 def rank_weight(key: str, vm: str) -> int:
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -270,6 +270,7 @@
         if message.vm == self._own.vm:
             return
         now_ms = monotonic_ms()
+        self._members.hears(now_ms)
         match message:
             case Beat():
                 self._on_beat(message, now_ms, relayed)
--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -143,6 +143,14 @@
     When it is back
     Then in a second each backend server is measured by one VM alone, 3 measure at most
 
+  Scenario: A VM that is cut off with requests measures some backend servers for itself
+    Given 41 VMs of one data centre and 60 backend servers in it
+    When one that callers are sent to is cut off with 1 request in flight for 1000 ms
+    Then it has figures of 24 backend servers that are 250 ms old at most
+    And it does not name itself to callers, and the others no longer do after 3 seconds
+    And without requests it measures nothing while it is cut off
+    And it measures for itself no more
+
   Scenario Outline: A VM that has just started listens before it measures all
     Given 1 VMs of one data centre and 30 backend servers in it
     When it has been started to listen for 300 ms and to measure <count> meanwhile
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_spread_steps.py
@@ -253,6 +253,7 @@
         self.requests_per_s = 60.0
         self.names = [f"vm-{number}" for number in range(vms)]
         self.dead = set()
+        self.cut_off = set()
         self.servers = [f"i-{number}" for number in range(servers)]
         self.boards = {name: LoadBoard() for name in self.names}
         self.members = {name: members_of(name, self.names) for name in self.names}
@@ -280,15 +281,24 @@
             for server in self.measuring[name].due(self.now_ms):
                 found[server.incarnation].append(name)
         for server, by in found.items():
-            if by:
-                for name in alive:
+            for name in alive:
+                if any(self.hears(name, other) for other in by):
                     self.boards[name].of(server).measured(LoadFigure(0, 0, 1.0), self.now_ms)
         for name in alive:
             for other in alive:
-                if other != name:
+                if other != name and self.hears(name, other):
                     self.members[name].heard(beat(other), self.now_ms)
         return found
 
+    def hears(self, name, other):
+        """Return whether a VM hears another one, or itself."""
+        return name == other or self.cut_off.isdisjoint((name, other))
+
+    def ages_ms(self, name):
+        """Return the ages of a VM's figures, the least one first."""
+        board = self.boards[name]
+        return sorted(board.of(server).age_ms(self.now_ms) for server in self.servers)
+
 
 @given("{vms:d} VMs of one data centre and {count:d} backend servers in it")
 def step_measuring(context, vms, count):
@@ -338,6 +348,61 @@
     assert seen == set(context.vms.servers), set(context.vms.servers) - seen
 
 
+@when("one that callers are sent to is cut off with {count:d} request in flight for {time_ms:d} ms")
+def step_serving_cut_off(context, count, time_ms):
+    vms = context.vms
+    vms.alone = vms.members["vm-0"].serving(vms.now_ms)[0]
+    vms.boards[vms.alone].of("i-0").in_flight = count
+    vms.requests_per_s = 0.0
+    vms.cut_off = {vms.alone}
+    for _ in range(time_ms // PROBE_MS):
+        vms.step()
+
+
+@then("it has figures of {count:d} backend servers that are {age_ms:d} ms old at most")
+def step_own_figures(context, count, age_ms):
+    vms = context.vms
+    oldest_ms = 0.0
+    for _ in range(1_000 // PROBE_MS):
+        vms.step()
+        oldest_ms = max(oldest_ms, vms.ages_ms(vms.alone)[count - 1])
+    assert oldest_ms <= age_ms, oldest_ms
+
+
+@then("it does not name itself to callers, and the others no longer do after {time_s:d} seconds")
+def step_does_not_name_itself(context, time_s):
+    vms = context.vms
+    members = vms.members[vms.alone]
+    assert members.serves_callers(vms.now_ms) and not members.names_itself(vms.now_ms)
+    assert len(members.caller_addresses(vms.now_ms)) == 11
+    for _ in range(time_s * 1_000 // PROBE_MS):
+        vms.step()
+    for name in vms.names:
+        if name != vms.alone:
+            assert vms.alone not in vms.members[name].serving(vms.now_ms)
+
+
+@then("without requests it measures nothing while it is cut off")
+def step_measures_nothing(context):
+    vms = context.vms
+    vms.boards[vms.alone].of("i-0").in_flight = 0
+    vms.step()
+    for _ in range(500 // PROBE_MS):
+        assert all(vms.alone not in by for by in vms.step().values())
+
+
+@then("it measures for itself no more")
+def step_measures_no_more(context):
+    vms = context.vms
+    vms.boards[vms.alone].of("i-0").in_flight = 1
+    vms.cut_off = set()
+    for _ in range(500 // PROBE_MS):
+        vms.step()
+    assert vms.members[vms.alone].names_itself(vms.now_ms)
+    for _ in range(500 // PROBE_MS):
+        assert all(vms.alone not in by for by in vms.step().values())
+
+
 @when("it is back")
 def step_measurer_back(context):
     context.vms.dead = set()
