--- a/cloverhook/gateway/settings.py
+++ b/cloverhook/gateway/settings.py
@@ -27,9 +27,8 @@
     Addresses are `ip:port`.  `seed_addresses` names peers to ask while the store is away;
     `drain_s` is how soon a backend server that leaves must get no more work, `stop_s` how long a
     planned stop may take.  At the `first_start` of a whole fleet there is time to let one VM read
-    the store for all.  Over
-    `retry_window_s`, all gateways together may repeat `retry_ratio` of a service's requests and
-    `retry_extra` more.
+    the store for all; at a later start each reads it once.  Over `retry_window_s`, all
+    gateways together may repeat `retry_ratio` of a service's requests and `retry_extra` more.
     """
 
     vm: str = kind(PLACE)
