--- a/features/run.py
+++ b/features/run.py
@@ -18,6 +18,7 @@
 WORKERS = 4
 SLOWEST_FIRST = (
     "gateway_soak",
+    "load_replay",
     "entries",
     "failure",
     "planned",
