A beat out of turn counts until the next one that is due; a VM's own group is drawn from servers, not ranks

In a data centre of more than 125 VMs a standby VM beats each 7.5 s and more, and after an answer to a greeting it would have been taken for dead before its next beat (by reading).

--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -10,7 +10,7 @@
 endpoint is measured the more often, the more requests it gets.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from cloverhook.gateway.load import LoadBoard
 from cloverhook.gateway.members import Members, rank_weight
@@ -87,7 +87,8 @@
                 self._set_intervals(now_ms)
             if now_ms < self._listen_until_ms:
                 self._order_due_ms = min(self._order_due_ms, self._listen_until_ms)
-                self._ranked = self._first_ones(self._while_listening)
+                servers = [server for server, _ in self._ranked]
+                self._ranked = self._first_ones(servers, self._while_listening)
             self._own = [server for server, rank in self._ranked if rank == 0]
             self._step_in_due_ms = now_ms
         found = [server for server in self._own if self._is_planned(server, now_ms)]
@@ -164,18 +165,18 @@
         had a figure of each endpoint every 2.8 s or more seldom, and placed requests blindly.
         """
         if self._board.has_requests():
-            self._ranked = [(server, 0) for server in self._registry.servers()]
-            self._ranked = self._first_ones(GROUP_SIZE)
+            self._ranked = self._first_ones(self._registry.servers(), GROUP_SIZE)
 
-    def _first_ones(self, count: int) -> list[tuple[BackendServer, int]]:
-        """Return a few backend servers to begin with, others at each VM, near ones before far."""
+    def _first_ones(
+        self, servers: Iterable[BackendServer], count: int
+    ) -> list[tuple[BackendServer, int]]:
+        """Return a few backend servers for this VM alone, others at each VM, near ones first."""
 
-        def order(item: tuple[BackendServer, int]) -> tuple[bool, int]:
-            server, _ = item
+        def order(server: BackendServer) -> tuple[bool, int]:
             is_far = server.data_center != self._members.data_center
             return is_far, rank_weight(self._own_vm, server.incarnation)
 
-        return sorted(self._ranked, key=order)[:count]
+        return [(server, 0) for server in sorted(servers, key=order)[:count]]
 
     def _places(self, data_center: str, groups: int, now_ms: float) -> list[int | None]:
         """Return this VM's place in the order of each group, or None where it has none."""
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -177,10 +177,11 @@
         self.spread.far(data, now_ms, relays=CHANGE_RELAYS)
 
     def _beat(self, every_ms: float | None = None, wants_answer: bool = False) -> Beat:
-        """Return a sign of life; one out of turn counts for as long as those to far VMs do."""
+        """Return a sign of life; one out of turn counts until the next one that is due."""
         own, knowledge, now_ms = self._own, self._knowledge, monotonic_ms()
         if every_ms is None:
-            every_ms = self._pace.far_ms(self.reading, now_ms)
+            near_ms = self._pace.near_ms(self.reading, now_ms)
+            every_ms = max(near_ms, self._pace.far_ms(self.reading, now_ms))
         return Beat(
             own.vm,
             own.incarnation,
