--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -71,10 +71,10 @@
         return self.active and all(self._answers.get(feed, False) for feed in Feed)
 
     def read_first(self) -> None:
-        """Read both feeds until there is enough to serve by, and no further, unless that goes on.
+        """Read until there is enough to serve by, and stop: this VM is not one that follows.
 
-        After a loss of power all VMs do so.  When each of 313 followed the store until it had heard
-        of two others that did, all of them beat as readers meanwhile and they made 1,479 calls.
+        After a loss of power all VMs do so at once.  When each followed the store until it had
+        heard of two others that did, 313 VMs made 1,479 calls and all beat as readers meanwhile.
         """
         if not self._tasks:
             self._only_first = True
