--- a/cloverhook/gateway/counters.py
+++ b/cloverhook/gateway/counters.py
@@ -19,6 +19,7 @@
     "registry_version": "the offset of the newest record of a backend server that is known",
     "backend_servers": "backend servers that are known",
     "members_alive": "other gateways heard a moment ago",
+    "cut_off": "1 while this gateway hears hardly any of its neighbours",
     "reading_store": "1 while this gateway reads the store for the others",
     "waiting": "requests that wait for room at a backend server",
     "probes": "probes sent",
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -144,6 +144,7 @@
         self._sweep_due_ms = 0.0
         self._leaving = False
         self._was_ready = False
+        self._was_cut_off = False
         self._stopped = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -255,7 +256,9 @@
         counters.set("config_version", knowledge.config_version)
         counters.set("registry_version", knowledge.registry.version)
         counters.set("backend_servers", len(knowledge.registry))
-        counters.set("members_alive", len(self._members.alive(monotonic_ms())))
+        now_ms = monotonic_ms()
+        counters.set("members_alive", len(self._members.alive(now_ms)))
+        counters.set("cut_off", int(self._members.is_cut_off(now_ms)))
         counters.set("reading_store", int(self._follower.reading))
         counters.set("waiting", self._forwarder.waiting())
         counters.set("probes", self._prober.probes)
@@ -310,6 +313,7 @@
         self._forwarder.look_at_waiting()
 
     def _sweep(self, now_ms: float) -> None:
+        self._tell_cut_off(now_ms)
         self._pool.sweep()
         known = self._knowledge.registry.get
         self._prober.sweep(known)
@@ -317,6 +321,13 @@
         self._members.forget(now_ms)
         self._peering.failure_news.forget(now_ms)
 
+    def _tell_cut_off(self, now_ms: float) -> None:
+        cut_off = self._members.is_cut_off(now_ms)
+        if cut_off != self._was_cut_off:
+            self._was_cut_off = cut_off
+            alive = len(self._members.alive(now_ms))
+            self._log.note(Kind.CUT_OFF, cut_off=cut_off, alive=alive, known=len(self._members))
+
     def _tell_readiness(self) -> None:
         ready = self._is_ready()
         self._peering.ready = ready
--- a/cloverhook/gateway/event_log.py
+++ b/cloverhook/gateway/event_log.py
@@ -45,6 +45,7 @@
     CONFIG = "config", 20
     SERVER = "server", 50
     MEMBER = "member", 50
+    CUT_OFF = "cut-off", 5
     ENDPOINT = "endpoint", 30
     PAUSED = "paused", 5
     ATTEMPT = "attempt", 60
--- a/features/gateway_measuring.feature
+++ b/features/gateway_measuring.feature
@@ -26,6 +26,16 @@
     And without requests it measures nothing while it is cut off
     And it measures for itself no more
 
+  Scenario: A gateway that is cut off says so in its log and its metrics
+    Given a store with a configuration and 1 backend servers
+    When 1 gateways start again at once
+    When it has heard 20 neighbours for a while
+    Then it says that it is not cut off
+    When it hears none of them any more
+    Then it says that it is cut off
+    When it has heard 20 neighbours for a while
+    Then it says that it is not cut off
+
   Scenario Outline: A VM that has just started listens before it measures all
     Given 1 VMs of one data centre and 30 backend servers in it
     When it has been started to listen for 300 ms and to measure <count> meanwhile
--- a/features/steps/gateway_start_steps.py
+++ b/features/steps/gateway_start_steps.py
@@ -1,9 +1,14 @@
 """Steps on gateways that start again while others do: what they ask the store."""
 
+import asyncio
+import json
+
 from behave import given, then, when
 
+from cloverhook.clock import monotonic_ms
 from cloverhook.gateway.store import Feed, MemoryStore
 from features import gateway_fleet as fleet
+from features.gateway_crowd import beat
 from features.shared import run
 
 
@@ -84,3 +89,57 @@
     for store in context.stores:
         assert store.was_followed or store.calls == dict.fromkeys(Feed, 1), store.calls
     assert sum(store.was_followed for store in context.stores) < len(context.stores)
+
+
+@when("it has heard {count:d} neighbours for a while")
+def step_hears_neighbours(context, count):
+    gateway, settings = context.gateways[0]
+    members = gateway._members
+
+    async def hear():
+        names = [f"vm-near-{number}" for number in range(count)]
+        context.beats = asyncio.create_task(
+            _hear_on(members, [beat(name, settings.data_center) for name in names])
+        )
+        await asyncio.sleep(0.1)
+
+    run(context, hear())
+
+
+async def _hear_on(members, beats):
+    while True:
+        for item in beats:
+            members.heard(item, monotonic_ms())
+        await asyncio.sleep(0.1)
+
+
+@when("it hears none of them any more")
+def step_hears_none(context):
+    context.beats.cancel()
+
+
+@then("it says that it is not cut off")
+def step_says_not(context):
+    check_said(context, False)
+
+
+@then("it says that it is cut off")
+def step_says(context):
+    check_said(context, True)
+
+
+def check_said(context, expected):
+    """Check what a gateway's log and metrics say of it."""
+    gateway, _ = context.gateways[0]
+
+    def said():
+        lines = [json.loads(line) for line in context.stores[0].log.splitlines()]
+        told = [line["cut_off"] for line in lines if line["kind"] == "cut-off"]
+        return told[-1] if told else False
+
+    async def ask():
+        await fleet.until(lambda: said() == expected)
+        return await gateway._serve_metrics(None)
+
+    page = run(context, ask()).body.decode()
+    assert f"cloverhook_gateway_cut_off {int(expected)}" in page, page
