--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -12,7 +12,8 @@
 from collections.abc import Callable
 
 from cloverhook.clock import PauseWatch, monotonic_ms
-from cloverhook.errors import PlatformError, SettingsError
+from cloverhook.errors import SettingsError
+from cloverhook.gateway.announcing import Announcer
 from cloverhook.gateway.backend_pool import BackendPool
 from cloverhook.gateway.balancer import Balancer, WorkEstimates
 from cloverhook.gateway.call_headers import CallHeaders
@@ -44,8 +45,6 @@
 STANDBY_TICK_MS = 100.0
 """A VM that no callers are sent to and that measures nothing has little to see to."""
 SWEEP_MS = 1_000.0
-ANNOUNCE_LOOK_MS = 200.0
-ANNOUNCE_RETRY_MS = 700.0
 ACCEPT_SHARE = 0.55
 """The part of a planned stop for which callers with old answers are still taken."""
 GOODBYE_MS = 800.0
@@ -94,10 +93,16 @@
             self._knowledge,
             self._members,
             self._log,
-            self._on_peer_figure,
-            self._on_room,
+            lambda incarnation: self._forwarder.pace_changed(incarnation),
+            lambda: self._forwarder.look_at_waiting(),
             fleet=settings.store_address,
         )
+        record = MemberRecord(
+            settings.vm, settings.data_center, settings.caller_address, settings.peer_address
+        )
+        self._announcer = Announcer(
+            record, store, self._discovery, self._peering.add_members, self._log
+        )
         self._follower = StoreFollower(
             store, self._knowledge, self._on_news, self._log, self._counters
         )
@@ -161,7 +166,7 @@
         self._add_seeds()
         self._tasks = [
             asyncio.create_task(keep_running(self._tick, "tick", self._log)),
-            asyncio.create_task(keep_running(self._announce, "announce", self._log)),
+            asyncio.create_task(keep_running(self._announcer.run, "announce", self._log)),
         ]
         self._log.note(Kind.STARTED, pid=os.getpid(), data_center=settings.data_center)
         self._follow_or_not(monotonic_ms())  # A tick later would be 50 ms without an answer.
@@ -182,7 +187,7 @@
     def leave(self) -> None:
         """Begin a planned stop; a second call changes nothing."""
         if not self._leaving:
-            self._leaving = True
+            self._leaving = self._announcer.leaving = True
             self._log.note(Kind.STOPPING, in_flight=self._callers.in_flight())
             self._tasks.append(asyncio.create_task(self._leave()))
 
@@ -389,31 +394,3 @@
                 address=server.address,
                 reachable=figure.reachable,
             )
-
-    def _on_peer_figure(self, incarnation: str) -> None:
-        self._forwarder.pace_changed(incarnation)
-
-    def _on_room(self) -> None:
-        self._forwarder.look_at_waiting()
-
-    async def _announce(self) -> None:
-        """Write this VM down in the store and learn of the others there, when that is needed."""
-        settings = self._settings
-        own = MemberRecord(
-            settings.vm, settings.data_center, settings.caller_address, settings.peer_address
-        )
-        while True:
-            await asyncio.sleep(ANNOUNCE_LOOK_MS / 1000)
-            if not self._discovery.needs_store(monotonic_ms()) or self._leaving:
-                continue
-            try:
-                await self._store.announce(own)
-                found = await self._store.members()
-                for record in found.unreadable:
-                    self._log.note(Kind.STORE, feed="members", state="unreadable", record=record)
-                self._peering.add_members(found.members)
-                self._discovery.announced()
-                self._log.note(Kind.STORE, feed="members", state="announced")
-            except PlatformError as error:
-                self._log.note(Kind.STORE, feed="members", state="lost", error=str(error))
-                await asyncio.sleep(ANNOUNCE_RETRY_MS / 1000)
