--- a/cloverhook/gateway/beat_pace.py
+++ b/cloverhook/gateway/beat_pace.py
@@ -21,11 +21,11 @@
 """A standby VM that died is missed by nobody; the next one in the order takes its turn."""
 STANDBY_NEAR_MS_A_VM = 60.0
 """A VM hears at most 17 standby neighbours a second, however many there are."""
-SERVING_HEARS_MS = 10.0
-"""A VM that places requests may learn of counts and figures so much later: work takes hundreds of
-milliseconds, and to wake for each datagram costs as much as to take it."""
+UNDERSTUDY_HEARS_MS = 10.0
+"""A VM that may place requests soon learns of counts and figures so much later: to wake for each
+datagram costs as much as to take it."""
 STANDBY_HEARS_MS = 100.0
-"""One that does not may learn later; a change has to be in force within two seconds."""
+"""One that does not may learn later still; a change has to be in force within two seconds."""
 READER_MS = 300.0
 """Another VM reads the store when it has missed three of a reader's beats."""
 
@@ -60,9 +60,12 @@
         return reading or self._members.is_informed(now_ms)
 
     def hears_ms(self, has_requests: bool, now_ms: float) -> float:
-        """Return for how long messages from others may wait, to be read together."""
-        if not self._members.crowded():
+        """Return for how long messages from others may wait, to be read together.
+
+        Where requests are placed none does: in overload, two VMs that have not heard of each other
+        choose the same last slot.  In the replay of 12 VMs and 40 endpoints of 2 slots, counts that
+        come after 9 ms in place of 3 are worth 0.631 in place of 0.706 (mean value of 8 seeds).
+        """
+        if has_requests or self._members.serves_callers(now_ms):
             return 0.0
-        if has_requests or self._members.is_informed(now_ms):
-            return SERVING_HEARS_MS
-        return STANDBY_HEARS_MS
+        return UNDERSTUDY_HEARS_MS if self._members.is_informed(now_ms) else STANDBY_HEARS_MS
--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -71,8 +71,9 @@
 
   Scenario: A standby VM reads what it is told together, and one with requests at once
     Given 41 VMs in each of two data centres that know each other
-    Then one that callers are sent to hears within 10 ms, and a standby one within 100 ms
-    And a standby one that has a request hears within 10 ms
+    Then one that callers are sent to hears at once
+    And one that would be next hears within 10 ms, and any other one within 100 ms
+    And one that has a request hears at once
     Given 7 VMs of one data centre
     Then each of these few hears at once
 
--- a/features/steps/gateway_crowd_steps.py
+++ b/features/steps/gateway_crowd_steps.py
@@ -8,6 +8,7 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.gateway import load_news
 from cloverhook.gateway.load import LoadFigure
+from cloverhook.gateway.members import Members
 from cloverhook.gateway.peer_messages import Loads, Relay, encode
 from features.gateway_crowd import (
     FAR,
@@ -151,28 +152,40 @@
     assert context.members.count() == count + 1, context.members.count()
 
 
-def hears_within_ms(context, serves):
-    """Return within what time VMs of a crowd hear that serve callers, or that are standby."""
-    found = [
+def hears_within_ms(context, chosen):
+    """Return within what times the VMs of a crowd hear whose `Members` are chosen."""
+    now_ms = monotonic_ms()
+    found = {
         peering._hears_ms()
         for peering in context.crowd.values()
-        if peering._members.is_informed(monotonic_ms()) == serves
-    ]
+        if chosen(peering._members, now_ms)
+    }
     assert found
-    return set(found)
+    return found
 
 
-@then("one that callers are sent to hears within 10 ms, and a standby one within 100 ms")
-def step_hears(context):
-    assert hears_within_ms(context, True) == {10.0}
-    assert hears_within_ms(context, False) == {100.0}
+@then("one that callers are sent to hears at once")
+def step_serving_hears(context):
+    assert hears_within_ms(context, Members.serves_callers) == {0.0}
 
 
-@then("a standby one that has a request hears within 10 ms")
-def step_standby_hears(context):
+@then("one that would be next hears within 10 ms, and any other one within 100 ms")
+def step_others_hear(context):
+    def is_next(members, now_ms):
+        return members.is_informed(now_ms) and not members.serves_callers(now_ms)
+
+    def is_other(members, now_ms):
+        return not members.is_informed(now_ms)
+
+    assert hears_within_ms(context, is_next) == {10.0}
+    assert hears_within_ms(context, is_other) == {100.0}
+
+
+@then("one that has a request hears at once")
+def step_busy_hears(context):
     for peering in context.crowd.values():
         peering._knowledge.board.of("i-0").in_flight = 1
-    assert hears_within_ms(context, False) == {10.0}
+    assert hears_within_ms(context, lambda members, now_ms: True) == {0.0}
 
 
 @then("each of these few hears at once")
