--- a/cloverhook/gateway/beat_pace.py
+++ b/cloverhook/gateway/beat_pace.py
@@ -22,8 +22,7 @@
 STANDBY_NEAR_MS_A_VM = 60.0
 """A VM hears at most 17 standby neighbours a second, however many there are."""
 UNDERSTUDY_HEARS_MS = 10.0
-"""A VM that may place requests soon learns of counts and figures so much later: to wake for each
-datagram costs as much as to take it."""
+"""A VM that may place requests soon learns of counts and figures so much later."""
 STANDBY_HEARS_MS = 100.0
 """One that does not may learn later still; a change has to be in force within two seconds."""
 READER_MS = 300.0
