Evacuated data centres get nothing, on every VM, until they are taken back

Change: evacuations are read with the configuration, which lies in the same log, and are always whole as of an offset: of two states the later one holds, so peers need not merge. Beats name the offset and whoever is behind fetches the state, as for a configuration. The balancer leaves those endpoints out for first sends, repeats, second attempts and fallback services; a request that was placed before is stopped before it is sent; they are not probed. Where a service has endpoints in evacuated data centres only, its requests are refused at once, with a time to come back. VMs there go on serving callers: their clients would cross the data centres anyway.

Ruled out: versions that follow each record of the log, as each change of the configuration would then have every VM fetch a state that is the same; merging by data centre, as a VM that read a whole list could take back an evacuation that a slower peer still holds.

--- a/cloverhook/errors.py
+++ b/cloverhook/errors.py
@@ -54,6 +54,7 @@
     HEADERS_TOO_LARGE = "headers-too-large"
     OVERLOADED = "overloaded"
     NO_BACKEND_SERVER = "no-backend-server"
+    EVACUATED = "evacuated"
     REFUSED = "refused"
     DEADLINE_BEFORE_RUN = "deadline-before-run"
     DEADLINE_IN_RUN = "deadline-in-run"
@@ -91,6 +92,7 @@
     ErrorKind.HEADERS_TOO_LARGE: Answer(431, Outcome.NOT_RUN),
     ErrorKind.OVERLOADED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.NO_BACKEND_SERVER: Answer(503, Outcome.NOT_RUN, retry_after=True),
+    ErrorKind.EVACUATED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.REFUSED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.DEADLINE_BEFORE_RUN: Answer(504, Outcome.NOT_RUN),
     ErrorKind.DEADLINE_IN_RUN: Answer(504, Outcome.UNKNOWN),
--- a/cloverhook/explain.py
+++ b/cloverhook/explain.py
@@ -16,6 +16,7 @@
 ANSWER_KINDS = ("answer", "sample")
 BELIEF_KINDS = (
     "config",
+    "evacuation",
     "server",
     "endpoint",
     "member",
@@ -37,6 +38,7 @@
     "overloaded": "no backend server had room in time, so it was refused; it has not run",
     "refused": "every backend server that was asked rejected it; it has not run",
     "no-backend-server": "no backend server could be reached, or none is known; it has not run",
+    "evacuated": "all backend servers of its service lie in evacuated data centres; it has not run",
     "unknown-host": "no route of the configuration in force matches its host and path",
     "deadline-in-run": "a backend server had it and gave no answer in time; it may have run",
     "connection-cut": "a backend server had it and the connection broke; it may have run",
--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -9,7 +9,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -21,6 +21,7 @@
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
 from cloverhook.gateway.load import SLOW_PACE, LoadBoard, ServerLoad
 from cloverhook.gateway.load_probe import ask_load
+from cloverhook.gateway.registry import BackendServer
 from cloverhook.upstream_connection import AnswerHead, RequestHead, UpstreamConnection
 
 __all__ = ["Attempt", "AttemptResult", "Outcome"]
@@ -87,8 +88,13 @@
         idempotent: bool,
         headers: CallHeaders,
         ask_path: str | None = None,
+        may_send: Callable[[BackendServer], bool] = lambda server: True,
     ) -> None:
-        """With `ask_path`, the endpoint is asked for its load there before the request is sent."""
+        """With `ask_path`, the endpoint is asked for its load there before the request is sent.
+
+        `may_send` is asked last of all: an evacuation may begin after the choice.
+        """
+        self._may_send = may_send
         self._ask_path = ask_path
         self._declined: AnswerHead | None = None
         self.choice = choice
@@ -169,6 +175,9 @@
 
     async def _send(self, connection: UpstreamConnection) -> AnswerHead:
         request, names = self._request, self._headers
+        if not self._may_send(self.choice.server):
+            connection.close()
+            raise UpstreamError("its data centre is evacuated", sent=False)
         left_ms = max(1, int(self._deadline_ms - monotonic_ms()))
         headers = passed_on(request.headers, names.own())
         headers += (
--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -134,6 +134,16 @@
         return self.candidates / self.endpoints
 
 
+@dataclass(frozen=True, slots=True)
+class _Usable:
+    """The endpoints of a service that requests may go to, and what they were worked out from."""
+
+    servers: tuple[BackendServer, ...]
+    evacuated: frozenset[str]
+    near: Candidates
+    far: Candidates
+
+
 class _Look:
     """One choice under way: what is wanted, and the best endpoint so far."""
 
@@ -192,8 +202,13 @@
         data_center: str,
         source: random.Random,
         has_connection: Callable[[str], bool] = lambda incarnation: True,
+        evacuated: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
-        """`has_connection` says whether a request to an incarnation needs no new connection."""
+        """`has_connection` says whether a request to an incarnation needs no new connection.
+
+        Nothing is sent to the `evacuated` data centres.
+        """
+        self._evacuated = evacuated
         self._has_connection = has_connection
         self._estimates = estimates
         self._registry = registry
@@ -202,9 +217,7 @@
         self._source = source
         self._random = source.random
         self._panic: dict[str, tuple[float, bool]] = {}
-        self._candidates: dict[
-            tuple[str, Room], tuple[tuple[BackendServer, ...], tuple[Candidates, Candidates]]
-        ] = {}
+        self._candidates: dict[tuple[str, Room], _Usable] = {}
 
     def choose(
         self,
@@ -241,16 +254,30 @@
 
     def _candidates_of(self, service: str, room: Room) -> tuple[Candidates, Candidates]:
         """Return those of the own data centre and the others; each room has its own."""
-        servers = self._registry.of_service(service)
+        servers, left = self._registry.of_service(service), self._evacuated()
         known = self._candidates.get((service, room))
-        if known is not None and known[0] is servers:
-            return known[1]
-        usable = [server for server in servers if not server.draining]
+        if known is not None and known.servers is servers and known.evacuated == left:
+            return known.near, known.far
+        usable = [item for item in servers if not item.draining and item.data_center not in left]
         near = tuple(item for item in usable if item.data_center == self._data_center)
         far = tuple(item for item in usable if item.data_center != self._data_center)
-        found = Candidates(near, self._source), Candidates(far, self._source)
-        self._candidates[service, room] = servers, found
-        return found
+        known = _Usable(
+            servers, left, Candidates(near, self._source), Candidates(far, self._source)
+        )
+        self._candidates[service, room] = known
+        return known.near, known.far
+
+    def may_get(self, server: BackendServer) -> bool:
+        """Return whether a request that was placed at a backend server may still be sent there."""
+        return server.data_center not in self._evacuated()
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether a service has endpoints, but in evacuated data centres only."""
+        left = self._evacuated()
+        if not left:
+            return False
+        serving = [item for item in self._registry.of_service(service) if not item.draining]
+        return bool(serving) and all(item.data_center in left for item in serving)
 
     def _weigh(self, look: "_Look", candidates: Candidates, count: int) -> None:
         """Draw some candidates and keep the best one."""
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -116,6 +116,7 @@
             settings.data_center,
             random.Random(),
             self._pool.has_idle,
+            self._knowledge.evacuated,
         )
         allowance = RetryAllowance(
             settings.retry_ratio, settings.retry_extra, settings.retry_window_s * 1000
@@ -129,6 +130,7 @@
             allowance.requests_per_s,
             now_ms + LISTEN_MS,
             0 if settings.first_start else GROUP_SIZE,
+            self._knowledge.evacuated,
         )
         self._forwarder = Forwarder(
             self._knowledge,
@@ -261,6 +263,7 @@
         counters.set("config_version", knowledge.config_version)
         counters.set("registry_version", knowledge.registry.version)
         counters.set("backend_servers", len(knowledge.registry))
+        counters.set("data_centers_evacuated", len(knowledge.evacuated()))
         now_ms = monotonic_ms()
         counters.set("members_alive", len(self._members.alive(now_ms)))
         counters.set("cut_off", int(self._members.is_cut_off(now_ms)))
@@ -363,7 +366,6 @@
         """Pass on what the store has told; the registry's version was `base_version` before."""
         knowledge = self._knowledge
         if not touched:
-            self._log.note(Kind.CONFIG, version=knowledge.config_version, source="store")
             self._peering.beat_now(has_news=True)
             return
         version = knowledge.registry.version
--- a/cloverhook/gateway/event_log.py
+++ b/cloverhook/gateway/event_log.py
@@ -43,6 +43,7 @@
     STORE = "store", 10
     READER = "reader", 10
     CONFIG = "config", 20
+    EVACUATION = "evacuation", 20
     SERVER = "server", 50
     MEMBER = "member", 50
     CUT_OFF = "cut-off", 5
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -46,6 +46,8 @@
 RETURN_MS = (30.0, 80.0)
 """Refused callers are told to come back after a random time between these, not all at once: late
 enough for a slot to come free, soon enough for the answer to be in time."""
+EVACUATED_RETURN_MS = (700.0, 1_400.0)
+"""While nothing can serve a request, callers come back seldom, but in time for most objectives."""
 CONNECTION_SHARE = 0.8
 """The part of an endpoint's connections that the gateways use together."""
 
@@ -287,6 +289,7 @@
             run.route.idempotent,
             self._headers,
             self._ask_path(run),
+            self._balancer.may_get,
         )
         limit = self._connection_limit(run.service)
         work = attempt.run(self._pool, self._knowledge.board, limit)
@@ -363,6 +366,8 @@
             kind = ErrorKind.DEADLINE_IN_RUN if late else ErrorKind.CONNECTION_CUT
         elif any(item.outcome is Outcome.REJECTED for item in run.results):
             kind = ErrorKind.REFUSED
+        elif self._balancer.is_evacuated(run.service):
+            kind = ErrorKind.EVACUATED
         elif run.attempts or not self._knowledge.registry.of_service(run.service):
             kind = ErrorKind.NO_BACKEND_SERVER
         else:
@@ -379,7 +384,8 @@
         answer = answer_for(kind)
         headers = [(b"content-type", b"text/plain")]
         if answer.retry_after:
-            headers.append((b"retry-after", b"%.3f" % (random.uniform(*RETURN_MS) / 1000)))
+            times_ms = EVACUATED_RETURN_MS if kind is ErrorKind.EVACUATED else RETURN_MS
+            headers.append((b"retry-after", b"%.3f" % (random.uniform(*times_ms) / 1000)))
         return CallerAnswer(answer.status, headers, kind.value.encode())
 
     def _turn_away(
--- a/cloverhook/gateway/knowledge.py
+++ b/cloverhook/gateway/knowledge.py
@@ -1,9 +1,10 @@
-"""What a gateway believes, each with its version and age: configuration, servers, loads.
+"""What a gateway believes, each with its version: configuration, evacuations, servers, loads.
 
 Layer: state.  Everything that arrives, from the store, from a peer or by own observation, passes
 through here.  The newest version wins, and none goes back within the life of the process.
 """
 
+from cloverhook.gateway.evacuation import Evacuations
 from cloverhook.gateway.load import LoadBoard
 from cloverhook.gateway.registry import DRAIN_MS, Registry, ServerRecord
 from cloverhook.gateway.routes import GatewayConfig
@@ -15,11 +16,12 @@
 
 
 class Knowledge:
-    """The configuration in force, the registry and the load board."""
+    """The configuration in force, the evacuated data centres, the registry and the load board."""
 
     def __init__(self, drain_ms: float = DRAIN_MS) -> None:
         self.config: GatewayConfig | None = None
         self.config_at_ms = 0.0
+        self.evacuations = Evacuations()
         self.drain_ms = drain_ms
         self.registry = Registry(drain_ms)
         self.board = LoadBoard()
@@ -43,6 +45,17 @@
         self.config_at_ms = now_ms
         return True
 
+    def take_evacuations(self, found: Evacuations) -> bool:
+        """Take a state of a later offset; return whether other data centres are evacuated now."""
+        if found.version <= self.evacuations.version:
+            return False
+        before, self.evacuations = self.evacuations, found
+        return before.data_centers != found.data_centers
+
+    def evacuated(self) -> frozenset[str]:
+        """Return the data centres whose endpoints get nothing."""
+        return self.evacuations.data_centers
+
     def store_returned(self, now_ms: float) -> None:
         """Note that the store answers again after a time in which it did not."""
         self._store_back_ms = now_ms
--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -52,14 +52,17 @@
         requests_per_s: Callable[[str, float], float],
         listen_until_ms: float = 0.0,
         while_listening: int = 0,
+        evacuated: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         """`requests_per_s` says how many requests of a service this VM gets at a time.
 
         Before `listen_until_ms` so many backend servers are measured as `while_listening` says.
+        The endpoints of `evacuated` data centres get nothing, so no probe either.
         """
         self._listen_until_ms = listen_until_ms
         self._while_listening = while_listening
         self._own_vm = own_vm
+        self._evacuated = evacuated
         self._most_per_s = most_per_s
         self._requests_per_s = requests_per_s
         self._intervals_ms: dict[str, float] = {}
@@ -147,7 +150,7 @@
     def _order(self, now_ms: float) -> None:
         """Work out this VM's place in the order for each backend server that it may measure."""
         sites: dict[str, list[BackendServer]] = {}
-        for server in self._registry.servers():
+        for server in self._in_use():
             sites.setdefault(server.data_center, []).append(server)
         for data_center, servers in sites.items():
             places = self._places(data_center, -(-len(servers) // GROUP_SIZE), now_ms)
@@ -158,6 +161,11 @@
                 if rank is not None:
                     self._ranked.append((server, rank))
 
+    def _in_use(self) -> list[BackendServer]:
+        """Return the backend servers that may get requests, by their data centre."""
+        left = self._evacuated()
+        return [item for item in self._registry.servers() if item.data_center not in left]
+
     def _rank_for_itself(self) -> None:
         """Measure a group for this VM alone, if it has requests, while it hears no other VM.
 
@@ -165,7 +173,7 @@
         had a figure of each endpoint every 2.8 s or more seldom, and placed requests blindly.
         """
         if self._board.has_requests():
-            self._ranked = self._first_ones(self._registry.servers(), GROUP_SIZE)
+            self._ranked = self._first_ones(self._in_use(), GROUP_SIZE)
 
     def _first_ones(
         self, servers: Iterable[BackendServer], count: int
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -10,12 +10,13 @@
 from collections import Counter
 from dataclasses import dataclass
 from math import ceil
+from typing import Protocol
 
 import xxhash
 
 from cloverhook.gateway.peer_messages import Beat
 
-__all__ = ["READERS", "Member", "Members", "rank_weight"]
+__all__ = ["READERS", "KnownVersions", "Member", "Members", "rank_weight"]
 
 SILENT_MS = 2_500.0
 """A member unheard for this long gets no callers: two beats of the slow kind were lost."""
@@ -73,12 +74,21 @@
     silent_ms: float = SILENT_MS
     busy_percent: int = 0
     near_vms: int = 0
+    evacuation_version: int = -1
 
     def is_alive(self, now_ms: float) -> bool:
         """Return whether it was heard a moment ago."""
         return now_ms - self.heard_ms < self.silent_ms
 
 
+class KnownVersions(Protocol):
+    """The versions of a state, as a member or a beat names them."""
+
+    config_version: int
+    registry_version: int
+    evacuation_version: int
+
+
 class Members:
     """All other VMs that have been heard of."""
 
@@ -141,6 +151,7 @@
         member.near_vms = beat.near_vms
         member.config_version = max(member.config_version, beat.config_version)
         member.registry_version = max(member.registry_version, beat.registry_version)
+        member.evacuation_version = max(member.evacuation_version, beat.evacuation_version)
         if beat.reading:
             self._readers[beat.vm] = member
         else:
@@ -273,14 +284,15 @@
         ]
         return [*found, self._own_vm] if data_center == self.data_center else found
 
-    def holders(self, config_version: int, registry_version: int, now_ms: float) -> list[Member]:
+    def holders(self, wanted: KnownVersions, now_ms: float) -> list[Member]:
         """Return the live neighbours that know these versions or newer ones, by what they said."""
         return [
             item
             for item in self.near()
             if item.is_alive(now_ms)
-            and item.config_version >= config_version
-            and item.registry_version >= registry_version
+            and item.config_version >= wanted.config_version
+            and item.registry_version >= wanted.registry_version
+            and item.evacuation_version >= wanted.evacuation_version
         ]
 
     def crowded(self) -> bool:
--- a/cloverhook/gateway/peer_link.py
+++ b/cloverhook/gateway/peer_link.py
@@ -29,7 +29,14 @@
 FETCH_TIMEOUT_S = 1.0
 
 Asked = dict[str, Any]
-ASKED = Table({"config": Integer(-1), "registry": Integer(-1), "addresses": Text()})
+ASKED = Table(
+    {
+        "config": Integer(-1),
+        "registry": Integer(-1),
+        "evacuations": Integer(-1),
+        "addresses": Text(),
+    }
+)
 """The versions that are known, or the data centre whose addresses are wanted."""
 
 
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -55,7 +55,8 @@
 
     `reading` says that it follows the store now, and `every_ms` how often it beats to another data
     centre; `wants_answer` asks for a beat in return; `busy_percent` is what it uses of a core.
-    `near_vms` is how many VMs of its data centre it knows, itself included.
+    `near_vms` is how many VMs of its data centre it knows, itself included.  `evacuation_version`
+    is the offset as of which it knows the evacuated data centres.
     """
 
     vm: str
@@ -72,6 +73,7 @@
     wants_answer: bool = False
     busy_percent: int = 0
     near_vms: int = kind_field(Integer(0), 0)
+    evacuation_version: int = kind_field(VERSION, -1)
 
 
 @dataclass(frozen=True, slots=True)
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -197,6 +197,7 @@
             wants_answer,
             round(100 * self._busy.share(now_ms)),
             1 + self._members.near_count(),
+            knowledge.evacuations.version,
         )
 
     def _hears_ms(self) -> float:
@@ -337,7 +338,7 @@
             self._log.note(Kind.MEMBER, member=beat.vm, state="joined", at=beat.peer_address)
         if beat.wants_answer or (back and near):
             self.link.send_encoded(beat.peer_address, encode(self._beat()))
-        if self._states.is_behind(beat.config_version, beat.registry_version):
+        if self._states.is_behind(beat):
             self._states.catch_up(beat.vm, near or relayed)
 
     def _on_changes(self, changes: ServerChanges, now_ms: float, relayed: bool) -> None:
--- a/cloverhook/gateway/state_fetch.py
+++ b/cloverhook/gateway/state_fetch.py
@@ -8,13 +8,15 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
+from cloverhook.gateway.evacuation import Evacuations
 from cloverhook.gateway.event_log import EventLog, Kind
 from cloverhook.gateway.knowledge import Knowledge
-from cloverhook.gateway.members import Member, Members
+from cloverhook.gateway.members import KnownVersions, Member, Members
 from cloverhook.gateway.peer_messages import IS_REGISTRY_DOCUMENT
 from cloverhook.gateway.routes import GatewayConfig
 
@@ -52,12 +54,13 @@
         self._on_garbage = on_garbage
         self._task: asyncio.Task[None] | None = None
 
-    def is_behind(self, config_version: int, registry_version: int) -> bool:
+    def is_behind(self, other: KnownVersions) -> bool:
         """Return whether there is more to know than is known here."""
         knowledge = self._knowledge
         return (
-            config_version > knowledge.config_version
-            or registry_version > knowledge.registry.version
+            other.config_version > knowledge.config_version
+            or other.registry_version > knowledge.registry.version
+            or other.evacuation_version > knowledge.evacuations.version
         )
 
     def catch_up(self, vm: str, at_once: bool) -> None:
@@ -76,16 +79,16 @@
         member = self._members.get(vm)
         if member is None or not (self._task is None or self._task.done()):
             return
-        if self.is_behind(member.config_version, member.registry_version):
+        if self.is_behind(member):
             self._task = asyncio.create_task(self._fetch_what_is_known(member))
 
     async def _fetch_what_is_known(self, member: Member) -> None:
         """Ask a few holders in turn: one whose link is slow or which is gone answers none."""
-        wanted = member.config_version, member.registry_version
+        wanted = replace(member)  # What it knows when the question is put: later news is another.
         for _ in range(FETCH_TRIES):
-            holders = self._members.holders(*wanted, monotonic_ms())
+            holders = self._members.holders(wanted, monotonic_ms())
             await self._fetch_state(random.choice(holders) if holders else member)
-            if not self.is_behind(*wanted):
+            if not self.is_behind(wanted):
                 return
 
     async def _fetch_state(self, member: Member) -> None:
@@ -93,6 +96,7 @@
         asked = {
             "config": knowledge.config_version,
             "registry": knowledge.registry.version,
+            "evacuations": knowledge.evacuations.version,
         }
         try:
             state = await self._fetch(member.peer_address, asked)
@@ -101,7 +105,9 @@
             return
         now_ms = monotonic_ms()
         config, registry = state.get("config"), state.get("registry")
+        evacuations = state.get("evacuations")
         try:
+            left = Evacuations.from_document(evacuations) if evacuations else None
             found = GatewayConfig.from_document(config) if config else None
             if registry and not IS_REGISTRY_DOCUMENT(registry):
                 raise MessageError("no registry")
@@ -110,10 +116,12 @@
             return
         if found is not None and knowledge.take_config(found, now_ms):
             self._log.note(Kind.CONFIG, version=knowledge.config_version, source=member.vm)
+        if left is not None and knowledge.take_evacuations(left):
+            self._log.note(Kind.EVACUATION, **left.to_document(), source=member.vm)
         if registry and knowledge.registry.adopt(registry, now_ms):
             version = knowledge.registry.version
             self._log.note(Kind.SERVER, source=member.vm, version=version, whole=True)
-        if config or registry:
+        if config or registry or evacuations:
             self._on_fetched(member)
 
 
@@ -128,4 +136,6 @@
         state["config"] = knowledge.config.to_document()
     if knowledge.registry.version > asked.get("registry", -1):
         state["registry"] = knowledge.registry.to_document(now_ms)
+    if knowledge.evacuations.version > asked.get("evacuations", -1):
+        state["evacuations"] = knowledge.evacuations.to_document()
     return state
--- a/cloverhook/gateway/store.py
+++ b/cloverhook/gateway/store.py
@@ -9,11 +9,13 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
 from cloverhook.errors import CloverhookError
+from cloverhook.gateway.evacuation import Evacuation
 from cloverhook.gateway.registry import BackendServer, ServerRecord
 from cloverhook.gateway.routes import GatewayConfig
 
@@ -29,7 +31,7 @@
 
 
 class Feed(Enum):
-    """What can be followed in the store."""
+    """What can be followed in the store; evacuations come with the configuration."""
 
     CONFIG = "config"
     SERVERS = "servers"
@@ -41,8 +43,9 @@
 
 @dataclass(frozen=True, slots=True)
 class FeedSlice:
-    """Records of a feed: configurations, or records of backend servers; then `end_offset`.
+    """Records of a feed, up to `end_offset`.
 
+    There are configurations and evacuations, or records of backend servers.
     `unreadable` names the records that are not sound, with the reason.  One of a backend server
     stands among `servers` too, as one that names none.
     """
@@ -51,6 +54,7 @@
     servers: tuple[ServerRecord, ...]
     end_offset: int
     unreadable: tuple[str, ...] = ()
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,7 +101,9 @@
     """A store in this process."""
 
     def __init__(self) -> None:
-        self.log: dict[Feed, list[GatewayConfig | ServerRecord]] = {feed: [] for feed in Feed}
+        self.log: dict[Feed, list[GatewayConfig | ServerRecord | Evacuation]] = {
+            feed: [] for feed in Feed
+        }
         self.first_offset: dict[Feed, int] = dict.fromkeys(Feed, 0)
         self.announced: dict[str, MemberRecord] = {}
         self.failure: CloverhookError | None = None
@@ -108,6 +114,10 @@
         """Append a configuration."""
         self._append(Feed.CONFIG, config)
 
+    def evacuate(self, data_center: str, wanted: bool = True) -> None:
+        """Append that a data centre is to be evacuated, or is taken back."""
+        self._append(Feed.CONFIG, Evacuation(data_center, self._end(Feed.CONFIG), wanted))
+
     def put_server(self, server: BackendServer) -> None:
         """Append the entry of a backend server."""
         offset = self._end(Feed.SERVERS)
@@ -127,7 +137,10 @@
         """Return the newest record of each key."""
         self._call()
         if feed is Feed.CONFIG:
-            return FeedSlice(tuple(self.log[feed][-1:]), (), self._end(feed))
+            configs, evacuations = _split(self.log[feed])
+            newest_of = {item.data_center: item for item in evacuations}
+            wanted = tuple(item for item in newest_of.values() if item.wanted)
+            return FeedSlice(configs[-1:], (), self._end(feed), evacuations=wanted)
         newest = {record.name: record for record in self.log[feed]}
         kept = tuple(record for record in newest.values() if record.server is not None)
         return FeedSlice((), kept, self._end(feed))
@@ -147,7 +160,8 @@
             raise HistoryLostError
         found = tuple(self.log[feed][from_offset:])
         if feed is Feed.CONFIG:
-            return FeedSlice(found, (), self._end(feed))
+            configs, evacuations = _split(found)
+            return FeedSlice(configs, (), self._end(feed), evacuations=evacuations)
         return FeedSlice((), found, self._end(feed))
 
     async def announce(self, member: MemberRecord) -> None:
@@ -163,7 +177,7 @@
     def close(self) -> None:
         """Do nothing: there is nothing to release."""
 
-    def _append(self, feed: Feed, item: GatewayConfig | ServerRecord) -> None:
+    def _append(self, feed: Feed, item: GatewayConfig | ServerRecord | Evacuation) -> None:
         self.log[feed].append(item)
         self._changed.set()
 
@@ -174,3 +188,14 @@
         self.calls += count
         if self.failure is not None:
             raise self.failure
+
+
+def _split(
+    items: Iterable[GatewayConfig | Evacuation],
+) -> tuple[tuple[GatewayConfig, ...], tuple[Evacuation, ...]]:
+    """Return the configurations and the evacuations among the records of one feed."""
+    kept = tuple(items)
+    return (
+        tuple(item for item in kept if isinstance(item, GatewayConfig)),
+        tuple(item for item in kept if isinstance(item, Evacuation)),
+    )
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -11,6 +11,7 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import PlatformError
 from cloverhook.gateway.counters import Counters
+from cloverhook.gateway.evacuation import Evacuations
 from cloverhook.gateway.event_log import EventLog, Kind
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.store import Feed, FeedSlice, HistoryLostError, Store
@@ -38,7 +39,7 @@
     """Reads the store and puts what it finds into `Knowledge`.
 
     `on_news` is called after each change with the names that it touched, none for a change
-    of the configuration, and with the registry's version before it.
+    of the configuration or of evacuations, and with the registry's version before it.
     """
 
     def __init__(
@@ -153,8 +154,7 @@
         for record in found.unreadable:
             self._log.note(Kind.STORE, feed=feed.value, state="unreadable", record=record)
         if feed is Feed.CONFIG:
-            news = [config for config in found.configs if knowledge.take_config(config, now_ms)]
-            if news:
+            if self._take_config(found, now_ms) | self._take_evacuations(found, whole):
                 self._on_news((), base_version)
             return
         if whole:
@@ -166,6 +166,25 @@
         if touched:
             self._on_news(tuple(touched), base_version)
 
+    def _take_config(self, found: FeedSlice, now_ms: float) -> bool:
+        knowledge = self._knowledge
+        news = [config for config in found.configs if knowledge.take_config(config, now_ms)]
+        if news:
+            self._log.note(Kind.CONFIG, version=knowledge.config_version, source="store")
+        return bool(news)
+
+    def _take_evacuations(self, found: FeedSlice, whole: bool) -> bool:
+        """Take the evacuations; return whether peers should hear of them."""
+        knowledge = self._knowledge
+        if whole:
+            after = Evacuations.as_of(found.end_offset - 1, found.evacuations)
+        else:
+            after = knowledge.evacuations.after(found.evacuations)
+        if not knowledge.take_evacuations(after):
+            return False
+        self._log.note(Kind.EVACUATION, **after.to_document(), source="store")
+        return True
+
     def _answered(self, feed: Feed) -> None:
         since_ms = self._failing_since_ms.pop(feed, None)
         if since_ms is not None:
--- a/cloverhook/gateway/waiting_line.py
+++ b/cloverhook/gateway/waiting_line.py
@@ -153,6 +153,8 @@
         if last is not None and last.expected_ms <= left_ms:
             slack_ms = left_ms - last.expected_ms
             return Decision(waiter, last) if slack_ms <= LAST_SLACK * waiter.work_ms else None
+        if last is None and self._balancer.is_evacuated(waiter.service):
+            return Decision(waiter, None)  # Waiting can't help: evacuations last for minutes.
         if waiter.can_be_in_time(now_ms):
             return Decision(waiter, None) if waiter.is_put_off(now_ms) else None
         late_ms = LATE_SHARE * (waiter.deadline_ms - now_ms)
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -107,6 +107,7 @@
     deaf: bool = False
     ill: bool = False
     connections: int = 0
+    probes: int = 0
     tasks: set = field(default_factory=set)
     names: CallHeaders = NAMES
     listener: asyncio.Server | None = None
@@ -155,6 +156,7 @@
         }
         body = await reader.readexactly(int(headers.get(b"content-length", 0)))
         if lines[0].startswith(b"GET /health"):
+            self.probes += 1
             if self.deaf:
                 return not await reader.read(1)
             self._write(writer, 503 if self.ill else 200, b"", incarnation=True)
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -37,3 +37,8 @@
     When a backend server and a configuration are written there
     Then callers are served, with the platform's headers
     And the directory answers in the platform's form
+
+  Scenario: The adapter tells which data centres are evacuated
+    Given a stand-in of the store with a configuration, 5 entries and 4 other members
+    When the operator evacuates papine, and takes back moonah-depot
+    Then the adapter tells that papine is evacuated, whole and by changes, and what it can't
--- /dev/null
+++ b/features/steps/gateway_evacuation_steps.py
@@ -0,0 +1,233 @@
+"""Steps on data centres that get nothing."""
+
+import asyncio
+import json
+import time
+
+from behave import given, then, when
+
+from cloverhook.errors import PlatformSilentError
+from cloverhook.gateway.attempt import Attempt, Outcome
+from cloverhook.gateway.backend_pool import BackendPool
+from cloverhook.gateway.balancer import Choice
+from cloverhook.gateway.calls import CallerRequest
+from cloverhook.gateway.evacuation import Evacuation, Evacuations
+from cloverhook.gateway.knowledge import Knowledge
+from cloverhook.gateway.load import LoadBoard
+from cloverhook.gateway.store import MemoryStore
+from features import gateway_fleet as fleet
+from features.shared import run
+
+AWAY = "new-kingston"
+REQUESTS = 60
+
+
+def endpoints_away(context):
+    """Return the endpoints of the data centre that is evacuated."""
+    return [item for item in context.backends if item.incarnation.startswith("away")]
+
+
+def probes_of(backends):
+    """Return how many probes these endpoints have had."""
+    return sum(item.probes for item in backends)
+
+
+async def serve(context, number):
+    """Send requests to all gateways in turn."""
+    for index in range(number):
+        _, settings = context.gateways[index % len(context.gateways)]
+        path = fleet.UNSAFE if index % 2 else fleet.SAFE
+        answer = await fleet.call(settings.caller_address, path, request_id=f"r-{index}")
+        assert answer.status == 200, answer
+
+
+def evacuated_by(context):
+    """Return what each gateway takes for evacuated."""
+    return [gateway._knowledge.evacuated() for gateway, _ in context.gateways]
+
+
+@given("3 gateways and backend servers in two data centres")
+def step_two_data_centers(context):
+    async def start():
+        context.log = bytearray()
+        context.store = MemoryStore()
+        context.store.put_config(fleet.config())
+        context.backends = []
+        for name, data_center in (("here", fleet.DATA_CENTER), ("away", AWAY)):
+            for number in range(2):
+                backend = await fleet.Backend(f"{name}-{number}").start(context)
+                context.backends.append(backend)
+                context.store.put_server(backend.entry(data_center=data_center))
+
+        def write(data):
+            context.log.extend(data)
+            return len(data)
+
+        # Their own data centre is the one that is evacuated: its endpoints are preferred before.
+        context.gateways = [
+            await fleet.start_gateway(context, f"vm-{n}", write_log=write, data_center=AWAY)
+            for n in range(3)
+        ]
+        for gateway, _ in context.gateways:
+            known = gateway._knowledge
+            await fleet.until(lambda item=gateway: len(item._members.all()) == 2)
+            await fleet.until(lambda item=known: len(item.registry) == 4 and item.complete)
+        await serve(context, REQUESTS)
+        assert any(item.ran for item in endpoints_away(context))
+
+    run(context, start())
+
+
+@when("one data centre is evacuated")
+def step_evacuate(context):
+    context.store.evacuate(AWAY)
+
+
+@when("both data centres are evacuated")
+def step_evacuate_all(context):
+    context.store.evacuate(AWAY)
+    context.store.evacuate(fleet.DATA_CENTER)
+    run(context, fleet.until(lambda: all(len(item) == 2 for item in evacuated_by(context))))
+
+
+@then("all gateways know of it and say so in their logs")
+def step_known(context):
+    run(context, fleet.until(lambda: all(item == {AWAY} for item in evacuated_by(context))))
+
+    def told():
+        lines = (json.loads(line) for line in bytes(context.log).splitlines())
+        found = [item for item in lines if item["kind"] == "evacuation"]
+        return {item["vm"] for item in found if item["data_centers"] == [AWAY]}
+
+    run(context, fleet.until(lambda: told() == {"vm-0", "vm-1", "vm-2"}))
+
+
+@then("of 60 requests and all probes none reaches an endpoint there")
+def step_none_there(context):
+    async def check():
+        await asyncio.sleep(0.5)  # Probes under way end, and the order of measuring is drawn anew.
+        away = endpoints_away(context)
+        ran, probed = [len(item.seen) for item in away], probes_of(away)
+        await serve(context, REQUESTS)
+        assert [len(item.seen) for item in away] == ran
+        assert probes_of(away) == probed
+
+    run(context, check())
+
+
+@when("the data centre is taken back")
+def step_taken_back(context):
+    context.store.evacuate(AWAY, wanted=False)
+
+
+@when("the data centre is taken back and the store forgets its history")
+def step_forgotten(context):
+    context.store.evacuate(AWAY, wanted=False)
+    context.store.put_config(fleet.config(2))
+    context.store.forget_history()
+
+
+@then("its endpoints get requests again")
+def step_used_again(context):
+    async def check():
+        await fleet.until(lambda: not any(evacuated_by(context)))
+        away = endpoints_away(context)
+        before = sum(len(item.ran) for item in away)
+        await serve(context, REQUESTS)
+        assert sum(len(item.ran) for item in away) > before
+
+    run(context, check())
+
+
+@then("a request is refused within half its objective, and its caller told to come back")
+def step_refused(context):
+    _, settings = context.gateways[0]
+    begun_s = time.monotonic()
+    answer = run(context, fleet.call(settings.caller_address))
+    assert time.monotonic() - begun_s < 0.5
+    assert answer.status == 503 and answer.body == b"evacuated", answer
+    assert float(answer.headers["retry-after"]) >= 0.5, answer.headers
+
+
+@when("the store is away and a gateway starts that knows a peer")
+def step_late(context):
+    async def start():
+        context.store.failure = PlatformSilentError("away")
+        context.late, _ = await fleet.start_gateway(context, "vm-late", data_center=AWAY)
+        context.late._peering.add_address(context.gateways[0][1].peer_address)
+
+    run(context, start())
+
+
+@then("the late gateway knows of it too")
+def step_late_knows(context):
+    run(context, fleet.until(lambda: context.late._knowledge.evacuated() == {AWAY}))
+
+
+@given("an attempt at an endpoint whose data centre is evacuated before it is sent")
+def step_attempt(context):
+    async def attempt():
+        context.backend = await fleet.Backend("i-0").start(context)
+        server = context.backend.entry()
+        request = CallerRequest(
+            b"GET", fleet.SAFE.encode(), fleet.SAFE, fleet.HOST, [], b"", False, 0.0
+        )
+        choice = Choice(server, 10.0, 0, 1.0, 0.0, 1)
+        allowed = iter((False,))
+        work = Attempt(
+            request, b"r-1", choice, 1e12, True, fleet.NAMES, None, lambda _: next(allowed)
+        )
+        pool = BackendPool()
+        context.stack.callback(pool.close)
+        context.result = await work.run(pool, LoadBoard(), 10)
+
+    run(context, attempt())
+
+
+@then("nothing is sent, and the request may go elsewhere")
+def step_not_sent(context):
+    assert context.result.outcome is Outcome.NOT_SENT, context.result
+    assert not context.result.arrived and not context.backend.seen
+
+
+@given("the evacuations {known} as of offset {offset:d}")
+def step_evacuations(context, known, offset):
+    context.known = Knowledge()
+    context.known.take_evacuations(Evacuations(offset, names(known)))
+
+
+def names(text):
+    """Return the data centres that a step names."""
+    return frozenset() if text == "none" else frozenset(text.split(" and "))
+
+
+@when("change {offset:d} {change} comes")
+def step_change(context, offset, change):
+    step_changes(context, f"{offset} {change}")
+
+
+@when("changes {rows} comes")
+def step_changes(context, rows):
+    words = rows.split()
+    records = [
+        Evacuation(change[1:], int(offset), change[0] == "+")
+        for offset, change in zip(words[::2], words[1::2], strict=True)
+    ]
+    context.known.take_evacuations(context.known.evacuations.after(records))
+
+
+@when("whole list of offset {offset:d} with {found} comes")
+def step_whole(context, offset, found):
+    records = [Evacuation(name, 1, True) for name in names(found)]
+    context.known.take_evacuations(Evacuations.as_of(offset, records))
+
+
+@when("a peer's state of offset {offset:d} with {found} comes")
+def step_state(context, offset, found):
+    document = Evacuations(offset, names(found)).to_document()
+    context.known.take_evacuations(Evacuations.from_document(document))
+
+
+@then("{result} are evacuated")
+def step_result(context, result):
+    assert context.known.evacuated() == names(result), context.known.evacuations
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -13,6 +13,7 @@
 import features
 from cloverhook.errors import PlatformError, PlatformSilentError, SettingsError
 from cloverhook.gateway.daemon import Gateway
+from cloverhook.gateway.evacuation import Evacuations
 from cloverhook.gateway.settings import GatewaySettings
 from cloverhook.gateway.store import Feed, HistoryLostError, MemberRecord
 from cloverhook_emulator.log_store_server import LogStoreServer
@@ -332,3 +333,22 @@
         connection.close()
 
     run(context, check())
+
+
+@when("the operator evacuates {data_center}, and takes back {other}")
+def step_operator_evacuates(context, data_center, other):
+    context.server.put(CONFIG, f"evacuate/{other}", b"{}")
+    context.server.put(CONFIG, f"evacuate/{data_center}", b"{}")
+    context.server.put(CONFIG, f"evacuate/{other}", b"")
+    context.server.put(CONFIG, "evacuate/", b"{}")
+
+
+@then("the adapter tells that {data_center} is evacuated, whole and by changes, and what it can't")
+def step_adapter_evacuates(context, data_center):
+    for found in (
+        run(context, context.client.newest(Feed.CONFIG)),
+        run(context, context.client.changes(Feed.CONFIG, 0, 0)),
+    ):
+        after = Evacuations().after(found.evacuations)
+        assert after.data_centers == {data_center}, found
+        assert [line.split(" at ")[0] for line in found.unreadable] == ["evacuate/"], found
