Cold endpoints get no more than they bear, over the whole fleet

Cause: a cold endpoint was only weighed as half as fast. Besides, a record whose only change was the time left cold was dropped, and the earlier of two times was kept, so an endpoint that became cold again counted as warm; the header of health answers was not read.

Change: the time left cold is followed up and down, from entries and from probes, whose figures carry it to the others.

--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -16,6 +16,7 @@
 from enum import Enum
 
 from cloverhook.gateway.candidates import Candidates
+from cloverhook.gateway.cold_limit import ColdLimit
 from cloverhook.gateway.load import LoadBoard, ServerLoad
 from cloverhook.gateway.registry import BackendServer, Registry
 
@@ -203,12 +204,15 @@
         source: random.Random,
         has_connection: Callable[[str], bool] = lambda incarnation: True,
         evacuated: Callable[[], frozenset[str]] = frozenset,
+        cold_limit: ColdLimit | None = None,
     ) -> None:
         """`has_connection` says whether a request to an incarnation needs no new connection.
 
-        Nothing is sent to the `evacuated` data centres.
+        Nothing is sent to the `evacuated` data centres, and `cold_limit` bounds what cold endpoints
+        get.
         """
         self._evacuated = evacuated
+        self._cold_limit = cold_limit
         self._has_connection = has_connection
         self._estimates = estimates
         self._registry = registry
@@ -293,10 +297,12 @@
                 continue
             if load.trust.in_question and not self._may_get(look, load):
                 continue
-            look.found += 1
             pace = load.pace(now_ms)
-            if server.warm_at_ms > now_ms:
+            if self._is_cold(server, load, now_ms):
+                if not self._cold_may_get(server, now_ms):
+                    continue
                 pace *= COLD_PACE
+            look.found += 1
             expected_ms = self._expected_ms(server, pace, busy, work_ms, look.crowding)
             rank = self._rank(server, load, busy, expected_ms, work_ms, now_ms)
             if not look.repeatable and load.trust.is_doubted(now_ms):
@@ -304,6 +310,20 @@
             if look.best is None or rank < look.best_rank:
                 look.best, look.best_expected_ms, look.best_rank = server, expected_ms, rank
 
+    def placed(self, server: BackendServer, now_ms: float) -> None:
+        """Count a request that goes to a backend server, against its limit if that is cold."""
+        load = self._board.of(server.incarnation)
+        if self._cold_limit is not None and self._is_cold(server, load, now_ms):
+            self._cold_limit.sent(server, now_ms)
+
+    def _is_cold(self, server: BackendServer, load: ServerLoad, now_ms: float) -> bool:
+        """Return whether an endpoint is cold by its entry or by its newest probe."""
+        return server.warm_at_ms > now_ms or load.is_cold(now_ms)
+
+    def _cold_may_get(self, server: BackendServer, now_ms: float) -> bool:
+        limit = self._cold_limit
+        return limit is None or limit.may_send(server, now_ms)
+
     def _may_get(self, look: "_Look", load: ServerLoad) -> bool:
         """Return whether an endpoint that has failed requests may get this one."""
         trust, now_ms = load.trust, look.now_ms
--- a/cloverhook/gateway/call_headers.py
+++ b/cloverhook/gateway/call_headers.py
@@ -9,13 +9,15 @@
 from cloverhook.gateway.load import LoadFigure
 from cloverhook.hop_by_hop import HOP_BY_HOP, KEPT_ALWAYS, find
 
-__all__ = ["CallHeaders", "HeaderList", "find", "load_figure", "passed_on"]
+__all__ = ["CallHeaders", "HeaderList", "cold_ms", "find", "load_figure", "passed_on"]
 
 HeaderList = list[tuple[bytes, bytes]]
 
 NEVER_PASSED_ON = HOP_BY_HOP | {b"content-length"}
 """A body is framed anew on each connection."""
 PERCENT = 100.0
+COLD_MOST_MS = 86_400_000
+"""A day: what says more is no time that an endpoint stays cold."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,7 +26,7 @@
 
     `receipt` marks an answer that a backend server made, `not_run` one by which it says that the
     request did not run there.  `load` carries requests running, requests waiting, slots and, where
-    it is known, the pace in percent of usual.
+    it is known, the pace in percent of usual.  `cold_ms` says for how long an endpoint stays cold.
     """
 
     request_id: bytes = b"x-request-id"
@@ -34,6 +36,7 @@
     receipt: bytes = b"cloverhook-receipt"
     load: bytes = b"cloverhook-load"
     not_run: bytes = b"cloverhook-not-run"
+    cold_ms: bytes = b"cloverhook-cold-ms"
 
     def own(self) -> frozenset[bytes]:
         """Return the names that a gateway sets itself on the way to a backend server."""
@@ -67,6 +70,13 @@
     return [pair for pair in kept if pair[0] not in named] if named else kept
 
 
+def cold_ms(value: bytes | None) -> float:
+    """Return for how long an endpoint stays cold by a header, 0 where that says nothing sound."""
+    if value is None or not value.isdigit() or int(value) > COLD_MOST_MS:
+        return 0.0
+    return float(value)
+
+
 def load_figure(value: bytes | None) -> LoadFigure | None:
     """Return the load figure of a header, or None where there is none that can be read."""
     if value is None:
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -18,6 +18,7 @@
 from cloverhook.gateway.balancer import Balancer, WorkEstimates
 from cloverhook.gateway.call_headers import CallHeaders
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
+from cloverhook.gateway.cold_limit import ColdBound, ColdLimit
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.discovery import Discovery
 from cloverhook.gateway.event_log import EventLog, Kind
@@ -109,6 +110,12 @@
         self._pool = BackendPool()
         self._prober = Prober(headers, self._on_figure)
         estimates = WorkEstimates()
+        self._cold_limit = ColdLimit(
+            settings.vm,
+            self._members.placing,
+            self._knowledge.cold_per_s,
+            ColdBound(settings.cold_over, settings.cold_slack),
+        )
         balancer = Balancer(
             self._knowledge.registry,
             self._knowledge.board,
@@ -117,6 +124,7 @@
             random.Random(),
             self._pool.has_idle,
             self._knowledge.evacuated,
+            self._cold_limit,
         )
         allowance = RetryAllowance(
             settings.retry_ratio, settings.retry_extra, settings.retry_window_s * 1000
@@ -307,6 +315,7 @@
             self._pool.forget(incarnation)
             self._peering.load_news.forget(incarnation)
             self._measuring.forget(incarnation)
+            self._cold_limit.forget(incarnation)
             self._log.note(Kind.SERVER, source="hold time", gone=incarnation)
         self._tell_readiness()
         self._probe(now_ms)
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -248,9 +248,14 @@
         while (decision := self._line.next(service, monotonic_ms())) is not None:
             future = self._waiting.pop(decision.waiter)
             if decision.choice is not None:
-                self._count(decision.choice, 1)
+                self._place(decision.choice)
             future.set_result(decision.choice)
 
+    def _place(self, choice: Choice) -> None:
+        """Count a request at the backend server chosen, before the next one is placed."""
+        self._balancer.placed(choice.server, monotonic_ms())
+        self._count(choice, 1)
+
     def _count(self, choice: Choice, change: int) -> None:
         self._knowledge.board.of(choice.server.incarnation).in_flight += change
         self._on_count()
@@ -275,7 +280,7 @@
             return False
         if arrived:
             self._report.repeated(run.service, allowed=True)
-        self._count(choice, 1)
+        self._place(choice)
         self._begin(run, choice)
         return True
 
--- a/cloverhook/gateway/knowledge.py
+++ b/cloverhook/gateway/knowledge.py
@@ -45,6 +45,11 @@
         self.config_at_ms = now_ms
         return True
 
+    def cold_per_s(self, service: str) -> float:
+        """Return how many requests a second a cold endpoint of a service bears; 0 for no limit."""
+        spec = None if self.config is None else self.config.services.get(service)
+        return 0.0 if spec is None else spec.cold_per_s
+
     def take_evacuations(self, found: Evacuations) -> bool:
         """Take a state of a later offset; return whether other data centres are evacuated now."""
         if found.version <= self.evacuations.version:
--- a/cloverhook/gateway/load.py
+++ b/cloverhook/gateway/load.py
@@ -31,12 +31,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadFigure:
-    """One report: requests running and waiting, and how long work takes compared with usual."""
+    """One report: requests running and waiting, and how long work takes compared with usual.
+
+    An endpoint that is cold stays so for `cold_ms`; only probes tell that.
+    """
 
     running: int
     waiting: int
     pace: float
     reachable: bool = True
+    cold_ms: float = 0.0
 
 
 class ServerLoad:
@@ -45,6 +49,7 @@
     __slots__ = (
         "_base",
         "_changed",
+        "_cold_until_ms",
         "_failure",
         "_failure_ms",
         "_figure",
@@ -72,6 +77,7 @@
         self._progress_ms = 0.0
         self._progress_to_ms = 0.0
         self._base = 0
+        self._cold_until_ms = 0.0
         self._failure = 0.0
         self._failure_ms = 0.0
         self._unreachable_until_ms = 0.0
@@ -139,9 +145,15 @@
 
     def measured(self, figure: LoadFigure, at_ms: float) -> None:
         """Take the figure of a probe, by this VM or another one."""
+        if self._measured_ms is None or at_ms >= self._measured_ms:
+            self._cold_until_ms = at_ms + figure.cold_ms if figure.cold_ms else 0.0
         self._measured_ms = max(at_ms, self._measured_ms or at_ms)
         self.report(figure, at_ms)
 
+    def is_cold(self, now_ms: float) -> bool:
+        """Return whether the newest probe found the endpoint cold, and it still must be."""
+        return now_ms < self._cold_until_ms
+
     def unmeasured_ms(self, now_ms: float) -> float:
         """Return for how long no probe has brought a figure; the first question starts the time."""
         if self._measured_ms is None:
--- a/cloverhook/gateway/load_probe.py
+++ b/cloverhook/gateway/load_probe.py
@@ -3,7 +3,9 @@
 Layer: transport.
 """
 
-from cloverhook.gateway.call_headers import CallHeaders, find, load_figure
+from dataclasses import replace
+
+from cloverhook.gateway.call_headers import CallHeaders, cold_ms, find, load_figure
 from cloverhook.gateway.load import LoadFigure
 from cloverhook.gateway.registry import BackendServer
 from cloverhook.upstream_connection import AnswerHead, RequestHead, UpstreamConnection
@@ -29,4 +31,8 @@
     named = find(head.headers, names.incarnation)
     if named is not None and named.decode("latin-1") != server.name:
         return head, NOBODY
-    return head, load_figure(find(head.headers, names.load))
+    figure = load_figure(find(head.headers, names.load))
+    left_ms = cold_ms(find(head.headers, names.cold_ms))
+    if figure is not None and left_ms:
+        figure = replace(figure, cold_ms=left_ms)
+    return head, figure
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -245,6 +245,17 @@
         self._serving = tuple(found[:wanted])
         self._informed = tuple(found[: wanted + UNDERSTUDY_VMS])
 
+    def placing(self, data_center: str, now_ms: float) -> tuple[str, ...]:
+        """Return the VMs that place requests at the endpoints of a data centre by good knowledge.
+
+        Where the own data centre is crowded, these are its serving VMs, and for another one none
+        here; else all that serve.
+        """
+        if self.crowded():
+            return self.serving(now_ms) if data_center == self.data_center else ()
+        ready = [item for item in self._members.values() if item.ready and not item.leaving]
+        return (*(item.vm for item in _heard_or_all(ready, now_ms)), self._own_vm)
+
     def tells_counts(self, vm: str, now_ms: float) -> None:
         """Note that a VM has requests in flight: it places them, whether callers are sent to it."""
         self._told_ms[vm] = now_ms
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -190,19 +190,20 @@
 
 def _row(incarnation: str, figure: LoadFigure, age_ms: float) -> list[Any]:
     pace = round(figure.pace * 100) if figure.reachable else -1
-    return [incarnation, figure.running, figure.waiting, pace, round(age_ms)]
+    row = [incarnation, figure.running, figure.waiting, pace, round(age_ms)]
+    return [*row, round(figure.cold_ms)] if figure.cold_ms else row
 
 
 def _figure(
-    incarnation: str, running: int, waiting: int, pace: int, age_ms: float
+    incarnation: str, running: int, waiting: int, pace: int, age_ms: float, cold_ms: float = 0
 ) -> tuple[str, LoadFigure, float]:
     if not (type(running) is type(waiting) is type(pace) is int and isinstance(incarnation, str)):
         raise TypeError("a load figure of other types")
-    if running < 0 or waiting < 0 or not 0 <= age_ms < inf:
+    if running < 0 or waiting < 0 or not 0 <= age_ms < inf or not 0 <= cold_ms < inf:
         raise ValueError("a load figure out of range")
     reachable = pace >= 0
     return (
         incarnation,
-        LoadFigure(running, waiting, pace / 100 if reachable else 1.0, reachable),
+        LoadFigure(running, waiting, pace / 100 if reachable else 1.0, reachable, float(cold_ms)),
         age_ms,
     )
--- a/cloverhook/gateway/registry.py
+++ b/cloverhook/gateway/registry.py
@@ -29,6 +29,8 @@
 """The same when half of a service vanishes at once, or the store was away: they are back in 2 s."""
 LAPSE_SHARE = 0.5
 LAPSE_WINDOW_MS = 1_000.0
+COLD_NEWS_MS = 300.0
+"""Each report of a cold endpoint tells its time left anew; what differs by less is no news."""
 
 
 SERVER_FIELDS = {
@@ -159,11 +161,9 @@
         returned = self._leaves_at_ms.pop(name, None) is not None
         if before is not None and before.incarnation != after.incarnation:
             self._ended.append(before.incarnation)
-        elif before is not None:
-            if _same(before, after) and not returned:
-                self._servers[name] = replace(before, sequence=after.sequence)
-                return False
-            after = replace(after, warm_at_ms=min(before.warm_at_ms, after.warm_at_ms))
+        elif before is not None and _same(before, after, now_ms) and not returned:
+            self._servers[name] = replace(before, sequence=after.sequence)
+            return False
         self._servers[name] = after
         self._changed(record.offset)
         return True
@@ -333,6 +333,9 @@
         self._by_incarnation = {item.incarnation: item for item in self._servers.values()}
 
 
-def _same(before: BackendServer, after: BackendServer) -> bool:
+def _same(before: BackendServer, after: BackendServer, now_ms: float) -> bool:
     """Return whether two records differ in nothing that decides where requests go."""
+    cold_ms = (max(now_ms, item.warm_at_ms) for item in (before, after))
+    if abs(next(cold_ms) - next(cold_ms)) > COLD_NEWS_MS:
+        return False
     return replace(before, warm_at_ms=0.0, sequence=0) == replace(after, warm_at_ms=0.0, sequence=0)
--- a/cloverhook/gateway/routes.py
+++ b/cloverhook/gateway/routes.py
@@ -13,7 +13,16 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from cloverhook.checking import Anything, Integer, Items, Table, faults_of, kind_field, table_of
+from cloverhook.checking import (
+    Anything,
+    Integer,
+    Items,
+    Number,
+    Table,
+    faults_of,
+    kind_field,
+    table_of,
+)
 from cloverhook.errors import MessageError
 
 __all__ = ["GatewayConfig", "IngressLimits", "Part", "Route", "ServiceSpec"]
@@ -49,11 +58,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
-    """What is configured of a service; its endpoints register themselves."""
+    """What is configured of a service; its endpoints register themselves.
+
+    A cold endpoint bears `cold_per_s` requests a second; 0 says that they need no limit.
+    """
 
     name: str
     health_path: str = "/health"
     connections: int = 100
+    cold_per_s: float = kind_field(Number(0), 0.0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/cloverhook/gateway/settings.py
+++ b/cloverhook/gateway/settings.py
@@ -28,7 +28,9 @@
     `drain_s` is how soon a backend server that leaves must get no more work, `stop_s` how long a
     planned stop may take.  At the `first_start` of a whole fleet there is time to let one VM read
     the store for all; at a later start each reads it once.  Over `retry_window_s`, all
-    gateways together may repeat `retry_ratio` of a service's requests and `retry_extra` more.
+    gateways together may repeat `retry_ratio` of a service's requests and `retry_extra` more.  In a
+    second, a cold backend server gets at most `cold_over` times the rate that its service states,
+    and `cold_slack` requests more.
     """
 
     vm: str = kind(PLACE)
@@ -48,6 +50,8 @@
     retry_extra: float = kind(Number(0), 20)
     address_ttl_s: float = kind(Number(0.1, HOUR_S), 5)
     probes_per_s: float = kind(Number(0, 1_000), 20)
+    cold_over: float = kind(Number(0.1, 1_000), 1.5)
+    cold_slack: float = kind(Number(0), 8)
 
     @classmethod
     def from_file(cls, path: str) -> "GatewaySettings":
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -254,6 +254,11 @@
         found = value(match.group(1))
         return found if isinstance(found, str) and not match.group(2) else json.dumps(found)
 
+    def where_present(match):
+        table, _, name = match.group(1).partition(".")
+        return match.group(2) if name in fields[table] else ""
+
+    template = re.sub(r"\{\{#(\w+\.\w+)\}\}(.*?)\{\{/\1\}\}", where_present, template)
     text = re.sub(r"\{\{#(\w+)\}\}\{\{\.\|json\}\}\{\{,\}\}\{\{/\w+\}\}", section, template)
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", single, text)
 
@@ -265,6 +270,11 @@
     assert settings.peer_address == "10.1.0.35:7660"
     assert settings.seed_addresses == tuple(FIELDS["seeds"])
     assert settings.first_start and settings.retry_extra == 56
+    assert (settings.cold_over, settings.cold_slack) == (1.5, 8)
+    bounds = {**FIELDS["bounds"], "coldOver": 1.2, "coldSlack": 4}
+    document = tomllib.loads(fill(context.template, {**FIELDS, "bounds": bounds}))
+    settings = GatewaySettings.from_document(document)
+    assert (settings.cold_over, settings.cold_slack) == (1.2, 4)
 
 
 @then("a setting that is wrong is named")
