Share and weigh the requests that endpoints turn away with free slots

Cause: a refusal counted only at the VM that met it, as a quarter step of the failure share that is half gone after 2 s. 36 VMs each meet an endpoint less than once a second, so the fleet hardly learnt which endpoints turn requests away although their load looks low.

Change: an endpoint's refusals with a free slot, by the load on the refusal itself, go to those that place requests in the data centre, and are weighed against all requests that ended there, which the counts in flight tell. The share fades within seconds. Such an endpoint is used after others, not suspended; a full one is another matter and is treated as before.

Ruled out: suspension, as they serve nearly half of what they get.

--- a/bench/gateway_replay.py
+++ b/bench/gateway_replay.py
@@ -42,6 +42,10 @@
 LATE_CREDIT = 0.1
 WINDOW_MS = 2_000.0
 WORST_WINDOWS = 2
+SHED_SHARE = 0.55
+"""An endpoint that sheds turns this part of what it gets away."""
+REPEAT_SHARE = 0.2
+SENDS = 4
 ATTEMPTS = 2
 """A request that can be repeated is sent to so many endpoints at most."""
 
@@ -74,6 +78,7 @@
     running: list[_Work] = field(default_factory=list)
     queued: list[_Work] = field(default_factory=list)
     lies: bool = False
+    sheds: bool = False
 
     def figure(self) -> LoadFigure:
         return LoadFigure(len(self.running), len(self.queued), self.pace)
@@ -88,6 +93,11 @@
         self.line = WaitingLine(balancer)
         self.cut_off = False
         self.requests: dict[Waiter, _Request] = {}
+        self.arrivals = self.repeats = 0
+
+    def may_repeat(self) -> bool:
+        """Return whether another repeat stays within what is allowed of this VM's requests."""
+        return self.repeats + 1 <= REPEAT_SHARE * self.arrivals
 
 
 class _Replay:
@@ -105,7 +115,8 @@
             )
             registry.apply(ServerRecord(server.name, number, server), 0.0, False)
             lies = number < deployment.lying_share * deployment.endpoints
-            self.endpoints[server.incarnation] = _Endpoint(server, lies=lies)
+            sheds = number < deployment.shedding_share * deployment.endpoints
+            self.endpoints[server.incarnation] = _Endpoint(server, lies=lies, sheds=sheds)
         self.vms = [_Vm(f"vm-{x}", registry, self.source) for x in range(deployment.vms)]
         self.requests: list[_Request] = []
         self.rejected = 0
@@ -146,6 +157,7 @@
 
     def _offer(self, request: _Request) -> None:
         vm = self.source.choice(self.vms)
+        vm.arrivals += 1
         request.tries += 1
         kind = request.kind
         waiter = Waiter(
@@ -205,7 +217,9 @@
             if not self.deployment.hanging:
                 self.at(self.now_ms + WAY_MS, lambda: self._failed(work))
             return
-        if len(endpoint.running) < self.deployment.slots:
+        if endpoint.sheds and self.source.random() < SHED_SHARE:
+            self.at(self.now_ms + WAY_MS, lambda: self._shed(work))
+        elif len(endpoint.running) < self.deployment.slots:
             self._run(endpoint, work)
         elif len(endpoint.queued) < self.deployment.queue:
             endpoint.queued.append(work)
@@ -271,6 +285,30 @@
                 self._start(request, vm, choice, work.until_ms)
         self._look(vm)
 
+    def _shed(self, work: _Work) -> None:
+        """Tell all VMs that an endpoint turned a request away with room, and send it elsewhere."""
+        work.over = True
+        vm, request, name = work.vm, work.request, work.choice.server.incarnation
+        self._count(vm, work.choice, -1)
+        vm.board.of(name).ended_here(self.now_ms)
+        for other in self.vms:
+            delay_ms = 0.0 if other is vm else NEWS_MS
+            load = other.board.of(name)
+            self.at(self.now_ms + delay_ms, lambda load=load: load.refused(self.now_ms))
+        request.tried.append(name)
+        choice = None
+        if len(request.tried) < SENDS and vm.may_repeat():
+            work_ms = vm.estimates.work_ms(request.kind.name, request.kind.aim_ms)
+            choice = vm.line._balancer.choose(
+                SERVICE, work_ms, self.now_ms, request.tried, Room.SLOT
+            )
+        if choice is None:
+            self._refuse(request, vm)
+        else:
+            vm.repeats += 1
+            self._start(request, vm, choice, work.until_ms)
+        self._look(vm)
+
     def _distrust(self, work: _Work) -> None:
         name, began_ms = work.choice.server.incarnation, work.begun_ms
         load = work.vm.board.of(name)
--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -62,6 +62,8 @@
     detail: str = ""
     at_fault: bool = False
     """Whether the backend server has failed a request that it should have answered."""
+    with_room: bool = False
+    """Whether the backend server turned the request away although it had a free slot."""
     usual_ms: float = 0.0
     """How long the work would have taken at the usual pace, by the figures known meanwhile."""
 
@@ -215,7 +217,13 @@
         latency_ms = monotonic_ms() - started_ms
         if head.status == MISDIRECTED or find(head.headers, names.not_run) is not None:
             self.sent = False
-            return AttemptResult(Outcome.REJECTED, self.choice, latency_ms, head.status)
+            return AttemptResult(
+                Outcome.REJECTED,
+                self.choice,
+                latency_ms,
+                head.status,
+                with_room=head.status != MISDIRECTED and self._has_room(head),
+            )
         if head.status < 300 and find(head.headers, names.receipt) is None:
             raise UpstreamError("a success without a receipt", sent=True, bad_answer=True)
         rest = self._rest(connection, pool, head) if more else None
@@ -232,6 +240,14 @@
             Outcome.ANSWERED, self.choice, latency_ms, head.status, answer, at_fault=at_fault
         )
 
+    def _has_room(self, head: AnswerHead) -> bool:
+        """Return whether an endpoint has a free slot by its own word, or else by what is known."""
+        slots = self.choice.server.slots
+        figure = load_figure(find(head.headers, self._headers.load))
+        if figure is None:
+            return self.choice.load < slots
+        return figure.running + figure.waiting < slots
+
     async def _rest(
         self, connection: UpstreamConnection, pool: BackendPool, head: AnswerHead
     ) -> AsyncIterator[bytes]:
@@ -255,9 +271,10 @@
         """Keep what the end of the attempt says of the backend server."""
         now_ms = monotonic_ms()
         load = board.of(self.choice.server.incarnation)
+        load.ended_here(now_ms)
         if result.outcome is Outcome.NOT_SENT:
             load.not_reached(now_ms)
-        elif result.outcome is Outcome.DECLINED:
+        elif result.outcome is Outcome.DECLINED or result.with_room:
             return
         elif result.failed:
             load.failed(now_ms)
--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -46,6 +46,8 @@
 CONNECT_SHARE = 0.07
 """A new connection costs its endpoint some time, and a price; less than a busier one is worth."""
 FAILURE_WEIGHT = 8.0
+REFUSAL_WEIGHT = 1.0
+"""A request that is turned away costs little time, but a repeat, and few of those are allowed."""
 UNREACHABLE_WEIGHT = 50.0
 DOUBT_WEIGHT = 6.0
 """So much worse others must be before a request that can't be repeated goes where one failed."""
@@ -373,6 +375,9 @@
         failures = load.failure_share(now_ms)
         if failures:
             rank *= 1.0 + FAILURE_WEIGHT * failures
+        refusals = load.refusal_share(now_ms)
+        if refusals:
+            rank *= 1.0 + REFUSAL_WEIGHT * refusals
         if load.unreachable(now_ms):
             rank *= UNREACHABLE_WEIGHT
         if self._registry.held(server):
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -150,6 +150,7 @@
             self._members.count,
             self._peering.count_changed,
             self._peering.failure_news.failed,
+            self._peering.refusal_news.refused,
             RequestReport(self._knowledge, self._log, self._counters),
         )
         self._callers = Ingress(self._serve_caller, self._limits)
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -66,6 +66,7 @@
         vms: Callable[[], int],
         on_count: Callable[[], None],
         on_failure: Callable[[str, float], None],
+        on_refusal: Callable[[str], None],
         report: RequestReport,
     ) -> None:
         self._knowledge = knowledge
@@ -76,6 +77,7 @@
         self._vms = vms
         self._on_count = on_count
         self._on_failure = on_failure
+        self._on_refusal = on_refusal
         self._report = report
         self._estimates = estimates
         self._line = WaitingLine(balancer)
@@ -162,6 +164,8 @@
     def _judge(self, result: AttemptResult, attempt: Attempt) -> None:
         """Keep what an attempt says of whether its endpoint can be trusted."""
         incarnation = result.choice.server.incarnation
+        if result.with_room:
+            self._on_refusal(incarnation)
         if result.at_fault:
             self._on_failure(incarnation, attempt.began_ms)
         elif not result.failed:
--- a/cloverhook/gateway/load.py
+++ b/cloverhook/gateway/load.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from functools import partial
 
+from cloverhook.gateway.refusals import RefusalShare
 from cloverhook.gateway.trust import Trust
 
 __all__ = ["SLOW_PACE", "LoadBoard", "LoadFigure", "ServerLoad"]
@@ -59,6 +60,7 @@
         "_peers",
         "_progress_ms",
         "_progress_to_ms",
+        "_refusals",
         "_unreachable_until_ms",
         "_used",
         "trust",
@@ -70,6 +72,7 @@
         self._in_flight = 0
         self._changed: list[Callable[[], None]] = []
         self.trust = Trust()
+        self._refusals = RefusalShare()
         self._peers: dict[str, tuple[int, float]] = {}
         self._figure: LoadFigure | None = None
         self._figure_ms = -1e12
@@ -114,6 +117,9 @@
 
     def peer_has(self, vm: str, count: int, now_ms: float) -> None:
         """Take how many requests another VM has in flight there."""
+        before, _ = self._peers.get(vm, (0, 0.0))
+        if before > count:
+            self._refusals.ended(before - count, now_ms)
         if count:
             self._peers[vm] = (count, now_ms)
         else:
@@ -206,6 +212,18 @@
         if self._failure:
             self._count(0.0, now_ms)
 
+    def refused(self, now_ms: float) -> None:
+        """Count a request, of this VM or another one, that was turned away with free slots."""
+        self._refusals.refused(now_ms)
+
+    def refusal_share(self, now_ms: float) -> float:
+        """Return the share of requests that are turned away there with free slots."""
+        return self._refusals.at(now_ms)
+
+    def ended_here(self, now_ms: float) -> None:
+        """Count a request of this VM that has ended there."""
+        self._refusals.ended(1, now_ms)
+
     def _count(self, value: float, now_ms: float) -> None:
         share = self.failure_share(now_ms)
         self._failure = share + FAILURE_STEP * (value - share)
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -27,6 +27,7 @@
     "InFlight",
     "Loads",
     "PeerMessage",
+    "Refusals",
     "Relay",
     "ServerChanges",
     "decode",
@@ -113,6 +114,14 @@
     rows: list[tuple[str, float, bool]]
 
 
+@dataclass(frozen=True, slots=True)
+class Refusals:
+    """Incarnations that have just turned a request of a VM away though they had room."""
+
+    vm: str
+    incarnations: list[str]
+
+
 @dataclass(frozen=True, slots=True)
 class Relay:
     """An encoded message for each VM of the receiver's data centre, the receiver included."""
@@ -121,9 +130,11 @@
     data: bytes
 
 
-PeerMessage = Beat | Loads | ServerChanges | InFlight | Relay | Failures
-KINDS: tuple[type, ...] = (Beat, Loads, ServerChanges, InFlight, Relay, Failures)
-PLAIN_FIELDS = {kind: tuple(item.name for item in fields(kind)) for kind in (Beat, Relay, Failures)}
+PeerMessage = Beat | Loads | ServerChanges | InFlight | Relay | Failures | Refusals
+KINDS: tuple[type, ...] = (Beat, Loads, ServerChanges, InFlight, Relay, Failures, Refusals)
+PLAIN_FIELDS = {
+    kind: tuple(item.name for item in fields(kind)) for kind in (Beat, Relay, Failures, Refusals)
+}
 """The kinds whose fields follow each other in a datagram as they are."""
 BEAT_CHECKS = tuple((name, checker(kind)) for name, kind in table_of(Beat).fields.items())
 IS_REGISTRY_DOCUMENT = checker(REGISTRY_DOCUMENT)
@@ -173,6 +184,9 @@
             return isinstance(message.data, bytes)
         case Failures():
             return isinstance(message.rows, list) and all(map(_is_failure, message.rows))
+        case Refusals():
+            names = message.incarnations
+            return isinstance(names, list) and all(isinstance(name, str) for name in names)
     return True
 
 
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -29,11 +29,13 @@
     InFlight,
     Loads,
     PeerMessage,
+    Refusals,
     Relay,
     ServerChanges,
     decode,
     encode,
 )
+from cloverhook.gateway.refusal_news import RefusalNews
 from cloverhook.gateway.spread import Spread
 from cloverhook.gateway.state_fetch import StateFetch, state_for
 from cloverhook.gateway.store import MemberRecord
@@ -59,7 +61,7 @@
 """Changes within this time go into one datagram."""
 COUNT_REPEAT_MS = 250.0
 ADDRESSES = Items(Address())
-FOR_THE_AUDIENCE = (Loads, Failures)
+FOR_THE_AUDIENCE = (Loads, Failures, Refusals)
 """What only those need who place requests."""
 CHANGE_RELAYS = 3
 """Of a fleet a third may be cut off before it shows; with one relay each third change was lost, and
@@ -91,6 +93,9 @@
         self.spread = Spread(own.vm, self.link, members)
         self.load_news = LoadNews(own.vm, self.spread, members.crowded)
         self.failure_news = FailureNews(own.vm, self.spread, knowledge, log)
+        self.refusal_news = RefusalNews(
+            own.vm, self.spread, knowledge.board, knowledge.registry.get
+        )
         self._started_ms = monotonic_ms()
         self._busy = BusyMeter(self._started_ms)
         self._pace = BeatPace(members)
@@ -284,6 +289,8 @@
                 self._on_in_flight(message, now_ms)
             case Failures():
                 self.failure_news.told(message, now_ms)
+            case Refusals():
+                self.refusal_news.told(message, now_ms)
             case ServerChanges():
                 self._on_changes(message, now_ms, relayed)
             case Relay():
--- a/features/gateway_trust.feature
+++ b/features/gateway_trust.feature
@@ -45,3 +45,9 @@
   Scenario: Who loses a few answers in a hundred is hardly ever suspended
     Given 19 VMs that together send an endpoint 8 requests a second, of which it loses 4 in 100
     Then a VM holds it for suspended at most 0.03 of ten minutes
+
+  Scenario: An endpoint that turns requests away with free slots is known to all, and still used
+    Given 2 gateways and 2 backend servers of which one turns every second request away
+    When one gateway has sent it 40 requests
+    Then both gateways know that it turns away between 0.2 and 0.7 of what it gets
+    And it is not suspended
--- a/features/load_replay.feature
+++ b/features/load_replay.feature
@@ -43,3 +43,23 @@
     Given a replay of 12 VMs and 60 endpoints, of which 4 VMs are cut off
     When those measure a group of their own, and when they measure all every 2800 ms
     Then with it the load is worth at least 0.01 more
+
+  Scenario Outline: Endpoints that turn requests away with free slots are used by what they take
+    Given a replay of <vms> VMs and <endpoints> endpoints, <share> of which turn requests away with free slots
+    When it is played with weighing refusals that all meet and without
+    Then with it the load is worth at least <gain> more
+
+    Examples:
+      | vms | endpoints | share | gain  |
+      | 12  | 60        | 0.7   | 0.02  |
+
+  Scenario Outline: Weighing refusals costs next to nothing where few endpoints turn requests away
+    Given a replay of <vms> VMs and <endpoints> endpoints, <share> of which turn requests away with free slots
+    When it is played with weighing refusals that all meet and without
+    Then with it the load is worth at least <gain> more
+
+    Examples:
+      | vms | endpoints | share | gain   |
+      | 12  | 60        | 0     | -0.001 |
+      | 12  | 60        | 0.05  | -0.005 |
+      | 12  | 60        | 0.3   | -0.005 |
--- a/features/steps/gateway_trust_steps.py
+++ b/features/steps/gateway_trust_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from cloverhook.clock import monotonic_ms
 from cloverhook.gateway.balancer import Balancer, Room, WorkEstimates
 from cloverhook.gateway.event_log import EventLog
 from cloverhook.gateway.failure_news import FailureNews
@@ -232,3 +233,49 @@
             if trust is not own:
                 trust.told(now_ms, now_ms - 1.0, answered)
     assert suspended_ms <= limit * now_ms, suspended_ms / now_ms
+
+
+@given("2 gateways and 2 backend servers of which one turns every second request away")
+def step_sheds(context):
+    async def start():
+        await fleet.start_fleet(context, backends=2, gateways=2)
+        context.shedding = context.backends[0]
+        context.shedding.script = ["ok", "reject"] * 400
+        await fleet.until(
+            lambda: all(len(item[0]._members.all()) == 1 for item in context.gateways)
+        )
+
+    run(context, start())
+
+
+@when("one gateway has sent it 40 requests")
+def step_sends_to_shedding(context):
+    async def send():
+        _, settings = context.gateways[0]
+        for backend in context.backends:
+            backend.work_ms = 20.0  # So that each is needed.
+        for _ in range(100):
+            calls = [fleet.call(settings.caller_address, request_id=f"r-{n}") for n in range(6)]
+            await asyncio.gather(*calls)
+            if len(context.shedding.seen) >= 40:
+                return
+        raise AssertionError(len(context.shedding.seen))
+
+    run(context, send())
+
+
+@then("both gateways know that it turns away between {least:g} and {most:g} of what it gets")
+def step_refusal_share(context, least, most):
+    def shares():
+        boards = [gateway._knowledge.board for gateway, _ in context.gateways]
+        name = context.shedding.incarnation
+        return [board.of(name).refusal_share(monotonic_ms()) for board in boards]
+
+    run(context, fleet.until(lambda: all(least <= share <= most for share in shares())))
+
+
+@then("it is not suspended")
+def step_not_suspended(context):
+    for gateway, _ in context.gateways:
+        trust = gateway._knowledge.board.of(context.shedding.incarnation).trust
+        assert not trust.is_suspended(monotonic_ms())
