Name no VM to callers that was not heard for 5 s

Cause: where most of the others were silent, all were named, for up to two minutes, and a member that had beaten out of turn counted as alive for 7.5 s. So a VM whose neighbours were all killed went on naming them; answers that name a VM for more than 6 s after its end break the users' rule on the directory.

Change: who was not heard for 5 s is left out, however seldom it beats. A VM that hears nobody and asks the store in vain is cut off itself and goes on naming the others, as callers still reach them.

The scenario on a VM that is cut off now says that the store is out of its reach too: without that, its second half asked for what the rule forbids. A new scenario has all others killed; it is red without the change.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -260,7 +260,8 @@
 
     async def _serve_directory(self, request: CallerRequest) -> CallerAnswer:
         now_ms = monotonic_ms()
-        addresses = self._members.caller_addresses(now_ms)
+        asks_in_vain = self._follower.active and not self._follower.reading
+        addresses = self._members.caller_addresses(now_ms, reaches_nobody=asks_in_vain)
         if self._is_ready() and (not addresses or self._members.names_itself(now_ms)):
             addresses.append(self._settings.caller_address)
         random.shuffle(addresses)  # An answer may hold a part of them: each VM gets callers.
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -26,6 +26,9 @@
 """A member of another data centre that beats more seldom may miss two beats as well."""
 NAMED_NEAR_VMS = 12
 """So many live VMs of the own data centre are enough for callers; they are known best."""
+NAMED_MS = 5_000.0
+"""A VM that was not heard for this long is named to no caller, however seldom it beats and however
+many others are silent too: callers would try the addresses of dead VMs for as long."""
 SERVING_VMS = 12
 """Of a crowded data centre so many VMs at least are named to callers.  They tell each other what
 they have in flight, which all of them could not; who knows that fills no full endpoint."""
@@ -196,17 +199,24 @@
         """
         return 1 + len(self._members) + self._unheard
 
-    def caller_addresses(self, now_ms: float) -> list[str]:
-        """Return the addresses of the other VMs that callers may use."""
+    def caller_addresses(self, now_ms: float, reaches_nobody: bool = False) -> list[str]:
+        """Return the addresses of the other VMs that callers may use.
+
+        Those that were not heard for long are left out, unless this VM `reaches_nobody`, not even
+        the store: then it is cut off itself, and callers still reach the others.
+        """
         if self.crowded() and len(self.serving(now_ms)) >= NAMED_NEAR_VMS:
-            named = (self._near.get(vm) for vm in self.serving(now_ms))
-            return [item.caller_address for item in named if item is not None]
-        ready = [item for item in self._members.values() if item.ready and not item.leaving]
-        heard = _heard_or_all(ready, now_ms)
-        near = [item for item in heard if item.data_center == self.data_center]
-        if len(near) >= NAMED_NEAR_VMS:
-            heard = near
-        return [item.caller_address for item in heard]
+            found = (self._near.get(vm) for vm in self.serving(now_ms))
+            named = [item for item in found if item is not None]
+        else:
+            ready = [item for item in self._members.values() if item.ready and not item.leaving]
+            named = _heard_or_all(ready, now_ms)
+            near = [item for item in named if item.data_center == self.data_center]
+            if len(near) >= NAMED_NEAR_VMS:
+                named = near
+        if not reaches_nobody:
+            named = [item for item in named if now_ms - item.heard_ms < NAMED_MS]
+        return [item.caller_address for item in named]
 
     def serves_callers(self, now_ms: float) -> bool:
         """Return whether this VM, if it is ready, is one of those that callers are sent to."""
--- a/features/gateway_crowd.py
+++ b/features/gateway_crowd.py
@@ -103,8 +103,9 @@
     found = {}
     for peering in context.crowd.values():
         members, own = peering._members, peering._own
-        named = set(members.caller_addresses(context.now_ms))
-        if members.serves_callers(context.now_ms):
+        reaches_nobody = getattr(context, "reaches_nobody", False)
+        named = set(members.caller_addresses(context.now_ms, reaches_nobody))
+        if members.serves_callers(context.now_ms) or not named:
             named.add(own.caller_address)
         found[own.data_center, own.vm] = frozenset(named)
     return found
--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -115,10 +115,20 @@
 
   Scenario: A VM that is cut off goes on naming those that callers were sent to
     Given 41 VMs in each of two data centres that know each other
-    When one of them is cut off from all others
+    When one of them is cut off from all others and from the store
     Then 4 seconds later it names the same 12
     And 6 seconds later it names the same 12
 
+  Scenario Outline: VMs that are dead for long are named to no caller, however many there are
+    Given <count> VMs in each of two data centres that know each other
+    When all others but one are killed
+    Then 6 seconds later it names itself alone
+
+    Examples:
+      | count |
+      | 3     |
+      | 41    |
+
   Scenario: Who misses a change asks for the state, also before a beat says that there is news
     Given 41 VMs of one data centre
     Then a change that builds on more than one knows makes it fetch the state
--- a/features/steps/gateway_crowd_steps.py
+++ b/features/steps/gateway_crowd_steps.py
@@ -74,8 +74,14 @@
         assert len(new) == len(gone), new
 
 
-@when("one of them is cut off from all others")
+@when("one of them is cut off from all others and from the store")
 def step_cut_off(context):
+    step_others_dead(context)
+    context.reaches_nobody = True
+
+
+@when("all others but one are killed")
+def step_others_dead(context):
     pass_crowd_time(context, 3_000)
     context.alone = next(iter(context.crowd.values()))
     context.before = named_to_callers(context)
@@ -89,6 +95,13 @@
     assert named == context.before[key] and len(named) == count, named
 
 
+@then("{time_s:d} seconds later it names itself alone")
+def step_names_itself(context, time_s):
+    pass_crowd_time(context, time_s * 1_000)
+    (named,) = named_to_callers(context).values()
+    assert named == {context.alone._own.caller_address}, named
+
+
 def told_figures(context, peering, relayed):
     """Return which VMs one of a crowd sends a load figure of its own, or a relayed one."""
 
