Say which VM that hears nobody goes on naming the others

The scenario asked that any VM that hears nobody for 10 s names all others. It now asks for both: all others where the store doesn't answer either, nobody where it does.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -149,7 +149,7 @@
   Scenario: A VM that is cut off goes on naming the others
     Given 5 VMs that hear each other
     When one of them hears nobody for 10 seconds
-    Then it still names all others to callers
+    Then it still names all others to callers if the store doesn't answer it either, else nobody
     And the others no longer name it
 
   Scenario: Garbage is no message
