An endpoint that can't be reached has no room

Cause: it was only weighed as 50 times as slow. While all others were full it was therefore the only one with a free slot, so requests used up their four attempts on endpoints that were down and were refused, in place of waiting for a slot that came free in time.

--- a/bench/gateway_loads.py
+++ b/bench/gateway_loads.py
@@ -34,7 +34,8 @@
     with more than one slot, work that begins in the last one takes `knee` times as long.  From
     `lying_from_ms` on `lying_share` of them fail all they get, though their figures say nothing of
     it: by a reset at once, or with `hanging` by no answer at all.  Of all answers `lost_share` are
-    lost.  `shedding_share` of them turn about half of what they get away, whatever their load.
+    lost.  `shedding_share` of them turn about half of what they get away, whatever their load,
+    and `down_share` of them can't be reached.
     From `cut_from_ms` on the first `cut_off` VMs hear no other one; each of these measures
     `own_group` endpoints for itself every `own_probe_ms`.
     """
@@ -53,6 +54,7 @@
     hanging: bool = False
     lost_share: float = 0.0
     shedding_share: float = 0.0
+    down_share: float = 0.0
     cut_off: int = 0
     cut_from_ms: float = 3_000.0
     own_group: int = 24
--- a/bench/gateway_replay.py
+++ b/bench/gateway_replay.py
@@ -79,9 +79,10 @@
     queued: list[_Work] = field(default_factory=list)
     lies: bool = False
     sheds: bool = False
+    down: bool = False
 
     def figure(self) -> LoadFigure:
-        return LoadFigure(len(self.running), len(self.queued), self.pace)
+        return LoadFigure(len(self.running), len(self.queued), self.pace, not self.down)
 
 
 class _Vm:
@@ -116,7 +117,10 @@
             registry.apply(ServerRecord(server.name, number, server), 0.0, False)
             lies = number < deployment.lying_share * deployment.endpoints
             sheds = number < deployment.shedding_share * deployment.endpoints
-            self.endpoints[server.incarnation] = _Endpoint(server, lies=lies, sheds=sheds)
+            down = number < deployment.down_share * deployment.endpoints
+            self.endpoints[server.incarnation] = _Endpoint(
+                server, 1.0, lies=lies, sheds=sheds, down=down
+            )
         self.vms = [_Vm(f"vm-{x}", registry, self.source) for x in range(deployment.vms)]
         self.requests: list[_Request] = []
         self.rejected = 0
@@ -217,7 +221,9 @@
             if not self.deployment.hanging:
                 self.at(self.now_ms + WAY_MS, lambda: self._failed(work))
             return
-        if endpoint.sheds and self.source.random() < SHED_SHARE:
+        if endpoint.down:
+            self.at(self.now_ms + WAY_MS, lambda: self._not_reached(work))
+        elif endpoint.sheds and self.source.random() < SHED_SHARE:
             self.at(self.now_ms + WAY_MS, lambda: self._shed(work))
         elif len(endpoint.running) < self.deployment.slots:
             self._run(endpoint, work)
@@ -288,26 +294,40 @@
     def _shed(self, work: _Work) -> None:
         """Tell all VMs that an endpoint turned a request away with room, and send it elsewhere."""
         work.over = True
-        vm, request, name = work.vm, work.request, work.choice.server.incarnation
+        vm, name = work.vm, work.choice.server.incarnation
         self._count(vm, work.choice, -1)
         vm.board.of(name).ended_here(self.now_ms)
         for other in self.vms:
             delay_ms = 0.0 if other is vm else NEWS_MS
             load = other.board.of(name)
             self.at(self.now_ms + delay_ms, lambda load=load: load.refused(self.now_ms))
-        request.tried.append(name)
+        vm.repeats += self._send_on(work, vm.may_repeat())
+
+    def _not_reached(self, work: _Work) -> None:
+        """Find nobody at an endpoint: the request has not run, and may go elsewhere at once."""
+        work.over = True
+        name = work.choice.server.incarnation
+        self._count(work.vm, work.choice, -1)
+        work.vm.board.of(name).not_reached(self.now_ms)
+        self._send_on(work, allowed=True)
+
+    def _send_on(self, work: _Work, allowed: bool) -> bool:
+        """Send a request that has not run to another endpoint, or refuse it and return False."""
+        vm, request = work.vm, work.request
+        request.tried.append(work.choice.server.incarnation)
         choice = None
-        if len(request.tried) < SENDS and vm.may_repeat():
+        if len(request.tried) < SENDS and allowed:
             work_ms = vm.estimates.work_ms(request.kind.name, request.kind.aim_ms)
             choice = vm.line._balancer.choose(
                 SERVICE, work_ms, self.now_ms, request.tried, Room.SLOT
             )
         if choice is None:
+            request.tried.clear()
             self._refuse(request, vm)
         else:
-            vm.repeats += 1
             self._start(request, vm, choice, work.until_ms)
         self._look(vm)
+        return choice is not None
 
     def _distrust(self, work: _Work) -> None:
         name, began_ms = work.choice.server.incarnation, work.begun_ms
--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -48,7 +48,6 @@
 FAILURE_WEIGHT = 8.0
 REFUSAL_WEIGHT = 1.0
 """A request that is turned away costs little time, but a repeat, and few of those are allowed."""
-UNREACHABLE_WEIGHT = 50.0
 DOUBT_WEIGHT = 6.0
 """So much worse others must be before a request that can't be repeated goes where one failed."""
 PANIC_SHARE = 0.7
@@ -236,6 +235,8 @@
     ) -> Choice | None:
         """Return the best backend server found that has not been tried and has room, or None.
 
+        One that can't be reached has no room: it would use up a request's attempts while others
+        are full, and a slot there comes free in time for most.
         A request that is not `repeatable` is sent nowhere on trial.
         """
         look = _Look(service, work_ms, now_ms, tried, room, repeatable, self._estimates)
@@ -292,7 +293,7 @@
             look.drawn += 1
             load = board.of(server.incarnation)
             busy = load.load(now_ms)
-            if busy >= look.limit(server.slots):
+            if busy >= look.limit(server.slots) or load.unreachable(now_ms):
                 candidates.set_aside(load, now_ms)
                 continue
             if server.incarnation in look.tried:
@@ -378,8 +379,6 @@
         refusals = load.refusal_share(now_ms)
         if refusals:
             rank *= 1.0 + REFUSAL_WEIGHT * refusals
-        if load.unreachable(now_ms):
-            rank *= UNREACHABLE_WEIGHT
         if self._registry.held(server):
             rank *= HELD_WEIGHT
         if server.data_center != self._data_center:
--- a/features/load_replay.feature
+++ b/features/load_replay.feature
@@ -63,3 +63,13 @@
       | 12  | 60        | 0     | -0.001 |
       | 12  | 60        | 0.05  | -0.005 |
       | 12  | 60        | 0.3   | -0.005 |
+
+  Scenario Outline: Endpoints that nobody reaches don't use up the attempts of requests
+    Given a replay of <vms> VMs and <endpoints> endpoints, <share> of which are down in a burst
+    When it is played with leaving out whom nobody reaches and without
+    Then with it the load is worth at least <gain> more
+
+    Examples:
+      | vms | endpoints | share | gain |
+      | 12  | 60        | 0.1   | 0.02 |
+      | 12  | 60        | 0.6   | 0.01 |
--- a/features/steps/load_replay_steps.py
+++ b/features/steps/load_replay_steps.py
@@ -9,7 +9,7 @@
 
 from bench import gateway_replay
 from bench.gateway_replay import Deployment, Load, play
-from cloverhook.gateway import balancer, trust, waiting_line
+from cloverhook.gateway import balancer, load, trust, waiting_line
 
 SEEDS = range(8)
 WITHOUT = {
@@ -18,6 +18,7 @@
     "putting off soon": (waiting_line, "PUT_OFF_SHARE", math.inf),
     "returning soon": (gateway_replay, "RETURN_MS", (150.0, 450.0)),
     "weighing refusals that all meet": (balancer, "REFUSAL_WEIGHT", 0.0),
+    "leaving out whom nobody reaches": (load.ServerLoad, "unreachable", lambda *_: False),
     "trust by what requests met": (trust, "FAILURES", math.inf),
 }
 """What a mechanism's constant is when it is switched off.  Without slack for it no last slot is
@@ -60,6 +61,14 @@
     context.load = Load(4.0 * endpoints * (1.0 - share / 2), length_ms=9_000.0)
 
 
+@given(
+    "a replay of {vms:d} VMs and {endpoints:d} endpoints, {share:g} of which are down in a burst"
+)
+def step_down(context, vms, endpoints, share):
+    context.deployment = Deployment(vms=vms, endpoints=endpoints, down_share=share)
+    context.load = Load(5.0 * endpoints * (1.0 - share), 1.5, 2_000.0, 5_000.0, 9_000.0)
+
+
 @given("a replay of {vms:d} VMs and {endpoints:d} endpoints, of which {count:d} VMs are cut off")
 def step_cut_off(context, vms, endpoints, count):
     context.deployment = Deployment(vms=vms, endpoints=endpoints, cut_off=count)
