Tell counts across data centres while requests cross; serving VMs by requests

A VM's own clock of processor time ran with the wall clock in the runs traced (8.0 s in 8.0 s), so each said a whole core and all of them served, heard every figure and measured.

What a VM hears of counts elsewhere is bounded by 1,500 datagrams a second: the more VMs place requests, the longer each gathers. Peering gives counts up to a module of their own.

--- a/cloverhook/gateway/counters.py
+++ b/cloverhook/gateway/counters.py
@@ -18,6 +18,7 @@
     "config_version": "the version of the configuration in force",
     "registry_version": "the offset of the newest record of a backend server that is known",
     "backend_servers": "backend servers that are known",
+    "data_centers_evacuated": "data centres whose endpoints get nothing, as an operator wants",
     "members_alive": "other gateways heard a moment ago",
     "cut_off": "1 while this gateway hears hardly any of its neighbours",
     "reading_store": "1 while this gateway reads the store for the others",
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -89,14 +89,18 @@
             settings.caller_address,
             settings.peer_address,
         )
+        allowance = RetryAllowance(
+            settings.retry_ratio, settings.retry_extra, settings.retry_window_s * 1000
+        )
         self._peering = Peering(
             own,
             self._knowledge,
             self._members,
             self._log,
             lambda incarnation: self._forwarder.pace_changed(incarnation),
-            lambda: self._forwarder.look_at_waiting(),
+            lambda: self._forwarder.look_soon(),
             fleet=settings.store_address,
+            requests_per_s=allowance.all_requests_per_s,
         )
         record = MemberRecord(
             settings.vm, settings.data_center, settings.caller_address, settings.peer_address
@@ -126,9 +130,6 @@
             self._knowledge.evacuated,
             self._cold_limit,
         )
-        allowance = RetryAllowance(
-            settings.retry_ratio, settings.retry_extra, settings.retry_window_s * 1000
-        )
         self._measuring = Measuring(
             settings.vm,
             self._members,
@@ -148,7 +149,7 @@
             allowance,
             headers,
             self._members.count,
-            self._peering.count_changed,
+            self._peering.count_news.changed,
             self._peering.failure_news.failed,
             self._peering.refusal_news.refused,
             RequestReport(self._knowledge, self._log, self._counters),
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -48,6 +48,9 @@
 enough for a slot to come free, soon enough for the answer to be in time."""
 EVACUATED_RETURN_MS = (700.0, 1_400.0)
 """While nothing can serve a request, callers come back seldom, but in time for most objectives."""
+LOOK_DELAY_MS = 2.0
+LOOK_PAUSES = 4.0
+"""Looks on news of others are so many times as long apart as one takes: a fifth of the time."""
 CONNECTION_SHARE = 0.8
 """The part of an endpoint's connections that the gateways use together."""
 
@@ -64,7 +67,7 @@
         allowance: RetryAllowance,
         headers: CallHeaders,
         vms: Callable[[], int],
-        on_count: Callable[[], None],
+        on_count: Callable[[str], None],
         on_failure: Callable[[str, float], None],
         on_refusal: Callable[[str], None],
         report: RequestReport,
@@ -82,6 +85,8 @@
         self._estimates = estimates
         self._line = WaitingLine(balancer)
         self._waiting: dict[Waiter, asyncio.Future[Choice | None]] = {}
+        self._look_timer: asyncio.TimerHandle | None = None
+        self._look_ms = 0.0
         self._splits = Splits()
         self._running: dict[str, set[RequestRun]] = {}
 
@@ -245,8 +250,24 @@
 
     def look_at_waiting(self) -> None:
         """Start or refuse the waiting requests whose time has come."""
+        begun_ms = monotonic_ms()
         for service in self._line.services():
             self._look(service)
+        self._look_ms = monotonic_ms() - begun_ms
+
+    def look_soon(self) -> None:
+        """Look at the waiting requests, as news of other VMs has come; there may be much of it.
+
+        In overload each look takes long, and a VM that does nothing else answers nobody in time.
+        """
+        if self._look_timer is None and len(self._line):
+            delay_ms = max(LOOK_DELAY_MS, LOOK_PAUSES * self._look_ms)
+            loop = asyncio.get_running_loop()
+            self._look_timer = loop.call_later(delay_ms / 1000, self._look_now)
+
+    def _look_now(self) -> None:
+        self._look_timer = None
+        self.look_at_waiting()
 
     def _look(self, service: str) -> None:
         while (decision := self._line.next(service, monotonic_ms())) is not None:
@@ -261,8 +282,9 @@
         self._count(choice, 1)
 
     def _count(self, choice: Choice, change: int) -> None:
-        self._knowledge.board.of(choice.server.incarnation).in_flight += change
-        self._on_count()
+        incarnation = choice.server.incarnation
+        self._knowledge.board.of(incarnation).in_flight += change
+        self._on_count(incarnation)
 
     def _start(self, run: RequestRun) -> bool:
         """Start another attempt if one is allowed and there is a backend server for it."""
@@ -318,7 +340,7 @@
     def _attempt_over(self, choice: Choice) -> None:
         """Let the next request in; also an attempt that was cancelled before it began ends here."""
         self._count(choice, -1)
-        self.look_at_waiting()
+        self._look(choice.server.service)
 
     def _connection_limit(self, service: str) -> int:
         config = self._knowledge.config
--- a/cloverhook/gateway/knowledge.py
+++ b/cloverhook/gateway/knowledge.py
@@ -4,6 +4,8 @@
 through here.  The newest version wins, and none goes back within the life of the process.
 """
 
+from collections import Counter
+
 from cloverhook.gateway.evacuation import Evacuations
 from cloverhook.gateway.load import LoadBoard
 from cloverhook.gateway.registry import DRAIN_MS, Registry, ServerRecord
@@ -13,6 +15,9 @@
 
 STORE_AWAY_MS = 4_000.0
 """For this long after the store's return, entries that vanish may have lapsed while it was away."""
+CROSSING_LOOK_MS = 250.0
+CROSSING_SHARE = 0.5
+"""Without more than this share of its endpoints a data centre has no room for its own requests."""
 
 
 class Knowledge:
@@ -26,6 +31,8 @@
         self.registry = Registry(drain_ms)
         self.board = LoadBoard()
         self._store_back_ms = -STORE_AWAY_MS
+        self._crossing = False
+        self._crossing_due_ms = 0.0
 
     @property
     def config_version(self) -> int:
@@ -45,6 +52,28 @@
         self.config_at_ms = now_ms
         return True
 
+    def crossing(self, now_ms: float) -> bool:
+        """Return whether some data centre can't serve itself, so that requests have to cross.
+
+        Most of its endpoints are evacuated, out of reach or about to leave the registry.
+        """
+        if now_ms >= self._crossing_due_ms:
+            self._crossing_due_ms = now_ms + CROSSING_LOOK_MS
+            self._crossing = self._is_crossing(now_ms)
+        return self._crossing
+
+    def _is_crossing(self, now_ms: float) -> bool:
+        total, lost = Counter[str](), Counter[str]()
+        for server in self.registry.servers():
+            total[server.data_center] += 1
+            load = self.board.get(server.incarnation)
+            out_of_reach = load is not None and load.unreachable(now_ms)
+            if out_of_reach or server.draining or self.registry.held(server):
+                lost[server.data_center] += 1
+        if any(name in total for name in self.evacuated()):
+            return True
+        return any(lost[name] > CROSSING_SHARE * count for name, count in total.items())
+
     def cold_per_s(self, service: str) -> float:
         """Return how many requests a second a cold endpoint of a service bears; 0 for no limit."""
         spec = None if self.config is None else self.config.services.get(service)
--- a/cloverhook/gateway/load.py
+++ b/cloverhook/gateway/load.py
@@ -124,7 +124,8 @@
             self._peers[vm] = (count, now_ms)
         else:
             self._peers.pop(vm, None)
-        self._tell_change()
+        if count != before:
+            self._tell_change()
 
     def shared(self, now_ms: float) -> int:
         """Return the requests that this VM and those that tell it have in flight there."""
@@ -244,6 +245,10 @@
             load = self._loads[incarnation] = ServerLoad(partial(self._used, incarnation))
         return load
 
+    def get(self, incarnation: str) -> ServerLoad | None:
+        """Return the load of an incarnation if anything is known of it."""
+        return self._loads.get(incarnation)
+
     def _used(self, incarnation: str, count: int) -> None:
         if count:
             self._in_flight[incarnation] = count
--- a/cloverhook/gateway/load_news.py
+++ b/cloverhook/gateway/load_news.py
@@ -2,7 +2,8 @@
 
 Layer: transport.  Probes go out together, so their answers come together, and the figures of a few
 milliseconds share a datagram.  The own data centre hears every figure; the others hear what has
-changed, as bytes on the way there are paid for, and everything once a second.
+changed, as bytes on the way there are paid for, and everything once a second.  While a data centre
+can't serve itself, its VMs place their requests in the others, and hear each change of load soon.
 """
 
 import asyncio
@@ -26,6 +27,10 @@
 FAR_LOAD_MS = 150.0
 FAR_LOAD_STEP = 2
 """Other data centres hear of a load that has changed by this many requests, after this time."""
+CROSSING_FLUSH_MS = 20.0
+CROSSING_FIGURE_MS = 60.0
+"""A VM that places requests in another data centre does not hear the counts of the VMs there: it
+knows of their requests by figures alone, and would fill endpoints that have no slot left."""
 FAR_FIGURE_MS = 1_000.0
 FAR_PACE_RATIO = 1.5
 """Other data centres hear of a pace once it has changed by this factor, or after a second."""
@@ -37,9 +42,17 @@
     """Figures that wait for the next datagram; times are on the monotonic clock."""
 
     def __init__(
-        self, own_vm: str, spread: Spread, crowded: Callable[[], bool] = lambda: False
+        self,
+        own_vm: str,
+        spread: Spread,
+        crowded: Callable[[], bool] = lambda: False,
+        crossing: Callable[[float], bool] = lambda now_ms: False,
     ) -> None:
-        """`crowded` says whether the own data centre has many VMs."""
+        """`crowded` says whether the own data centre has many VMs.
+
+        `crossing` says whether VMs of other data centres have to place their requests here.
+        """
+        self._crossing = crossing
         self._own_vm = own_vm
         self._crowded = crowded
         self._spread = spread
@@ -58,8 +71,12 @@
         if self._timer is None:
             self._timer = loop.call_later(FLUSH_MS / 1000, self._flush)
         if self._far and self._far_timer is None:
-            delay_ms = CROWD_FAR_FLUSH_MS if self._crowded() else FLUSH_MS
-            self._far_timer = loop.call_later(delay_ms / 1000, self._flush_far)
+            self._far_timer = loop.call_later(self._far_delay_ms(at_ms) / 1000, self._flush_far)
+
+    def _far_delay_ms(self, now_ms: float) -> float:
+        if not self._crowded():
+            return FLUSH_MS
+        return CROSSING_FLUSH_MS if self._crossing(now_ms) else CROWD_FAR_FLUSH_MS
 
     def forget(self, incarnation: str) -> None:
         """Drop what was sent of an incarnation that is gone."""
@@ -91,6 +108,8 @@
         ratio = max(figure.pace, sent.pace) / max(min(figure.pace, sent.pace), 0.01)
         step = abs(figure.running + figure.waiting - sent.running - sent.waiting)
         changed = figure.reachable != sent.reachable
+        if self._crossing(at_ms) and at_ms - sent_ms >= CROSSING_FIGURE_MS:
+            changed |= step > 0 or ratio >= FAR_PACE_RATIO
         changed |= ratio >= FAR_PACE_RATIO and not self._crowded()
         changed |= step >= FAR_LOAD_STEP and at_ms - sent_ms >= FAR_LOAD_MS
         return changed or at_ms - sent_ms >= FAR_FIGURE_MS
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -32,9 +32,10 @@
 SERVING_VMS = 12
 """Of a crowded data centre so many VMs at least are named to callers.  They tell each other what
 they have in flight, which all of them could not; who knows that fills no full endpoint."""
-SERVING_BUSY_PERCENT = 25
-"""There are more where all of a data centre together use so much of a core for each: a VM may have
-less than half a core, and a burst may double the load before another one is named."""
+REQUESTS_PER_SERVING_VM = 40
+"""There are more where a data centre gets more requests a second for each: a VM may have less than
+half a core, and a burst may double the load before another one is named.  What else a VM spends
+must not count: it grows with the number of those that serve, and all would."""
 UNDERSTUDY_VMS = 8
 """So many VMs that would serve callers next are told the load figures too, and measure: the first
 of them places requests well from its first one on, and the serving ones are spared the probes."""
@@ -75,7 +76,7 @@
     config_version: int = -1
     registry_version: int = -1
     silent_ms: float = SILENT_MS
-    busy_percent: int = 0
+    requests_per_s: int = 0
     near_vms: int = 0
     evacuation_version: int = -1
 
@@ -150,7 +151,7 @@
         member.ready = beat.ready
         member.reading = beat.reading
         member.leaving = beat.leaving
-        member.busy_percent = beat.busy_percent
+        member.requests_per_s = beat.requests_per_s
         member.near_vms = beat.near_vms
         member.config_version = max(member.config_version, beat.config_version)
         member.registry_version = max(member.registry_version, beat.registry_version)
@@ -250,8 +251,8 @@
         found = [item.vm for item in _heard_or_all(near, now_ms)]
         found.append(self._own_vm)
         found.sort(key=lambda vm: rank_weight("callers", vm), reverse=True)
-        busy_percent = sum(item.busy_percent for item in near if item.is_alive(now_ms))
-        wanted = max(SERVING_VMS, ceil(busy_percent / SERVING_BUSY_PERCENT))
+        requests_per_s = sum(item.requests_per_s for item in near if item.is_alive(now_ms))
+        wanted = max(SERVING_VMS, ceil(requests_per_s / REQUESTS_PER_SERVING_VM))
         self._serving = tuple(found[:wanted])
         self._informed = tuple(found[: wanted + UNDERSTUDY_VMS])
 
@@ -270,6 +271,10 @@
         """Note that a VM has requests in flight: it places them, whether callers are sent to it."""
         self._told_ms[vm] = now_ms
 
+    def tellers(self, now_ms: float) -> int:
+        """Return how many other VMs, of whichever data centre, have told counts lately."""
+        return sum(1 for at_ms in self._told_ms.values() if at_ms > now_ms - TELLER_MS)
+
     def count_audience(self, now_ms: float) -> list[Member]:
         """Return the live neighbours that place requests, and so are told the counts in flight.
 
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     "Beat",
+    "CountChanges",
     "Failures",
     "IS_REGISTRY_DOCUMENT",
     "Identity",
@@ -55,7 +56,7 @@
     """A sign of life: who sends it, what it does and which versions it knows.
 
     `reading` says that it follows the store now, and `every_ms` how often it beats to another data
-    centre; `wants_answer` asks for a beat in return; `busy_percent` is what it uses of a core.
+    centre; `wants_answer` asks for a beat in return; `requests_per_s` is what callers send it.
     `near_vms` is how many VMs of its data centre it knows, itself included.  `evacuation_version`
     is the offset as of which it knows the evacuated data centres.
     """
@@ -72,7 +73,7 @@
     registry_version: int = kind_field(VERSION)
     every_ms: float = kind_field(Number(0, LONGEST_MS), 1_000.0)
     wants_answer: bool = False
-    busy_percent: int = 0
+    requests_per_s: int = kind_field(Integer(0), 0)
     near_vms: int = kind_field(Integer(0), 0)
     evacuation_version: int = kind_field(VERSION, -1)
 
@@ -102,6 +103,14 @@
     counts: dict[str, int]
 
 
+@dataclass(frozen=True, slots=True)
+class CountChanges:
+    """The counts of `InFlight` that have changed; the others are as they were."""
+
+    vm: str
+    counts: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class Failures:
     """Incarnations at which a request of a VM has just failed.
@@ -130,8 +139,17 @@
     data: bytes
 
 
-PeerMessage = Beat | Loads | ServerChanges | InFlight | Relay | Failures | Refusals
-KINDS: tuple[type, ...] = (Beat, Loads, ServerChanges, InFlight, Relay, Failures, Refusals)
+PeerMessage = Beat | Loads | ServerChanges | InFlight | Relay | Failures | Refusals | CountChanges
+KINDS: tuple[type, ...] = (
+    Beat,
+    Loads,
+    ServerChanges,
+    InFlight,
+    Relay,
+    Failures,
+    Refusals,
+    CountChanges,
+)
 PLAIN_FIELDS = {
     kind: tuple(item.name for item in fields(kind)) for kind in (Beat, Relay, Failures, Refusals)
 }
@@ -146,7 +164,7 @@
     if isinstance(message, Loads):
         rows = [_row(*item) for item in message.figures]
         return cbor2.dumps([kind, message.vm, rows])
-    if isinstance(message, InFlight):
+    if isinstance(message, InFlight | CountChanges):
         return cbor2.dumps([kind, message.vm, message.counts])
     if isinstance(message, ServerChanges):
         return cbor2.dumps([kind, message.vm, message.base_version, message.document])
@@ -177,7 +195,7 @@
         case ServerChanges():
             base_is_sound = type(message.base_version) is int
             return base_is_sound and IS_REGISTRY_DOCUMENT(message.document)
-        case InFlight():
+        case InFlight() | CountChanges():
             counts = message.counts
             return isinstance(counts, dict) and all(map(_is_count, counts, counts.values()))
         case Relay():
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -15,7 +15,7 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
 from cloverhook.gateway.beat_pace import BeatPace
-from cloverhook.gateway.busy_meter import BusyMeter
+from cloverhook.gateway.count_news import CountNews
 from cloverhook.gateway.event_log import EventLog, Kind
 from cloverhook.gateway.failure_news import FailureNews
 from cloverhook.gateway.knowledge import Knowledge
@@ -24,6 +24,7 @@
 from cloverhook.gateway.peer_link import PeerLink
 from cloverhook.gateway.peer_messages import (
     Beat,
+    CountChanges,
     Failures,
     Identity,
     InFlight,
@@ -57,11 +58,8 @@
 """So many addresses of a data centre where nobody is known are greeted at a time."""
 DATAGRAM_BYTES = 1_200
 """Larger changes are asked for over TCP: a datagram should fit into one packet."""
-COUNT_DELAY_MS = 2.0
-"""Changes within this time go into one datagram."""
-COUNT_REPEAT_MS = 250.0
 ADDRESSES = Items(Address())
-FOR_THE_AUDIENCE = (Loads, Failures, Refusals)
+FOR_THE_AUDIENCE = (Loads, Failures, Refusals, InFlight, CountChanges)
 """What only those need who place requests."""
 CHANGE_RELAYS = 3
 """Of a fleet a third may be cut off before it shows; with one relay each third change was lost, and
@@ -80,10 +78,11 @@
         on_figure: Callable[[str], None],
         on_counts: Callable[[], None],
         fleet: str = "",
+        requests_per_s: Callable[[float], float] = lambda now_ms: 0.0,
     ) -> None:
+        """`requests_per_s` says what callers send this VM."""
         self._own = own
         self._on_figure = on_figure
-        self._on_counts = on_counts
         self._knowledge = knowledge
         self._members = members
         self._log = log
@@ -91,13 +90,14 @@
             self._on_message, self._state_for, self._on_garbage, fleet, self._hears_ms
         )
         self.spread = Spread(own.vm, self.link, members)
-        self.load_news = LoadNews(own.vm, self.spread, members.crowded)
+        self.load_news = LoadNews(own.vm, self.spread, members.crowded, knowledge.crossing)
         self.failure_news = FailureNews(own.vm, self.spread, knowledge, log)
+        self.count_news = CountNews(own.vm, self.spread, members, knowledge, on_counts)
         self.refusal_news = RefusalNews(
             own.vm, self.spread, knowledge.board, knowledge.registry.get
         )
         self._started_ms = monotonic_ms()
-        self._busy = BusyMeter(self._started_ms)
+        self._requests_per_s = requests_per_s
         self._pace = BeatPace(members)
         self._addresses: dict[str, str | None] = {}
         self._greeted_since_ms: dict[str, float] = {}
@@ -117,9 +117,6 @@
         self._list: asyncio.Task[None] | None = None
         self._lists = 0
         self._list_due_ms = 0.0
-        self._counted: dict[str, frozenset[str]] = {}
-        self._count_timer: asyncio.TimerHandle | None = None
-        self._counts_due_ms = 0.0
         self.ready = False
         self.leaving = False
         self.reading = False
@@ -141,9 +138,7 @@
             first = now_ms - self._started_ms < FIRST_GREETS_MS
             self._greet_due_ms = now_ms + (FIRST_GREET_MS if first else GREET_MS)
             self._greet(now_ms)
-        if now_ms >= self._counts_due_ms and self._knowledge.board.in_flight():
-            self._counts_due_ms = now_ms + COUNT_REPEAT_MS
-            self._tell_counts(self._members.audience(now_ms))
+        self.count_news.repeat(now_ms)
         if now_ms >= self._near_due_ms:
             every_ms = self._pace.near_ms(self.reading, now_ms)
             self._near_due_ms = now_ms + every_ms
@@ -200,7 +195,7 @@
             knowledge.registry.version,
             every_ms,
             wants_answer,
-            round(100 * self._busy.share(now_ms)),
+            round(self._requests_per_s(now_ms)),
             1 + self._members.near_count(),
             knowledge.evacuations.version,
         )
@@ -286,7 +281,9 @@
                     self._knowledge.board.of(incarnation).measured(figure, now_ms - age_ms)
                     self._on_figure(incarnation)
             case InFlight():
-                self._on_in_flight(message, now_ms)
+                self.count_news.told(message, now_ms)
+            case CountChanges():
+                self.count_news.told_changes(message, now_ms)
             case Failures():
                 self.failure_news.told(message, now_ms)
             case Refusals():
@@ -308,36 +305,6 @@
         self.spread.relay(message, now_ms, audience_only=isinstance(inner, FOR_THE_AUDIENCE))
         self._on_message(inner, sender, relayed=True)
 
-    def count_changed(self) -> None:
-        """Tell those who place requests too soon how many are in flight where."""
-        if self._count_timer is None:
-            loop = asyncio.get_running_loop()
-            self._count_timer = loop.call_later(COUNT_DELAY_MS / 1000, self._tell_changed_counts)
-
-    def _tell_changed_counts(self) -> None:
-        self._count_timer = None
-        now_ms = monotonic_ms()
-        if not self._members.crowded():
-            self._counts_due_ms = now_ms + COUNT_REPEAT_MS  # All hear this one.
-        self._tell_counts(self._members.count_audience(now_ms))
-
-    def _tell_counts(self, members: list[Member]) -> None:
-        """Tell these; now and then it is the whole audience, so that all know who has requests."""
-        counts = self._knowledge.board.in_flight()
-        self.spread.to(members, encode(InFlight(self._own.vm, counts)))
-
-    def _on_in_flight(self, message: InFlight, now_ms: float) -> None:
-        board = self._knowledge.board
-        if message.counts:
-            self._members.tells_counts(message.vm, now_ms)
-        before = self._counted.get(message.vm, frozenset())
-        self._counted[message.vm] = frozenset(message.counts)
-        for incarnation in before - message.counts.keys():
-            board.of(incarnation).peer_has(message.vm, 0, now_ms)
-        for incarnation, count in message.counts.items():
-            board.of(incarnation).peer_has(message.vm, count, now_ms)
-        self._on_counts()
-
     def _on_beat(self, beat: Beat, now_ms: float, relayed: bool) -> None:
         back = self._members.heard(beat, now_ms)
         near = beat.data_center == self._own.data_center
--- a/cloverhook/gateway/retry_allowance.py
+++ b/cloverhook/gateway/retry_allowance.py
@@ -54,6 +54,10 @@
             return 0.0
         return 1000 * len(requests) / max(now_ms - requests[0], RATE_FLOOR_MS)
 
+    def all_requests_per_s(self, now_ms: float) -> float:
+        """Return the same for all services together."""
+        return sum(self.requests_per_s(service, now_ms) for service in tuple(self._windows))
+
     def _window(self, service: str, now_ms: float) -> _ServiceWindow:
         window = self._windows.get(service)
         if window is None:
--- a/features/gateway_crowd.py
+++ b/features/gateway_crowd.py
@@ -1,7 +1,6 @@
 """VMs that know each other, without sockets and on a clock of their own."""
 
 from cloverhook.clock import monotonic_ms
-from cloverhook.gateway.busy_meter import BusyMeter
 from cloverhook.gateway.event_log import EventLog
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.members import Members
@@ -65,7 +64,6 @@
                 members.heard(beat(other, where), 0.0)
         peering = Peering(own, Knowledge(), members, EventLog(name, len), None, lambda: None)
         peering.ready = True
-        peering._busy = BusyMeter(0.0, lambda: 0.0)  # Not the time that the test itself uses.
         peering.link = peering.spread._link = Wire()
         context.crowd[f"{name}:2"] = peering
     context.now_ms = 0.0
--- a/features/gateway_spread.feature
+++ b/features/gateway_spread.feature
@@ -108,9 +108,9 @@
     Then 4 seconds later another one is named in its place, and no other has changed
 
   Scenario: More VMs serve the callers of a crowded data centre when its load is high
-    Given 41 VMs of one data centre of which each uses 5 percent of a core
+    Given 41 VMs of one data centre, to each of which callers send 8 requests a second
     Then 12 of them serve callers
-    Given 41 VMs of one data centre of which each uses 20 percent of a core
+    Given 41 VMs of one data centre, to each of which callers send 32 requests a second
     Then 32 of them serve callers
 
   Scenario: A VM that is cut off goes on naming those that callers were sent to
--- /dev/null
+++ b/features/steps/gateway_crossing_steps.py
@@ -0,0 +1,213 @@
+"""Steps on data centres that can't serve themselves."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+
+from cloverhook.clock import monotonic_ms
+from cloverhook.gateway.count_news import CountNews
+from cloverhook.gateway.evacuation import Evacuations
+from cloverhook.gateway.forwarding import Forwarder
+from cloverhook.gateway.knowledge import Knowledge
+from cloverhook.gateway.load import LoadFigure
+from cloverhook.gateway.load_news import LoadNews
+from cloverhook.gateway.load_probe import NOBODY
+from cloverhook.gateway.members import Members
+from cloverhook.gateway.peer_messages import CountChanges, InFlight, Relay, decode
+from cloverhook.gateway.registry import BackendServer, ServerRecord
+from cloverhook.gateway.spread import Spread
+from features.gateway_crowd import NEAR, Wire, beat
+from features.shared import run
+
+OTHERS = ("halfway-tree", "new-kingston")
+ENDPOINT = "here-0"
+
+
+def start_vm(context):
+    """Know a VM in each other data centre, and 4 endpoints in each data centre."""
+    now_ms = monotonic_ms()
+    context.knowledge = knowledge = Knowledge()
+    context.members = Members("vm-0", NEAR, now_ms)
+    for place in OTHERS:
+        context.members.heard(beat(f"vm-{place}", place), now_ms)
+    offset = 0
+    for name, place in (("here", NEAR), *zip(("lost", "else"), OTHERS, strict=True)):
+        for number in range(4):
+            server = BackendServer(f"{name}-{number}", "s", "10.0.0.1:1", place, 3)
+            knowledge.registry.apply(ServerRecord(server.name, offset, server), now_ms, False)
+            offset += 1
+    context.wire = Wire()
+    context.news = CountNews(
+        "vm-0",
+        Spread("vm-0", context.wire, context.members),
+        context.members,
+        knowledge,
+        lambda: None,
+    )
+
+
+def lose(context, count, how):
+    """Take that many endpoints of another data centre away."""
+    knowledge, now_ms = context.knowledge, monotonic_ms()
+    for name in [f"lost-{number}" for number in range(count)]:
+        if how == "can't be reached":
+            knowledge.board.of(name).measured(NOBODY, now_ms)
+        elif how == "have vanished":
+            knowledge.registry.apply(ServerRecord(name, 50, None), now_ms, False)
+    if how == "are evacuated" and count:
+        knowledge.take_evacuations(Evacuations(60, frozenset(OTHERS[:1])))
+
+
+def told_far(context, kind):
+    """Return the messages of a kind that went to other data centres, with their addresses."""
+    relayed = [(place, decode(data)) for place, data in context.wire.sent]
+    inner = [(at, decode(item.data)) for at, item in relayed if isinstance(item, Relay)]
+    return [(at, message) for at, message in inner if isinstance(message, kind)]
+
+
+@given("a VM that knows VMs of two other data centres, of which {lost:d} of 4 endpoints {how}")
+def step_vm(context, lost, how):
+    start_vm(context)
+    lose(context, lost, how)
+
+
+@when("the count at an endpoint changes")
+def step_change(context):
+    async def change():
+        context.knowledge.board.of(ENDPOINT).in_flight += 1
+        context.news.changed(ENDPOINT)
+        await asyncio.sleep(0.05)
+
+    run(context, change())
+
+
+@then("a VM of each other data centre is {told} of it")
+def step_told(context, told):
+    found = told_far(context, CountChanges)
+    assert len({at for at, _ in found}) == (2 if told == "told" else 0), found
+    assert all(message.counts == {ENDPOINT: 1} for _, message in found)
+
+
+@then("all its counts are {told} there again within 300 ms")
+def step_told_again(context, told):
+    context.wire.sent.clear()
+    context.news.repeat(monotonic_ms() + 300.0)
+    found = told_far(context, InFlight)
+    assert len({at for at, _ in found}) == (2 if told == "told" else 0), found
+    assert all(message.counts == {ENDPOINT: 1} for _, message in found)
+
+
+@given("a VM that has heard counts of {count:d} VMs while requests have to cross")
+def step_many_tellers(context, count):
+    start_vm(context)
+    lose(context, 4, "are evacuated")
+    for number in range(count):
+        context.news.told(InFlight(f"vm-{number + 1}", {"here-1": 1}), monotonic_ms())
+
+
+@when("the count at an endpoint changes {count:d} times within a second")
+def step_changes(context, count):
+    async def change():
+        for _ in range(count):
+            context.knowledge.board.of(ENDPOINT).in_flight += 1
+            context.news.changed(ENDPOINT)
+            await asyncio.sleep(0.004)
+        await asyncio.sleep(0.3)
+
+    run(context, change())
+    context.changes = count
+
+
+@then("it tells other data centres at most {most:d} times, and of the last change too")
+def step_bounded(context, most):
+    found = [message for _, message in told_far(context, CountChanges)]
+    # Each is sent to two data centres; the last one may come after the second.
+    assert len(found) <= 2 * (most + 1), len(found)
+    assert found[-1].counts == {ENDPOINT: context.changes}
+
+
+@given("a VM that hears of {count:d} requests in flight by a change")
+def step_hears(context, count):
+    start_vm(context)
+    context.news.told_changes(CountChanges("vm-7", {ENDPOINT: count}), monotonic_ms())
+
+
+@when("it hears of none by a change")
+def step_hears_none(context):
+    context.news.told_changes(CountChanges("vm-7", {ENDPOINT: 0}), monotonic_ms())
+
+
+@when("it hears of {count:d} by a change, and of all counts without it")
+def step_hears_all(context, count):
+    context.news.told_changes(CountChanges("vm-7", {ENDPOINT: count}), monotonic_ms())
+    context.news.told(InFlight("vm-7", {"here-2": 1}), monotonic_ms())
+
+
+@then("it knows of {count:d}")
+def step_knows(context, count):
+    assert context.knowledge.board.of(ENDPOINT).shared(monotonic_ms()) == count
+
+
+@given("measured figures whose load changes by one")
+def step_figures(context):
+    start_vm(context)
+
+
+@then("another data centre hears of it within 100 ms if requests have to cross, and not else")
+def step_far_figures(context):
+    async def measure(crossing):
+        wire = Wire()
+        spread = Spread("vm-0", wire, context.members)
+        news = LoadNews("vm-0", spread, lambda: True, lambda now_ms: crossing)
+        begun_ms = monotonic_ms()
+        news.add(ENDPOINT, LoadFigure(1, 0, 1.0), begun_ms)
+        await asyncio.sleep(0.3)
+        before = len(wire.sent)
+        news.add(ENDPOINT, LoadFigure(2, 0, 1.0), begun_ms + 300.0)
+        await asyncio.sleep(0.1)
+        far = [decode(data) for _, data in wire.sent[before:]]
+        return any(isinstance(item, Relay) for item in far)
+
+    assert run(context, measure(True))
+    assert not run(context, measure(False))
+
+
+@given("a gateway with a request that waits, where each look takes {cost:d} ms")
+def step_waits(context, cost):
+    class Line:
+        def __init__(self):
+            self.looks = []
+
+        def __len__(self):
+            return 1
+
+        def services(self):
+            self.looks.append(monotonic_ms())
+            time.sleep(cost / 1_000)
+            return ()
+
+    context.forwarder = Forwarder(*[None] * 11)
+    context.forwarder._line = context.line = Line()
+
+
+@when("news of others comes {count:d} times within {span:d} ms")
+def step_news(context, count, span):
+    async def hear():
+        for _ in range(count):
+            context.last_ms = monotonic_ms()
+            context.forwarder.look_soon()
+            await asyncio.sleep(span / count / 1_000)
+        await asyncio.sleep(0.1)
+
+    context.line.looks.clear()
+    run(context, hear())
+
+
+@then("it has looked at most {most:d} times, and once after the last news")
+def step_looked(context, most):
+    looks = context.line.looks
+    span_ms = context.last_ms - looks[0]
+    # A slow machine takes longer for the news, and has time for more looks meanwhile.
+    assert len(looks) <= max(most, 2 + span_ms / 12.0), looks
+    assert looks[-1] >= context.last_ms, looks
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_spread_steps.py
@@ -13,7 +13,13 @@
 from cloverhook.gateway.load import LoadFigure
 from cloverhook.gateway.load_news import LoadNews
 from cloverhook.gateway.members import Members
-from cloverhook.gateway.peer_messages import Beat, InFlight, Relay, ServerChanges, decode
+from cloverhook.gateway.peer_messages import (
+    Beat,
+    CountChanges,
+    Relay,
+    ServerChanges,
+    decode,
+)
 from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
 from cloverhook.gateway.spread import Spread
 from cloverhook.gateway.state_fetch import state_for
@@ -200,10 +206,10 @@
         for name in context.names:
             peering = peering_of(name, context.names)
             peering._knowledge.board.of("i-0").in_flight = 1
-            peering.count_changed()
+            peering.count_news.changed("i-0")
             await asyncio.sleep(0.005)
             sent = peering.link.sent
-            assert all(decode(data) == InFlight(name, {"i-0": 1}) for _, data in sent)
+            assert all(decode(data) == CountChanges(name, {"i-0": 1}) for _, data in sent)
             told[name] = {address.partition(":")[0] for address, _ in sent}
 
     run(context, tell())
@@ -352,12 +358,12 @@
     assert len(reached - {context.dead}) == 2, reached
 
 
-@given("{count:d} VMs of one data centre of which each uses {percent:d} percent of a core")
-def step_busy(context, count, percent):
+@given("{count:d} VMs of one data centre, to each of which callers send {rate:d} requests a second")
+def step_requests(context, count, rate):
     names = [f"vm-{number}" for number in range(count)]
     context.members = Members(names[0], NEAR, 0.0)
     for name in names[1:]:
-        context.members.heard(replace(beat(name), busy_percent=percent), 0.0)
+        context.members.heard(replace(beat(name), requests_per_s=rate), 0.0)
 
 
 @then("{count:d} of them serve callers")
