--- a/cloverhook/gateway/beat_pace.py
+++ b/cloverhook/gateway/beat_pace.py
@@ -52,18 +52,14 @@
         return CROWD_FAR_MS if self._members.crowded() else FAR_MS
 
     def beats_far(self, reading: bool, now_ms: float) -> bool:
-        """Return whether the other data centres hear this VM: they need a few that pass on news.
-
-        With all 63 of each of five data centres a VM heard 54 beats a second from afar, now 27.
-        """
+        """Return whether the other data centres hear this VM: they need a few that pass on news."""
         return reading or self._members.is_informed(now_ms)
 
     def hears_ms(self, has_requests: bool, now_ms: float) -> float:
         """Return for how long messages from others may wait, to be read together.
 
         Where requests are placed none does: in overload, two VMs that have not heard of each other
-        choose the same last slot.  With counts that come after 9 ms in place of 3, 61% of requests
-        are in time in place of 69% (replay of 12 VMs and 40 endpoints of 2 slots, 8 seeds).
+        choose the same last slot.
         """
         if has_requests or self._members.serves_callers(now_ms):
             return 0.0
--- a/cloverhook/gateway/candidates.py
+++ b/cloverhook/gateway/candidates.py
@@ -22,8 +22,7 @@
 __all__ = ["Candidates"]
 
 RETURN_MS = 100.0
-"""A count that is not repeated expires after 700 ms, a figure after 1.5 s; looking at a full
-endpoint ten times a second costs 10 us a second each."""
+"""Counts and figures that are not repeated expire without a word; this is sooner than either."""
 
 
 class Candidates:
--- a/cloverhook/gateway/count_news.py
+++ b/cloverhook/gateway/count_news.py
@@ -23,7 +23,7 @@
 REPEAT_MS = 250.0
 FAR_DELAY_MS = 5.0
 FAR_HEARD_PER_S = 1_500.0
-"""A VM hears so many datagrams on changes elsewhere at most: each takes it some 40 us."""
+"""A VM hears so many datagrams on changes elsewhere at most, which leaves it time for requests."""
 
 
 class CountNews:
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -98,7 +98,7 @@
             self._members,
             self._log,
             lambda incarnation: self._forwarder.pace_changed(incarnation),
-            lambda: self._forwarder.look_soon(),
+            lambda: self._forwarder.admission.look_soon(),
             fleet=settings.store_address,
             requests_per_s=allowance.all_requests_per_s,
         )
@@ -279,7 +279,7 @@
         counters.set("members_alive", len(self._members.alive(now_ms)))
         counters.set("cut_off", int(self._members.is_cut_off(now_ms)))
         counters.set("reading_store", int(self._follower.reading))
-        counters.set("waiting", self._forwarder.waiting())
+        counters.set("waiting", len(self._forwarder.admission))
         counters.set("probes", self._prober.probes)
         counters.set("connects", self._pool.connects)
         counters.set("log_lines_dropped", self._log.dropped_total)
@@ -307,7 +307,7 @@
 
     def _tick_ms(self) -> float:
         """Return the time to the next tick: less often where nobody waits for what it does."""
-        busy = self._knowledge.board.has_requests() or self._forwarder.waiting()
+        busy = self._knowledge.board.has_requests() or len(self._forwarder.admission)
         if busy or self._members.is_informed(monotonic_ms()):
             return TICK_MS
         return STANDBY_TICK_MS
@@ -330,7 +330,7 @@
         if now_ms >= self._sweep_due_ms:
             self._sweep_due_ms = now_ms + SWEEP_MS
             self._sweep(now_ms)
-        self._forwarder.look_at_waiting()
+        self._forwarder.admission.look_at_all()
 
     def _sweep(self, now_ms: float) -> None:
         self._tell_cut_off(now_ms)
--- a/cloverhook/gateway/datagram_port.py
+++ b/cloverhook/gateway/datagram_port.py
@@ -1,7 +1,6 @@
 """A UDP socket that may read what comes within a short time together.
 
-Layer: transport.  To wake for a datagram costs about as much as to handle it: 43 us of processor
-time for one at a wake-up, 24 us each for ten, decoding included (6,000 beats over loopback).  So a
+Layer: transport.  To wake for a datagram costs about as much as to handle it.  So a
 VM of a large fleet that has nothing urgent to hear reads several at a time.  asyncio's own endpoint
 wakes for each datagram and can't be told to wait.
 """
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -11,6 +11,7 @@
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import ErrorKind, answer_for
+from cloverhook.gateway.admission import Admission
 from cloverhook.gateway.attempt import Attempt, AttemptResult, Outcome
 from cloverhook.gateway.backend_pool import BackendPool
 from cloverhook.gateway.balancer import Balancer, Choice, Room, WorkEstimates
@@ -39,8 +40,8 @@
 FIGURE_LAG_MS = 150.0
 """Work keeps the pace at which it began; a figure may tell of that pace so much later."""
 SILENT_WORKS = 6.0
-"""An endpoint that could have done the work so many times and says nothing has failed it.  With 2.5
-an endpoint that works four times as long than it says is suspended, in the load that needs it."""
+"""An endpoint that could have done the work so many times and says nothing has failed it; one that
+works a few times as long than it says has not."""
 LAST_MS = 10.0
 """With less time left, no attempt is worth starting."""
 RETURN_MS = (30.0, 80.0)
@@ -48,9 +49,6 @@
 enough for a slot to come free, soon enough for the answer to be in time."""
 EVACUATED_RETURN_MS = (700.0, 1_400.0)
 """While nothing can serve a request, callers come back seldom, but in time for most objectives."""
-LOOK_DELAY_MS = 2.0
-LOOK_PAUSES = 4.0
-"""Looks on news of others are so many times as long apart as one takes: a fifth of the time."""
 CONNECTION_SHARE = 0.8
 """The part of an endpoint's connections that the gateways use together."""
 
@@ -83,10 +81,9 @@
         self._on_refusal = on_refusal
         self._report = report
         self._estimates = estimates
-        self._line = WaitingLine(balancer)
-        self._waiting: dict[Waiter, asyncio.Future[Choice | None]] = {}
-        self._look_timer: asyncio.TimerHandle | None = None
-        self._look_ms = 0.0
+        self.admission = Admission(
+            WaitingLine(balancer), self._place, lambda choice: self._count(choice, -1)
+        )
         self._splits = Splits()
         self._running: dict[str, set[RequestRun]] = {}
 
@@ -231,50 +228,7 @@
             urgent=route.priority <= first_priorities.get(run.service, 0),
             repeatable=route.idempotent,
         )
-        future: asyncio.Future[Choice | None] = asyncio.get_running_loop().create_future()
-        self._waiting[waiter] = future
-        self._line.add(waiter)
-        self._look(run.service)
-        try:
-            return await future
-        except asyncio.CancelledError:
-            self._line.remove(waiter)
-            self._waiting.pop(waiter, None)
-            if future.done() and not future.cancelled() and future.result() is not None:
-                self._count(future.result(), -1)
-            raise
-
-    def waiting(self) -> int:
-        """Return how many requests wait for room."""
-        return len(self._line)
-
-    def look_at_waiting(self) -> None:
-        """Start or refuse the waiting requests whose time has come."""
-        begun_ms = monotonic_ms()
-        for service in self._line.services():
-            self._look(service)
-        self._look_ms = monotonic_ms() - begun_ms
-
-    def look_soon(self) -> None:
-        """Look at the waiting requests, as news of other VMs has come; there may be much of it.
-
-        In overload each look takes long, and a VM that does nothing else answers nobody in time.
-        """
-        if self._look_timer is None and len(self._line):
-            delay_ms = max(LOOK_DELAY_MS, LOOK_PAUSES * self._look_ms)
-            loop = asyncio.get_running_loop()
-            self._look_timer = loop.call_later(delay_ms / 1000, self._look_now)
-
-    def _look_now(self) -> None:
-        self._look_timer = None
-        self.look_at_waiting()
-
-    def _look(self, service: str) -> None:
-        while (decision := self._line.next(service, monotonic_ms())) is not None:
-            future = self._waiting.pop(decision.waiter)
-            if decision.choice is not None:
-                self._place(decision.choice)
-            future.set_result(decision.choice)
+        return await self.admission.wait(waiter)
 
     def _place(self, choice: Choice) -> None:
         """Count a request at the backend server chosen, before the next one is placed."""
@@ -340,7 +294,7 @@
     def _attempt_over(self, choice: Choice) -> None:
         """Let the next request in; also an attempt that was cancelled before it began ends here."""
         self._count(choice, -1)
-        self._look(choice.server.service)
+        self.admission.look(choice.server.service)
 
     def _connection_limit(self, service: str) -> int:
         config = self._knowledge.config
--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -19,7 +19,7 @@
 __all__ = ["GROUP_SIZE", "LISTEN_MS", "Measuring"]
 
 GROUP_SIZE = 24
-"""About 8% of a core at 20 probes a second; their figures share one datagram."""
+"""The figures of a group share one datagram, and a small VM can measure it beside its requests."""
 STEP_IN_MS = 350.0
 """Two of the slowest probes in a row without a figure: their sender is dead, paused or cut off."""
 PROBES_PER_REQUEST = 3.0
@@ -28,13 +28,13 @@
 FEWEST_PROBES_PER_S = 6.0
 """An endpoint that hardly anybody calls is measured often enough to know when it turns slow."""
 CROWD_MOST_PROBES_PER_S = 10.0
-"""Each figure goes to 20 VMs of a crowded data centre, and there are many endpoints."""
+"""Each figure goes to all informed VMs of a crowded data centre, and there are many endpoints."""
 SLACK_MS = 5.0
 """A probe that is due within this time goes out now, with the others."""
 LISTEN_MS = 2_000.0
-"""A VM that has just started knows nobody and would measure everything, as each of 313 VMs did at
-360 endpoints: it listens first.  At a later start callers are waiting, so it measures a group.
-After a loss of power 0.3 s were too short to meet the others: 122,000 connections were opened."""
+"""A VM that has just started knows nobody and would measure everything: it listens first, for long
+enough to meet the others after a loss of all power.  At a later start callers are waiting, so it
+measures a group."""
 ORDER_MS = 250.0
 """The orders are worked out anew after this time; they change only with the VMs."""
 
@@ -112,8 +112,8 @@
     def _to_step_in(self, now_ms: float) -> list[BackendServer]:
         """Return the backend servers that another VM should measure and no VM has.
 
-        The walk is repeated when the first of them could be due, not at each tick: over 72 of them
-        it was more than half of what the ticks cost a VM that serves callers.
+        The walk is repeated when the first of them could be due, not at each tick: it would be most
+        of what the ticks cost.
         """
         if now_ms < self._step_in_due_ms:
             return []
@@ -169,8 +169,8 @@
     def _rank_for_itself(self) -> None:
         """Measure a group for this VM alone, if it has requests, while it hears no other VM.
 
-        A VM that callers are sent to is the ninth or later in the order of each group: cut off, it
-        had a figure of each endpoint every 2.8 s or more seldom, and placed requests blindly.
+        A VM that callers are sent to is late in the order of each group: cut off, it would have to
+        wait for figures, and place requests blindly.
         """
         if self._board.has_requests():
             self._ranked = self._first_ones(self._in_use(), GROUP_SIZE)
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -62,8 +62,8 @@
 FOR_THE_AUDIENCE = (Loads, Failures, Refusals, InFlight, CountChanges)
 """What only those need who place requests."""
 CHANGE_RELAYS = 3
-"""Of a fleet a third may be cut off before it shows; with one relay each third change was lost, and
-a VM used an endpoint 2.6 s after its leaving was acknowledged."""
+"""A third of a fleet may be cut off before it shows: by a single relay each third change would be
+lost, and endpoints be used after they have left."""
 
 
 class Peering:
--- a/cloverhook/gateway/spread.py
+++ b/cloverhook/gateway/spread.py
@@ -2,8 +2,7 @@
 
 Layer: transport.  A VM of the own data centre is sent a datagram of its own.  In each other data
 centre one VM gets it and relays it to its neighbours; each message goes to the next VM there, so
-that one that is dead, but not yet known to be, loses a small part of the news only.  With 41 VMs in
-each of three data centres this is 2 datagrams between them for each message in place of 82.
+that one that is dead, but not yet known to be, loses a small part of the news only.
 """
 
 from collections.abc import Iterable
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -20,16 +20,13 @@
 __all__ = ["GAP_MS", "GAP_SHARE", "StoreFollower"]
 
 WAIT_MS = {Feed.CONFIG: 1_200, Feed.SERVERS: 1_000}
-"""Each call is paid for.  A silent store shows after the shorter wait and the client's timeout.  A
-slow one may leave a waiting call without a record that is there until the wait ends: with 3 s, two
-readers had a version 1.2 s later than a VM that asked anew.  An endpoint that leaves is told in the
-other feed, which seldom waits: each endpoint reports every second or two."""
+"""Each call is paid for.  A silent store shows after the shorter wait and the client's timeout, and
+a slow one may leave a waiting call without a record that is there until the wait ends."""
 GAP_MS = 200.0
 """Changes that come within this time are taken in one call: calls are paid for."""
 GAP_SHARE = 0.1
-"""The feed of backend servers is read more seldom where one that leaves serves for longer.  An
-entry that vanishes is used for three quarters of that time: with a pause of a quarter it was used
-too long by 23 ms."""
+"""The feed of backend servers is read more seldom where one that leaves serves for longer.  A
+vanished entry is used for most of that time, so that little is left for a pause."""
 RETRY_MS = (100.0, 200.0, 400.0, 600.0)
 AWAY_MS = 400.0
 """A store that answers nobody for this long has been away: entries may lapse meanwhile."""
@@ -74,8 +71,8 @@
     def read_first(self) -> None:
         """Read until there is enough to serve by, and stop: this VM is not one that follows.
 
-        After a loss of power all VMs do so at once.  When each followed the store until it had
-        heard of two others that did, 313 VMs made 1,479 calls and all beat as readers meanwhile.
+        After a loss of power all VMs do so at once: if each followed the store until it had heard
+        of two others that do, all would call it and beat as readers meanwhile.
         """
         if not self._tasks:
             self._only_first = True
--- a/cloverhook/gateway/trust.py
+++ b/cloverhook/gateway/trust.py
@@ -19,14 +19,12 @@
 __all__ = ["ANSWERED_MS", "Accusations", "Trust"]
 
 FAILURES = 2
-"""A single failure may be a connection's fault; where 3 in 100 answers are lost, two in a row are
-one in a thousand."""
+"""A single failure may be a connection's fault."""
 FAILURES_MS = 1_500.0
 """Two failures further apart are no row."""
 ANSWERED_MS = 3_000.0
 """A failure that is told counts as no more than one where its teller or this VM has had an answer
-within this time: answers are not told.  Without this, endpoints of 8 requests a second that lost 3
-in 100 answers were suspended by each of 19 VMs, and 3 in 100 requests refused in place of 1."""
+within this time: answers are not told, and an endpoint that loses a few answers would look dead."""
 SUSPEND_MS = 1_000.0
 SUSPEND_MOST_MS = 8_000.0
 """An endpoint that is mended is used again within this time."""
--- a/cloverhook/gateway/waiting_line.py
+++ b/cloverhook/gateway/waiting_line.py
@@ -34,12 +34,11 @@
 """A late request is started only if it is expected to use at most this part of the time it has."""
 LATE_WAIT_SHARE = 0.5
 """An important request that can't be in time waits for a late start for half of its time at most,
-and begins only where nobody waits who can be: with 0.35 to 0.7 the replay shows no difference."""
+and begins only where nobody waits who can be."""
 LOOKS_LIMIT = 16
 """How many waiting requests are weighed at a change."""
 WORK_STEPS = 8
-"""Waiting requests whose work is within a 12th of each other weigh the endpoints once at a look: so
-a look at a line of 16 costs two choices, not 32."""
+"""Waiting requests whose work is within a 12th of each other weigh the endpoints once at a look."""
 
 
 @dataclass(slots=True, eq=False)
--- a/features/steps/gateway_crossing_steps.py
+++ b/features/steps/gateway_crossing_steps.py
@@ -6,9 +6,9 @@
 from behave import given, then, when
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.gateway.admission import Admission
 from cloverhook.gateway.count_news import CountNews
 from cloverhook.gateway.evacuation import Evacuations
-from cloverhook.gateway.forwarding import Forwarder
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadFigure
 from cloverhook.gateway.load_news import LoadNews
@@ -187,8 +187,8 @@
             time.sleep(cost / 1_000)
             return ()
 
-    context.forwarder = Forwarder(*[None] * 11)
-    context.forwarder._line = context.line = Line()
+    context.line = Line()
+    context.admission = Admission(context.line, None, None)
 
 
 @when("news of others comes {count:d} times within {span:d} ms")
@@ -196,7 +196,7 @@
     async def hear():
         for _ in range(count):
             context.last_ms = monotonic_ms()
-            context.forwarder.look_soon()
+            context.admission.look_soon()
             await asyncio.sleep(span / count / 1_000)
         await asyncio.sleep(0.1)
 
