--- a/cloverhook/gateway/cold_limit.py
+++ b/cloverhook/gateway/cold_limit.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from cloverhook.gateway.members import rank_weight
+from cloverhook.gateway.ranking import rank_weight
 from cloverhook.gateway.registry import BackendServer
 
 __all__ = ["ColdBound", "ColdLimit"]
--- a/cloverhook/gateway/discovery.py
+++ b/cloverhook/gateway/discovery.py
@@ -6,7 +6,8 @@
 been there before keep themselves written down for it.
 """
 
-from cloverhook.gateway.members import Members, rank_weight
+from cloverhook.gateway.members import Members
+from cloverhook.gateway.ranking import rank_weight
 
 __all__ = ["Discovery"]
 
--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -13,7 +13,8 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from cloverhook.gateway.load import LoadBoard
-from cloverhook.gateway.members import Members, rank_weight
+from cloverhook.gateway.members import Members
+from cloverhook.gateway.ranking import rank_weight
 from cloverhook.gateway.registry import BackendServer, Registry
 
 __all__ = ["GROUP_SIZE", "LISTEN_MS", "Measuring"]
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -12,11 +12,10 @@
 from math import ceil
 from typing import Protocol
 
-import xxhash
-
 from cloverhook.gateway.peer_messages import Beat
+from cloverhook.gateway.ranking import rank_weight
 
-__all__ = ["READERS", "KnownVersions", "Member", "Members", "rank_weight"]
+__all__ = ["READERS", "KnownVersions", "Member", "Members"]
 
 SILENT_MS = 2_500.0
 """A member unheard for this long gets no callers: two beats of the slow kind were lost."""
@@ -407,8 +406,3 @@
         if sum(1 for item in group if item.is_alive(now_ms)) < MAJORITY * len(group):
             return True
     return False
-
-
-def rank_weight(key: str, vm: str) -> int:
-    """Return the weight of a VM for a task; all VMs give the task to the heaviest that lives."""
-    return xxhash.xxh3_64_intdigest(f"{key}\0{vm}".encode())
