Bound the probes of a VM: with thousands of endpoints all are asked less often

Change: how often endpoints are asked follows from the endpoints of the largest data centre and the VMs that measure, 150 probes a second for each; another VM steps in after two intervals that were missed, however long they are.

--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -10,6 +10,7 @@
 endpoint is measured the more often, the more requests it gets.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 
 from cloverhook.gateway.load import LoadBoard
@@ -30,6 +31,12 @@
 """An endpoint that hardly anybody calls is measured often enough to know when it turns slow."""
 CROWD_MOST_PROBES_PER_S = 10.0
 """Each figure goes to all informed VMs of a crowded data centre, and there are many endpoints."""
+VM_MOST_PROBES_PER_S = 150.0
+"""A small VM can send so many beside what else it does.  Where there are more endpoints than the
+measuring VMs of a data centre can ask as often as wanted, all are asked less often: a VM that is
+saturated answers nobody in time."""
+STEP_IN_INTERVALS = 2.2
+"""Two probes that are missed show that their sender is gone, however seldom they are."""
 SLACK_MS = 5.0
 """A probe that is due within this time goes out now, with the others."""
 LISTEN_MS = 2_000.0
@@ -123,7 +130,8 @@
             if rank == 0:
                 continue
             unmeasured_ms = self._board.of(server.incarnation).unmeasured_ms(now_ms)
-            left_ms = rank * STEP_IN_MS - unmeasured_ms
+            interval_ms = self._intervals_ms.get(server.service, 0.0)
+            left_ms = rank * max(STEP_IN_MS, STEP_IN_INTERVALS * interval_ms) - unmeasured_ms
             soonest_ms = min(soonest_ms, left_ms)
             if left_ms <= 0 and self._is_planned(server, now_ms):
                 found.append(server)
@@ -142,11 +150,27 @@
             most_per_s = min(most_per_s, CROWD_MOST_PROBES_PER_S)
             data_centers = 1 + len(self._members.far(now_ms))
             vms = min(vms, data_centers * len(self._members.serving(now_ms)))
+        bearable_per_s = self._bearable_per_s(now_ms)
         for service in {server.service for server in self._registry.servers()}:
             endpoints = len(self._registry.of_service(service))
             requests_per_s = self._requests_per_s(service, now_ms) * vms / endpoints
             wanted_per_s = max(PROBES_PER_REQUEST * requests_per_s, FEWEST_PROBES_PER_S)
-            self._intervals_ms[service] = 1000 / min(wanted_per_s, most_per_s)
+            self._intervals_ms[service] = 1000 / min(wanted_per_s, most_per_s, bearable_per_s)
+
+    def _bearable_per_s(self, now_ms: float) -> float:
+        """Return how often each endpoint can be probed without too much work for a VM.
+
+        The data centre with most endpoints decides, so that all VMs come to the same.
+        """
+        endpoints = Counter(server.data_center for server in self._in_use())
+        if not endpoints:
+            return VM_MOST_PROBES_PER_S
+        members = self._members
+        measurers = len(members.informed(now_ms)) - len(members.serving(now_ms))
+        if not members.crowded() or measurers <= 0:
+            alive = 1 + sum(1 for item in members.alive(now_ms) if item.ready)
+            measurers = max(1, alive // (1 + len(members.far(now_ms))))
+        return VM_MOST_PROBES_PER_S * measurers / max(endpoints.values())
 
     def _order(self, now_ms: float) -> None:
         """Work out this VM's place in the order for each backend server that it may measure."""
--- a/features/gateway_measuring.feature
+++ b/features/gateway_measuring.feature
@@ -18,6 +18,10 @@
     When it is back
     Then in a second each backend server is measured by one VM alone, 3 measure at most
 
+  Scenario: More backend servers than can be asked often are asked less often
+    Given 41 VMs of one data centre and 1000 backend servers in it
+    Then within 4 seconds each is measured, after the first by one VM alone, by 300 a second at most
+
   Scenario: A VM that is cut off with requests measures some backend servers for itself
     Given 41 VMs of one data centre and 60 backend servers in it
     When one that callers are sent to is cut off with 1 request in flight for 1000 ms
--- a/features/steps/gateway_measuring_steps.py
+++ b/features/steps/gateway_measuring_steps.py
@@ -1,5 +1,7 @@
 """Steps on which VM measures which backend servers, and what one that is cut off does."""
 
+from collections import Counter
+
 from behave import given, then, when
 
 from cloverhook.gateway.load import LoadBoard, LoadFigure
@@ -86,6 +88,23 @@
     assert len({by[0] for by in context.found.values()}) <= limit, context.found
 
 
+@then(
+    "within {time_s:d} seconds each is measured, after the first by one VM alone,"
+    " by {most:d} a second at most"
+)
+def step_bounded(context, time_s, most):
+    measured_by = {server: [] for server in context.vms.servers}
+    probes = Counter()
+    for step in range(time_s * 1_000 // PROBE_MS):
+        for server, by in context.vms.step().items():
+            measured_by[server] += by
+            if step >= 1_000 // PROBE_MS:
+                probes.update(by)
+    assert all(measured_by.values())
+    assert all(len(set(by)) == 1 for by in measured_by.values())
+    assert max(probes.values()) <= most * (time_s - 1), probes
+
+
 @then("none of those that measure serves callers")
 def step_measurers_spared(context):
     measuring = {by[0] for by in context.found.values()}
