--- a/features/steps/gateway_start_steps.py
+++ b/features/steps/gateway_start_steps.py
@@ -137,8 +137,12 @@
         told = [line["cut_off"] for line in lines if line["kind"] == "cut-off"]
         return told[-1] if told else False
 
+    def is_cut_off():
+        # After a stall between two steps of the scenario, nobody has been heard for a moment.
+        return gateway._members.is_cut_off(monotonic_ms())
+
     async def ask():
-        await fleet.until(lambda: said() == expected)
+        await fleet.until(lambda: said() == expected == is_cut_off())
         return await gateway._serve_metrics(None)
 
     page = run(context, ask()).body.decode()
