--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -206,14 +206,16 @@
         has_connection: Callable[[str], bool] = lambda incarnation: True,
         evacuated: Callable[[], frozenset[str]] = frozenset,
         cold_limit: ColdLimit | None = None,
+        region_of: Callable[[str], str | None] = lambda data_center: None,
     ) -> None:
         """`has_connection` says whether a request to an incarnation needs no new connection.
 
         Nothing is sent to the `evacuated` data centres, and `cold_limit` bounds what cold endpoints
-        get.
+        get.  `region_of` tells the region of a data centre, where it is known.
         """
         self._evacuated = evacuated
         self._cold_limit = cold_limit
+        self._region_of = region_of
         self._has_connection = has_connection
         self._estimates = estimates
         self._registry = registry
@@ -222,7 +224,7 @@
         self._source = source
         self._random = source.random
         self._panic: dict[str, tuple[float, bool]] = {}
-        self._candidates: dict[tuple[str, Room], _Usable] = {}
+        self._candidates: dict[tuple[str, Room, tuple[str, ...]], _Usable] = {}
 
     def choose(
         self,
@@ -232,15 +234,16 @@
         tried: Collection[str] = (),
         room: Room = Room.ANY,
         repeatable: bool = True,
+        regions: tuple[str, ...] = (),
     ) -> Choice | None:
         """Return the best backend server found that has not been tried and has room, or None.
 
         One that can't be reached has no room: it would use up a request's attempts while others
         are full, and a slot there comes free in time for most.
-        A request that is not `repeatable` is sent nowhere on trial.
+        A request that is not `repeatable` goes nowhere on trial, one with `regions` only there.
         """
         look = _Look(service, work_ms, now_ms, tried, room, repeatable, self._estimates)
-        near, far = self._candidates_of(service, room)
+        near, far = self._candidates_of(service, room, regions)
         self._weigh(look, near, NEAR_DRAWN)
         few_near = near.total <= NEAR_DRAWN
         if look.best is None or few_near or look.best_rank > work_ms * (1.0 + CROSSING_SHARE):
@@ -259,19 +262,23 @@
             endpoints,
         )
 
-    def _candidates_of(self, service: str, room: Room) -> tuple[Candidates, Candidates]:
+    def _candidates_of(
+        self, service: str, room: Room, regions: tuple[str, ...]
+    ) -> tuple[Candidates, Candidates]:
         """Return those of the own data centre and the others; each room has its own."""
         servers, left = self._registry.of_service(service), self._evacuated()
-        known = self._candidates.get((service, room))
+        known = self._candidates.get((service, room, regions))
         if known is not None and known.servers is servers and known.evacuated == left:
             return known.near, known.far
         usable = [item for item in servers if not item.draining and item.data_center not in left]
+        if regions:
+            usable = [item for item in usable if self._region_of(item.data_center) in regions]
         near = tuple(item for item in usable if item.data_center == self._data_center)
         far = tuple(item for item in usable if item.data_center != self._data_center)
         known = _Usable(
             servers, left, Candidates(near, self._source), Candidates(far, self._source)
         )
-        self._candidates[service, room] = known
+        self._candidates[service, room, regions] = known
         return known.near, known.far
 
     def may_get(self, server: BackendServer) -> bool:
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -129,6 +129,7 @@
             self._pool.has_idle,
             self._knowledge.evacuated,
             self._cold_limit,
+            (settings.regions or {}).get,
         )
         self._measuring = Measuring(
             settings.vm,
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -227,6 +227,7 @@
             run.deadline_ms,
             urgent=route.priority <= first_priorities.get(run.service, 0),
             repeatable=route.idempotent,
+            regions=route.regions,
         )
         return await self.admission.wait(waiter)
 
@@ -250,7 +251,7 @@
         # Beside a first attempt, one must not keep another request waiting.
         room = Room.UNHARMED if run.tasks else Room.SLOT
         choice = self._balancer.choose(
-            run.service, work_ms, now_ms, run.tried, room, route.idempotent
+            run.service, work_ms, now_ms, run.tried, room, route.idempotent, route.regions
         )
         if choice is None or (run.tasks and choice.spare_share < SPARE_SHARE):
             return False
--- a/cloverhook/gateway/routes.py
+++ b/cloverhook/gateway/routes.py
@@ -19,6 +19,7 @@
     Items,
     Number,
     Table,
+    Text,
     faults_of,
     kind_field,
     table_of,
@@ -42,7 +43,8 @@
 
     `idempotent` requests may run more than once.  `aim_ms` is the latency objective, `timeout_ms`
     bounds the wait for the final answer, `attempts` the endpoints that may run one request;
-    priority 0 is the most important.
+    priority 0 is the most important.  Requests go to endpoints in its `regions` only; with none
+    named, to any.
     """
 
     name: str
@@ -54,6 +56,7 @@
     aim_ms: float = 1_000.0
     priority: int = 0
     attempts: int = 1
+    regions: tuple[str, ...] = kind_field(Items(Text()), ())
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,7 +143,13 @@
         if faults:
             raise MessageError(f"a configuration: {faults[0]}")
         routes = tuple(
-            Route(**{**item, "parts": tuple(Part(**part) for part in item["parts"])})
+            Route(
+                **{
+                    **item,
+                    "parts": tuple(Part(**part) for part in item["parts"]),
+                    "regions": tuple(item.get("regions", ())),
+                }
+            )
             for item in document["routes"]
         )
         services = tuple(ServiceSpec(**item) for item in document.get("services", ()))
--- a/cloverhook/gateway/settings.py
+++ b/cloverhook/gateway/settings.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, fields
 from typing import Any
 
-from cloverhook.checking import Address, Integer, Items, Number, Text, faults_of, table_of
+from cloverhook.checking import Address, Integer, Items, MapOf, Number, Text, faults_of, table_of
 from cloverhook.checking import kind_field as kind
 from cloverhook.errors import SettingsError
 from cloverhook.toml_file import read_toml
@@ -30,7 +30,8 @@
     the store for all; at a later start each reads it once.  Over `retry_window_s`, all
     gateways together may repeat `retry_ratio` of a service's requests and `retry_extra` more.  In a
     second, a cold backend server gets at most `cold_over` times the rate that its service states,
-    and `cold_slack` requests more.
+    and `cold_slack` requests more.  `regions` tells the region of each data centre; a route that
+    names regions is served by the data centres there alone.
     """
 
     vm: str = kind(PLACE)
@@ -52,6 +53,7 @@
     probes_per_s: float = kind(Number(0, 1_000), 20)
     cold_over: float = kind(Number(0.1, 1_000), 1.5)
     cold_slack: float = kind(Number(0), 8)
+    regions: Mapping[str, str] | None = kind(MapOf(Text()), None)
 
     @classmethod
     def from_file(cls, path: str) -> "GatewaySettings":
--- a/cloverhook/gateway/waiting_line.py
+++ b/cloverhook/gateway/waiting_line.py
@@ -54,6 +54,7 @@
     tried: Collection[str] = ()
     urgent: bool = True
     repeatable: bool = True
+    regions: tuple[str, ...] = ()
     number: int = field(default=0)
 
     @property
@@ -85,8 +86,8 @@
     choice: Choice | None
 
 
-Found = dict[tuple[Room, int, bool, tuple[str, ...]], Choice | None]
-"""The choices of one look, by room, work, whether it can be repeated, and the endpoints tried."""
+Found = dict[tuple[Room, int, bool, tuple[str, ...], tuple[str, ...]], Choice | None]
+"""The choices of one look, by room, work, whether it can be repeated, endpoints tried, regions."""
 
 
 class WaitingLine:
@@ -136,10 +137,10 @@
     def _best(self, waiter: Waiter, now_ms: float, room: Room, found: Found) -> Choice | None:
         """Return the best endpoint for a waiter; `found` keeps those of one look."""
         work_step = int(WORK_STEPS * log2(max(1.0, waiter.work_ms)))
-        key = room, work_step, waiter.repeatable, tuple(waiter.tried)
+        key = room, work_step, waiter.repeatable, tuple(waiter.tried), waiter.regions
         if key not in found:
             request = waiter.service, waiter.work_ms, now_ms, waiter.tried
-            found[key] = self._balancer.choose(*request, room, waiter.repeatable)
+            found[key] = self._balancer.choose(*request, room, waiter.repeatable, waiter.regions)
         return found[key]
 
     def _decide(self, waiter: Waiter, now_ms: float, found: Found) -> Decision | None:
--- a/features/gateway_evacuation.feature
+++ b/features/gateway_evacuation.feature
@@ -48,3 +48,13 @@
       | a          | 5      | whole list of offset 9 with none  | none       |
       | a          | 5      | a peer's state of offset 8 with b | b          |
       | a          | 5      | a peer's state of offset 3 with b | a          |
+
+  Scenario Outline: A route that names regions is served by the endpoints there alone
+    Given endpoints in data centres of regions kingston and hobart, and a route to <regions>
+    Then of 200 choices all are in <regions>, with all of kingston <kingston>
+
+    Examples:
+      | regions | kingston  |
+      | hobart  | free      |
+      | kingston | free     |
+      | kingston | evacuated |
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import time
 
 from behave import given, then, when
@@ -9,11 +10,12 @@
 from cloverhook.errors import PlatformSilentError
 from cloverhook.gateway.attempt import Attempt, Outcome
 from cloverhook.gateway.backend_pool import BackendPool
-from cloverhook.gateway.balancer import Choice
+from cloverhook.gateway.balancer import Balancer, Choice, Room, WorkEstimates
 from cloverhook.gateway.calls import CallerRequest
 from cloverhook.gateway.evacuation import Evacuation, Evacuations
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadBoard
+from cloverhook.gateway.registry import BackendServer, ServerRecord
 from cloverhook.gateway.store import MemoryStore
 from features import gateway_fleet as fleet
 from features.shared import run
@@ -231,3 +233,38 @@
 @then("{result} are evacuated")
 def step_result(context, result):
     assert context.known.evacuated() == names(result), context.known.evacuations
+
+
+@given("endpoints in data centres of regions kingston and hobart, and a route to {region}")
+def step_regions(context, region):
+    context.region = region
+    context.known = Knowledge()
+    places = {"papine": "kingston", "moonah": "hobart"}
+    for offset, place in enumerate(places):
+        server = BackendServer(f"i-{place}", fleet.SERVICE, "10.0.0.1:1", place, 3)
+        context.known.registry.apply(ServerRecord(server.name, offset, server), 0.0, False)
+    context.balancer = Balancer(
+        context.known.registry,
+        context.known.board,
+        WorkEstimates(),
+        "papine",
+        random.Random(2),
+        evacuated=context.known.evacuated,
+        region_of=places.get,
+    )
+
+
+@then("of {count:d} choices all are in {region}, with all of kingston {state}")
+def step_kept_to(context, count, region, state):
+    if state == "evacuated":
+        context.known.take_evacuations(Evacuations(1, frozenset({"papine"})))
+    for room in (Room.SLOT, Room.UNHARMED):
+        for number in range(count):
+            choice = context.balancer.choose(
+                fleet.SERVICE, 10.0, number, (), room, regions=(region,)
+            )
+            if state == "evacuated":
+                assert choice is None, choice
+            else:
+                place = "papine" if region == "kingston" else "moonah"
+                assert choice.server.data_center == place, choice
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -83,6 +83,7 @@
     },
     "internalPorts": [7660, 7675],
     "seeds": ["10.1.0.35:8146", "10.2.0.28:8146"],
+    "zones": {"papine": "kingston", "moonah-depot": "south-tas"},
     "platform": {"address": "10.200.1.7:8142"},
     "bounds": {
         "drain": 2,
@@ -258,6 +259,12 @@
         table, _, name = match.group(1).partition(".")
         return match.group(2) if name in fields[table] else ""
 
+    def pairs(match):
+        rows = value(match.group(1)).items()
+        return ", ".join(f"{json.dumps(key)} = {json.dumps(item)}" for key, item in rows)
+
+    table = r"\{\{#(\w+)\}\}\{\{@\|json\}\} = \{\{\.\|json\}\}\{\{,\}\}\{\{/\w+\}\}"
+    template = re.sub(table, pairs, template)
     template = re.sub(r"\{\{#(\w+\.\w+)\}\}(.*?)\{\{/\1\}\}", where_present, template)
     text = re.sub(r"\{\{#(\w+)\}\}\{\{\.\|json\}\}\{\{,\}\}\{\{/\w+\}\}", section, template)
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", single, text)
@@ -271,6 +278,7 @@
     assert settings.seed_addresses == tuple(FIELDS["seeds"])
     assert settings.first_start and settings.retry_extra == 56
     assert (settings.cold_over, settings.cold_slack) == (1.5, 8)
+    assert settings.regions == FIELDS["zones"]
     bounds = {**FIELDS["bounds"], "coldOver": 1.2, "coldSlack": 4}
     document = tomllib.loads(fill(context.template, {**FIELDS, "bounds": bounds}))
     settings = GatewaySettings.from_document(document)
