--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -255,6 +255,8 @@
         )
         if choice is None or (run.tasks and choice.spare_share < SPARE_SHARE):
             return False
+        if choice.expected_ms > run.deadline_ms - now_ms:
+            return False  # It would hold a slot for long, and answer too late for its caller.
         arrived = any(item.arrived for item in run.results) or run.tasks
         if arrived and not self._allowance.take(run.service, now_ms, self._vms()):
             self._report.repeated(run.service, allowed=False)
--- a/features/gateway_trust.feature
+++ b/features/gateway_trust.feature
@@ -51,3 +51,8 @@
     When one gateway has sent it 40 requests
     Then both gateways know that it turns away between 0.2 and 0.7 of what it gets
     And it is not suspended
+
+  Scenario: A request that was turned away is not sent where its answer would come too late
+    Given 1 gateways and 2 backend servers of which one turns all away and one works 60 times as long
+    When a request that the first one gets has been turned away
+    Then it is refused at once, and the slow one has not been asked
--- a/features/steps/gateway_trust_steps.py
+++ b/features/steps/gateway_trust_steps.py
@@ -279,3 +279,30 @@
     for gateway, _ in context.gateways:
         trust = gateway._knowledge.board.of(context.shedding.incarnation).trust
         assert not trust.is_suspended(monotonic_ms())
+
+
+@given(
+    "1 gateways and 2 backend servers of which one turns all away and one works 60 times as long"
+)
+def step_slow_and_shedding(context):
+    async def start():
+        await fleet.start_fleet(context, backends=2, gateways=1)
+        context.shedding, context.slow = context.backends
+        context.shedding.default = "reject"
+        context.slow.pace = 6_000
+        board = context.gateways[0][0]._knowledge.board
+        await fleet.until(lambda: board.of(context.slow.incarnation).pace(monotonic_ms()) == 60.0)
+
+    run(context, start())
+
+
+@when("a request that the first one gets has been turned away")
+def step_turned_away(context):
+    _, settings = context.gateways[0]
+    context.answer = run(context, fleet.call(settings.caller_address))
+
+
+@then("it is refused at once, and the slow one has not been asked")
+def step_not_asked(context):
+    assert context.answer.status == 503 and context.answer.body == b"refused", context.answer
+    assert len(context.shedding.seen) == 1 and not context.slow.seen
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -263,7 +263,7 @@
         rows = value(match.group(1)).items()
         return ", ".join(f"{json.dumps(key)} = {json.dumps(item)}" for key, item in rows)
 
-    table = r"\{\{#(\w+)\}\}\{\{@\|json\}\} = \{\{\.\|json\}\}\{\{,\}\}\{\{/\w+\}\}"
+    table = r"\{\{#(\w+)\}\}\"\{\{@\}\}\" = \{\{\.\|json\}\}\{\{,\}\}\{\{/\w+\}\}"
     template = re.sub(table, pairs, template)
     template = re.sub(r"\{\{#(\w+\.\w+)\}\}(.*?)\{\{/\1\}\}", where_present, template)
     text = re.sub(r"\{\{#(\w+)\}\}\{\{\.\|json\}\}\{\{,\}\}\{\{/\w+\}\}", section, template)
