--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -290,8 +290,9 @@
         left = self._evacuated()
         if not left:
             return False
-        serving = [item for item in self._registry.of_service(service) if not item.draining]
-        return bool(serving) and all(item.data_center in left for item in serving)
+        serving = (item for item in self._registry.of_service(service) if not item.draining)
+        places = (item.data_center in left for item in serving)
+        return next(places, False) and all(places)
 
     def _weigh(self, look: "_Look", candidates: Candidates, count: int) -> None:
         """Draw some candidates and keep the best one."""
