--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -41,7 +41,7 @@
 """Work keeps the pace at which it began; a figure may tell of that pace so much later."""
 SILENT_WORKS = 6.0
 """An endpoint that could have done the work so many times and says nothing has failed it; one that
-works a few times as long than it says has not."""
+works a few times as long as it says has not."""
 LAST_MS = 10.0
 """With less time left, no attempt is worth starting."""
 RETURN_MS = (30.0, 80.0)
--- a/cloverhook/gateway/registry.py
+++ b/cloverhook/gateway/registry.py
@@ -352,7 +352,7 @@
 
 def _same(before: BackendServer, after: BackendServer, now_ms: float) -> bool:
     """Return whether two records differ in nothing that decides where requests go."""
-    cold_ms = (max(now_ms, item.warm_at_ms) for item in (before, after))
-    if abs(next(cold_ms) - next(cold_ms)) > COLD_NEWS_MS:
+    was_warm_at_ms, is_warm_at_ms = (max(now_ms, item.warm_at_ms) for item in (before, after))
+    if abs(is_warm_at_ms - was_warm_at_ms) > COLD_NEWS_MS:
         return False
     return replace(before, warm_at_ms=0.0, sequence=0) == replace(after, warm_at_ms=0.0, sequence=0)
