Log the content and caller of requests, and whether an endpoint ended under one

Cause: after an incident the logs could not tell whether requests that were cut had the same content, nor whether the endpoint had ended or only the connection. Change: attempt and answer lines carry a hash of method, host, target and body, and the caller's address. After a cut the gateway connects once more; where the connection is refused, the endpoint has ended. Requests cut at the same moment share that look. The metric crashes counts them. Shown by both examples of the scenario, which tell a reset from a crash. Ruled out: the answer to a probe, as it comes after seconds and says nothing of this moment.

--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -60,6 +60,8 @@
     status: int = 0
     answer: CallerAnswer | None = None
     detail: str = ""
+    crashed: bool = False
+    """Whether the backend server ended while it had the request."""
     at_fault: bool = False
     """Whether the backend server has failed a request that it should have answered."""
     with_room: bool = False
@@ -140,7 +142,8 @@
                 if quick and self.choice.load < server.slots:
                     pool.was_forgotten(server, connection)
                 forgotten = quick and connection.idle_since_ms > 0.0
-            result = replace(result, at_fault=self.sent and not forgotten)
+            crashed = self.sent and not error.bad_answer and await pool.has_ended(server)
+            result = replace(result, at_fault=self.sent and not forgotten, crashed=crashed)
         finally:
             if connection is not None and not kept and not connection.usable:
                 connection.close()
--- a/cloverhook/gateway/backend_pool.py
+++ b/cloverhook/gateway/backend_pool.py
@@ -41,6 +41,7 @@
         self._idle: dict[str, deque[tuple[UpstreamConnection, float]]] = {}
         self._open: dict[str, int] = {}
         self._idle_limit_ms: dict[str, float] = {}
+        self._looks: dict[str, asyncio.Task[bool]] = {}
         self.connects = 0
 
     async def acquire(
@@ -65,6 +66,26 @@
             raise UpstreamError(f"{limit} connections to {server.address} are in use", sent=False)
         return await self._connect(server, min(connect_ms, CONNECT_TIMEOUT_MS))
 
+    async def has_ended(self, server: BackendServer) -> bool:
+        """Return whether a backend server that has cut a connection listens no more.
+
+        Those who ask at the same time share the answer.  One that can't be reached may live.
+        """
+        look = self._looks.get(server.incarnation)
+        if look is None:
+            look = asyncio.get_running_loop().create_task(self._refuses(server))
+            self._looks[server.incarnation] = look
+            look.add_done_callback(lambda _: self._looks.pop(server.incarnation))
+        return await asyncio.shield(look)
+
+    async def _refuses(self, server: BackendServer) -> bool:
+        try:
+            connection = await self._connect(server, CONNECT_TIMEOUT_MS)
+        except UpstreamError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        connection.close()
+        return False
+
     def has_idle(self, incarnation: str) -> bool:
         """Return whether a connection to a backend server waits for use."""
         return bool(self._idle.get(incarnation))
--- a/cloverhook/gateway/calls.py
+++ b/cloverhook/gateway/calls.py
@@ -13,7 +13,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
-    """A whole request; header names are in lower case and `host` has no port."""
+    """A whole request; header names are in lower case and `host` has no port.
+
+    `caller` is the IP address that the request came from.
+    """
 
     method: bytes
     target: bytes
@@ -23,6 +26,7 @@
     body: bytes
     has_body: bool
     arrived_ms: float
+    caller: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/cloverhook/gateway/counters.py
+++ b/cloverhook/gateway/counters.py
@@ -13,6 +13,7 @@
     "answers": "requests that have ended, by service and cause",
     "latency": "from a request's arrival to its answer, by route",
     "repeats": "requests sent once more, by service",
+    "crashes": "requests under which a backend server has ended, by service",
     "repeats_denied": "repeats for which no allowance was left, by service",
     "store_calls": "calls to the store, by feed and whether they were answered",
     "config_version": "the version of the configuration in force",
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -19,6 +19,7 @@
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import SLOW_PACE
+from cloverhook.gateway.request_key import RequestKeys
 from cloverhook.gateway.request_report import RequestReport
 from cloverhook.gateway.request_run import RequestRun
 from cloverhook.gateway.retry_allowance import RetryAllowance
@@ -120,7 +121,8 @@
             return self._turn_away(request, request_id, kind, reason)
         service = self._splits.next(route)
         deadline_ms = request.arrived_ms + self._time_left_ms(request, route)
-        run = RequestRun(request, request_id, route, service, deadline_ms)
+        keys = RequestKeys.of(request)
+        run = RequestRun(request, request_id, route, service, deadline_ms, keys)
         self._allowance.count(service, request.arrived_ms)
         try:
             answer = await self._bring_to_end(run)
--- a/cloverhook/gateway/ingress.py
+++ b/cloverhook/gateway/ingress.py
@@ -86,6 +86,7 @@
         self._ingress = ingress
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
+        self._caller = ""
         self._parser = httptools.HttpRequestParser(self)
         self._requests: deque[tuple[CallerRequest, bool]] = deque()
         self._task: asyncio.Task[None] | None = None
@@ -109,6 +110,7 @@
         self._transport = transport
         self._ingress.connections.add(self)
         self._ingress.accepted += 1
+        self._caller = transport.get_extra_info("peername")[0]
         transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._watch_idle()
 
@@ -208,6 +210,7 @@
             b"".join(self._body),
             self._has_body,
             monotonic_ms(),
+            self._caller,
         )
         self._requests.append((request, self._parser.should_keep_alive()))
         if self._task is None:
--- a/cloverhook/gateway/request_report.py
+++ b/cloverhook/gateway/request_report.py
@@ -72,11 +72,16 @@
         if not troubled and not self._log.sampled(request_id):
             return
         config = self._knowledge.config
+        for result in run.results:
+            if result.crashed:
+                self._counters.add("crashes", service=run.service)
         for attempt in run.attempts:
             self._log_attempt(run, attempt, request_id)
         self._log.note(
             Kind.ANSWER if troubled else Kind.SAMPLE,
             id=request_id,
+            content=f"{run.keys.content:016x}",
+            caller=run.request.caller,
             route=run.route.name,
             service=run.service,
             status=answer.status,
@@ -95,6 +100,8 @@
         self._log.note(
             Kind.ATTEMPT,
             id=request_id,
+            content=f"{run.keys.content:016x}",
+            caller=run.request.caller,
             server=choice.server.incarnation,
             address=choice.server.address,
             expected_ms=round(choice.expected_ms),
@@ -105,6 +112,7 @@
             candidates=choice.candidates,
             outcome="given-up" if result is None else result.outcome.value,
             status=0 if result is None else result.status,
+            crashed=result is not None and result.crashed,
             latency_ms=-1 if result is None else round(result.latency_ms, 1),
             usual_ms=-1 if result is None else round(result.usual_ms, 1),
             detail="" if result is None else result.detail,
--- a/cloverhook/gateway/request_run.py
+++ b/cloverhook/gateway/request_run.py
@@ -8,6 +8,7 @@
 
 from cloverhook.gateway.attempt import Attempt, AttemptResult
 from cloverhook.gateway.calls import CallerRequest
+from cloverhook.gateway.request_key import RequestKeys
 from cloverhook.gateway.routes import Route
 
 __all__ = ["RequestRun"]
@@ -22,6 +23,7 @@
     route: Route
     service: str
     deadline_ms: float
+    keys: RequestKeys
     attempts: list[Attempt] = field(default_factory=list)
     results: list[AttemptResult] = field(default_factory=list)
     tasks: dict[asyncio.Task[AttemptResult], Attempt] = field(default_factory=dict)
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from cloverhook.gateway.call_headers import CallHeaders
@@ -112,6 +113,7 @@
     names: CallHeaders = NAMES
     listener: asyncio.Server | None = None
     born_ms: int = 0
+    on_request: Callable[["Backend", bytes], None] | None = None
 
     async def start(self, context):
         """Listen until the scenario ends."""
@@ -125,6 +127,13 @@
         """Break off all connections and listen no more."""
         await self._close(self.listener)
 
+    async def restart(self, context, incarnation):
+        """Listen again at the same address, as another incarnation."""
+        host, _, port = self.address.rpartition(":")
+        self.incarnation = incarnation
+        self.listener = await asyncio.start_server(self._serve, host, int(port))
+        context.stack.push_async_callback(self._close, self.listener)
+
     async def _close(self, server):
         server.close()
         for task in self.tasks:
@@ -162,6 +171,8 @@
             self._write(writer, 503 if self.ill else 200, b"", incarnation=True)
             return True
         self.seen.append((lines[0], headers, body))
+        if self.on_request is not None:
+            self.on_request(self, lines[0])
         wanted = headers.get(self.names.incarnation_wanted, b"").decode()
         if wanted != self.incarnation:
             self._write(writer, 421, b"")
--- /dev/null
+++ b/features/gateway_quarantine.feature
@@ -0,0 +1,14 @@
+Feature: A request that crashes the endpoints that run it is kept from the others
+  Callers send it again and again, to any gateway, under another identifier each time.
+
+  Scenario Outline: What became of the endpoint is told of a connection that was cut
+    Given 1 gateways and 2 backend servers
+    And the first backend server <ends> under what it gets
+    When a request that it gets has been cut
+    Then the log says of that attempt whether the endpoint has ended: <ended>
+    And it names the caller, and the same content for the same request sent again
+
+    Examples:
+      | ends              | ended |
+      | resets connections | false |
+      | crashes           | true  |
--- /dev/null
+++ b/features/steps/gateway_quarantine_steps.py
@@ -0,0 +1,184 @@
+"""Steps on requests that crash the endpoints that run them."""
+
+import asyncio
+import json
+
+from behave import given, then, when
+
+from cloverhook.clock import monotonic_ms
+from features import gateway_fleet as fleet
+from features.shared import run
+
+FATAL = fleet.SAFE + "fatal"
+BACK_S = 1.0
+SOUND_EVERY_S = 0.02
+WORK_MS = 20.0
+CRASH_MS = 15.0
+CONTACT_MS = 3_000.0
+
+
+def log_lines(context, kind):
+    """Return the lines of a kind that gateways have written."""
+    lines = (json.loads(line) for line in bytes(context.log).splitlines())
+    return [line for line in lines if line["kind"] == kind]
+
+
+async def start_crashing(context, gateways, backends):
+    """Start a fleet whose backend servers end when they get a fatal request, and come back."""
+    context.log = bytearray()
+    context.ends_ms = []
+    context.fatal_arrivals_ms = []
+    context.after_crash = set()
+    context.stack.push_async_callback(cancel_all, context.after_crash)
+
+    def write(data):
+        context.log.extend(data)
+        return len(data)
+
+    await fleet.start_fleet(context, backends, gateways, write_log=write)
+    for backend in context.backends:
+        backend.work_ms = WORK_MS
+        backend.on_request = lambda *got: on_request(context, *got)
+    await know_each_other(context)
+
+
+async def cancel_all(tasks):
+    """Cancel tasks and wait until they have ended."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def know_each_other(context):
+    """Wait until all gateways have met."""
+    others = len(context.gateways) - 1
+    await fleet.until(lambda: all(len(item._members) == others for item, _ in context.gateways))
+
+
+def on_request(context, backend, head):
+    """Crash a backend server shortly after a fatal request has reached it."""
+    if b"fatal" not in head:
+        return
+    context.fatal_arrivals_ms.append(monotonic_ms())
+    task = asyncio.get_running_loop().create_task(crash_and_return(context, backend))
+    context.after_crash.add(task)
+    task.add_done_callback(context.after_crash.discard)
+
+
+async def crash_and_return(context, backend):
+    """Crash a backend server, and start it again under another name."""
+    incarnation = backend.incarnation
+    await asyncio.sleep(CRASH_MS / 1000)
+    if backend.incarnation != incarnation or not backend.listener.is_serving():
+        return
+    context.ends_ms.append(monotonic_ms())
+    await backend.crash()
+    context.store.remove_server(incarnation)
+    await asyncio.sleep(BACK_S)
+    await backend.restart(context, f"{incarnation}x")
+    context.store.put_server(backend.entry())
+
+
+async def send(context, number, path, request_id, **fields):
+    """Send a request to one of the gateways by turns, and return its answer."""
+    _, settings = context.gateways[number % len(context.gateways)]
+    return await fleet.call(settings.caller_address, path, request_id=request_id, **fields)
+
+
+async def send_fatal(context, count, every_s):
+    """Send the fatal request again and again, without waiting for its answers."""
+    calls = []
+    for number in range(count):
+        calls.append(asyncio.create_task(send(context, number, FATAL, f"fatal-{number}")))
+        await asyncio.sleep(every_s)
+    context.fatal_answers = await asyncio.gather(*calls)
+
+
+async def send_sound(context, until):
+    """Send sound requests, each of another content, until a task has ended."""
+    calls, number = [], 0
+    while not until.done():
+        path = f"{fleet.SAFE}{number}"
+        calls.append(asyncio.create_task(send(context, number, path, f"sound-{number}")))
+        number += 1
+        await asyncio.sleep(SOUND_EVERY_S)
+    context.sound_answers = await asyncio.gather(*calls)
+
+
+@given("the first backend server {ends} under what it gets")
+def step_ends(context, ends):
+    backend = context.backends[0]
+    if ends == "resets connections":
+        backend.default = "reset"
+        return
+    context.ends_ms, context.fatal_arrivals_ms, context.after_crash = [], [], set()
+    context.stack.push_async_callback(cancel_all, context.after_crash)
+    backend.on_request = lambda server, _: on_request(context, server, b"fatal")
+    backend.work_ms = 1_000.0
+
+
+@when("a request that it gets has been cut")
+def step_cut(context):
+    async def send_until_cut():
+        context.log = bytearray()
+        gateway, _ = context.gateways[0]
+        gateway._log._write = lambda data: context.log.extend(data) or len(data)
+        while not context.backends[0].seen:
+            await send(context, 0, fleet.SAFE, "r-1")
+        await send(context, 0, fleet.SAFE, "r-2")
+        await fleet.until(lambda: len(log_lines(context, "attempt")) >= 2)
+
+    run(context, send_until_cut())
+
+
+@then("the log says of that attempt whether the endpoint has ended: {ended}")
+def step_log_says(context, ended):
+    cut = [line for line in log_lines(context, "attempt") if line["outcome"] == "cut"]
+    assert cut
+    assert cut[0]["crashed"] == (ended == "true"), cut
+
+
+@then("it names the caller, and the same content for the same request sent again")
+def step_content(context):
+    lines = log_lines(context, "attempt")
+    assert {line["caller"] for line in lines} == {"127.0.0.1"}
+    assert len({line["content"] for line in lines}) == 1
+
+
+@given(
+    "{gateways:d} gateways and {backends:d} backend servers that are back a second after they end"
+)
+def step_crashing_fleet(context, gateways, backends):
+    run(context, start_crashing(context, gateways, backends))
+
+
+@when(
+    "a request that crashes who runs it is sent every {every_ms:d} ms for {for_s:d} s, "
+    "beside sound ones"
+)
+def step_send_fatal(context, every_ms, for_s):
+    async def send_both():
+        fatal = asyncio.create_task(send_fatal(context, for_s * 1000 // every_ms, every_ms / 1000))
+        await send_sound(context, fatal)
+
+    run(context, send_both())
+
+
+@then("at most {most:d} endpoints have ended")
+def step_ended(context, most):
+    assert 0 < len(context.ends_ms) <= most, len(context.ends_ms)
+
+
+@then("it reached at most {most:d} endpoints later than 3 s after the third of them had ended")
+def step_retries(context, most):
+    if len(context.ends_ms) < 3:
+        return
+    since_ms = context.ends_ms[2] + CONTACT_MS
+    late = [at_ms for at_ms in context.fatal_arrivals_ms if at_ms > since_ms]
+    assert len(late) <= most, len(late)
+
+
+@then("each sound request was answered well")
+def step_sound(context):
+    statuses = [answer.status for answer in context.sound_answers]
+    assert set(statuses) == {200}, {status: statuses.count(status) for status in set(statuses)}
