--- a/features/gateway_quarantine.feature
+++ b/features/gateway_quarantine.feature
@@ -12,3 +12,10 @@
       | ends              | ended |
       | resets connections | false |
       | crashes           | true  |
+
+  Scenario: A request that crashes who runs it comes again at every gateway
+    Given 4 gateways and 12 backend servers that are back a second after they end
+    When a request that crashes who runs it is sent every 200 ms for 9 s, beside sound ones
+    Then at most 3 endpoints have ended
+    And it reached at most 3 endpoints later than 3 s after the third of them had ended
+    And each sound request was answered well
