Keep a request that crashes the endpoints that run it from the others

Callers saw 502, and beside it bookings and reports were cut and browsing was not served for seconds: one request, sent again and again, ended each endpoint that ran it. Cause: nothing knew a request by its content. A gateway repeated it at the next endpoint and took each copy for a new request; trust blamed the endpoint. Change: a hash of the content, and one of content and caller, is held against endpoints that ceased to listen under it. After one crash copies go one at a time over the fleet; after two in a row nobody sends it for 20 s, then one copy, and ever more seldom. An answer clears it for all VMs, and what was answered within 10 to 20 s is never held. VMs that come or return are told. Ruled out: the repeat allowance, as two sendings a request are within it; and a lower number of attempts, as each copy would still end one.

--- a/cloverhook/explain.py
+++ b/cloverhook/explain.py
@@ -14,11 +14,14 @@
 
 REQUEST_KINDS = ("attempt", "answer", "sample")
 ANSWER_KINDS = ("answer", "sample")
+QUARANTINE_KIND = "quarantine"
+KEY_FIELDS = ("content", "content_of_caller")
 BELIEF_KINDS = (
     "config",
     "evacuation",
     "server",
     "endpoint",
+    QUARANTINE_KIND,
     "member",
     "reader",
     "store",
@@ -39,6 +42,7 @@
     "refused": "every backend server that was asked rejected it; it has not run",
     "no-backend-server": "no backend server could be reached, or none is known; it has not run",
     "evacuated": "all backend servers of its service lie in evacuated data centres; it has not run",
+    "quarantined": "endpoints crashed under requests with this content; it has not run",
     "unknown-host": "no route of the configuration in force matches its host and path",
     "deadline-in-run": "a backend server had it and gave no answer in time; it may have run",
     "connection-cut": "a backend server had it and the connection broke; it may have run",
@@ -74,7 +78,7 @@
         parts = [f"request {self.request_id}: {self.cause}"]
         parts += [_told(line, line.time_ms - start_ms) for line in self.lines]
         if self.beliefs:
-            parts.append(f"what {self.lines[-1].vm} had learned in the 5 s before:")
+            parts.append(f"what {self.lines[-1].vm} had learned before:")
             parts += [_told(line, line.time_ms - start_ms) for line in self.beliefs]
         return "\n".join(parts)
 
@@ -115,18 +119,30 @@
     if not own:
         return Story(request_id, (), (), "nothing is known of it")
     end = own[-1]
+    keys = {line.fields.get(name) for line in own for name in KEY_FIELDS}
     beliefs = [
         line
         for line in lines
         if line.vm == end.vm
         and line.kind in BELIEF_KINDS
         and "id" not in line.fields
-        and end.time_ms - BELIEF_WINDOW_MS <= line.time_ms <= end.time_ms
+        and line.time_ms <= end.time_ms
+        and _matters(line, end.time_ms, keys)
     ]
     beliefs.sort(key=lambda line: line.time_ms)
     return Story(request_id, tuple(own), tuple(beliefs), _cause(own))
 
 
+def _matters(line: LogLine, end_ms: float, keys: set[Any]) -> bool:
+    """Return whether a belief may have decided a request with these keys.
+
+    A quarantine counts for the requests that it is about alone, and for them however old it is.
+    """
+    if line.kind == QUARANTINE_KIND:
+        return line.fields.get("key") in keys
+    return line.time_ms >= end_ms - BELIEF_WINDOW_MS
+
+
 def _cause(own: list[LogLine]) -> str:
     answer = next((line for line in reversed(own) if line.kind in ANSWER_KINDS), None)
     if answer is None:
--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -1,7 +1,7 @@
 """One attempt of a request at one backend server.
 
-Layer: transport.  An attempt ends in one of the ways of `Outcome`; only `NOT_SENT`, `DECLINED` and
-`REJECTED` say for certain that the request did not run there.
+Layer: transport.  An attempt ends in one of the ways of `Outcome`; only `NOT_SENT`, `DECLINED`,
+`WITHHELD` and `REJECTED` say for certain that the request did not run there.
 
 A request that must not be sent twice asks first: over the connection that it is about to use, it
 asks the endpoint for its load, and goes elsewhere if that has turned slow since the last figure or
@@ -47,9 +47,13 @@
     REJECTED = "rejected"
     NOT_SENT = "not-sent"
     DECLINED = "declined"
+    WITHHELD = "withheld"
     CUT = "cut"
 
 
+NEVER_ARRIVED = frozenset((Outcome.NOT_SENT, Outcome.DECLINED, Outcome.WITHHELD))
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
     """The end of an attempt; `answer` is there for `ANSWERED` alone."""
@@ -72,7 +76,7 @@
     @property
     def arrived(self) -> bool:
         """Whether the request may have reached the backend server."""
-        return self.outcome not in (Outcome.NOT_SENT, Outcome.DECLINED)
+        return self.outcome not in NEVER_ARRIVED
 
     @property
     def failed(self) -> bool:
@@ -92,15 +96,17 @@
         idempotent: bool,
         headers: CallHeaders,
         ask_path: str | None = None,
-        may_send: Callable[[BackendServer], bool] = lambda server: True,
+        objection: Callable[[BackendServer], str] = lambda server: "",
     ) -> None:
         """With `ask_path`, the endpoint is asked for its load there before the request is sent.
 
-        `may_send` is asked last of all: an evacuation may begin after the choice.
+        `objection` is asked last of all, and says why the request is not to be sent: an evacuation
+        may begin after the choice, or another VM learn what the request does.
         """
-        self._may_send = may_send
+        self._objection = objection
         self._ask_path = ask_path
         self._declined: AnswerHead | None = None
+        self._withheld = False
         self.choice = choice
         self.sent = False
         self.began_ms = monotonic_ms()
@@ -180,9 +186,11 @@
 
     async def _send(self, connection: UpstreamConnection) -> AnswerHead:
         request, names = self._request, self._headers
-        if not self._may_send(self.choice.server):
+        objection = self._objection(self.choice.server)
+        if objection:
+            self._withheld = True
             connection.close()
-            raise UpstreamError("its data centre is evacuated", sent=False)
+            raise UpstreamError(objection, sent=False)
         left_ms = max(1, int(self._deadline_ms - monotonic_ms()))
         headers = passed_on(request.headers, names.own())
         headers += (
@@ -268,6 +276,8 @@
         outcome = Outcome.CUT if self.sent else Outcome.NOT_SENT
         if self._declined is not None:
             outcome = Outcome.DECLINED
+        if self._withheld:
+            outcome = Outcome.WITHHELD
         return AttemptResult(outcome, self.choice, latency_ms, detail=str(error))
 
     def _learn(self, result: AttemptResult, board: LoadBoard) -> None:
@@ -277,7 +287,7 @@
         load.ended_here(now_ms)
         if result.outcome is Outcome.NOT_SENT:
             load.not_reached(now_ms)
-        elif result.outcome is Outcome.DECLINED or result.with_room:
+        elif result.outcome in (Outcome.DECLINED, Outcome.WITHHELD) or result.with_room:
             return
         elif result.failed:
             load.failed(now_ms)
--- a/cloverhook/gateway/counters.py
+++ b/cloverhook/gateway/counters.py
@@ -14,6 +14,8 @@
     "latency": "from a request's arrival to its answer, by route",
     "repeats": "requests sent once more, by service",
     "crashes": "requests under which a backend server has ended, by service",
+    "requests_suspected": "keys of requests under which endpoints have crashed and none answered",
+    "requests_quarantined": "keys of requests that nobody sends for a time, as endpoints crash",
     "repeats_denied": "repeats for which no allowance was left, by service",
     "store_calls": "calls to the store, by feed and whether they were answered",
     "config_version": "the version of the configuration in force",
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -153,6 +153,7 @@
             self._peering.count_news.changed,
             self._peering.failure_news.failed,
             self._peering.refusal_news.refused,
+            self._peering.quarantine_news,
             RequestReport(self._knowledge, self._log, self._counters),
         )
         self._callers = Ingress(self._serve_caller, self._limits)
@@ -280,6 +281,9 @@
         counters.set("members_alive", len(self._members.alive(now_ms)))
         counters.set("cut_off", int(self._members.is_cut_off(now_ms)))
         counters.set("reading_store", int(self._follower.reading))
+        quarantine = self._peering.quarantine_news.quarantine
+        counters.set("requests_suspected", len(quarantine))
+        counters.set("requests_quarantined", quarantine.count(now_ms))
         counters.set("waiting", len(self._forwarder.admission))
         counters.set("probes", self._prober.probes)
         counters.set("connects", self._pool.connects)
@@ -341,6 +345,7 @@
         self._knowledge.board.sweep(known)
         self._members.forget(now_ms)
         self._peering.failure_news.forget(now_ms)
+        self._peering.quarantine_news.forget(now_ms)
 
     def _tell_cut_off(self, now_ms: float) -> None:
         cut_off = self._members.is_cut_off(now_ms)
--- a/cloverhook/gateway/event_log.py
+++ b/cloverhook/gateway/event_log.py
@@ -48,6 +48,7 @@
     MEMBER = "member", 50
     CUT_OFF = "cut-off", 5
     ENDPOINT = "endpoint", 30
+    QUARANTINE = "quarantine", 30
     PAUSED = "paused", 5
     ATTEMPT = "attempt", 60
     ANSWER = "answer", 30
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -19,6 +19,8 @@
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import SLOW_PACE
+from cloverhook.gateway.quarantine_news import QuarantineNews
+from cloverhook.gateway.registry import BackendServer
 from cloverhook.gateway.request_key import RequestKeys
 from cloverhook.gateway.request_report import RequestReport
 from cloverhook.gateway.request_run import RequestRun
@@ -40,6 +42,9 @@
 overload a second attempt takes the slot of a request that has had none."""
 FIGURE_LAG_MS = 150.0
 """Work keeps the pace at which it began; a figure may tell of that pace so much later."""
+VERDICT_SHARE = 0.5
+"""The part of its objective for which a request waits to see whether another copy of it crashes an
+endpoint."""
 SILENT_WORKS = 6.0
 """An endpoint that could have done the work so many times and says nothing has failed it; one that
 works a few times as long as it says has not."""
@@ -69,6 +74,7 @@
         on_count: Callable[[str], None],
         on_failure: Callable[[str, float], None],
         on_refusal: Callable[[str], None],
+        quarantine_news: QuarantineNews,
         report: RequestReport,
     ) -> None:
         self._knowledge = knowledge
@@ -80,6 +86,7 @@
         self._on_count = on_count
         self._on_failure = on_failure
         self._on_refusal = on_refusal
+        self._quarantine_news = quarantine_news
         self._report = report
         self._estimates = estimates
         self.admission = Admission(
@@ -145,7 +152,7 @@
         return min(float(told), route.timeout_ms)
 
     async def _bring_to_end(self, run: RequestRun) -> CallerAnswer:
-        choice = await self._admit(run)
+        choice = await self._admit(run) if await self._is_clear(run) else None
         if choice is None:
             return self._final(run)
         self._begin(run, choice)
@@ -154,27 +161,53 @@
             for task in done:
                 attempt = run.tasks.pop(task)
                 run.results.append(task.result())
-                self._judge(task.result(), attempt)
+                self._judge(run, task.result(), attempt)
             good = next((item for item in run.results if not item.failed), None)
             if good is not None:
+                self._quarantine_news.served(run.keys)
                 self._measured(run, good)
                 return good.answer
             if monotonic_ms() >= run.deadline_ms:
                 break
-            if (done and self._may_repeat(run)) or (not done and self._wants_hedge(run)):
+            if done:
+                wanted = self._may_repeat(run) and await self._is_clear(run)
+            else:
+                wanted = self._wants_hedge(run)
+            if wanted:
                 self._start(run)
         return self._final(run)
 
-    def _judge(self, result: AttemptResult, attempt: Attempt) -> None:
+    async def _is_clear(self, run: RequestRun) -> bool:
+        """Return whether a request may be sent, as far as it has crashed no endpoints.
+
+        While another VM sends a request with the same content, this one waits for what becomes of
+        it, as long as it may still be answered in time.
+        """
+        news, aim_ms = self._quarantine_news, run.route.aim_ms
+        if await news.admit(run.keys, run.request.arrived_ms + VERDICT_SHARE * aim_ms):
+            return True
+        run.quarantined_ms = news.quarantine.left_ms(run.keys, monotonic_ms())
+        return False
+
+    def _judge(self, run: RequestRun, result: AttemptResult, attempt: Attempt) -> None:
         """Keep what an attempt says of whether its endpoint can be trusted."""
         incarnation = result.choice.server.incarnation
         if result.with_room:
             self._on_refusal(incarnation)
+        if result.crashed and not self._was_leaving(incarnation):
+            known = run.crashes_known[incarnation]
+            self._quarantine_news.crashed(run.keys, known, incarnation)
         if result.at_fault:
             self._on_failure(incarnation, attempt.began_ms)
         elif not result.failed:
             self._knowledge.board.of(incarnation).trust.answered(monotonic_ms())
 
+    def _was_leaving(self, incarnation: str) -> bool:
+        """Return whether an endpoint has announced that it ends, or has ended before."""
+        registry = self._knowledge.registry
+        server = registry.get(incarnation)
+        return server is None or server.draining or registry.held(server)
+
     def _judge_silence(self, run: RequestRun, attempt: Attempt) -> None:
         """Count it as a failure if work should have ended long ago that is given up now.
 
@@ -279,7 +312,7 @@
             run.route.idempotent,
             self._headers,
             self._ask_path(run),
-            self._balancer.may_get,
+            lambda server: self._objection(run, server),
         )
         limit = self._connection_limit(run.service)
         work = attempt.run(self._pool, self._knowledge.board, limit)
@@ -289,6 +322,16 @@
         run.attempts.append(attempt)
         self._running.setdefault(choice.server.incarnation, set()).add(run)
 
+    def _objection(self, run: RequestRun, server: BackendServer) -> str:
+        """Return why a request that was placed must not be sent after all, or nothing."""
+        if not self._balancer.may_get(server):
+            return "its data centre is evacuated"
+        if not self._quarantine_news.begin(run.keys):
+            return "endpoints crashed under requests with this content"
+        known = self._quarantine_news.quarantine.crashes(run.keys)
+        run.crashes_known[server.incarnation] = known
+        return ""
+
     def _ask_path(self, run: RequestRun) -> str | None:
         """Return where to ask an endpoint for its load before a request that can't be repeated."""
         if run.route.idempotent or len(run.attempts) >= ASKS_LIMIT:
@@ -332,6 +375,7 @@
             and len(run.tasks) == 1
             and len(run.attempts) < SENDS_LIMIT
             and run.maybe_runs < run.route.attempts
+            and not any(self._quarantine_news.quarantine.crashes(run.keys))
         )
 
     def _wants_hedge(self, run: RequestRun) -> bool:
@@ -354,6 +398,8 @@
         late = monotonic_ms() >= run.deadline_ms
         if run.maybe_runs:
             kind = ErrorKind.DEADLINE_IN_RUN if late else ErrorKind.CONNECTION_CUT
+        elif run.quarantined_ms > 0.0:
+            kind = ErrorKind.QUARANTINED
         elif any(item.outcome is Outcome.REJECTED for item in run.results):
             kind = ErrorKind.REFUSED
         elif self._balancer.is_evacuated(run.service):
@@ -362,7 +408,7 @@
             kind = ErrorKind.NO_BACKEND_SERVER
         else:
             kind = ErrorKind.OVERLOADED
-        return self._error(kind)
+        return self._error(kind, run.quarantined_ms)
 
     def _measured(self, run: RequestRun, result: AttemptResult) -> None:
         choice = result.choice
@@ -370,12 +416,13 @@
             route = run.route
             self._estimates.measured(route.name, route.aim_ms, result.latency_ms, choice)
 
-    def _error(self, kind: ErrorKind) -> CallerAnswer:
+    def _error(self, kind: ErrorKind, quarantined_ms: float = 0.0) -> CallerAnswer:
         answer = answer_for(kind)
         headers = [(b"content-type", b"text/plain")]
         if answer.retry_after:
             times_ms = EVACUATED_RETURN_MS if kind is ErrorKind.EVACUATED else RETURN_MS
-            headers.append((b"retry-after", b"%.3f" % (random.uniform(*times_ms) / 1000)))
+            return_ms = max(random.uniform(*times_ms), quarantined_ms)
+            headers.append((b"retry-after", b"%.3f" % (return_ms / 1000)))
         return CallerAnswer(answer.status, headers, kind.value.encode())
 
     def _turn_away(
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -31,6 +31,8 @@
     "Refusals",
     "Relay",
     "ServerChanges",
+    "Suspicion",
+    "Suspicions",
     "decode",
     "encode",
 ]
@@ -38,6 +40,7 @@
 VERSION = Integer(-1)
 """The version of what is not known yet is -1."""
 LONGEST_MS = 3_600_000.0
+KEY_LIMIT = 2**64
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +134,42 @@
     incarnations: list[str]
 
 
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """How many endpoints in a row have crashed under a request, which its key stands for.
+
+    Nobody else is to send it for `held_ms`; `claimed` says that the teller sends a copy meanwhile.
+    Without a crash the request was answered well, and is clear.
+    """
+
+    key: int
+    crashes: int
+    held_ms: float = 0.0
+    claimed: bool = False
+
+    @classmethod
+    def from_row(cls, key: int, crashes: int, held_ms: float, claimed: bool) -> "Suspicion":
+        """Build one from a row of a datagram.  Raises `TypeError` or `ValueError`."""
+        has_types = type(key) is type(crashes) is int and isinstance(claimed, bool)
+        if not has_types or type(held_ms) not in (int, float):
+            raise TypeError("a suspicion of other types")
+        if not 0 <= key < KEY_LIMIT or crashes < 0 or not 0 <= held_ms < inf:
+            raise ValueError("a suspicion out of range")
+        return cls(key, crashes, float(held_ms), claimed)
+
+    def to_row(self) -> list[Any]:
+        """Return the form in which it stands in a datagram."""
+        return [self.key, self.crashes, round(self.held_ms), self.claimed]
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicions:
+    """What a VM holds against some requests."""
+
+    vm: str
+    rows: tuple[Suspicion, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Relay:
     """An encoded message for each VM of the receiver's data centre, the receiver included."""
@@ -139,7 +178,17 @@
     data: bytes
 
 
-PeerMessage = Beat | Loads | ServerChanges | InFlight | Relay | Failures | Refusals | CountChanges
+PeerMessage = (
+    Beat
+    | Loads
+    | ServerChanges
+    | InFlight
+    | Relay
+    | Failures
+    | Refusals
+    | CountChanges
+    | Suspicions
+)
 KINDS: tuple[type, ...] = (
     Beat,
     Loads,
@@ -149,6 +198,7 @@
     Failures,
     Refusals,
     CountChanges,
+    Suspicions,
 )
 PLAIN_FIELDS = {
     kind: tuple(item.name for item in fields(kind)) for kind in (Beat, Relay, Failures, Refusals)
@@ -164,6 +214,8 @@
     if isinstance(message, Loads):
         rows = [_row(*item) for item in message.figures]
         return cbor2.dumps([kind, message.vm, rows])
+    if isinstance(message, Suspicions):
+        return cbor2.dumps([kind, message.vm, [row.to_row() for row in message.rows]])
     if isinstance(message, InFlight | CountChanges):
         return cbor2.dumps([kind, message.vm, message.counts])
     if isinstance(message, ServerChanges):
@@ -178,6 +230,9 @@
         if KINDS[kind] is Loads:
             vm, rows = values
             message = Loads(vm, tuple(_figure(*row) for row in rows))
+        elif KINDS[kind] is Suspicions:
+            vm, rows = values
+            message = Suspicions(vm, tuple(Suspicion.from_row(*row) for row in rows))
         else:
             message = KINDS[kind](*values)
     except (cbor2.CBORError, TypeError, ValueError, IndexError, RecursionError) as error:
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -33,9 +33,11 @@
     Refusals,
     Relay,
     ServerChanges,
+    Suspicions,
     decode,
     encode,
 )
+from cloverhook.gateway.quarantine_news import QuarantineNews
 from cloverhook.gateway.refusal_news import RefusalNews
 from cloverhook.gateway.spread import Spread
 from cloverhook.gateway.state_fetch import StateFetch, state_for
@@ -96,6 +98,7 @@
         self.refusal_news = RefusalNews(
             own.vm, self.spread, knowledge.board, knowledge.registry.get
         )
+        self.quarantine_news = QuarantineNews(own.vm, self.spread, members, log)
         self._started_ms = monotonic_ms()
         self._requests_per_s = requests_per_s
         self._pace = BeatPace(members)
@@ -288,6 +291,8 @@
                 self.failure_news.told(message, now_ms)
             case Refusals():
                 self.refusal_news.told(message, now_ms)
+            case Suspicions():
+                self.quarantine_news.told(message, now_ms)
             case ServerChanges():
                 self._on_changes(message, now_ms, relayed)
             case Relay():
@@ -310,6 +315,7 @@
         near = beat.data_center == self._own.data_center
         if back:
             self._log.note(Kind.MEMBER, member=beat.vm, state="joined", at=beat.peer_address)
+            self.quarantine_news.welcome(self._members.get(beat.vm), now_ms)
         if beat.wants_answer or (back and near):
             self.link.send_encoded(beat.peer_address, encode(self._beat()))
         if self._states.is_behind(beat):
--- a/cloverhook/gateway/request_report.py
+++ b/cloverhook/gateway/request_report.py
@@ -80,8 +80,7 @@
         self._log.note(
             Kind.ANSWER if troubled else Kind.SAMPLE,
             id=request_id,
-            content=f"{run.keys.content:016x}",
-            caller=run.request.caller,
+            **_content(run),
             route=run.route.name,
             service=run.service,
             status=answer.status,
@@ -100,8 +99,7 @@
         self._log.note(
             Kind.ATTEMPT,
             id=request_id,
-            content=f"{run.keys.content:016x}",
-            caller=run.request.caller,
+            **_content(run),
             server=choice.server.incarnation,
             address=choice.server.address,
             expected_ms=round(choice.expected_ms),
@@ -119,5 +117,14 @@
         )
 
 
+def _content(run: RequestRun) -> dict[str, str]:
+    """Return what requests with the same content have in common."""
+    return {
+        "content": f"{run.keys.content:016x}",
+        "content_of_caller": f"{run.keys.of_caller:016x}",
+        "caller": run.request.caller,
+    }
+
+
 def _text(request_id: bytes) -> str:
     return request_id.decode("latin-1")
--- a/cloverhook/gateway/request_run.py
+++ b/cloverhook/gateway/request_run.py
@@ -27,6 +27,10 @@
     attempts: list[Attempt] = field(default_factory=list)
     results: list[AttemptResult] = field(default_factory=list)
     tasks: dict[asyncio.Task[AttemptResult], Attempt] = field(default_factory=dict)
+    crashes_known: dict[str, tuple[int, ...]] = field(default_factory=dict)
+    """For each incarnation that got it, how many crashes were known when it was sent there."""
+    quarantined_ms: float = 0.0
+    """For how long the request is not to be sent, if that is why it ends."""
     nudge: asyncio.Future[None] | None = None
 
     @property
