Keep the requests in quarantine in the store, for VMs that start when nobody is left

Cause: after the loss of all VMs none knew what had been learned, and the request would end two endpoints more. Change: the VM that puts a request into quarantine, or clears one, writes all of them down under one key; each VM that starts later reads them once. Scenarios: a gateway that starts later, all gateways lost at once, a payment, a sound request beside crashes, the story of a refused request; the adapter and the fuzz of records and messages know the new record and message. Ruled out: a key for each request, as the topic would keep the newest record of each for ever.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -31,6 +31,7 @@
 from cloverhook.gateway.peer_messages import Identity
 from cloverhook.gateway.peering import Peering
 from cloverhook.gateway.prober import Prober
+from cloverhook.gateway.quarantine_keeper import QuarantineKeeper
 from cloverhook.gateway.registry import BackendServer
 from cloverhook.gateway.request_report import RequestReport
 from cloverhook.gateway.retry_allowance import RetryAllowance
@@ -102,6 +103,9 @@
             fleet=settings.store_address,
             requests_per_s=allowance.all_requests_per_s,
         )
+        quarantine_news = self._peering.quarantine_news
+        self._keeper = QuarantineKeeper(store, quarantine_news.quarantine, self._log)
+        quarantine_news.on_change = self._keeper.changed
         record = MemberRecord(
             settings.vm, settings.data_center, settings.caller_address, settings.peer_address
         )
@@ -153,7 +157,7 @@
             self._peering.count_news.changed,
             self._peering.failure_news.failed,
             self._peering.refusal_news.refused,
-            self._peering.quarantine_news,
+            quarantine_news,
             RequestReport(self._knowledge, self._log, self._counters),
         )
         self._callers = Ingress(self._serve_caller, self._limits)
@@ -181,7 +185,11 @@
         self._tasks = [
             asyncio.create_task(keep_running(self._tick, "tick", self._log)),
             asyncio.create_task(keep_running(self._announcer.run, "announce", self._log)),
+            asyncio.create_task(keep_running(self._keeper.write, "quarantine", self._log)),
         ]
+        if not settings.first_start:
+            work = keep_running(self._keeper.read, "reading the quarantine", self._log)
+            self._tasks.append(asyncio.create_task(work))
         self._log.note(Kind.STARTED, pid=os.getpid(), data_center=settings.data_center)
         self._follow_or_not(monotonic_ms())  # A tick later would be 50 ms without an answer.
 
@@ -283,7 +291,7 @@
         counters.set("reading_store", int(self._follower.reading))
         quarantine = self._peering.quarantine_news.quarantine
         counters.set("requests_suspected", len(quarantine))
-        counters.set("requests_quarantined", quarantine.count(now_ms))
+        counters.set("requests_quarantined", len(quarantine.barred(now_ms)))
         counters.set("waiting", len(self._forwarder.admission))
         counters.set("probes", self._prober.probes)
         counters.set("connects", self._pool.connects)
--- a/cloverhook/gateway/quarantine.py
+++ b/cloverhook/gateway/quarantine.py
@@ -79,9 +79,9 @@
         """Return how many requests are suspected, in quarantine or not."""
         return len(self._suspects)
 
-    def count(self, now_ms: float) -> int:
-        """Return how many keys are in quarantine."""
-        return sum(1 for item in self._suspects.values() if _is_barred(item, now_ms))
+    def barred(self, now_ms: float) -> list[Suspicion]:
+        """Return the requests that are in quarantine, the gravest first."""
+        return [item for item in self._ranked(now_ms) if item.crashes > 1 and item.held_ms > 0.0]
 
     def crashes(self, keys: RequestKeys) -> tuple[int, ...]:
         """Return how many crashes in a row are known, for each key."""
@@ -172,8 +172,7 @@
 
     def suspicions(self, now_ms: float) -> list[Suspicion]:
         """Return what a VM that has just come should know, the gravest first."""
-        found = sorted(self._suspects.items(), key=lambda pair: -pair[1].crashes)
-        return [self._suspicion(key, item, now_ms) for key, item in found[:TOLD_LIMIT]]
+        return self._ranked(now_ms)[:TOLD_LIMIT]
 
     def forget(self, now_ms: float) -> list[int]:
         """Drop what is too old to count, and return the keys."""
@@ -186,6 +185,10 @@
             del self._suspects[key]
         return old
 
+    def _ranked(self, now_ms: float) -> list[Suspicion]:
+        found = sorted(self._suspects.items(), key=lambda pair: -pair[1].crashes)
+        return [self._suspicion(key, item, now_ms) for key, item in found]
+
     def _standing(self, key: int, now_ms: float) -> Standing:
         item = self._suspects.get(key)
         if item is None:
--- a/cloverhook/gateway/quarantine_news.py
+++ b/cloverhook/gateway/quarantine_news.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.gateway.event_log import EventLog, Kind
@@ -35,6 +35,8 @@
     """This VM's part in the fleet's quarantine."""
 
     def __init__(self, own_vm: str, spread: Spread, members: Members, log: EventLog) -> None:
+        self.on_change: Callable[[], None] = lambda: None
+        """Called when this VM has put a request into quarantine or taken one out."""
         self.quarantine = Quarantine(own_vm)
         self._own_vm = own_vm
         self._spread = spread
@@ -76,12 +78,17 @@
             self._note(suspicion, self._own_vm, server=server)
         self._tell(suspicion for _, suspicion in news)
         grave = [suspicion for _, suspicion in news if suspicion.crashes > 1]
+        if grave:
+            self.on_change()
         for delay_ms in REPEATS_MS if grave else ():
             asyncio.get_running_loop().call_later(delay_ms / 1000, self._tell_again, keys)
 
     def served(self, keys: RequestKeys) -> None:
         """Take it that a request was answered well."""
+        before = self.quarantine.crashes(keys)
         cleared = self.quarantine.served(keys, monotonic_ms())
+        if max(before) > 1:
+            self.on_change()
         for suspicion in cleared:
             self._note(suspicion, self._own_vm)
         self._tell(cleared)
--- a/cloverhook/gateway/store.py
+++ b/cloverhook/gateway/store.py
@@ -26,6 +26,8 @@
     "MemberList",
     "MemberRecord",
     "MemoryStore",
+    "QuarantineList",
+    "QuarantineRecord",
     "Store",
 ]
 
@@ -75,6 +77,23 @@
     peer_address: str
 
 
+@dataclass(frozen=True, slots=True)
+class QuarantineRecord:
+    """A request in quarantine, by its key, until a time of day in Unix milliseconds."""
+
+    key: int
+    crashes: int
+    until_unix_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineList:
+    """The requests in quarantine, and what stands for them that can't be read, with the reason."""
+
+    records: tuple[QuarantineRecord, ...]
+    unreadable: tuple[str, ...] = ()
+
+
 class Store(Protocol):
     """What the gateway needs of the platform's store."""
 
@@ -93,6 +112,12 @@
     async def members(self) -> MemberList:
         """Return all VMs that have announced themselves, also those long gone."""
 
+    async def keep_quarantine(self, records: tuple[QuarantineRecord, ...]) -> None:
+        """Write down the requests in quarantine, in place of those written before."""
+
+    async def quarantine(self) -> QuarantineList:
+        """Return the requests in quarantine that were written down last."""
+
     def close(self) -> None:
         """Release the connections."""
 
@@ -106,6 +131,7 @@
         }
         self.first_offset: dict[Feed, int] = dict.fromkeys(Feed, 0)
         self.announced: dict[str, MemberRecord] = {}
+        self.quarantined: tuple[QuarantineRecord, ...] = ()
         self.failure: CloverhookError | None = None
         self.calls = 0
         self._changed = asyncio.Event()
@@ -174,6 +200,16 @@
         self._call()
         return MemberList(tuple(self.announced.values()))
 
+    async def keep_quarantine(self, records: tuple[QuarantineRecord, ...]) -> None:
+        """Keep the requests in quarantine."""
+        self._call()
+        self.quarantined = records
+
+    async def quarantine(self) -> QuarantineList:
+        """Return the requests in quarantine."""
+        self._call()
+        return QuarantineList(self.quarantined)
+
     def close(self) -> None:
         """Do nothing: there is nothing to release."""
 
--- a/features/entries.feature
+++ b/features/entries.feature
@@ -54,7 +54,7 @@
       | limits are a list                    |
 
   Scenario: No bytes in the store raise anything but that a record is not sound
-    Then 12000 altered entries, configurations and members are read or told to be unsound
+    Then 12000 altered entries, configurations and members, and 3000 quarantines, are read or told to be unsound
 
   Scenario: No bytes from a peer raise anything but that they are no message
     Then 9000 altered messages and states are taken or told to be none
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -27,6 +27,14 @@
     When an entry lacks its address
     Then the adapter names it and reads the others
 
+  Scenario: The requests in quarantine are written down for VMs that start later
+    Given a stand-in of the store with a configuration, 5 entries and 4 other members
+    Then the adapter finds none in quarantine
+    When two requests in quarantine are written down, and then one
+    Then the adapter finds that one
+    When what is written there is no list of requests
+    Then the adapter says so and finds none
+
   Scenario: The settings that the platform fills in are valid
     Given the template of the settings
     Then filled in as the platform does, it is valid and complete
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -24,9 +24,12 @@
     Loads,
     Relay,
     ServerChanges,
+    Suspicion,
+    Suspicions,
     decode,
     encode,
 )
+from cloverhook.gateway.quarantine import Quarantine
 from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
 from cloverhook.gateway.routes import GatewayConfig
 from cloverhook.gateway.store import Feed, MemoryStore
@@ -41,6 +44,8 @@
     UnsoundRecordError,
     config_of,
     member_of,
+    quarantine_of,
+    quarantine_value,
     server_of,
 )
 
@@ -221,8 +226,11 @@
     )(test)()
 
 
-@then("{count:d} altered entries, configurations and members are read or told to be unsound")
-def step_fuzz_store(context, count):
+@then(
+    "{count:d} altered entries, configurations and members, and {others:d} quarantines, "
+    "are read or told to be unsound"
+)
+def step_fuzz_store(context, count, others):
     sound = {**SOUND, "born": BORN_MS}
 
     def check_entry(data):
@@ -258,8 +266,17 @@
         except struct.error:
             return
 
+    def check_quarantine(data):
+        text = damaged(data, json.dumps(altered(data, [[7, 2, 1_700_000_000_000]])).encode())
+        try:
+            found = quarantine_of(text)
+        except UnsoundRecordError:
+            return
+        assert quarantine_of(quarantine_value(found)) == found
+
     for check in (check_entry, check_config, check_member, check_answer):
         fuzz(count // 4, check)
+    fuzz(others, check_quarantine)
 
 
 def document_of(server):
@@ -278,6 +295,7 @@
         Loads("vm", (("i", LoadFigure(1, 2, 7.0), 3.0),)),
         InFlight("vm", {"i": 2}),
         ServerChanges("vm", 1, document),
+        Suspicions("vm", (Suspicion(2**64 - 1, 2, 500.0), Suspicion(7, 0))),
     ]
     config = config_of(json.dumps(DOCUMENT).encode()).to_document()
     config = cbor2.loads(cbor2.dumps(config))
@@ -299,6 +317,9 @@
             case Loads():
                 for incarnation, figure, age_ms in message.figures:
                     knowledge.board.of(incarnation).measured(figure, -age_ms)
+            case Suspicions():
+                for row in message.rows:
+                    Quarantine("vm-own").told(message.vm, row, 0.0)
             case InFlight():
                 for incarnation, number in message.counts.items():
                     knowledge.board.of(incarnation).peer_has(message.vm, number, 0.0)
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.explain import read_lines, story_of
 from features import gateway_fleet as fleet
 from features.shared import run
 
@@ -182,3 +183,125 @@
 def step_sound(context):
     statuses = [answer.status for answer in context.sound_answers]
     assert set(statuses) == {200}, {status: statuses.count(status) for status in set(statuses)}
+
+
+@when("a payment that crashes who runs it is sent every {every_ms:d} ms for {for_s:d} s")
+def step_send_payment(context, every_ms, for_s):
+    async def pay():
+        path = fleet.UNSAFE + "fatal"
+        fields = {"method": "POST", "body": b"pay"}
+        calls = []
+        for number in range(for_s * 1000 // every_ms):
+            calls.append(asyncio.create_task(send(context, number, path, f"p-{number}", **fields)))
+            await asyncio.sleep(every_ms / 1000)
+        context.fatal_answers = await asyncio.gather(*calls)
+
+    run(context, pay())
+
+
+@then("it was answered 502 at most {most:d} times, and 503 with a time to come back otherwise")
+def step_payment_answers(context, most):
+    cut = [answer for answer in context.fatal_answers if answer.status == 502]
+    refused = [answer for answer in context.fatal_answers if answer.status == 503]
+    assert len(cut) <= most and len(cut) + len(refused) == len(context.fatal_answers)
+    for answer in refused:
+        assert answer.body == b"quarantined" and "retry-after" in answer.headers, answer
+
+
+@given("a request that is in quarantine")
+def step_quarantined(context):
+    async def send_until_refused():
+        answer = await send(context, 0, FATAL, "fatal-first")
+        while answer.body != b"quarantined":
+            answer = await send(context, 1, FATAL, "fatal-again")
+        context.arrivals = len(context.fatal_arrivals_ms)
+        context.ended = len(context.ends_ms)
+
+    run(context, send_until_refused())
+
+
+@when("another gateway starts, and gets that request")
+def step_late(context):
+    async def start():
+        context.gateways.append(await fleet.start_gateway(context, "vm-late"))
+        await know_each_other(context)
+        await fleet.until(context.gateways[-1][0]._is_ready)
+        context.late_answers = [await send(context, len(context.gateways) - 1, FATAL, "late")]
+
+    run(context, start())
+
+
+@when("all gateways are lost, and others start and get that request")
+def step_all_lost(context):
+    async def restart():
+        await fleet.until(lambda: context.store.quarantined)
+        for gateway, _ in context.gateways:
+            await fleet.stop_gateway(gateway)
+        context.gateways = [await fleet.start_gateway(context, f"vm-new-{n}") for n in range(3)]
+        await fleet.until(lambda: all(item._is_ready() for item, _ in context.gateways))
+        context.late_answers = [await send(context, n, FATAL, f"late-{n}") for n in range(3)]
+
+    run(context, restart())
+
+
+@then("it refuses the request, and no endpoint has got it")
+@then("they refuse the request, and no endpoint has got it")
+def step_late_refused(context):
+    assert {answer.body for answer in context.late_answers} == {b"quarantined"}
+    assert len(context.fatal_arrivals_ms) == context.arrivals
+
+
+@when(
+    "one sound request is sent every {every_ms:d} ms, and {count:d} endpoints crash each second "
+    "for {for_s:d} s"
+)
+def step_popular(context, every_ms, count, for_s):
+    async def crash_some():
+        await asyncio.sleep(0.5)
+        for _ in range(for_s):
+            serving = [item for item in context.backends if item.listener.is_serving()]
+            for backend in serving[:count]:
+                on_request(context, backend, b"fatal")
+            await asyncio.sleep(1.0)
+
+    async def send_popular():
+        crashing = asyncio.create_task(crash_some())
+        calls, number = [], 0
+        while not crashing.done():
+            path = fleet.SAFE + "popular"
+            calls.append(asyncio.create_task(send(context, number, path, f"s-{number}")))
+            number += 1
+            await asyncio.sleep(every_ms / 1000)
+        context.sound_answers = await asyncio.gather(*calls)
+
+    run(context, send_popular())
+
+
+@then("no request was refused for its content")
+def step_not_quarantined(context):
+    refused = [item for item in context.sound_answers if item.body == b"quarantined"]
+    assert context.ends_ms and not refused, len(refused)
+    crashed = [line for line in log_lines(context, "attempt") if line["crashed"]]
+    assert crashed, "no request was under way where an endpoint crashed"
+
+
+@when("callers send it again {after_s:d} s later")
+def step_sent_later(context, after_s):
+    async def later():
+        await asyncio.sleep(after_s)
+        context.answer = await send(context, 0, FATAL, "fatal-later")
+        for gateway, _ in context.gateways:
+            gateway._log.flush()
+
+    run(context, later())
+
+
+@then("its story says that it is in quarantine, and where endpoints crashed")
+def step_story(context):
+    lines = bytes(context.log).decode().splitlines()
+    story = story_of("fatal-later", read_lines(lines))
+    assert story.cause.startswith("quarantined (503)"), story.to_text()
+    held = [line for line in story.beliefs if line.kind == "quarantine"]
+    assert max(line.fields["crashes"] for line in held) == 2, story.to_text()
+    ended = {line["server"] for line in log_lines(context, "attempt") if line["crashed"]}
+    assert ended and ended == {line.fields.get("server") for line in held} - {None}, story.to_text()
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -15,7 +15,7 @@
 from cloverhook.gateway.daemon import Gateway
 from cloverhook.gateway.evacuation import Evacuations
 from cloverhook.gateway.settings import GatewaySettings
-from cloverhook.gateway.store import Feed, HistoryLostError, MemberRecord
+from cloverhook.gateway.store import Feed, HistoryLostError, MemberRecord, QuarantineRecord
 from cloverhook_emulator.log_store_server import LogStoreServer
 from features import gateway_fleet as fleet
 from features.shared import run
@@ -25,7 +25,13 @@
 
 from cloverhook_platform import store_client  # noqa: E402
 from cloverhook_platform.directory import answer_directory  # noqa: E402
-from cloverhook_platform.names import HEADERS, MEMBERS_TOPIC, TOPICS  # noqa: E402
+from cloverhook_platform.names import (  # noqa: E402
+    HEADERS,
+    MEMBERS_TOPIC,
+    QUARANTINE_KEY,
+    QUARANTINE_TOPIC,
+    TOPICS,
+)
 from cloverhook_platform.store_client import HttpStore  # noqa: E402
 
 CONFIG = TOPICS[Feed.CONFIG]
@@ -221,6 +227,36 @@
     assert own in run(context, context.client.members()).members
 
 
+@then("the adapter finds none in quarantine")
+def step_no_quarantine(context):
+    found = run(context, context.client.quarantine())
+    assert not found.records and not found.unreadable
+
+
+@when("two requests in quarantine are written down, and then one")
+def step_keep_quarantine(context):
+    records = (QuarantineRecord(2**64 - 1, 2, 1_700_000_000_000), QuarantineRecord(7, 3, 5))
+    run(context, context.client.keep_quarantine(records))
+    run(context, context.client.keep_quarantine(records[:1]))
+    context.kept = records[:1]
+
+
+@then("the adapter finds that one")
+def step_quarantine(context):
+    assert run(context, context.client.quarantine()).records == context.kept
+
+
+@when("what is written there is no list of requests")
+def step_bad_quarantine(context):
+    context.server.put(QUARANTINE_TOPIC, QUARANTINE_KEY, b'[["a", 2, 3]]')
+
+
+@then("the adapter says so and finds none")
+def step_bad_quarantine_named(context):
+    found = run(context, context.client.quarantine())
+    assert not found.records and len(found.unreadable) == 1
+
+
 @when("an entry lacks its address")
 def step_unreadable(context):
     context.server.put(SERVERS, "i-bad", b'{"service": "orders"}')
