--- a/cloverhook/gateway/quarantine_news.py
+++ b/cloverhook/gateway/quarantine_news.py
@@ -103,8 +103,8 @@
                 self._tell([pass_on])
             if answer is not None:
                 answers.append(answer)
-            elif self.quarantine.crashes((news.key,)) != before:
-                self._note(news, message.vm)
+            elif max(news.crashes, *before) > 1 and self.quarantine.crashes((news.key,)) != before:
+                self._note(news, message.vm)  # A first crash is noted where it was met.
         member = self._members.get(message.vm)
         if answers and member is not None:
             self._spread.to([member], encode(Suspicions(self._own_vm, tuple(answers))))
