--- a/bench/gateway_replay.py
+++ b/bench/gateway_replay.py
@@ -22,7 +22,7 @@
 
 from bench.gateway_loads import Deployment, Kind, Load, Outcome
 from cloverhook.gateway.balancer import Balancer, Choice, Room, WorkEstimates
-from cloverhook.gateway.forwarding import RETURN_MS
+from cloverhook.gateway.final_answer import RETURN_MS
 from cloverhook.gateway.load import LoadBoard, LoadFigure
 from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
 from cloverhook.gateway.trust import ANSWERED_MS, Trust
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -6,26 +6,24 @@
 """
 
 import asyncio
-import random
 from collections.abc import Callable
 
 from cloverhook.clock import monotonic_ms
-from cloverhook.errors import ErrorKind, answer_for
+from cloverhook.errors import ErrorKind
 from cloverhook.gateway.admission import Admission
-from cloverhook.gateway.attempt import Attempt, AttemptResult, Outcome
+from cloverhook.gateway.attempt import Attempt, AttemptResult
 from cloverhook.gateway.backend_pool import BackendPool
 from cloverhook.gateway.balancer import Balancer, Choice, Room, WorkEstimates
 from cloverhook.gateway.call_headers import CallHeaders, find
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
+from cloverhook.gateway.final_answer import error_answer, final_kind
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import SLOW_PACE
 from cloverhook.gateway.quarantine_news import QuarantineNews
 from cloverhook.gateway.registry import BackendServer
-from cloverhook.gateway.request_key import RequestKeys
 from cloverhook.gateway.request_report import RequestReport
 from cloverhook.gateway.request_run import RequestRun
 from cloverhook.gateway.retry_allowance import RetryAllowance
-from cloverhook.gateway.routes import Route
 from cloverhook.gateway.splits import Splits
 from cloverhook.gateway.waiting_line import Waiter, WaitingLine
 
@@ -50,11 +48,6 @@
 works a few times as long as it says has not."""
 LAST_MS = 10.0
 """With less time left, no attempt is worth starting."""
-RETURN_MS = (30.0, 80.0)
-"""Refused callers are told to come back after a random time between these, not all at once: late
-enough for a slot to come free, soon enough for the answer to be in time."""
-EVACUATED_RETURN_MS = (700.0, 1_400.0)
-"""While nothing can serve a request, callers come back seldom, but in time for most objectives."""
 CONNECTION_SHARE = 0.8
 """The part of an endpoint's connections that the gateways use together."""
 
@@ -114,7 +107,7 @@
             return await self._handle(request)
         except Exception:
             self._report.fault(find(request.headers, self._headers.request_id) or b"")
-            return self._error(ErrorKind.INTERNAL)
+            return error_answer(ErrorKind.INTERNAL)
 
     async def _handle(self, request: CallerRequest) -> CallerAnswer:
         config = self._knowledge.config
@@ -127,14 +120,12 @@
             kind, reason = ErrorKind.UNKNOWN_HOST, "no route"
             return self._turn_away(request, request_id, kind, reason)
         service = self._splits.next(route)
-        deadline_ms = request.arrived_ms + self._time_left_ms(request, route)
-        keys = RequestKeys.of(request)
-        run = RequestRun(request, request_id, route, service, deadline_ms, keys)
+        run = RequestRun.of(request, request_id, route, service, self._headers)
         self._allowance.count(service, request.arrived_ms)
         try:
             answer = await self._bring_to_end(run)
         except asyncio.CancelledError:
-            self._report.ended(run, self._error(ErrorKind.CALLER_GONE))
+            self._report.ended(run, error_answer(ErrorKind.CALLER_GONE))
             raise
         finally:
             for task, attempt in run.tasks.items():
@@ -145,12 +136,6 @@
         self._report.ended(run, answer)
         return answer
 
-    def _time_left_ms(self, request: CallerRequest, route: Route) -> float:
-        told = find(request.headers, self._headers.timeout_ms)
-        if told is None or not told.isdigit():
-            return route.timeout_ms
-        return min(float(told), route.timeout_ms)
-
     async def _bring_to_end(self, run: RequestRun) -> CallerAnswer:
         choice = await self._admit(run) if await self._is_clear(run) else None
         if choice is None:
@@ -396,19 +381,9 @@
         if answered:
             return answered[-1].answer
         late = monotonic_ms() >= run.deadline_ms
-        if run.maybe_runs:
-            kind = ErrorKind.DEADLINE_IN_RUN if late else ErrorKind.CONNECTION_CUT
-        elif run.quarantined_ms > 0.0:
-            kind = ErrorKind.QUARANTINED
-        elif any(item.outcome is Outcome.REJECTED for item in run.results):
-            kind = ErrorKind.REFUSED
-        elif self._balancer.is_evacuated(run.service):
-            kind = ErrorKind.EVACUATED
-        elif run.attempts or not self._knowledge.registry.of_service(run.service):
-            kind = ErrorKind.NO_BACKEND_SERVER
-        else:
-            kind = ErrorKind.OVERLOADED
-        return self._error(kind, run.quarantined_ms)
+        known = bool(self._knowledge.registry.of_service(run.service))
+        kind = final_kind(run, late, self._balancer.is_evacuated(run.service), known)
+        return error_answer(kind, run.quarantined_ms)
 
     def _measured(self, run: RequestRun, result: AttemptResult) -> None:
         choice = result.choice
@@ -416,18 +391,9 @@
             route = run.route
             self._estimates.measured(route.name, route.aim_ms, result.latency_ms, choice)
 
-    def _error(self, kind: ErrorKind, quarantined_ms: float = 0.0) -> CallerAnswer:
-        answer = answer_for(kind)
-        headers = [(b"content-type", b"text/plain")]
-        if answer.retry_after:
-            times_ms = EVACUATED_RETURN_MS if kind is ErrorKind.EVACUATED else RETURN_MS
-            return_ms = max(random.uniform(*times_ms), quarantined_ms)
-            headers.append((b"retry-after", b"%.3f" % (return_ms / 1000)))
-        return CallerAnswer(answer.status, headers, kind.value.encode())
-
     def _turn_away(
         self, request: CallerRequest, request_id: bytes, kind: ErrorKind, reason: str
     ) -> CallerAnswer:
-        answer = self._error(kind)
+        answer = error_answer(kind)
         self._report.turned_away(request, request_id, kind, reason, answer)
         return answer
--- a/cloverhook/gateway/request_run.py
+++ b/cloverhook/gateway/request_run.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from cloverhook.gateway.attempt import Attempt, AttemptResult
+from cloverhook.gateway.call_headers import CallHeaders, find
 from cloverhook.gateway.calls import CallerRequest
 from cloverhook.gateway.request_key import RequestKeys
 from cloverhook.gateway.routes import Route
@@ -33,6 +34,23 @@
     """For how long the request is not to be sent, if that is why it ends."""
     nudge: asyncio.Future[None] | None = None
 
+    @classmethod
+    def of(
+        cls,
+        request: CallerRequest,
+        request_id: bytes,
+        route: Route,
+        service: str,
+        names: CallHeaders,
+    ) -> "RequestRun":
+        """Begin with a request on its route; it has as long as its caller and the route allow."""
+        told = find(request.headers, names.timeout_ms)
+        left_ms = route.timeout_ms
+        if told is not None and told.isdigit():
+            left_ms = min(float(told), left_ms)
+        deadline_ms = request.arrived_ms + left_ms
+        return cls(request, request_id, route, service, deadline_ms, RequestKeys.of(request))
+
     @property
     def tried(self) -> set[str]:
         """The incarnations that have been tried."""
