Take a removal from a peer that has read fewer reports

Callers could be sent to an endpoint that had left, for as long as a VM lived. Cause: a VM that has read a later report of an endpoint than its peer, one that changed nothing and so was told to nobody, left out the hold that the peer told, and took the peer's version all the same. Change: the removal's own offset decides, not that of the last report.

--- a/cloverhook/gateway/registry.py
+++ b/cloverhook/gateway/registry.py
@@ -276,8 +276,9 @@
                 server = BackendServer.from_row(row["server"], now_ms)
                 name = server.name
                 self.apply(ServerRecord(name, offset, server), now_ms, False)
-                if left_ms is not None and self._offsets.get(name) == offset:
-                    self._gone[name] = document["gone"].get(name, offset)
+                gone = document["gone"].get(name, offset)
+                if left_ms is not None and gone >= self._offsets.get(name, gone + 1):
+                    self._gone[name] = gone
                     self._changed_at[name] = document["version"]
                     self._leaves_at_ms.setdefault(name, now_ms + left_ms)
         if document["whole"]:
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -62,6 +62,11 @@
     When a VM reads a whole list without one of them and tells a peer what changed
     Then both drop that one, also when the peer reads the same list
 
+  Scenario: A VM that has read a later report than its peer takes from it that the server has left
+    Given two VMs that know 4 backend servers, of which one has read a later report of the first
+    When the other one finds the first missing in a whole list and tells it
+    Then neither uses the first 3 s later
+
   Scenario: A peer that lags does not take anything back
     Given a registry with 4 backend servers and a copy of it from before a change
     When the copy is adopted
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -191,6 +191,32 @@
         assert names == {"i-1", "i-2", "i-3", "i-9"}, names
 
 
+@given("two VMs that know 4 backend servers, of which one has read a later report of the first")
+def step_later_report(context):
+    context.now_ms = 10_000.0
+    entries = tuple(ServerRecord(f"i-{x}", x, server(f"i-{x}")) for x in range(4))
+    context.both = Knowledge(), Knowledge()
+    for knowledge in context.both:
+        knowledge.take_server_list(entries, 4, context.now_ms)
+    report = ServerRecord("i-0", 5, server("i-0", sequence=1))
+    assert not context.both[1].take_server(report, context.now_ms)
+
+
+@when("the other one finds the first missing in a whole list and tells it")
+def step_missing(context):
+    reader, peer = context.both
+    rest = tuple(ServerRecord(f"i-{x}", x, server(f"i-{x}")) for x in range(1, 4))
+    touched = reader.take_server_list(rest, 7, context.now_ms)
+    peer.registry.adopt(reader.registry.to_document(context.now_ms, touched), context.now_ms)
+
+
+@then("neither uses the first 3 s later")
+def step_neither(context):
+    for knowledge in context.both:
+        knowledge.expire(context.now_ms + 3_000)
+        assert knowledge.registry.get("i-0") is None
+
+
 @given("a registry with 4 backend servers and a copy of it from before a change")
 def step_copy(context):
     step_filled(context, 4)
