Follow a store that comes back from an older copy, by its era

Callers would be sent to endpoints that had left, and changes written after the return be ignored: what is known was versioned by offsets, which the store gives out again. Change: versions are era and offset as one number; readers take whole lists anew in a later era and leave out answers of an earlier one; what had left stays gone until a later report is read as a change; what the copy lacks is held, evacuations too; announcements and the quarantine are written again. Entries that vanish hold those together with them that vanished within a second, and none that left before the return. A report with a lower sequence is an older one in any case. Ruled out: a new picture per era, which drops endpoints that live, and versions of our own.

--- a/cloverhook/gateway/counters.py
+++ b/cloverhook/gateway/counters.py
@@ -20,6 +20,7 @@
     "store_calls": "calls to the store, by feed and whether they were answered",
     "config_version": "the version of the configuration in force",
     "registry_version": "the offset of the newest record of a backend server that is known",
+    "store_era": "how often the store has come back from an older copy, by what is known",
     "backend_servers": "backend servers that are known",
     "data_centers_evacuated": "data centres whose endpoints get nothing, as an operator wants",
     "members_alive": "other gateways heard a moment ago",
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -168,6 +168,7 @@
         self._leaving = False
         self._was_ready = False
         self._was_cut_off = False
+        self._written_era = 0
         self._stopped = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -283,6 +284,7 @@
         knowledge = self._knowledge
         counters.set("config_version", knowledge.config_version)
         counters.set("registry_version", knowledge.registry.version)
+        counters.set("store_era", knowledge.store_era)
         counters.set("backend_servers", len(knowledge.registry))
         counters.set("data_centers_evacuated", len(knowledge.evacuated()))
         now_ms = monotonic_ms()
@@ -346,6 +348,7 @@
         self._forwarder.admission.look_at_all()
 
     def _sweep(self, now_ms: float) -> None:
+        self._write_again_in_new_era()
         self._tell_cut_off(now_ms)
         self._pool.sweep()
         known = self._knowledge.registry.get
@@ -355,6 +358,17 @@
         self._peering.failure_news.forget(now_ms)
         self._peering.quarantine_news.forget(now_ms)
 
+    def _write_again_in_new_era(self) -> None:
+        """Write again what this VM wrote, once the store has come back without it."""
+        era = self._knowledge.store_era
+        if era == self._written_era:
+            return
+        if self._written_era:
+            self._discovery.announcement_lost()
+            if self._follower.active:
+                self._keeper.changed()
+        self._written_era = era
+
     def _tell_cut_off(self, now_ms: float) -> None:
         cut_off = self._members.is_cut_off(now_ms)
         if cut_off != self._was_cut_off:
--- a/cloverhook/gateway/discovery.py
+++ b/cloverhook/gateway/discovery.py
@@ -49,6 +49,10 @@
         own = rank_weight("announce", self._own_vm)
         return sum(1 for item in alive if rank_weight("announce", item.vm) > own) < ANNOUNCERS
 
+    def announcement_lost(self) -> None:
+        """Note that the store has forgotten what this VM wrote down."""
+        self._announced = False
+
     def announced(self) -> None:
         """Note that the store has answered."""
         self._announced = True
--- a/cloverhook/gateway/knowledge.py
+++ b/cloverhook/gateway/knowledge.py
@@ -10,11 +10,15 @@
 from cloverhook.gateway.load import LoadBoard
 from cloverhook.gateway.registry import DRAIN_MS, Registry, ServerRecord
 from cloverhook.gateway.routes import GatewayConfig
+from cloverhook.gateway.versions import era_of
 
 __all__ = ["Knowledge"]
 
 STORE_AWAY_MS = 4_000.0
 """For this long after the store's return, entries that vanish may have lapsed while it was away."""
+EVACUATION_HOLD_MS = 3_000.0
+"""For this long after the store's return from an older copy, evacuations that it lacks still hold:
+operators write them again."""
 CROSSING_LOOK_MS = 250.0
 CROSSING_SHARE = 0.5
 """Without more than this share of its endpoints a data centre has no room for its own requests."""
@@ -31,6 +35,9 @@
         self.registry = Registry(drain_ms)
         self.board = LoadBoard()
         self._store_back_ms = -STORE_AWAY_MS
+        self._entered_era = 0
+        self._held_evacuations: frozenset[str] = frozenset()
+        self._held_until_ms = 0.0
         self._crossing = False
         self._crossing_due_ms = 0.0
 
@@ -39,6 +46,17 @@
         """The version in force, or -1 where there is none."""
         return -1 if self.config is None else self.config.version
 
+    @property
+    def store_era(self) -> int:
+        """The latest era of the store that anything known is of."""
+        told = max(self.registry.version, self.evacuations.version)
+        return max(self._entered_era, era_of(told))
+
+    def enter_era(self, era: int, now_ms: float) -> None:
+        """Note that the store has come back from an older copy: what it lacks may be back soon."""
+        self._entered_era = era
+        self.store_returned(now_ms)
+
     @property
     def complete(self) -> bool:
         """Whether requests can be served: there is a configuration and someone to serve them."""
@@ -79,16 +97,27 @@
         spec = None if self.config is None else self.config.services.get(service)
         return 0.0 if spec is None else spec.cold_per_s
 
-    def take_evacuations(self, found: Evacuations) -> bool:
-        """Take a state of a later offset; return whether other data centres are evacuated now."""
+    def take_evacuations(
+        self, found: Evacuations, now_ms: float, taken_back: frozenset[str] = frozenset()
+    ) -> bool:
+        """Take a state of a later version; return whether other data centres are evacuated now.
+
+        One of a later era may lack what was written last; what operators have `taken_back` since
+        is not held.
+        """
         if found.version <= self.evacuations.version:
             return False
-        before, self.evacuations = self.evacuations, found
-        return before.data_centers != found.data_centers
+        before = self.evacuated()
+        if era_of(found.version) > era_of(self.evacuations.version) and before:
+            self._held_evacuations = before - found.data_centers
+            self._held_until_ms = now_ms + EVACUATION_HOLD_MS
+        self._held_evacuations -= taken_back
+        self.evacuations = found
+        return before != self.evacuated()
 
     def evacuated(self) -> frozenset[str]:
         """Return the data centres whose endpoints get nothing."""
-        return self.evacuations.data_centers
+        return self.evacuations.data_centers | self._held_evacuations
 
     def store_returned(self, now_ms: float) -> None:
         """Note that the store answers again after a time in which it did not."""
@@ -115,10 +144,14 @@
         away = self.store_was_away(now_ms)
         changed = self.registry.apply_all(records, now_ms, away)
         names = {record.name for record in records if record.server is not None}
-        return (*changed, *self.registry.keep_only(names, newest_offset, now_ms, away))
+        missing = self.registry.keep_only(names, newest_offset, now_ms, away)
+        self.registry.reached_era(newest_offset)
+        return (*changed, *missing)
 
     def expire(self, now_ms: float) -> tuple[str, ...]:
         """Drop backend servers whose hold time has passed; return the incarnations that ended."""
+        if self._held_evacuations and now_ms >= self._held_until_ms:
+            self._held_evacuations = frozenset()
         gone = self.registry.expire(now_ms)
         for incarnation in gone:
             self.board.forget(incarnation)
--- a/cloverhook/gateway/registry.py
+++ b/cloverhook/gateway/registry.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 from cloverhook.checking import Address, Flag, Integer, Items, MapOf, Number, Table, Text
+from cloverhook.gateway.versions import era_of
 
 __all__ = ["DRAIN_MS", "REGISTRY_DOCUMENT", "BackendServer", "Registry", "ServerRecord"]
 
@@ -54,7 +55,9 @@
     "servers": Items(ROW),
     "gone": MapOf(Integer(-1)),
 }
-REGISTRY_DOCUMENT = Table(DOCUMENT_FIELDS, frozenset(DOCUMENT_FIELDS))
+REGISTRY_DOCUMENT = Table(
+    {**DOCUMENT_FIELDS, "last_sequences": MapOf(Integer())}, frozenset(DOCUMENT_FIELDS)
+)
 """What peers send each other of a registry; `Registry.to_document` makes it."""
 
 
@@ -115,9 +118,11 @@
         self._servers: dict[str, BackendServer] = {}
         self._offsets: dict[str, int] = {}
         self._gone: dict[str, int] = {}
+        self._last_sequences: dict[str, int] = {}
         self._changed_at: dict[str, int] = {}
         self._forgot_at = -1
         self._leaves_at_ms: dict[str, float] = {}
+        self._held_since_ms: dict[str, float] = {}
         self._vanished_ms: dict[str, list[float]] = {}
         self._by_service: dict[str, tuple[BackendServer, ...]] = {}
         self._by_incarnation: dict[str, BackendServer] = {}
@@ -144,8 +149,13 @@
         """Return whether an entry has vanished and is only kept for its hold time."""
         return server.name in self._leaves_at_ms
 
-    def apply(self, record: ServerRecord, now_ms: float, store_was_away: bool) -> bool:
-        """Take a record; return whether anything but its offset has changed."""
+    def apply(
+        self, record: ServerRecord, now_ms: float, store_was_away: bool, listed: bool = False
+    ) -> bool:
+        """Take a record; return whether anything but its offset has changed.
+
+        `listed` says that it stands in a whole list: nobody knows when it was written.
+        """
         name, after = record.name, record.server
         known = max(self._offsets.get(name, -1), self._gone.get(name, -1))
         if record.offset <= known and not self._is_later_start(after):
@@ -153,13 +163,18 @@
         if after is None or self._lacks_its_start(after):
             return self._remove(name, record.offset, now_ms, store_was_away)
         before = self._servers.get(name)
+        if self._had_left(record, after, listed):
+            return False
+        self._enter_era(name, record.offset)
         if self._is_outdated(after, before):
             return False
         self._offsets[name] = max(record.offset, self._offsets.get(name, -1))
         self._gone.pop(name, None)
+        self._last_sequences.pop(name, None)
         if after.born_ms is not None:
             self._born_ms[name] = after.born_ms
         returned = self._leaves_at_ms.pop(name, None) is not None
+        self._held_since_ms.pop(name, None)
         if before is not None and before.incarnation != after.incarnation:
             self._ended.append(before.incarnation)
         elif before is not None and _same(before, after, now_ms) and not returned:
@@ -174,7 +189,7 @@
     ) -> list[str]:
         """Take many records; return the names of those that changed anything."""
         with self._index_once():
-            return [item.name for item in records if self.apply(item, now_ms, store_was_away)]
+            return [item.name for item in records if self.apply(item, now_ms, store_was_away, True)]
 
     def _is_later_start(self, after: BackendServer | None) -> bool:
         """Return whether a record is of a later start than the registered one.
@@ -195,12 +210,37 @@
 
         A report may reach the store after the endpoint has ended and started again.
         """
+        if before is not None and before.born_ms == after.born_ms:
+            return after.sequence < before.sequence
         if after.born_ms is None:
             return False
         known_ms = self._born_ms.get(after.name, after.born_ms)
-        if after.born_ms != known_ms or before is None or before.born_ms is None:
-            return after.born_ms < known_ms
-        return after.sequence < before.sequence
+        return after.born_ms < known_ms
+
+    def _had_left(self, record: ServerRecord, after: BackendServer, listed: bool) -> bool:
+        """Return whether the store's copy names an endpoint again that had left before.
+
+        Of one that had left, only a report counts that is written after the store's return and
+        later than its last one.  If it lives, it reports again soon.
+        """
+        if not self._left_before(record.name, record.offset):
+            return False
+        return listed or after.sequence <= self._last_sequences.get(record.name, -1)
+
+    def _enter_era(self, name: str, offset: int) -> None:
+        """Count an entry as changed when it first stands in a later era, whatever it says.
+
+        Of two VMs that read the store one may have found it missing for a moment and told so.
+        """
+        known = self._offsets.get(name)
+        if known is not None and era_of(known) < era_of(offset) and name not in self._leaves_at_ms:
+            self._offsets[name] = offset
+            self._changed(name, offset)
+
+    def reached_era(self, version: int) -> None:
+        """Note that all is known as of a version of a later era, also where nothing has changed."""
+        if era_of(version) > era_of(self.version):
+            self.version = version
 
     def keep_only(
         self, names: set[str], offset: int, now_ms: float, store_was_away: bool
@@ -209,7 +249,10 @@
         missing = [
             name
             for name, seen in self._offsets.items()
-            if name not in names and seen < offset and name in self._servers
+            if name not in names
+            and seen < offset
+            and name in self._servers
+            and not self._left_before(name, offset)
         ]
         return tuple(name for name in missing if self._remove(name, offset, now_ms, store_was_away))
 
@@ -253,6 +296,9 @@
             "whole": only is None,
             "servers": rows,
             "gone": gone,
+            "last_sequences": {
+                name: self._last_sequences[name] for name in gone if name in self._last_sequences
+            },
         }
 
     def adopt(self, document: Mapping[str, Any], now_ms: float) -> bool:
@@ -265,11 +311,14 @@
         if document["version"] <= self.version:
             return False
         names = {row["server"]["name"] for row in document["servers"]}
+        last_sequences = document.get("last_sequences", {})
         with self._index_once():
             for name, offset in document["gone"].items():
                 if offset > self._offsets.get(name, -1) and name not in names:
                     self._gone[name] = max(offset, self._gone.get(name, -1))
                     self._changed_at[name] = document["version"]
+                    if name in last_sequences:
+                        self._last_sequences[name] = last_sequences[name]
                     self._drop(name)
             for row in document["servers"]:
                 offset, left_ms = row["offset"], row.get("left_ms")
@@ -279,6 +328,7 @@
                 gone = document["gone"].get(name, offset)
                 if left_ms is not None and gone >= self._offsets.get(name, gone + 1):
                     self._gone[name] = gone
+                    self._last_sequences[name] = server.sequence
                     self._changed_at[name] = document["version"]
                     self._leaves_at_ms.setdefault(name, now_ms + left_ms)
         if document["whole"]:
@@ -294,7 +344,10 @@
             self._forgot_at = max(self._forgot_at, self._gone.pop(oldest))
             self._changed_at.pop(oldest, None)
             self._born_ms.pop(oldest, None)
+            self._last_sequences.pop(oldest, None)
         server = self._servers.get(name)
+        if server is not None:
+            self._last_sequences[name] = server.sequence
         if server is None or name in self._leaves_at_ms:
             return False
         self._changed(name, offset)
@@ -304,12 +357,26 @@
         lapse = self._is_lapse(server.service, now_ms) or store_was_away
         hold_ms = LAPSE_HOLD_MS if lapse else self._hold_ms
         self._leaves_at_ms[name] = now_ms + hold_ms
+        self._held_since_ms[name] = now_ms
         if lapse:
             for other in self._by_service.get(server.service, ()):
-                if other.name in self._leaves_at_ms:
+                if self._lapsed_with(other.name, offset, now_ms):
                     self._leaves_at_ms[other.name] = now_ms + hold_ms
         return True
 
+    def _lapsed_with(self, name: str, offset: int, now_ms: float) -> bool:
+        """Return whether an entry that is held has vanished together with one that does now."""
+        if name not in self._leaves_at_ms or self._left_before(name, offset):
+            return False
+        return now_ms - self._held_since_ms.get(name, -LAPSE_WINDOW_MS) <= LAPSE_WINDOW_MS
+
+    def _left_before(self, name: str, version: int) -> bool:
+        """Return whether an entry had vanished in an earlier era than that of a version.
+
+        What the store's copy lacks says nothing of it then: it has left, and is not held anew.
+        """
+        return name in self._gone and era_of(self._gone[name]) < era_of(version)
+
     def _is_lapse(self, service: str, now_ms: float) -> bool:
         """Return whether so many entries vanish at once that the store is the likelier cause."""
         times = [at for at in self._vanished_ms.get(service, ()) if at > now_ms - LAPSE_WINDOW_MS]
@@ -320,6 +387,7 @@
 
     def _drop(self, name: str) -> None:
         self._leaves_at_ms.pop(name, None)
+        self._held_since_ms.pop(name, None)
         self._offsets.pop(name, None)
         server = self._servers.pop(name, None)
         if server is not None:
--- a/cloverhook/gateway/state_fetch.py
+++ b/cloverhook/gateway/state_fetch.py
@@ -119,7 +119,7 @@
             return
         if found is not None and knowledge.take_config(found, now_ms):
             self._log.note(Kind.CONFIG, version=knowledge.config_version, source=member.vm)
-        if left is not None and knowledge.take_evacuations(left):
+        if left is not None and knowledge.take_evacuations(left, now_ms):
             self._log.note(Kind.EVACUATION, **left.to_document(), source=member.vm)
         if registry and knowledge.registry.adopt(registry, now_ms):
             version = knowledge.registry.version
--- a/cloverhook/gateway/store.py
+++ b/cloverhook/gateway/store.py
@@ -48,6 +48,8 @@
     """Records of a feed, up to `end_offset`.
 
     There are configurations and evacuations, or records of backend servers.
+    `era` counts how often the store has come back from an older copy, after which it gives offsets
+    out again; it is None where the answer doesn't say so.
     `unreadable` names the records that are not sound, with the reason.  One of a backend server
     stands among `servers` too, as one that names none.
     """
@@ -57,6 +59,7 @@
     end_offset: int
     unreadable: tuple[str, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +137,7 @@
         self.quarantined: tuple[QuarantineRecord, ...] = ()
         self.failure: CloverhookError | None = None
         self.calls = 0
+        self.era: int | None = 1
         self._changed = asyncio.Event()
 
     def put_config(self, config: GatewayConfig) -> None:
@@ -154,6 +158,15 @@
         offset = self._end(Feed.SERVERS)
         self._append(Feed.SERVERS, ServerRecord(name, offset, None))
 
+    def restore(self, lost: dict[Feed, int]) -> None:
+        """Come back from an older copy, which lacks the last records of each feed."""
+        for feed, count in lost.items():
+            kept = max(0, len(self.log[feed]) - count)
+            del self.log[feed][kept:]
+        self.quarantined, self.announced = (), {}
+        self.era = (self.era or 0) + 1
+        self._changed.set()
+
     def forget_history(self) -> None:
         """Drop all records that newer ones have replaced."""
         for feed in Feed:
@@ -166,10 +179,10 @@
             configs, evacuations = _split(self.log[feed])
             newest_of = {item.data_center: item for item in evacuations}
             wanted = tuple(item for item in newest_of.values() if item.wanted)
-            return FeedSlice(configs[-1:], (), self._end(feed), evacuations=wanted)
+            return FeedSlice(configs[-1:], (), self._end(feed), evacuations=wanted, era=self.era)
         newest = {record.name: record for record in self.log[feed]}
         kept = tuple(record for record in newest.values() if record.server is not None)
-        return FeedSlice((), kept, self._end(feed))
+        return FeedSlice((), kept, self._end(feed), era=self.era)
 
     async def changes(self, feed: Feed, from_offset: int, wait_ms: int) -> FeedSlice:
         """Return the records from an offset."""
@@ -182,13 +195,13 @@
             except TimeoutError:
                 pass
         self._call(count=0)
-        if from_offset < self.first_offset[feed]:
+        if not self.first_offset[feed] <= from_offset <= self._end(feed):
             raise HistoryLostError
         found = tuple(self.log[feed][from_offset:])
         if feed is Feed.CONFIG:
             configs, evacuations = _split(found)
-            return FeedSlice(configs, (), self._end(feed), evacuations=evacuations)
-        return FeedSlice((), found, self._end(feed))
+            return FeedSlice(configs, (), self._end(feed), evacuations=evacuations, era=self.era)
+        return FeedSlice((), found, self._end(feed), era=self.era)
 
     async def announce(self, member: MemberRecord) -> None:
         """Write a VM down."""
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import PlatformError
@@ -16,8 +17,9 @@
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.store import Feed, FeedSlice, HistoryLostError, Store
 from cloverhook.gateway.supervision import keep_running
+from cloverhook.gateway.versions import version_of
 
-__all__ = ["GAP_MS", "GAP_SHARE", "StoreFollower"]
+__all__ = ["GAP_MS", "GAP_SHARE", "StoreFollower", "with_versions"]
 
 WAIT_MS = {Feed.CONFIG: 1_200, Feed.SERVERS: 1_000}
 """Each call is paid for.  A silent store shows after the shorter wait and the client's timeout, and
@@ -54,6 +56,8 @@
         self._counters = counters
         self._tasks: dict[Feed, asyncio.Task[None]] = {}
         self._offsets: dict[Feed, int] = {}
+        self._eras: dict[Feed, int] = {}
+        self._read_era = 0
         self._answers: dict[Feed, bool] = {}
         self._failing_since_ms: dict[Feed, float] = {}
         self._only_first = False
@@ -134,10 +138,38 @@
                 continue
             failures = 0
             self._answered(feed)
-            self._take(feed, found, whole=offset is None)
-            self._offsets[feed] = found.end_offset
+            era = self._era_of(feed, found)
+            if offset is not None and era != self._eras[feed]:
+                self._offsets.pop(feed, None)  # Another record has that offset now.
+                continue
+            if era >= self._knowledge.store_era:
+                self._take(feed, with_versions(found, era), whole=offset is None)
+                self._offsets[feed], self._eras[feed] = found.end_offset, era
             await asyncio.sleep(self._gap_ms(feed) / 1000)
 
+    def _era_of(self, feed: Feed, found: FeedSlice) -> int:
+        """Return the era of an answer, and begin with it where it is a later one.
+
+        An answer that tells none is taken to be of the era known.  One of an earlier era comes from
+        a copy, or was under way: the caller leaves it out.
+        """
+        known = self._knowledge.store_era
+        if found.era is None:
+            if known:
+                self._log.note(Kind.STORE, feed=feed.value, state="no-era", era=known)
+            return known
+        if found.era < known:
+            self._log.note(
+                Kind.STORE, feed=feed.value, state="older-era", era=found.era, known=known
+            )
+        elif found.era > self._read_era:
+            first = not self._read_era
+            self._read_era = found.era
+            if not first or known:
+                self._knowledge.enter_era(found.era, monotonic_ms())
+                self._log.note(Kind.STORE, feed=feed.value, state="new-era", era=found.era)
+        return found.era
+
     def _gap_ms(self, feed: Feed) -> float:
         """Return the pause before the next call for a feed."""
         if feed is Feed.CONFIG:
@@ -177,9 +209,11 @@
             after = Evacuations.as_of(found.end_offset - 1, found.evacuations)
         else:
             after = knowledge.evacuations.after(found.evacuations)
-        if not knowledge.take_evacuations(after):
+        taken_back = frozenset(item.data_center for item in found.evacuations if not item.wanted)
+        if not knowledge.take_evacuations(after, monotonic_ms(), taken_back):
             return False
-        self._log.note(Kind.EVACUATION, **after.to_document(), source="store")
+        held = sorted(knowledge.evacuated() - after.data_centers)
+        self._log.note(Kind.EVACUATION, **after.to_document(), held=held, source="store")
         return True
 
     def _answered(self, feed: Feed) -> None:
@@ -201,3 +235,15 @@
                 self._ask(Feed.SERVERS)
         self._answers[feed] = False
         self._counters.add("store_calls", feed=feed.value, answered="no")
+
+
+def with_versions(found: FeedSlice, era: int) -> FeedSlice:
+    """Return an answer of the store with versions in place of offsets."""
+    return replace(
+        found,
+        servers=tuple(replace(item, offset=version_of(era, item.offset)) for item in found.servers),
+        evacuations=tuple(
+            replace(item, offset=version_of(era, item.offset)) for item in found.evacuations
+        ),
+        end_offset=version_of(era, found.end_offset - 1) + 1,
+    )
--- /dev/null
+++ b/cloverhook/gateway/versions.py
@@ -0,0 +1,28 @@
+"""Versions of what the store holds: the store's era and an offset, as one number.
+
+Layer: state.  A store that comes back from an older copy gives offsets out again, under a later
+era.  As one number, whatever is of a later era is newer, in beats, states and comparisons alike.
+
+>>> version_of(0, 7), version_of(1, 7) < version_of(2, 0), era_of(version_of(2, 0))
+(7, True, 2)
+>>> era_of(version_of(3, -1)), version_of(0, -1)
+(3, -1)
+"""
+
+__all__ = ["ERA_LIMIT", "era_of", "version_of"]
+
+OFFSET_BITS = 36
+ERA_LIMIT = 2**16
+"""With more, versions would not fit into what messages may hold."""
+
+
+def version_of(era: int, offset: int) -> int:
+    """Return the version for an offset, which is -1 where there is no record yet."""
+    if era == 0:
+        return offset
+    return (era << OFFSET_BITS) + offset + 1
+
+
+def era_of(version: int) -> int:
+    """Return the era that a version belongs to."""
+    return max(version, 0) >> OFFSET_BITS
--- a/cloverhook_emulator/log_store_server.py
+++ b/cloverhook_emulator/log_store_server.py
@@ -66,6 +66,7 @@
         self.silent = False
         self.lost_answers = 0
         self.delay_ms = 0.0
+        self.era = b"1"
         self._changed = asyncio.Event()
         self._ingress = Ingress(self._handle)
 
@@ -87,7 +88,22 @@
         self.topic(topic).append(bytes([len(key)]) + key.encode() + value)
         self._changed.set()
 
+    def restore(self, topic: str, lost: int) -> None:
+        """Come back from an older copy, in which a topic lacks its last records."""
+        records = self.topic(topic).records
+        kept = Topic()
+        for record in records[: len(records) - lost]:
+            kept.append(record)
+        self.topics[topic] = kept
+        self.era = b"%d" % (int(self.era) + 1)
+        self._changed.set()
+
     async def _handle(self, request: CallerRequest) -> CallerAnswer:
+        answer = await self._answer(request)
+        headers = [*answer.headers, (b"store-era", self.era)]
+        return CallerAnswer(answer.status, headers, answer.body)
+
+    async def _answer(self, request: CallerRequest) -> CallerAnswer:
         self.calls.append(request.path)
         if self.silent:
             await asyncio.Event().wait()
@@ -124,7 +140,7 @@
     async def _read(self, topic: Topic, start: int, wait_ms: int) -> CallerAnswer:
         if start >= topic.end:
             await self._wait(topic, start, wait_ms)
-        if start < topic.first:
+        if not topic.first <= start <= topic.end:
             return _json({"firstOffset": topic.first}, 410)
         parts = [POSITIONS.pack(topic.end, topic.first)]
         for record in topic.records[start - topic.first :]:
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -35,6 +35,23 @@
     When what is written there is no list of requests
     Then the adapter says so and finds none
 
+  Scenario Outline: The adapter hands on the store's era, and none where that can't be read
+    Given a stand-in of the store with a configuration, 5 entries and 4 other members
+    When the store names its era as <header>
+    Then the adapter hands on the era <era>, whole and with changes
+
+    Examples:
+      | header               | era  |
+      | 7                    | 7    |
+      | seven                | none |
+      | -1                   | none |
+      | 99999999999999999999 | none |
+
+  Scenario: A store that comes back from an older copy has lost the offset that is asked for
+    Given a stand-in of the store with a configuration, 5 entries and 4 other members
+    When it comes back without the last 2 entries
+    Then a read from the end before is one of lost history, and a whole list has 3 entries
+
   Scenario: The settings that the platform fills in are valid
     Given the template of the settings
     Then filled in as the platform does, it is valid and complete
--- a/features/steps/gateway_crossing_steps.py
+++ b/features/steps/gateway_crossing_steps.py
@@ -56,7 +56,7 @@
         elif how == "have vanished":
             knowledge.registry.apply(ServerRecord(name, 50, None), now_ms, False)
     if how == "are evacuated" and count:
-        knowledge.take_evacuations(Evacuations(60, frozenset(OTHERS[:1])))
+        knowledge.take_evacuations(Evacuations(60, frozenset(OTHERS[:1])), 0.0)
 
 
 def told_far(context, kind):
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -195,7 +195,7 @@
 @given("the evacuations {known} as of offset {offset:d}")
 def step_evacuations(context, known, offset):
     context.known = Knowledge()
-    context.known.take_evacuations(Evacuations(offset, names(known)))
+    context.known.take_evacuations(Evacuations(offset, names(known)), 0.0)
 
 
 def names(text):
@@ -215,19 +215,19 @@
         Evacuation(change[1:], int(offset), change[0] == "+")
         for offset, change in zip(words[::2], words[1::2], strict=True)
     ]
-    context.known.take_evacuations(context.known.evacuations.after(records))
+    context.known.take_evacuations(context.known.evacuations.after(records), 0.0)
 
 
 @when("whole list of offset {offset:d} with {found} comes")
 def step_whole(context, offset, found):
     records = [Evacuation(name, 1, True) for name in names(found)]
-    context.known.take_evacuations(Evacuations.as_of(offset, records))
+    context.known.take_evacuations(Evacuations.as_of(offset, records), 0.0)
 
 
 @when("a peer's state of offset {offset:d} with {found} comes")
 def step_state(context, offset, found):
     document = Evacuations(offset, names(found)).to_document()
-    context.known.take_evacuations(Evacuations.from_document(document))
+    context.known.take_evacuations(Evacuations.from_document(document), 0.0)
 
 
 @then("{result} are evacuated")
@@ -257,7 +257,7 @@
 @then("of {count:d} choices all are in {region}, with all of kingston {state}")
 def step_kept_to(context, count, region, state):
     if state == "evacuated":
-        context.known.take_evacuations(Evacuations(1, frozenset({"papine"})))
+        context.known.take_evacuations(Evacuations(1, frozenset({"papine"})), 0.0)
     for room in (Room.SLOT, Room.UNHARMED):
         for number in range(count):
             choice = context.balancer.choose(
--- /dev/null
+++ b/features/steps/gateway_store_era_steps.py
@@ -0,0 +1,494 @@
+"""Steps on a store that comes back from an older copy."""
+
+import asyncio
+import json
+import random
+import zlib
+from dataclasses import replace
+
+from behave import given, then, when
+
+from cloverhook.errors import PlatformSilentError
+from cloverhook.gateway.knowledge import Knowledge
+from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
+from cloverhook.gateway.state_fetch import state_for
+from cloverhook.gateway.store import Feed, FeedSlice, MemoryStore
+from cloverhook.gateway.store_follower import with_versions
+from features import gateway_fleet as fleet
+from features.shared import run
+
+ELSEWHERE = "new-kingston"
+GONE_S = 4.0
+AWAY_S = 0.3
+HOLD_MS = 2_400.0
+LAPSE_MS = 1_000.0
+"""Entries that vanish within this time of each other are held together."""
+REPLAY_MS = 30_000
+QUIET_MS = 6_000
+REPORT_MS = 1_500
+
+
+def names_known(context):
+    """Return the names of the backend servers that each gateway knows."""
+    return [
+        {server.name for server in gateway._knowledge.registry.servers()}
+        for gateway, _ in context.gateways
+    ]
+
+
+def usable(registry, name):
+    """Return whether requests may go to a backend server."""
+    found = registry.of_service(fleet.SERVICE)
+    return any(item.name == name and not item.draining for item in found)
+
+
+async def start(context, gateways, backends):
+    """Start a fleet whose entries count what they report, and keep its log."""
+    context.log = bytearray()
+    await fleet.start_fleet(
+        context, backends, gateways, write_log=lambda data: context.log.extend(data) or len(data)
+    )
+    others = gateways - 1
+    await fleet.until(lambda: all(len(item._members) == others for item, _ in context.gateways))
+    context.sequence = 0
+    report_all(context)
+    await until_read(context)
+
+
+def report_all(context):
+    """Have every backend server write its entry again."""
+    context.sequence += 1
+    for backend in context.backends:
+        context.store.put_server(backend.entry(sequence=context.sequence))
+
+
+async def until_read(context):
+    """Wait until the store has been read up to its end."""
+    marker = f"marker-{len(context.store.log[Feed.SERVERS])}-{context.store.era}"
+    context.store.put_server(BackendServer(marker, "none", "10.0.0.1:1", ELSEWHERE))
+    await fleet.until(lambda: all(marker in names for names in names_known(context)))
+
+
+async def restore(context, **lost):
+    """Have the store be away for a moment and come back without its last records."""
+    context.store.failure = PlatformSilentError("away")
+    await asyncio.sleep(AWAY_S)
+    context.store.restore({Feed[name.upper()]: count for name, count in lost.items()})
+    context.store.failure = None
+
+
+@given(
+    "{gateways:d} gateways and {backends:d} backend servers whose store loses its last "
+    "{count:d} records"
+)
+def step_loses(context, gateways, backends, count):
+    async def begin():
+        await start(context, gateways, backends)
+        await restore(context, servers=count)
+
+    run(context, begin())
+
+
+@when(
+    "entries and configuration are written again, and then one leaves, one comes, and more changes"
+)
+def step_written_again(context):
+    async def write():
+        store = context.store
+        report_all(context)
+        store.put_config(fleet.config())
+        await asyncio.sleep(0.5)
+        context.left = context.backends[0].incarnation
+        store.remove_server(context.left)
+        context.come = await fleet.Backend("i-come").start(context)
+        store.put_server(context.come.entry(sequence=1))
+        store.put_config(fleet.config(9))
+        store.evacuate(ELSEWHERE)
+
+    run(context, write())
+
+
+@then("every gateway knows the one that came, the configuration and the evacuation")
+def step_knows(context):
+    def all_known():
+        return all(
+            gateway._knowledge.config_version == 9
+            and gateway._knowledge.evacuated() == {ELSEWHERE}
+            and context.come.incarnation in names
+            for (gateway, _), names in zip(context.gateways, names_known(context), strict=True)
+        )
+
+    run(context, fleet.until(all_known))
+
+
+@then("no gateway knows the one that left")
+def step_left(context):
+    run(context, asyncio.sleep(GONE_S))
+    assert not any(context.left in names for names in names_known(context))
+
+
+@given(
+    "{gateways:d} gateways and {backends:d} backend servers, of which one has left and still serves"
+)
+def step_one_left(context, gateways, backends):
+    async def begin():
+        await start(context, gateways, backends)
+        context.odd = context.backends[0]
+        context.store.remove_server(context.odd.incarnation)
+        await until_read(context)
+        context.lost = 2
+
+    run(context, begin())
+
+
+@given("{gateways:d} gateways and {backends:d} backend servers, of which one drains")
+def step_one_drains(context, gateways, backends):
+    async def begin():
+        await start(context, gateways, backends)
+        context.odd = context.backends[0]
+        entry = context.odd.entry(draining=True, sequence=context.sequence + 1)
+        context.store.put_server(entry)
+        await until_read(context)
+        context.lost = 2
+
+    run(context, begin())
+
+
+@given("{gateways:d} gateways and {backends:d} backend servers, of which one has just come")
+def step_one_came(context, gateways, backends):
+    async def begin():
+        await start(context, gateways, backends)
+        context.odd = await fleet.Backend("i-new").start(context)
+        context.store.put_server(context.odd.entry(sequence=1))
+        await until_read(context)
+        context.lost = 2
+
+    run(context, begin())
+
+
+@when("the store comes back from a copy in which it is ready")
+@when("the store comes back from a copy that lacks it")
+def step_restore(context):
+    run(context, restore(context, servers=context.lost))
+
+
+@then("it gets none of {count:d} requests")
+def step_gets_none(context, count):
+    async def call():
+        await asyncio.sleep(2 * HOLD_MS / 1000)
+        seen = len(context.odd.seen)
+        for number in range(count):
+            _, settings = context.gateways[number % len(context.gateways)]
+            answer = await fleet.call(settings.caller_address, request_id=f"r-{number}")
+            assert answer.status == 200
+        assert len(context.odd.seen) == seen, len(context.odd.seen) - seen
+
+    run(context, call())
+
+
+@then("it is known to every gateway until it has written its entry again, and from then on")
+def step_known_throughout(context):
+    async def watch():
+        for tick in range(60):
+            assert all(context.odd.incarnation in names for names in names_known(context)), tick
+            if tick == 18:
+                context.store.put_server(context.odd.entry(sequence=2))
+            await asyncio.sleep(0.1)
+
+    run(context, watch())
+
+
+@then("no gateway knows it 4 s later")
+def step_forgotten(context):
+    run(context, asyncio.sleep(GONE_S))
+    assert not any(context.odd.incarnation in names for names in names_known(context))
+
+
+@given("{gateways:d} gateways and {backends:d} backend servers whose data centre is evacuated")
+def step_evacuated(context, gateways, backends):
+    async def begin():
+        await start(context, gateways, backends)
+        context.store.evacuate(fleet.DATA_CENTER)
+        await fleet.until(lambda: all(evacuated(context)))
+
+    run(context, begin())
+
+
+def evacuated(context):
+    """Return whether each gateway takes the data centre for evacuated."""
+    return [fleet.DATA_CENTER in gateway._knowledge.evacuated() for gateway, _ in context.gateways]
+
+
+@when("the store comes back from a copy in which it is not")
+def step_restore_evacuation(context):
+    run(context, restore(context, config=1))
+
+
+@then("it is evacuated for every gateway until it has been written again, and from then on")
+def step_evacuated_throughout(context):
+    async def watch():
+        for tick in range(60):
+            assert all(evacuated(context)), tick
+            if tick == 15:
+                context.store.evacuate(fleet.DATA_CENTER)
+            await asyncio.sleep(0.1)
+
+    run(context, watch())
+
+
+@then("it is evacuated for no gateway 4 s later")
+def step_evacuated_no_more(context):
+    run(context, asyncio.sleep(GONE_S))
+    assert not any(evacuated(context))
+
+
+@given(
+    "{gateways:d} gateways and {backends:d} backend servers whose configuration has just changed"
+)
+def step_config_changed(context, gateways, backends):
+    async def begin():
+        await start(context, gateways, backends)
+        context.store.put_config(fleet.config(7))
+        await fleet.until(lambda: config_versions(context) == {7})
+
+    run(context, begin())
+
+
+def config_versions(context):
+    """Return the versions of the configuration that are in force."""
+    return {gateway._knowledge.config_version for gateway, _ in context.gateways}
+
+
+@when("the store comes back from a copy with the configuration before")
+def step_restore_config(context):
+    run(context, restore(context, config=1))
+
+
+@then("every gateway keeps the later one")
+def step_keeps(context):
+    run(context, asyncio.sleep(GONE_S))
+    assert config_versions(context) == {7}
+
+
+@when("as many records are written again at once, and one more")
+def step_offsets_again(context):
+    context.fresh = [f"i-fresh-{number}" for number in range(3)]
+    for name in context.fresh:
+        context.store.put_server(BackendServer(name, "none", "10.0.0.1:1", ELSEWHERE, sequence=1))
+
+
+@then("every gateway knows what each of them says")
+def step_knows_fresh(context):
+    fresh = set(context.fresh)
+    run(context, fleet.until(lambda: all(fresh <= names for names in names_known(context))))
+
+
+@given("the registries of a gateway that saw an era, and of one that was cut off in the era before")
+def step_two_eras(context):
+    context.now, context.before = Knowledge(), Knowledge()
+    for knowledge, era in ((context.now, 1), (context.before, 1), (context.now, 2)):
+        names = ("i-1", "i-2") if era == 1 else ("i-1", "i-3")
+        offset = 900 if era == 1 else 20
+        servers = tuple(
+            ServerRecord(name, offset, BackendServer(name, fleet.SERVICE, "10.0.0.1:1", "d"))
+            for name in names
+        )
+        found = with_versions(FeedSlice((), servers, offset + 1, era=era), era)
+        knowledge.take_server_list(found.servers, found.end_offset, 0.0)
+
+
+@then("what the latter tells changes nothing for the former")
+def step_old_tells(context):
+    document = context.before.registry.to_document(0.0)
+    assert not context.now.registry.adopt(document, 10.0)
+
+
+@then("the latter takes what the former tells")
+def step_new_tells(context):
+    assert context.before.registry.adopt(context.now.registry.to_document(0.0), 10.0)
+    assert context.before.registry.version == context.now.registry.version
+    assert usable(context.before.registry, "i-3")
+
+
+@given(
+    "{gateways:d} gateways and {backends:d} backend servers, and a store whose era becomes {era}"
+)
+def step_bad_era(context, gateways, backends, era):
+    async def begin():
+        await start(context, gateways, backends)
+        context.store.era = None if era == "missing" else 0
+
+    run(context, begin())
+
+
+@when("a backend server comes")
+def step_comes(context):
+    context.store.put_server(BackendServer("i-come", fleet.SERVICE, "10.0.0.1:1", ELSEWHERE))
+    run(context, asyncio.sleep(2.0))
+
+
+@then("the gateway knows {count:d} of them, and its log names the era as {state}")
+def step_era_named(context, count, state):
+    (gateway, _), *_ = context.gateways
+    assert len(gateway._knowledge.registry.of_service(fleet.SERVICE)) == count
+    lines = [json.loads(line) for line in bytes(context.log).splitlines()]
+    assert any(line["kind"] == "store" and line["state"] == state for line in lines)
+
+
+@then("each gateway that reads the store has logged the era, and its metrics show it")
+def step_era_told(context):
+    def all_told():
+        reading = {item._settings.vm for item, _ in context.gateways if item._follower.reading}
+        lines = [json.loads(line) for line in bytes(context.log).splitlines()]
+        told_by = {line["vm"] for line in lines if line.get("state") == "new-era"}
+        return reading and reading <= told_by
+
+    async def told():
+        await fleet.until(all_told)
+        for gateway, _ in context.gateways:
+            await fleet.until(lambda item=gateway: item._knowledge.store_era == 2)
+            page = (await gateway._serve_metrics(None)).body
+            assert b"cloverhook_gateway_store_era 2" in page
+
+    run(context, told())
+
+
+class EraReplay:
+    """A store with endpoints that come, report and leave, and gateways that learn of them."""
+
+    def __init__(self, vms, seed):
+        self.random = random.Random(seed)
+        self.store = MemoryStore()
+        self.vms = [Knowledge() for _ in range(vms)]
+        self.positions = [None] * vms
+        self.eras = [0] * vms
+        self.sequence = {}
+        self.left = set()
+        self.learned = {}
+        self.now_ms = 0.0
+        self.wrong = []
+
+    def play(self):
+        """Play until the store has been quiet for a while."""
+        while self.now_ms < REPLAY_MS:
+            self.now_ms += 100.0
+            quiet = self.now_ms > REPLAY_MS - QUIET_MS
+            if not quiet:
+                self._change()
+            self._report()
+            self._expire()
+            self._learn(everyone=quiet)
+            self._check()
+
+    def _change(self):
+        choice = self.random.random()
+        if choice < 0.1:
+            self._write(f"i-{len(self.sequence)}")
+        elif choice < 0.15 and len(self._live()) > 2:
+            name = self.random.choice(self._live())
+            self.left.add(name)
+            if self.random.random() < 0.5:
+                self._write(name, draining=True)
+            self.store.remove_server(name)
+        elif choice < 0.17:
+            self.store.restore({Feed.SERVERS: self.random.randrange(30)})
+
+    def _live(self):
+        return [name for name in self.sequence if name not in self.left]
+
+    def _write(self, name, draining=False):
+        self.sequence[name] = self.sequence.get(name, 0) + 1
+        entry = BackendServer(name, fleet.SERVICE, "10.0.0.1:1", "d", sequence=self.sequence[name])
+        self.store.put_server(replace(entry, draining=draining))
+
+    def _report(self):
+        for name in self._live():
+            if self.now_ms % REPORT_MS == 100 * (zlib.crc32(name.encode()) % 15):
+                self._write(name)
+
+    def _expire(self):
+        """Drop entries of those that left, as nobody renews them."""
+        newest = {record.name: record.server for record in self.store.log[Feed.SERVERS]}
+        for name in self.left:
+            if newest.get(name) is not None and not self.random.randrange(45):
+                self.store.remove_server(name)
+
+    def _learn(self, everyone):
+        for index, knowledge in enumerate(self.vms):
+            if everyone or self.random.random() < 0.5:
+                if index < 2:
+                    self._read(index)
+                else:
+                    other = self.vms[self.random.randrange(len(self.vms))]
+                    asked = {"registry": knowledge.registry.version}
+                    state = state_for(asked, other, None, self.now_ms)
+                    if "registry" in state:
+                        knowledge.registry.adopt(state["registry"], self.now_ms)
+            knowledge.expire(self.now_ms)
+
+    def _read(self, index):
+        knowledge, store = self.vms[index], self.store
+        if self.eras[index] != store.era:
+            self.eras[index], self.positions[index] = store.era, None
+            knowledge.enter_era(store.era, self.now_ms)
+        log, start = store.log[Feed.SERVERS], self.positions[index]
+        if start is None:
+            newest = {record.name: record for record in log}
+            records = tuple(item for item in newest.values() if item.server is not None)
+        else:
+            records = tuple(log[start:])
+        found = with_versions(FeedSlice((), records, len(log), era=store.era), store.era)
+        if start is None:
+            knowledge.take_server_list(found.servers, found.end_offset, self.now_ms)
+        else:
+            for record in found.servers:
+                knowledge.take_server(record, self.now_ms)
+        self.positions[index] = len(log)
+
+    def _check(self):
+        for index, knowledge in enumerate(self.vms):
+            for name in self.left:
+                used = usable(knowledge.registry, name) and not self._held(knowledge, name)
+                if not used and name in {item.name for item in knowledge.registry.servers()}:
+                    self.learned.setdefault((index, name), self.now_ms)
+                if usable(knowledge.registry, name):
+                    since_ms = self.learned.get((index, name))
+                    if since_ms is not None and self.now_ms - since_ms > HOLD_MS + LAPSE_MS + 100.0:
+                        self.wrong.append((index, name, since_ms, self.now_ms))
+
+    @staticmethod
+    def _held(knowledge: Knowledge, name):
+        registry: Registry = knowledge.registry
+        return any(item.name == name and registry.held(item) for item in registry.servers())
+
+    def store_names(self):
+        """Return the names that the store holds as ready."""
+        newest = {record.name: record.server for record in self.store.log[Feed.SERVERS]}
+        return {name for name, server in newest.items() if server and not server.draining}
+
+
+@given("{count:d} replays of {vms:d} gateways that read the store or hear of it from others")
+def step_replays(context, count, vms):
+    context.replays = [EraReplay(vms, seed) for seed in range(count)]
+
+
+@when("the store comes back from older copies while servers come, leave and report")
+def step_play(context):
+    for replay in context.replays:
+        replay.play()
+
+
+@then("no gateway has used one that had left for longer than the hold time")
+def step_none_resurrected(context):
+    wrong = {seed: item.wrong[0] for seed, item in enumerate(context.replays) if item.wrong}
+    assert not wrong, wrong
+
+
+@then("all end with what the store holds")
+def step_all_end(context):
+    for seed, replay in enumerate(context.replays):
+        for knowledge in replay.vms:
+            found = knowledge.registry.of_service(fleet.SERVICE)
+            names = {item.name for item in found if not item.draining}
+            live = set(replay._live())
+            assert names - replay.left == live, (seed, names ^ live)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -227,6 +227,31 @@
     assert own in run(context, context.client.members()).members
 
 
+@when("the store names its era as {header}")
+def step_era(context, header):
+    context.server.era = header.encode()
+
+
+@then("the adapter hands on the era {era}, whole and with changes")
+def step_era_read(context, era):
+    wanted = None if era == "none" else int(era)
+    assert run(context, context.client.newest(Feed.SERVERS)).era == wanted
+    assert run(context, context.client.changes(Feed.SERVERS, 2, 0)).era == wanted
+
+
+@when("it comes back without the last {lost:d} entries")
+def step_restore(context, lost):
+    context.server.restore(SERVERS, lost)
+
+
+@then("a read from the end before is one of lost history, and a whole list has {left:d} entries")
+def step_restored(context, left):
+    error = raised(context, context.client.changes(Feed.SERVERS, 5, 0))
+    assert isinstance(error, HistoryLostError), error
+    found = run(context, context.client.newest(Feed.SERVERS))
+    assert len(found.servers) == left and found.era == 2
+
+
 @then("the adapter finds none in quarantine")
 def step_no_quarantine(context):
     found = run(context, context.client.quarantine())
