--- a/cloverhook/gateway/registry.py
+++ b/cloverhook/gateway/registry.py
@@ -18,18 +18,13 @@
 from typing import Any
 
 from cloverhook.checking import Address, Flag, Integer, Items, MapOf, Number, Table, Text
+from cloverhook.gateway.holds import Holds
 from cloverhook.gateway.versions import era_of
 
 __all__ = ["DRAIN_MS", "REGISTRY_DOCUMENT", "BackendServer", "Registry", "ServerRecord"]
 
 TOMBSTONES_LIMIT = 4_096
-HOLD_SHARE = 0.75
-"""The part of the time until it must get no more work for which a vanished entry stays in use."""
 DRAIN_MS = 2_000.0
-LAPSE_HOLD_MS = 2_400.0
-"""The same when half of a service vanishes at once, or the store was away: they are back in 2 s."""
-LAPSE_SHARE = 0.5
-LAPSE_WINDOW_MS = 1_000.0
 COLD_NEWS_MS = 300.0
 """Each report of a cold endpoint tells its time left anew; what differs by less is no news."""
 
@@ -114,16 +109,13 @@
 
     def __init__(self, drain_ms: float = DRAIN_MS) -> None:
         self.version = -1
-        self._hold_ms = HOLD_SHARE * drain_ms
+        self._holds = Holds(drain_ms)
         self._servers: dict[str, BackendServer] = {}
         self._offsets: dict[str, int] = {}
         self._gone: dict[str, int] = {}
         self._last_sequences: dict[str, int] = {}
         self._changed_at: dict[str, int] = {}
         self._forgot_at = -1
-        self._leaves_at_ms: dict[str, float] = {}
-        self._held_since_ms: dict[str, float] = {}
-        self._vanished_ms: dict[str, list[float]] = {}
         self._by_service: dict[str, tuple[BackendServer, ...]] = {}
         self._by_incarnation: dict[str, BackendServer] = {}
         self._born_ms: dict[str, int] = {}
@@ -147,7 +139,7 @@
 
     def held(self, server: BackendServer) -> bool:
         """Return whether an entry has vanished and is only kept for its hold time."""
-        return server.name in self._leaves_at_ms
+        return server.name in self._holds
 
     def apply(
         self, record: ServerRecord, now_ms: float, store_was_away: bool, listed: bool = False
@@ -173,8 +165,7 @@
         self._last_sequences.pop(name, None)
         if after.born_ms is not None:
             self._born_ms[name] = after.born_ms
-        returned = self._leaves_at_ms.pop(name, None) is not None
-        self._held_since_ms.pop(name, None)
+        returned = self._holds.end(name)
         if before is not None and before.incarnation != after.incarnation:
             self._ended.append(before.incarnation)
         elif before is not None and _same(before, after, now_ms) and not returned:
@@ -199,7 +190,7 @@
         before = None if after is None else self._servers.get(after.name)
         if before is None or after.born_ms is None or before.born_ms is None:
             return False
-        return after.born_ms > before.born_ms and after.name not in self._leaves_at_ms
+        return after.born_ms > before.born_ms and after.name not in self._holds
 
     def _lacks_its_start(self, server: BackendServer) -> bool:
         """Return whether an entry says less than its name's own: then another writer made it."""
@@ -233,7 +224,7 @@
         Of two VMs that read the store one may have found it missing for a moment and told so.
         """
         known = self._offsets.get(name)
-        if known is not None and era_of(known) < era_of(offset) and name not in self._leaves_at_ms:
+        if known is not None and era_of(known) < era_of(offset) and name not in self._holds:
             self._offsets[name] = offset
             self._changed(name, offset)
 
@@ -261,7 +252,7 @@
 
         Returns the incarnations that have ended since the last call, in whatever way.
         """
-        for name in [name for name, at_ms in self._leaves_at_ms.items() if at_ms <= now_ms]:
+        for name in self._holds.due(now_ms):
             self._drop(name)
         ended, self._ended = tuple(self._ended), []
         return ended
@@ -287,8 +278,8 @@
                 "offset": self._offsets.get(name, -1),
                 "server": self._servers[name].to_row(now_ms),
             }
-            if name in self._leaves_at_ms:
-                row["left_ms"] = max(0.0, self._leaves_at_ms[name] - now_ms)
+            if name in self._holds:
+                row["left_ms"] = self._holds.left_ms(name, now_ms)
             rows.append(row)
         gone = {name: offset for name, offset in self._gone.items() if only is None or name in only}
         return {
@@ -330,7 +321,7 @@
                     self._gone[name] = gone
                     self._last_sequences[name] = server.sequence
                     self._changed_at[name] = document["version"]
-                    self._leaves_at_ms.setdefault(name, now_ms + left_ms)
+                    self._holds.adopt(name, left_ms, now_ms)
         if document["whole"]:
             self.keep_only(names, document["version"], now_ms, False)
         self.version = document["version"]
@@ -348,28 +339,18 @@
         server = self._servers.get(name)
         if server is not None:
             self._last_sequences[name] = server.sequence
-        if server is None or name in self._leaves_at_ms:
+        if server is None or name in self._holds:
             return False
         self._changed(name, offset)
         if server.draining:
             self._drop(name)
             return True
-        lapse = self._is_lapse(server.service, now_ms) or store_was_away
-        hold_ms = LAPSE_HOLD_MS if lapse else self._hold_ms
-        self._leaves_at_ms[name] = now_ms + hold_ms
-        self._held_since_ms[name] = now_ms
-        if lapse:
-            for other in self._by_service.get(server.service, ()):
-                if self._lapsed_with(other.name, offset, now_ms):
-                    self._leaves_at_ms[other.name] = now_ms + hold_ms
+        together = self._by_service.get(server.service, ())
+        if self._holds.begin(name, server.service, len(together), now_ms, store_was_away):
+            before = (other.name for other in together)
+            self._holds.prolong((x for x in before if not self._left_before(x, offset)), now_ms)
         return True
 
-    def _lapsed_with(self, name: str, offset: int, now_ms: float) -> bool:
-        """Return whether an entry that is held has vanished together with one that does now."""
-        if name not in self._leaves_at_ms or self._left_before(name, offset):
-            return False
-        return now_ms - self._held_since_ms.get(name, -LAPSE_WINDOW_MS) <= LAPSE_WINDOW_MS
-
     def _left_before(self, name: str, version: int) -> bool:
         """Return whether an entry had vanished in an earlier era than that of a version.
 
@@ -377,17 +358,8 @@
         """
         return name in self._gone and era_of(self._gone[name]) < era_of(version)
 
-    def _is_lapse(self, service: str, now_ms: float) -> bool:
-        """Return whether so many entries vanish at once that the store is the likelier cause."""
-        times = [at for at in self._vanished_ms.get(service, ()) if at > now_ms - LAPSE_WINDOW_MS]
-        times.append(now_ms)
-        self._vanished_ms[service] = times
-        total = len(self._by_service.get(service, ()))
-        return len(times) > 1 and len(times) >= LAPSE_SHARE * total
-
     def _drop(self, name: str) -> None:
-        self._leaves_at_ms.pop(name, None)
-        self._held_since_ms.pop(name, None)
+        self._holds.end(name)
         self._offsets.pop(name, None)
         server = self._servers.pop(name, None)
         if server is not None:
--- a/features/steps/gateway_store_era_steps.py
+++ b/features/steps/gateway_store_era_steps.py
@@ -2,30 +2,21 @@
 
 import asyncio
 import json
-import random
-import zlib
-from dataclasses import replace
 
 from behave import given, then, when
 
 from cloverhook.errors import PlatformSilentError
 from cloverhook.gateway.knowledge import Knowledge
-from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
-from cloverhook.gateway.state_fetch import state_for
-from cloverhook.gateway.store import Feed, FeedSlice, MemoryStore
+from cloverhook.gateway.registry import BackendServer, ServerRecord
+from cloverhook.gateway.store import Feed, FeedSlice
 from cloverhook.gateway.store_follower import with_versions
 from features import gateway_fleet as fleet
+from features.era_replay import HOLD_MS, EraReplay, usable
 from features.shared import run
 
 ELSEWHERE = "new-kingston"
 GONE_S = 4.0
 AWAY_S = 0.3
-HOLD_MS = 2_400.0
-LAPSE_MS = 1_000.0
-"""Entries that vanish within this time of each other are held together."""
-REPLAY_MS = 30_000
-QUIET_MS = 6_000
-REPORT_MS = 1_500
 
 
 def names_known(context):
@@ -36,12 +27,6 @@
     ]
 
 
-def usable(registry, name):
-    """Return whether requests may go to a backend server."""
-    found = registry.of_service(fleet.SERVICE)
-    return any(item.name == name and not item.draining for item in found)
-
-
 async def start(context, gateways, backends):
     """Start a fleet whose entries count what they report, and keep its log."""
     context.log = bytearray()
@@ -353,120 +338,6 @@
     run(context, told())
 
 
-class EraReplay:
-    """A store with endpoints that come, report and leave, and gateways that learn of them."""
-
-    def __init__(self, vms, seed):
-        self.random = random.Random(seed)
-        self.store = MemoryStore()
-        self.vms = [Knowledge() for _ in range(vms)]
-        self.positions = [None] * vms
-        self.eras = [0] * vms
-        self.sequence = {}
-        self.left = set()
-        self.learned = {}
-        self.now_ms = 0.0
-        self.wrong = []
-
-    def play(self):
-        """Play until the store has been quiet for a while."""
-        while self.now_ms < REPLAY_MS:
-            self.now_ms += 100.0
-            quiet = self.now_ms > REPLAY_MS - QUIET_MS
-            if not quiet:
-                self._change()
-            self._report()
-            self._expire()
-            self._learn(everyone=quiet)
-            self._check()
-
-    def _change(self):
-        choice = self.random.random()
-        if choice < 0.1:
-            self._write(f"i-{len(self.sequence)}")
-        elif choice < 0.15 and len(self._live()) > 2:
-            name = self.random.choice(self._live())
-            self.left.add(name)
-            if self.random.random() < 0.5:
-                self._write(name, draining=True)
-            self.store.remove_server(name)
-        elif choice < 0.17:
-            self.store.restore({Feed.SERVERS: self.random.randrange(30)})
-
-    def _live(self):
-        return [name for name in self.sequence if name not in self.left]
-
-    def _write(self, name, draining=False):
-        self.sequence[name] = self.sequence.get(name, 0) + 1
-        entry = BackendServer(name, fleet.SERVICE, "10.0.0.1:1", "d", sequence=self.sequence[name])
-        self.store.put_server(replace(entry, draining=draining))
-
-    def _report(self):
-        for name in self._live():
-            if self.now_ms % REPORT_MS == 100 * (zlib.crc32(name.encode()) % 15):
-                self._write(name)
-
-    def _expire(self):
-        """Drop entries of those that left, as nobody renews them."""
-        newest = {record.name: record.server for record in self.store.log[Feed.SERVERS]}
-        for name in self.left:
-            if newest.get(name) is not None and not self.random.randrange(45):
-                self.store.remove_server(name)
-
-    def _learn(self, everyone):
-        for index, knowledge in enumerate(self.vms):
-            if everyone or self.random.random() < 0.5:
-                if index < 2:
-                    self._read(index)
-                else:
-                    other = self.vms[self.random.randrange(len(self.vms))]
-                    asked = {"registry": knowledge.registry.version}
-                    state = state_for(asked, other, None, self.now_ms)
-                    if "registry" in state:
-                        knowledge.registry.adopt(state["registry"], self.now_ms)
-            knowledge.expire(self.now_ms)
-
-    def _read(self, index):
-        knowledge, store = self.vms[index], self.store
-        if self.eras[index] != store.era:
-            self.eras[index], self.positions[index] = store.era, None
-            knowledge.enter_era(store.era, self.now_ms)
-        log, start = store.log[Feed.SERVERS], self.positions[index]
-        if start is None:
-            newest = {record.name: record for record in log}
-            records = tuple(item for item in newest.values() if item.server is not None)
-        else:
-            records = tuple(log[start:])
-        found = with_versions(FeedSlice((), records, len(log), era=store.era), store.era)
-        if start is None:
-            knowledge.take_server_list(found.servers, found.end_offset, self.now_ms)
-        else:
-            for record in found.servers:
-                knowledge.take_server(record, self.now_ms)
-        self.positions[index] = len(log)
-
-    def _check(self):
-        for index, knowledge in enumerate(self.vms):
-            for name in self.left:
-                used = usable(knowledge.registry, name) and not self._held(knowledge, name)
-                if not used and name in {item.name for item in knowledge.registry.servers()}:
-                    self.learned.setdefault((index, name), self.now_ms)
-                if usable(knowledge.registry, name):
-                    since_ms = self.learned.get((index, name))
-                    if since_ms is not None and self.now_ms - since_ms > HOLD_MS + LAPSE_MS + 100.0:
-                        self.wrong.append((index, name, since_ms, self.now_ms))
-
-    @staticmethod
-    def _held(knowledge: Knowledge, name):
-        registry: Registry = knowledge.registry
-        return any(item.name == name and registry.held(item) for item in registry.servers())
-
-    def store_names(self):
-        """Return the names that the store holds as ready."""
-        newest = {record.name: record.server for record in self.store.log[Feed.SERVERS]}
-        return {name for name, server in newest.items() if server and not server.draining}
-
-
 @given("{count:d} replays of {vms:d} gateways that read the store or hear of it from others")
 def step_replays(context, count, vms):
     context.replays = [EraReplay(vms, seed) for seed in range(count)]
@@ -490,5 +361,5 @@
         for knowledge in replay.vms:
             found = knowledge.registry.of_service(fleet.SERVICE)
             names = {item.name for item in found if not item.draining}
-            live = set(replay._live())
+            live = set(replay.live())
             assert names - replay.left == live, (seed, names ^ live)
