In a later era read all feeds anew at once, and log the end of a held evacuation

A call that waits at an offset of the era before is given up; the log names each change of the data centres that get nothing.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -329,7 +329,12 @@
 
     def _do_what_is_due(self, now_ms: float) -> None:
         self._follow_or_not(now_ms)
-        for incarnation in self._knowledge.expire(now_ms):
+        evacuated = self._knowledge.evacuated()
+        ended = self._knowledge.expire(now_ms)
+        if self._knowledge.evacuated() != evacuated:
+            document = self._knowledge.evacuations.to_document()
+            self._log.note(Kind.EVACUATION, **document, source="hold time")
+        for incarnation in ended:
             self._pool.forget(incarnation)
             self._peering.load_news.forget(incarnation)
             self._measuring.forget(incarnation)
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -168,8 +168,16 @@
             if not first or known:
                 self._knowledge.enter_era(found.era, monotonic_ms())
                 self._log.note(Kind.STORE, feed=feed.value, state="new-era", era=found.era)
+                self._begin_again(feed)
         return found.era
 
+    def _begin_again(self, noticed: Feed) -> None:
+        """Have the other feeds read whole too: a call may wait at an offset that is gone."""
+        for feed in Feed:
+            if feed is not noticed and feed in self._tasks:
+                self._offsets.pop(feed, None)
+                self._ask(feed)
+
     def _gap_ms(self, feed: Feed) -> float:
         """Return the pause before the next call for a feed."""
         if feed is Feed.CONFIG:
