--- a/cloverhook/gateway/quarantine.py
+++ b/cloverhook/gateway/quarantine.py
@@ -127,13 +127,10 @@
             item.used = True
         return True
 
-    def crashed(
-        self, keys: RequestKeys, known: tuple[int, ...], now_ms: float
-    ) -> list[tuple[int, Suspicion]]:
+    def crashed(self, keys: RequestKeys, known: tuple[int, ...], now_ms: float) -> list[Suspicion]:
         """Take it that an endpoint has crashed under a request of this VM.
 
-        `known` are the crashes that were known when it was sent.  Returns the keys for which that
-        is news, with what to tell the others.
+        `known` are the crashes that were known when it was sent.  Returns what to tell the others.
         """
         news = []
         for key, before in zip(keys, known, strict=True):
@@ -141,9 +138,9 @@
                 continue
             item = self._suspects.get(key)
             if item is None or before + 1 > item.crashes:
-                news.append((key, self._raise(key, before + 1, now_ms)))
+                news.append(self._raise(key, before + 1, now_ms))
             elif item.crashes == 1 and self._may_take(key, item, self._own_vm, now_ms):
-                news.append((key, self._claim(key, now_ms)))
+                news.append(self._claim(key, now_ms))
         return news
 
     def served(self, keys: RequestKeys, now_ms: float) -> list[Suspicion]:
--- a/cloverhook/gateway/quarantine_news.py
+++ b/cloverhook/gateway/quarantine_news.py
@@ -74,14 +74,13 @@
     def crashed(self, keys: RequestKeys, known: tuple[int, ...], server: str) -> None:
         """Take it that an endpoint has crashed under a request that was sent with so much known."""
         news = self.quarantine.crashed(keys, known, monotonic_ms())
-        for _, suspicion in news:
+        for suspicion in news:
             self._note(suspicion, self._own_vm, server=server)
-        self._tell(suspicion for _, suspicion in news)
-        grave = [suspicion for _, suspicion in news if suspicion.crashes > 1]
-        if grave:
+        self._tell(news)
+        if any(suspicion.crashes > 1 for suspicion in news):
             self.on_change()
-        for delay_ms in REPEATS_MS if grave else ():
-            asyncio.get_running_loop().call_later(delay_ms / 1000, self._tell_again, keys)
+            for delay_ms in REPEATS_MS:
+                asyncio.get_running_loop().call_later(delay_ms / 1000, self._tell_again, keys)
 
     def served(self, keys: RequestKeys) -> None:
         """Take it that a request was answered well."""
--- a/features/quarantine_fleet.py
+++ b/features/quarantine_fleet.py
@@ -97,7 +97,7 @@
             self._tell(vm, quarantine.served(keys, self.now_ms))
             return
         self.outcomes.crashed_ms.append(self.now_ms)
-        self._tell(vm, [news for _, news in quarantine.crashed(keys, known, self.now_ms)])
+        self._tell(vm, quarantine.crashed(keys, known, self.now_ms))
         if attempt < ATTEMPTS:
             self._ask(vm, keys, max(give_up_ms, self.now_ms + PATIENCE_MS), attempt + 1)
         else:
