Log fetches of states, and a digest of the backend servers in use

The logs could not tell a configuration that is handed out slowly from one that a VM was not told of, nor two registries of one version from equal ones. A line 'fetch' says what was asked from, what came, how long it took and for how long the VM had been behind; the lines 'server' and a metric carry a digest that is equal where VMs use the same backend servers. No decision is changed.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -100,6 +100,7 @@
             self._log,
             lambda incarnation: self._forwarder.pace_changed(incarnation),
             lambda: self._forwarder.admission.look_soon(),
+            self._counters,
             fleet=settings.store_address,
             requests_per_s=allowance.all_requests_per_s,
         )
@@ -284,6 +285,7 @@
         knowledge = self._knowledge
         counters.set("config_version", knowledge.config_version)
         counters.set("registry_version", knowledge.registry.version)
+        counters.set("registry_digest", knowledge.registry.digest())
         counters.set("store_era", knowledge.store_era)
         counters.set("backend_servers", len(knowledge.registry))
         counters.set("data_centers_evacuated", len(knowledge.evacuated()))
@@ -339,7 +341,12 @@
             self._peering.load_news.forget(incarnation)
             self._measuring.forget(incarnation)
             self._cold_limit.forget(incarnation)
-            self._log.note(Kind.SERVER, source="hold time", gone=incarnation)
+            self._log.note(
+                Kind.SERVER,
+                source="hold time",
+                gone=incarnation,
+                digest=self._knowledge.registry.digest(),
+            )
         self._tell_readiness()
         self._probe(now_ms)
         if self._peering.reading != self._follower.reading:
@@ -414,7 +421,13 @@
             self._peering.beat_now(has_news=True)
             return
         version = knowledge.registry.version
-        self._log.note(Kind.SERVER, version=version, source="store", touched=touched[:8])
+        self._log.note(
+            Kind.SERVER,
+            version=version,
+            source="store",
+            touched=touched[:8],
+            digest=knowledge.registry.digest(),
+        )
         self._peering.tell_servers(base_version, touched)
 
     def _probe(self, now_ms: float) -> None:
--- a/cloverhook/gateway/event_log.py
+++ b/cloverhook/gateway/event_log.py
@@ -46,6 +46,7 @@
     EVACUATION = "evacuation", 20
     SERVER = "server", 50
     MEMBER = "member", 50
+    FETCH = "fetch", 20
     CUT_OFF = "cut-off", 5
     ENDPOINT = "endpoint", 30
     QUARANTINE = "quarantine", 30
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -16,6 +16,7 @@
 from cloverhook.errors import MessageError
 from cloverhook.gateway.beat_pace import BeatPace
 from cloverhook.gateway.count_news import CountNews
+from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.event_log import EventLog, Kind
 from cloverhook.gateway.failure_news import FailureNews
 from cloverhook.gateway.knowledge import Knowledge
@@ -79,6 +80,7 @@
         log: EventLog,
         on_figure: Callable[[str], None],
         on_counts: Callable[[], None],
+        counters: Counters,
         fleet: str = "",
         requests_per_s: Callable[[float], float] = lambda now_ms: 0.0,
     ) -> None:
@@ -88,6 +90,7 @@
         self._knowledge = knowledge
         self._members = members
         self._log = log
+        self._counters = counters
         self.link = PeerLink(
             self._on_message, self._state_for, self._on_garbage, fleet, self._hears_ms
         )
@@ -113,6 +116,7 @@
             knowledge,
             members,
             log,
+            counters,
             lambda address, asked: self.link.fetch(address, asked),
             self._fetched,
             self._on_garbage,
@@ -331,7 +335,11 @@
             self._states.catch_up(changes.vm, near or relayed)
         elif registry.adopt(changes.document, now_ms):
             self._log.note(
-                Kind.SERVER, source=changes.vm, version=registry.version, servers=len(registry)
+                Kind.SERVER,
+                source=changes.vm,
+                version=registry.version,
+                servers=len(registry),
+                digest=registry.digest(),
             )
 
     def _fetched(self, member: Member) -> None:
@@ -344,7 +352,12 @@
             self.spread.to(told, encode(self._beat()))
 
     def _state_for(self, asked: dict[str, Any]) -> dict[str, Any]:
-        return state_for(asked, self._knowledge, self._members, monotonic_ms())
+        started_ms = monotonic_ms()
+        state = state_for(asked, self._knowledge, self._members, started_ms)
+        self._counters.add("states_sent")
+        took_ms = round(monotonic_ms() - started_ms, 1)
+        self._log.note(Kind.FETCH, state="sent", asked=asked, parts=list(state), took_ms=took_ms)
+        return state
 
     def _on_garbage(self, sender: str, error: MessageError) -> None:
         self._log.note(Kind.MEMBER, member=sender, state="garbage", error=str(error))
--- a/cloverhook/gateway/registry.py
+++ b/cloverhook/gateway/registry.py
@@ -17,6 +17,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+import xxhash
+
 from cloverhook.checking import Address, Flag, Integer, Items, MapOf, Number, Table, Text
 from cloverhook.gateway.holds import Holds
 from cloverhook.gateway.versions import era_of
@@ -121,6 +123,7 @@
         self._born_ms: dict[str, int] = {}
         self._ended: list[str] = []
         self._indexing = True
+        self._digest: int | None = 0
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -137,6 +140,18 @@
         """Return the backend servers of a service."""
         return self._by_service.get(service, ())
 
+    def digest(self) -> int:
+        """Return a hash of the endpoints that requests may go to: equal where these are the same.
+
+        An entry that is only held for a while doesn't count, as VMs drop it at different moments.
+        """
+        if self._digest is None:
+            self._digest = 0
+            for server in self._servers.values():
+                if not server.draining and server.name not in self._holds:
+                    self._digest ^= xxhash.xxh32_intdigest(server.incarnation.encode())
+        return self._digest
+
     def held(self, server: BackendServer) -> bool:
         """Return whether an entry has vanished and is only kept for its hold time."""
         return server.name in self._holds
@@ -382,6 +397,7 @@
             self._index()
 
     def _index(self) -> None:
+        self._digest = None
         if not self._indexing:
             return
         found: dict[str, list[BackendServer]] = {}
--- a/cloverhook/gateway/state_fetch.py
+++ b/cloverhook/gateway/state_fetch.py
@@ -13,6 +13,7 @@
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
+from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.evacuation import Evacuations
 from cloverhook.gateway.event_log import EventLog, Kind
 from cloverhook.gateway.knowledge import Knowledge
@@ -44,6 +45,7 @@
         knowledge: Knowledge,
         members: Members,
         log: EventLog,
+        counters: Counters,
         fetch: Callable[[str, State], Awaitable[State]],
         on_fetched: Callable[[Member], None],
         on_garbage: Callable[[str, MessageError], None],
@@ -52,6 +54,8 @@
         self._knowledge = knowledge
         self._members = members
         self._log = log
+        self._counters = counters
+        self._behind_since_ms: float | None = None
         self._fetch = fetch
         self._on_fetched = on_fetched
         self._on_garbage = on_garbage
@@ -60,11 +64,14 @@
     def is_behind(self, other: KnownVersions) -> bool:
         """Return whether there is more to know than is known here."""
         knowledge = self._knowledge
-        return (
+        behind = (
             other.config_version > knowledge.config_version
             or other.registry_version > knowledge.registry.version
             or other.evacuation_version > knowledge.evacuations.version
         )
+        if behind and self._behind_since_ms is None:
+            self._behind_since_ms = monotonic_ms()
+        return behind
 
     def catch_up(self, vm: str, at_once: bool) -> None:
         """Fetch a peer's state soon; `at_once` where no neighbour can be expected to do it."""
@@ -101,12 +108,24 @@
             "registry": knowledge.registry.version,
             "evacuations": knowledge.evacuations.version,
         }
+        started_ms = monotonic_ms()
         try:
             state = await self._fetch(member.peer_address, asked)
         except MessageError as error:
             self._log.note(Kind.MEMBER, member=member.vm, state="no-answer", error=str(error))
             return
         now_ms = monotonic_ms()
+        self._counters.observe("fetch", now_ms - started_ms)
+        self._log.note(
+            Kind.FETCH,
+            state="received",
+            member=member.vm,
+            asked=asked,
+            parts=list(state),
+            took_ms=round(now_ms - started_ms, 1),
+            behind_ms=round(now_ms - (self._behind_since_ms or now_ms)),
+        )
+        self._behind_since_ms = None
         config, registry = state.get("config"), state.get("registry")
         evacuations = state.get("evacuations")
         try:
@@ -123,7 +142,13 @@
             self._log.note(Kind.EVACUATION, **left.to_document(), source=member.vm)
         if registry and knowledge.registry.adopt(registry, now_ms):
             version = knowledge.registry.version
-            self._log.note(Kind.SERVER, source=member.vm, version=version, whole=True)
+            self._log.note(
+                Kind.SERVER,
+                source=member.vm,
+                version=version,
+                whole=registry["whole"],
+                digest=knowledge.registry.digest(),
+            )
         if config or registry or evacuations:
             self._on_fetched(member)
 
--- a/features/gateway_crowd.py
+++ b/features/gateway_crowd.py
@@ -1,6 +1,7 @@
 """VMs that know each other, without sockets and on a clock of their own."""
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.event_log import EventLog
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.members import Members
@@ -46,7 +47,9 @@
     for other in names:
         if other != name:
             members.heard(beat(other), monotonic_ms())
-    peering = Peering(own, Knowledge(), members, EventLog(name, len), None, lambda: None)
+    peering = Peering(
+        own, Knowledge(), members, EventLog(name, len), None, lambda: None, Counters()
+    )
     peering.link = peering.spread._link = Wire()
     return peering
 
@@ -62,7 +65,9 @@
         for other, where in names.items():
             if other != name:
                 members.heard(beat(other, where), 0.0)
-        peering = Peering(own, Knowledge(), members, EventLog(name, len), None, lambda: None)
+        peering = Peering(
+            own, Knowledge(), members, EventLog(name, len), None, lambda: None, Counters()
+        )
         peering.ready = True
         peering.link = peering.spread._link = Wire()
         context.crowd[f"{name}:2"] = peering
