Tell who is behind the whole registry where its changes are not known one by one

Callers' requests reached a backend server after it had left (DRAIN). Cause: a VM that has just read the whole list knows nothing of what came and vanished before, yet answered a question for what is newer than a version with a part, and told a part to all as following a version at which it had not been. Whoever took that kept the vanished entry, in use, at the newest version; nothing showed that it was behind. The class of fault: a state told in parts by someone who doesn't know all parts. Change: a registry keeps from which version on its changes are known one by one. Who asks from before gets all of it; changes told by such a VM are taken only at the very version that they build on.

--- a/cloverhook/gateway/knowledge.py
+++ b/cloverhook/gateway/knowledge.py
@@ -142,11 +142,7 @@
         if newest_offset < self.registry.version:
             return ()
         away = self.store_was_away(now_ms)
-        changed = self.registry.apply_all(records, now_ms, away)
-        names = {record.name for record in records if record.server is not None}
-        missing = self.registry.keep_only(names, newest_offset, now_ms, away)
-        self.registry.reached_era(newest_offset)
-        return (*changed, *missing)
+        return self.registry.take_list(records, newest_offset, now_ms, away)
 
     def expire(self, now_ms: float) -> tuple[str, ...]:
         """Drop backend servers whose hold time has passed; return the incarnations that ended."""
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -327,10 +327,13 @@
 
     def _on_changes(self, changes: ServerChanges, now_ms: float, relayed: bool) -> None:
         registry = self._knowledge.registry
-        if changes.base_version > registry.version:
+        if changes.document["version"] <= registry.version:
+            return
+        if not registry.can_take(changes.base_version, changes.document):
             member = self._members.get(changes.vm)
             if member is not None:
-                member.registry_version = max(member.registry_version, changes.base_version)
+                told_version = max(changes.base_version, changes.document["version"])
+                member.registry_version = max(member.registry_version, told_version)
             near = member is not None and member.data_center == self._own.data_center
             self._states.catch_up(changes.vm, near or relayed)
         elif registry.adopt(changes.document, now_ms):
--- a/cloverhook/gateway/registry.py
+++ b/cloverhook/gateway/registry.py
@@ -53,7 +53,8 @@
     "gone": MapOf(Integer(-1)),
 }
 REGISTRY_DOCUMENT = Table(
-    {**DOCUMENT_FIELDS, "last_sequences": MapOf(Integer())}, frozenset(DOCUMENT_FIELDS)
+    {**DOCUMENT_FIELDS, "last_sequences": MapOf(Integer()), "history_floor": Integer(-1)},
+    frozenset(DOCUMENT_FIELDS),
 )
 """What peers send each other of a registry; `Registry.to_document` makes it."""
 
@@ -117,7 +118,7 @@
         self._gone: dict[str, int] = {}
         self._last_sequences: dict[str, int] = {}
         self._changed_at: dict[str, int] = {}
-        self._forgot_at = -1
+        self._history_floor = -1
         self._by_service: dict[str, tuple[BackendServer, ...]] = {}
         self._by_incarnation: dict[str, BackendServer] = {}
         self._born_ms: dict[str, int] = {}
@@ -243,7 +244,7 @@
             self._offsets[name] = offset
             self._changed(name, offset)
 
-    def reached_era(self, version: int) -> None:
+    def _reached_era(self, version: int) -> None:
         """Note that all is known as of a version of a later era, also where nothing has changed."""
         if era_of(version) > era_of(self.version):
             self.version = version
@@ -262,6 +263,30 @@
         ]
         return tuple(name for name in missing if self._remove(name, offset, now_ms, store_was_away))
 
+    def take_list(
+        self,
+        records: Iterable[ServerRecord],
+        offset: int,
+        now_ms: float,
+        store_was_away: bool,
+    ) -> tuple[str, ...]:
+        """Take the store's whole list as of `offset`; return the names that changed or vanished."""
+        known_version = self.version
+        kept = tuple(records)
+        changed = self.apply_all(kept, now_ms, store_was_away)
+        names = {record.name for record in kept if record.server is not None}
+        missing = self.keep_only(names, offset, now_ms, store_was_away)
+        self._reached_era(offset)
+        self._learned_whole(known_version, offset)
+        return (*changed, *missing)
+
+    def _learned_whole(self, known_version: int, floor: int) -> None:
+        """Note that a whole state was taken whose changes are told one by one since `floor`."""
+        if floor > known_version:
+            self._history_floor = floor
+        else:
+            self._history_floor = min(self._history_floor, floor)
+
     def expire(self, now_ms: float) -> tuple[str, ...]:
         """Drop the entries whose hold time has passed.
 
@@ -275,12 +300,22 @@
     def changed_since(self, version: int) -> set[str] | None:
         """Return the names that have changed since a version, or None if that isn't known.
 
-        Who knew everything as of that version lacks nothing else.
+        Who knew everything as of that version lacks nothing else.  What vanished before this
+        registry was read whole was never known here, so it can't be named.
         """
-        if version < self._forgot_at:
+        if version < self._history_floor:
             return None
         return {name for name, changed in self._changed_at.items() if changed > version}
 
+    def can_take(self, base_version: int, document: Mapping[str, Any]) -> bool:
+        """Return whether a peer's changes since `base_version` are all that is lacking here.
+
+        A peer that has read the whole list since doesn't know what came and vanished between.
+        """
+        if self.version == base_version:
+            return True
+        return self.version >= max(base_version, document.get("history_floor", -1))
+
     def to_document(self, now_ms: float, only: Collection[str] | None = None) -> dict[str, Any]:
         """Return the form in which peers exchange the registry, whole or for some names.
 
@@ -300,6 +335,7 @@
         return {
             "version": self.version,
             "whole": only is None,
+            "history_floor": self._history_floor,
             "servers": rows,
             "gone": gone,
             "last_sequences": {
@@ -318,6 +354,7 @@
             return False
         names = {row["server"]["name"] for row in document["servers"]}
         last_sequences = document.get("last_sequences", {})
+        known_version = self.version
         with self._index_once():
             for name, offset in document["gone"].items():
                 if offset > self._offsets.get(name, -1) and name not in names:
@@ -339,6 +376,7 @@
                     self._holds.adopt(name, left_ms, now_ms)
         if document["whole"]:
             self.keep_only(names, document["version"], now_ms, False)
+            self._learned_whole(known_version, document.get("history_floor", document["version"]))
         self.version = document["version"]
         self._index()
         return True
@@ -347,7 +385,7 @@
         self._gone[name] = max(offset, self._gone.get(name, -1))
         while len(self._gone) > TOMBSTONES_LIMIT:
             oldest = next(iter(self._gone))
-            self._forgot_at = max(self._forgot_at, self._gone.pop(oldest))
+            self._history_floor = max(self._history_floor, self._gone.pop(oldest))
             self._changed_at.pop(oldest, None)
             self._born_ms.pop(oldest, None)
             self._last_sequences.pop(oldest, None)
--- /dev/null
+++ b/features/registry_replay.py
@@ -0,0 +1,188 @@
+"""Backend servers leave while gateways restart: what each gateway knows, without sockets."""
+
+import random
+from dataclasses import dataclass, field
+
+from cloverhook.gateway.knowledge import Knowledge
+from cloverhook.gateway.registry import BackendServer, ServerRecord
+from cloverhook.gateway.state_fetch import state_for
+
+DRAIN_MS = 2_500.0
+CONTACT_MS = 3_000.0
+STEP_MS = 50.0
+READ_EVERY_MS = 250.0
+BEAT_EVERY_MS = 300.0
+DOWN_MS = 1_000.0
+TAKEOVER_MS = 1_300.0
+READERS = 2
+LOST_SHARE = 0.05
+FETCH_MS = (100.0, 400.0)
+SERVERS = 80
+KEPT = 20
+SERVICE = "orders"
+
+
+@dataclass
+class ReplayedVm:
+    """A gateway of the replay."""
+
+    knowledge: Knowledge
+    up_from_ms: float
+    reader: bool = False
+    position: int | None = None
+    read_due_ms: float = 0.0
+    fetch_at_ms: float | None = None
+    inbox: list = field(default_factory=list)
+
+
+class RegistryReplay:
+    """A fleet whose VMs restart a few at a time while backend servers leave."""
+
+    def __init__(self, vms, seed, killed_share=0.0, restarted=4):
+        self.random = random.Random(seed)
+        self.killed_share = killed_share
+        self.restarted = restarted
+        self.now_ms = 0.0
+        self.log = []
+        self.left_at_ms = {}
+        self.vms = [ReplayedVm(Knowledge(DRAIN_MS), -CONTACT_MS) for _ in range(vms)]
+        self.reader_gone_ms = None
+        self.late = []
+        self.differing = []
+        self.last_use_ms = 0.0
+        for number in range(SERVERS):
+            self._write(f"i-{number}", self._entry(f"i-{number}"))
+        for vm in self.vms:
+            self._read_whole(vm)
+        for vm in self.vms[:READERS]:
+            vm.reader = True
+            vm.position = len(self.log)
+
+    def play(self, duration_ms=20_000.0):
+        """Play until all leaving has been over for a while."""
+        while self.now_ms < duration_ms:
+            self.now_ms += STEP_MS
+            quiet = self.now_ms > duration_ms - 2 * CONTACT_MS
+            if not quiet and self._every(500.0):
+                self._leave(self.random.choice((1, 1, 6)))
+            if not quiet and self._every(400.0):
+                self._restart(self.random.sample(self.vms, self.restarted))
+            if self.now_ms == 5_000.0:
+                self._restart([vm for vm in self.vms if self.random.random() < self.killed_share])
+            self._choose_readers()
+            for vm in self.vms:
+                if self._is_up(vm):
+                    self._live(vm)
+            if self._every(BEAT_EVERY_MS):
+                self._beat()
+            self._check()
+
+    def _every(self, period_ms):
+        return self.now_ms % period_ms == 0
+
+    def _entry(self, name):
+        return BackendServer(name, SERVICE, "10.0.0.1:1", "d")
+
+    def _write(self, name, server):
+        self.log.append(ServerRecord(name, len(self.log), server))
+
+    def _leave(self, count):
+        live = [f"i-{number}" for number in range(SERVERS) if f"i-{number}" not in self.left_at_ms]
+        for name in live[: min(count, len(live) - KEPT)]:
+            self._write(name, None)
+            self.left_at_ms[name] = self.now_ms
+        self._write(live[-1], self._entry(live[-1]))
+
+    def _restart(self, vms):
+        for vm in vms:
+            vm.knowledge = Knowledge(DRAIN_MS)
+            vm.up_from_ms = self.now_ms + DOWN_MS
+            vm.reader, vm.position, vm.fetch_at_ms = False, None, None
+            vm.inbox.clear()
+
+    def _is_up(self, vm):
+        return self.now_ms >= vm.up_from_ms
+
+    def _choose_readers(self):
+        if sum(vm.reader for vm in self.vms) >= READERS:
+            self.reader_gone_ms = None
+            return
+        if self.reader_gone_ms is None:
+            self.reader_gone_ms = self.now_ms
+        idle = [vm for vm in self.vms if self._is_up(vm) and not vm.reader]
+        if idle and self.now_ms - self.reader_gone_ms >= TAKEOVER_MS:
+            idle[0].reader = True
+            self.reader_gone_ms = None
+
+    def _live(self, vm):
+        vm.knowledge.expire(self.now_ms)
+        inbox, vm.inbox = vm.inbox, []
+        for base_version, document in inbox:
+            if vm.knowledge.registry.can_take(base_version, document):
+                vm.knowledge.registry.adopt(document, self.now_ms)
+        if vm.reader and self.now_ms >= vm.read_due_ms:
+            vm.read_due_ms = self.now_ms + READ_EVERY_MS
+            self._read(vm)
+        elif vm.knowledge.registry.version < 0:
+            self._read_whole(vm)
+        if vm.fetch_at_ms is not None and self.now_ms >= vm.fetch_at_ms:
+            vm.fetch_at_ms = None
+            self._fetch(vm)
+
+    def _read(self, vm):
+        registry = vm.knowledge.registry
+        before = registry.version
+        if vm.position is None:
+            touched = self._read_whole(vm)
+        else:
+            records = self.log[vm.position :]
+            touched = [item.name for item in records if vm.knowledge.take_server(item, self.now_ms)]
+        vm.position = len(self.log)
+        if touched:
+            document = registry.to_document(self.now_ms, tuple(touched))
+            for other in self.vms:
+                if other is not vm and self.random.random() > LOST_SHARE:
+                    other.inbox.append((before, document))
+
+    def _read_whole(self, vm):
+        newest = {record.name: record for record in self.log}
+        records = tuple(item for item in newest.values() if item.server is not None)
+        return vm.knowledge.take_server_list(records, len(self.log), self.now_ms)
+
+    def _beat(self):
+        readers = [vm for vm in self.vms if vm.reader and vm.position is not None]
+        for reader in readers:
+            version = reader.knowledge.registry.version
+            for vm in self.vms:
+                if vm is reader or not self._is_up(vm) or self.random.random() < LOST_SHARE:
+                    continue
+                if vm.knowledge.registry.version < version and vm.fetch_at_ms is None:
+                    vm.fetch_at_ms = self.now_ms + self.random.uniform(*FETCH_MS)
+
+    def _fetch(self, vm):
+        newest = max(other.knowledge.registry.version for other in self.vms)
+        holders = [
+            other
+            for other in self.vms
+            if self._is_up(other) and other.knowledge.registry.version == newest
+        ]
+        if holders and vm.knowledge.registry.version < newest:
+            asked = {"registry": vm.knowledge.registry.version}
+            state = state_for(asked, self.random.choice(holders).knowledge, None, self.now_ms)
+            vm.knowledge.registry.adopt(state["registry"], self.now_ms)
+
+    def _check(self):
+        in_touch = [vm for vm in self.vms if self.now_ms - vm.up_from_ms > CONTACT_MS]
+        for vm in in_touch:
+            for server in vm.knowledge.registry.of_service(SERVICE):
+                left_at_ms = self.left_at_ms.get(server.name)
+                if left_at_ms is not None:
+                    self.last_use_ms = max(self.last_use_ms, self.now_ms - left_at_ms)
+                    if self.now_ms - left_at_ms > DRAIN_MS:
+                        self.late.append((self.now_ms, server.name))
+        digests = {}
+        for vm in self.vms:
+            registry = vm.knowledge.registry
+            if self._is_up(vm) and registry.version >= 0:
+                digests.setdefault(registry.version, set()).add(registry.digest())
+        self.differing += [self.now_ms for found in digests.values() if len(found) > 1]
