Hold a vanished server from when the store was last known, and read on from there

Callers' requests reached backend servers 2.5 to 3.0 s after their leaving was acknowledged (DRAIN), a few at a time, as held entries are the last choice. Cause: a vanished entry is held for three quarters of the drain bound from each VM's own learning. Where both readers had gone, another VM took over 1.3 s later, read the whole list, and held what was missing from then on; who took the whole state from it began anew as well. The class of fault: the age of a belief counted from its arrival, not from the fact. Change: heartbeats and states tell, beside the version of the last change, the position in the store's log up to which all is known. A VM keeps when a reader last confirmed what it knows, and holds what vanished while nobody read from that time on. Who takes over reads the changes from the position known instead of the whole list and the whole configuration; its first call doesn't wait, so that it counts as a reader at once. A VM that has only read the list claims no version until it hears one, so that its start makes nobody fetch. A store in memory answers a read beyond its end at once, as the platform's does. Ruled out: holds told with their time left were right; only lists, and states without the entry, began anew.

--- a/cloverhook/gateway/knowledge.py
+++ b/cloverhook/gateway/knowledge.py
@@ -30,6 +30,7 @@
     def __init__(self, drain_ms: float = DRAIN_MS) -> None:
         self.config: GatewayConfig | None = None
         self.config_at_ms = 0.0
+        self.config_as_of = -1
         self.evacuations = Evacuations()
         self.drain_ms = drain_ms
         self.registry = Registry(drain_ms)
@@ -49,7 +50,7 @@
     @property
     def store_era(self) -> int:
         """The latest era of the store that anything known is of."""
-        told = max(self.registry.version, self.evacuations.version)
+        told = max(self.registry.as_of, self.evacuations.version)
         return max(self._entered_era, era_of(told))
 
     def enter_era(self, era: int, now_ms: float) -> None:
@@ -127,22 +128,39 @@
         """Return whether the store has been away until a moment ago."""
         return now_ms - self._store_back_ms < STORE_AWAY_MS
 
-    def take_server(self, record: ServerRecord, now_ms: float) -> bool:
-        """Take what the store says of a backend server; return whether that is news."""
-        return self.registry.apply(record, now_ms, self.store_was_away(now_ms))
+    def take_server(self, record: ServerRecord, now_ms: float, was_waited_for: bool = True) -> bool:
+        """Take what the store says of a backend server; return whether anything has changed.
+
+        A record that `was_waited_for` is new; another may have been there since the last look.
+        """
+        away = self.store_was_away(now_ms)
+        return self.registry.apply(record, now_ms, away, was_waited_for=was_waited_for)
 
     def take_server_list(
-        self, records: tuple[ServerRecord, ...], end_offset: int, now_ms: float
+        self,
+        records: tuple[ServerRecord, ...],
+        end_offset: int,
+        now_ms: float,
+        follows: bool = True,
     ) -> tuple[str, ...]:
         """Take the store's whole list; return the names that changed or vanished.
 
         A list that ends before what is known was read from a copy that lags, and is left out.
+        Others rely on a VM that `follows` the store from then on, and ask for all it knows.
         """
         newest_offset = end_offset - 1
-        if newest_offset < self.registry.version:
+        if newest_offset < self.registry.as_of:
             return ()
         away = self.store_was_away(now_ms)
-        return self.registry.take_list(records, newest_offset, now_ms, away)
+        touched = self.registry.take_list(records, newest_offset, now_ms, away)
+        if follows:
+            self.registry.assume_changed()
+        return touched
+
+    def heard_config_as_of(self, config: int, evacuations: int, as_of: int) -> None:
+        """Take another VM's word that after these versions nothing was written up to `as_of`."""
+        if config <= self.config_version and evacuations <= self.evacuations.version:
+            self.config_as_of = max(self.config_as_of, as_of)
 
     def expire(self, now_ms: float) -> tuple[str, ...]:
         """Drop backend servers whose hold time has passed; return the incarnations that ended."""
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -78,6 +78,7 @@
     requests_per_s: int = 0
     near_vms: int = 0
     evacuation_version: int = -1
+    registry_as_of: int = -1
 
     def is_alive(self, now_ms: float) -> bool:
         """Return whether it was heard a moment ago."""
@@ -154,6 +155,7 @@
         member.near_vms = beat.near_vms
         member.config_version = max(member.config_version, beat.config_version)
         member.registry_version = max(member.registry_version, beat.registry_version)
+        member.registry_as_of = max(member.registry_as_of, beat.registry_as_of)
         member.evacuation_version = max(member.evacuation_version, beat.evacuation_version)
         if beat.reading:
             self._readers[beat.vm] = member
@@ -316,7 +318,7 @@
             for item in self.near()
             if item.is_alive(now_ms)
             and item.config_version >= wanted.config_version
-            and item.registry_version >= wanted.registry_version
+            and item.registry_as_of >= wanted.registry_version
             and item.evacuation_version >= wanted.evacuation_version
         ]
 
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -61,7 +61,8 @@
     `reading` says that it follows the store now, and `every_ms` how often it beats to another data
     centre; `wants_answer` asks for a beat in return; `requests_per_s` is what callers send it.
     `near_vms` is how many VMs of its data centre it knows, itself included.  `evacuation_version`
-    is the offset as of which it knows the evacuated data centres.
+    is the offset as of which it knows the evacuated data centres.  Up to the `as_of` positions it
+    knows all that the store's logs hold; the versions are those of the last changes there.
     """
 
     vm: str
@@ -79,6 +80,8 @@
     requests_per_s: int = kind_field(Integer(0), 0)
     near_vms: int = kind_field(Integer(0), 0)
     evacuation_version: int = kind_field(VERSION, -1)
+    registry_as_of: int = kind_field(VERSION, -1)
+    config_as_of: int = kind_field(VERSION, -1)
 
 
 @dataclass(frozen=True, slots=True)
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -199,12 +199,14 @@
             self.reading,
             self.leaving,
             knowledge.config_version,
-            knowledge.registry.version,
+            knowledge.registry.told_version,
             every_ms,
             wants_answer,
             round(self._requests_per_s(now_ms)),
             1 + self._members.near_count(),
             knowledge.evacuations.version,
+            knowledge.registry.as_of if knowledge.registry.told_version >= 0 else -1,
+            knowledge.config_as_of,
         )
 
     def _hears_ms(self) -> float:
@@ -324,16 +326,25 @@
             self.link.send_encoded(beat.peer_address, encode(self._beat()))
         if self._states.is_behind(beat):
             self._states.catch_up(beat.vm, near or relayed)
+        self._hear_positions(beat, now_ms)
+
+    def _hear_positions(self, beat: Beat, now_ms: float) -> None:
+        """Take a VM's word on how far in the store's logs it knows of no further change."""
+        knowledge = self._knowledge
+        knowledge.registry.heard(beat.registry_version, beat.registry_as_of)
+        if beat.reading:
+            knowledge.registry.confirm(beat.registry_version, now_ms)
+        knowledge.heard_config_as_of(
+            beat.config_version, beat.evacuation_version, beat.config_as_of
+        )
 
     def _on_changes(self, changes: ServerChanges, now_ms: float, relayed: bool) -> None:
         registry = self._knowledge.registry
-        if changes.document["version"] <= registry.version:
-            return
-        if not registry.can_take(changes.base_version, changes.document):
+        if changes.base_version > registry.as_of:
             member = self._members.get(changes.vm)
             if member is not None:
-                told_version = max(changes.base_version, changes.document["version"])
-                member.registry_version = max(member.registry_version, told_version)
+                member.registry_version = max(member.registry_version, changes.base_version)
+                member.registry_as_of = max(member.registry_as_of, changes.base_version)
             near = member is not None and member.data_center == self._own.data_center
             self._states.catch_up(changes.vm, near or relayed)
         elif registry.adopt(changes.document, now_ms):
--- a/cloverhook/gateway/registry.py
+++ b/cloverhook/gateway/registry.py
@@ -7,6 +7,10 @@
 of one incarnation the record with the highest offset.  One that is gone does not come back through
 an older record.
 
+Two positions in the store's log say what is known: `version` is that of the last change, and all
+that was written up to `as_of` is known.  A VM whose `as_of` has reached another's `version` lacks
+nothing of it; so a VM that hears of no change still gets further, and can go on reading from there.
+
 An entry that vanishes without having been draining is kept for a hold time: a registration may
 lapse while the store, not the backend server, is in trouble.  The same goes for one that is
 overwritten by something that is no entry, as another writer may do.
@@ -27,6 +31,8 @@
 
 TOMBSTONES_LIMIT = 4_096
 DRAIN_MS = 2_000.0
+CONFIRMED_LIMIT_MS = 2_500.0
+"""Without a word of the store for longer, what is missing may have lapsed with it meanwhile."""
 COLD_NEWS_MS = 300.0
 """Each report of a cold endpoint tells its time left anew; what differs by less is no news."""
 
@@ -53,7 +59,12 @@
     "gone": MapOf(Integer(-1)),
 }
 REGISTRY_DOCUMENT = Table(
-    {**DOCUMENT_FIELDS, "last_sequences": MapOf(Integer()), "history_floor": Integer(-1)},
+    {
+        **DOCUMENT_FIELDS,
+        "last_sequences": MapOf(Integer()),
+        "history_floor": Integer(-1),
+        "as_of": Integer(-1),
+    },
     frozenset(DOCUMENT_FIELDS),
 )
 """What peers send each other of a registry; `Registry.to_document` makes it."""
@@ -112,6 +123,8 @@
 
     def __init__(self, drain_ms: float = DRAIN_MS) -> None:
         self.version = -1
+        self._as_of = -1
+        self._knows_last_change = True
         self._holds = Holds(drain_ms)
         self._servers: dict[str, BackendServer] = {}
         self._offsets: dict[str, int] = {}
@@ -119,6 +132,7 @@
         self._last_sequences: dict[str, int] = {}
         self._changed_at: dict[str, int] = {}
         self._history_floor = -1
+        self._confirmed_ms: float | None = None
         self._by_service: dict[str, tuple[BackendServer, ...]] = {}
         self._by_incarnation: dict[str, BackendServer] = {}
         self._born_ms: dict[str, int] = {}
@@ -129,6 +143,36 @@
     def __len__(self) -> int:
         return len(self._servers)
 
+    @property
+    def as_of(self) -> int:
+        """The position up to which everything is known."""
+        return max(self._as_of, self.version)
+
+    @property
+    def told_version(self) -> int:
+        """The version that others may rely on, or -1 while that of the last change isn't known."""
+        return self.version if self._knows_last_change else -1
+
+    def read_up_to(self, position: int) -> None:
+        """Note that all records up to a position have been taken."""
+        self._as_of = max(self._as_of, position)
+
+    def heard(self, version: int, as_of: int) -> None:
+        """Take another VM's word that nothing has changed between a version and `as_of`."""
+        if version <= self.as_of <= as_of:
+            self._as_of = as_of
+            self.version = max(self.version, version)
+            self._knows_last_change = True
+
+    def assume_changed(self) -> None:
+        """Count the position read up to as a change, where the last one isn't known.
+
+        Whoever knows less then asks for the whole registry.
+        """
+        if not self._knows_last_change:
+            self.version = self.as_of
+            self._knows_last_change = True
+
     def get(self, incarnation: str) -> BackendServer | None:
         """Return a backend server that is registered or held."""
         return self._by_incarnation.get(incarnation)
@@ -158,18 +202,26 @@
         return server.name in self._holds
 
     def apply(
-        self, record: ServerRecord, now_ms: float, store_was_away: bool, listed: bool = False
+        self,
+        record: ServerRecord,
+        now_ms: float,
+        store_was_away: bool,
+        listed: bool = False,
+        was_waited_for: bool = True,
     ) -> bool:
         """Take a record; return whether anything but its offset has changed.
 
-        `listed` says that it stands in a whole list: nobody knows when it was written.
+        `listed` says that it stands in a whole list: nobody knows when it was written.  One that
+        was not `was_waited_for` may have been written at any time since the store was last read.
         """
         name, after = record.name, record.server
         known = max(self._offsets.get(name, -1), self._gone.get(name, -1))
         if record.offset <= known and not self._is_later_start(after):
             return False
         if after is None or self._lacks_its_start(after):
-            return self._remove(name, record.offset, now_ms, store_was_away)
+            certain = was_waited_for or store_was_away
+            since_ms = now_ms if certain else self._vanished_since_ms(now_ms)
+            return self._remove(name, record.offset, since_ms, store_was_away)
         before = self._servers.get(name)
         if self._had_left(record, after, listed):
             return False
@@ -244,11 +296,6 @@
             self._offsets[name] = offset
             self._changed(name, offset)
 
-    def _reached_era(self, version: int) -> None:
-        """Note that all is known as of a version of a later era, also where nothing has changed."""
-        if era_of(version) > era_of(self.version):
-            self.version = version
-
     def keep_only(
         self, names: set[str], offset: int, now_ms: float, store_was_away: bool
     ) -> tuple[str, ...]:
@@ -261,7 +308,10 @@
             and name in self._servers
             and not self._left_before(name, offset)
         ]
-        return tuple(name for name in missing if self._remove(name, offset, now_ms, store_was_away))
+        since_ms = now_ms if store_was_away else self._vanished_since_ms(now_ms)
+        return tuple(
+            name for name in missing if self._remove(name, offset, since_ms, store_was_away)
+        )
 
     def take_list(
         self,
@@ -270,23 +320,41 @@
         now_ms: float,
         store_was_away: bool,
     ) -> tuple[str, ...]:
-        """Take the store's whole list as of `offset`; return the names that changed or vanished."""
-        known_version = self.version
+        """Take the store's whole list as of `offset`; return the names that changed or vanished.
+
+        Which change was the last one before it, the list doesn't say.
+        """
+        known_version, known_as_of = self.version, self.as_of
         kept = tuple(records)
         changed = self.apply_all(kept, now_ms, store_was_away)
         names = {record.name for record in kept if record.server is not None}
         missing = self.keep_only(names, offset, now_ms, store_was_away)
-        self._reached_era(offset)
-        self._learned_whole(known_version, offset)
+        if changed or missing or era_of(offset) > era_of(known_as_of):
+            self._knows_last_change = False
+        self.version = known_version
+        self._as_of = max(offset, known_as_of)
+        self._learned_whole(known_as_of, offset)
+        self.confirm(offset, now_ms)
         return (*changed, *missing)
 
-    def _learned_whole(self, known_version: int, floor: int) -> None:
+    def _learned_whole(self, known_as_of: int, floor: int) -> None:
         """Note that a whole state was taken whose changes are told one by one since `floor`."""
-        if floor > known_version:
+        if floor > known_as_of:
             self._history_floor = floor
         else:
             self._history_floor = min(self._history_floor, floor)
 
+    def confirm(self, version: int, now_ms: float) -> None:
+        """Note that the store holds nothing newer than a version at this time."""
+        if version <= self.as_of:
+            self._confirmed_ms = now_ms
+
+    def _vanished_since_ms(self, now_ms: float) -> float:
+        """Return the earliest time at which what a whole list lacks may have vanished."""
+        if self._confirmed_ms is None or now_ms - self._confirmed_ms > CONFIRMED_LIMIT_MS:
+            return now_ms
+        return self._confirmed_ms
+
     def expire(self, now_ms: float) -> tuple[str, ...]:
         """Drop the entries whose hold time has passed.
 
@@ -307,15 +375,6 @@
             return None
         return {name for name, changed in self._changed_at.items() if changed > version}
 
-    def can_take(self, base_version: int, document: Mapping[str, Any]) -> bool:
-        """Return whether a peer's changes since `base_version` are all that is lacking here.
-
-        A peer that has read the whole list since doesn't know what came and vanished between.
-        """
-        if self.version == base_version:
-            return True
-        return self.version >= max(base_version, document.get("history_floor", -1))
-
     def to_document(self, now_ms: float, only: Collection[str] | None = None) -> dict[str, Any]:
         """Return the form in which peers exchange the registry, whole or for some names.
 
@@ -333,7 +392,8 @@
             rows.append(row)
         gone = {name: offset for name, offset in self._gone.items() if only is None or name in only}
         return {
-            "version": self.version,
+            "version": self.told_version,
+            "as_of": self.as_of,
             "whole": only is None,
             "history_floor": self._history_floor,
             "servers": rows,
@@ -344,17 +404,21 @@
         }
 
     def adopt(self, document: Mapping[str, Any], now_ms: float) -> bool:
-        """Take a peer's registry if it is newer; return whether anything changed.
+        """Take a peer's registry, or its changes since what is known here, if there are any.
+
+        Returns whether it was newer.
 
         The document has to be as `REGISTRY_DOCUMENT` describes it.  Its rows may have later offsets
         than its version, as reports that change nothing don't count there; they must not here, or
         this VM would seem to know more than the others.
         """
-        if document["version"] <= self.version:
+        as_of = document.get("as_of", document["version"])
+        if document["version"] <= self.as_of:
+            self.heard(document["version"], as_of)
             return False
         names = {row["server"]["name"] for row in document["servers"]}
         last_sequences = document.get("last_sequences", {})
-        known_version = self.version
+        known_as_of = self.as_of
         with self._index_once():
             for name, offset in document["gone"].items():
                 if offset > self._offsets.get(name, -1) and name not in names:
@@ -375,13 +439,14 @@
                     self._changed_at[name] = document["version"]
                     self._holds.adopt(name, left_ms, now_ms)
         if document["whole"]:
-            self.keep_only(names, document["version"], now_ms, False)
-            self._learned_whole(known_version, document.get("history_floor", document["version"]))
-        self.version = document["version"]
+            self.keep_only(names, as_of, now_ms, False)
+            self._learned_whole(known_as_of, document.get("history_floor", as_of))
+        self.version, self._as_of = document["version"], max(as_of, known_as_of)
+        self._knows_last_change = True
         self._index()
         return True
 
-    def _remove(self, name: str, offset: int, now_ms: float, store_was_away: bool) -> bool:
+    def _remove(self, name: str, offset: int, since_ms: float, store_was_away: bool) -> bool:
         self._gone[name] = max(offset, self._gone.get(name, -1))
         while len(self._gone) > TOMBSTONES_LIMIT:
             oldest = next(iter(self._gone))
@@ -399,9 +464,9 @@
             self._drop(name)
             return True
         together = self._by_service.get(server.service, ())
-        if self._holds.begin(name, server.service, len(together), now_ms, store_was_away):
+        if self._holds.begin(name, server.service, len(together), since_ms, store_was_away):
             before = (other.name for other in together)
-            self._holds.prolong((x for x in before if not self._left_before(x, offset)), now_ms)
+            self._holds.prolong((x for x in before if not self._left_before(x, offset)), since_ms)
         return True
 
     def _left_before(self, name: str, version: int) -> bool:
--- a/cloverhook/gateway/state_fetch.py
+++ b/cloverhook/gateway/state_fetch.py
@@ -66,7 +66,7 @@
         knowledge = self._knowledge
         behind = (
             other.config_version > knowledge.config_version
-            or other.registry_version > knowledge.registry.version
+            or other.registry_version > knowledge.registry.as_of
             or other.evacuation_version > knowledge.evacuations.version
         )
         if behind and self._behind_since_ms is None:
@@ -105,7 +105,7 @@
         knowledge = self._knowledge
         asked = {
             "config": knowledge.config_version,
-            "registry": knowledge.registry.version,
+            "registry": knowledge.registry.as_of,
             "evacuations": knowledge.evacuations.version,
         }
         started_ms = monotonic_ms()
@@ -162,7 +162,7 @@
     state: State = {}
     if knowledge.config is not None and knowledge.config_version > asked.get("config", -1):
         state["config"] = knowledge.config.to_document()
-    if knowledge.registry.version > asked.get("registry", -1):
+    if knowledge.registry.told_version > asked.get("registry", -1):
         state["registry"] = _lacking(knowledge.registry, asked.get("registry", -1), now_ms)
     if knowledge.evacuations.version > asked.get("evacuations", -1):
         state["evacuations"] = knowledge.evacuations.to_document()
--- a/cloverhook/gateway/store.py
+++ b/cloverhook/gateway/store.py
@@ -187,6 +187,7 @@
     async def changes(self, feed: Feed, from_offset: int, wait_ms: int) -> FeedSlice:
         """Return the records from an offset."""
         self._call()
+        self._check_kept(feed, from_offset)
         if self._end(feed) <= from_offset:
             self._changed.clear()
             try:
@@ -195,8 +196,7 @@
             except TimeoutError:
                 pass
         self._call(count=0)
-        if not self.first_offset[feed] <= from_offset <= self._end(feed):
-            raise HistoryLostError
+        self._check_kept(feed, from_offset)
         found = tuple(self.log[feed][from_offset:])
         if feed is Feed.CONFIG:
             configs, evacuations = _split(found)
@@ -230,6 +230,10 @@
         self.log[feed].append(item)
         self._changed.set()
 
+    def _check_kept(self, feed: Feed, offset: int) -> None:
+        if not self.first_offset[feed] <= offset <= self._end(feed):
+            raise HistoryLostError
+
     def _end(self, feed: Feed) -> int:
         return len(self.log[feed])
 
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -17,7 +17,7 @@
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.store import Feed, FeedSlice, HistoryLostError, Store
 from cloverhook.gateway.supervision import keep_running
-from cloverhook.gateway.versions import version_of
+from cloverhook.gateway.versions import era_of, offset_of, version_of
 
 __all__ = ["GAP_MS", "GAP_SHARE", "StoreFollower", "with_versions"]
 
@@ -30,6 +30,8 @@
 """The feed of backend servers is read more seldom where one that leaves serves for longer.  A
 vanished entry is used for most of that time, so that little is left for a pause."""
 RETRY_MS = (100.0, 200.0, 400.0, 600.0)
+PROMPT_MS = 100.0
+"""What comes sooner after a call was there before it; what comes later is new."""
 AWAY_MS = 400.0
 """A store that answers nobody for this long has been away: entries may lapse meanwhile."""
 
@@ -37,8 +39,9 @@
 class StoreFollower:
     """Reads the store and puts what it finds into `Knowledge`.
 
-    `on_news` is called after each change with the names that it touched, none for a change
-    of the configuration or of evacuations, and with the registry's version before it.
+    `on_news` is called after each change with the names that it touched, and with the registry's
+    version before it.  There are no names for a change of the configuration or of evacuations, nor
+    after a whole list, which doesn't say what has changed.
     """
 
     def __init__(
@@ -92,10 +95,19 @@
     def _begin(self, action: str) -> None:
         self._answers.clear()
         self._offsets.clear()
+        if not self._only_first:
+            self._knowledge.registry.assume_changed()
+            self._go_on_from(Feed.SERVERS, self._knowledge.registry.as_of)
+            self._go_on_from(Feed.CONFIG, self._knowledge.config_as_of)
         for feed in Feed:
             self._ask(feed)
         self._log.note(Kind.READER, action=action, registry=self._knowledge.registry.version)
 
+    def _go_on_from(self, feed: Feed, as_of: int) -> None:
+        """Read a feed from where this VM knows it, by its own reading or by another's word."""
+        if as_of >= 0:
+            self._offsets[feed], self._eras[feed] = offset_of(as_of) + 1, era_of(as_of)
+
     def stop(self, reason: str) -> None:
         """Stop reading."""
         if not self._tasks:
@@ -122,11 +134,14 @@
                 self.stop("enough to serve by")
                 return
             offset = self._offsets.get(feed)
+            asked_ms = monotonic_ms()
             try:
                 if offset is None:
                     found = await self._store.newest(feed)
                 else:
-                    found = await self._store.changes(feed, offset, WAIT_MS[feed])
+                    # Others rely on a VM that has had an answer: the first call doesn't wait.
+                    wait_ms = WAIT_MS[feed] if self._answers.get(feed) else 0
+                    found = await self._store.changes(feed, offset, wait_ms)
             except HistoryLostError:
                 self._log.note(Kind.STORE, feed=feed.value, state="history-lost", offset=offset)
                 del self._offsets[feed]
@@ -143,7 +158,8 @@
                 self._offsets.pop(feed, None)  # Another record has that offset now.
                 continue
             if era >= self._knowledge.store_era:
-                self._take(feed, with_versions(found, era), whole=offset is None)
+                waited = monotonic_ms() - asked_ms > PROMPT_MS
+                self._take(feed, with_versions(found, era), offset is None, waited)
                 self._offsets[feed], self._eras[feed] = found.end_offset, era
             await asyncio.sleep(self._gap_ms(feed) / 1000)
 
@@ -184,22 +200,32 @@
             return GAP_MS
         return max(GAP_MS, GAP_SHARE * self._knowledge.drain_ms)
 
-    def _take(self, feed: Feed, found: FeedSlice, whole: bool) -> None:
+    def _take(self, feed: Feed, found: FeedSlice, whole: bool, waited: bool) -> None:
         now_ms = monotonic_ms()
         knowledge = self._knowledge
         base_version = knowledge.registry.version
         for record in found.unreadable:
             self._log.note(Kind.STORE, feed=feed.value, state="unreadable", record=record)
         if feed is Feed.CONFIG:
-            if self._take_config(found, now_ms) | self._take_evacuations(found, whole):
+            changed = self._take_config(found, now_ms) | self._take_evacuations(found, whole)
+            knowledge.config_as_of = max(knowledge.config_as_of, found.end_offset - 1)
+            if changed:
                 self._on_news((), base_version)
             return
         if whole:
-            touched = knowledge.take_server_list(found.servers, found.end_offset, now_ms)
+            touched = knowledge.take_server_list(
+                found.servers, found.end_offset, now_ms, follows=not self._only_first
+            )
             if touched:
-                self._on_news(touched, base_version)
+                self._on_news((), base_version)
             return
-        touched = [record.name for record in found.servers if knowledge.take_server(record, now_ms)]
+        touched = [
+            record.name
+            for record in found.servers
+            if knowledge.take_server(record, now_ms, was_waited_for=waited)
+        ]
+        knowledge.registry.read_up_to(found.end_offset - 1)
+        knowledge.registry.confirm(found.end_offset - 1, now_ms)
         if touched:
             self._on_news(tuple(touched), base_version)
 
--- a/cloverhook/gateway/versions.py
+++ b/cloverhook/gateway/versions.py
@@ -7,9 +7,11 @@
 (7, True, 2)
 >>> era_of(version_of(3, -1)), version_of(0, -1)
 (3, -1)
+>>> [offset_of(version_of(era, 7)) for era in (0, 3)], offset_of(version_of(3, -1))
+([7, 7], -1)
 """
 
-__all__ = ["ERA_LIMIT", "era_of", "version_of"]
+__all__ = ["ERA_LIMIT", "era_of", "offset_of", "version_of"]
 
 OFFSET_BITS = 36
 ERA_LIMIT = 2**16
@@ -26,3 +28,9 @@
 def era_of(version: int) -> int:
     """Return the era that a version belongs to."""
     return max(version, 0) >> OFFSET_BITS
+
+
+def offset_of(version: int) -> int:
+    """Return the offset of a version within its era, or -1 where there is no record yet."""
+    era = era_of(version)
+    return version if era == 0 else version - (era << OFFSET_BITS) - 1
--- a/features/registry_replay.py
+++ b/features/registry_replay.py
@@ -1,6 +1,7 @@
 """Backend servers leave while gateways restart: what each gateway knows, without sockets."""
 
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 from cloverhook.gateway.knowledge import Knowledge
@@ -17,8 +18,8 @@
 READERS = 2
 LOST_SHARE = 0.05
 FETCH_MS = (100.0, 400.0)
-SERVERS = 80
-KEPT = 20
+SERVERS = 160
+KEPT = 80
 SERVICE = "orders"
 
 
@@ -29,7 +30,6 @@
     knowledge: Knowledge
     up_from_ms: float
     reader: bool = False
-    position: int | None = None
     read_due_ms: float = 0.0
     fetch_at_ms: float | None = None
     inbox: list = field(default_factory=list)
@@ -50,13 +50,13 @@
         self.late = []
         self.differing = []
         self.last_use_ms = 0.0
+        self.fetched = Counter()
         for number in range(SERVERS):
             self._write(f"i-{number}", self._entry(f"i-{number}"))
         for vm in self.vms:
             self._read_whole(vm)
         for vm in self.vms[:READERS]:
             vm.reader = True
-            vm.position = len(self.log)
 
     def play(self, duration_ms=20_000.0):
         """Play until all leaving has been over for a while."""
@@ -97,7 +97,7 @@
         for vm in vms:
             vm.knowledge = Knowledge(DRAIN_MS)
             vm.up_from_ms = self.now_ms + DOWN_MS
-            vm.reader, vm.position, vm.fetch_at_ms = False, None, None
+            vm.reader, vm.fetch_at_ms = False, None
             vm.inbox.clear()
 
     def _is_up(self, vm):
@@ -118,12 +118,12 @@
         vm.knowledge.expire(self.now_ms)
         inbox, vm.inbox = vm.inbox, []
         for base_version, document in inbox:
-            if vm.knowledge.registry.can_take(base_version, document):
+            if base_version <= vm.knowledge.registry.as_of:
                 vm.knowledge.registry.adopt(document, self.now_ms)
         if vm.reader and self.now_ms >= vm.read_due_ms:
             vm.read_due_ms = self.now_ms + READ_EVERY_MS
             self._read(vm)
-        elif vm.knowledge.registry.version < 0:
+        elif vm.knowledge.registry.as_of < 0:
             self._read_whole(vm)
         if vm.fetch_at_ms is not None and self.now_ms >= vm.fetch_at_ms:
             vm.fetch_at_ms = None
@@ -131,13 +131,17 @@
 
     def _read(self, vm):
         registry = vm.knowledge.registry
+        if registry.as_of < 0:
+            self._read_whole(vm)
+        registry.assume_changed()
         before = registry.version
-        if vm.position is None:
-            touched = self._read_whole(vm)
-        else:
-            records = self.log[vm.position :]
-            touched = [item.name for item in records if vm.knowledge.take_server(item, self.now_ms)]
-        vm.position = len(self.log)
+        touched = [
+            item.name
+            for item in self.log[registry.as_of + 1 :]
+            if vm.knowledge.take_server(item, self.now_ms, was_waited_for=False)
+        ]
+        registry.read_up_to(len(self.log) - 1)
+        registry.confirm(registry.as_of, self.now_ms)
         if touched:
             document = registry.to_document(self.now_ms, tuple(touched))
             for other in self.vms:
@@ -147,29 +151,39 @@
     def _read_whole(self, vm):
         newest = {record.name: record for record in self.log}
         records = tuple(item for item in newest.values() if item.server is not None)
-        return vm.knowledge.take_server_list(records, len(self.log), self.now_ms)
+        vm.knowledge.take_server_list(records, len(self.log), self.now_ms)
 
     def _beat(self):
-        readers = [vm for vm in self.vms if vm.reader and vm.position is not None]
-        for reader in readers:
-            version = reader.knowledge.registry.version
-            for vm in self.vms:
-                if vm is reader or not self._is_up(vm) or self.random.random() < LOST_SHARE:
-                    continue
-                if vm.knowledge.registry.version < version and vm.fetch_at_ms is None:
-                    vm.fetch_at_ms = self.now_ms + self.random.uniform(*FETCH_MS)
+        up = [vm for vm in self.vms if self._is_up(vm)]
+        for vm in up:
+            heard = [other for other in up if other.reader] + self.random.sample(up, 2)
+            for other in heard:
+                if other is not vm and self.random.random() > LOST_SHARE:
+                    self._hear(vm, other)
+
+    def _hear(self, vm, other):
+        registry, told = vm.knowledge.registry, other.knowledge.registry
+        if registry.as_of < told.told_version and vm.fetch_at_ms is None:
+            vm.fetch_at_ms = self.now_ms + self.random.uniform(*FETCH_MS)
+        if told.told_version >= 0:
+            registry.heard(told.told_version, told.as_of)
+        if other.reader:
+            registry.confirm(told.told_version, self.now_ms)
 
     def _fetch(self, vm):
-        newest = max(other.knowledge.registry.version for other in self.vms)
+        registry = vm.knowledge.registry
+        newest = max(other.knowledge.registry.told_version for other in self.vms)
         holders = [
             other
             for other in self.vms
-            if self._is_up(other) and other.knowledge.registry.version == newest
+            if self._is_up(other) and other.knowledge.registry.as_of >= newest
         ]
-        if holders and vm.knowledge.registry.version < newest:
-            asked = {"registry": vm.knowledge.registry.version}
+        if holders and registry.as_of < newest:
+            asked = {"registry": registry.as_of}
             state = state_for(asked, self.random.choice(holders).knowledge, None, self.now_ms)
-            vm.knowledge.registry.adopt(state["registry"], self.now_ms)
+            if "registry" in state:
+                registry.adopt(state["registry"], self.now_ms)
+                self.fetched[state["registry"]["whole"]] += 1
 
     def _check(self):
         in_touch = [vm for vm in self.vms if self.now_ms - vm.up_from_ms > CONTACT_MS]
@@ -183,6 +197,6 @@
         digests = {}
         for vm in self.vms:
             registry = vm.knowledge.registry
-            if self._is_up(vm) and registry.version >= 0:
+            if self._is_up(vm) and registry.told_version >= 0:
                 digests.setdefault(registry.version, set()).add(registry.digest())
         self.differing += [self.now_ms for found in digests.values() if len(found) > 1]
