Hand a configuration on as it came, a few copies at a time, and refer the others

Callers got 404 by an older configuration 2.6 s after a newer one was acknowledged (CONFIG). Cause: who had it built, encoded and compressed it anew for each of 40 to 131 VMs that asked within 150 ms, on the loop that also serves, and sent all copies at once over one link; most were given up after a second and asked for again. Changes of backend servers waited for the same fetch, and news that came during one was dropped until the next heartbeat. The class of fault: work for all that asks, with no bound, when all ask at once. Change: a configuration is encoded where it was read, and passed on as the same bytes, also before they are decoded, which goes in steps. A VM sends three copies at a time; each receiver takes over half of those that wait, and another data centre gets three at most. What is small is fetched by itself. After a fetch a VM looks whether somebody knows more by then. Two steps of gateway_spread count the questions for the part that they are about, as parts are asked for apart.

--- a/cloverhook/gateway/knowledge.py
+++ b/cloverhook/gateway/knowledge.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 
+from cloverhook.gateway.config_codec import EncodedConfig
 from cloverhook.gateway.evacuation import Evacuations
 from cloverhook.gateway.load import LoadBoard
 from cloverhook.gateway.registry import DRAIN_MS, Registry, ServerRecord
@@ -31,6 +32,7 @@
         self.config: GatewayConfig | None = None
         self.config_at_ms = 0.0
         self.config_as_of = -1
+        self._encoded: EncodedConfig | None = None
         self.evacuations = Evacuations()
         self.drain_ms = drain_ms
         self.registry = Registry(drain_ms)
@@ -71,6 +73,24 @@
         self.config_at_ms = now_ms
         return True
 
+    def encoded_config(self) -> EncodedConfig | None:
+        """Return the newest configuration in the form for peers, also before it is in force."""
+        known = -1 if self._encoded is None else self._encoded.version
+        if self.config is not None and self.config_version > known:
+            self._encoded = EncodedConfig.from_config(self.config)
+        return self._encoded
+
+    def offer_config(self, encoded: EncodedConfig) -> None:
+        """Keep a configuration to hand it on, while it is decoded here."""
+        known = self.encoded_config()
+        if known is None or encoded.version > known.version:
+            self._encoded = encoded
+
+    def withdraw_config(self, encoded: EncodedConfig) -> None:
+        """Hand on a configuration no longer, as it can't be decoded."""
+        if self._encoded is encoded:
+            self._encoded = None
+
     def crossing(self, now_ms: float) -> bool:
         """Return whether some data centre can't serve itself, so that requests have to cross.
 
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -8,6 +8,7 @@
 """
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from math import ceil
 from typing import Protocol
@@ -155,7 +156,9 @@
         member.near_vms = beat.near_vms
         member.config_version = max(member.config_version, beat.config_version)
         member.registry_version = max(member.registry_version, beat.registry_version)
-        member.registry_as_of = max(member.registry_as_of, beat.registry_as_of)
+        member.registry_as_of = max(
+            member.registry_as_of, beat.registry_as_of, beat.registry_version
+        )
         member.evacuation_version = max(member.evacuation_version, beat.evacuation_version)
         if beat.reading:
             self._readers[beat.vm] = member
@@ -311,16 +314,13 @@
         ]
         return [*found, self._own_vm] if data_center == self.data_center else found
 
-    def holders(self, wanted: KnownVersions, now_ms: float) -> list[Member]:
-        """Return the live neighbours that know these versions or newer ones, by what they said."""
-        return [
-            item
-            for item in self.near()
-            if item.is_alive(now_ms)
-            and item.config_version >= wanted.config_version
-            and item.registry_as_of >= wanted.registry_version
-            and item.evacuation_version >= wanted.evacuation_version
-        ]
+    def holders(self, knows: Callable[[Member], bool], now_ms: float) -> list[Member]:
+        """Return the neighbours that know something, by what they said; best those heard lately.
+
+        Some beat so seldom that a dead one counts as alive for long.
+        """
+        found = [item for item in self.near() if item.is_alive(now_ms) and knows(item)]
+        return [item for item in found if now_ms - item.heard_ms < RECENT_MS] or found
 
     def crowded(self) -> bool:
         """Return whether the own data centre has many VMs."""
--- a/cloverhook/gateway/peer_link.py
+++ b/cloverhook/gateway/peer_link.py
@@ -10,23 +10,30 @@
 import asyncio
 import struct
 import zlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any
 
 import cbor2
 import xxhash
 
-from cloverhook.checking import Anything, Integer, Table, Text, faults_of
+from cloverhook.checking import Address, Anything, Integer, Table, Text, faults_of
 from cloverhook.errors import MessageError
 from cloverhook.gateway.datagram_port import DatagramPort, SocketAddress
 from cloverhook.gateway.peer_messages import PeerMessage, decode
 
-__all__ = ["PeerLink"]
+__all__ = ["Answer", "PeerLink"]
 
 LENGTH = struct.Struct(">I")
 MARK = struct.Struct(">I")
 STATE_LIMIT_BYTES = 16 * 1024 * 1024
 FETCH_TIMEOUT_S = 1.0
+"""Without a byte for this long, a peer is given up."""
+CHUNK_BYTES = 16 * 1024
+RECEIPT_S = 0.7
+SLOWEST_BYTES_PER_S = 250_000
+RECEIVED = b"\x06"
+"""What an asker says once it has all."""
 
 Asked = dict[str, Any]
 ASKED = Table(
@@ -35,9 +42,19 @@
         "registry": Integer(-1),
         "evacuations": Integer(-1),
         "addresses": Text(),
+        "peer_address": Address(),
+        "data_center": Text(),
     }
 )
-"""The versions that are known, or the data centre whose addresses are wanted."""
+"""The versions that are known, or the data centre whose addresses are wanted; and who asks."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A state for a peer; `on_end` hears whether the peer has received it."""
+
+    state: dict[str, Any]
+    on_end: Callable[[bool], None] | None = None
 
 
 class PeerLink:
@@ -46,7 +63,7 @@
     def __init__(
         self,
         on_message: Callable[[PeerMessage, str], None],
-        state_for: Callable[[Asked], dict[str, Any]],
+        answer: Callable[[Asked], Awaitable[Answer]],
         on_garbage: Callable[[str, MessageError], None],
         fleet: str = "",
         together_ms: Callable[[], float] = lambda: 0.0,
@@ -57,7 +74,7 @@
         """
         self._mark = MARK.pack(xxhash.xxh32_intdigest(fleet.encode()))
         self._on_message = on_message
-        self._state_for = state_for
+        self._answer = answer
         self._on_garbage = on_garbage
         self._port = DatagramPort(self._on_datagram, together_ms)
         self._server: asyncio.Server | None = None
@@ -84,11 +101,13 @@
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(host, port)
-                try:
-                    _put(writer, self._mark + cbor2.dumps(asked))
-                    state = cbor2.loads(zlib.decompress(await _get(reader)))
-                finally:
-                    writer.close()
+            try:
+                _put(writer, self._mark + cbor2.dumps(asked))
+                data = await _get(reader)
+                writer.write(RECEIVED)
+                state = cbor2.loads(zlib.decompress(data))
+            finally:
+                writer.close()
         except (
             OSError,
             TimeoutError,
@@ -119,13 +138,17 @@
         return data[MARK.size :]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        answer: Answer | None = None
+        received = False
         try:
-            async with asyncio.timeout(FETCH_TIMEOUT_S):
-                asked = cbor2.loads(self._own(await _get(reader)))
-                if faults_of(ASKED, "", asked):
-                    raise MessageError("no question for a state")
-                _put(writer, zlib.compress(cbor2.dumps(self._state_for(asked))))
-                await writer.drain()
+            asked = cbor2.loads(self._own(await _get(reader)))
+            if faults_of(ASKED, "", asked):
+                raise MessageError("no question for a state")
+            answer = await self._answer(asked)
+            data = zlib.compress(cbor2.dumps(answer.state))
+            _put(writer, data)
+            if answer.on_end is not None:
+                received = await self._was_received(reader, len(data))
         except (
             OSError,
             TimeoutError,
@@ -139,6 +162,16 @@
             pass  # The process ends.  Streams of Python 3.11 print a trace for a cancelled task.
         finally:
             writer.close()
+            if answer is not None and answer.on_end is not None:
+                answer.on_end(received)
+
+    async def _was_received(self, reader: asyncio.StreamReader, size_bytes: int) -> bool:
+        """Wait until a peer says that it has all, for as long as a slow link needs."""
+        try:
+            async with asyncio.timeout(RECEIPT_S + size_bytes / SLOWEST_BYTES_PER_S):
+                return await reader.read(len(RECEIVED)) == RECEIVED
+        except TimeoutError:
+            return False
 
 
 def _split(address: str) -> SocketAddress:
@@ -151,7 +184,17 @@
 
 
 async def _get(reader: asyncio.StreamReader) -> bytes:
-    (size_bytes,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
-    if size_bytes > STATE_LIMIT_BYTES:
-        raise MessageError(f"a state of {size_bytes} bytes")
-    return await reader.readexactly(size_bytes)
+    """Return what a peer has put.  Raises `TimeoutError` once it sends nothing for a while."""
+    (left_bytes,) = LENGTH.unpack(await _read(reader, LENGTH.size))
+    if left_bytes > STATE_LIMIT_BYTES:
+        raise MessageError(f"a state of {left_bytes} bytes")
+    chunks = []
+    while left_bytes:
+        chunks.append(await _read(reader, min(left_bytes, CHUNK_BYTES)))
+        left_bytes -= len(chunks[-1])
+    return b"".join(chunks)
+
+
+async def _read(reader: asyncio.StreamReader, size_bytes: int) -> bytes:
+    async with asyncio.timeout(FETCH_TIMEOUT_S):
+        return await reader.readexactly(size_bytes)
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -9,12 +9,14 @@
 import asyncio
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from cloverhook.checking import Address, Items, faults_of
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
 from cloverhook.gateway.beat_pace import BeatPace
+from cloverhook.gateway.config_sender import ConfigSender
 from cloverhook.gateway.count_news import CountNews
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.event_log import EventLog, Kind
@@ -22,7 +24,7 @@
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load_news import LoadNews
 from cloverhook.gateway.members import Member, Members
-from cloverhook.gateway.peer_link import PeerLink
+from cloverhook.gateway.peer_link import Answer, PeerLink
 from cloverhook.gateway.peer_messages import (
     Beat,
     CountChanges,
@@ -43,6 +45,7 @@
 from cloverhook.gateway.spread import Spread
 from cloverhook.gateway.state_fetch import StateFetch, state_for
 from cloverhook.gateway.store import MemberRecord
+from cloverhook.gateway.transfer_queue import Asker, Refer
 
 __all__ = ["Peering"]
 
@@ -92,8 +95,9 @@
         self._log = log
         self._counters = counters
         self.link = PeerLink(
-            self._on_message, self._state_for, self._on_garbage, fleet, self._hears_ms
+            self._on_message, self._answer, self._on_garbage, fleet, self._hears_ms
         )
+        self._config_sender = ConfigSender(own.data_center)
         self.spread = Spread(own.vm, self.link, members)
         self.load_news = LoadNews(own.vm, self.spread, members.crowded, knowledge.crossing)
         self.failure_news = FailureNews(own.vm, self.spread, knowledge, log)
@@ -117,6 +121,7 @@
             members,
             log,
             counters,
+            own.peer_address,
             lambda address, asked: self.link.fetch(address, asked),
             self._fetched,
             self._on_garbage,
@@ -356,15 +361,31 @@
                 digest=registry.digest(),
             )
 
-    def _fetched(self, member: Member) -> None:
+    def _fetched(self, address: str) -> None:
         """Tell those who wait for a state that it can be had here."""
-        if member.data_center != self._own.data_center:
+        if not any(item.peer_address == address for item in self._members.near()):
             self._near_due_ms = 0.0
         elif self._members.crowded():
             near = self._members.near()
             told = random.sample(near, min(HOLDERS_TOLD, len(near)))
             self.spread.to(told, encode(self._beat()))
 
+    async def _answer(self, asked: dict[str, Any]) -> Answer:
+        """Return what a peer asks for; the configuration may have to wait for its turn."""
+        if "config" not in asked:
+            return Answer(self._state_for(asked))
+        encoded = self._knowledge.encoded_config()
+        if encoded is None or encoded.version <= asked["config"]:
+            return Answer({})
+        asker = Asker(asked.get("peer_address", ""), asked.get("data_center", ""))
+        turn = await self._config_sender.turn(asker, encoded.version)
+        if isinstance(turn, Refer):
+            return Answer({"refer": turn.peer_address or ""})
+        self._counters.add("states_sent")
+        self._log.note(Kind.FETCH, state="sent", asked=asked, to=asker.peer_address)
+        ended = partial(self._config_sender.ended, asker, encoded.version)
+        return Answer({"config_version": encoded.version, "config": encoded.data}, ended)
+
     def _state_for(self, asked: dict[str, Any]) -> dict[str, Any]:
         started_ms = monotonic_ms()
         state = state_for(asked, self._knowledge, self._members, started_ms)
--- a/cloverhook/gateway/routes.py
+++ b/cloverhook/gateway/routes.py
@@ -9,8 +9,8 @@
 'r'
 """
 
-from collections.abc import Mapping
-from dataclasses import asdict, dataclass, field
+from collections.abc import Iterator, Mapping
+from dataclasses import asdict, dataclass, field, fields
 from typing import Any
 
 from cloverhook.checking import (
@@ -20,6 +20,7 @@
     Number,
     Table,
     Text,
+    checker,
     faults_of,
     kind_field,
     table_of,
@@ -97,6 +98,13 @@
     frozenset({"version", "routes"}),
 )
 """What peers send each other of a configuration; `GatewayConfig.to_document` makes it."""
+IS_CONFIG_FRAME = checker(
+    Table({**CONFIG_DOCUMENT.fields, "routes": Items(Anything())}, CONFIG_DOCUMENT.required)
+)
+IS_ROUTE_LIST = checker(CONFIG_DOCUMENT.fields["routes"])
+ROUTE_FIELDS = tuple(item.name for item in fields(Route) if item.name != "parts")
+STEP_ROUTES = 100
+"""Some milliseconds of a small VM."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,26 +147,31 @@
 
         Raises `MessageError` if it is not as `CONFIG_DOCUMENT` describes it.
         """
-        faults = faults_of(CONFIG_DOCUMENT, "", document)
-        if faults:
-            raise MessageError(f"a configuration: {faults[0]}")
-        routes = tuple(
-            Route(
-                **{
-                    **item,
-                    "parts": tuple(Part(**part) for part in item["parts"]),
-                    "regions": tuple(item.get("regions", ())),
-                }
-            )
-            for item in document["routes"]
-        )
+        *_, config = cls.steps_from_document(document)
+        return config
+
+    @classmethod
+    def steps_from_document(cls, document: Mapping[str, Any]) -> Iterator["GatewayConfig | None"]:
+        """Do the same step by step: yields None after each step, and at the end the configuration.
+
+        The steps are short, for a loop that has more to do.
+        """
+        if not IS_CONFIG_FRAME(document):
+            raise _fault_of(document)
+        routes: list[Route] = []
+        for start in range(0, len(document["routes"]), STEP_ROUTES):
+            rows = document["routes"][start : start + STEP_ROUTES]
+            if not IS_ROUTE_LIST(rows):
+                raise _fault_of(document)
+            routes += (_route_from(row) for row in rows)
+            yield None
         services = tuple(ServiceSpec(**item) for item in document.get("services", ()))
         limits = IngressLimits(**document.get("limits", {}))
-        return cls.of(document["version"], routes, services, limits)
+        yield cls.of(document["version"], tuple(routes), services, limits)
 
     def to_document(self) -> dict[str, Any]:
         """Return the form in which peers exchange a configuration."""
-        routes = [asdict(route) for route in self.routes]
+        routes = [_row_of(route) for route in self.routes]
         services = [asdict(item) for item in self.services.values()]
         limits = asdict(self.limits)
         return {
@@ -174,3 +187,19 @@
             if path.startswith(route.path_prefix):
                 return route
         return None
+
+
+def _route_from(row: Mapping[str, Any]) -> Route:
+    parts = tuple(Part(**part) for part in row["parts"])
+    return Route(**{**row, "parts": parts, "regions": tuple(row.get("regions", ()))})
+
+
+def _row_of(route: Route) -> dict[str, Any]:
+    row = {name: getattr(route, name) for name in ROUTE_FIELDS}
+    row["parts"] = [{"service": part.service, "weight": part.weight} for part in route.parts]
+    return row
+
+
+def _fault_of(document: Any) -> MessageError:
+    """Return the error that names the first fault of a document."""
+    return MessageError(f"a configuration: {faults_of(CONFIG_DOCUMENT, '', document)[0]}")
--- a/cloverhook/gateway/state_fetch.py
+++ b/cloverhook/gateway/state_fetch.py
@@ -1,18 +1,22 @@
-"""Fetches the state of a peer that knows more.
+"""Fetches what peers know more, the configuration apart from all else.
 
 Layer: transport.  Who hears of newer versions asks for the state: in the sender's data centre at
 once, elsewhere one VM does and its neighbours fetch it from there.  In a crowded data centre not
-all ask at the same moment, nor all the same VM: whoever has the state by then gives it.
+all ask at the same moment, nor all the same VM: whoever has the state by then gives it.  A large
+configuration may be on its way for seconds; what is small, such as changes of backend servers, is
+asked for by itself and doesn't wait for that.
 """
 
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from enum import Enum
 from typing import Any
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
+from cloverhook.gateway.config_codec import EncodedConfig
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.evacuation import Evacuations
 from cloverhook.gateway.event_log import EventLog, Kind
@@ -22,23 +26,32 @@
 from cloverhook.gateway.registry import Registry
 from cloverhook.gateway.routes import GatewayConfig
 
-__all__ = ["StateFetch", "state_for"]
+__all__ = ["Part", "StateFetch", "state_for"]
 
 NEIGHBOUR_FIRST_MS = 300.0
 """How long a neighbour may take to fetch a state from another data centre and to tell of it."""
-FETCH_SPREAD_MS = 150.0
-"""Over a link of 5 Mbit/s 40 copies of 10 KB take 0.7 s: in a crowded data centre the questions are
-spread over this time."""
+FETCH_SPREAD_MS = 50.0
+"""In a crowded data centre the questions are spread over this time."""
 PART_SHARE = 0.5
 """Of a registry less than this part is sent alone: checking 3,000 rows holds a small VM long."""
 FETCH_TRIES = 3
 """A try takes up to a second; a change has to be in force within two."""
+REFERRALS_LIMIT = 24
+REFERRED_PAUSE_MS = 50.0
+"""Before the next question of one that was sent back without an address."""
 
 State = dict[str, Any]
 
 
+class Part(Enum):
+    """What is fetched by itself: the configuration, or backend servers and evacuations."""
+
+    CONFIG = "config"
+    SERVERS = "servers"
+
+
 class StateFetch:
-    """The one fetch of a state that is under way, if there is one."""
+    """The fetches that are under way, at most one of each part."""
 
     def __init__(
         self,
@@ -46,32 +59,43 @@
         members: Members,
         log: EventLog,
         counters: Counters,
+        own_address: str,
         fetch: Callable[[str, State], Awaitable[State]],
-        on_fetched: Callable[[Member], None],
+        on_fetched: Callable[[str], None],
         on_garbage: Callable[[str, MessageError], None],
     ) -> None:
-        """`fetch` asks an address for a state; `on_fetched` hears from whom one has come."""
+        """`fetch` asks an address for a state; `on_fetched` hears from which one it has come.
+
+        Others may ask for the configuration at `own_address` once it is here.
+        """
         self._knowledge = knowledge
         self._members = members
         self._log = log
         self._counters = counters
-        self._behind_since_ms: float | None = None
+        self._own_address = own_address
         self._fetch = fetch
         self._on_fetched = on_fetched
         self._on_garbage = on_garbage
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: dict[Part, asyncio.Task[None]] = {}
+        self._behind_since_ms: dict[Part, float] = {}
 
     def is_behind(self, other: KnownVersions) -> bool:
         """Return whether there is more to know than is known here."""
+        return any(self._lacks(part, other) for part in Part)
+
+    def _lacks(self, part: Part, other: KnownVersions) -> bool:
+        """Return whether another VM knows more of a part."""
         knowledge = self._knowledge
-        behind = (
-            other.config_version > knowledge.config_version
-            or other.registry_version > knowledge.registry.as_of
-            or other.evacuation_version > knowledge.evacuations.version
-        )
-        if behind and self._behind_since_ms is None:
-            self._behind_since_ms = monotonic_ms()
-        return behind
+        if part is Part.CONFIG:
+            lacks = other.config_version > knowledge.config_version
+        else:
+            lacks = (
+                other.registry_version > knowledge.registry.as_of
+                or other.evacuation_version > knowledge.evacuations.version
+            )
+        if lacks:
+            self._behind_since_ms.setdefault(part, monotonic_ms())
+        return lacks
 
     def catch_up(self, vm: str, at_once: bool) -> None:
         """Fetch a peer's state soon; `at_once` where no neighbour can be expected to do it."""
@@ -87,70 +111,144 @@
     def _fetch_if_behind(self, vm: str) -> None:
         """Fetch what a peer knows, from it or from a neighbour that has it meanwhile."""
         member = self._members.get(vm)
-        if member is None or not (self._task is None or self._task.done()):
+        if member is None:
             return
-        if self.is_behind(member):
-            self._task = asyncio.create_task(self._fetch_what_is_known(member))
-
-    async def _fetch_what_is_known(self, member: Member) -> None:
-        """Ask a few holders in turn: one whose link is slow or which is gone answers none."""
-        wanted = replace(member)  # What it knows when the question is put: later news is another.
-        for _ in range(FETCH_TRIES):
-            holders = self._members.holders(wanted, monotonic_ms())
-            await self._fetch_state(random.choice(holders) if holders else member)
-            if not self.is_behind(wanted):
-                return
-
-    async def _fetch_state(self, member: Member) -> None:
+        for part in Part:
+            task = self._tasks.get(part)
+            if (task is None or task.done()) and self._lacks(part, member):
+                self._tasks[part] = asyncio.create_task(self._fetch_part(part, member))
+
+    async def _fetch_part(self, part: Part, member: Member) -> None:
+        """Fetch a part, and go on while there is somebody who knows more by then."""
+        ahead: Member | None = member
+        while ahead is not None and await self._fetch_what_is_known(part, ahead):
+            self._behind_since_ms.pop(part, None)
+            alive = self._members.alive(monotonic_ms())
+            ahead = next((item for item in alive if self._lacks(part, item)), None)
+
+    async def _fetch_what_is_known(self, part: Part, member: Member) -> bool:
+        """Ask a few holders in turn: one whose link is slow or which is gone answers none.
+
+        Returns whether that has succeeded.
+        """
+        wanted = replace(member)  # What it knows when the question is put, without later changes.
+        address: str | None = None
+        tries = referrals = 0
+        while tries < FETCH_TRIES and referrals < REFERRALS_LIMIT:
+            if address is None:
+                address = self._holder_of(part, wanted)
+            state = await self._ask(part, address)
+            if state is not None and "refer" in state:
+                referrals += 1
+                address = state["refer"] or None
+                if address is None:
+                    await asyncio.sleep(REFERRED_PAUSE_MS / 1000)
+                continue
+            if state is not None:
+                await self._take(part, state, address)
+            if not self._lacks(part, wanted):
+                return True
+            tries += 1
+            address = None
+        return False
+
+    def _holder_of(self, part: Part, wanted: Member) -> str:
+        """Return the address of a VM that has what is wanted, if possible a neighbour."""
+        if part is Part.CONFIG:
+            holders = self._members.holders(
+                lambda item: item.config_version >= wanted.config_version, monotonic_ms()
+            )
+        else:
+            holders = self._members.holders(
+                lambda item: item.registry_as_of >= wanted.registry_version
+                and item.evacuation_version >= wanted.evacuation_version,
+                monotonic_ms(),
+            )
+        return (random.choice(holders) if holders else wanted).peer_address
+
+    async def _ask(self, part: Part, address: str) -> State | None:
+        """Ask for a part; return None where no answer comes."""
         knowledge = self._knowledge
-        asked = {
-            "config": knowledge.config_version,
-            "registry": knowledge.registry.as_of,
-            "evacuations": knowledge.evacuations.version,
-        }
+        if part is Part.CONFIG:
+            asked: State = {
+                "config": knowledge.config_version,
+                "peer_address": self._own_address,
+                "data_center": self._members.data_center,
+            }
+        else:
+            asked = {
+                "registry": knowledge.registry.as_of,
+                "evacuations": knowledge.evacuations.version,
+            }
         started_ms = monotonic_ms()
         try:
-            state = await self._fetch(member.peer_address, asked)
+            state = await self._fetch(address, asked)
         except MessageError as error:
-            self._log.note(Kind.MEMBER, member=member.vm, state="no-answer", error=str(error))
-            return
+            self._log.note(Kind.MEMBER, member=address, state="no-answer", error=str(error))
+            return None
         now_ms = monotonic_ms()
-        self._counters.observe("fetch", now_ms - started_ms)
+        self._counters.observe("fetch", now_ms - started_ms, part=part.value)
         self._log.note(
             Kind.FETCH,
-            state="received",
-            member=member.vm,
+            state="referred" if "refer" in state else "received",
+            source=address,
             asked=asked,
             parts=list(state),
             took_ms=round(now_ms - started_ms, 1),
-            behind_ms=round(now_ms - (self._behind_since_ms or now_ms)),
+            behind_ms=round(now_ms - self._behind_since_ms.get(part, now_ms)),
         )
-        self._behind_since_ms = None
-        config, registry = state.get("config"), state.get("registry")
-        evacuations = state.get("evacuations")
+        return state
+
+    async def _take(self, part: Part, state: State, address: str) -> None:
         try:
-            left = Evacuations.from_document(evacuations) if evacuations else None
-            found = GatewayConfig.from_document(config) if config else None
-            if registry and not IS_REGISTRY_DOCUMENT(registry):
-                raise MessageError("no registry")
+            if part is Part.CONFIG:
+                await self._take_config(state, address)
+            else:
+                self._take_servers(state, address)
         except MessageError as error:
-            self._on_garbage(member.peer_address, error)
+            self._on_garbage(address, error)
+
+    async def _take_config(self, state: State, address: str) -> None:
+        """Take a configuration, and hand it on to others before it is decoded here."""
+        knowledge = self._knowledge
+        version, data = state.get("config_version"), state.get("config")
+        if type(version) is not int or not isinstance(data, bytes):
+            raise MessageError("no configuration")
+        if version <= knowledge.config_version:
             return
-        if found is not None and knowledge.take_config(found, now_ms):
-            self._log.note(Kind.CONFIG, version=knowledge.config_version, source=member.vm)
+        encoded = EncodedConfig(version, data)
+        knowledge.offer_config(encoded)
+        config: GatewayConfig | None = None
+        try:
+            for step in encoded.decode():
+                config = step
+                await asyncio.sleep(0)
+        except MessageError:
+            knowledge.withdraw_config(encoded)
+            raise
+        if config is not None and knowledge.take_config(config, monotonic_ms()):
+            self._log.note(Kind.CONFIG, version=version, source=address)
+            self._on_fetched(address)
+
+    def _take_servers(self, state: State, address: str) -> None:
+        """Take backend servers and evacuations."""
+        knowledge, now_ms = self._knowledge, monotonic_ms()
+        registry, evacuations = state.get("registry"), state.get("evacuations")
+        left = Evacuations.from_document(evacuations) if evacuations else None
+        if registry and not IS_REGISTRY_DOCUMENT(registry):
+            raise MessageError("no registry")
         if left is not None and knowledge.take_evacuations(left, now_ms):
-            self._log.note(Kind.EVACUATION, **left.to_document(), source=member.vm)
+            self._log.note(Kind.EVACUATION, **left.to_document(), source=address)
         if registry and knowledge.registry.adopt(registry, now_ms):
-            version = knowledge.registry.version
             self._log.note(
                 Kind.SERVER,
-                source=member.vm,
-                version=version,
+                source=address,
+                version=knowledge.registry.version,
                 whole=registry["whole"],
                 digest=knowledge.registry.digest(),
             )
-        if config or registry or evacuations:
-            self._on_fetched(member)
+        if registry or evacuations:
+            self._on_fetched(address)
 
 
 def state_for(asked: State, knowledge: Knowledge, members: Members, now_ms: float) -> State:
@@ -160,8 +258,6 @@
         found = [item for item in alive if item.data_center == asked["addresses"]]
         return {"addresses": [item.peer_address for item in found]}
     state: State = {}
-    if knowledge.config is not None and knowledge.config_version > asked.get("config", -1):
-        state["config"] = knowledge.config.to_document()
     if knowledge.registry.told_version > asked.get("registry", -1):
         state["registry"] = _lacking(knowledge.registry, asked.get("registry", -1), now_ms)
     if knowledge.evacuations.version > asked.get("evacuations", -1):
--- a/features/gateway_changes.feature
+++ b/features/gateway_changes.feature
@@ -17,3 +17,26 @@
       | 12  | 0.2    |
       | 40  | 0.0    |
       | 40  | 0.2    |
+
+  Scenario Outline: A configuration reaches all VMs of three data centres over slow links
+    Given 10 replays of <vms> VMs that ask for a configuration of <kb> KB, of which <killed> fall silent
+    Then all that live have it within <bound> ms, by <asks> questions of each at most
+    And none sends more than 3 copies at a time
+    And at most 3 copies cross to each other data centre
+
+    Examples:
+      | vms | kb  | killed | bound | asks |
+      | 13  | 36  | 0.0    | 1800  | 8    |
+      | 132 | 36  | 0.0    | 1800  | 8    |
+      | 132 | 36  | 0.05   | 1800  | 8    |
+      | 300 | 36  | 0.0    | 1800  | 8    |
+
+  Scenario: A configuration is encoded where it was read, and passed on as it is
+    Given 8 gateways and a configuration of 1800 routes
+    When one route changes
+    Then every gateway has it, and the readers alone have encoded it
+
+  Scenario: Changes of backend servers don't wait for a configuration
+    Given a VM that fetches a configuration which takes long
+    When it hears that a backend server has left
+    Then it has asked for that before the configuration has come
--- a/features/steps/gateway_changes_steps.py
+++ b/features/steps/gateway_changes_steps.py
@@ -1,11 +1,19 @@
 """Steps on how fast changes reach all gateways."""
 
+import asyncio
+from unittest import mock
+
 from behave import given, then, when
 
+from cloverhook.gateway.config_codec import EncodedConfig
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.registry import BackendServer, ServerRecord
 from cloverhook.gateway.state_fetch import state_for
+from features import gateway_fleet as fleet
+from features.gateway_crowd import peering_of
 from features.registry_replay import RegistryReplay
+from features.shared import run
+from features.transfer_replay import TransferReplay
 
 SERVICE = "orders"
 
@@ -74,3 +82,117 @@
 def step_none_late(context, bound_ms):
     last_uses_ms = [replay.last_use_ms for replay in context.replays]
     assert max(last_uses_ms) <= bound_ms, last_uses_ms
+
+
+@given(
+    "{runs:d} replays of {vms:d} VMs that ask for a configuration of {size:d} KB, of which"
+    " {killed:g} fall silent"
+)
+def step_transfers(context, runs, vms, size, killed):
+    context.replays = [TransferReplay(vms, size, killed, seed) for seed in range(runs)]
+    context.last_ms = [replay.play() for replay in context.replays]
+
+
+@then("all that live have it within {bound_ms:d} ms, by {asks:d} questions of each at most")
+def step_transferred(context, bound_ms, asks):
+    for replay in context.replays:
+        assert set(replay.data_centers) - replay.killed == set(replay.known_ms)
+        assert replay.asks <= asks * len(replay.data_centers), replay.asks
+    assert max(context.last_ms) <= bound_ms, context.last_ms
+
+
+@then("none sends more than {count:d} copies at a time")
+def step_sends(context, count):
+    assert max(replay.most_sending for replay in context.replays) <= count
+
+
+@then("at most {count:d} copies cross to each other data centre")
+def step_few_crossings(context, count):
+    crossings = [replay.crossings for replay in context.replays]
+    others = len({*context.replays[0].data_centers.values()}) - 1
+    assert max(crossings) <= others * count, crossings
+
+
+@given("{gateways:d} gateways and a configuration of {routes:d} routes")
+def step_many_routes(context, gateways, routes):
+    async def start():
+        await fleet.start_fleet(context, 1, gateways)
+        put_config(context, 2, routes)
+        await until_in_force(context, 2)
+        await fleet.until(lambda: sum(item._follower.active for item, _ in context.gateways) == 2)
+
+    run(context, start())
+
+
+def put_config(context, version, routes):
+    """Write a configuration with so many routes beside the usual ones."""
+    extra = [fleet.route(f"r-{number}", f"/{version}/{number}/", True) for number in range(routes)]
+    context.store.put_config(fleet.config(version, *extra))
+
+
+async def until_in_force(context, version):
+    """Wait until every gateway serves by a version."""
+    await fleet.until(
+        lambda: {item._knowledge.config_version for item, _ in context.gateways} == {version}
+    )
+
+
+@when("one route changes")
+def step_change_route(context):
+    context.encoded = []
+    encode = EncodedConfig.from_config.__func__
+
+    def counting(cls, config):
+        context.encoded.append(config.version)
+        return encode(cls, config)
+
+    async def change():
+        with mock.patch.object(EncodedConfig, "from_config", classmethod(counting)):
+            put_config(context, 3, 1_800)
+            await until_in_force(context, 3)
+
+    run(context, change())
+
+
+@then("every gateway has it, and the readers alone have encoded it")
+def step_encoded(context):
+    assert context.encoded.count(3) <= 2, context.encoded
+
+
+@given("a VM that fetches a configuration which takes long")
+def step_fetches_config(context):
+    context.asked = []
+    context.peering = peering_of("vm-0", ["vm-0", "vm-1"])
+
+    async def fetch(address, question):
+        context.asked.append(question)
+        if "config" in question:
+            await asyncio.sleep(fleet.WAIT_S)
+        return {}
+
+    async def begin():
+        context.peering.link.fetch = fetch
+        context.peering._members.get("vm-1").config_version = 7
+        context.peering._states.catch_up("vm-1", at_once=True)
+        await fleet.until(lambda: any("config" in question for question in context.asked))
+
+    run(context, begin())
+
+
+@when("it hears that a backend server has left")
+def step_hears_of_leaving(context):
+    async def hear():
+        context.asked.clear()
+        context.peering._members.get("vm-1").registry_version = 40
+        context.peering._states.catch_up("vm-1", at_once=True)
+        await fleet.until(lambda: context.asked)
+
+    run(context, hear())
+
+
+@then("it has asked for that before the configuration has come")
+def step_asked_for_servers(context):
+    for task in context.peering._states._tasks.values():
+        task.cancel()
+    run(context, asyncio.sleep(0))
+    assert all("registry" in question for question in context.asked), context.asked
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_spread_steps.py
@@ -236,8 +236,9 @@
     peering = peering_of(own, context.names)
     asked = []
 
-    async def fetch(address, _):
-        asked.append(address)
+    async def fetch(address, question):
+        if "config" in question:
+            asked.append(address)
         raise MessageError("no answer")
 
     async def catch_up():
@@ -377,8 +378,9 @@
     peering = peering_of(own, context.names)
     asked = []
 
-    async def fetch(address, _):
-        asked.append(address)
+    async def fetch(address, question):
+        if "registry" in question:
+            asked.append(address)
         raise MessageError("no answer")
 
     async def miss():
