--- a/cloverhook_emulator/log_store_server.py
+++ b/cloverhook_emulator/log_store_server.py
@@ -19,6 +19,8 @@
 LENGTH = struct.Struct(">I")
 POSITIONS = struct.Struct(">QQ")
 JSON = [(b"content-type", b"application/json")]
+DEFAULT_MAX_KB = 1_024
+"""An answer to a read holds so much, or one record."""
 PAGE_ITEMS = 3
 """Far below the real page, so that tests see several."""
 
@@ -125,7 +127,9 @@
             case "/api/log-append":
                 return await self._append(topic, query, request.body)
             case "/api/log-read":
-                return await self._read(topic, int(query["from"]), int(query.get("waitMs", 0)))
+                largest_bytes = 1_024 * int(query.get("maxKb", DEFAULT_MAX_KB))
+                wait_ms = int(query.get("waitMs", 0))
+                return await self._read(topic, int(query["from"]), wait_ms, largest_bytes)
             case "/api/log-newest":
                 return self._newest(topic, query.get("after", ""))
         return CallerAnswer(404, JSON, b"{}")
@@ -146,13 +150,19 @@
             await asyncio.Event().wait()
         return _json({"offset": start, "endOffset": topic.end})
 
-    async def _read(self, topic: Topic, start: int, wait_ms: int) -> CallerAnswer:
+    async def _read(
+        self, topic: Topic, start: int, wait_ms: int, largest_bytes: int
+    ) -> CallerAnswer:
         if start >= topic.end:
             await self._wait(topic, start, wait_ms)
         if not topic.first <= start <= topic.end:
             return _json({"firstOffset": topic.first}, 410)
         parts = [POSITIONS.pack(topic.end, topic.first)]
+        size_bytes = 0
         for record in topic.records[start - topic.first :]:
+            size_bytes += LENGTH.size + len(record)
+            if size_bytes > largest_bytes and len(parts) > 1:
+                break
             parts += (LENGTH.pack(len(record)), record)
         return CallerAnswer(200, [], b"".join(parts))
 
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -12,6 +12,11 @@
     When an entry is changed and another one dropped while the adapter waits
     Then the adapter gets both with their offsets
 
+  Scenario: Two large configurations that come at once are both read
+    Given a stand-in of the store with a configuration, 5 entries and 4 other members
+    When two versions with 6000 routes each are written before the next read
+    Then the adapter has read the later one after two calls
+
   Scenario: Lost history, refusals and silence are told apart
     Given a stand-in of the store with a configuration, 5 entries and 4 other members
     Then a read of lost history says so
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -431,3 +431,24 @@
         after = Evacuations().after(found.evacuations)
         assert after.data_centers == {data_center}, found
         assert [line.split(" at ")[0] for line in found.unreadable] == ["evacuate/"], found
+
+
+@when("two versions with {count:d} routes each are written before the next read")
+def step_two_versions(context, count):
+    read = DOCUMENT["routes"][1]
+    routes = [
+        {**read, "name": f"r-{number}", "pathPrefix": f"/{number}/"} for number in range(count)
+    ]
+    for version in (8, 9):
+        document = {**DOCUMENT, "version": version, "routes": routes}
+        context.server.put(CONFIG, "config", json.dumps(document).encode())
+
+
+@then("the adapter has read the later one after two calls")
+def step_later_version(context):
+    async def read():
+        first = await context.client.changes(Feed.CONFIG, 2, 0)
+        second = await context.client.changes(Feed.CONFIG, first.end_offset, 0)
+        return [config.version for found in (first, second) for config in found.configs]
+
+    assert run(context, read()) == [8, 9]
