A test that fails: backend servers get more than the limit that they name

12 gateways, 6 backend servers of which 2 name 5 requests a second, 67 requests a second: one of the two got 44 in 4 s where one and a half times the limit and 5 more, 35, are allowed.

--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -113,6 +113,7 @@
     names: CallHeaders = NAMES
     listener: asyncio.Server | None = None
     born_ms: int = 0
+    limit_per_s: float | None = None
     on_request: Callable[["Backend", bytes], None] | None = None
 
     async def start(self, context):
@@ -230,6 +231,8 @@
             b"HTTP/1.1 %d X" % status,
             self.names.load + b": %d,0,4,%d" % (self.running, self.pace),
         ]
+        if self.limit_per_s is not None:
+            lines.append(b"cloverhook-rate-limit: %g" % self.limit_per_s)
         if length is not None:
             lines.append(b"Content-Length: %d" % length)
         if request_id:
