--- a/cloverhook/gateway/state_fetch.py
+++ b/cloverhook/gateway/state_fetch.py
@@ -211,6 +211,8 @@
     async def _take_config(self, state: State, address: str) -> None:
         """Take a configuration, and hand it on to others before it is decoded here."""
         knowledge = self._knowledge
+        if not state:
+            return  # The peer has none that is newer.
         version, data = state.get("config_version"), state.get("config")
         if type(version) is not int or not isinstance(data, bytes):
             raise MessageError("no configuration")
