Keep the limits that endpoints name, over the whole fleet

Callers: an endpoint in need that had named 2.9 requests a second got 41 in 4 s (LIMIT). Cause: no part of the gateway read the limit; each VM went by load and pace, by which such an endpoint looks sound. The class of fault: a bound that holds for the sum of all VMs, which each of them can keep only by a part of its own. Change: what an answer names is kept with its age, told to all VMs that place requests, and ends with an answer that names none, or by age. The first VMs of an order by endpoint use it, at least three, more where the limit is higher, and each sends its equal part, evenly spaced. A request for which limits leave no place in time is refused at once, with its own error kind and a time to come back; log line, metrics, explain. Weighed: one owner that grants each request: a way to it for each, and nothing while it is being replaced; equal parts of all VMs: parts of a request in some seconds, most of them unused.

--- a/cloverhook/errors.py
+++ b/cloverhook/errors.py
@@ -55,6 +55,7 @@
     OVERLOADED = "overloaded"
     NO_BACKEND_SERVER = "no-backend-server"
     EVACUATED = "evacuated"
+    RATE_LIMITED = "rate-limited"
     QUARANTINED = "quarantined"
     REFUSED = "refused"
     DEADLINE_BEFORE_RUN = "deadline-before-run"
@@ -94,6 +95,7 @@
     ErrorKind.OVERLOADED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.NO_BACKEND_SERVER: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.EVACUATED: Answer(503, Outcome.NOT_RUN, retry_after=True),
+    ErrorKind.RATE_LIMITED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.QUARANTINED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.REFUSED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.DEADLINE_BEFORE_RUN: Answer(504, Outcome.NOT_RUN),
--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -17,7 +17,13 @@
 from cloverhook.errors import UpstreamError
 from cloverhook.gateway.backend_pool import BackendPool
 from cloverhook.gateway.balancer import Choice
-from cloverhook.gateway.call_headers import CallHeaders, find, load_figure, passed_on
+from cloverhook.gateway.call_headers import (
+    CallHeaders,
+    find,
+    load_figure,
+    passed_on,
+    rate_limit_per_s,
+)
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
 from cloverhook.gateway.load import SLOW_PACE, LoadBoard, ServerLoad
 from cloverhook.gateway.load_probe import ask_load
@@ -70,6 +76,8 @@
     """Whether the backend server has failed a request that it should have answered."""
     with_room: bool = False
     """Whether the backend server turned the request away although it had a free slot."""
+    named_limit_per_s: float | None = None
+    """The requests a second that the backend server said it takes."""
     usual_ms: float = 0.0
     """How long the work would have taken at the usual pace, by the figures known meanwhile."""
 
@@ -135,6 +143,9 @@
             if figure is not None:
                 load.report(figure, monotonic_ms(), counted=1)
             result = await self._take(head, connection, pool, started_ms)
+            if head.status != MISDIRECTED:
+                limit_per_s = rate_limit_per_s(find(head.headers, self._headers.rate_limit))
+                result = replace(result, named_limit_per_s=limit_per_s)
             kept = result.answer is not None and result.answer.rest is not None
             if not kept:
                 pool.release(server, connection, head)
--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -18,6 +18,7 @@
 from cloverhook.gateway.candidates import Candidates
 from cloverhook.gateway.cold_limit import ColdLimit
 from cloverhook.gateway.load import LoadBoard, ServerLoad
+from cloverhook.gateway.rate_limits import RateLimits
 from cloverhook.gateway.registry import BackendServer, Registry
 
 __all__ = ["Balancer", "Choice", "Room", "WorkEstimates", "nearly_full"]
@@ -207,15 +208,18 @@
         evacuated: Callable[[], frozenset[str]] = frozenset,
         cold_limit: ColdLimit | None = None,
         region_of: Callable[[str], str | None] = lambda data_center: None,
+        rate_limits: RateLimits | None = None,
     ) -> None:
         """`has_connection` says whether a request to an incarnation needs no new connection.
 
-        Nothing is sent to the `evacuated` data centres, and `cold_limit` bounds what cold endpoints
-        get.  `region_of` tells the region of a data centre, where it is known.
+        Nothing is sent to the `evacuated` data centres, `cold_limit` bounds what cold endpoints
+        get, and `rate_limits` what those get that name a limit.  `region_of` tells the region of a
+        data centre, where it is known.
         """
         self._evacuated = evacuated
         self._cold_limit = cold_limit
         self._region_of = region_of
+        self._rate_limits = rate_limits
         self._has_connection = has_connection
         self._estimates = estimates
         self._registry = registry
@@ -304,7 +308,7 @@
             if busy >= look.limit(server.slots) or load.unreachable(now_ms):
                 candidates.set_aside(load, now_ms)
                 continue
-            if server.incarnation in look.tried:
+            if server.incarnation in look.tried or not self._limit_allows(server, now_ms):
                 continue
             if load.trust.in_question and not self._may_get(look, load):
                 continue
@@ -327,6 +331,34 @@
         if self._cold_limit is not None and self._is_cold(server, load, now_ms):
             self._cold_limit.sent(server, now_ms)
 
+        if self._rate_limits is not None:
+            self._rate_limits.sent(server, now_ms)
+
+    def _limit_allows(self, server: BackendServer, now_ms: float) -> bool:
+        """Return whether an endpoint has no limit, or this VM's part of it is not used up."""
+        limits = self._rate_limits
+        if not limits or server.incarnation not in limits:
+            return True
+        return limits.may_send(server, now_ms)
+
+    def is_rate_limited(self, service: str, now_ms: float, time_ms: float, before: int = 0) -> bool:
+        """Return whether limits leave no place for a request within a time, `before` others first.
+
+        That is so where all endpoints have named a limit, and what they take from this VM is less.
+        """
+        limits = self._rate_limits
+        if not limits:
+            return False
+        left = self._evacuated()
+        places = 0.0
+        for server in self._registry.of_service(service):
+            if server.draining or server.data_center in left:
+                continue
+            if server.incarnation not in limits:
+                return False
+            places += limits.places_within(server, now_ms, time_ms)
+        return places <= before
+
     def _is_cold(self, server: BackendServer, load: ServerLoad, now_ms: float) -> bool:
         """Return whether an endpoint is cold by its entry or by its newest probe."""
         return server.warm_at_ms > now_ms or load.is_cold(now_ms)
--- a/cloverhook/gateway/call_headers.py
+++ b/cloverhook/gateway/call_headers.py
@@ -4,18 +4,28 @@
 brings that platform's own.
 """
 
+import re
 from dataclasses import dataclass
 
 from cloverhook.gateway.load import LoadFigure
 from cloverhook.hop_by_hop import HOP_BY_HOP, KEPT_ALWAYS, find
 
-__all__ = ["CallHeaders", "HeaderList", "cold_ms", "find", "load_figure", "passed_on"]
+__all__ = [
+    "CallHeaders",
+    "HeaderList",
+    "cold_ms",
+    "find",
+    "load_figure",
+    "passed_on",
+    "rate_limit_per_s",
+]
 
 HeaderList = list[tuple[bytes, bytes]]
 
 NEVER_PASSED_ON = HOP_BY_HOP | {b"content-length"}
 """A body is framed anew on each connection."""
 PERCENT = 100.0
+RATE_LIMIT = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 COLD_MOST_MS = 86_400_000
 """A day: what says more is no time that an endpoint stays cold."""
 
@@ -26,7 +36,8 @@
 
     `receipt` marks an answer that a backend server made, `not_run` one by which it says that the
     request did not run there.  `load` carries requests running, requests waiting, slots and, where
-    it is known, the pace in percent of usual.  `cold_ms` says for how long an endpoint stays cold.
+    it is known, the pace in percent of usual.  `cold_ms` says for how long an endpoint stays cold,
+    `rate_limit` how many requests a second it takes from all gateways together.
     """
 
     request_id: bytes = b"x-request-id"
@@ -37,6 +48,7 @@
     load: bytes = b"cloverhook-load"
     not_run: bytes = b"cloverhook-not-run"
     cold_ms: bytes = b"cloverhook-cold-ms"
+    rate_limit: bytes = b"cloverhook-rate-limit"
 
     def own(self) -> frozenset[bytes]:
         """Return the names that a gateway sets itself on the way to a backend server."""
@@ -77,6 +89,13 @@
     return float(value)
 
 
+def rate_limit_per_s(value: bytes | None) -> float | None:
+    """Return the requests a second of a header, or None where it says nothing sound."""
+    if value is None or RATE_LIMIT.fullmatch(value) is None:
+        return None
+    return float(value)
+
+
 def load_figure(value: bytes | None) -> LoadFigure | None:
     """Return the load figure of a header, or None where there is none that can be read."""
     if value is None:
--- a/cloverhook/gateway/counters.py
+++ b/cloverhook/gateway/counters.py
@@ -14,6 +14,8 @@
     "latency": "from a request's arrival to its answer, by route",
     "repeats": "requests sent once more, by service",
     "crashes": "requests under which a backend server has ended, by service",
+    "rate_limits": "endpoints that name a limit of requests a second",
+    "rate_limits_named": "limits of endpoints that were new or other than before",
     "requests_suspected": "keys of requests under which endpoints have crashed and none answered",
     "requests_quarantined": "keys of requests that nobody sends for a time, as endpoints crash",
     "repeats_denied": "repeats for which no allowance was left, by service",
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -135,6 +135,7 @@
             self._knowledge.evacuated,
             self._cold_limit,
             (settings.regions or {}).get,
+            self._peering.rate_limit_updates.limits,
         )
         self._measuring = Measuring(
             settings.vm,
@@ -159,6 +160,7 @@
             self._peering.failure_news.failed,
             self._peering.refusal_news.refused,
             quarantine_news,
+            self._peering.rate_limit_updates,
             RequestReport(self._knowledge, self._log, self._counters),
         )
         self._callers = Ingress(self._serve_caller, self._limits)
@@ -296,6 +298,7 @@
         quarantine = self._peering.quarantine_news.quarantine
         counters.set("requests_suspected", len(quarantine))
         counters.set("requests_quarantined", len(quarantine.barred(now_ms)))
+        counters.set("rate_limits", len(self._peering.rate_limit_updates.limits))
         counters.set("waiting", len(self._forwarder.admission))
         counters.set("probes", self._prober.probes)
         counters.set("connects", self._pool.connects)
@@ -341,6 +344,7 @@
             self._peering.load_news.forget(incarnation)
             self._measuring.forget(incarnation)
             self._cold_limit.forget(incarnation)
+            self._peering.rate_limit_updates.forget(incarnation)
             self._log.note(
                 Kind.SERVER,
                 source="hold time",
@@ -369,6 +373,7 @@
         self._members.forget(now_ms)
         self._peering.failure_news.forget(now_ms)
         self._peering.quarantine_news.forget(now_ms)
+        self._peering.rate_limit_updates.expire(now_ms)
 
     def _write_again_in_new_era(self) -> None:
         """Write again what this VM wrote, once the store has come back without it."""
--- a/cloverhook/gateway/event_log.py
+++ b/cloverhook/gateway/event_log.py
@@ -50,6 +50,7 @@
     CUT_OFF = "cut-off", 5
     ENDPOINT = "endpoint", 30
     QUARANTINE = "quarantine", 30
+    RATE_LIMIT = "rate-limit", 20
     PAUSED = "paused", 5
     ATTEMPT = "attempt", 60
     ANSWER = "answer", 30
--- a/cloverhook/gateway/final_answer.py
+++ b/cloverhook/gateway/final_answer.py
@@ -18,12 +18,22 @@
 EVACUATED_RETURN_MS = (700.0, 1_400.0)
 """While nothing can serve a request, callers come back seldom, but in time for most objectives."""
 
+RATE_LIMITED_RETURN_MS = (150.0, 400.0)
+"""Other VMs may have places left; if none has, endpoints in need are better asked less often."""
+RETURNS_MS = {
+    ErrorKind.EVACUATED: EVACUATED_RETURN_MS,
+    ErrorKind.RATE_LIMITED: RATE_LIMITED_RETURN_MS,
+}
 
-def final_kind(run: RequestRun, late: bool, evacuated: bool, known: bool) -> ErrorKind:
+
+def final_kind(
+    run: RequestRun, late: bool, evacuated: bool, known: bool, rate_limited: bool = False
+) -> ErrorKind:
     """Return why a request ends without an answer of a backend server.
 
     `late` says that its time is over, `evacuated` that all endpoints of its service lie in
-    evacuated data centres, and `known` that there are endpoints at all.
+    evacuated data centres, `known` that there are endpoints at all, and `rate_limited` that they
+    take no more from this VM for now.
     """
     if run.maybe_runs:
         return ErrorKind.DEADLINE_IN_RUN if late else ErrorKind.CONNECTION_CUT
@@ -33,6 +43,8 @@
         return ErrorKind.REFUSED
     if evacuated:
         return ErrorKind.EVACUATED
+    if rate_limited and not run.attempts:
+        return ErrorKind.RATE_LIMITED
     if run.attempts or not known:
         return ErrorKind.NO_BACKEND_SERVER
     return ErrorKind.OVERLOADED
@@ -43,7 +55,7 @@
     answer = answer_for(kind)
     headers = [(b"content-type", b"text/plain")]
     if answer.retry_after:
-        times_ms = EVACUATED_RETURN_MS if kind is ErrorKind.EVACUATED else RETURN_MS
+        times_ms = RETURNS_MS.get(kind, RETURN_MS)
         return_ms = max(random.uniform(*times_ms), held_ms)
         headers.append((b"retry-after", b"%.3f" % (return_ms / 1000)))
     return CallerAnswer(answer.status, headers, kind.value.encode())
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -11,7 +11,7 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import ErrorKind
 from cloverhook.gateway.admission import Admission
-from cloverhook.gateway.attempt import Attempt, AttemptResult
+from cloverhook.gateway.attempt import Attempt, AttemptResult, Outcome
 from cloverhook.gateway.backend_pool import BackendPool
 from cloverhook.gateway.balancer import Balancer, Choice, Room, WorkEstimates
 from cloverhook.gateway.call_headers import CallHeaders, find
@@ -20,6 +20,7 @@
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import SLOW_PACE
 from cloverhook.gateway.quarantine_news import QuarantineNews
+from cloverhook.gateway.rate_limit_updates import RateLimitUpdates
 from cloverhook.gateway.registry import BackendServer
 from cloverhook.gateway.request_report import RequestReport
 from cloverhook.gateway.request_run import RequestRun
@@ -68,6 +69,7 @@
         on_failure: Callable[[str, float], None],
         on_refusal: Callable[[str], None],
         quarantine_news: QuarantineNews,
+        rate_limit_updates: RateLimitUpdates,
         report: RequestReport,
     ) -> None:
         self._knowledge = knowledge
@@ -80,6 +82,7 @@
         self._on_failure = on_failure
         self._on_refusal = on_refusal
         self._quarantine_news = quarantine_news
+        self._rate_limit_updates = rate_limit_updates
         self._report = report
         self._estimates = estimates
         self.admission = Admission(
@@ -177,6 +180,7 @@
     def _judge(self, run: RequestRun, result: AttemptResult, attempt: Attempt) -> None:
         """Keep what an attempt says of whether its endpoint can be trusted."""
         incarnation = result.choice.server.incarnation
+        self._hear_limit(incarnation, result)
         if result.with_room:
             self._on_refusal(incarnation)
         if result.crashed and not self._was_leaving(incarnation):
@@ -187,6 +191,13 @@
         elif not result.failed:
             self._knowledge.board.of(incarnation).trust.answered(monotonic_ms())
 
+    def _hear_limit(self, incarnation: str, result: AttemptResult) -> None:
+        """Take the limit that an endpoint names, or names no more in an answer to a request."""
+        succeeded = result.outcome is Outcome.ANSWERED and not result.failed
+        if result.named_limit_per_s is not None or succeeded:
+            now_ms = monotonic_ms()
+            self._rate_limit_updates.answered(incarnation, result.named_limit_per_s, now_ms)
+
     def _was_leaving(self, incarnation: str) -> bool:
         """Return whether an endpoint has announced that it ends, or has ended before."""
         registry = self._knowledge.registry
@@ -382,7 +393,8 @@
             return answered[-1].answer
         late = monotonic_ms() >= run.deadline_ms
         known = bool(self._knowledge.registry.of_service(run.service))
-        kind = final_kind(run, late, self._balancer.is_evacuated(run.service), known)
+        limited = self._balancer.is_rate_limited(run.service, monotonic_ms(), 0.0)
+        kind = final_kind(run, late, self._balancer.is_evacuated(run.service), known, limited)
         return error_answer(kind, run.quarantined_ms)
 
     def _measured(self, run: RequestRun, result: AttemptResult) -> None:
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -28,6 +28,8 @@
     "InFlight",
     "Loads",
     "PeerMessage",
+    "RateLimitRow",
+    "RateLimitUpdate",
     "Refusals",
     "Relay",
     "ServerChanges",
@@ -173,6 +175,40 @@
     rows: tuple[Suspicion, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RateLimitRow:
+    """The limit that an endpoint has named, in requests a second, and the age of its word.
+
+    Without a limit, it has ceased to name one.
+    """
+
+    incarnation: str
+    per_s: float | None
+    age_ms: float
+
+    @classmethod
+    def from_row(cls, incarnation: str, per_s: float | None, age_ms: float) -> "RateLimitRow":
+        """Build one from a row of a datagram.  Raises `TypeError` or `ValueError`."""
+        numbers = [age_ms] if per_s is None else [age_ms, per_s]
+        if not isinstance(incarnation, str) or any(type(x) not in (int, float) for x in numbers):
+            raise TypeError("a limit of other types")
+        if not all(0 <= number < inf for number in numbers):
+            raise ValueError("a limit out of range")
+        return cls(incarnation, per_s, float(age_ms))
+
+    def to_row(self) -> list[Any]:
+        """Return the form in which it stands in a datagram."""
+        return [self.incarnation, self.per_s, round(self.age_ms)]
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimitUpdate:
+    """What a VM has heard of the limits of endpoints."""
+
+    vm: str
+    rows: tuple[RateLimitRow, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Relay:
     """An encoded message for each VM of the receiver's data centre, the receiver included."""
@@ -191,6 +227,7 @@
     | Refusals
     | CountChanges
     | Suspicions
+    | RateLimitUpdate
 )
 KINDS: tuple[type, ...] = (
     Beat,
@@ -202,6 +239,7 @@
     Refusals,
     CountChanges,
     Suspicions,
+    RateLimitUpdate,
 )
 PLAIN_FIELDS = {
     kind: tuple(item.name for item in fields(kind)) for kind in (Beat, Relay, Failures, Refusals)
@@ -217,7 +255,7 @@
     if isinstance(message, Loads):
         rows = [_row(*item) for item in message.figures]
         return cbor2.dumps([kind, message.vm, rows])
-    if isinstance(message, Suspicions):
+    if isinstance(message, Suspicions | RateLimitUpdate):
         return cbor2.dumps([kind, message.vm, [row.to_row() for row in message.rows]])
     if isinstance(message, InFlight | CountChanges):
         return cbor2.dumps([kind, message.vm, message.counts])
@@ -236,6 +274,9 @@
         elif KINDS[kind] is Suspicions:
             vm, rows = values
             message = Suspicions(vm, tuple(Suspicion.from_row(*row) for row in rows))
+        elif KINDS[kind] is RateLimitUpdate:
+            vm, rows = values
+            message = RateLimitUpdate(vm, tuple(RateLimitRow.from_row(*row) for row in rows))
         else:
             message = KINDS[kind](*values)
     except (cbor2.CBORError, TypeError, ValueError, IndexError, RecursionError) as error:
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -33,6 +33,7 @@
     InFlight,
     Loads,
     PeerMessage,
+    RateLimitUpdate,
     Refusals,
     Relay,
     ServerChanges,
@@ -41,6 +42,8 @@
     encode,
 )
 from cloverhook.gateway.quarantine_news import QuarantineNews
+from cloverhook.gateway.rate_limit_updates import RateLimitUpdates
+from cloverhook.gateway.rate_limits import RateLimits
 from cloverhook.gateway.refusal_news import RefusalNews
 from cloverhook.gateway.spread import Spread
 from cloverhook.gateway.state_fetch import StateFetch, state_for
@@ -65,7 +68,7 @@
 DATAGRAM_BYTES = 1_200
 """Larger changes are asked for over TCP: a datagram should fit into one packet."""
 ADDRESSES = Items(Address())
-FOR_THE_AUDIENCE = (Loads, Failures, Refusals, InFlight, CountChanges)
+FOR_THE_AUDIENCE = (Loads, Failures, Refusals, InFlight, CountChanges, RateLimitUpdate)
 """What only those need who place requests."""
 CHANGE_RELAYS = 3
 """A third of a fleet may be cut off before it shows: by a single relay each third change would be
@@ -106,6 +109,9 @@
             own.vm, self.spread, knowledge.board, knowledge.registry.get
         )
         self.quarantine_news = QuarantineNews(own.vm, self.spread, members, log)
+        self.rate_limit_updates = RateLimitUpdates(
+            own.vm, self.spread, RateLimits(own.vm, members.placing), knowledge, log, counters
+        )
         self._started_ms = monotonic_ms()
         self._requests_per_s = requests_per_s
         self._pace = BeatPace(members)
@@ -304,6 +310,8 @@
                 self.refusal_news.told(message, now_ms)
             case Suspicions():
                 self.quarantine_news.told(message, now_ms)
+            case RateLimitUpdate():
+                self.rate_limit_updates.received(message, now_ms)
             case ServerChanges():
                 self._on_changes(message, now_ms, relayed)
             case Relay():
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -217,6 +217,14 @@
                 found.servers, found.end_offset, now_ms, follows=not self._only_first
             )
             if touched:
+                self._log.note(
+                    Kind.SERVER,
+                    version=knowledge.registry.as_of,
+                    source="store",
+                    whole=True,
+                    touched=touched[:8],
+                    digest=knowledge.registry.digest(),
+                )
                 self._on_news((), base_version)
             return
         touched = [
--- a/cloverhook/gateway/waiting_line.py
+++ b/cloverhook/gateway/waiting_line.py
@@ -66,6 +66,13 @@
         """Return whether a slot that came free now would still serve it."""
         return now_ms + WORK_MARGIN * self.work_ms <= self.in_aim_until_ms
 
+    @property
+    def start_until_ms(self) -> float:
+        """When a slot would come too late for this request, as others would get it."""
+        latest_ms = self.in_aim_until_ms - WORK_MARGIN * self.work_ms
+        put_off_ms = self.arrived_ms + PUT_OFF_SHARE * self.aim_ms
+        return latest_ms if self.urgent else min(latest_ms, put_off_ms)
+
     def may_be_late(self, now_ms: float) -> bool:
         """Return whether an important request that is late already should wait on for a slot."""
         if not self.urgent:
@@ -155,6 +162,8 @@
             return Decision(waiter, last) if slack_ms <= LAST_SLACK * waiter.work_ms else None
         if last is None and self._balancer.is_evacuated(waiter.service):
             return Decision(waiter, None)  # Waiting can't help: evacuations last for minutes.
+        if last is None and self._is_rate_limited(waiter, now_ms):
+            return Decision(waiter, None)
         if waiter.can_be_in_time(now_ms):
             return Decision(waiter, None) if waiter.is_put_off(now_ms) else None
         late_ms = LATE_SHARE * (waiter.deadline_ms - now_ms)
@@ -162,6 +171,12 @@
             return Decision(waiter, last)
         return None if waiter.may_be_late(now_ms) else Decision(waiter, None)
 
+    def _is_rate_limited(self, waiter: Waiter, now_ms: float) -> bool:
+        """Return whether limits of endpoints leave no place that a request could wait for."""
+        before = self._lines[waiter.service].index(waiter)
+        left_ms = max(0.0, waiter.start_until_ms - now_ms)
+        return self._balancer.is_rate_limited(waiter.service, now_ms, left_ms, before)
+
     def _keeps_nobody(self, waiter: Waiter, now_ms: float) -> bool:
         """Return whether nobody who can still be in time waits for the slot."""
         others = (item for item in self._lines[waiter.service] if item is not waiter)
