--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -144,7 +144,7 @@
                 load.report(figure, monotonic_ms(), counted=1)
             result = await self._take(head, connection, pool, started_ms)
             if head.status != MISDIRECTED:
-                limit_per_s = rate_limit_per_s(find(head.headers, self._headers.rate_limit))
+                limit_per_s = rate_limit_per_s(head.headers, self._headers)
                 result = replace(result, named_limit_per_s=limit_per_s)
             kept = result.answer is not None and result.answer.rest is not None
             if not kept:
--- a/cloverhook/gateway/call_headers.py
+++ b/cloverhook/gateway/call_headers.py
@@ -37,7 +37,8 @@
     `receipt` marks an answer that a backend server made, `not_run` one by which it says that the
     request did not run there.  `load` carries requests running, requests waiting, slots and, where
     it is known, the pace in percent of usual.  `cold_ms` says for how long an endpoint stays cold,
-    `rate_limit` how many requests a second it takes from all gateways together.
+    and the first one there is of `rate_limits` how many requests a second it takes from all
+    gateways together.
     """
 
     request_id: bytes = b"x-request-id"
@@ -48,7 +49,7 @@
     load: bytes = b"cloverhook-load"
     not_run: bytes = b"cloverhook-not-run"
     cold_ms: bytes = b"cloverhook-cold-ms"
-    rate_limit: bytes = b"cloverhook-rate-limit"
+    rate_limits: tuple[bytes, ...] = (b"cloverhook-rate-limit",)
 
     def own(self) -> frozenset[bytes]:
         """Return the names that a gateway sets itself on the way to a backend server."""
@@ -89,8 +90,10 @@
     return float(value)
 
 
-def rate_limit_per_s(value: bytes | None) -> float | None:
-    """Return the requests a second of a header, or None where it says nothing sound."""
+def rate_limit_per_s(headers: HeaderList, names: CallHeaders) -> float | None:
+    """Return the requests a second that an answer names, or None where it names nothing sound."""
+    found = (find(headers, name) for name in names.rate_limits)
+    value = next((item for item in found if item is not None), None)
     if value is None or RATE_LIMIT.fullmatch(value) is None:
         return None
     return float(value)
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -17,6 +17,9 @@
     When two versions with 6000 routes each are written before the next read
     Then the adapter has read the later one after two calls
 
+  Scenario: An endpoint's limit is read with and without the platform's prefix
+    Then a limit is read under either name that the platform may give it
+
   Scenario: Lost history, refusals and silence are told apart
     Given a stand-in of the store with a configuration, 5 entries and 4 other members
     Then a read of lost history says so
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -10,7 +10,7 @@
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
-from cloverhook.gateway.call_headers import rate_limit_per_s
+from cloverhook.gateway.call_headers import CallHeaders, rate_limit_per_s
 from cloverhook.gateway.peer_messages import KINDS, RateLimitUpdate, decode
 from features import gateway_fleet as fleet
 from features.rate_limit_replay import RateLimitReplay
@@ -191,9 +191,15 @@
 
 @then("a header that is no number of requests names no limit")
 def step_no_limit(context):
-    assert rate_limit_per_s(b"2.9") == 2.9 and rate_limit_per_s(b"0") == 0.0
-    for value in (None, b"", b"-1", b"nan", b"inf", b"1e9", b"2,9", b"9" * 40, b"two", b" 3"):
-        assert rate_limit_per_s(value) is None, value
+    names = CallHeaders()
+
+    def named(value):
+        return rate_limit_per_s([(names.rate_limits[0], value)], names)
+
+    assert named(b"2.9") == 2.9 and named(b"0") == 0.0
+    assert rate_limit_per_s([], names) is None
+    for value in (b"", b"-1", b"nan", b"inf", b"1e9", b"2,9", b"9" * 40, b"two", b" 3"):
+        assert named(value) is None, value
 
 
 @then("a datagram with a limit of another type or range is no message")
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -12,6 +12,7 @@
 
 import features
 from cloverhook.errors import PlatformError, PlatformSilentError, SettingsError
+from cloverhook.gateway.call_headers import rate_limit_per_s
 from cloverhook.gateway.daemon import Gateway
 from cloverhook.gateway.evacuation import Evacuations
 from cloverhook.gateway.settings import GatewaySettings
@@ -452,3 +453,9 @@
         return [config.version for found in (first, second) for config in found.configs]
 
     assert run(context, read()) == [8, 9]
+
+
+@then("a limit is read under either name that the platform may give it")
+def step_limit_names(context):
+    for name in (b"server-limit", b"x-cloverhook-server-limit"):
+        assert rate_limit_per_s([(name, b"2.5")], HEADERS) == 2.5
