--- a/bench/gateway_replay.py
+++ b/bench/gateway_replay.py
@@ -342,7 +342,7 @@
                 self.at(self.now_ms + NEWS_MS, news)
 
     def _told_failure(self, trust: Trust, began_ms: float, answered: bool) -> None:
-        trust.told(self.now_ms, began_ms, answered)
+        trust.peer_failed(self.now_ms, began_ms, answered)
 
     def _give_up(self, work: _Work) -> None:
         if work.over:
--- a/cloverhook/gateway/admission.py
+++ b/cloverhook/gateway/admission.py
@@ -15,7 +15,8 @@
 
 LOOK_DELAY_MS = 2.0
 LOOK_PAUSES = 4.0
-"""Looks on news of others are so many times as long apart as one takes: a fifth of the time."""
+"""Looks after updates of others are so many times as long apart as one takes: a fifth of the
+time."""
 
 
 class Admission:
@@ -69,7 +70,7 @@
         self._look_ms = monotonic_ms() - begun_ms
 
     def look_soon(self) -> None:
-        """Look at all, as news of other VMs has come; there may be much of it.
+        """Look at all, as updates of other VMs have come; there may be much of it.
 
         In overload each look takes long, and a VM that does nothing else answers nobody in time.
         """
--- a/cloverhook/gateway/spread.py
+++ b/cloverhook/gateway/broadcast.py
@@ -2,7 +2,7 @@
 
 Layer: transport.  A VM of the own data centre is sent a datagram of its own.  In each other data
 centre one VM gets it and relays it to its neighbours; each message goes to the next VM there, so
-that one that is dead, but not yet known to be, loses a small part of the news only.
+that one that is dead, but not yet known to be, loses a small part of the messages only.
 """
 
 from collections.abc import Iterable
@@ -11,14 +11,14 @@
 from cloverhook.gateway.peer_link import PeerLink
 from cloverhook.gateway.peer_messages import Relay, encode
 
-__all__ = ["Spread"]
+__all__ = ["Broadcast"]
 
 STALE_MS = 200.0
 """After a pause of this process, what waited in its socket is not relayed for this long: loads
 that were passed on late would look fresh to the neighbours."""
 
 
-class Spread:
+class Broadcast:
     """The ways of a message to the other VMs."""
 
     def __init__(self, own_vm: str, link: PeerLink, members: Members) -> None:
--- a/cloverhook/gateway/count_news.py
+++ b/cloverhook/gateway/count_updates.py
@@ -11,12 +11,12 @@
 from collections.abc import Callable
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.members import Members
 from cloverhook.gateway.peer_messages import CountChanges, InFlight, encode
-from cloverhook.gateway.spread import Spread
 
-__all__ = ["CountNews"]
+__all__ = ["CountUpdates"]
 
 DELAY_MS = 2.0
 """Changes within this time go into one datagram."""
@@ -26,20 +26,20 @@
 """A VM hears so many datagrams on changes elsewhere at most, which leaves it time for requests."""
 
 
-class CountNews:
+class CountUpdates:
     """This VM's counts on their way to others, and those of others."""
 
     def __init__(
         self,
         own_vm: str,
-        spread: Spread,
+        broadcast: Broadcast,
         members: Members,
         knowledge: Knowledge,
         on_counts: Callable[[], None],
     ) -> None:
         """`on_counts` is called when counts of another VM have come."""
         self._own_vm = own_vm
-        self._spread = spread
+        self._broadcast = broadcast
         self._members = members
         self._knowledge = knowledge
         self._on_counts = on_counts
@@ -69,15 +69,15 @@
             return
         self._repeat_due_ms = now_ms + REPEAT_MS
         data = encode(InFlight(self._own_vm, self._knowledge.board.in_flight()))
-        self._spread.to(self._members.audience(now_ms), data)
+        self._broadcast.to(self._members.audience(now_ms), data)
         if self._knowledge.crossing(now_ms):
-            self._spread.far(data, now_ms)
+            self._broadcast.far(data, now_ms)
 
-    def told(self, message: InFlight, now_ms: float) -> None:
+    def received(self, message: InFlight, now_ms: float) -> None:
         """Take all counts of another VM; endpoints that are left out have none."""
         board, vm = self._knowledge.board, message.vm
         if message.counts:
-            self._members.tells_counts(vm, now_ms)
+            self._members.sent_counts(vm, now_ms)
         before = self._told.get(vm, frozenset())
         self._told[vm] = frozenset(message.counts)
         for incarnation in before - message.counts.keys():
@@ -86,10 +86,10 @@
             board.of(incarnation).peer_has(vm, count, now_ms)
         self._on_counts()
 
-    def told_changes(self, message: CountChanges, now_ms: float) -> None:
+    def received_changes(self, message: CountChanges, now_ms: float) -> None:
         """Take the counts of another VM that have changed."""
         board, vm = self._knowledge.board, message.vm
-        self._members.tells_counts(vm, now_ms)
+        self._members.sent_counts(vm, now_ms)
         self._told[vm] = self._told.get(vm, frozenset()) | message.counts.keys()
         for incarnation, count in message.counts.items():
             board.of(incarnation).peer_has(vm, count, now_ms)
@@ -98,15 +98,15 @@
     def _tell_changed(self) -> None:
         self._timer = None
         members = self._members.count_audience(monotonic_ms())
-        self._spread.to(members, encode(self._changes(self._near_changed)))
+        self._broadcast.to(members, encode(self._changes(self._near_changed)))
 
     def _far_delay_ms(self, now_ms: float) -> float:
-        tellers = 1 + self._members.tellers(now_ms)
-        return max(FAR_DELAY_MS, 1_000.0 * tellers / FAR_HEARD_PER_S)
+        senders = 1 + self._members.senders(now_ms)
+        return max(FAR_DELAY_MS, 1_000.0 * senders / FAR_HEARD_PER_S)
 
     def _tell_far(self) -> None:
         self._far_timer = None
-        self._spread.far(encode(self._changes(self._far_changed)), monotonic_ms())
+        self._broadcast.far(encode(self._changes(self._far_changed)), monotonic_ms())
 
     def _changes(self, names: set[str]) -> CountChanges:
         """Return the counts at some endpoints, and empty the set of their names."""
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -104,9 +104,9 @@
             fleet=settings.store_address,
             requests_per_s=allowance.all_requests_per_s,
         )
-        quarantine_news = self._peering.quarantine_news
-        self._keeper = QuarantineKeeper(store, quarantine_news.quarantine, self._log)
-        quarantine_news.on_change = self._keeper.changed
+        quarantine_updates = self._peering.quarantine_updates
+        self._keeper = QuarantineKeeper(store, quarantine_updates.quarantine, self._log)
+        quarantine_updates.on_change = self._keeper.changed
         record = MemberRecord(
             settings.vm, settings.data_center, settings.caller_address, settings.peer_address
         )
@@ -114,7 +114,7 @@
             record, store, self._discovery, self._peering.add_members, self._log
         )
         self._follower = StoreFollower(
-            store, self._knowledge, self._on_news, self._log, self._counters
+            store, self._knowledge, self._on_change, self._log, self._counters
         )
         self._pool = BackendPool()
         self._prober = Prober(headers, self._on_figure)
@@ -156,10 +156,10 @@
             allowance,
             headers,
             self._members.count,
-            self._peering.count_news.changed,
-            self._peering.failure_news.failed,
-            self._peering.refusal_news.refused,
-            quarantine_news,
+            self._peering.count_updates.changed,
+            self._peering.failure_updates.failed,
+            self._peering.refusal_updates.refused,
+            quarantine_updates,
             self._peering.rate_limit_updates,
             RequestReport(self._knowledge, self._log, self._counters),
         )
@@ -239,7 +239,7 @@
         self._callers.leave()
         self._peering.leaving = True
         self._peering.ready = False
-        self._peering.beat_now()
+        self._peering.send_heartbeat()
         accept_ms = begun_ms + stop_ms * ACCEPT_SHARE
         while monotonic_ms() < accept_ms:
             await asyncio.sleep(TICK_MS / 1000)
@@ -295,7 +295,7 @@
         counters.set("members_alive", len(self._members.alive(now_ms)))
         counters.set("cut_off", int(self._members.is_cut_off(now_ms)))
         counters.set("reading_store", int(self._follower.reading))
-        quarantine = self._peering.quarantine_news.quarantine
+        quarantine = self._peering.quarantine_updates.quarantine
         counters.set("requests_suspected", len(quarantine))
         counters.set("requests_quarantined", len(quarantine.barred(now_ms)))
         counters.set("rate_limits", len(self._peering.rate_limit_updates.limits))
@@ -318,7 +318,7 @@
             now_ms = monotonic_ms()
             if watch.observe(now_ms):
                 self._log.note(Kind.PAUSED)
-                self._peering.spread.paused(now_ms)
+                self._peering.broadcast.paused(now_ms)
             try:
                 self._do_what_is_due(now_ms)
             except Exception:
@@ -341,7 +341,7 @@
             self._log.note(Kind.EVACUATION, **document, source="hold time")
         for incarnation in ended:
             self._pool.forget(incarnation)
-            self._peering.load_news.forget(incarnation)
+            self._peering.load_updates.forget(incarnation)
             self._measuring.forget(incarnation)
             self._cold_limit.forget(incarnation)
             self._peering.rate_limit_updates.forget(incarnation)
@@ -355,7 +355,7 @@
         self._probe(now_ms)
         if self._peering.reading != self._follower.reading:
             self._peering.reading = self._follower.reading
-            self._peering.beat_now()
+            self._peering.send_heartbeat()
         self._peering.tick(now_ms)
         self._peering.ask_who_is_there(now_ms)
         if now_ms >= self._sweep_due_ms:
@@ -371,8 +371,8 @@
         self._prober.sweep(known)
         self._knowledge.board.sweep(known)
         self._members.forget(now_ms)
-        self._peering.failure_news.forget(now_ms)
-        self._peering.quarantine_news.forget(now_ms)
+        self._peering.failure_updates.forget(now_ms)
+        self._peering.quarantine_updates.forget(now_ms)
         self._peering.rate_limit_updates.expire(now_ms)
 
     def _write_again_in_new_era(self) -> None:
@@ -404,7 +404,7 @@
                 config=self._knowledge.config_version,
                 servers=len(self._knowledge.registry),
             )
-            self._peering.beat_now()
+            self._peering.send_heartbeat()
 
     def _follow_or_not(self, now_ms: float) -> None:
         wanted = self._members.reads_store(self._follower.reading, now_ms)
@@ -419,11 +419,11 @@
         alive = self._members.alive(now_ms)
         return sum(1 for member in alive if member.reading) >= READERS
 
-    def _on_news(self, touched: tuple[str, ...], base_version: int) -> None:
+    def _on_change(self, touched: tuple[str, ...], base_version: int) -> None:
         """Pass on what the store has told; the registry's version was `base_version` before."""
         knowledge = self._knowledge
         if not touched:
-            self._peering.beat_now(has_news=True)
+            self._peering.send_heartbeat(has_update=True)
             return
         version = knowledge.registry.version
         self._log.note(
@@ -433,7 +433,7 @@
             touched=touched[:8],
             digest=knowledge.registry.digest(),
         )
-        self._peering.tell_servers(base_version, touched)
+        self._peering.broadcast_changes(base_version, touched)
 
     def _probe(self, now_ms: float) -> None:
         """Start the probes that are due."""
@@ -450,7 +450,7 @@
         load = self._knowledge.board.of(server.incarnation)
         before = load.figure
         load.measured(figure, at_ms)
-        self._peering.load_news.add(server.incarnation, figure, at_ms)
+        self._peering.load_updates.add(server.incarnation, figure, at_ms)
         self._forwarder.pace_changed(server.incarnation)
         if before is None or before.reachable != figure.reachable:
             self._log.note(
--- a/cloverhook/gateway/failure_news.py
+++ b/cloverhook/gateway/failure_updates.py
@@ -7,13 +7,13 @@
 import asyncio
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.event_log import EventLog, Kind
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.peer_messages import Failures, encode
-from cloverhook.gateway.spread import Spread
 from cloverhook.gateway.trust import ANSWERED_MS, Accusations
 
-__all__ = ["FailureNews"]
+__all__ = ["FailureUpdates"]
 
 FLUSH_MS = 5.0
 """Failures within this time go into one datagram; other VMs place few requests meanwhile."""
@@ -21,12 +21,14 @@
 """A datagram should fit into one packet."""
 
 
-class FailureNews:
+class FailureUpdates:
     """Failures that wait for the next datagram, and the effect of those that are told."""
 
-    def __init__(self, own_vm: str, spread: Spread, knowledge: Knowledge, log: EventLog) -> None:
+    def __init__(
+        self, own_vm: str, broadcast: Broadcast, knowledge: Knowledge, log: EventLog
+    ) -> None:
         self._own_vm = own_vm
-        self._spread = spread
+        self._broadcast = broadcast
         self._knowledge = knowledge
         self._log = log
         self._accusations = Accusations()
@@ -48,14 +50,14 @@
         if self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(FLUSH_MS / 1000, self._flush)
 
-    def told(self, message: Failures, now_ms: float) -> None:
+    def received(self, message: Failures, now_ms: float) -> None:
         """Take what another VM tells."""
         for incarnation, age_ms, answered in message.rows[:ROWS_LIMIT]:
             known = self._knowledge.registry.get(incarnation) is not None
             if not known or not self._is_believed(message.vm, incarnation, now_ms):
                 continue
             trust = self._knowledge.board.of(incarnation).trust
-            if trust.told(now_ms, now_ms - age_ms, answered):
+            if trust.peer_failed(now_ms, now_ms - age_ms, answered):
                 self._note(incarnation, message.vm)
 
     def forget(self, now_ms: float) -> None:
@@ -77,5 +79,5 @@
         ]
         self._waiting.clear()
         data = encode(Failures(self._own_vm, rows[:ROWS_LIMIT]))
-        self._spread.to_audience(data, now_ms)
-        self._spread.far(data, now_ms)
+        self._broadcast.to_audience(data, now_ms)
+        self._broadcast.far(data, now_ms)
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -19,7 +19,7 @@
 from cloverhook.gateway.final_answer import error_answer, final_kind
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import SLOW_PACE
-from cloverhook.gateway.quarantine_news import QuarantineNews
+from cloverhook.gateway.quarantine_updates import QuarantineUpdates
 from cloverhook.gateway.rate_limit_updates import RateLimitUpdates
 from cloverhook.gateway.registry import BackendServer
 from cloverhook.gateway.request_report import RequestReport
@@ -68,7 +68,7 @@
         on_count: Callable[[str], None],
         on_failure: Callable[[str, float], None],
         on_refusal: Callable[[str], None],
-        quarantine_news: QuarantineNews,
+        quarantine_updates: QuarantineUpdates,
         rate_limit_updates: RateLimitUpdates,
         report: RequestReport,
     ) -> None:
@@ -81,7 +81,7 @@
         self._on_count = on_count
         self._on_failure = on_failure
         self._on_refusal = on_refusal
-        self._quarantine_news = quarantine_news
+        self._quarantine_updates = quarantine_updates
         self._rate_limit_updates = rate_limit_updates
         self._report = report
         self._estimates = estimates
@@ -152,7 +152,7 @@
                 self._judge(run, task.result(), attempt)
             good = next((item for item in run.results if not item.failed), None)
             if good is not None:
-                self._quarantine_news.served(run.keys)
+                self._quarantine_updates.served(run.keys)
                 self._measured(run, good)
                 return good.answer
             if monotonic_ms() >= run.deadline_ms:
@@ -171,10 +171,10 @@
         While another VM sends a request with the same content, this one waits for what becomes of
         it, as long as it may still be answered in time.
         """
-        news, aim_ms = self._quarantine_news, run.route.aim_ms
-        if await news.admit(run.keys, run.request.arrived_ms + VERDICT_SHARE * aim_ms):
+        updates, aim_ms = self._quarantine_updates, run.route.aim_ms
+        if await updates.admit(run.keys, run.request.arrived_ms + VERDICT_SHARE * aim_ms):
             return True
-        run.quarantined_ms = news.quarantine.left_ms(run.keys, monotonic_ms())
+        run.quarantined_ms = updates.quarantine.left_ms(run.keys, monotonic_ms())
         return False
 
     def _judge(self, run: RequestRun, result: AttemptResult, attempt: Attempt) -> None:
@@ -185,7 +185,7 @@
             self._on_refusal(incarnation)
         if result.crashed and not self._was_leaving(incarnation):
             known = run.crashes_known[incarnation]
-            self._quarantine_news.crashed(run.keys, known, incarnation)
+            self._quarantine_updates.crashed(run.keys, known, incarnation)
         if result.at_fault:
             self._on_failure(incarnation, attempt.began_ms)
         elif not result.failed:
@@ -322,9 +322,9 @@
         """Return why a request that was placed must not be sent after all, or nothing."""
         if not self._balancer.may_get(server):
             return "its data centre is evacuated"
-        if not self._quarantine_news.begin(run.keys):
+        if not self._quarantine_updates.begin(run.keys):
             return "endpoints crashed under requests with this content"
-        known = self._quarantine_news.quarantine.crashes(run.keys)
+        known = self._quarantine_updates.quarantine.crashes(run.keys)
         run.crashes_known[server.incarnation] = known
         return ""
 
@@ -371,7 +371,7 @@
             and len(run.tasks) == 1
             and len(run.attempts) < SENDS_LIMIT
             and run.maybe_runs < run.route.attempts
-            and not any(self._quarantine_news.quarantine.crashes(run.keys))
+            and not any(self._quarantine_updates.quarantine.crashes(run.keys))
         )
 
     def _wants_hedge(self, run: RequestRun) -> bool:
--- a/cloverhook/gateway/beat_pace.py
+++ b/cloverhook/gateway/heartbeat_pace.py
@@ -1,14 +1,15 @@
 """Decides how often this VM tells the others that it lives, and how soon it hears them.
 
-Layer: coordination.  In a small fleet all beat often.  In a crowded data centre those that callers
-are sent to, and the next ones, beat once a second, so that a dead one is replaced soon.  The others
-are needed for little, and there may be hundreds of them: they beat the more seldom the more VMs
-there are, and to their neighbours alone, so that what a VM hears does not grow with the fleet.
+Layer: coordination.  In a small fleet all send heartbeats often.  In a crowded data centre those
+that callers are sent to, and the next ones, do so once a second, so that a dead one is replaced
+soon.  The others are needed for little, and there may be hundreds of them: they do so the more
+seldom the more VMs there are, and to their neighbours alone, so that what a VM hears does not grow
+with the fleet.
 """
 
 from cloverhook.gateway.members import Members
 
-__all__ = ["BeatPace"]
+__all__ = ["HeartbeatPace"]
 
 NEAR_MS = 400.0
 """A dead neighbour should get no callers after a few of these."""
@@ -16,7 +17,7 @@
 """Bytes between data centres are paid for, so members there hear less often."""
 CROWD_NEAR_MS = 1_000.0
 CROWD_FAR_MS = 3_000.0
-"""What a VM hears grows with the number of those that beat; these are 20 of a data centre."""
+"""What a VM hears grows with the number of those that heartbeat; these are 20 of a data centre."""
 STANDBY_NEAR_MS = 3_000.0
 """A standby VM that died is missed by nobody; the next one in the order takes its turn."""
 STANDBY_NEAR_MS_A_VM = 60.0
@@ -26,11 +27,11 @@
 STANDBY_HEARS_MS = 100.0
 """One that does not may learn later still; a change has to be in force within two seconds."""
 READER_MS = 300.0
-"""Another VM reads the store when it has missed three of a reader's beats."""
+"""Another VM reads the store when it has missed three of a reader's heartbeats."""
 
 
-class BeatPace:
-    """The time from one beat of this VM to its next."""
+class HeartbeatPace:
+    """The time from one heartbeat of this VM to its next."""
 
     def __init__(self, members: Members) -> None:
         self._members = members
@@ -51,8 +52,8 @@
             return READER_MS
         return CROWD_FAR_MS if self._members.crowded() else FAR_MS
 
-    def beats_far(self, reading: bool, now_ms: float) -> bool:
-        """Return whether the other data centres hear this VM: they need a few that pass on news."""
+    def is_heard_far(self, reading: bool, now_ms: float) -> bool:
+        """Return whether other data centres hear this VM: they need a few that relay."""
         return reading or self._members.is_informed(now_ms)
 
     def hears_ms(self, has_requests: bool, now_ms: float) -> float:
--- a/cloverhook/gateway/load.py
+++ b/cloverhook/gateway/load.py
@@ -270,7 +270,7 @@
             del self._loads[incarnation]
 
     def sweep(self, known: Callable[[str], object]) -> None:
-        """Forget every incarnation that is not `known`: news of one may outlive it."""
+        """Forget every incarnation that is not `known`: updates on one may come late."""
         for incarnation in tuple(self._loads):
             if not known(incarnation):
                 self.forget(incarnation)
--- a/cloverhook/gateway/load_news.py
+++ b/cloverhook/gateway/load_updates.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.load import LoadFigure
 from cloverhook.gateway.peer_messages import Loads, encode
-from cloverhook.gateway.spread import Spread
 
-__all__ = ["LoadNews"]
+__all__ = ["LoadUpdates"]
 
 FLUSH_MS = 4.0
 """Answers to probes that were sent together come within about this time."""
@@ -38,13 +38,13 @@
 Measured = dict[str, tuple[LoadFigure, float]]
 
 
-class LoadNews:
+class LoadUpdates:
     """Figures that wait for the next datagram; times are on the monotonic clock."""
 
     def __init__(
         self,
         own_vm: str,
-        spread: Spread,
+        broadcast: Broadcast,
         crowded: Callable[[], bool] = lambda: False,
         crossing: Callable[[float], bool] = lambda now_ms: False,
     ) -> None:
@@ -55,7 +55,7 @@
         self._crossing = crossing
         self._own_vm = own_vm
         self._crowded = crowded
-        self._spread = spread
+        self._broadcast = broadcast
         self._near: Measured = {}
         self._far: Measured = {}
         self._far_sent: Measured = {}
@@ -86,14 +86,14 @@
         self._timer = None
         now_ms = monotonic_ms()
         for data in self._datagrams(self._near, now_ms):
-            self._spread.to_audience(data, now_ms)
+            self._broadcast.to_audience(data, now_ms)
         self._near.clear()
 
     def _flush_far(self) -> None:
         self._far_timer = None
         now_ms = monotonic_ms()
         for data in self._datagrams(self._far, now_ms):
-            self._spread.far(data, now_ms)
+            self._broadcast.far(data, now_ms)
         self._far.clear()
 
     def _datagrams(self, measured: Measured, now_ms: float) -> list[bytes]:
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -13,22 +13,22 @@
 from math import ceil
 from typing import Protocol
 
-from cloverhook.gateway.peer_messages import Beat
+from cloverhook.gateway.peer_messages import Heartbeat
 from cloverhook.gateway.ranking import rank_weight
 
 __all__ = ["READERS", "KnownVersions", "Member", "Members"]
 
 SILENT_MS = 2_500.0
-"""A member unheard for this long gets no callers: two beats of the slow kind were lost."""
+"""A member unheard for this long gets no callers: two heartbeats of the slow kind were lost."""
 CROWD_VMS = 16
 """With more neighbours than this, messages that grow with their square are saved."""
-SILENT_BEATS = 2.5
-"""A member of another data centre that beats more seldom may miss two beats as well."""
+SILENT_HEARTBEATS = 2.5
+"""A member of another data centre whose heartbeats are more seldom may miss two of them as well."""
 NAMED_NEAR_VMS = 12
 """So many live VMs of the own data centre are enough for callers; they are known best."""
 NAMED_MS = 5_000.0
-"""A VM that was not heard for this long is named to no caller, however seldom it beats and however
-many others are silent too: callers would try the addresses of dead VMs for as long."""
+"""A VM that was not heard for this long is named to no caller, however seldom its heartbeats come
+and however many others are silent too: callers would try the addresses of dead VMs for as long."""
 SERVING_VMS = 12
 """Of a crowded data centre so many VMs at least are named to callers.  They tell each other what
 they have in flight, which all of them could not; who knows that fills no full endpoint."""
@@ -41,18 +41,18 @@
 of them places requests well from its first one on, and the serving ones are spared the probes."""
 SERVING_MS = 100.0
 """The order is worked out anew after this time."""
-TELLER_MS = 2_000.0
+SENDER_MS = 2_000.0
 """A neighbour that has had requests within this time is told of those of others."""
 RECENT_MS = 3_500.0
-"""A VM that was heard within this time passes on news: one that is dead does so for no longer."""
+"""A VM that was heard within this time relays messages: one that is dead does so for no longer."""
 READERS = 2
 READER_SILENT_MS = 900.0
-"""Without a word of enough readers for this long, another VM reads: two beats were lost."""
+"""Without a word of enough readers for this long, another VM reads: two heartbeats were lost."""
 TAKEOVER_STEP_MS = 150.0
 """Each rank waits this much longer before it reads, so that the first one is heard by the rest."""
 RANKED_MS = 7_500.0
-"""A VM that was not heard for this long is not waited for, however seldom it beats: one that is cut
-off from all others would wait for hundreds."""
+"""A VM that was not heard for this long is not waited for, however seldom its heartbeats come: one
+that is cut off from all others would wait for hundreds."""
 ALONE_MS = 600.0
 """A VM of a crowded data centre hears dozens of messages a second.  One that has heard none for so
 long is cut off, which the silence of single members would show after two seconds more."""
@@ -87,7 +87,7 @@
 
 
 class KnownVersions(Protocol):
-    """The versions of a state, as a member or a beat names them."""
+    """The versions of a state, as a member or a heartbeat names them."""
 
     config_version: int
     registry_version: int
@@ -102,7 +102,7 @@
         self.data_center = data_center
         self._members: dict[str, Member] = {}
         self._near: dict[str, Member] = {}
-        self._told_ms: dict[str, float] = {}
+        self._counts_ms: dict[str, float] = {}
         self._enough_readers_ms = now_ms
         self._was_read = False
         self._serving: tuple[str, ...] = ()
@@ -129,41 +129,41 @@
         """Return a member that has introduced itself."""
         return self._members.get(vm)
 
-    def heard(self, beat: Beat, now_ms: float) -> bool:
+    def heard(self, heartbeat: Heartbeat, now_ms: float) -> bool:
         """Take a sign of life; return whether the VM or its process is new, or was silent.
 
         Incarnations are compared, never ordered: clocks may step back between two starts.
         """
-        member = self._members.get(beat.vm)
-        new = member is None or member.incarnation != beat.incarnation
+        member = self._members.get(heartbeat.vm)
+        new = member is None or member.incarnation != heartbeat.incarnation
         back = new or not member.is_alive(now_ms)
         if new:
             member = Member(
-                beat.vm,
-                beat.incarnation,
-                beat.data_center,
-                beat.caller_address,
-                beat.peer_address,
+                heartbeat.vm,
+                heartbeat.incarnation,
+                heartbeat.data_center,
+                heartbeat.caller_address,
+                heartbeat.peer_address,
                 now_ms,
             )
             self._put(member)
         member.heard_ms = self._any_heard_ms = now_ms
-        member.silent_ms = max(SILENT_MS, SILENT_BEATS * beat.every_ms)
-        member.ready = beat.ready
-        member.reading = beat.reading
-        member.leaving = beat.leaving
-        member.requests_per_s = beat.requests_per_s
-        member.near_vms = beat.near_vms
-        member.config_version = max(member.config_version, beat.config_version)
-        member.registry_version = max(member.registry_version, beat.registry_version)
+        member.silent_ms = max(SILENT_MS, SILENT_HEARTBEATS * heartbeat.every_ms)
+        member.ready = heartbeat.ready
+        member.reading = heartbeat.reading
+        member.leaving = heartbeat.leaving
+        member.requests_per_s = heartbeat.requests_per_s
+        member.near_vms = heartbeat.near_vms
+        member.config_version = max(member.config_version, heartbeat.config_version)
+        member.registry_version = max(member.registry_version, heartbeat.registry_version)
         member.registry_as_of = max(
-            member.registry_as_of, beat.registry_as_of, beat.registry_version
+            member.registry_as_of, heartbeat.registry_as_of, heartbeat.registry_version
         )
-        member.evacuation_version = max(member.evacuation_version, beat.evacuation_version)
-        if beat.reading:
-            self._readers[beat.vm] = member
+        member.evacuation_version = max(member.evacuation_version, heartbeat.evacuation_version)
+        if heartbeat.reading:
+            self._readers[heartbeat.vm] = member
         else:
-            self._readers.pop(beat.vm, None)
+            self._readers.pop(heartbeat.vm, None)
         return back
 
     def hears(self, now_ms: float) -> None:
@@ -271,13 +271,13 @@
         ready = [item for item in self._members.values() if item.ready and not item.leaving]
         return (*(item.vm for item in _heard_or_all(ready, now_ms)), self._own_vm)
 
-    def tells_counts(self, vm: str, now_ms: float) -> None:
+    def sent_counts(self, vm: str, now_ms: float) -> None:
         """Note that a VM has requests in flight: it places them, whether callers are sent to it."""
-        self._told_ms[vm] = now_ms
+        self._counts_ms[vm] = now_ms
 
-    def tellers(self, now_ms: float) -> int:
+    def senders(self, now_ms: float) -> int:
         """Return how many other VMs, of whichever data centre, have told counts lately."""
-        return sum(1 for at_ms in self._told_ms.values() if at_ms > now_ms - TELLER_MS)
+        return sum(1 for at_ms in self._counts_ms.values() if at_ms > now_ms - SENDER_MS)
 
     def count_audience(self, now_ms: float) -> list[Member]:
         """Return the live neighbours that place requests, and so are told the counts in flight.
@@ -297,9 +297,9 @@
         """Return the live neighbours of these names, and those that have told counts lately."""
         if not self.crowded():
             return [item for item in self._near.values() if item.is_alive(now_ms)]
-        since_ms = now_ms - TELLER_MS
-        self._told_ms = {vm: at_ms for vm, at_ms in self._told_ms.items() if at_ms > since_ms}
-        found = (self._near.get(vm) for vm in {*named, *self._told_ms})
+        since_ms = now_ms - SENDER_MS
+        self._counts_ms = {vm: at_ms for vm, at_ms in self._counts_ms.items() if at_ms > since_ms}
+        found = (self._near.get(vm) for vm in {*named, *self._counts_ms})
         return [item for item in found if item is not None and item.is_alive(now_ms)]
 
     def _serves(self, vm: str, now_ms: float) -> bool:
@@ -317,7 +317,7 @@
     def holders(self, knows: Callable[[Member], bool], now_ms: float) -> list[Member]:
         """Return the neighbours that know something, by what they said; best those heard lately.
 
-        Some beat so seldom that a dead one counts as alive for long.
+        Some send heartbeats so seldom that a dead one counts as alive for long.
         """
         found = [item for item in self.near() if item.is_alive(now_ms) and knows(item)]
         return [item for item in found if now_ms - item.heard_ms < RECENT_MS] or found
@@ -342,9 +342,10 @@
         }
 
     def relays(self, now_ms: float) -> dict[str, list[Member]]:
-        """Return the VMs of each other data centre that are likely to pass on news.
+        """Return the VMs of each other data centre that are likely to relay messages.
 
-        They were heard a moment ago: some beat so seldom that a dead one counts as alive for long.
+        They were heard a moment ago: some send heartbeats so seldom that a dead one counts as
+        alive for long.
         """
         if now_ms >= self._relays_due_ms:
             self._relays_due_ms = now_ms + SERVING_MS
@@ -394,7 +395,8 @@
 
     A VM that suddenly hears less than half of the others is more likely cut off itself.  Callers
     still reach those, and should not be sent to the one VM that knows least.  It shows first in
-    those that beat often: others count as alive for seconds more, and know no load figures.
+    those with frequent heartbeats: others count as alive for seconds more, and know no load
+    figures.
     """
     if _most_silent(members, now_ms):
         return members
@@ -402,7 +404,7 @@
 
 
 def _most_silent(members: list[Member], now_ms: float) -> bool:
-    """Return whether most members are silent, or most of those that beat often."""
+    """Return whether most members are silent, or most of those with frequent heartbeats."""
     often = [item for item in members if item.silent_ms <= SILENT_MS]
     for group in (often, members):
         if sum(1 for item in group if item.is_alive(now_ms)) < MAJORITY * len(group):
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -20,7 +20,7 @@
 from cloverhook.gateway.registry import REGISTRY_DOCUMENT
 
 __all__ = [
-    "Beat",
+    "Heartbeat",
     "CountChanges",
     "Failures",
     "IS_REGISTRY_DOCUMENT",
@@ -57,11 +57,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Beat:
+class Heartbeat:
     """A sign of life: who sends it, what it does and which versions it knows.
 
-    `reading` says that it follows the store now, and `every_ms` how often it beats to another data
-    centre; `wants_answer` asks for a beat in return; `requests_per_s` is what callers send it.
+    `reading` says that it follows the store now, and `every_ms` how often another data centre gets
+    one; `wants_answer` asks for one in return; `requests_per_s` is what callers send the VM.
     `near_vms` is how many VMs of its data centre it knows, itself included.  `evacuation_version`
     is the offset as of which it knows the evacuated data centres.  Up to the `as_of` positions it
     knows all that the store's logs hold; the versions are those of the last changes there.
@@ -218,7 +218,7 @@
 
 
 PeerMessage = (
-    Beat
+    Heartbeat
     | Loads
     | ServerChanges
     | InFlight
@@ -230,7 +230,7 @@
     | RateLimitUpdate
 )
 KINDS: tuple[type, ...] = (
-    Beat,
+    Heartbeat,
     Loads,
     ServerChanges,
     InFlight,
@@ -242,10 +242,11 @@
     RateLimitUpdate,
 )
 PLAIN_FIELDS = {
-    kind: tuple(item.name for item in fields(kind)) for kind in (Beat, Relay, Failures, Refusals)
+    kind: tuple(item.name for item in fields(kind))
+    for kind in (Heartbeat, Relay, Failures, Refusals)
 }
 """The kinds whose fields follow each other in a datagram as they are."""
-BEAT_CHECKS = tuple((name, checker(kind)) for name, kind in table_of(Beat).fields.items())
+HEARTBEAT_CHECKS = tuple((name, checker(kind)) for name, kind in table_of(Heartbeat).fields.items())
 IS_REGISTRY_DOCUMENT = checker(REGISTRY_DOCUMENT)
 
 
@@ -289,8 +290,8 @@
 def _is_sound(message: PeerMessage) -> bool:
     """Return whether the fields of a message have the right types, so far as decoding left open."""
     match message:
-        case Beat():
-            return all(accepts(getattr(message, name)) for name, accepts in BEAT_CHECKS)
+        case Heartbeat():
+            return all(accepts(getattr(message, name)) for name, accepts in HEARTBEAT_CHECKS)
         case ServerChanges():
             base_is_sound = type(message.base_version) is int
             return base_is_sound and IS_REGISTRY_DOCUMENT(message.document)
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -1,9 +1,9 @@
 """What gateways tell each other: that they live, what they know, and how loaded endpoints are.
 
-Layer: transport.  Each beat names the versions that its sender knows; whoever is behind asks that
-sender for its state.  So news reaches every VM from the one that reads the store, and a VM that
-cannot reach the store lives on what its peers hold.  A state that has come from another data centre
-is told to the neighbours at once, so that they need not fetch it from there too.
+Layer: transport.  Each heartbeat names the versions that its sender knows; whoever is behind asks
+that sender for its state.  So changes reach every VM from the one that reads the store, and a VM
+that cannot reach the store lives on what its peers hold.  A state that has come from another data
+centre is told to the neighbours at once, so that they need not fetch it from there too.
 """
 
 import asyncio
@@ -15,20 +15,21 @@
 from cloverhook.checking import Address, Items, faults_of
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
-from cloverhook.gateway.beat_pace import BeatPace
+from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.config_sender import ConfigSender
-from cloverhook.gateway.count_news import CountNews
+from cloverhook.gateway.count_updates import CountUpdates
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.event_log import EventLog, Kind
-from cloverhook.gateway.failure_news import FailureNews
+from cloverhook.gateway.failure_updates import FailureUpdates
+from cloverhook.gateway.heartbeat_pace import HeartbeatPace
 from cloverhook.gateway.knowledge import Knowledge
-from cloverhook.gateway.load_news import LoadNews
+from cloverhook.gateway.load_updates import LoadUpdates
 from cloverhook.gateway.members import Member, Members
 from cloverhook.gateway.peer_link import Answer, PeerLink
 from cloverhook.gateway.peer_messages import (
-    Beat,
     CountChanges,
     Failures,
+    Heartbeat,
     Identity,
     InFlight,
     Loads,
@@ -41,11 +42,10 @@
     decode,
     encode,
 )
-from cloverhook.gateway.quarantine_news import QuarantineNews
+from cloverhook.gateway.quarantine_updates import QuarantineUpdates
 from cloverhook.gateway.rate_limit_updates import RateLimitUpdates
 from cloverhook.gateway.rate_limits import RateLimits
-from cloverhook.gateway.refusal_news import RefusalNews
-from cloverhook.gateway.spread import Spread
+from cloverhook.gateway.refusal_updates import RefusalUpdates
 from cloverhook.gateway.state_fetch import StateFetch, state_for
 from cloverhook.gateway.store import MemberRecord
 from cloverhook.gateway.transfer_queue import Asker, Refer
@@ -101,26 +101,26 @@
             self._on_message, self._answer, self._on_garbage, fleet, self._hears_ms
         )
         self._config_sender = ConfigSender(own.data_center)
-        self.spread = Spread(own.vm, self.link, members)
-        self.load_news = LoadNews(own.vm, self.spread, members.crowded, knowledge.crossing)
-        self.failure_news = FailureNews(own.vm, self.spread, knowledge, log)
-        self.count_news = CountNews(own.vm, self.spread, members, knowledge, on_counts)
-        self.refusal_news = RefusalNews(
-            own.vm, self.spread, knowledge.board, knowledge.registry.get
+        self.broadcast = Broadcast(own.vm, self.link, members)
+        self.load_updates = LoadUpdates(own.vm, self.broadcast, members.crowded, knowledge.crossing)
+        self.failure_updates = FailureUpdates(own.vm, self.broadcast, knowledge, log)
+        self.count_updates = CountUpdates(own.vm, self.broadcast, members, knowledge, on_counts)
+        self.refusal_updates = RefusalUpdates(
+            own.vm, self.broadcast, knowledge.board, knowledge.registry.get
         )
-        self.quarantine_news = QuarantineNews(own.vm, self.spread, members, log)
+        self.quarantine_updates = QuarantineUpdates(own.vm, self.broadcast, members, log)
         self.rate_limit_updates = RateLimitUpdates(
-            own.vm, self.spread, RateLimits(own.vm, members.placing), knowledge, log, counters
+            own.vm, self.broadcast, RateLimits(own.vm, members.placing), knowledge, log, counters
         )
         self._started_ms = monotonic_ms()
         self._requests_per_s = requests_per_s
-        self._pace = BeatPace(members)
+        self._pace = HeartbeatPace(members)
         self._addresses: dict[str, str | None] = {}
         self._greeted_since_ms: dict[str, float] = {}
         self._near_due_ms = 0.0
         self._far_due_ms = 0.0
         self._relays = 1
-        self._has_news = False
+        self._has_update = False
         self._greet_due_ms = 0.0
         self._states = StateFetch(
             knowledge,
@@ -151,35 +151,35 @@
         self._greet_due_ms = 0.0
 
     def tick(self, now_ms: float) -> None:
-        """Send the beats and greetings that are due."""
+        """Send the heartbeats and greetings that are due."""
         if now_ms >= self._greet_due_ms:
             first = now_ms - self._started_ms < FIRST_GREETS_MS
             self._greet_due_ms = now_ms + (FIRST_GREET_MS if first else GREET_MS)
             self._greet(now_ms)
-        self.count_news.repeat(now_ms)
+        self.count_updates.repeat(now_ms)
         if now_ms >= self._near_due_ms:
             every_ms = self._pace.near_ms(self.reading, now_ms)
             self._near_due_ms = now_ms + every_ms
-            self.spread.near(encode(self._beat(every_ms)), now_ms)
+            self.broadcast.near(encode(self._heartbeat(every_ms)), now_ms)
         if now_ms >= self._far_due_ms:
             every_ms = self._pace.far_ms(self.reading, now_ms)
             self._far_due_ms = now_ms + every_ms
-            data = encode(self._beat(every_ms))
+            data = encode(self._heartbeat(every_ms))
             relays, self._relays = self._relays, 1
-            has_news, self._has_news = self._has_news, False
-            if has_news or self._pace.beats_far(self.reading, now_ms):
-                self.spread.far(data, now_ms, relays)
+            has_update, self._has_update = self._has_update, False
+            if has_update or self._pace.is_heard_far(self.reading, now_ms):
+                self.broadcast.far(data, now_ms, relays)
             silent = (item for item in self._members.near() if not item.is_alive(now_ms))
-            self.spread.to(silent, data)
+            self.broadcast.to(silent, data)
 
-    def beat_now(self, has_news: bool = False) -> None:
-        """Beat at once: this VM has changed, or with `has_news` what it knows, which all want."""
+    def send_heartbeat(self, has_update: bool = False) -> None:
+        """Send a heartbeat soon, with `has_update` to all, as this VM knows something new."""
         self._near_due_ms = self._far_due_ms = 0.0
-        self._has_news |= has_news
+        self._has_update |= has_update
         if self._members.crowded():
             self._relays = CHANGE_RELAYS
 
-    def tell_servers(self, base_version: int, touched: tuple[str, ...]) -> None:
+    def broadcast_changes(self, base_version: int, touched: tuple[str, ...]) -> None:
         """Send what has changed in the registry to everyone, if it fits into a datagram.
 
         `base_version` is the registry's version before the change: who is behind that one lacks
@@ -189,18 +189,18 @@
         document = self._knowledge.registry.to_document(now_ms, touched)
         data = encode(ServerChanges(self._own.vm, base_version, document))
         if len(data) > DATAGRAM_BYTES:
-            self.beat_now(has_news=True)
+            self.send_heartbeat(has_update=True)
             return
-        self.spread.near(data, now_ms)
-        self.spread.far(data, now_ms, relays=CHANGE_RELAYS)
+        self.broadcast.near(data, now_ms)
+        self.broadcast.far(data, now_ms, relays=CHANGE_RELAYS)
 
-    def _beat(self, every_ms: float | None = None, wants_answer: bool = False) -> Beat:
+    def _heartbeat(self, every_ms: float | None = None, wants_answer: bool = False) -> Heartbeat:
         """Return a sign of life; one out of turn counts until the next one that is due."""
         own, knowledge, now_ms = self._own, self._knowledge, monotonic_ms()
         if every_ms is None:
             near_ms = self._pace.near_ms(self.reading, now_ms)
             every_ms = max(near_ms, self._pace.far_ms(self.reading, now_ms))
-        return Beat(
+        return Heartbeat(
             own.vm,
             own.incarnation,
             own.data_center,
@@ -210,13 +210,13 @@
             self.reading,
             self.leaving,
             knowledge.config_version,
-            knowledge.registry.told_version,
+            knowledge.registry.claimed_version,
             every_ms,
             wants_answer,
             round(self._requests_per_s(now_ms)),
             1 + self._members.near_count(),
             knowledge.evacuations.version,
-            knowledge.registry.as_of if knowledge.registry.told_version >= 0 else -1,
+            knowledge.registry.as_of if knowledge.registry.claimed_version >= 0 else -1,
             knowledge.config_as_of,
         )
 
@@ -225,7 +225,7 @@
         return self._pace.hears_ms(self._knowledge.board.has_requests(), monotonic_ms())
 
     def _greet(self, now_ms: float) -> None:
-        """Ask for a beat from the addresses that have never sent one.
+        """Ask for a heartbeat from the addresses that have never sent one.
 
         Where nobody lives in another data centre, its silent VMs are asked too.
         """
@@ -248,7 +248,7 @@
         for addresses in far.values():
             found += random.sample(addresses, min(GREET_FAR, len(addresses)))
         if found:
-            data = encode(self._beat(wants_answer=True))
+            data = encode(self._heartbeat(wants_answer=True))
             for address in found:
                 self.link.send_encoded(address, data)
 
@@ -294,22 +294,22 @@
         now_ms = monotonic_ms()
         self._members.hears(now_ms)
         match message:
-            case Beat():
-                self._on_beat(message, now_ms, relayed)
+            case Heartbeat():
+                self._on_heartbeat(message, now_ms, relayed)
             case Loads():
                 for incarnation, figure, age_ms in message.figures:
                     self._knowledge.board.of(incarnation).measured(figure, now_ms - age_ms)
                     self._on_figure(incarnation)
             case InFlight():
-                self.count_news.told(message, now_ms)
+                self.count_updates.received(message, now_ms)
             case CountChanges():
-                self.count_news.told_changes(message, now_ms)
+                self.count_updates.received_changes(message, now_ms)
             case Failures():
-                self.failure_news.told(message, now_ms)
+                self.failure_updates.received(message, now_ms)
             case Refusals():
-                self.refusal_news.told(message, now_ms)
+                self.refusal_updates.received(message, now_ms)
             case Suspicions():
-                self.quarantine_news.told(message, now_ms)
+                self.quarantine_updates.received(message, now_ms)
             case RateLimitUpdate():
                 self.rate_limit_updates.received(message, now_ms)
             case ServerChanges():
@@ -326,29 +326,31 @@
         if isinstance(inner, Relay):
             self._on_garbage(sender, MessageError("a relay within a relay"))
             return
-        self.spread.relay(message, now_ms, audience_only=isinstance(inner, FOR_THE_AUDIENCE))
+        self.broadcast.relay(message, now_ms, audience_only=isinstance(inner, FOR_THE_AUDIENCE))
         self._on_message(inner, sender, relayed=True)
 
-    def _on_beat(self, beat: Beat, now_ms: float, relayed: bool) -> None:
-        back = self._members.heard(beat, now_ms)
-        near = beat.data_center == self._own.data_center
+    def _on_heartbeat(self, heartbeat: Heartbeat, now_ms: float, relayed: bool) -> None:
+        back = self._members.heard(heartbeat, now_ms)
+        near = heartbeat.data_center == self._own.data_center
         if back:
-            self._log.note(Kind.MEMBER, member=beat.vm, state="joined", at=beat.peer_address)
-            self.quarantine_news.welcome(self._members.get(beat.vm), now_ms)
-        if beat.wants_answer or (back and near):
-            self.link.send_encoded(beat.peer_address, encode(self._beat()))
-        if self._states.is_behind(beat):
-            self._states.catch_up(beat.vm, near or relayed)
-        self._hear_positions(beat, now_ms)
+            self._log.note(
+                Kind.MEMBER, member=heartbeat.vm, state="joined", at=heartbeat.peer_address
+            )
+            self.quarantine_updates.welcome(self._members.get(heartbeat.vm), now_ms)
+        if heartbeat.wants_answer or (back and near):
+            self.link.send_encoded(heartbeat.peer_address, encode(self._heartbeat()))
+        if self._states.is_behind(heartbeat):
+            self._states.catch_up(heartbeat.vm, near or relayed)
+        self._hear_positions(heartbeat, now_ms)
 
-    def _hear_positions(self, beat: Beat, now_ms: float) -> None:
+    def _hear_positions(self, heartbeat: Heartbeat, now_ms: float) -> None:
         """Take a VM's word on how far in the store's logs it knows of no further change."""
         knowledge = self._knowledge
-        knowledge.registry.heard(beat.registry_version, beat.registry_as_of)
-        if beat.reading:
-            knowledge.registry.confirm(beat.registry_version, now_ms)
+        knowledge.registry.heard(heartbeat.registry_version, heartbeat.registry_as_of)
+        if heartbeat.reading:
+            knowledge.registry.confirm(heartbeat.registry_version, now_ms)
         knowledge.heard_config_as_of(
-            beat.config_version, beat.evacuation_version, beat.config_as_of
+            heartbeat.config_version, heartbeat.evacuation_version, heartbeat.config_as_of
         )
 
     def _on_changes(self, changes: ServerChanges, now_ms: float, relayed: bool) -> None:
@@ -376,7 +378,7 @@
         elif self._members.crowded():
             near = self._members.near()
             told = random.sample(near, min(HOLDERS_TOLD, len(near)))
-            self.spread.to(told, encode(self._beat()))
+            self.broadcast.to(told, encode(self._heartbeat()))
 
     async def _answer(self, asked: dict[str, Any]) -> Answer:
         """Return what a peer asks for; the configuration may have to wait for its turn."""
--- a/cloverhook/gateway/quarantine.py
+++ b/cloverhook/gateway/quarantine.py
@@ -132,16 +132,16 @@
 
         `known` are the crashes that were known when it was sent.  Returns what to tell the others.
         """
-        news = []
+        update = []
         for key, before in zip(keys, known, strict=True):
             if self._served.has(key, now_ms):
                 continue
             item = self._suspects.get(key)
             if item is None or before + 1 > item.crashes:
-                news.append(self._raise(key, before + 1, now_ms))
+                update.append(self._raise(key, before + 1, now_ms))
             elif item.crashes == 1 and self._may_take(key, item, self._own_vm, now_ms):
-                news.append(self._claim(key, now_ms))
-        return news
+                update.append(self._claim(key, now_ms))
+        return update
 
     def served(self, keys: RequestKeys, now_ms: float) -> list[Suspicion]:
         """Take it that a request was answered well; return what to tell if that clears it."""
@@ -152,20 +152,20 @@
         cleared = [key for key in keys if self._suspects.pop(key, None) is not None]
         return [Suspicion(key, 0) for key in cleared]
 
-    def told(self, vm: str, news: Suspicion, now_ms: float) -> Reaction:
+    def received(self, vm: str, update: Suspicion, now_ms: float) -> Reaction:
         """Take what another VM says of a request; return what to answer and to pass on."""
-        key, mine = news.key, self._suspects.get(news.key)
-        if not news.crashes:
+        key, mine = update.key, self._suspects.get(update.key)
+        if not update.crashes:
             self._served.add(key, now_ms)
             self._suspects.pop(key, None)
             # The others hold it because this VM has told them to.
             told_by_us = mine is not None and mine.holder == self._own_vm
-            return Reaction(pass_on=news if told_by_us else None)
+            return Reaction(pass_on=update if told_by_us else None)
         if self._served.has(key, now_ms):
             return Reaction(answer=Suspicion(key, 0))
-        if mine is not None and news.crashes < mine.crashes:
+        if mine is not None and update.crashes < mine.crashes:
             return Reaction(answer=self._suspicion(key, mine, now_ms))
-        self._believe(vm, news, now_ms)
+        self._believe(vm, update, now_ms)
         return Reaction()
 
     def suspicions(self, now_ms: float) -> list[Suspicion]:
@@ -183,18 +183,18 @@
             del self._suspects[key]
         return old
 
-    def _believe(self, vm: str, news: Suspicion, now_ms: float) -> None:
-        key, mine = news.key, self._suspects.get(news.key)
-        until_ms = now_ms + min(news.held_ms, _held_ms(news.crashes))
-        if mine is None or news.crashes > mine.crashes:
-            mine = self._put(key, _Suspect(news.crashes, until_ms, now_ms, claimed_ms=now_ms))
-            mine.holder = vm if news.claimed else ""
-        elif news.claimed:
+    def _believe(self, vm: str, update: Suspicion, now_ms: float) -> None:
+        key, mine = update.key, self._suspects.get(update.key)
+        until_ms = now_ms + min(update.held_ms, _held_ms(update.crashes))
+        if mine is None or update.crashes > mine.crashes:
+            mine = self._put(key, _Suspect(update.crashes, until_ms, now_ms, claimed_ms=now_ms))
+            mine.holder = vm if update.claimed else ""
+        elif update.claimed:
             mine.touched_ms = now_ms
             if not mine.holder or self._may_take(key, mine, vm, now_ms):
                 mine.until_ms, mine.holder, mine.used = until_ms, vm, False
                 mine.claimed_ms = now_ms
-        elif until_ms > mine.until_ms and news.crashes > 1:
+        elif until_ms > mine.until_ms and update.crashes > 1:
             mine.until_ms, mine.holder = until_ms, ""
 
     def _ranked(self, now_ms: float) -> list[Suspicion]:
--- a/cloverhook/gateway/quarantine_keeper.py
+++ b/cloverhook/gateway/quarantine_keeper.py
@@ -73,7 +73,7 @@
         valid = [item for item in records[:RECORDS_LIMIT] if item.until_unix_ms > unix_ms]
         for item in valid:
             suspicion = Suspicion(item.key, item.crashes, item.until_unix_ms - unix_ms)
-            self._quarantine.told("", suspicion, now_ms)
+            self._quarantine.received("", suspicion, now_ms)
         if valid:
             self._log.note(Kind.QUARANTINE, source="store", keys=len(valid))
 
--- a/cloverhook/gateway/quarantine_news.py
+++ b/cloverhook/gateway/quarantine_updates.py
@@ -8,15 +8,15 @@
 from collections.abc import Callable, Iterable
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.event_log import EventLog, Kind
 from cloverhook.gateway.members import Member, Members
 from cloverhook.gateway.peer_messages import Suspicion, Suspicions, encode
 from cloverhook.gateway.quarantine import TOLD_LIMIT, Quarantine, Standing
 from cloverhook.gateway.ranking import rank_weight
 from cloverhook.gateway.request_key import RequestKeys
-from cloverhook.gateway.spread import Spread
 
-__all__ = ["QuarantineNews"]
+__all__ = ["QuarantineUpdates"]
 
 FLUSH_MS = 1.0
 """Requests that were cut by one crash go into one datagram."""
@@ -31,15 +31,15 @@
 """So many neighbours tell a VM that has just come what they hold against requests."""
 
 
-class QuarantineNews:
+class QuarantineUpdates:
     """This VM's part in the fleet's quarantine."""
 
-    def __init__(self, own_vm: str, spread: Spread, members: Members, log: EventLog) -> None:
+    def __init__(self, own_vm: str, broadcast: Broadcast, members: Members, log: EventLog) -> None:
         self.on_change: Callable[[], None] = lambda: None
         """Called when this VM has put a request into quarantine or taken one out."""
         self.quarantine = Quarantine(own_vm)
         self._own_vm = own_vm
-        self._spread = spread
+        self._broadcast = broadcast
         self._members = members
         self._log = log
         self._waiting: list[Suspicion] = []
@@ -73,11 +73,11 @@
 
     def crashed(self, keys: RequestKeys, known: tuple[int, ...], server: str) -> None:
         """Take it that an endpoint has crashed under a request that was sent with so much known."""
-        news = self.quarantine.crashed(keys, known, monotonic_ms())
-        for suspicion in news:
+        suspicions = self.quarantine.crashed(keys, known, monotonic_ms())
+        for suspicion in suspicions:
             self._note(suspicion, self._own_vm, server=server)
-        self._tell(news)
-        if any(suspicion.crashes > 1 for suspicion in news):
+        self._tell(suspicions)
+        if any(suspicion.crashes > 1 for suspicion in suspicions):
             self.on_change()
             for delay_ms in REPEATS_MS:
                 asyncio.get_running_loop().call_later(delay_ms / 1000, self._tell_again, keys)
@@ -92,28 +92,31 @@
             self._note(suspicion, self._own_vm)
         self._tell(cleared)
 
-    def told(self, message: Suspicions, now_ms: float) -> None:
+    def received(self, message: Suspicions, now_ms: float) -> None:
         """Take what another VM tells, and answer where it knows less."""
         answers = []
-        for news in message.rows[:TOLD_LIMIT]:
-            before = self.quarantine.crashes((news.key,))
-            answer, pass_on = self.quarantine.told(message.vm, news, now_ms)
+        for suspicion in message.rows[:TOLD_LIMIT]:
+            before = self.quarantine.crashes((suspicion.key,))
+            answer, pass_on = self.quarantine.received(message.vm, suspicion, now_ms)
             if pass_on is not None:
                 self._tell([pass_on])
             if answer is not None:
                 answers.append(answer)
-            elif max(news.crashes, *before) > 1 and self.quarantine.crashes((news.key,)) != before:
-                self._note(news, message.vm)  # A first crash is noted where it was met.
+            elif (
+                max(suspicion.crashes, *before) > 1
+                and self.quarantine.crashes((suspicion.key,)) != before
+            ):
+                self._note(suspicion, message.vm)  # A first crash is noted where it was met.
         member = self._members.get(message.vm)
         if answers and member is not None:
-            self._spread.to([member], encode(Suspicions(self._own_vm, tuple(answers))))
+            self._broadcast.to([member], encode(Suspicions(self._own_vm, tuple(answers))))
 
     def welcome(self, member: Member, now_ms: float) -> None:
         """Tell a VM that has just come, or is back, what is held against requests."""
         if not len(self.quarantine) or not self._welcomes(member, now_ms):
             return
         rows = tuple(self.quarantine.suspicions(now_ms))
-        self._spread.to([member], encode(Suspicions(self._own_vm, rows)))
+        self._broadcast.to([member], encode(Suspicions(self._own_vm, rows)))
 
     def forget(self, now_ms: float) -> None:
         """Drop what no longer counts."""
@@ -132,9 +135,9 @@
         known = {item.key: item for item in self.quarantine.suspicions(monotonic_ms())}
         self._tell(known[key] for key in keys if key in known and known[key].crashes > 1)
 
-    def _tell(self, news: Iterable[Suspicion]) -> None:
+    def _tell(self, suspicions: Iterable[Suspicion]) -> None:
         """Send soon; with too much to tell, what was not told yet is left out."""
-        self._waiting += news
+        self._waiting += suspicions
         del self._waiting[WAITING_LIMIT:]
         if self._waiting and self._timer is None:
             loop = asyncio.get_running_loop()
@@ -146,15 +149,15 @@
         rows, self._waiting = self._waiting, []
         for start in range(0, len(rows), TOLD_LIMIT):
             data = encode(Suspicions(self._own_vm, tuple(rows[start : start + TOLD_LIMIT])))
-            self._spread.near(data, now_ms)
-            self._spread.far(data, now_ms, RELAYS)
+            self._broadcast.near(data, now_ms)
+            self._broadcast.far(data, now_ms, RELAYS)
 
-    def _note(self, news: Suspicion, source: str, **fields: str) -> None:
+    def _note(self, suspicion: Suspicion, source: str, **fields: str) -> None:
         self._log.note(
             Kind.QUARANTINE,
-            key=f"{news.key:016x}",
-            crashes=news.crashes,
-            held_ms=round(news.held_ms),
+            key=f"{suspicion.key:016x}",
+            crashes=suspicion.crashes,
+            held_ms=round(suspicion.held_ms),
             source=source,
             **fields,
         )
--- a/cloverhook/gateway/rate_limit_updates.py
+++ b/cloverhook/gateway/rate_limit_updates.py
@@ -7,12 +7,12 @@
 import asyncio
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.event_log import EventLog, Kind
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.peer_messages import RateLimitRow, RateLimitUpdate, encode
 from cloverhook.gateway.rate_limits import RateLimits
-from cloverhook.gateway.spread import Spread
 
 __all__ = ["RateLimitUpdates"]
 
@@ -30,7 +30,7 @@
     def __init__(
         self,
         own_vm: str,
-        broadcast: Spread,
+        broadcast: Broadcast,
         limits: RateLimits,
         knowledge: Knowledge,
         log: EventLog,
--- a/cloverhook/gateway/refusal_news.py
+++ b/cloverhook/gateway/refusal_updates.py
@@ -8,11 +8,11 @@
 from collections.abc import Callable
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.load import LoadBoard
 from cloverhook.gateway.peer_messages import Refusals, encode
-from cloverhook.gateway.spread import Spread
 
-__all__ = ["RefusalNews"]
+__all__ = ["RefusalUpdates"]
 
 FLUSH_MS = 30.0
 """Refusals come in numbers; those within this time go into one datagram."""
@@ -20,15 +20,15 @@
 """A datagram should fit into one packet."""
 
 
-class RefusalNews:
+class RefusalUpdates:
     """Refusals that wait for the next datagram, and the effect of those that are told."""
 
     def __init__(
-        self, own_vm: str, spread: Spread, board: LoadBoard, known: Callable[[str], object]
+        self, own_vm: str, broadcast: Broadcast, board: LoadBoard, known: Callable[[str], object]
     ) -> None:
         """`known` says of an incarnation whether it is registered."""
         self._own_vm = own_vm
-        self._spread = spread
+        self._broadcast = broadcast
         self._board = board
         self._known = known
         self._waiting: list[str] = []
@@ -41,7 +41,7 @@
         if self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(FLUSH_MS / 1000, self._flush)
 
-    def told(self, message: Refusals, now_ms: float) -> None:
+    def received(self, message: Refusals, now_ms: float) -> None:
         """Take what another VM tells."""
         for incarnation in message.incarnations[:ROWS_LIMIT]:
             if self._known(incarnation) is not None:
@@ -52,5 +52,5 @@
         now_ms = monotonic_ms()
         for start in range(0, len(self._waiting), ROWS_LIMIT):
             data = encode(Refusals(self._own_vm, self._waiting[start : start + ROWS_LIMIT]))
-            self._spread.to_audience(data, now_ms)
+            self._broadcast.to_audience(data, now_ms)
         self._waiting.clear()
--- a/cloverhook/gateway/registry.py
+++ b/cloverhook/gateway/registry.py
@@ -33,8 +33,8 @@
 DRAIN_MS = 2_000.0
 CONFIRMED_LIMIT_MS = 2_500.0
 """Without a word of the store for longer, what is missing may have lapsed with it meanwhile."""
-COLD_NEWS_MS = 300.0
-"""Each report of a cold endpoint tells its time left anew; what differs by less is no news."""
+COLD_CHANGE_MS = 300.0
+"""Each report of a cold endpoint tells its time left anew; what differs by less is no change."""
 
 
 SERVER_FIELDS = {
@@ -149,7 +149,7 @@
         return max(self._as_of, self.version)
 
     @property
-    def told_version(self) -> int:
+    def claimed_version(self) -> int:
         """The version that others may rely on, or -1 while that of the last change isn't known."""
         return self.version if self._knows_last_change else -1
 
@@ -392,7 +392,7 @@
             rows.append(row)
         gone = {name: offset for name, offset in self._gone.items() if only is None or name in only}
         return {
-            "version": self.told_version,
+            "version": self.claimed_version,
             "as_of": self.as_of,
             "whole": only is None,
             "history_floor": self._history_floor,
@@ -513,6 +513,6 @@
 def _same(before: BackendServer, after: BackendServer, now_ms: float) -> bool:
     """Return whether two records differ in nothing that decides where requests go."""
     was_warm_at_ms, is_warm_at_ms = (max(now_ms, item.warm_at_ms) for item in (before, after))
-    if abs(is_warm_at_ms - was_warm_at_ms) > COLD_NEWS_MS:
+    if abs(is_warm_at_ms - was_warm_at_ms) > COLD_CHANGE_MS:
         return False
     return replace(before, warm_at_ms=0.0, sequence=0) == replace(after, warm_at_ms=0.0, sequence=0)
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -39,7 +39,7 @@
 class StoreFollower:
     """Reads the store and puts what it finds into `Knowledge`.
 
-    `on_news` is called after each change with the names that it touched, and with the registry's
+    `on_change` is called after each change with the names that it touched, and with the registry's
     version before it.  There are no names for a change of the configuration or of evacuations, nor
     after a whole list, which doesn't say what has changed.
     """
@@ -48,13 +48,13 @@
         self,
         store: Store,
         knowledge: Knowledge,
-        on_news: Callable[[tuple[str, ...], int], None],
+        on_change: Callable[[tuple[str, ...], int], None],
         log: EventLog,
         counters: Counters,
     ) -> None:
         self._store = store
         self._knowledge = knowledge
-        self._on_news = on_news
+        self._on_change = on_change
         self._log = log
         self._counters = counters
         self._tasks: dict[Feed, asyncio.Task[None]] = {}
@@ -79,7 +79,7 @@
         """Read until there is enough to serve by, and stop: this VM is not one that follows.
 
         After a loss of power all VMs do so at once: if each followed the store until it had heard
-        of two others that do, all would call it and beat as readers meanwhile.
+        of two others that do, all would call it and announce themselves as readers meanwhile.
         """
         if not self._tasks:
             self._only_first = True
@@ -210,7 +210,7 @@
             changed = self._take_config(found, now_ms) | self._take_evacuations(found, whole)
             knowledge.config_as_of = max(knowledge.config_as_of, found.end_offset - 1)
             if changed:
-                self._on_news((), base_version)
+                self._on_change((), base_version)
             return
         if whole:
             touched = knowledge.take_server_list(
@@ -225,7 +225,7 @@
                     touched=touched[:8],
                     digest=knowledge.registry.digest(),
                 )
-                self._on_news((), base_version)
+                self._on_change((), base_version)
             return
         touched = [
             record.name
@@ -235,14 +235,14 @@
         knowledge.registry.read_up_to(found.end_offset - 1)
         knowledge.registry.confirm(found.end_offset - 1, now_ms)
         if touched:
-            self._on_news(tuple(touched), base_version)
+            self._on_change(tuple(touched), base_version)
 
     def _take_config(self, found: FeedSlice, now_ms: float) -> bool:
         knowledge = self._knowledge
-        news = [config for config in found.configs if knowledge.take_config(config, now_ms)]
-        if news:
+        taken = [config for config in found.configs if knowledge.take_config(config, now_ms)]
+        if taken:
             self._log.note(Kind.CONFIG, version=knowledge.config_version, source="store")
-        return bool(news)
+        return bool(taken)
 
     def _take_evacuations(self, found: FeedSlice, whole: bool) -> bool:
         """Take the evacuations; return whether peers should hear of them."""
--- a/cloverhook/gateway/trust.py
+++ b/cloverhook/gateway/trust.py
@@ -78,12 +78,12 @@
             return True
         return False
 
-    def told(self, now_ms: float, began_ms: float, teller_answered: bool) -> bool:
+    def peer_failed(self, now_ms: float, began_ms: float, peer_answered: bool) -> bool:
         """Take a failure that another VM met; return whether it suspends.
 
-        `teller_answered` says that the endpoint had answered that VM lately.
+        `peer_answered` says that the endpoint had answered that VM lately.
         """
-        if not teller_answered and not self.answered_since(now_ms - ANSWERED_MS):
+        if not peer_answered and not self.answered_since(now_ms - ANSWERED_MS):
             return self.failed(now_ms, began_ms)
         if not self._failures and began_ms >= self._failed_ms:
             self._failures, self._failed_ms = 1, now_ms
--- a/cloverhook/gateway/versions.py
+++ b/cloverhook/gateway/versions.py
@@ -1,7 +1,8 @@
 """Versions of what the store holds: the store's era and an offset, as one number.
 
 Layer: state.  A store that comes back from an older copy gives offsets out again, under a later
-era.  As one number, whatever is of a later era is newer, in beats, states and comparisons alike.
+era.  As one number, whatever is of a later era is newer, in heartbeats, states and comparisons
+alike.
 
 >>> version_of(0, 7), version_of(1, 7) < version_of(2, 0), era_of(version_of(2, 0))
 (7, True, 2)
--- a/features/gateway_spread.feature
+++ b/features/gateway_broadcast.feature
@@ -4,7 +4,7 @@
   Scenario: A message crosses to another data centre once and reaches all of it
     Given 3 gateways in each of two data centres and a backend server in each
     Then every gateway knows the other 5
-    And in 2 seconds one that does not read the store sends the other at most 4 beats
+    And in 2 seconds one that does not read the store sends the other at most 4 heartbeats
     When the configuration and the backend servers change
     Then all gateways follow
     When the backend server works 7 times as long
@@ -52,15 +52,15 @@
     Given 7 VMs of one data centre
     Then each tells its counts in flight to the 6 others
 
-  Scenario: A crowded fleet beats more seldom, and no VM is taken for dead by that
+  Scenario: A crowded fleet sends heartbeats more seldom, and no VM is taken for dead by that
     Given 41 VMs in each of two data centres that know each other
-    Then each hears at most 40 beats in a second
+    Then each hears at most 40 heartbeats in a second
     And after 20 seconds each knows all neighbours and 20 VMs elsewhere to be alive
     And all of a data centre name the same 12 of its VMs to callers
 
   Scenario: What a VM hears doesn't grow with the number of standby VMs
     Given 110 VMs in each of two data centres that know each other
-    Then each hears at most 45 beats in a second
+    Then each hears at most 45 heartbeats in a second
     And after 20 seconds each knows all neighbours and 20 VMs elsewhere to be alive
 
   Scenario: VMs that are not heard count where what all may use is shared out
@@ -129,7 +129,7 @@
       | 3     |
       | 41    |
 
-  Scenario: Who misses a change asks for the state, also before a beat says that there is news
+  Scenario: Who misses a change asks for the state, also before a heartbeat says that there is news
     Given 41 VMs of one data centre
     Then a change that builds on more than one knows makes it fetch the state
 
--- a/features/gateway_crowd.py
+++ b/features/gateway_crowd.py
@@ -5,7 +5,7 @@
 from cloverhook.gateway.event_log import EventLog
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.members import Members
-from cloverhook.gateway.peer_messages import Beat, Identity, Relay, decode
+from cloverhook.gateway.peer_messages import Heartbeat, Identity, Relay, decode
 from cloverhook.gateway.peering import Peering
 
 NEAR = "papine"
@@ -14,10 +14,10 @@
 FAR_HOSTS = "10.2.0."
 
 
-def beat(name, data_center=NEAR):
+def heartbeat(name, data_center=NEAR):
     """Return a ready VM's sign of life."""
     addresses = f"{name}:1", f"{name}:2"
-    return Beat(name, 1, data_center, *addresses, True, False, False, 1, 1)
+    return Heartbeat(name, 1, data_center, *addresses, True, False, False, 1, 1)
 
 
 def members_of(own, names, now_ms=0.0, data_center=NEAR):
@@ -25,7 +25,7 @@
     members = Members(own, NEAR, now_ms)
     for name in names:
         if name != own:
-            members.heard(beat(name, data_center), now_ms)
+            members.heard(heartbeat(name, data_center), now_ms)
     return members
 
 
@@ -46,11 +46,11 @@
     members = Members(name, data_center, 0.0)
     for other in names:
         if other != name:
-            members.heard(beat(other), monotonic_ms())
+            members.heard(heartbeat(other), monotonic_ms())
     peering = Peering(
         own, Knowledge(), members, EventLog(name, len), None, lambda: None, Counters()
     )
-    peering.link = peering.spread._link = Wire()
+    peering.link = peering.broadcast._link = Wire()
     return peering
 
 
@@ -64,12 +64,12 @@
         members = Members(name, place, 0.0)
         for other, where in names.items():
             if other != name:
-                members.heard(beat(other, where), 0.0)
+                members.heard(heartbeat(other, where), 0.0)
         peering = Peering(
             own, Knowledge(), members, EventLog(name, len), None, lambda: None, Counters()
         )
         peering.ready = True
-        peering.link = peering.spread._link = Wire()
+        peering.link = peering.broadcast._link = Wire()
         context.crowd[f"{name}:2"] = peering
     context.now_ms = 0.0
 
@@ -96,9 +96,9 @@
 def deliver(peering, message, now_ms):
     """Hand a message to a VM, on the scenario's clock."""
     if isinstance(message, Relay):
-        peering.spread.relay(message, now_ms)
+        peering.broadcast.relay(message, now_ms)
         message = decode(message.data)
-    peering._on_beat(message, now_ms, relayed=False)
+    peering._on_heartbeat(message, now_ms, relayed=False)
 
 
 def named_to_callers(context):
--- a/features/quarantine_fleet.py
+++ b/features/quarantine_fleet.py
@@ -119,7 +119,7 @@
     def _receive(self, vm, other, news: Suspicion):
         if other not in self.reached:
             return
-        answer, pass_on = self.vms[other].told(vm, news, self.now_ms)
+        answer, pass_on = self.vms[other].received(vm, news, self.now_ms)
         if answer is not None:
             self._send(other, vm, answer)
         if pass_on is not None:
--- a/features/registry_replay.py
+++ b/features/registry_replay.py
@@ -74,7 +74,7 @@
                 if self._is_up(vm):
                     self._live(vm)
             if self._every(BEAT_EVERY_MS):
-                self._beat()
+                self._heartbeat()
             self._check()
 
     def _every(self, period_ms):
@@ -153,7 +153,7 @@
         records = tuple(item for item in newest.values() if item.server is not None)
         vm.knowledge.take_server_list(records, len(self.log), self.now_ms)
 
-    def _beat(self):
+    def _heartbeat(self):
         up = [vm for vm in self.vms if self._is_up(vm)]
         for vm in up:
             heard = [other for other in up if other.reader] + self.random.sample(up, 2)
@@ -163,16 +163,16 @@
 
     def _hear(self, vm, other):
         registry, told = vm.knowledge.registry, other.knowledge.registry
-        if registry.as_of < told.told_version and vm.fetch_at_ms is None:
+        if registry.as_of < told.claimed_version and vm.fetch_at_ms is None:
             vm.fetch_at_ms = self.now_ms + self.random.uniform(*FETCH_MS)
-        if told.told_version >= 0:
-            registry.heard(told.told_version, told.as_of)
+        if told.claimed_version >= 0:
+            registry.heard(told.claimed_version, told.as_of)
         if other.reader:
-            registry.confirm(told.told_version, self.now_ms)
+            registry.confirm(told.claimed_version, self.now_ms)
 
     def _fetch(self, vm):
         registry = vm.knowledge.registry
-        newest = max(other.knowledge.registry.told_version for other in self.vms)
+        newest = max(other.knowledge.registry.claimed_version for other in self.vms)
         holders = [
             other
             for other in self.vms
@@ -197,6 +197,6 @@
         digests = {}
         for vm in self.vms:
             registry = vm.knowledge.registry
-            if self._is_up(vm) and registry.told_version >= 0:
+            if self._is_up(vm) and registry.claimed_version >= 0:
                 digests.setdefault(registry.version, set()).add(registry.digest())
         self.differing += [self.now_ms for found in digests.values() if len(found) > 1]
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -19,7 +19,7 @@
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadFigure
 from cloverhook.gateway.peer_messages import (
-    Beat,
+    Heartbeat,
     InFlight,
     Loads,
     Relay,
@@ -290,7 +290,9 @@
 def step_fuzz_peers(context, count):
     document = document_of(server_of("i-1", entry(), 0.0))
     messages = [
-        Beat("vm", 1, "z", "10.0.0.1:1", "10.0.0.2:2", True, False, False, 1, 1, 3_000.0, True),
+        Heartbeat(
+            "vm", 1, "z", "10.0.0.1:1", "10.0.0.2:2", True, False, False, 1, 1, 3_000.0, True
+        ),
         Relay("vm", b"inner"),
         Loads("vm", (("i", LoadFigure(1, 2, 7.0), 3.0),)),
         InFlight("vm", {"i": 2}),
@@ -319,7 +321,7 @@
                     knowledge.board.of(incarnation).measured(figure, -age_ms)
             case Suspicions():
                 for row in message.rows:
-                    Quarantine("vm-own").told(message.vm, row, 0.0)
+                    Quarantine("vm-own").received(message.vm, row, 0.0)
             case InFlight():
                 for incarnation, number in message.counts.items():
                     knowledge.board.of(incarnation).peer_has(message.vm, number, 0.0)
--- a/features/steps/gateway_spread_steps.py
+++ b/features/steps/gateway_broadcast_steps.py
@@ -9,22 +9,22 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
 from cloverhook.gateway import state_fetch
+from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadFigure
-from cloverhook.gateway.load_news import LoadNews
+from cloverhook.gateway.load_updates import LoadUpdates
 from cloverhook.gateway.members import Members
 from cloverhook.gateway.peer_messages import (
-    Beat,
     CountChanges,
+    Heartbeat,
     Relay,
     ServerChanges,
     decode,
 )
 from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
-from cloverhook.gateway.spread import Spread
 from cloverhook.gateway.state_fetch import state_for
 from features import gateway_fleet as fleet
-from features.gateway_crowd import FAR, NEAR, Wire, beat, members_of, peering_of
+from features.gateway_crowd import FAR, NEAR, Wire, heartbeat, members_of, peering_of
 from features.shared import run
 
 PROBE_MS = 50
@@ -61,7 +61,8 @@
 
 
 @then(
-    "in {time_s:d} seconds one that does not read the store sends the other at most {limit:d} beats"
+    "in {time_s:d} seconds one that does not read the store sends the other at most {limit:d}"
+    " heartbeats"
 )
 def step_far_beats(context, time_s, limit):
     async def watch():
@@ -72,24 +73,26 @@
             for _, other in context.gateways
             if other.data_center != settings.data_center
         }
-        send, beats = gateway._peering.link.send_encoded, []
+        send, heartbeats = gateway._peering.link.send_encoded, []
 
         def record(address, data):
             message = decode(data)
             if address in far and isinstance(message, Relay):
-                beats.extend(item for item in (decode(message.data),) if isinstance(item, Beat))
-            assert address not in far or isinstance(message, Relay | Beat), message
+                heartbeats.extend(
+                    item for item in (decode(message.data),) if isinstance(item, Heartbeat)
+                )
+            assert address not in far or isinstance(message, Relay | Heartbeat), message
             send(address, data)
 
         gateway._peering.link.send_encoded = record
         async with asyncio.timeout(fleet.WAIT_S):
             while True:
-                beats.clear()
+                heartbeats.clear()
                 await asyncio.sleep(time_s)
                 if not gateway._follower.active:
                     break  # After a stall of this process it may have read for a while.
         gateway._peering.link.send_encoded = send
-        assert 1 <= len(beats) <= limit, len(beats)
+        assert 1 <= len(heartbeats) <= limit, len(heartbeats)
 
     run(context, watch())
 
@@ -118,7 +121,9 @@
         context.peer_version = registry.version + 1
         peer.apply(ServerRecord("i-peer", context.peer_version, entry), 0.0, False)
         registry.adopt(peer.to_document(0.0), 0.0)
-        gateway._peering.tell_servers = lambda base, touched: context.told.append((base, touched))
+        gateway._peering.broadcast_changes = lambda base, touched: context.told.append(
+            (base, touched)
+        )
         context.store.put_server(entry)
         context.store.put_server(late.entry())
         await fleet.until(lambda: context.told)
@@ -136,20 +141,20 @@
     context.now_ms = 0.0
     context.wire = Wire()
     members = members_of("vm-0", ("vm-1", "vm-2", "vm-3"))
-    context.spread = Spread("vm-0", context.wire, members)
+    context.broadcast = Broadcast("vm-0", context.wire, members)
 
 
 @given("a VM with 3 VMs in another data centre")
 def step_far_vms(context):
     context.wire = Wire()
     members = members_of("vm-0", ("vm-1", "vm-2", "vm-3"), data_center=FAR)
-    context.spread = Spread("vm-0", context.wire, members)
+    context.broadcast = Broadcast("vm-0", context.wire, members)
 
 
 @when("it sends 6 messages there")
 def step_send_far(context):
     for number in range(6):
-        context.spread.far(b"%d" % number, 0.0)
+        context.broadcast.far(b"%d" % number, 0.0)
 
 
 @then("each of the three relays 2 of them")
@@ -165,7 +170,7 @@
 @when("a message to be relayed comes")
 def step_relay(context):
     context.wire.sent.clear()
-    context.spread.relay(Relay("vm-9", b"news"), context.now_ms)
+    context.broadcast.relay(Relay("vm-9", b"news"), context.now_ms)
 
 
 @when("a message to be relayed comes 300 ms later")
@@ -177,7 +182,7 @@
 @when("the VM has stood still and finds another one in its socket")
 def step_relay_stale(context):
     context.now_ms += 2_000.0
-    context.spread.paused(context.now_ms)
+    context.broadcast.paused(context.now_ms)
     context.now_ms += 1.0
     step_relay(context)
 
@@ -206,7 +211,7 @@
         for name in context.names:
             peering = peering_of(name, context.names)
             peering._knowledge.board.of("i-0").in_flight = 1
-            peering.count_news.changed("i-0")
+            peering.count_updates.changed("i-0")
             await asyncio.sleep(0.005)
             sent = peering.link.sent
             assert all(decode(data) == CountChanges(name, {"i-0": 1}) for _, data in sent)
@@ -258,8 +263,8 @@
     context.wire = Wire()
     heard_ms = monotonic_ms() + 600_000.0  # They stay alive, however long this process stalls.
     members = members_of("vm-0", ("vm-1", "vm-2"), heard_ms)
-    members.heard(beat("vm-far", FAR), heard_ms)
-    context.news = LoadNews("vm-0", Spread("vm-0", context.wire, members))
+    members.heard(heartbeat("vm-far", FAR), heard_ms)
+    context.updates = LoadUpdates("vm-0", Broadcast("vm-0", context.wire, members))
     context.figures = {f"i-{number}": LoadFigure(0, 0, 1.0) for number in range(count)}
 
 
@@ -269,7 +274,7 @@
 
     async def hand_over():
         for name, figure in context.figures.items():
-            context.news.add(name, figure, at_ms)
+            context.updates.add(name, figure, at_ms)
         await asyncio.sleep(0.05)
 
     run(context, hand_over())
@@ -348,7 +353,7 @@
     peering = peering_of("vm-0", names, data_center=FAR)
     entry = BackendServer("i-1", fleet.SERVICE, "127.0.0.1:1", NEAR, draining=True)
     peering._knowledge.registry.apply(ServerRecord("i-1", 4, entry), 0.0, False)
-    peering.tell_servers(3, ("i-1",))
+    peering.broadcast_changes(3, ("i-1",))
     context.sent = peering.link.sent
     context.dead = context.sent[0][0]
 
@@ -364,7 +369,7 @@
     names = [f"vm-{number}" for number in range(count)]
     context.members = Members(names[0], NEAR, 0.0)
     for name in names[1:]:
-        context.members.heard(replace(beat(name), requests_per_s=rate), 0.0)
+        context.members.heard(replace(heartbeat(name), requests_per_s=rate), 0.0)
 
 
 @then("{count:d} of them serve callers")
--- a/features/steps/gateway_crossing_steps.py
+++ b/features/steps/gateway_crossing_steps.py
@@ -7,17 +7,17 @@
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.gateway.admission import Admission
-from cloverhook.gateway.count_news import CountNews
+from cloverhook.gateway.broadcast import Broadcast
+from cloverhook.gateway.count_updates import CountUpdates
 from cloverhook.gateway.evacuation import Evacuations
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadFigure
-from cloverhook.gateway.load_news import LoadNews
 from cloverhook.gateway.load_probe import NOBODY
+from cloverhook.gateway.load_updates import LoadUpdates
 from cloverhook.gateway.members import Members
 from cloverhook.gateway.peer_messages import CountChanges, InFlight, Relay, decode
 from cloverhook.gateway.registry import BackendServer, ServerRecord
-from cloverhook.gateway.spread import Spread
-from features.gateway_crowd import NEAR, Wire, beat
+from features.gateway_crowd import NEAR, Wire, heartbeat
 from features.shared import run
 
 OTHERS = ("halfway-tree", "new-kingston")
@@ -30,7 +30,7 @@
     context.knowledge = knowledge = Knowledge()
     context.members = Members("vm-0", NEAR, now_ms)
     for place in OTHERS:
-        context.members.heard(beat(f"vm-{place}", place), now_ms)
+        context.members.heard(heartbeat(f"vm-{place}", place), now_ms)
     offset = 0
     for name, place in (("here", NEAR), *zip(("lost", "else"), OTHERS, strict=True)):
         for number in range(4):
@@ -38,9 +38,9 @@
             knowledge.registry.apply(ServerRecord(server.name, offset, server), now_ms, False)
             offset += 1
     context.wire = Wire()
-    context.news = CountNews(
+    context.updates = CountUpdates(
         "vm-0",
-        Spread("vm-0", context.wire, context.members),
+        Broadcast("vm-0", context.wire, context.members),
         context.members,
         knowledge,
         lambda: None,
@@ -76,7 +76,7 @@
 def step_change(context):
     async def change():
         context.knowledge.board.of(ENDPOINT).in_flight += 1
-        context.news.changed(ENDPOINT)
+        context.updates.changed(ENDPOINT)
         await asyncio.sleep(0.05)
 
     run(context, change())
@@ -92,7 +92,7 @@
 @then("all its counts are {told} there again within 300 ms")
 def step_told_again(context, told):
     context.wire.sent.clear()
-    context.news.repeat(monotonic_ms() + 300.0)
+    context.updates.repeat(monotonic_ms() + 300.0)
     found = told_far(context, InFlight)
     assert len({at for at, _ in found}) == (2 if told == "told" else 0), found
     assert all(message.counts == {ENDPOINT: 1} for _, message in found)
@@ -103,7 +103,7 @@
     start_vm(context)
     lose(context, 4, "are evacuated")
     for number in range(count):
-        context.news.told(InFlight(f"vm-{number + 1}", {"here-1": 1}), monotonic_ms())
+        context.updates.received(InFlight(f"vm-{number + 1}", {"here-1": 1}), monotonic_ms())
 
 
 @when("the count at an endpoint changes {count:d} times within a second")
@@ -111,7 +111,7 @@
     async def change():
         for _ in range(count):
             context.knowledge.board.of(ENDPOINT).in_flight += 1
-            context.news.changed(ENDPOINT)
+            context.updates.changed(ENDPOINT)
             await asyncio.sleep(0.004)
         await asyncio.sleep(0.3)
 
@@ -130,18 +130,18 @@
 @given("a VM that hears of {count:d} requests in flight by a change")
 def step_hears(context, count):
     start_vm(context)
-    context.news.told_changes(CountChanges("vm-7", {ENDPOINT: count}), monotonic_ms())
+    context.updates.received_changes(CountChanges("vm-7", {ENDPOINT: count}), monotonic_ms())
 
 
 @when("it hears of none by a change")
 def step_hears_none(context):
-    context.news.told_changes(CountChanges("vm-7", {ENDPOINT: 0}), monotonic_ms())
+    context.updates.received_changes(CountChanges("vm-7", {ENDPOINT: 0}), monotonic_ms())
 
 
 @when("it hears of {count:d} by a change, and of all counts without it")
 def step_hears_all(context, count):
-    context.news.told_changes(CountChanges("vm-7", {ENDPOINT: count}), monotonic_ms())
-    context.news.told(InFlight("vm-7", {"here-2": 1}), monotonic_ms())
+    context.updates.received_changes(CountChanges("vm-7", {ENDPOINT: count}), monotonic_ms())
+    context.updates.received(InFlight("vm-7", {"here-2": 1}), monotonic_ms())
 
 
 @then("it knows of {count:d}")
@@ -158,8 +158,8 @@
 def step_far_figures(context):
     async def measure(crossing):
         wire = Wire()
-        spread = Spread("vm-0", wire, context.members)
-        news = LoadNews("vm-0", spread, lambda: True, lambda now_ms: crossing)
+        broadcast = Broadcast("vm-0", wire, context.members)
+        news = LoadUpdates("vm-0", broadcast, lambda: True, lambda now_ms: crossing)
         begun_ms = monotonic_ms()
         news.add(ENDPOINT, LoadFigure(1, 0, 1.0), begun_ms)
         await asyncio.sleep(0.3)
--- a/features/steps/gateway_crowd_steps.py
+++ b/features/steps/gateway_crowd_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from cloverhook.clock import monotonic_ms
-from cloverhook.gateway import load_news
+from cloverhook.gateway import load_updates
 from cloverhook.gateway.load import LoadFigure
 from cloverhook.gateway.members import Members
 from cloverhook.gateway.peer_messages import Loads, Relay, encode
@@ -15,7 +15,7 @@
     FAR_HOSTS,
     NEAR,
     NEAR_HOSTS,
-    beat,
+    heartbeat,
     members_of,
     named_to_callers,
     pass_crowd_time,
@@ -30,7 +30,7 @@
     start_crowd(context, count)
 
 
-@then("each hears at most {limit:d} beats in a second")
+@then("each hears at most {limit:d} heartbeats in a second")
 def step_few_beats(context, limit):
     pass_crowd_time(context, 3_000)
     got = pass_crowd_time(context, 3_000)
@@ -111,9 +111,9 @@
             data = encode(Loads("vm-far", (("i-0", LoadFigure(1, 0, 2.0), 0.0),)))
             peering._on_relay(Relay("vm-far", data), "vm-far:2", context.now_ms)
         else:
-            with mock.patch.object(load_news, "monotonic_ms", lambda: context.now_ms):
-                peering.load_news.add("i-0", LoadFigure(1, 0, 2.0), context.now_ms)
-                peering.load_news._flush()
+            with mock.patch.object(load_updates, "monotonic_ms", lambda: context.now_ms):
+                peering.load_updates.add("i-0", LoadFigure(1, 0, 2.0), context.now_ms)
+                peering.load_updates._flush()
 
     run(context, tell())
     told, peering.link.sent = {address for address, _ in peering.link.sent}, []
@@ -142,7 +142,7 @@
         item for item in members.near() if item.vm not in members.informed(context.now_ms)
     )
     assert standby.peer_address not in told_figures(context, peering, False)
-    members.tells_counts(standby.vm, context.now_ms)
+    members.sent_counts(standby.vm, context.now_ms)
     assert standby.peer_address in told_figures(context, peering, False)
 
 
@@ -150,7 +150,7 @@
 def step_unheard(context, heard, total, near):
     context.members = members_of("vm-own", [f"vm-{number}" for number in range(near)])
     for number in range(heard):
-        told = replace(beat(f"far-{number}", FAR), near_vms=total)
+        told = replace(heartbeat(f"far-{number}", FAR), near_vms=total)
         context.members.heard(told, 0.0)
     context.members.forget(0.0)
 
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -11,7 +11,7 @@
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadBoard, LoadFigure
 from cloverhook.gateway.members import Members
-from cloverhook.gateway.peer_messages import Beat, InFlight, Loads, Relay, decode, encode
+from cloverhook.gateway.peer_messages import Heartbeat, InFlight, Loads, Relay, decode, encode
 from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
 from cloverhook.gateway.retry_allowance import RetryAllowance
 from cloverhook.gateway.routes import Part
@@ -458,7 +458,7 @@
 
 
 class Fleet:
-    """VMs that hear each other's beats every 100 ms, and read the store when they should."""
+    """VMs that hear each other's heartbeats every 100 ms, and read the store when they should."""
 
     def __init__(self, count):
         self.now_ms = 0.0
@@ -469,12 +469,12 @@
         self.reading = dict.fromkeys(self.members, False)
         for own, members in self.members.items():
             for name in self.members.keys() - {own}:
-                members.heard(self.beat(name), 0.0)
+                members.heard(self.heartbeat(name), 0.0)
 
-    def beat(self, name):
+    def heartbeat(self, name):
         """Return a VM's sign of life."""
         reading = self.reading[name]
-        return Beat(name, 1, NEAR, f"{name}:1", f"{name}:2", True, reading, False, 1, 1)
+        return Heartbeat(name, 1, NEAR, f"{name}:1", f"{name}:2", True, reading, False, 1, 1)
 
     def pass_time(self, duration_ms):
         """Let time pass."""
@@ -484,9 +484,9 @@
             for name in self.members.keys() - self.silent:
                 own = self.members[name]
                 self.reading[name] = own.reads_store(self.reading[name], self.now_ms)
-                beat = self.beat(name)
+                heartbeat = self.heartbeat(name)
                 for other in self.members.keys() - self.silent - {name}:
-                    self.members[other].heard(beat, self.now_ms)
+                    self.members[other].heard(heartbeat, self.now_ms)
 
     def readers(self):
         """Return who reads."""
@@ -555,7 +555,9 @@
 def step_garbage(context):
     source = random.Random(5)
     messages = (
-        Beat("vm", 1, NEAR, "10.0.0.1:1", "10.0.0.2:2", True, False, False, 1, 1, 3_000.0, True),
+        Heartbeat(
+            "vm", 1, NEAR, "10.0.0.1:1", "10.0.0.2:2", True, False, False, 1, 1, 3_000.0, True
+        ),
         Relay("vm", b"inner"),
         Loads("vm", (("i", LoadFigure(1, 2, 7.0), 3.0),)),
         InFlight("vm", {"i": 2}),
--- a/features/steps/gateway_discovery_steps.py
+++ b/features/steps/gateway_discovery_steps.py
@@ -5,7 +5,7 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.gateway.discovery import Discovery
 from features import gateway_fleet as fleet
-from features.gateway_crowd import FAR, NEAR, beat, members_of, peering_of
+from features.gateway_crowd import FAR, NEAR, heartbeat, members_of, peering_of
 from features.shared import run
 
 
@@ -83,7 +83,7 @@
     for name in alive:
         for other in alive:
             if other != name:
-                context.discoveries[name]._members.heard(beat(other), context.now_ms)
+                context.discoveries[name]._members.heard(heartbeat(other), context.now_ms)
     return {name for name in alive if context.discoveries[name].needs_store(context.now_ms)}
 
 
--- a/features/steps/gateway_measuring_steps.py
+++ b/features/steps/gateway_measuring_steps.py
@@ -8,7 +8,7 @@
 from cloverhook.gateway.measuring import Measuring
 from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
 from features import gateway_fleet as fleet
-from features.gateway_crowd import FAR, NEAR, beat, members_of
+from features.gateway_crowd import FAR, NEAR, heartbeat, members_of
 
 PROBE_MS = 50
 
@@ -55,7 +55,7 @@
         for name in alive:
             for other in alive:
                 if other != name and self.hears(name, other):
-                    self.members[name].heard(beat(other), self.now_ms)
+                    self.members[name].heard(heartbeat(other), self.now_ms)
         return found
 
     def hears(self, name, other):
--- a/features/steps/gateway_start_steps.py
+++ b/features/steps/gateway_start_steps.py
@@ -8,7 +8,7 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.gateway.store import Feed, MemoryStore
 from features import gateway_fleet as fleet
-from features.gateway_crowd import beat
+from features.gateway_crowd import heartbeat
 from features.shared import run
 
 
@@ -98,24 +98,24 @@
 
     async def hear():
         names = [f"vm-near-{number}" for number in range(count)]
-        context.beats = asyncio.create_task(
-            _hear_on(members, [beat(name, settings.data_center) for name in names])
+        context.heartbeats = asyncio.create_task(
+            _hear_on(members, [heartbeat(name, settings.data_center) for name in names])
         )
         await asyncio.sleep(0.1)
 
     run(context, hear())
 
 
-async def _hear_on(members, beats):
+async def _hear_on(members, heartbeats):
     while True:
-        for item in beats:
+        for item in heartbeats:
             members.heard(item, monotonic_ms())
         await asyncio.sleep(0.1)
 
 
 @when("it hears none of them any more")
 def step_hears_none(context):
-    context.beats.cancel()
+    context.heartbeats.cancel()
 
 
 @then("it says that it is not cut off")
--- a/features/steps/gateway_trust_steps.py
+++ b/features/steps/gateway_trust_steps.py
@@ -8,7 +8,7 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.gateway.balancer import Balancer, Room, WorkEstimates
 from cloverhook.gateway.event_log import EventLog
-from cloverhook.gateway.failure_news import FailureNews
+from cloverhook.gateway.failure_updates import FailureUpdates
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.peer_messages import Failures
 from cloverhook.gateway.registry import BackendServer, ServerRecord
@@ -173,10 +173,10 @@
 @given("{count:d} endpoints that one VM says have all failed twice")
 def step_accused(context, count):
     start_endpoints(context, count)
-    news = FailureNews("vm-0", None, context.knowledge, EventLog("vm-0", len))
+    news = FailureUpdates("vm-0", None, context.knowledge, EventLog("vm-0", len))
     for number in range(count):
         for now_ms in (10.0, 20.0):
-            news.told(Failures("vm-1", [[f"i-{number}", 5.0, False]]), now_ms)
+            news.received(Failures("vm-1", [[f"i-{number}", 5.0, False]]), now_ms)
     context.now_ms = 30.0
 
 
@@ -231,7 +231,7 @@
         own.failed(now_ms, now_ms - 1.0)
         for trust in trusts:
             if trust is not own:
-                trust.told(now_ms, now_ms - 1.0, answered)
+                trust.peer_failed(now_ms, now_ms - 1.0, answered)
     assert suspended_ms <= limit * now_ms, suspended_ms / now_ms
 
 
