--- a/cloverhook/gateway/knowledge.py
+++ b/cloverhook/gateway/knowledge.py
@@ -174,7 +174,7 @@
         away = self.store_was_away(now_ms)
         touched = self.registry.take_list(records, newest_offset, now_ms, away)
         if follows:
-            self.registry.assume_changed()
+            self.registry.position.assume_changed()
         return touched
 
     def heard_config_as_of(self, config: int, evacuations: int, as_of: int) -> None:
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -210,13 +210,13 @@
             self.reading,
             self.leaving,
             knowledge.config_version,
-            knowledge.registry.claimed_version,
+            knowledge.registry.position.claimed_version,
             every_ms,
             wants_answer,
             round(self._requests_per_s(now_ms)),
             1 + self._members.near_count(),
             knowledge.evacuations.version,
-            knowledge.registry.as_of if knowledge.registry.claimed_version >= 0 else -1,
+            knowledge.registry.as_of if knowledge.registry.position.claimed_version >= 0 else -1,
             knowledge.config_as_of,
         )
 
@@ -346,9 +346,9 @@
     def _hear_positions(self, heartbeat: Heartbeat, now_ms: float) -> None:
         """Take a VM's word on how far in the store's logs it knows of no further change."""
         knowledge = self._knowledge
-        knowledge.registry.heard(heartbeat.registry_version, heartbeat.registry_as_of)
+        knowledge.registry.position.heard(heartbeat.registry_version, heartbeat.registry_as_of)
         if heartbeat.reading:
-            knowledge.registry.confirm(heartbeat.registry_version, now_ms)
+            knowledge.registry.position.confirm(heartbeat.registry_version, now_ms)
         knowledge.heard_config_as_of(
             heartbeat.config_version, heartbeat.evacuation_version, heartbeat.config_as_of
         )
--- a/cloverhook/gateway/registry.py
+++ b/cloverhook/gateway/registry.py
@@ -7,9 +7,7 @@
 of one incarnation the record with the highest offset.  One that is gone does not come back through
 an older record.
 
-Two positions in the store's log say what is known: `version` is that of the last change, and all
-that was written up to `as_of` is known.  A VM whose `as_of` has reached another's `version` lacks
-nothing of it; so a VM that hears of no change still gets further, and can go on reading from there.
+How far the store's log is known, `LogPosition` says.
 
 An entry that vanishes without having been draining is kept for a hold time: a registration may
 lapse while the store, not the backend server, is in trouble.  The same goes for one that is
@@ -25,14 +23,13 @@
 
 from cloverhook.checking import Address, Flag, Integer, Items, MapOf, Number, Table, Text
 from cloverhook.gateway.holds import Holds
+from cloverhook.gateway.log_position import LogPosition
 from cloverhook.gateway.versions import era_of
 
 __all__ = ["DRAIN_MS", "REGISTRY_DOCUMENT", "BackendServer", "Registry", "ServerRecord"]
 
 TOMBSTONES_LIMIT = 4_096
 DRAIN_MS = 2_000.0
-CONFIRMED_LIMIT_MS = 2_500.0
-"""Without a word of the store for longer, what is missing may have lapsed with it meanwhile."""
 COLD_CHANGE_MS = 300.0
 """Each report of a cold endpoint tells its time left anew; what differs by less is no change."""
 
@@ -122,17 +119,13 @@
     """Backend servers by name, by incarnation and by service."""
 
     def __init__(self, drain_ms: float = DRAIN_MS) -> None:
-        self.version = -1
-        self._as_of = -1
-        self._knows_last_change = True
+        self.position = LogPosition()
         self._holds = Holds(drain_ms)
         self._servers: dict[str, BackendServer] = {}
         self._offsets: dict[str, int] = {}
         self._gone: dict[str, int] = {}
         self._last_sequences: dict[str, int] = {}
         self._changed_at: dict[str, int] = {}
-        self._history_floor = -1
-        self._confirmed_ms: float | None = None
         self._by_service: dict[str, tuple[BackendServer, ...]] = {}
         self._by_incarnation: dict[str, BackendServer] = {}
         self._born_ms: dict[str, int] = {}
@@ -144,34 +137,14 @@
         return len(self._servers)
 
     @property
-    def as_of(self) -> int:
-        """The position up to which everything is known."""
-        return max(self._as_of, self.version)
+    def version(self) -> int:
+        """The position of the last change in the store's log."""
+        return self.position.version
 
     @property
-    def claimed_version(self) -> int:
-        """The version that others may rely on, or -1 while that of the last change isn't known."""
-        return self.version if self._knows_last_change else -1
-
-    def read_up_to(self, position: int) -> None:
-        """Note that all records up to a position have been taken."""
-        self._as_of = max(self._as_of, position)
-
-    def heard(self, version: int, as_of: int) -> None:
-        """Take another VM's word that nothing has changed between a version and `as_of`."""
-        if version <= self.as_of <= as_of:
-            self._as_of = as_of
-            self.version = max(self.version, version)
-            self._knows_last_change = True
-
-    def assume_changed(self) -> None:
-        """Count the position read up to as a change, where the last one isn't known.
-
-        Whoever knows less then asks for the whole registry.
-        """
-        if not self._knows_last_change:
-            self.version = self.as_of
-            self._knows_last_change = True
+    def as_of(self) -> int:
+        """The position up to which everything is known."""
+        return self.position.as_of
 
     def get(self, incarnation: str) -> BackendServer | None:
         """Return a backend server that is registered or held."""
@@ -220,7 +193,7 @@
             return False
         if after is None or self._lacks_its_start(after):
             certain = was_waited_for or store_was_away
-            since_ms = now_ms if certain else self._vanished_since_ms(now_ms)
+            since_ms = now_ms if certain else self.position.vanished_since_ms(now_ms)
             return self._remove(name, record.offset, since_ms, store_was_away)
         before = self._servers.get(name)
         if self._had_left(record, after, listed):
@@ -308,7 +281,7 @@
             and name in self._servers
             and not self._left_before(name, offset)
         ]
-        since_ms = now_ms if store_was_away else self._vanished_since_ms(now_ms)
+        since_ms = now_ms if store_was_away else self.position.vanished_since_ms(now_ms)
         return tuple(
             name for name in missing if self._remove(name, offset, since_ms, store_was_away)
         )
@@ -324,37 +297,15 @@
 
         Which change was the last one before it, the list doesn't say.
         """
-        known_version, known_as_of = self.version, self.as_of
+        known = self.version, self.as_of
         kept = tuple(records)
         changed = self.apply_all(kept, now_ms, store_was_away)
         names = {record.name for record in kept if record.server is not None}
         missing = self.keep_only(names, offset, now_ms, store_was_away)
-        if changed or missing or era_of(offset) > era_of(known_as_of):
-            self._knows_last_change = False
-        self.version = known_version
-        self._as_of = max(offset, known_as_of)
-        self._learned_whole(known_as_of, offset)
-        self.confirm(offset, now_ms)
+        self.position.listed(known, offset, bool(changed or missing))
+        self.position.confirm(offset, now_ms)
         return (*changed, *missing)
 
-    def _learned_whole(self, known_as_of: int, floor: int) -> None:
-        """Note that a whole state was taken whose changes are told one by one since `floor`."""
-        if floor > known_as_of:
-            self._history_floor = floor
-        else:
-            self._history_floor = min(self._history_floor, floor)
-
-    def confirm(self, version: int, now_ms: float) -> None:
-        """Note that the store holds nothing newer than a version at this time."""
-        if version <= self.as_of:
-            self._confirmed_ms = now_ms
-
-    def _vanished_since_ms(self, now_ms: float) -> float:
-        """Return the earliest time at which what a whole list lacks may have vanished."""
-        if self._confirmed_ms is None or now_ms - self._confirmed_ms > CONFIRMED_LIMIT_MS:
-            return now_ms
-        return self._confirmed_ms
-
     def expire(self, now_ms: float) -> tuple[str, ...]:
         """Drop the entries whose hold time has passed.
 
@@ -371,7 +322,7 @@
         Who knew everything as of that version lacks nothing else.  What vanished before this
         registry was read whole was never known here, so it can't be named.
         """
-        if version < self._history_floor:
+        if version < self.position.history_floor:
             return None
         return {name for name, changed in self._changed_at.items() if changed > version}
 
@@ -392,10 +343,10 @@
             rows.append(row)
         gone = {name: offset for name, offset in self._gone.items() if only is None or name in only}
         return {
-            "version": self.claimed_version,
+            "version": self.position.claimed_version,
             "as_of": self.as_of,
             "whole": only is None,
-            "history_floor": self._history_floor,
+            "history_floor": self.position.history_floor,
             "servers": rows,
             "gone": gone,
             "last_sequences": {
@@ -414,7 +365,7 @@
         """
         as_of = document.get("as_of", document["version"])
         if document["version"] <= self.as_of:
-            self.heard(document["version"], as_of)
+            self.position.heard(document["version"], as_of)
             return False
         names = {row["server"]["name"] for row in document["servers"]}
         last_sequences = document.get("last_sequences", {})
@@ -440,9 +391,8 @@
                     self._holds.adopt(name, left_ms, now_ms)
         if document["whole"]:
             self.keep_only(names, as_of, now_ms, False)
-            self._learned_whole(known_as_of, document.get("history_floor", as_of))
-        self.version, self._as_of = document["version"], max(as_of, known_as_of)
-        self._knows_last_change = True
+            self.position.learned_whole(known_as_of, document.get("history_floor", as_of))
+        self.position.adopted(document["version"], max(as_of, known_as_of))
         self._index()
         return True
 
@@ -450,7 +400,7 @@
         self._gone[name] = max(offset, self._gone.get(name, -1))
         while len(self._gone) > TOMBSTONES_LIMIT:
             oldest = next(iter(self._gone))
-            self._history_floor = max(self._history_floor, self._gone.pop(oldest))
+            self.position.forgot_up_to(self._gone.pop(oldest))
             self._changed_at.pop(oldest, None)
             self._born_ms.pop(oldest, None)
             self._last_sequences.pop(oldest, None)
@@ -485,7 +435,7 @@
             self._index()
 
     def _changed(self, name: str, offset: int) -> None:
-        self.version = max(self.version, offset)
+        self.position.changed(offset)
         self._changed_at[name] = offset
         self._index()
 
--- a/cloverhook/gateway/state_fetch.py
+++ b/cloverhook/gateway/state_fetch.py
@@ -260,7 +260,7 @@
         found = [item for item in alive if item.data_center == asked["addresses"]]
         return {"addresses": [item.peer_address for item in found]}
     state: State = {}
-    if knowledge.registry.claimed_version > asked.get("registry", -1):
+    if knowledge.registry.position.claimed_version > asked.get("registry", -1):
         state["registry"] = _lacking(knowledge.registry, asked.get("registry", -1), now_ms)
     if knowledge.evacuations.version > asked.get("evacuations", -1):
         state["evacuations"] = knowledge.evacuations.to_document()
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -96,7 +96,7 @@
         self._answers.clear()
         self._offsets.clear()
         if not self._only_first:
-            self._knowledge.registry.assume_changed()
+            self._knowledge.registry.position.assume_changed()
             self._go_on_from(Feed.SERVERS, self._knowledge.registry.as_of)
             self._go_on_from(Feed.CONFIG, self._knowledge.config_as_of)
         for feed in Feed:
@@ -232,8 +232,8 @@
             for record in found.servers
             if knowledge.take_server(record, now_ms, was_waited_for=waited)
         ]
-        knowledge.registry.read_up_to(found.end_offset - 1)
-        knowledge.registry.confirm(found.end_offset - 1, now_ms)
+        knowledge.registry.position.read_up_to(found.end_offset - 1)
+        knowledge.registry.position.confirm(found.end_offset - 1, now_ms)
         if touched:
             self._on_change(tuple(touched), base_version)
 
--- a/features/registry_replay.py
+++ b/features/registry_replay.py
@@ -133,15 +133,15 @@
         registry = vm.knowledge.registry
         if registry.as_of < 0:
             self._read_whole(vm)
-        registry.assume_changed()
+        registry.position.assume_changed()
         before = registry.version
         touched = [
             item.name
             for item in self.log[registry.as_of + 1 :]
             if vm.knowledge.take_server(item, self.now_ms, was_waited_for=False)
         ]
-        registry.read_up_to(len(self.log) - 1)
-        registry.confirm(registry.as_of, self.now_ms)
+        registry.position.read_up_to(len(self.log) - 1)
+        registry.position.confirm(registry.as_of, self.now_ms)
         if touched:
             document = registry.to_document(self.now_ms, tuple(touched))
             for other in self.vms:
@@ -163,16 +163,16 @@
 
     def _hear(self, vm, other):
         registry, told = vm.knowledge.registry, other.knowledge.registry
-        if registry.as_of < told.claimed_version and vm.fetch_at_ms is None:
+        if registry.as_of < told.position.claimed_version and vm.fetch_at_ms is None:
             vm.fetch_at_ms = self.now_ms + self.random.uniform(*FETCH_MS)
-        if told.claimed_version >= 0:
-            registry.heard(told.claimed_version, told.as_of)
+        if told.position.claimed_version >= 0:
+            registry.position.heard(told.position.claimed_version, told.as_of)
         if other.reader:
-            registry.confirm(told.claimed_version, self.now_ms)
+            registry.position.confirm(told.position.claimed_version, self.now_ms)
 
     def _fetch(self, vm):
         registry = vm.knowledge.registry
-        newest = max(other.knowledge.registry.claimed_version for other in self.vms)
+        newest = max(other.knowledge.registry.position.claimed_version for other in self.vms)
         holders = [
             other
             for other in self.vms
@@ -197,6 +197,6 @@
         digests = {}
         for vm in self.vms:
             registry = vm.knowledge.registry
-            if self._is_up(vm) and registry.claimed_version >= 0:
+            if self._is_up(vm) and registry.position.claimed_version >= 0:
                 digests.setdefault(registry.version, set()).add(registry.digest())
         self.differing += [self.now_ms for found in digests.values() if len(found) > 1]
