--- a/bench/gateway_replay.py
+++ b/bench/gateway_replay.py
@@ -21,10 +21,11 @@
 from dataclasses import dataclass, field
 
 from bench.gateway_loads import Deployment, Kind, Load, Outcome
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.balancer import Balancer, Choice, Room, WorkEstimates
 from cloverhook.gateway.final_answer import RETURN_MS
 from cloverhook.gateway.load import LoadBoard, LoadFigure
-from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
+from cloverhook.gateway.registry import Registry
 from cloverhook.gateway.trust import ANSWERED_MS, Trust
 from cloverhook.gateway.waiting_line import Waiter, WaitingLine
 
--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -16,6 +16,7 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import UpstreamError
 from cloverhook.gateway.backend_pool import BackendPool
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.balancer import Choice
 from cloverhook.gateway.call_headers import (
     CallHeaders,
@@ -27,7 +28,6 @@
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
 from cloverhook.gateway.load import SLOW_PACE, LoadBoard, ServerLoad
 from cloverhook.gateway.load_probe import ask_load
-from cloverhook.gateway.registry import BackendServer
 from cloverhook.upstream_connection import AnswerHead, RequestHead, UpstreamConnection
 
 __all__ = ["Attempt", "AttemptResult", "Outcome"]
--- a/cloverhook/gateway/backend_pool.py
+++ b/cloverhook/gateway/backend_pool.py
@@ -11,8 +11,8 @@
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import UpstreamError
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.call_headers import find
-from cloverhook.gateway.registry import BackendServer
 from cloverhook.upstream_connection import AnswerHead, UpstreamConnection
 
 __all__ = ["BackendPool"]
--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -15,11 +15,12 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.candidates import Candidates
 from cloverhook.gateway.cold_limit import ColdLimit
 from cloverhook.gateway.load import LoadBoard, ServerLoad
 from cloverhook.gateway.rate_limits import RateLimits
-from cloverhook.gateway.registry import BackendServer, Registry
+from cloverhook.gateway.registry import Registry
 
 __all__ = ["Balancer", "Choice", "Room", "WorkEstimates", "nearly_full"]
 
--- a/cloverhook/gateway/candidates.py
+++ b/cloverhook/gateway/candidates.py
@@ -16,8 +16,8 @@
 from collections.abc import Iterator
 from functools import partial
 
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.load import ServerLoad
-from cloverhook.gateway.registry import BackendServer
 
 __all__ = ["Candidates"]
 
--- a/cloverhook/gateway/cold_limit.py
+++ b/cloverhook/gateway/cold_limit.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.ranking import rank_weight
-from cloverhook.gateway.registry import BackendServer
 
 __all__ = ["ColdBound", "ColdLimit"]
 
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -15,6 +15,7 @@
 from cloverhook.errors import SettingsError
 from cloverhook.gateway.announcing import Announcer
 from cloverhook.gateway.backend_pool import BackendPool
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.balancer import Balancer, WorkEstimates
 from cloverhook.gateway.call_headers import CallHeaders
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
@@ -32,7 +33,6 @@
 from cloverhook.gateway.peering import Peering
 from cloverhook.gateway.prober import Prober
 from cloverhook.gateway.quarantine_keeper import QuarantineKeeper
-from cloverhook.gateway.registry import BackendServer
 from cloverhook.gateway.request_report import RequestReport
 from cloverhook.gateway.retry_allowance import RetryAllowance
 from cloverhook.gateway.routes import IngressLimits
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -13,6 +13,7 @@
 from cloverhook.gateway.admission import Admission
 from cloverhook.gateway.attempt import Attempt, AttemptResult, Outcome
 from cloverhook.gateway.backend_pool import BackendPool
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.balancer import Balancer, Choice, Room, WorkEstimates
 from cloverhook.gateway.call_headers import CallHeaders, find
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
@@ -21,7 +22,6 @@
 from cloverhook.gateway.load import SLOW_PACE
 from cloverhook.gateway.quarantine_updates import QuarantineUpdates
 from cloverhook.gateway.rate_limit_updates import RateLimitUpdates
-from cloverhook.gateway.registry import BackendServer
 from cloverhook.gateway.request_report import RequestReport
 from cloverhook.gateway.request_run import RequestRun
 from cloverhook.gateway.retry_allowance import RetryAllowance
--- a/cloverhook/gateway/knowledge.py
+++ b/cloverhook/gateway/knowledge.py
@@ -6,10 +6,11 @@
 
 from collections import Counter
 
+from cloverhook.gateway.backend_server import ServerRecord
 from cloverhook.gateway.config_codec import EncodedConfig
 from cloverhook.gateway.evacuation import Evacuations
 from cloverhook.gateway.load import LoadBoard
-from cloverhook.gateway.registry import DRAIN_MS, Registry, ServerRecord
+from cloverhook.gateway.registry import DRAIN_MS, Registry
 from cloverhook.gateway.routes import GatewayConfig
 from cloverhook.gateway.versions import era_of
 
--- a/cloverhook/gateway/load_probe.py
+++ b/cloverhook/gateway/load_probe.py
@@ -5,9 +5,9 @@
 
 from dataclasses import replace
 
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.call_headers import CallHeaders, cold_ms, find, load_figure
 from cloverhook.gateway.load import LoadFigure
-from cloverhook.gateway.registry import BackendServer
 from cloverhook.upstream_connection import AnswerHead, RequestHead, UpstreamConnection
 
 __all__ = ["NOBODY", "ask_load"]
--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -13,10 +13,11 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.load import LoadBoard
 from cloverhook.gateway.members import Members
 from cloverhook.gateway.ranking import rank_weight
-from cloverhook.gateway.registry import BackendServer, Registry
+from cloverhook.gateway.registry import Registry
 
 __all__ = ["GROUP_SIZE", "LISTEN_MS", "Measuring"]
 
--- a/cloverhook/gateway/prober.py
+++ b/cloverhook/gateway/prober.py
@@ -11,10 +11,10 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import UpstreamError
 from cloverhook.gateway.backend_pool import BackendPool
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.call_headers import CallHeaders
 from cloverhook.gateway.load import LoadFigure
 from cloverhook.gateway.load_probe import NOBODY, ask_load
-from cloverhook.gateway.registry import BackendServer
 
 __all__ = ["Prober"]
 
--- a/cloverhook/gateway/rate_limits.py
+++ b/cloverhook/gateway/rate_limits.py
@@ -18,8 +18,8 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.ranking import rank_weight
-from cloverhook.gateway.registry import BackendServer
 
 __all__ = ["NamedLimit", "RateLimits"]
 
--- a/cloverhook/gateway/registry.py
+++ b/cloverhook/gateway/registry.py
@@ -16,35 +16,23 @@
 
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from contextlib import contextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
 import xxhash
 
-from cloverhook.checking import Address, Flag, Integer, Items, MapOf, Number, Table, Text
+from cloverhook.checking import Flag, Integer, Items, MapOf, Number, Table
+from cloverhook.gateway.backend_server import SERVER, BackendServer, ServerRecord
 from cloverhook.gateway.holds import Holds
 from cloverhook.gateway.log_position import LogPosition
 from cloverhook.gateway.versions import era_of
 
-__all__ = ["DRAIN_MS", "REGISTRY_DOCUMENT", "BackendServer", "Registry", "ServerRecord"]
+__all__ = ["DRAIN_MS", "REGISTRY_DOCUMENT", "Registry"]
 
 TOMBSTONES_LIMIT = 4_096
 DRAIN_MS = 2_000.0
-COLD_CHANGE_MS = 300.0
-"""Each report of a cold endpoint tells its time left anew; what differs by less is no change."""
-
-
-SERVER_FIELDS = {
-    "name": Text(),
-    "service": Text(),
-    "address": Address(),
-    "data_center": Text(),
-    "slots": Integer(1),
-    "draining": Flag(),
-    "warm_at_ms": Number(),
-    "sequence": Integer(),
-}
-SERVER = Table({**SERVER_FIELDS, "born_ms": Integer()}, frozenset(SERVER_FIELDS))
+
+
 ROW = Table(
     {"offset": Integer(-1), "server": SERVER, "left_ms": Number()},
     frozenset({"offset", "server"}),
@@ -67,54 +55,6 @@
 """What peers send each other of a registry; `Registry.to_document` makes it."""
 
 
-@dataclass(frozen=True, slots=True)
-class BackendServer:
-    """One incarnation of a backend server; `warm_at_ms` is on this process's monotonic clock.
-
-    `name` is what it registers under and answers to.  `born_ms`, Unix time, tells the starts under
-    one name apart; it is None where a name is never used twice.  `sequence` grows with what an
-    incarnation says of itself.
-    """
-
-    name: str
-    service: str
-    address: str
-    data_center: str
-    slots: int = 1
-    draining: bool = False
-    warm_at_ms: float = 0.0
-    born_ms: int | None = None
-    sequence: int = 0
-    incarnation: str = field(init=False, compare=False)
-
-    def __post_init__(self) -> None:
-        """Join name and start into the key of everything that is known of an incarnation."""
-        key = self.name if self.born_ms is None else f"{self.name}@{self.born_ms}"
-        object.__setattr__(self, "incarnation", key)
-
-    @classmethod
-    def from_row(cls, row: Mapping[str, Any], now_ms: float) -> "BackendServer":
-        """Build a backend server from the form in which peers exchange it."""
-        return cls(**{**row, "warm_at_ms": row["warm_at_ms"] + now_ms})
-
-    def to_row(self, now_ms: float) -> dict[str, Any]:
-        """Return the form in which peers exchange it; times become durations."""
-        row = {name: getattr(self, name) for name in SERVER_FIELDS}
-        if self.born_ms is not None:
-            row["born_ms"] = self.born_ms
-        row["warm_at_ms"] = max(0.0, self.warm_at_ms - now_ms)
-        return row
-
-
-@dataclass(frozen=True, slots=True)
-class ServerRecord:
-    """What the store says under a name at an offset; without `server` that one is gone."""
-
-    name: str
-    offset: int
-    server: BackendServer | None
-
-
 class Registry:
     """Backend servers by name, by incarnation and by service."""
 
@@ -209,7 +149,7 @@
         returned = self._holds.end(name)
         if before is not None and before.incarnation != after.incarnation:
             self._ended.append(before.incarnation)
-        elif before is not None and _same(before, after, now_ms) and not returned:
+        elif before is not None and after.is_like(before, now_ms) and not returned:
             self._servers[name] = replace(before, sequence=after.sequence)
             return False
         self._servers[name] = after
@@ -458,11 +398,3 @@
             found.setdefault(server.service, []).append(server)
         self._by_service = {service: tuple(items) for service, items in found.items()}
         self._by_incarnation = {item.incarnation: item for item in self._servers.values()}
-
-
-def _same(before: BackendServer, after: BackendServer, now_ms: float) -> bool:
-    """Return whether two records differ in nothing that decides where requests go."""
-    was_warm_at_ms, is_warm_at_ms = (max(now_ms, item.warm_at_ms) for item in (before, after))
-    if abs(is_warm_at_ms - was_warm_at_ms) > COLD_CHANGE_MS:
-        return False
-    return replace(before, warm_at_ms=0.0, sequence=0) == replace(after, warm_at_ms=0.0, sequence=0)
--- a/cloverhook/gateway/store.py
+++ b/cloverhook/gateway/store.py
@@ -15,8 +15,8 @@
 from typing import Protocol
 
 from cloverhook.errors import CloverhookError
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.evacuation import Evacuation
-from cloverhook.gateway.registry import BackendServer, ServerRecord
 from cloverhook.gateway.routes import GatewayConfig
 
 __all__ = [
--- a/features/era_replay.py
+++ b/features/era_replay.py
@@ -4,8 +4,9 @@
 import zlib
 from dataclasses import replace
 
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.knowledge import Knowledge
-from cloverhook.gateway.registry import BackendServer, Registry
+from cloverhook.gateway.registry import Registry
 from cloverhook.gateway.state_fetch import state_for
 from cloverhook.gateway.store import Feed, FeedSlice, MemoryStore
 from cloverhook.gateway.store_follower import with_versions
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.call_headers import CallHeaders
 from cloverhook.gateway.calls import CallerAnswer
 from cloverhook.gateway.daemon import Gateway
-from cloverhook.gateway.registry import BackendServer
 from cloverhook.gateway.routes import GatewayConfig, IngressLimits, Part, Route, ServiceSpec
 from cloverhook.gateway.settings import GatewaySettings
 from cloverhook.gateway.store import MemoryStore
--- a/features/rate_limit_replay.py
+++ b/features/rate_limit_replay.py
@@ -2,8 +2,8 @@
 
 import random
 
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.rate_limits import RateLimits
-from cloverhook.gateway.registry import BackendServer
 
 STEP_MS = 20.0
 LIST_MS = 100.0
--- a/features/registry_replay.py
+++ b/features/registry_replay.py
@@ -4,8 +4,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.knowledge import Knowledge
-from cloverhook.gateway.registry import BackendServer, ServerRecord
 from cloverhook.gateway.state_fetch import state_for
 
 DRAIN_MS = 2_500.0
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -15,6 +15,7 @@
 import features
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError, PlatformError
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.event_log import Kind
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadFigure
@@ -30,7 +31,7 @@
     encode,
 )
 from cloverhook.gateway.quarantine import Quarantine
-from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
+from cloverhook.gateway.registry import Registry
 from cloverhook.gateway.routes import GatewayConfig
 from cloverhook.gateway.store import Feed, MemoryStore
 from features import gateway_fleet as fleet
--- a/features/steps/gateway_broadcast_steps.py
+++ b/features/steps/gateway_broadcast_steps.py
@@ -9,6 +9,7 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
 from cloverhook.gateway import state_fetch
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadFigure
@@ -21,7 +22,7 @@
     ServerChanges,
     decode,
 )
-from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
+from cloverhook.gateway.registry import Registry
 from cloverhook.gateway.state_fetch import state_for
 from features import gateway_fleet as fleet
 from features.gateway_crowd import FAR, NEAR, Wire, heartbeat, members_of, peering_of
--- a/features/steps/gateway_changes_steps.py
+++ b/features/steps/gateway_changes_steps.py
@@ -5,9 +5,9 @@
 
 from behave import given, then, when
 
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.config_codec import EncodedConfig
 from cloverhook.gateway.knowledge import Knowledge
-from cloverhook.gateway.registry import BackendServer, ServerRecord
 from cloverhook.gateway.state_fetch import state_for
 from features import gateway_fleet as fleet
 from features.gateway_crowd import peering_of
--- a/features/steps/gateway_choice_steps.py
+++ b/features/steps/gateway_choice_steps.py
@@ -5,9 +5,10 @@
 
 from behave import given, then, when
 
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.balancer import Balancer, Room, WorkEstimates
 from cloverhook.gateway.load import LoadBoard, LoadFigure, ServerLoad
-from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
+from cloverhook.gateway.registry import Registry
 from cloverhook.gateway.waiting_line import Waiter, WaitingLine
 
 SERVICE = "booking"
--- a/features/steps/gateway_crossing_steps.py
+++ b/features/steps/gateway_crossing_steps.py
@@ -7,6 +7,7 @@
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.gateway.admission import Admission
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.count_updates import CountUpdates
 from cloverhook.gateway.evacuation import Evacuations
@@ -16,7 +17,6 @@
 from cloverhook.gateway.load_updates import LoadUpdates
 from cloverhook.gateway.members import Members
 from cloverhook.gateway.peer_messages import CountChanges, InFlight, Relay, decode
-from cloverhook.gateway.registry import BackendServer, ServerRecord
 from features.gateway_crowd import NEAR, Wire, heartbeat
 from features.shared import run
 
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -6,13 +6,14 @@
 from behave import given, then, when
 
 from cloverhook.errors import MessageError
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.balancer import Balancer, WorkEstimates
 from cloverhook.gateway.event_log import BUFFER_LIMIT_BYTES, EventLog, Kind
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadBoard, LoadFigure
 from cloverhook.gateway.members import Members
 from cloverhook.gateway.peer_messages import Heartbeat, InFlight, Loads, Relay, decode, encode
-from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
+from cloverhook.gateway.registry import Registry
 from cloverhook.gateway.retry_allowance import RetryAllowance
 from cloverhook.gateway.routes import Part
 from cloverhook.gateway.splits import Splits
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -10,12 +10,12 @@
 from cloverhook.errors import PlatformSilentError
 from cloverhook.gateway.attempt import Attempt, Outcome
 from cloverhook.gateway.backend_pool import BackendPool
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.balancer import Balancer, Choice, Room, WorkEstimates
 from cloverhook.gateway.calls import CallerRequest
 from cloverhook.gateway.evacuation import Evacuation, Evacuations
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadBoard
-from cloverhook.gateway.registry import BackendServer, ServerRecord
 from cloverhook.gateway.store import MemoryStore
 from features import gateway_fleet as fleet
 from features.shared import run
--- a/features/steps/gateway_measuring_steps.py
+++ b/features/steps/gateway_measuring_steps.py
@@ -4,9 +4,10 @@
 
 from behave import given, then, when
 
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.load import LoadBoard, LoadFigure
 from cloverhook.gateway.measuring import Measuring
-from cloverhook.gateway.registry import BackendServer, Registry, ServerRecord
+from cloverhook.gateway.registry import Registry
 from features import gateway_fleet as fleet
 from features.gateway_crowd import FAR, NEAR, heartbeat, members_of
 
--- a/features/steps/gateway_store_era_steps.py
+++ b/features/steps/gateway_store_era_steps.py
@@ -6,8 +6,8 @@
 from behave import given, then, when
 
 from cloverhook.errors import PlatformSilentError
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.knowledge import Knowledge
-from cloverhook.gateway.registry import BackendServer, ServerRecord
 from cloverhook.gateway.store import Feed, FeedSlice
 from cloverhook.gateway.store_follower import with_versions
 from features import gateway_fleet as fleet
--- a/features/steps/gateway_trust_steps.py
+++ b/features/steps/gateway_trust_steps.py
@@ -6,12 +6,12 @@
 from behave import given, then, when
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.balancer import Balancer, Room, WorkEstimates
 from cloverhook.gateway.event_log import EventLog
 from cloverhook.gateway.failure_updates import FailureUpdates
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.peer_messages import Failures
-from cloverhook.gateway.registry import BackendServer, ServerRecord
 from cloverhook.gateway.trust import ANSWERED_MS, Trust
 from features import gateway_fleet as fleet
 from features.shared import run
