Serve one that was referred to a VM which has gone since

Found by reading: of another data centre two VMs get the configuration, and all others there are referred to the last of them. Where that one had gone, an asker was referred to it three times and gave up until the next heartbeat. Who comes back after a referral is served. The new scenario is red without the change.

--- a/cloverhook/gateway/transfer_queue.py
+++ b/cloverhook/gateway/transfer_queue.py
@@ -55,10 +55,14 @@
         self._waiting: list[Asker] = []
         self._sending: set[Asker] = set()
         self._received: dict[str, list[Asker]] = {}
+        self._referred: set[Asker] = set()
 
     def ask(self, asker: Asker) -> list[Send | Refer]:
-        """Take a question; the answer may come with a later call."""
-        if self._is_served_elsewhere(asker.data_center):
+        """Take a question; the answer may come with a later call.
+
+        One that comes back after it was referred has found nobody there: it is served here.
+        """
+        if self._is_served_elsewhere(asker.data_center) and asker not in self._referred:
             return [self._refer(asker)]
         if len(self._waiting) >= WAITING_LIMIT or asker in self._waiting:
             return [Refer(asker, None)]
@@ -85,6 +89,7 @@
         step = 1 if self._is_served_elsewhere(receiver.data_center) else 2
         referred = neighbours[::step]
         self._waiting = [item for item in self._waiting if item not in referred]
+        self._referred.update(referred)
         return [Refer(item, receiver.peer_address) for item in referred]
 
     def _is_served_elsewhere(self, data_center: str) -> bool:
@@ -94,6 +99,7 @@
 
     def _refer(self, asker: Asker) -> Refer:
         """Refer a VM to the one of its data centre that has received the state last."""
+        self._referred.add(asker)
         received = self._received.get(asker.data_center, ())
         others = [item for item in received if item != asker]
         return Refer(asker, others[-1].peer_address if others else None)
--- a/features/gateway_changes.feature
+++ b/features/gateway_changes.feature
@@ -31,6 +31,11 @@
       | 132 | 36  | 0.05   | 1800  | 8    |
       | 300 | 36  | 0.0    | 1800  | 8    |
 
+  Scenario: One that was referred to a VM which has gone since is served
+    Given a VM that has sent a configuration to 2 VMs of another data centre
+    Then another one of there is referred to one of the 2
+    And is sent the configuration when it asks once more
+
   Scenario: A configuration is encoded where it was read, and passed on as it is
     Given 8 gateways and a configuration of 1800 routes
     When one route changes
--- a/features/steps/gateway_changes_steps.py
+++ b/features/steps/gateway_changes_steps.py
@@ -9,8 +9,9 @@
 from cloverhook.gateway.config_codec import EncodedConfig
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.state_fetch import state_for
+from cloverhook.gateway.transfer_queue import Asker, Refer, Send, TransferQueue
 from features import gateway_fleet as fleet
-from features.gateway_crowd import peering_of
+from features.gateway_crowd import FAR, NEAR, peering_of
 from features.registry_replay import RegistryReplay
 from features.shared import run
 from features.transfer_replay import TransferReplay
@@ -113,6 +114,28 @@
     assert max(crossings) <= others * count, crossings
 
 
+@given("a VM that has sent a configuration to {count:d} VMs of another data centre")
+def step_sent_far(context, count):
+    context.queue = TransferQueue(NEAR)
+    context.receivers = [Asker(f"vm-{number}:2", FAR) for number in range(count)]
+    for receiver in context.receivers:
+        assert context.queue.ask(receiver) == [Send(receiver)]
+        context.queue.ended(receiver, received=True)
+    context.asker = Asker("vm-late:2", FAR)
+
+
+@then("another one of there is referred to one of the {count:d}")
+def step_referred(context, count):
+    (action,) = context.queue.ask(context.asker)
+    assert isinstance(action, Refer), action
+    assert action.peer_address in {item.peer_address for item in context.receivers[:count]}
+
+
+@then("is sent the configuration when it asks once more")
+def step_sent_again(context):
+    assert context.queue.ask(context.asker) == [Send(context.asker)]
+
+
 @given("{gateways:d} gateways and a configuration of {routes:d} routes")
 def step_many_routes(context, gateways, routes):
     async def start():
