--- a/bench/choice_cost.py
+++ b/bench/choice_cost.py
@@ -8,7 +8,8 @@
 
 from bench.figures import Figure, median
 from cloverhook.gateway.backend_server import BackendServer, ServerRecord
-from cloverhook.gateway.balancer import Balancer, Room, WorkEstimates
+from cloverhook.gateway.balancer import Balancer
+from cloverhook.gateway.choice import Room, WorkEstimates
 from cloverhook.gateway.load import LoadBoard, LoadFigure
 from cloverhook.gateway.registry import Registry
 from cloverhook.gateway.waiting_line import Waiter, WaitingLine
--- a/bench/gateway_replay.py
+++ b/bench/gateway_replay.py
@@ -22,7 +22,8 @@
 
 from bench.gateway_loads import Deployment, Kind, Load, Outcome
 from cloverhook.gateway.backend_server import BackendServer, ServerRecord
-from cloverhook.gateway.balancer import Balancer, Choice, Room, WorkEstimates
+from cloverhook.gateway.balancer import Balancer
+from cloverhook.gateway.choice import Choice, Room, WorkEstimates
 from cloverhook.gateway.final_answer import RETURN_MS
 from cloverhook.gateway.load import LoadBoard, LoadFigure
 from cloverhook.gateway.registry import Registry
--- a/cloverhook/gateway/admission.py
+++ b/cloverhook/gateway/admission.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from cloverhook.clock import monotonic_ms
-from cloverhook.gateway.balancer import Choice
+from cloverhook.gateway.choice import Choice
 from cloverhook.gateway.waiting_line import Waiter, WaitingLine
 
 __all__ = ["Admission"]
--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -17,7 +17,6 @@
 from cloverhook.errors import UpstreamError
 from cloverhook.gateway.backend_pool import BackendPool
 from cloverhook.gateway.backend_server import BackendServer
-from cloverhook.gateway.balancer import Choice
 from cloverhook.gateway.call_headers import (
     CallHeaders,
     find,
@@ -26,6 +25,7 @@
     rate_limit_per_s,
 )
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
+from cloverhook.gateway.choice import Choice
 from cloverhook.gateway.load import SLOW_PACE, LoadBoard, ServerLoad
 from cloverhook.gateway.load_probe import ask_load
 from cloverhook.upstream_connection import AnswerHead, RequestHead, UpstreamConnection
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -16,9 +16,10 @@
 from cloverhook.gateway.announcing import Announcer
 from cloverhook.gateway.backend_pool import BackendPool
 from cloverhook.gateway.backend_server import BackendServer
-from cloverhook.gateway.balancer import Balancer, WorkEstimates
+from cloverhook.gateway.balancer import Balancer
 from cloverhook.gateway.call_headers import CallHeaders
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
+from cloverhook.gateway.choice import WorkEstimates
 from cloverhook.gateway.cold_limit import ColdBound, ColdLimit
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.discovery import Discovery
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -14,9 +14,10 @@
 from cloverhook.gateway.attempt import Attempt, AttemptResult, Outcome
 from cloverhook.gateway.backend_pool import BackendPool
 from cloverhook.gateway.backend_server import BackendServer
-from cloverhook.gateway.balancer import Balancer, Choice, Room, WorkEstimates
+from cloverhook.gateway.balancer import Balancer
 from cloverhook.gateway.call_headers import CallHeaders, find
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
+from cloverhook.gateway.choice import Choice, Room, WorkEstimates
 from cloverhook.gateway.final_answer import error_answer, final_kind
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import SLOW_PACE
--- a/cloverhook/gateway/request_report.py
+++ b/cloverhook/gateway/request_report.py
@@ -9,8 +9,8 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import ErrorKind
 from cloverhook.gateway.attempt import Attempt
-from cloverhook.gateway.balancer import Choice
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
+from cloverhook.gateway.choice import Choice
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.event_log import EventLog, Kind
 from cloverhook.gateway.knowledge import Knowledge
--- a/cloverhook/gateway/waiting_line.py
+++ b/cloverhook/gateway/waiting_line.py
@@ -16,7 +16,8 @@
 from dataclasses import dataclass, field
 from math import log2
 
-from cloverhook.gateway.balancer import Balancer, Choice, Room
+from cloverhook.gateway.balancer import Balancer
+from cloverhook.gateway.choice import Choice, Room
 
 __all__ = ["Decision", "Waiter", "WaitingLine"]
 
--- a/features/steps/gateway_choice_steps.py
+++ b/features/steps/gateway_choice_steps.py
@@ -6,7 +6,8 @@
 from behave import given, then, when
 
 from cloverhook.gateway.backend_server import BackendServer, ServerRecord
-from cloverhook.gateway.balancer import Balancer, Room, WorkEstimates
+from cloverhook.gateway.balancer import Balancer
+from cloverhook.gateway.choice import Room, WorkEstimates
 from cloverhook.gateway.load import LoadBoard, LoadFigure, ServerLoad
 from cloverhook.gateway.registry import Registry
 from cloverhook.gateway.waiting_line import Waiter, WaitingLine
--- a/features/steps/gateway_cold_steps.py
+++ b/features/steps/gateway_cold_steps.py
@@ -11,8 +11,9 @@
 from hypothesis import strategies as st
 
 from cloverhook.gateway.backend_server import BackendServer, ServerRecord
-from cloverhook.gateway.balancer import Balancer, Room, WorkEstimates
+from cloverhook.gateway.balancer import Balancer
 from cloverhook.gateway.call_headers import cold_ms
+from cloverhook.gateway.choice import Room, WorkEstimates
 from cloverhook.gateway.cold_limit import ColdBound, ColdLimit
 from cloverhook.gateway.load import LoadBoard, LoadFigure
 from cloverhook.gateway.peer_messages import Loads, decode, encode
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -7,7 +7,8 @@
 
 from cloverhook.errors import MessageError
 from cloverhook.gateway.backend_server import BackendServer, ServerRecord
-from cloverhook.gateway.balancer import Balancer, WorkEstimates
+from cloverhook.gateway.balancer import Balancer
+from cloverhook.gateway.choice import WorkEstimates
 from cloverhook.gateway.event_log import BUFFER_LIMIT_BYTES, EventLog, Kind
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadBoard, LoadFigure
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -11,8 +11,9 @@
 from cloverhook.gateway.attempt import Attempt, Outcome
 from cloverhook.gateway.backend_pool import BackendPool
 from cloverhook.gateway.backend_server import BackendServer, ServerRecord
-from cloverhook.gateway.balancer import Balancer, Choice, Room, WorkEstimates
+from cloverhook.gateway.balancer import Balancer
 from cloverhook.gateway.calls import CallerRequest
+from cloverhook.gateway.choice import Choice, Room, WorkEstimates
 from cloverhook.gateway.evacuation import Evacuation, Evacuations
 from cloverhook.gateway.knowledge import Knowledge
 from cloverhook.gateway.load import LoadBoard
--- a/features/steps/gateway_trust_steps.py
+++ b/features/steps/gateway_trust_steps.py
@@ -7,7 +7,8 @@
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.gateway.backend_server import BackendServer, ServerRecord
-from cloverhook.gateway.balancer import Balancer, Room, WorkEstimates
+from cloverhook.gateway.balancer import Balancer
+from cloverhook.gateway.choice import Room, WorkEstimates
 from cloverhook.gateway.event_log import EventLog
 from cloverhook.gateway.failure_updates import FailureUpdates
 from cloverhook.gateway.knowledge import Knowledge
