--- a/cloverhook/gateway/load_updates.py
+++ b/cloverhook/gateway/load_updates.py
@@ -65,7 +65,7 @@
     def add(self, incarnation: str, figure: LoadFigure, at_ms: float) -> None:
         """Take a figure that was measured at a time, and send it soon."""
         self._near[incarnation] = (figure, at_ms)
-        if self._is_far_news(incarnation, figure, at_ms):
+        if self._is_far_change(incarnation, figure, at_ms):
             self._far_sent[incarnation] = self._far[incarnation] = (figure, at_ms)
         loop = asyncio.get_running_loop()
         if self._timer is None:
@@ -103,7 +103,7 @@
             for start in range(0, len(rows), ROWS_LIMIT)
         ]
 
-    def _is_far_news(self, incarnation: str, figure: LoadFigure, at_ms: float) -> bool:
+    def _is_far_change(self, incarnation: str, figure: LoadFigure, at_ms: float) -> bool:
         sent, sent_ms = self._far_sent.get(incarnation, (figure, -1e12))
         ratio = max(figure.pace, sent.pace) / max(min(figure.pace, sent.pace), 0.01)
         step = abs(figure.running + figure.waiting - sent.running - sent.waiting)
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -143,7 +143,7 @@
 class Suspicion:
     """How many endpoints in a row have crashed under a request, which its key stands for.
 
-    Nobody else is to send it for `held_ms`; `claimed` says that the teller sends a copy meanwhile.
+    Nobody else is to send it for `held_ms`; `claimed` says that the sender sends a copy meanwhile.
     Without a crash the request was answered well, and is clear.
     """
 
--- a/cloverhook/gateway/quarantine.py
+++ b/cloverhook/gateway/quarantine.py
@@ -159,8 +159,8 @@
             self._served.add(key, now_ms)
             self._suspects.pop(key, None)
             # The others hold it because this VM has told them to.
-            told_by_us = mine is not None and mine.holder == self._own_vm
-            return Reaction(pass_on=update if told_by_us else None)
+            known_by_us = mine is not None and mine.holder == self._own_vm
+            return Reaction(pass_on=update if known_by_us else None)
         if self._served.has(key, now_ms):
             return Reaction(answer=Suspicion(key, 0))
         if mine is not None and update.crashes < mine.crashes:
--- a/cloverhook/gateway/trust.py
+++ b/cloverhook/gateway/trust.py
@@ -23,7 +23,7 @@
 FAILURES_MS = 1_500.0
 """Two failures further apart are no row."""
 ANSWERED_MS = 3_000.0
-"""A failure that is told counts as no more than one where its teller or this VM has had an answer
+"""A failure that is told counts as no more than one where its sender or this VM has had an answer
 within this time: answers are not told, and an endpoint that loses a few answers would look dead."""
 SUSPEND_MS = 1_000.0
 SUSPEND_MOST_MS = 8_000.0
