One place for a VM's place in an order, and no search of the line where nobody names a limit

A waiting request looked for its place in the line also where no endpoint has a limit. No behaviour is changed.

--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -257,6 +257,10 @@
             return True
         return limits.may_send(server, now_ms)
 
+    def knows_rate_limits(self) -> bool:
+        """Return whether any endpoint has named a limit."""
+        return bool(self._rate_limits)
+
     def is_rate_limited(self, service: str, now_ms: float, time_ms: float, before: int = 0) -> bool:
         """Return whether limits leave no place for a request within a time, `before` others first.
 
--- a/cloverhook/gateway/cold_limit.py
+++ b/cloverhook/gateway/cold_limit.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from cloverhook.gateway.backend_server import BackendServer
-from cloverhook.gateway.ranking import rank_weight
+from cloverhook.gateway.ranking import place_in_order
 
 __all__ = ["ColdBound", "ColdLimit"]
 
@@ -84,6 +84,4 @@
         vms = self._users_from(server.data_center, now_ms)
         if self._own_vm not in vms:
             return False
-        key = server.incarnation
-        own = rank_weight(key, self._own_vm)
-        return sum(1 for vm in vms if rank_weight(key, vm) > own) < self._bound.users()
+        return place_in_order(server.incarnation, self._own_vm, vms) < self._bound.users()
--- a/cloverhook/gateway/discovery.py
+++ b/cloverhook/gateway/discovery.py
@@ -7,7 +7,7 @@
 """
 
 from cloverhook.gateway.members import Members
-from cloverhook.gateway.ranking import rank_weight
+from cloverhook.gateway.ranking import place_in_order
 
 __all__ = ["Discovery"]
 
@@ -46,8 +46,8 @@
             return False
         if not self._met_all:
             return True
-        own = rank_weight("announce", self._own_vm)
-        return sum(1 for item in alive if rank_weight("announce", item.vm) > own) < ANNOUNCERS
+        place = place_in_order("announce", self._own_vm, (item.vm for item in alive))
+        return place < ANNOUNCERS
 
     def announcement_lost(self) -> None:
         """Note that the store has forgotten what this VM wrote down."""
--- a/cloverhook/gateway/measuring.py
+++ b/cloverhook/gateway/measuring.py
@@ -16,7 +16,7 @@
 from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.load import LoadBoard
 from cloverhook.gateway.members import Members
-from cloverhook.gateway.ranking import rank_weight
+from cloverhook.gateway.ranking import place_in_order, rank_weight
 from cloverhook.gateway.registry import Registry
 
 __all__ = ["GROUP_SIZE", "LISTEN_MS", "Measuring"]
@@ -244,10 +244,8 @@
 
     def _sites_before(self, data_center: str, now_ms: float) -> int:
         """Return how many data centres go before the own one in measuring an empty one."""
-        own = rank_weight(data_center, self._members.data_center)
         others = self._members.far(now_ms)
-        return sum(1 for name in others if rank_weight(data_center, name) > own)
+        return place_in_order(data_center, self._members.data_center, others)
 
     def _place(self, key: str, vms: Sequence[str]) -> int:
-        own = rank_weight(key, self._own_vm)
-        return sum(1 for vm in vms if rank_weight(key, vm) > own)
+        return place_in_order(key, self._own_vm, vms)
--- a/cloverhook/gateway/members.py
+++ b/cloverhook/gateway/members.py
@@ -14,7 +14,7 @@
 from typing import Protocol
 
 from cloverhook.gateway.peer_messages import Heartbeat
-from cloverhook.gateway.ranking import rank_weight
+from cloverhook.gateway.ranking import place_in_order, rank_weight
 
 __all__ = ["READERS", "KnownVersions", "Member", "Members"]
 
@@ -362,16 +362,16 @@
             for item in self._readers.values()
             if not item.leaving and now_ms - item.heard_ms < READER_SILENT_MS
         ]
-        own = rank_weight("reader", self._own_vm)
         if reading:
-            return sum(1 for item in others if rank_weight("reader", item.vm) > own) < READERS
+            place = place_in_order("reader", self._own_vm, (item.vm for item in others))
+            return place < READERS
         if len(others) >= READERS:
             self._enough_readers_ms = now_ms
             self._was_read = True
             return False
         recent = (item for item in self.alive(now_ms) if now_ms - item.heard_ms < RANKED_MS)
         idle = [item.vm for item in recent if item not in others]
-        wait_ms = TAKEOVER_STEP_MS * sum(1 for vm in idle if rank_weight("reader", vm) > own)
+        wait_ms = TAKEOVER_STEP_MS * place_in_order("reader", self._own_vm, idle)
         if others or not self._was_read:
             wait_ms += READER_SILENT_MS
         return now_ms - self._enough_readers_ms >= wait_ms
--- a/cloverhook/gateway/quarantine_updates.py
+++ b/cloverhook/gateway/quarantine_updates.py
@@ -13,7 +13,7 @@
 from cloverhook.gateway.members import Member, Members
 from cloverhook.gateway.peer_messages import Suspicion, Suspicions, encode
 from cloverhook.gateway.quarantine import TOLD_LIMIT, Quarantine, Standing
-from cloverhook.gateway.ranking import rank_weight
+from cloverhook.gateway.ranking import place_in_order
 from cloverhook.gateway.request_key import RequestKeys
 
 __all__ = ["QuarantineUpdates"]
@@ -125,10 +125,9 @@
 
     def _welcomes(self, member: Member, now_ms: float) -> bool:
         """Return whether this VM is among the few that tell a newcomer."""
-        own = rank_weight(member.vm, self._own_vm)
         others = (item for item in self._members.near() if item.is_alive(now_ms))
         before = (item.vm for item in others if item.vm != member.vm)
-        return sum(1 for vm in before if rank_weight(member.vm, vm) > own) < WELCOMERS
+        return place_in_order(member.vm, self._own_vm, before) < WELCOMERS
 
     def _tell_again(self, keys: RequestKeys) -> None:
         """Tell a quarantine again that still holds."""
--- a/cloverhook/gateway/ranking.py
+++ b/cloverhook/gateway/ranking.py
@@ -7,11 +7,19 @@
 True
 """
 
+from collections.abc import Iterable
+
 import xxhash
 
-__all__ = ["rank_weight"]
+__all__ = ["place_in_order", "rank_weight"]
 
 
 def rank_weight(key: str, vm: str) -> int:
     """Return the weight of a VM for a task; all VMs give the task to the heaviest that lives."""
     return xxhash.xxh3_64_intdigest(f"{key}\0{vm}".encode())
+
+
+def place_in_order(key: str, own: str, others: Iterable[str]) -> int:
+    """Return how many others come before a VM in the order for a task."""
+    weight = rank_weight(key, own)
+    return sum(1 for other in others if rank_weight(key, other) > weight)
--- a/cloverhook/gateway/rate_limits.py
+++ b/cloverhook/gateway/rate_limits.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass
 
 from cloverhook.gateway.backend_server import BackendServer
-from cloverhook.gateway.ranking import rank_weight
+from cloverhook.gateway.ranking import place_in_order
 
 __all__ = ["NamedLimit", "RateLimits"]
 
@@ -138,7 +138,6 @@
         """Return how many VMs come before this one in the order for an endpoint."""
         known = self._places.get(incarnation)
         if known is None or known[0] != vms:
-            own = rank_weight(incarnation, self._own_vm)
-            place = sum(1 for vm in vms if rank_weight(incarnation, vm) > own)
+            place = place_in_order(incarnation, self._own_vm, vms)
             known = self._places[incarnation] = vms, place
         return known[1]
--- a/cloverhook/gateway/waiting_line.py
+++ b/cloverhook/gateway/waiting_line.py
@@ -174,6 +174,8 @@
 
     def _is_rate_limited(self, waiter: Waiter, now_ms: float) -> bool:
         """Return whether limits of endpoints leave no place that a request could wait for."""
+        if not self._balancer.knows_rate_limits():
+            return False
         before = self._lines[waiter.service].index(waiter)
         left_ms = max(0.0, waiter.start_until_ms - now_ms)
         return self._balancer.is_rate_limited(waiter.service, now_ms, left_ms, before)
--- a/features/steps/gateway_broadcast_steps.py
+++ b/features/steps/gateway_broadcast_steps.py
@@ -236,16 +236,23 @@
         assert told == set(context.names) - {name} and len(told) == count, told
 
 
+def silent_peers(part, asked):
+    """Return a fetch that nobody answers; it notes the addresses asked for a part."""
+
+    async def fetch(address, question):
+        if part in question:
+            asked.append(address)
+        raise MessageError("no answer")
+
+    return fetch
+
+
 @then("one that is behind asks a neighbour that has the version, and another one if none answers")
 def step_fetch(context):
     own, holder, other, *_ = context.names
     peering = peering_of(own, context.names)
     asked = []
-
-    async def fetch(address, question):
-        if "config" in question:
-            asked.append(address)
-        raise MessageError("no answer")
+    fetch = silent_peers("config", asked)
 
     async def catch_up():
         peering.link.fetch = fetch
@@ -383,11 +390,7 @@
     own, teller, *_ = context.names
     peering = peering_of(own, context.names)
     asked = []
-
-    async def fetch(address, question):
-        if "registry" in question:
-            asked.append(address)
-        raise MessageError("no answer")
+    fetch = silent_peers("registry", asked)
 
     async def miss():
         peering.link.fetch = fetch
