Log and count which endpoints say in their responses that they are about to stop

The logs of the incident can't tell whether a response said so, when a VM learned it and from whom. Routing is unchanged.

--- a/cloverhook/explain.py
+++ b/cloverhook/explain.py
@@ -23,6 +23,8 @@
     "endpoint",
     QUARANTINE_KIND,
     "rate-limit",
+    "draining",
+    "invalid-header",
     "member",
     "reader",
     "store",
--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -27,7 +27,9 @@
 )
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
 from cloverhook.gateway.choice import Choice
+from cloverhook.gateway.endpoint_notice import EndpointNotice
 from cloverhook.gateway.load_probe import probe_load
+from cloverhook.gateway.notice_recorder import NoticeRecorder
 from cloverhook.gateway.server_load import SLOW_FACTOR, LoadTable, ServerLoad
 from cloverhook.upstream_connection import AnswerHead, RequestHead, UpstreamConnection
 
@@ -106,6 +108,7 @@
         deadline_ms: float,
         idempotent: bool,
         headers: CallHeaders,
+        notices: NoticeRecorder,
         probe_path: str | None = None,
         reason_not_to_send: Callable[[BackendServer], str] = lambda server: "",
     ) -> None:
@@ -115,6 +118,7 @@
         be sent.  After the choice of the endpoint, its data centre may have been evacuated, or
         another VM may have found that the request crashes endpoints.
         """
+        self._notices = notices
         self._reason_not_to_send = reason_not_to_send
         self._probe_path = probe_path
         self._declined: AnswerHead | None = None
@@ -142,7 +146,9 @@
             connection = await pool.acquire(server, limit, self._idempotent, left_ms)
             if self._probe_path and self._should_probe(load, started_ms):
                 await self._probe(connection, load, self._probe_path)
+            sent_ms = monotonic_ms()
             head = await self._send(connection)
+            notice = self._record_notice(head)
             load_report = parse_load(find(head.headers, self._headers.load))
             if load_report is not None:
                 load.update(load_report, monotonic_ms(), ended_count=1)
@@ -150,6 +156,8 @@
             if head.status != MISDIRECTED_REQUEST:
                 limit_per_s = parse_rate_limit(head.headers, self._headers)
                 result = replace(result, advertised_limit_per_s=limit_per_s)
+            if not result.failed:
+                self._notices.record_success(server, notice, sent_ms)
             still_in_use = result.answer is not None and result.answer.remaining_body is not None
             if not still_in_use:
                 pool.release(server, connection, head)
@@ -186,19 +194,22 @@
         server = self.choice.server
         try:
             async with asyncio.timeout(LOAD_PROBE_TIMEOUT_MS / 1000):
-                head, load_report = await probe_load(connection, server, path, self._headers)
+                result = await probe_load(connection, server, path, self._headers)
         except TimeoutError as error:
             connection.close()
             raise UpstreamError("no response to the load probe", sent=False) from error
         except UpstreamError as error:
             raise UpstreamError(f"load probe failed: {error}", sent=False) from error
+        if result.notice is not None:
+            self._notices.record_probe(server, result.notice)
+        load_report = result.report
         if load_report is None:
             return
         load.update(load_report, monotonic_ms(), ended_count=1)
         if not load_report.reachable:
             raise UpstreamError("another incarnation answered the load probe", sent=False)
         if load_report.slowdown >= SLOW_FACTOR > self.choice.slowdown:
-            self._declined = head
+            self._declined = result.head
             raise UpstreamError(
                 f"load probe shows a slowdown of {load_report.slowdown:g}",
                 sent=False,
@@ -224,6 +235,14 @@
         self.sent = True
         return await connection.send(head, request.body, matches_request=self._is_response_to_this)
 
+    def _record_notice(self, head: AnswerHead) -> EndpointNotice:
+        """Record what the endpoint states about itself, unless another incarnation has answered."""
+        if head.status == MISDIRECTED_REQUEST:
+            return EndpointNotice()
+        notice = EndpointNotice.from_headers(head.headers, self._headers)
+        self._notices.record_response(self.choice.server, notice)
+        return notice
+
     def _is_response_to_this(self, head: AnswerHead) -> bool:
         """Return whether a response belongs to this request.
 
--- a/cloverhook/gateway/call_headers.py
+++ b/cloverhook/gateway/call_headers.py
@@ -40,7 +40,7 @@
     running, requests waiting, slots and, if it is known, the slowdown, with the usual work time as
     100 percent.  `cold_ms` is the time for which an endpoint stays cold.  The first header present
     of `rate_limits` is the number of requests a second that the endpoint accepts from all gateways
-    together.
+    together.  A header of `leaving` with the value 1 says that the endpoint is about to stop.
     """
 
     request_id: bytes = b"x-request-id"
@@ -52,6 +52,7 @@
     not_run: bytes = b"cloverhook-not-run"
     cold_ms: bytes = b"cloverhook-cold-ms"
     rate_limits: tuple[bytes, ...] = (b"cloverhook-rate-limit",)
+    leaving: tuple[bytes, ...] = (b"cloverhook-leaving",)
 
     def set_by_gateway(self) -> frozenset[bytes]:
         """Return the headers that only gateways and backend servers set.
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -23,11 +23,13 @@
 from cloverhook.gateway.cold_limit import ColdLimit, ColdRateBound
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.discovery import Discovery
+from cloverhook.gateway.drain_updates import DrainUpdates
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.forwarding import Forwarder
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.ingress import Ingress
 from cloverhook.gateway.members import READERS, Members
+from cloverhook.gateway.notice_recorder import NoticeRecorder
 from cloverhook.gateway.peer_messages import Identity
 from cloverhook.gateway.peering import Peering
 from cloverhook.gateway.probe_schedule import GROUP_SIZE, STARTUP_DELAY_MS, ProbeSchedule
@@ -122,7 +124,11 @@
             store, self._gateway_state, self._on_change, self._log, self._counters
         )
         self._pool = BackendPool()
-        self._prober = Prober(headers, self._on_load_report)
+        self._drain_updates = DrainUpdates(
+            self._gateway_state.drain_notices, self._log, self._counters
+        )
+        notices = NoticeRecorder(self._drain_updates, self._log, self._counters)
+        self._prober = Prober(headers, self._on_load_report, notices.record_probe)
         estimates = WorkEstimates()
         self._cold_limit = ColdLimit(
             settings.vm,
@@ -166,6 +172,7 @@
             self._peering.refusal_updates.record_refusal,
             quarantine_updates,
             self._peering.rate_limit_updates,
+            notices,
             RequestReport(self._gateway_state, self._log, self._counters),
         )
         self._caller_ingress = Ingress(self._serve_caller, self._limits)
@@ -313,6 +320,7 @@
         counters.set("requests_suspected", len(quarantine))
         counters.set("requests_quarantined", len(quarantine.quarantined(now_ms)))
         counters.set("rate_limits", len(self._peering.rate_limit_updates.limits))
+        counters.set("drain_notices", len(self._gateway_state.drain_notices))
         counters.set("waiting", len(self._forwarder.admission))
         counters.set("probes", self._prober.probe_count)
         counters.set("connects", self._pool.connects)
@@ -388,6 +396,7 @@
         self._peering.failure_updates.forget(now_ms)
         self._peering.quarantine_updates.remove_expired(now_ms)
         self._peering.rate_limit_updates.expire(now_ms)
+        self._drain_updates.expire(now_ms)
 
     def _rewrite_after_store_restore(self) -> None:
         """Write this VM's records again after the store was restored from an older copy.
--- a/cloverhook/gateway/event_log.py
+++ b/cloverhook/gateway/event_log.py
@@ -51,6 +51,8 @@
     ENDPOINT = "endpoint", 30
     QUARANTINE = "quarantine", 30
     RATE_LIMIT = "rate-limit", 20
+    DRAINING = "draining", 30
+    INVALID_HEADER = "invalid-header", 5
     PAUSED = "paused", 5
     ATTEMPT = "attempt", 60
     ANSWER = "answer", 30
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -21,6 +21,7 @@
 from cloverhook.gateway.choice import CapacityRequirement, Choice, WorkEstimates
 from cloverhook.gateway.final_answer import error_answer, final_error_kind
 from cloverhook.gateway.gateway_state import GatewayState
+from cloverhook.gateway.notice_recorder import NoticeRecorder
 from cloverhook.gateway.quarantine_updates import QuarantineUpdates
 from cloverhook.gateway.rate_limit_updates import RateLimitUpdates
 from cloverhook.gateway.request_queue import QueuedRequest, RequestQueue
@@ -74,6 +75,7 @@
         on_refusal: Callable[[str], None],
         quarantine_updates: QuarantineUpdates,
         rate_limit_updates: RateLimitUpdates,
+        notices: NoticeRecorder,
         report: RequestReport,
     ) -> None:
         self._gateway_state = gateway_state
@@ -87,6 +89,7 @@
         self._on_refusal = on_refusal
         self._quarantine_updates = quarantine_updates
         self._rate_limit_updates = rate_limit_updates
+        self._notices = notices
         self._report = report
         self._estimates = estimates
         self.admission = Admission(
@@ -335,6 +338,7 @@
             state.deadline_ms,
             state.route.idempotent,
             self._headers,
+            self._notices,
             self._load_probe_path(state),
             lambda server: self._reason_not_to_send(state, server),
         )
--- a/cloverhook/gateway/gateway_state.py
+++ b/cloverhook/gateway/gateway_state.py
@@ -9,6 +9,7 @@
 
 from cloverhook.gateway.backend_server import ServerRecord
 from cloverhook.gateway.config_codec import EncodedConfig
+from cloverhook.gateway.drain_notices import DrainNotices
 from cloverhook.gateway.evacuation import Evacuations
 from cloverhook.gateway.registry import DRAIN_MS, Registry
 from cloverhook.gateway.routes import GatewayConfig
@@ -40,6 +41,7 @@
         self.evacuations = Evacuations()
         self.drain_ms = drain_ms
         self.registry = Registry(drain_ms)
+        self.drain_notices = DrainNotices()
         self.load_table = LoadTable()
         self._store_recovered_ms = -STORE_RECOVERY_MS
         self._begun_era = 0
--- /dev/null
+++ b/cloverhook/gateway/notice_recorder.py
@@ -0,0 +1,52 @@
+"""Records what endpoints state about themselves in their responses.
+
+Layer: transport.  A notice is recorded as soon as the head of the response has been read: its body
+may take long, and other requests must not be sent there meanwhile.
+"""
+
+from cloverhook.clock import monotonic_ms
+from cloverhook.gateway.backend_server import BackendServer
+from cloverhook.gateway.counters import Counters
+from cloverhook.gateway.drain_updates import DrainUpdates
+from cloverhook.gateway.endpoint_notice import EndpointNotice
+from cloverhook.gateway.event_log import EventKind, EventLog
+
+__all__ = ["NoticeRecorder"]
+
+
+class NoticeRecorder:
+    """Passes the notices in responses to the parts of the gateway that act on them."""
+
+    def __init__(self, drain_updates: DrainUpdates, log: EventLog, counters: Counters) -> None:
+        self._drain_updates = drain_updates
+        self._log = log
+        self._counters = counters
+
+    def record_response(self, server: BackendServer, notice: EndpointNotice) -> None:
+        """Record the notice in the response to a request."""
+        self._record(server, notice, "answer")
+
+    def record_probe(self, server: BackendServer, notice: EndpointNotice) -> None:
+        """Record the notice in the response to a probe."""
+        self._record(server, notice, "probe")
+
+    def record_success(self, server: BackendServer, notice: EndpointNotice, sent_ms: float) -> None:
+        """Record a complete successful response, which also shows what doesn't apply any more.
+
+        A probe doesn't show that: the health report of an endpoint may be wrong.
+        """
+        if not notice.leaving:
+            self._drain_updates.record_no_notice(server.incarnation, sent_ms)
+
+    def _record(self, server: BackendServer, notice: EndpointNotice, source: str) -> None:
+        if notice.leaving:
+            self._drain_updates.record_notice(server.incarnation, monotonic_ms(), source)
+        for header in notice.invalid:
+            self._counters.add("invalid_headers")
+            self._log.note(
+                EventKind.INVALID_HEADER,
+                server=server.incarnation,
+                header=header.name,
+                value=header.value,
+                source=source,
+            )
--- a/cloverhook/gateway/prober.py
+++ b/cloverhook/gateway/prober.py
@@ -14,6 +14,7 @@
 from cloverhook.gateway.backend_pool import BackendPool
 from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.call_headers import CallHeaders
+from cloverhook.gateway.endpoint_notice import EndpointNotice
 from cloverhook.gateway.load_probe import UNREACHABLE_REPORT, probe_load
 from cloverhook.gateway.server_load import LoadReport
 
@@ -32,9 +33,11 @@
         self,
         headers: CallHeaders,
         on_load_report: Callable[[BackendServer, LoadReport, float], None],
+        on_notice: Callable[[BackendServer, EndpointNotice], None],
     ) -> None:
         self._headers = headers
         self._on_load_report = on_load_report
+        self._on_notice = on_notice
         self._pool = BackendPool()
         self._running: dict[str, asyncio.Task[None]] = {}
         self._timeouts: dict[str, int] = {}
@@ -81,12 +84,14 @@
 
     async def _request_load(self, server: BackendServer, path: str) -> LoadReport | None:
         connection = await self._pool.acquire(server, CONNECTION_LIMIT, True, TIMEOUT_MS)
-        head = None
+        result = None
         try:
-            head, report = await probe_load(connection, server, path, self._headers)
+            result = await probe_load(connection, server, path, self._headers)
         finally:
-            if head is None or connection.usable is False:
+            if result is None or connection.usable is False:
                 connection.close()
             else:
-                self._pool.release(server, connection, head)
-        return report
+                self._pool.release(server, connection, result.head)
+        if result.notice is not None:
+            self._on_notice(server, result.notice)
+        return result.report
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -11,7 +11,12 @@
 from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.call_headers import CallHeaders
 from cloverhook.gateway.calls import CallerAnswer
+from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.daemon import Gateway
+from cloverhook.gateway.drain_notices import DrainNotices
+from cloverhook.gateway.drain_updates import DrainUpdates
+from cloverhook.gateway.event_log import EventLog
+from cloverhook.gateway.notice_recorder import NoticeRecorder
 from cloverhook.gateway.routes import (
     GatewayConfig,
     IngressLimits,
@@ -281,6 +286,12 @@
     )
 
 
+def notice_recorder():
+    """Return a recorder of endpoints' notices for an attempt that belongs to no gateway."""
+    log, counters = EventLog("vm-1", len), Counters()
+    return NoticeRecorder(DrainUpdates(DrainNotices(), log, counters), log, counters)
+
+
 async def start_gateway(context, name="vm-1", store=None, write_log=len, **fields):
     """Start a gateway that is stopped after the scenario; return it and its settings."""
     settings = gateway_settings(name, **fields)
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -190,7 +190,15 @@
         choice = Choice(server, 10.0, 0, 1.0, 0.0, 1)
         objections = iter(("its data centre is evacuated",))
         work = Attempt(
-            request, b"r-1", choice, 1e12, True, fleet.NAMES, None, lambda _: next(objections)
+            request,
+            b"r-1",
+            choice,
+            1e12,
+            True,
+            fleet.NAMES,
+            fleet.notice_recorder(),
+            None,
+            lambda _: next(objections),
         )
         pool = BackendPool()
         context.stack.callback(pool.close)
