--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -109,7 +109,8 @@
     """A scripted backend server.
 
     `script` holds the outcome of each request in order; `default` applies when it is empty.  `cut`
-    counts the connections that the gateway has closed while a request got no answer.
+    counts the connections that the gateway has closed while a request got no answer.  All answers,
+    those to probes included, have the header lines `notice_lines`.
     """
 
     incarnation: str
@@ -132,6 +133,7 @@
     listener: asyncio.Server | None = None
     born_ms: int = 0
     limit_per_s: float | None = None
+    notice_lines: tuple[bytes, ...] = ()
     on_request: Callable[["Backend", bytes], None] | None = None
 
     async def start(self, context):
@@ -251,6 +253,7 @@
         ]
         if self.limit_per_s is not None:
             lines.append(b"cloverhook-rate-limit: %g" % self.limit_per_s)
+        lines += self.notice_lines
         if length is not None:
             lines.append(b"Content-Length: %d" % length)
         if request_id:
--- /dev/null
+++ b/features/notice_fleet.py
@@ -0,0 +1,135 @@
+"""Gateways under load whose backend servers state something about themselves in their answers.
+
+Records which VM sent each request that reaches a backend server, and which VM has passed on which
+answers, as the users of the platform see them.
+"""
+
+import asyncio
+import json
+import random
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from types import SimpleNamespace
+
+from cloverhook.clock import monotonic_ms
+from cloverhook.errors import PlatformSilentError
+from features import gateway_fleet as fleet
+
+UNSAFE_SHARE = 0.2
+WORK_MS = 100.0
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request of a caller, and the answer to it."""
+
+    vm: str
+    sent_ms: float
+    ended_ms: float
+    answer: fleet.Answer
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached a backend server, by the VM that sent it."""
+
+    incarnation: str
+    vm: str
+    caller_sent_ms: float
+    at_ms: float
+
+
+class NoticeFleet:
+    """Gateways, backend servers and callers; `close` ends them."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.stack = AsyncExitStack()
+        self.fixture = SimpleNamespace(stack=self.stack)
+        self.log = bytearray()
+        self.calls = []
+        self.arrivals = []
+        self._requests = {}
+        self._count = 0
+
+    @classmethod
+    async def start(cls, gateways, backends, seed=1):
+        """Start gateways that know each other and all backend servers."""
+        self = cls(seed)
+        await fleet.start_fleet(self.fixture, backends, gateways, write_log=self._write_log)
+        others = gateways - 1
+        await fleet.until(lambda: all(len(item._members) == others for item, _ in self.gateways))
+        for backend in self.backends:
+            backend.work_ms = WORK_MS
+            backend.on_request = self._record_arrival
+        return self
+
+    async def close(self):
+        """Stop everything."""
+        await self.stack.aclose()
+
+    @property
+    def gateways(self):
+        """The gateways, each with its settings."""
+        return self.fixture.gateways
+
+    @property
+    def backends(self):
+        """The backend servers."""
+        return self.fixture.backends
+
+    @property
+    def store(self):
+        """The store, in which the backend servers are registered."""
+        return self.fixture.store
+
+    def stop_store(self):
+        """Leave all further calls to the store without an answer."""
+        self.store.failure = PlatformSilentError("away")
+
+    def log_lines(self, kind):
+        """Return the log lines of a kind of all gateways."""
+        lines = (json.loads(line) for line in bytes(self.log).splitlines())
+        return [line for line in lines if line["kind"] == kind]
+
+    async def load(self, requests_per_s, time_s, gateways=None, path=None):
+        """Send requests evenly, each to a random gateway, and wait for all answers."""
+        tasks = []
+        for _ in range(round(requests_per_s * time_s)):
+            tasks.append(asyncio.create_task(self.send(gateways, path)))
+            await asyncio.sleep(1 / requests_per_s)
+        return await asyncio.gather(*tasks)
+
+    async def send(self, gateways=None, path=None):
+        """Send a request to a random gateway and return the call."""
+        _, settings = self.random.choice(gateways or self.gateways)
+        if path is None:
+            path = fleet.UNSAFE if self.random.random() < UNSAFE_SHARE else fleet.SAFE
+        self._count += 1
+        request_id = f"r-{self._count}"
+        sent_ms = monotonic_ms()
+        self._requests[request_id.encode()] = settings.vm, sent_ms
+        answer = await fleet.call(settings.caller_address, path, request_id=request_id)
+        call = Call(settings.vm, sent_ms, monotonic_ms(), answer)
+        self.calls.append(call)
+        return call
+
+    def first_passed_on_ms(self, incarnation, since_ms):
+        """Return, by VM, when it first passed on an answer of an endpoint that came after a time.
+
+        Requests that were sent before that time don't count.
+        """
+        found = {}
+        for call in self.calls:
+            if call.answer.body == incarnation.encode() and call.sent_ms >= since_ms:
+                found[call.vm] = min(call.ended_ms, found.get(call.vm, call.ended_ms))
+        return found
+
+    def _record_arrival(self, backend, _):
+        headers = backend.seen[-1][1]
+        vm, sent_ms = self._requests[headers[fleet.NAMES.request_id]]
+        self.arrivals.append(Arrival(backend.incarnation, vm, sent_ms, monotonic_ms()))
+
+    def _write_log(self, data):
+        self.log += data
+        return len(data)
