--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -18,7 +18,7 @@
 from cloverhook.gateway.candidates import Candidates
 from cloverhook.gateway.choice import CapacityRequirement, Choice, WorkEstimates, nearly_full
 from cloverhook.gateway.cold_limit import ColdLimit
-from cloverhook.gateway.rate_limits import RateLimits
+from cloverhook.gateway.eligibility import Eligibility
 from cloverhook.gateway.registry import Registry
 from cloverhook.gateway.server_load import LoadTable, ServerLoad
 
@@ -132,21 +132,16 @@
         data_center: str,
         source: random.Random,
         has_connection: Callable[[str], bool] = lambda incarnation: True,
-        evacuated: Callable[[], frozenset[str]] = frozenset,
         cold_limit: ColdLimit | None = None,
-        region_of: Callable[[str], str | None] = lambda data_center: None,
-        rate_limits: RateLimits | None = None,
+        eligibility: Eligibility | None = None,
     ) -> None:
         """`has_connection` tells whether a request to an incarnation needs no new connection.
 
-        Nothing is sent to the `evacuated` data centres. `cold_limit` bounds the requests to cold
-        endpoints, and `rate_limits` those to endpoints that advertise a rate limit. `region_of`
-        returns the region of a data centre, or None if it is unknown.
+        `cold_limit` bounds the requests to cold endpoints.  Endpoints that `eligibility` excludes
+        are never chosen.
         """
-        self._evacuated = evacuated
         self._cold_limit = cold_limit
-        self._region_of = region_of
-        self._rate_limits = rate_limits
+        self.eligibility = eligibility or Eligibility(registry)
         self._has_connection = has_connection
         self._estimates = estimates
         self._registry = registry
@@ -212,15 +207,11 @@
         self, service: str, required_capacity: CapacityRequirement, regions: tuple[str, ...]
     ) -> tuple[Candidates, Candidates]:
         """Return the local and the remote candidates; each capacity requirement has its own."""
-        servers, excluded = self._registry.of_service(service), self._evacuated()
+        servers, excluded = self._registry.of_service(service), self.eligibility.evacuated()
         known = self._candidates.get((service, required_capacity, regions))
         if known is not None and known.servers is servers and known.evacuated == excluded:
             return known.local, known.remote
-        usable = [
-            item for item in servers if not item.draining and item.data_center not in excluded
-        ]
-        if regions:
-            usable = [item for item in usable if self._region_of(item.data_center) in regions]
+        usable = self.eligibility.usable(service, regions)
         local = tuple(item for item in usable if item.data_center == self._data_center)
         remote = tuple(item for item in usable if item.data_center != self._data_center)
         known = _UsableEndpoints(
@@ -229,19 +220,6 @@
         self._candidates[service, required_capacity, regions] = known
         return known.local, known.remote
 
-    def may_receive(self, server: BackendServer) -> bool:
-        """Return whether a request placed at a backend server may still be sent there."""
-        return server.data_center not in self._evacuated()
-
-    def is_evacuated(self, service: str) -> bool:
-        """Return whether a service has endpoints, but only in evacuated data centres."""
-        evacuated = self._evacuated()
-        if not evacuated:
-            return False
-        serving = (item for item in self._registry.of_service(service) if not item.draining)
-        in_evacuated = (item.data_center in evacuated for item in serving)
-        return next(in_evacuated, False) and all(in_evacuated)
-
     def _compare_sample(self, selection: "_Selection", candidates: Candidates, count: int) -> None:
         """Sample some candidates and keep the best one."""
         now_ms, work_ms, load_table = selection.now_ms, selection.work_ms, self._load_table
@@ -252,7 +230,9 @@
             if busy >= selection.limit(server.slots) or load.unreachable(now_ms):
                 candidates.set_aside(load, now_ms)
                 continue
-            if server.incarnation in selection.tried or not self._rate_limit_allows(server, now_ms):
+            if server.incarnation in selection.tried:
+                continue
+            if not self.eligibility.rate_limit_allows(server, now_ms):
                 continue
             if load.circuit_breaker.needs_check and not self._breaker_allows(selection, load):
                 continue
@@ -280,42 +260,8 @@
         load = self._load_table.get_or_create(server.incarnation)
         if self._cold_limit is not None and self._is_cold(server, load, now_ms):
             self._cold_limit.record_sent(server, now_ms)
-
-        if self._rate_limits is not None:
-            self._rate_limits.record_sent(server, now_ms)
-
-    def _rate_limit_allows(self, server: BackendServer, now_ms: float) -> bool:
-        """Return whether an endpoint has no rate limit, or this VM's share of it is not used up."""
-        limits = self._rate_limits
-        if not limits or server.incarnation not in limits:
-            return True
-        return limits.may_send(server, now_ms)
-
-    def has_rate_limits(self) -> bool:
-        """Return whether any endpoint has advertised a rate limit."""
-        return bool(self._rate_limits)
-
-    def is_rate_limited(
-        self, service: str, now_ms: float, within_ms: float, queued_ahead: int = 0
-    ) -> bool:
-        """Return whether rate limits leave no room for a request within `within_ms`.
-
-        `queued_ahead` requests are served first. None is left if all usable endpoints have
-        advertised a limit, and these requests use up what the endpoints accept from this VM in that
-        time.
-        """
-        limits = self._rate_limits
-        if not limits:
-            return False
-        evacuated = self._evacuated()
-        available = 0.0
-        for server in self._registry.of_service(service):
-            if server.draining or server.data_center in evacuated:
-                continue
-            if server.incarnation not in limits:
-                return False
-            available += limits.available_within(server, now_ms, within_ms)
-        return available <= queued_ahead
+        if self.eligibility.rate_limits is not None:
+            self.eligibility.rate_limits.record_sent(server, now_ms)
 
     def _is_cold(self, server: BackendServer, load: ServerLoad, now_ms: float) -> bool:
         """Return whether an endpoint is cold according to its entry or its latest probe."""
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -24,6 +24,7 @@
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.discovery import Discovery
 from cloverhook.gateway.drain_updates import DrainUpdates
+from cloverhook.gateway.eligibility import Eligibility
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.forwarding import Forwarder
 from cloverhook.gateway.gateway_state import GatewayState
@@ -136,6 +137,12 @@
             self._gateway_state.cold_per_s,
             ColdRateBound(settings.cold_over, settings.cold_slack),
         )
+        eligibility = Eligibility(
+            self._gateway_state.registry,
+            self._gateway_state.evacuated,
+            (settings.regions or {}).get,
+            self._peering.rate_limit_updates.limits,
+        )
         balancer = Balancer(
             self._gateway_state.registry,
             self._gateway_state.load_table,
@@ -143,10 +150,8 @@
             settings.data_center,
             random.Random(),
             self._pool.has_idle,
-            self._gateway_state.evacuated,
             self._cold_limit,
-            (settings.regions or {}).get,
-            self._peering.rate_limit_updates.limits,
+            eligibility,
         )
         self._probe_schedule = ProbeSchedule(
             settings.vm,
--- a/cloverhook/gateway/final_answer.py
+++ b/cloverhook/gateway/final_answer.py
@@ -28,16 +28,17 @@
     ErrorKind.EVACUATED: EVACUATED_RETRY_AFTER_MS,
     ErrorKind.RATE_LIMITED: RATE_LIMITED_RETRY_AFTER_MS,
 }
+PASSING_REASONS = frozenset((ErrorKind.RATE_LIMITED,))
+"""Reasons that may have begun to apply only after a request was attempted."""
 
 
 def final_error_kind(
-    state: RequestState, late: bool, evacuated: bool, known: bool, rate_limited: bool = False
+    state: RequestState, late: bool, known: bool, unavailable: ErrorKind | None
 ) -> ErrorKind:
     """Return why a request ends without a response from a backend server.
 
-    `late` means that its deadline has passed, `evacuated` that all endpoints of its service are in
-    evacuated data centres, `known` that the service has any endpoints, and `rate_limited` that
-    their rate limits leave nothing for requests of this VM at present.
+    `late` means that its deadline has passed, `known` that its service has any endpoints, and
+    `unavailable` is why none of them takes requests of this VM at present, if that is so.
     """
     if state.possible_executions:
         return ErrorKind.DEADLINE_IN_RUN if late else ErrorKind.CONNECTION_CUT
@@ -45,10 +46,8 @@
         return ErrorKind.QUARANTINED
     if any(item.outcome is Outcome.REJECTED for item in state.results):
         return ErrorKind.REFUSED
-    if evacuated:
-        return ErrorKind.EVACUATED
-    if rate_limited and not state.attempts:
-        return ErrorKind.RATE_LIMITED
+    if unavailable is not None and (unavailable not in PASSING_REASONS or not state.attempts):
+        return unavailable
     if state.attempts or not known:
         return ErrorKind.NO_BACKEND_SERVER
     return ErrorKind.OVERLOADED
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -352,8 +352,9 @@
 
     def _reason_not_to_send(self, state: RequestState, server: BackendServer) -> str:
         """Return why a request must not be sent to the chosen backend server; "" if it may be."""
-        if not self._balancer.may_receive(server):
-            return "its data centre is evacuated"
+        reason = self._balancer.eligibility.reason_not_to_send(server)
+        if reason:
+            return reason
         if not self._quarantine_updates.try_begin_send(state.keys):
             return "endpoints crashed while they ran requests with this content"
         known = self._quarantine_updates.quarantine.crash_counts(state.keys)
@@ -428,10 +429,10 @@
             return answered[-1].answer
         late = monotonic_ms() >= state.deadline_ms
         known = bool(self._gateway_state.registry.of_service(state.service))
-        limited = self._balancer.is_rate_limited(state.service, monotonic_ms(), 0.0)
-        kind = final_error_kind(
-            state, late, self._balancer.is_evacuated(state.service), known, limited
+        unavailable = self._balancer.eligibility.why_unavailable(
+            state.service, monotonic_ms(), regions=state.route.regions
         )
+        kind = final_error_kind(state, late, known, unavailable)
         return error_answer(kind, state.quarantine_left_ms)
 
     def _record_latency(self, state: RequestState, result: AttemptResult) -> None:
--- a/cloverhook/gateway/request_queue.py
+++ b/cloverhook/gateway/request_queue.py
@@ -195,10 +195,8 @@
             return (
                 Decision(request, last_slot) if slack_ms <= LAST_SLACK * request.work_ms else None
             )
-        if last_slot is None and self._balancer.is_evacuated(request.service):
-            return Decision(request, None)  # Waiting can't help: evacuations last for minutes.
-        if last_slot is None and self._is_rate_limited(request, now_ms):
-            return Decision(request, None)
+        if last_slot is None and self._is_unavailable(request, now_ms):
+            return Decision(request, None)  # Waiting can't help.
         if request.can_be_in_time(now_ms):
             return Decision(request, None) if request.should_be_deferred(now_ms) else None
         late_ms = LATE_SHARE * (request.deadline_ms - now_ms)
@@ -210,13 +208,17 @@
             return Decision(request, last_slot)
         return None if request.may_wait_late(now_ms) else Decision(request, None)
 
-    def _is_rate_limited(self, request: QueuedRequest, now_ms: float) -> bool:
-        """Return whether rate limits leave no capacity that the request could wait for."""
-        if not self._balancer.has_rate_limits():
-            return False
-        queued_ahead = self._queues[request.service].index(request)
+    def _is_unavailable(self, request: QueuedRequest, now_ms: float) -> bool:
+        """Return whether no endpoint will take the request for as long as it could wait."""
+        eligibility = self._balancer.eligibility
+        queued_ahead = 0
+        if eligibility.rate_limits:
+            queued_ahead = self._queues[request.service].index(request)
         left_ms = max(0.0, request.latest_start_ms - now_ms)
-        return self._balancer.is_rate_limited(request.service, now_ms, left_ms, queued_ahead)
+        reason = eligibility.why_unavailable(
+            request.service, now_ms, left_ms, queued_ahead, request.regions
+        )
+        return reason is not None
 
     def _no_other_in_time(self, request: QueuedRequest, now_ms: float) -> bool:
         """Return whether no other queued request of the service can still be in time."""
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -14,6 +14,7 @@
 from cloverhook.gateway.balancer import Balancer
 from cloverhook.gateway.calls import CallerRequest
 from cloverhook.gateway.choice import CapacityRequirement, Choice, WorkEstimates
+from cloverhook.gateway.eligibility import Eligibility
 from cloverhook.gateway.evacuation import Evacuation, Evacuations
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.server_load import LoadTable
@@ -270,8 +271,7 @@
         WorkEstimates(),
         "papine",
         random.Random(2),
-        evacuated=context.known.evacuated,
-        region_of=places.get,
+        eligibility=Eligibility(context.known.registry, context.known.evacuated, places.get),
     )
 
 
