Send nothing more to endpoints that say in their responses that they are about to stop

Callers' requests reached a backend server up to 4.5 s after it had said in an answer that it leaves, while the store was away; such a request is lost when the server stops.

Cause: `draining` came from the entry in the store alone, and nothing read the statement in the answers.

Change: a notice is kept by incarnation, apart from the registry, so that neither an entry that is read again nor a peer's state revokes it, and another incarnation starts without one. Such an endpoint is the last resort for half of the drain time; after that it is excluded from every choice, and requests that were placed there before are not sent. Where all endpoints leave, requests are rejected at once with a time to retry and a cause of their own. Invalid values are ignored with a log line.

The test asked for an answer that each VM had passed on; a VM may now learn of the notice by a probe first and pass on none, so it counts from the first answer of any kind, which is stricter.

--- a/cloverhook/errors.py
+++ b/cloverhook/errors.py
@@ -55,6 +55,7 @@
     OVERLOADED = "overloaded"
     NO_BACKEND_SERVER = "no-backend-server"
     EVACUATED = "evacuated"
+    DRAINING = "draining"
     RATE_LIMITED = "rate-limited"
     QUARANTINED = "quarantined"
     REFUSED = "refused"
@@ -95,6 +96,7 @@
     ErrorKind.OVERLOADED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.NO_BACKEND_SERVER: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.EVACUATED: Answer(503, Outcome.NOT_RUN, retry_after=True),
+    ErrorKind.DRAINING: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.RATE_LIMITED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.QUARANTINED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.REFUSED: Answer(503, Outcome.NOT_RUN, retry_after=True),
--- a/cloverhook/explain.py
+++ b/cloverhook/explain.py
@@ -15,6 +15,7 @@
 REQUEST_KINDS = ("attempt", "answer", "sample")
 ANSWER_KINDS = ("answer", "sample")
 QUARANTINE_KIND = "quarantine"
+DRAINING_KIND = "draining"
 KEY_FIELDS = ("content", "content_of_caller")
 STATE_CHANGE_KINDS = (
     "config",
@@ -23,7 +24,7 @@
     "endpoint",
     QUARANTINE_KIND,
     "rate-limit",
-    "draining",
+    DRAINING_KIND,
     "invalid-header",
     "member",
     "reader",
@@ -45,6 +46,7 @@
     "refused": "every backend server that was tried rejected it; it has not run",
     "no-backend-server": "no backend server is reachable, or none is registered; it has not run",
     "evacuated": "its service's backend servers are all in evacuated data centres; it has not run",
+    "draining": "its service's backend servers are all about to stop; it has not run",
     "rate-limited": "its gateway's share of the endpoints' rate limits is used up; it has not run",
     "quarantined": "endpoints crashed on requests with this content; it has not run",
     "unknown-host": "no route of the configuration in force matches its host and path",
@@ -124,6 +126,8 @@
         return Explanation(request_id, (), (), "no log line names it")
     end = own[-1]
     keys = {line.fields.get(name) for line in own for name in KEY_FIELDS}
+    if end.fields.get("cause") == DRAINING_KIND:
+        keys.add(end.fields.get("service"))
     state_changes = [
         line
         for line in lines
@@ -141,10 +145,13 @@
     """Return whether a state change may have determined the end of a request with these keys.
 
     A quarantine is relevant only to the requests that it concerns, and to these regardless of its
-    age.
+    age.  A drain notice is relevant, regardless of its age, to a request that was rejected because
+    all endpoints of the service had given notice.
     """
     if line.kind == QUARANTINE_KIND:
         return line.fields.get("key") in keys
+    if line.kind == DRAINING_KIND and line.fields.get("service") in keys:
+        return True
     return line.time_ms >= end_ms - STATE_CHANGE_WINDOW_MS
 
 
--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -13,6 +13,7 @@
 import random
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.candidates import Candidates
@@ -70,14 +71,24 @@
     remote: Candidates
 
 
+class _RankedEndpoint(NamedTuple):
+    """An endpoint with the cost of choosing it and the expected duration there."""
+
+    cost: float
+    expected_ms: float
+    server: BackendServer
+
+
 class _Selection:
-    """The state of one selection: what is required, and the best endpoint so far."""
+    """The state of one selection: what is required, and the best endpoints so far.
+
+    `last_resort` is the best of those that may be used only where no other one has capacity.
+    """
 
     __slots__ = (
         "_limits",
         "best",
-        "best_cost",
-        "best_expected_ms",
+        "last_resort",
         "last_slots_degrade",
         "nearly_full_slowdown",
         "now_ms",
@@ -109,8 +120,8 @@
         self.nearly_full_slowdown = estimates.nearly_full_slowdown(service)
         self.last_slots_degrade = estimates.degrades_when_full(service)
         self._limits: dict[int, float] = {}
-        self.best: BackendServer | None = None
-        self.best_expected_ms = self.best_cost = 0.0
+        self.best: _RankedEndpoint | None = None
+        self.last_resort: _RankedEndpoint | None = None
         self.sampled = self.usable = 0
 
     def limit(self, slots: int) -> float:
@@ -120,6 +131,14 @@
             limit = self._limits[slots] = self.required.limit(slots, self.last_slots_degrade)
         return limit
 
+    def consider(self, endpoint: _RankedEndpoint, is_last_resort: bool) -> None:
+        """Keep an endpoint if it costs less than the best one of its kind so far."""
+        if is_last_resort:
+            if self.last_resort is None or endpoint.cost < self.last_resort.cost:
+                self.last_resort = endpoint
+        elif self.best is None or endpoint.cost < self.best.cost:
+            self.best = endpoint
+
 
 class Balancer:
     """Chooses among the registered backend servers of a service."""
@@ -186,16 +205,17 @@
         if (
             selection.best is None
             or few_local
-            or selection.best_cost > work_ms * (1.0 + CROSS_DATA_CENTER_SHARE)
+            or selection.best.cost > work_ms * (1.0 + CROSS_DATA_CENTER_SHARE)
         ):
             self._compare_sample(selection, remote, REMOTE_SAMPLE_SIZE)
-        if selection.best is None:
+        best = selection.best or selection.last_resort
+        if best is None:
             return None
-        load = self._load_table.get_or_create(selection.best.incarnation)
+        load = self._load_table.get_or_create(best.server.incarnation)
         endpoints = local.total + remote.total
         return Choice(
-            selection.best,
-            selection.best_expected_ms,
+            best.server,
+            best.expected_ms,
             load.load(now_ms),
             load.slowdown(now_ms),
             load.age_ms(now_ms),
@@ -223,16 +243,21 @@
     def _compare_sample(self, selection: "_Selection", candidates: Candidates, count: int) -> None:
         """Sample some candidates and keep the best one."""
         now_ms, work_ms, load_table = selection.now_ms, selection.work_ms, self._load_table
+        eligibility = self.eligibility
         for server in candidates.sample(count, now_ms):
             selection.sampled += 1
             load = load_table.get_or_create(server.incarnation)
             busy = load.load(now_ms)
-            if busy >= selection.limit(server.slots) or load.unreachable(now_ms):
+            is_full = busy >= selection.limit(server.slots)
+            if is_full or load.unreachable(now_ms) or eligibility.excludes(server, now_ms):
                 candidates.set_aside(load, now_ms)
                 continue
             if server.incarnation in selection.tried:
                 continue
-            if not self.eligibility.rate_limit_allows(server, now_ms):
+            if not eligibility.rate_limit_allows(server, now_ms):
+                continue
+            is_last_resort = eligibility.is_last_resort(server, now_ms)
+            if is_last_resort and selection.required is CapacityRequirement.NO_SLOWDOWN:
                 continue
             if load.circuit_breaker.needs_check and not self._breaker_allows(selection, load):
                 continue
@@ -241,19 +266,14 @@
                 if not self._cold_limit_allows(server, now_ms):
                     continue
                 effective_slowdown *= COLD_SLOWDOWN
-            selection.usable += 1
+            selection.usable += not is_last_resort
             expected_ms = self._expected_ms(
                 server, effective_slowdown, busy, work_ms, selection.nearly_full_slowdown
             )
             cost = self._cost(server, load, busy, expected_ms, work_ms, now_ms)
             if not selection.retryable and load.circuit_breaker.has_unresolved_failure(now_ms):
                 cost *= UNRESOLVED_FAILURE_WEIGHT
-            if selection.best is None or cost < selection.best_cost:
-                selection.best, selection.best_expected_ms, selection.best_cost = (
-                    server,
-                    expected_ms,
-                    cost,
-                )
+            selection.consider(_RankedEndpoint(cost, expected_ms, server), is_last_resort)
 
     def record_placement(self, server: BackendServer, now_ms: float) -> None:
         """Count a placed request against the backend server's cold limit and rate limit, if any."""
--- a/cloverhook/gateway/broadcast.py
+++ b/cloverhook/gateway/broadcast.py
@@ -11,12 +11,15 @@
 from cloverhook.gateway.members import Member, Members
 from cloverhook.gateway.peer_link import PeerLink
 from cloverhook.gateway.peer_messages import Relay, encode
+from cloverhook.gateway.rendezvous_hash import rendezvous_rank
 
 __all__ = ["Broadcast"]
 
 RELAY_PAUSE_MS = 200.0
 """After a pause of this process, messages are not relayed for this long.  Messages that waited in
 the socket are old by then, and load reports relayed late would look fresh to the neighbours."""
+JOIN_SENDERS = 3
+"""How many neighbours send what they know to a VM that has just joined."""
 
 
 class Broadcast:
@@ -57,6 +60,12 @@
             for index in range(first, first + count):
                 self._link.send_encoded(members[index % len(members)].peer_address, wrapped)
 
+    def is_join_sender(self, member: Member, now_ms: float) -> bool:
+        """Return whether this VM is among the few that send what they know to a joined VM."""
+        others = (item for item in self._members.local_members() if item.is_alive(now_ms))
+        before = (item.vm for item in others if item.vm != member.vm)
+        return rendezvous_rank(member.vm, self._own_vm, before) < JOIN_SENDERS
+
     def relay(self, message: Relay, now_ms: float, load_subscribers_only: bool = False) -> None:
         """Relay a received message to the neighbours.
 
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -23,7 +23,6 @@
 from cloverhook.gateway.cold_limit import ColdLimit, ColdRateBound
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.discovery import Discovery
-from cloverhook.gateway.drain_updates import DrainUpdates
 from cloverhook.gateway.eligibility import Eligibility
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.forwarding import Forwarder
@@ -125,10 +124,7 @@
             store, self._gateway_state, self._on_change, self._log, self._counters
         )
         self._pool = BackendPool()
-        self._drain_updates = DrainUpdates(
-            self._gateway_state.drain_notices, self._log, self._counters
-        )
-        notices = NoticeRecorder(self._drain_updates, self._log, self._counters)
+        notices = NoticeRecorder(self._peering.drain_updates, self._log, self._counters)
         self._prober = Prober(headers, self._on_load_report, notices.record_probe)
         estimates = WorkEstimates()
         self._cold_limit = ColdLimit(
@@ -142,6 +138,7 @@
             self._gateway_state.evacuated,
             (settings.regions or {}).get,
             self._peering.rate_limit_updates.limits,
+            self._gateway_state.drain_notices,
         )
         balancer = Balancer(
             self._gateway_state.registry,
@@ -401,7 +398,7 @@
         self._peering.failure_updates.forget(now_ms)
         self._peering.quarantine_updates.remove_expired(now_ms)
         self._peering.rate_limit_updates.expire(now_ms)
-        self._drain_updates.expire(now_ms)
+        self._peering.drain_updates.expire(now_ms)
 
     def _rewrite_after_store_restore(self) -> None:
         """Write this VM's records again after the store was restored from an older copy.
--- a/cloverhook/gateway/drain_notices.py
+++ b/cloverhook/gateway/drain_notices.py
@@ -5,11 +5,13 @@
 notice is kept apart from the registry, by incarnation: neither a restored entry nor the state of a
 peer revokes it, and another incarnation of the endpoint starts without one.
 
->>> notices = DrainNotices()
+>>> notices = DrainNotices(drain_ms=2_000.0)
 >>> notices.record("i-1@7", first_ms=0.0, last_ms=0.0)
 True
 >>> "i-1@7" in notices, "i-1@8" in notices
 (True, False)
+>>> notices.excludes("i-1@7", now_ms=999.0), notices.excludes("i-1@7", now_ms=1_000.0)
+(False, True)
 """
 
 from collections.abc import Iterator
@@ -17,6 +19,9 @@
 
 __all__ = ["DrainNotice", "DrainNotices"]
 
+LAST_RESORT_SHARE = 0.5
+"""For this share of the drain time an endpoint that has given notice is used where no other one has
+capacity.  The rest is left for these requests to be answered before it stops."""
 NOTICE_EXPIRY_MS = 600_000.0
 """A notice that has not been repeated for this long has ended.  No endpoint takes longer to stop,
 and responses to probes repeat the notice for as long as the endpoint runs."""
@@ -34,7 +39,9 @@
 class DrainNotices:
     """The notices in force, by incarnation; times are monotonic."""
 
-    def __init__(self) -> None:
+    def __init__(self, drain_ms: float) -> None:
+        """`drain_ms` is how long an endpoint goes on serving after it has given notice."""
+        self._last_resort_ms = LAST_RESORT_SHARE * drain_ms
         self._notices: dict[str, DrainNotice] = {}
 
     def __len__(self) -> int:
@@ -50,6 +57,16 @@
         """Return the notice of an endpoint, or None if there is none."""
         return self._notices.get(incarnation)
 
+    def is_last_resort(self, incarnation: str, now_ms: float) -> bool:
+        """Return whether an endpoint has given notice so recently that it may still be used."""
+        notice = self._notices.get(incarnation)
+        return notice is not None and now_ms < notice.first_ms + self._last_resort_ms
+
+    def excludes(self, incarnation: str, now_ms: float) -> bool:
+        """Return whether an endpoint has given notice and must get no more requests."""
+        notice = self._notices.get(incarnation)
+        return notice is not None and now_ms >= notice.first_ms + self._last_resort_ms
+
     def record(self, incarnation: str, first_ms: float, last_ms: float) -> bool:
         """Record that an endpoint has given notice from `first_ms` to `last_ms`; return if new."""
         known = self._notices.get(incarnation)
--- a/cloverhook/gateway/eligibility.py
+++ b/cloverhook/gateway/eligibility.py
@@ -8,12 +8,13 @@
 
 from cloverhook.errors import ErrorKind
 from cloverhook.gateway.backend_server import BackendServer
+from cloverhook.gateway.drain_notices import DrainNotices
 from cloverhook.gateway.rate_limits import RateLimits
 from cloverhook.gateway.registry import Registry
 
 __all__ = ["Eligibility"]
 
-REASONS = (ErrorKind.RATE_LIMITED, ErrorKind.EVACUATED)
+REASONS = (ErrorKind.RATE_LIMITED, ErrorKind.EVACUATED, ErrorKind.DRAINING)
 """Why a service has no endpoint for a request; the first reason that applies to any of its
 endpoints is given to the caller."""
 
@@ -27,8 +28,9 @@
         evacuated: Callable[[], frozenset[str]] = frozenset,
         region_of: Callable[[str], str | None] = lambda data_center: None,
         rate_limits: RateLimits | None = None,
+        drain_notices: DrainNotices | None = None,
     ) -> None:
-        """Nothing is sent to the `evacuated` data centres.
+        """Nothing is sent to the `evacuated` data centres, or to endpoints that have given notice.
 
         `region_of` returns the region of a data centre, or None if it is unknown.  `rate_limits`
         bounds the requests to endpoints that advertise a rate limit.
@@ -37,6 +39,7 @@
         self.evacuated = evacuated
         self._region_of = region_of
         self.rate_limits = rate_limits
+        self._drain_notices = drain_notices
 
     def usable(self, service: str, regions: tuple[str, ...] = ()) -> list[BackendServer]:
         """Return the endpoints of a service that are not draining, evacuated or out of region."""
@@ -49,9 +52,21 @@
             and self._in_regions(server, regions)
         ]
 
-    def reason_not_to_send(self, server: BackendServer) -> str:
+    def excludes(self, server: BackendServer, now_ms: float) -> bool:
+        """Return whether a usable endpoint must get no requests now."""
+        notices = self._drain_notices
+        return bool(notices) and notices.excludes(server.incarnation, now_ms)
+
+    def is_last_resort(self, server: BackendServer, now_ms: float) -> bool:
+        """Return whether an endpoint may be used only where no other one has capacity."""
+        notices = self._drain_notices
+        return bool(notices) and notices.is_last_resort(server.incarnation, now_ms)
+
+    def reason_not_to_send(self, server: BackendServer, now_ms: float) -> str:
         """Return why a request placed at an endpoint may not be sent there; "" if it may be."""
-        return "its data centre is evacuated" if server.data_center in self.evacuated() else ""
+        if server.data_center in self.evacuated():
+            return "its data centre is evacuated"
+        return "it is about to stop" if self.excludes(server, now_ms) else ""
 
     def rate_limit_allows(self, server: BackendServer, now_ms: float) -> bool:
         """Return whether an endpoint has no rate limit, or this VM's share of it is not used up."""
@@ -77,9 +92,11 @@
         evacuated, limits = self.evacuated(), self.rate_limits
         available = 0.0
         for server in self._registry.of_service(service):
-            if server.draining or not self._in_regions(server, regions):
+            if not self._in_regions(server, regions):
                 continue
-            if server.data_center in evacuated:
+            if server.draining or self.excludes(server, now_ms):
+                found.add(ErrorKind.DRAINING)
+            elif server.data_center in evacuated:
                 found.add(ErrorKind.EVACUATED)
             elif limits and server.incarnation in limits:
                 found.add(ErrorKind.RATE_LIMITED)
--- a/cloverhook/gateway/final_answer.py
+++ b/cloverhook/gateway/final_answer.py
@@ -17,15 +17,16 @@
 """The range of the random `Retry-After` for rejected requests; it is random so that the callers
 don't all retry at once.  It is long enough for a slot to become free, and short enough for the
 response to be in time."""
-EVACUATED_RETRY_AFTER_MS = (700.0, 1_400.0)
-"""The same while all endpoints are in evacuated data centres: nothing can serve a request, so
-callers retry seldom, but soon enough for most latency objectives."""
+NO_ENDPOINT_RETRY_AFTER_MS = (700.0, 1_400.0)
+"""The same while all endpoints are draining or in evacuated data centres: nothing can serve a
+request, so callers retry rarely, but soon enough for most latency objectives."""
 
 RATE_LIMITED_RETRY_AFTER_MS = (150.0, 400.0)
 """The same when this VM's share of the endpoints' rate limits is used up: another VM may have some
 of its share left, and if none has, endpoints under strain should get fewer requests."""
 RETRY_AFTER_BY_KIND_MS = {
-    ErrorKind.EVACUATED: EVACUATED_RETRY_AFTER_MS,
+    ErrorKind.EVACUATED: NO_ENDPOINT_RETRY_AFTER_MS,
+    ErrorKind.DRAINING: NO_ENDPOINT_RETRY_AFTER_MS,
     ErrorKind.RATE_LIMITED: RATE_LIMITED_RETRY_AFTER_MS,
 }
 PASSING_REASONS = frozenset((ErrorKind.RATE_LIMITED,))
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -222,9 +222,8 @@
 
     def _was_draining_or_gone(self, incarnation: str) -> bool:
         """Return whether an endpoint is draining or gone, or its entry is in its grace period."""
-        registry = self._gateway_state.registry
-        server = registry.get(incarnation)
-        return server is None or server.draining or registry.in_grace_period(server)
+        server = self._gateway_state.registry.get(incarnation)
+        return server is None or self._gateway_state.is_leaving(server)
 
     def _record_if_unanswered(self, state: RequestState, attempt: Attempt) -> None:
         """Count an abandoned attempt as a failure if its work should have been done long ago.
@@ -352,7 +351,7 @@
 
     def _reason_not_to_send(self, state: RequestState, server: BackendServer) -> str:
         """Return why a request must not be sent to the chosen backend server; "" if it may be."""
-        reason = self._balancer.eligibility.reason_not_to_send(server)
+        reason = self._balancer.eligibility.reason_not_to_send(server, monotonic_ms())
         if reason:
             return reason
         if not self._quarantine_updates.try_begin_send(state.keys):
--- a/cloverhook/gateway/gateway_state.py
+++ b/cloverhook/gateway/gateway_state.py
@@ -7,7 +7,7 @@
 
 from collections import Counter
 
-from cloverhook.gateway.backend_server import ServerRecord
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.config_codec import EncodedConfig
 from cloverhook.gateway.drain_notices import DrainNotices
 from cloverhook.gateway.evacuation import Evacuations
@@ -41,7 +41,7 @@
         self.evacuations = Evacuations()
         self.drain_ms = drain_ms
         self.registry = Registry(drain_ms)
-        self.drain_notices = DrainNotices()
+        self.drain_notices = DrainNotices(drain_ms)
         self.load_table = LoadTable()
         self._store_recovered_ms = -STORE_RECOVERY_MS
         self._begun_era = 0
@@ -111,13 +111,18 @@
             self._remote_capacity_needed = self._lacks_capacity(now_ms)
         return self._remote_capacity_needed
 
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Return whether a backend server is draining, or its entry is in its grace period."""
+        has_given_notice = server.incarnation in self.drain_notices
+        return server.draining or has_given_notice or self.registry.in_grace_period(server)
+
     def _lacks_capacity(self, now_ms: float) -> bool:
         total, lost = Counter[str](), Counter[str]()
         for server in self.registry.servers():
             total[server.data_center] += 1
             load = self.load_table.get(server.incarnation)
             out_of_reach = load is not None and load.unreachable(now_ms)
-            if out_of_reach or server.draining or self.registry.in_grace_period(server):
+            if out_of_reach or self.is_leaving(server):
                 lost[server.data_center] += 1
         if any(name in total for name in self.evacuated()):
             return True
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -36,6 +36,8 @@
     "ServerChanges",
     "CrashRecord",
     "CrashRecords",
+    "DrainNoticeEntry",
+    "DrainNoticeUpdate",
     "decode",
     "encode",
 ]
@@ -44,6 +46,7 @@
 """A version is -1 as long as nothing is known."""
 HEARTBEAT_LIMIT_MS = 3_600_000.0
 KEY_LIMIT = 2**64
+AGE_LIMIT_MS = 1e12
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,6 +222,45 @@
     rows: tuple[RateLimitEntry, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class DrainNoticeEntry:
+    """The notice by which an endpoint says that it is about to stop, as a VM knows it.
+
+    The endpoint has given notice `first_age_ms` ago for the first time and `last_age_ms` ago for
+    the last time.  If `first_age_ms` is None, it has answered without a notice to a request that
+    was sent `last_age_ms` ago.
+    """
+
+    incarnation: str
+    first_age_ms: float | None
+    last_age_ms: float
+
+    @classmethod
+    def from_row(
+        cls, incarnation: str, first_age_ms: float | None, last_age_ms: float
+    ) -> "DrainNoticeEntry":
+        """Build an entry from a datagram's row.  Raises `TypeError` or `ValueError`."""
+        ages_ms = [last_age_ms] if first_age_ms is None else [first_age_ms, last_age_ms]
+        if not isinstance(incarnation, str) or any(type(x) not in (int, float) for x in ages_ms):
+            raise TypeError("drain notice with fields of the wrong type")
+        if not all(0 <= age_ms <= AGE_LIMIT_MS for age_ms in ages_ms):
+            raise ValueError("drain notice with a value out of range")
+        return cls(incarnation, first_age_ms, last_age_ms)
+
+    def to_row(self) -> list[Any]:
+        """Return the row for a datagram."""
+        first_age_ms = None if self.first_age_ms is None else round(self.first_age_ms)
+        return [self.incarnation, first_age_ms, round(self.last_age_ms)]
+
+
+@dataclass(frozen=True, slots=True)
+class DrainNoticeUpdate:
+    """The drain notices that a VM knows of."""
+
+    vm: str
+    rows: tuple[DrainNoticeEntry, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Relay:
     """An encoded message for every VM of the receiver's data centre, including the receiver."""
@@ -238,6 +280,7 @@
     | InFlightCountChanges
     | CrashRecords
     | RateLimitUpdate
+    | DrainNoticeUpdate
 )
 MESSAGE_TYPES: tuple[type, ...] = (
     Heartbeat,
@@ -250,6 +293,7 @@
     InFlightCountChanges,
     CrashRecords,
     RateLimitUpdate,
+    DrainNoticeUpdate,
 )
 UNCONVERTED_FIELDS = {
     message_type: tuple(item.name for item in fields(message_type))
@@ -268,7 +312,7 @@
     if isinstance(message, LoadReports):
         rows = [_report_row(*item) for item in message.reports]
         return cbor2.dumps([type_number, message.vm, rows])
-    if isinstance(message, CrashRecords | RateLimitUpdate):
+    if isinstance(message, CrashRecords | RateLimitUpdate | DrainNoticeUpdate):
         return cbor2.dumps([type_number, message.vm, [row.to_row() for row in message.rows]])
     if isinstance(message, InFlightCounts | InFlightCountChanges):
         return cbor2.dumps([type_number, message.vm, message.counts])
@@ -292,6 +336,9 @@
         elif MESSAGE_TYPES[type_number] is RateLimitUpdate:
             vm, rows = values
             message = RateLimitUpdate(vm, tuple(RateLimitEntry.from_row(*row) for row in rows))
+        elif MESSAGE_TYPES[type_number] is DrainNoticeUpdate:
+            vm, rows = values
+            message = DrainNoticeUpdate(vm, tuple(DrainNoticeEntry.from_row(*row) for row in rows))
         else:
             message = MESSAGE_TYPES[type_number](*values)
     except (cbor2.CBORError, TypeError, ValueError, IndexError, RecursionError) as error:
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -20,6 +20,7 @@
 from cloverhook.gateway.config_sender import ConfigSender
 from cloverhook.gateway.count_updates import CountUpdates
 from cloverhook.gateway.counters import Counters
+from cloverhook.gateway.drain_updates import DrainUpdates
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.failure_updates import FailureUpdates
 from cloverhook.gateway.gateway_state import GatewayState
@@ -29,6 +30,7 @@
 from cloverhook.gateway.peer_link import PeerLink, StateReply
 from cloverhook.gateway.peer_messages import (
     CrashRecords,
+    DrainNoticeUpdate,
     Failures,
     Heartbeat,
     Identity,
@@ -147,6 +149,7 @@
             log,
             counters,
         )
+        self.drain_updates = DrainUpdates(identity.vm, self.broadcast, gateway_state, log, counters)
         self._started_ms = monotonic_ms()
         self._requests_per_s = requests_per_s
         self._heartbeat_intervals = HeartbeatIntervals(members)
@@ -378,6 +381,8 @@
                 self.quarantine_updates.received(message, now_ms)
             case RateLimitUpdate():
                 self.rate_limit_updates.received(message, now_ms)
+            case DrainNoticeUpdate():
+                self.drain_updates.received(message, now_ms)
             case ServerChanges():
                 self._on_server_changes(message, now_ms, relayed)
             case Relay():
@@ -404,7 +409,9 @@
             self._log.note(
                 EventKind.MEMBER, member=heartbeat.vm, state="joined", at=heartbeat.peer_address
             )
-            self.quarantine_updates.send_records_to(self._members.get(heartbeat.vm), now_ms)
+            member = self._members.get(heartbeat.vm)
+            self.quarantine_updates.send_records_to(member, now_ms)
+            self.drain_updates.send_notices_to(member, now_ms)
         if heartbeat.wants_answer or (joined and is_local):
             self.link.send_encoded(heartbeat.peer_address, encode(self._heartbeat()))
         if self._state_fetch.is_behind(heartbeat):
--- a/cloverhook/gateway/quarantine_updates.py
+++ b/cloverhook/gateway/quarantine_updates.py
@@ -13,7 +13,6 @@
 from cloverhook.gateway.members import Member, Members
 from cloverhook.gateway.peer_messages import CrashRecord, CrashRecords, encode
 from cloverhook.gateway.quarantine import CRASH_RECORDS_PER_DATAGRAM, Quarantine, SendPermission
-from cloverhook.gateway.rendezvous_hash import rendezvous_rank
 from cloverhook.gateway.request_key import RequestKeys
 
 __all__ = ["QuarantineUpdates"]
@@ -28,8 +27,6 @@
 RELAY_COUNT = 3
 """How many VMs of each remote data centre relay a message: one of them may be isolated before this
 is detected."""
-JOIN_SENDERS = 3
-"""How many neighbours send their crash records to a VM that has just joined."""
 
 
 class QuarantineUpdates:
@@ -120,7 +117,7 @@
 
     def send_records_to(self, member: Member, now_ms: float) -> None:
         """Send the crash records to a VM that has just joined or returned."""
-        if not len(self.quarantine) or not self._is_join_sender(member, now_ms):
+        if not len(self.quarantine) or not self._broadcast.is_join_sender(member, now_ms):
             return
         rows = tuple(self.quarantine.crash_records(now_ms))
         self._broadcast.send_to([member], encode(CrashRecords(self._own_vm, rows)))
@@ -130,12 +127,6 @@
         for key in self.quarantine.remove_expired(now_ms):
             self._log.note(EventKind.QUARANTINE, key=f"{key:016x}", crashes=0, source="age")
 
-    def _is_join_sender(self, member: Member, now_ms: float) -> bool:
-        """Return whether this VM is among the few that send crash records to a joined VM."""
-        others = (item for item in self._members.local_members() if item.is_alive(now_ms))
-        before = (item.vm for item in others if item.vm != member.vm)
-        return rendezvous_rank(member.vm, self._own_vm, before) < JOIN_SENDERS
-
     def _repeat(self, keys: RequestKeys) -> None:
         """Send the quarantine of a request again if it is still in force."""
         known = {item.key: item for item in self.quarantine.crash_records(monotonic_ms())}
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -8,15 +8,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from cloverhook.clock import monotonic_ms
 from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.call_headers import CallHeaders
 from cloverhook.gateway.calls import CallerAnswer
-from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.daemon import Gateway
-from cloverhook.gateway.drain_notices import DrainNotices
-from cloverhook.gateway.drain_updates import DrainUpdates
-from cloverhook.gateway.event_log import EventLog
-from cloverhook.gateway.notice_recorder import NoticeRecorder
 from cloverhook.gateway.routes import (
     GatewayConfig,
     IngressLimits,
@@ -110,7 +106,8 @@
 
     `script` holds the outcome of each request in order; `default` applies when it is empty.  `cut`
     counts the connections that the gateway has closed while a request got no answer.  All answers,
-    those to probes included, have the header lines `notice_lines`.
+    those to probes included, have the header lines `notice_lines`.  The answer `paused` ends only
+    when `resume` is set.
     """
 
     incarnation: str
@@ -134,6 +131,8 @@
     born_ms: int = 0
     limit_per_s: float | None = None
     notice_lines: tuple[bytes, ...] = ()
+    first_notice_ms: float | None = None
+    resume: asyncio.Event = field(default_factory=asyncio.Event)
     on_request: Callable[["Backend", bytes], None] | None = None
 
     async def start(self, context):
@@ -222,6 +221,11 @@
             return False
         if outcome == "foreign":
             self._write(writer, 200, b"not yours", b"another-request")
+        if outcome == "paused":
+            writer.write(self._head(200, 8, request_id) + b"part")
+            await self.resume.wait()
+            writer.write(b"rest")
+            return True
         if outcome == "half":
             head = self._head(200, 100, request_id)
             writer.write(head + b"half")
@@ -253,7 +257,9 @@
         ]
         if self.limit_per_s is not None:
             lines.append(b"cloverhook-rate-limit: %g" % self.limit_per_s)
-        lines += self.notice_lines
+        if self.notice_lines:
+            lines += self.notice_lines
+            self.first_notice_ms = self.first_notice_ms or monotonic_ms()
         if length is not None:
             lines.append(b"Content-Length: %d" % length)
         if request_id:
@@ -289,12 +295,6 @@
     )
 
 
-def notice_recorder():
-    """Return a recorder of endpoints' notices for an attempt that belongs to no gateway."""
-    log, counters = EventLog("vm-1", len), Counters()
-    return NoticeRecorder(DrainUpdates(DrainNotices(), log, counters), log, counters)
-
-
 async def start_gateway(context, name="vm-1", store=None, write_log=len, **fields):
     """Start a gateway that is stopped after the scenario; return it and its settings."""
     settings = gateway_settings(name, **fields)
--- a/features/notice_fleet.py
+++ b/features/notice_fleet.py
@@ -56,7 +56,7 @@
     async def start(cls, gateways, backends, seed=1):
         """Start gateways that know each other and all backend servers."""
         self = cls(seed)
-        await fleet.start_fleet(self.fixture, backends, gateways, write_log=self._write_log)
+        await fleet.start_fleet(self.fixture, backends, gateways, write_log=self.write_log)
         others = gateways - 1
         await fleet.until(lambda: all(len(item._members) == others for item, _ in self.gateways))
         for backend in self.backends:
@@ -130,6 +130,7 @@
         vm, sent_ms = self._requests[headers[fleet.NAMES.request_id]]
         self.arrivals.append(Arrival(backend.incarnation, vm, sent_ms, monotonic_ms()))
 
-    def _write_log(self, data):
+    def write_log(self, data):
+        """Collect log lines of the gateways."""
         self.log += data
         return len(data)
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -4,6 +4,7 @@
 import json
 import random
 import time
+from unittest.mock import Mock
 
 from behave import given, then, when
 
@@ -17,6 +18,7 @@
 from cloverhook.gateway.eligibility import Eligibility
 from cloverhook.gateway.evacuation import Evacuation, Evacuations
 from cloverhook.gateway.gateway_state import GatewayState
+from cloverhook.gateway.notice_recorder import NoticeRecorder
 from cloverhook.gateway.server_load import LoadTable
 from cloverhook.gateway.store import MemoryStore
 from features import gateway_fleet as fleet
@@ -197,7 +199,7 @@
             1e12,
             True,
             fleet.NAMES,
-            fleet.notice_recorder(),
+            Mock(spec=NoticeRecorder),
             None,
             lambda _: next(objections),
         )
