Log and count which endpoints ask for a time without requests

The logs of the incident can't tell whether a rejection asked for such a time and until when a VM keeps to it. `Retry-After` of a 503 is now read with the head of the response; a line `backoff` gives the endpoint, the time and the source, metrics count endpoints and rejections, and invalid values are ignored with a log line. Routing is unchanged.

--- a/cloverhook/explain.py
+++ b/cloverhook/explain.py
@@ -25,6 +25,7 @@
     QUARANTINE_KIND,
     "rate-limit",
     DRAINING_KIND,
+    "backoff",
     "invalid-header",
     "member",
     "reader",
--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -239,7 +239,7 @@
         """Record what the endpoint states about itself, unless another incarnation has answered."""
         if head.status == MISDIRECTED_REQUEST:
             return EndpointNotice()
-        notice = EndpointNotice.from_headers(head.headers, self._headers)
+        notice = EndpointNotice.from_response(head.status, head.headers, self._headers)
         self._notices.record_response(self.choice.server, notice)
         return notice
 
--- /dev/null
+++ b/cloverhook/gateway/backoffs.py
@@ -0,0 +1,49 @@
+"""The endpoints that have asked for a time without requests.
+
+Layer: state.  An endpoint that rejects a request with status 503 may add `Retry-After`: it wants no
+requests from this VM for so long.  This VM keeps to that, and uses the endpoint again at once when
+the time is over.  What an endpoint has asked of another VM is a sign that it is in trouble, but not
+addressed to this one.
+
+>>> backoffs = Backoffs()
+>>> backoffs.record("i-1@7", until_ms=3_000.0)
+True
+>>> backoffs.remaining_ms("i-1@7", now_ms=1_000.0), backoffs.remaining_ms("i-1@8", now_ms=1_000.0)
+(2000.0, 0.0)
+"""
+
+__all__ = ["Backoffs"]
+
+BACKOFFS_LIMIT = 4_096
+
+
+class Backoffs:
+    """The ends of the times without requests, by incarnation; times are monotonic."""
+
+    def __init__(self) -> None:
+        self._until_ms: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._until_ms)
+
+    def record(self, incarnation: str, until_ms: float) -> bool:
+        """Record that an endpoint has asked this VM to back off; return if it had not before.
+
+        An earlier request for a longer time stays in force.
+        """
+        known_ms = self._until_ms.get(incarnation)
+        if known_ms is None and len(self._until_ms) >= BACKOFFS_LIMIT:
+            del self._until_ms[next(iter(self._until_ms))]
+        self._until_ms[incarnation] = until_ms if known_ms is None else max(until_ms, known_ms)
+        return known_ms is None
+
+    def remaining_ms(self, incarnation: str, now_ms: float) -> float:
+        """Return for how long this VM may send an endpoint no requests."""
+        return max(0.0, self._until_ms.get(incarnation, now_ms) - now_ms)
+
+    def expire(self, now_ms: float) -> tuple[str, ...]:
+        """End the times that are over; return the incarnations."""
+        expired = tuple(name for name, until_ms in self._until_ms.items() if until_ms <= now_ms)
+        for incarnation in expired:
+            del self._until_ms[incarnation]
+        return expired
--- a/cloverhook/gateway/counters.py
+++ b/cloverhook/gateway/counters.py
@@ -18,6 +18,8 @@
     "rate_limits_named": "stated rate limits that were new or had changed",
     "drain_notices": "endpoints that say in their responses that they are about to stop",
     "drain_notices_received": "such notices that were new, by source",
+    "backoffs": "endpoints that have asked this gateway for a time without requests",
+    "backoffs_requested": "rejected requests with such a time",
     "invalid_headers": "headers of endpoints that were ignored because of an invalid value",
     "requests_suspected": "keys of requests that crashed endpoints and were not answered since",
     "requests_quarantined": "keys of requests not sent for a time, because endpoints crash on them",
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -16,6 +16,7 @@
 from cloverhook.gateway.announcer import Announcer
 from cloverhook.gateway.backend_pool import BackendPool
 from cloverhook.gateway.backend_server import BackendServer
+from cloverhook.gateway.backoff_updates import BackoffUpdates
 from cloverhook.gateway.balancer import Balancer
 from cloverhook.gateway.call_headers import CallHeaders
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
@@ -124,7 +125,10 @@
             store, self._gateway_state, self._on_change, self._log, self._counters
         )
         self._pool = BackendPool()
-        notices = NoticeRecorder(self._peering.drain_updates, self._log, self._counters)
+        self._backoff_updates = BackoffUpdates(self._gateway_state, self._log, self._counters)
+        notices = NoticeRecorder(
+            self._peering.drain_updates, self._backoff_updates, self._log, self._counters
+        )
         self._prober = Prober(headers, self._on_load_report, notices.record_probe)
         estimates = WorkEstimates()
         self._cold_limit = ColdLimit(
@@ -322,6 +326,7 @@
         counters.set("requests_suspected", len(quarantine))
         counters.set("requests_quarantined", len(quarantine.quarantined(now_ms)))
         counters.set("rate_limits", len(self._peering.rate_limit_updates.limits))
+        counters.set("backoffs", len(self._gateway_state.backoffs))
         counters.set("drain_notices", len(self._gateway_state.drain_notices))
         counters.set("waiting", len(self._forwarder.admission))
         counters.set("probes", self._prober.probe_count)
@@ -399,6 +404,7 @@
         self._peering.quarantine_updates.remove_expired(now_ms)
         self._peering.rate_limit_updates.expire(now_ms)
         self._peering.drain_updates.expire(now_ms)
+        self._backoff_updates.expire(now_ms)
 
     def _rewrite_after_store_restore(self) -> None:
         """Write this VM's records again after the store was restored from an older copy.
--- a/cloverhook/gateway/endpoint_notice.py
+++ b/cloverhook/gateway/endpoint_notice.py
@@ -2,10 +2,13 @@
 
 Layer: protocol.  The statements concern the endpoint, not the request that the response answers.
 
->>> EndpointNotice.from_headers([(b"cloverhook-leaving", b"1")], CallHeaders()).leaving
+>>> EndpointNotice.from_response(200, [(b"cloverhook-leaving", b"1")], CallHeaders()).leaving
 True
+>>> EndpointNotice.from_response(503, [(b"retry-after", b"2.5")], CallHeaders()).backoff_ms
+2500.0
 """
 
+import re
 from dataclasses import dataclass
 
 from cloverhook.gateway.call_headers import CallHeaders, HeaderList
@@ -13,7 +16,13 @@
 __all__ = ["EndpointNotice", "InvalidHeader"]
 
 LEAVING_VALUE = b"1"
+MS_PER_S = 1_000.0
 LOGGED_VALUE_BYTES = 40
+SERVICE_UNAVAILABLE = 503
+RETRY_AFTER = b"retry-after"
+SECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+BACKOFF_LIMIT_MS = 3_600_000.0
+"""One hour.  A longer time can't be meant: an endpoint that needs it leaves the service."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,23 +42,41 @@
 class EndpointNotice:
     """The statements in the head of one response.
 
-    `leaving` says that the endpoint accepts no new requests because it is about to stop.  Headers
-    in `invalid` were ignored.
+    `leaving` says that the endpoint accepts no new requests because it is about to stop.
+    `backoff_ms` is the time for which an endpoint that has rejected the request wants no further
+    ones; it is 0 if it asks for none.  Headers in `invalid` were ignored.
     """
 
     leaving: bool = False
+    backoff_ms: float = 0.0
     invalid: tuple[InvalidHeader, ...] = ()
 
     @classmethod
-    def from_headers(cls, headers: HeaderList, names: CallHeaders) -> "EndpointNotice":
-        """Read the statements from the headers of a response."""
+    def from_response(
+        cls, status: int, headers: HeaderList, names: CallHeaders
+    ) -> "EndpointNotice":
+        """Read the statements from the head of a response."""
         leaving = False
+        backoff_ms = 0.0
         invalid = []
         for name, value in headers:
-            if name not in names.leaving:
-                continue
-            if value == LEAVING_VALUE:
-                leaving = True
+            if name in names.leaving:
+                leaving |= value == LEAVING_VALUE
+                is_valid = value == LEAVING_VALUE
+            elif name == RETRY_AFTER and status == SERVICE_UNAVAILABLE:
+                found_ms = _parse_backoff_ms(value)
+                backoff_ms = max(backoff_ms, found_ms or 0.0)
+                is_valid = found_ms is not None
             else:
+                continue
+            if not is_valid:
                 invalid.append(InvalidHeader.from_bytes(name, value))
-        return cls(leaving, tuple(invalid))
+        return cls(leaving, backoff_ms, tuple(invalid))
+
+
+def _parse_backoff_ms(value: bytes) -> float | None:
+    """Parse a time in seconds; return None if it is invalid or longer than `BACKOFF_LIMIT_MS`."""
+    if SECONDS.fullmatch(value) is None:
+        return None
+    backoff_ms = float(value) * MS_PER_S
+    return backoff_ms if backoff_ms <= BACKOFF_LIMIT_MS else None
--- a/cloverhook/gateway/event_log.py
+++ b/cloverhook/gateway/event_log.py
@@ -52,6 +52,7 @@
     QUARANTINE = "quarantine", 30
     RATE_LIMIT = "rate-limit", 20
     DRAINING = "draining", 30
+    BACKOFF = "backoff", 30
     INVALID_HEADER = "invalid-header", 5
     PAUSED = "paused", 5
     ATTEMPT = "attempt", 60
--- a/cloverhook/gateway/gateway_state.py
+++ b/cloverhook/gateway/gateway_state.py
@@ -8,6 +8,7 @@
 from collections import Counter
 
 from cloverhook.gateway.backend_server import BackendServer, ServerRecord
+from cloverhook.gateway.backoffs import Backoffs
 from cloverhook.gateway.config_codec import EncodedConfig
 from cloverhook.gateway.drain_notices import DrainNotices
 from cloverhook.gateway.evacuation import Evacuations
@@ -41,6 +42,7 @@
         self.evacuations = Evacuations()
         self.drain_ms = drain_ms
         self.registry = Registry(drain_ms)
+        self.backoffs = Backoffs()
         self.drain_notices = DrainNotices(drain_ms)
         self.load_table = LoadTable()
         self._store_recovered_ms = -STORE_RECOVERY_MS
--- a/cloverhook/gateway/load_probe.py
+++ b/cloverhook/gateway/load_probe.py
@@ -46,4 +46,4 @@
     left_ms = parse_cold_ms(find(head.headers, names.cold_ms))
     if report is not None and left_ms:
         report = replace(report, cold_for_ms=left_ms)
-    return ProbeResult(head, report, EndpointNotice.from_headers(head.headers, names))
+    return ProbeResult(head, report, EndpointNotice.from_response(head.status, head.headers, names))
