--- a/features/notice_fleet.py
+++ b/features/notice_fleet.py
@@ -37,6 +37,7 @@
     vm: str
     caller_sent_ms: float
     at_ms: float
+    rejected: bool
 
 
 class NoticeFleet:
@@ -128,7 +129,9 @@
     def _record_arrival(self, backend, _):
         headers = backend.seen[-1][1]
         vm, sent_ms = self._requests[headers[fleet.NAMES.request_id]]
-        self.arrivals.append(Arrival(backend.incarnation, vm, sent_ms, monotonic_ms()))
+        self.arrivals.append(
+            Arrival(backend.incarnation, vm, sent_ms, monotonic_ms(), backend.default == "reject")
+        )
 
     def write_log(self, data):
         """Collect log lines of the gateways."""
