Send nothing to an endpoint in the time without requests that it has asked for

A backend server that turned a VM away and asked for 3 s got three requests from it in that time; such requests are refused, or slow down a server that asked for relief. Others stayed unused for seconds after the time that they had asked for.

Cause: nothing read `Retry-After` of a 503. A refusal made an endpoint dearer for a time of its own, a preference that gives way where the others are worse and outlasts its reason where they are better.

Change: the time is kept for each incarnation and excluded from every choice, also immediately before a send; the other VMs learn of it and use the endpoint as the last resort meanwhile. Such a rejection counts neither as failure nor as refusal, and an endpoint set aside returns when the time ends. Where all rest, requests that can be in time wait for the first end, others are rejected at once with the time that is left and a cause of their own.

--- a/cloverhook/errors.py
+++ b/cloverhook/errors.py
@@ -56,6 +56,7 @@
     NO_BACKEND_SERVER = "no-backend-server"
     EVACUATED = "evacuated"
     DRAINING = "draining"
+    BACKING_OFF = "backing-off"
     RATE_LIMITED = "rate-limited"
     QUARANTINED = "quarantined"
     REFUSED = "refused"
@@ -97,6 +98,7 @@
     ErrorKind.NO_BACKEND_SERVER: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.EVACUATED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.DRAINING: Answer(503, Outcome.NOT_RUN, retry_after=True),
+    ErrorKind.BACKING_OFF: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.RATE_LIMITED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.QUARANTINED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.REFUSED: Answer(503, Outcome.NOT_RUN, retry_after=True),
--- a/cloverhook/explain.py
+++ b/cloverhook/explain.py
@@ -48,6 +48,7 @@
     "no-backend-server": "no backend server is reachable, or none is registered; it has not run",
     "evacuated": "its service's backend servers are all in evacuated data centres; it has not run",
     "draining": "its service's backend servers are all about to stop; it has not run",
+    "backing-off": "its service's backend servers all want no requests for a time; it has not run",
     "rate-limited": "its gateway's share of the endpoints' rate limits is used up; it has not run",
     "quarantined": "endpoints crashed on requests with this content; it has not run",
     "unknown-host": "no route of the configuration in force matches its host and path",
--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -81,6 +81,10 @@
     """Whether the backend server failed a request that it should have answered."""
     refused_with_free_slot: bool = False
     """Whether the backend server rejected the request although it had a free slot."""
+    asked_to_back_off: bool = False
+    """Whether the backend server has asked for a time without requests.  This takes the place of
+    what a rejection or failure shows otherwise, so that the endpoint is used again at once after
+    that time."""
     advertised_limit_per_s: float | None = None
     """The rate limit that the backend server advertised, in requests a second."""
     nominal_ms: float = 0.0
@@ -156,6 +160,13 @@
             if head.status != MISDIRECTED_REQUEST:
                 limit_per_s = parse_rate_limit(head.headers, self._headers)
                 result = replace(result, advertised_limit_per_s=limit_per_s)
+            if notice.backoff_ms:
+                result = replace(
+                    result,
+                    asked_to_back_off=True,
+                    server_failed=False,
+                    refused_with_free_slot=False,
+                )
             if not result.failed:
                 self._notices.record_success(server, notice, sent_ms)
             still_in_use = result.answer is not None and result.answer.remaining_body is not None
@@ -330,7 +341,9 @@
         if result.outcome is Outcome.NOT_SENT:
             load.record_unreachable(now_ms)
         elif (
-            result.outcome in (Outcome.DECLINED, Outcome.WITHHELD) or result.refused_with_free_slot
+            result.outcome in (Outcome.DECLINED, Outcome.WITHHELD)
+            or result.refused_with_free_slot
+            or result.asked_to_back_off
         ):
             return
         elif result.failed:
--- a/cloverhook/gateway/backoff_updates.py
+++ b/cloverhook/gateway/backoff_updates.py
@@ -1,23 +1,41 @@
-"""Records which endpoints ask for a time without requests.
+"""Exchanges with other VMs which endpoints ask for a time without requests.
 
 Layer: transport.
 """
 
+from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.gateway_state import GatewayState
+from cloverhook.gateway.members import Member
+from cloverhook.gateway.peer_messages import BackoffEntry, BackoffUpdate, encode
+from cloverhook.gateway.update_sender import ROWS_LIMIT, UpdateSender
 
 __all__ = ["BackoffUpdates"]
 
+REPEAT_MS = 1_000.0
+"""What is known to the other VMs is sent again only if it is this much longer than they know."""
+RELAY_COUNT = 2
+
 
 class BackoffUpdates:
-    """Applies what endpoints ask of this VM."""
+    """Applies what endpoints ask of this VM, and what other VMs have been asked."""
 
-    def __init__(self, gateway_state: GatewayState, log: EventLog, counters: Counters) -> None:
+    def __init__(
+        self,
+        own_vm: str,
+        broadcast: Broadcast,
+        gateway_state: GatewayState,
+        log: EventLog,
+        counters: Counters,
+    ) -> None:
+        self._own_vm = own_vm
+        self._broadcast = broadcast
         self._registry = gateway_state.registry
         self._backoffs = gateway_state.backoffs
         self._log = log
         self._counters = counters
+        self._sender = UpdateSender(REPEAT_MS, self._send)
 
     def record_rejection(self, incarnation: str, backoff_ms: float, at_ms: float) -> None:
         """Record that an endpoint has rejected a request and asked for a time without requests."""
@@ -25,11 +43,31 @@
         self._counters.add("backoffs_requested")
         if is_new:
             self._note(incarnation, backoff_ms, "answer")
+        known_ms = self._backoffs.remaining_for_peers_ms(incarnation, at_ms)
+        if backoff_ms > known_ms + REPEAT_MS:
+            self._backoffs.record_for_peer(incarnation, at_ms + backoff_ms)
+            self._sender.send_change(incarnation)
+
+    def received(self, message: BackoffUpdate, now_ms: float) -> None:
+        """Apply what endpoints have asked of another VM."""
+        for row in message.rows[:ROWS_LIMIT]:
+            if self._backoffs.record_for_peer(row.incarnation, now_ms + row.remaining_ms):
+                self._note(row.incarnation, row.remaining_ms, message.vm)
+
+    def send_backoffs_to(self, member: Member, now_ms: float) -> None:
+        """Send what endpoints have asked of this VM to one that has just joined or returned."""
+        incarnations = tuple(self._backoffs)
+        if not incarnations or not self._broadcast.is_join_sender(member, now_ms):
+            return
+        for start in range(0, len(incarnations), ROWS_LIMIT):
+            data = self._encode(incarnations[start : start + ROWS_LIMIT], now_ms)
+            self._broadcast.send_to([member], data)
 
     def expire(self, now_ms: float) -> None:
         """End the times without requests that are over."""
         for incarnation in self._backoffs.expire(now_ms):
             self._note(incarnation, 0.0, "age")
+            self._sender.forget(incarnation)
 
     def _note(self, incarnation: str, backoff_ms: float, source: str) -> None:
         server = self._registry.get(incarnation)
@@ -40,3 +78,14 @@
             left_ms=round(backoff_ms),
             source=source,
         )
+
+    def _send(self, incarnations: tuple[str, ...], now_ms: float) -> None:
+        data = self._encode(incarnations, now_ms)
+        self._broadcast.send_to_load_subscribers(data, now_ms)
+        self._broadcast.send_remote(data, now_ms, RELAY_COUNT)
+
+    def _encode(self, incarnations: tuple[str, ...], now_ms: float) -> bytes:
+        rows = tuple(
+            BackoffEntry(name, self._backoffs.remaining_ms(name, now_ms)) for name in incarnations
+        )
+        return encode(BackoffUpdate(self._own_vm, rows))
--- a/cloverhook/gateway/balancer.py
+++ b/cloverhook/gateway/balancer.py
@@ -16,7 +16,7 @@
 from typing import NamedTuple
 
 from cloverhook.gateway.backend_server import BackendServer
-from cloverhook.gateway.candidates import Candidates
+from cloverhook.gateway.candidates import RETURN_MS, Candidates
 from cloverhook.gateway.choice import CapacityRequirement, Choice, WorkEstimates, nearly_full
 from cloverhook.gateway.cold_limit import ColdLimit
 from cloverhook.gateway.eligibility import Eligibility
@@ -248,10 +248,13 @@
             selection.sampled += 1
             load = load_table.get_or_create(server.incarnation)
             busy = load.load(now_ms)
-            is_full = busy >= selection.limit(server.slots)
-            if is_full or load.unreachable(now_ms) or eligibility.excludes(server, now_ms):
+            if busy >= selection.limit(server.slots) or load.unreachable(now_ms):
                 candidates.set_aside(load, now_ms)
                 continue
+            if eligibility.excludes(server, now_ms):
+                left_ms = eligibility.backoff_left_ms(server, now_ms)
+                candidates.set_aside(load, now_ms, min(left_ms or RETURN_MS, RETURN_MS))
+                continue
             if server.incarnation in selection.tried:
                 continue
             if not eligibility.rate_limit_allows(server, now_ms):
--- a/cloverhook/gateway/candidates.py
+++ b/cloverhook/gateway/candidates.py
@@ -13,14 +13,14 @@
 """
 
 import random
-from collections import deque
 from collections.abc import Iterator
 from functools import partial
+from heapq import heappop, heappush
 
 from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.server_load import ServerLoad
 
-__all__ = ["Candidates"]
+__all__ = ["RETURN_MS", "Candidates"]
 
 RETURN_MS = 100.0
 """Counts and load reports that are not repeated expire without an event. This is shorter than the
@@ -36,7 +36,8 @@
         self._available = list(servers)
         self._index = 0
         self._full: dict[str, BackendServer] = {}
-        self._return_times: deque[tuple[float, str]] = deque()
+        self._return_times: list[tuple[float, int, str]] = []
+        self._set_aside_count = 0
         self._watched: set[str] = set()
 
     def __len__(self) -> int:
@@ -65,8 +66,8 @@
             yield server
             self._index += 1
 
-    def set_aside(self, load: ServerLoad, now_ms: float) -> None:
-        """Set aside the endpoint yielded last, until its load changes or `RETURN_MS` has passed."""
+    def set_aside(self, load: ServerLoad, now_ms: float, for_ms: float = RETURN_MS) -> None:
+        """Set aside the endpoint yielded last, until its load changes or `for_ms` have passed."""
         available, index = self._available, self._index
         server = available[index]
         available[index] = available[-1]
@@ -74,7 +75,8 @@
         self._index -= 1
         incarnation = server.incarnation
         self._full[incarnation] = server
-        self._return_times.append((now_ms + RETURN_MS, incarnation))
+        self._set_aside_count += 1
+        heappush(self._return_times, (now_ms + for_ms, self._set_aside_count, incarnation))
         if incarnation not in self._watched:
             self._watched.add(incarnation)
             load.on_next_change(partial(self._changed, incarnation))
@@ -86,7 +88,7 @@
     def _restore_due(self, now_ms: float) -> None:
         return_times = self._return_times
         while return_times and return_times[0][0] <= now_ms:
-            self._restore(return_times.popleft()[1])
+            self._restore(heappop(return_times)[2])
 
     def _restore(self, incarnation: str) -> None:
         server = self._full.pop(incarnation, None)
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -16,7 +16,6 @@
 from cloverhook.gateway.announcer import Announcer
 from cloverhook.gateway.backend_pool import BackendPool
 from cloverhook.gateway.backend_server import BackendServer
-from cloverhook.gateway.backoff_updates import BackoffUpdates
 from cloverhook.gateway.balancer import Balancer
 from cloverhook.gateway.call_headers import CallHeaders
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
@@ -125,9 +124,11 @@
             store, self._gateway_state, self._on_change, self._log, self._counters
         )
         self._pool = BackendPool()
-        self._backoff_updates = BackoffUpdates(self._gateway_state, self._log, self._counters)
         notices = NoticeRecorder(
-            self._peering.drain_updates, self._backoff_updates, self._log, self._counters
+            self._peering.drain_updates,
+            self._peering.backoff_updates,
+            self._log,
+            self._counters,
         )
         self._prober = Prober(headers, self._on_load_report, notices.record_probe)
         estimates = WorkEstimates()
@@ -143,6 +144,7 @@
             (settings.regions or {}).get,
             self._peering.rate_limit_updates.limits,
             self._gateway_state.drain_notices,
+            self._gateway_state.backoffs,
         )
         balancer = Balancer(
             self._gateway_state.registry,
@@ -404,7 +406,7 @@
         self._peering.quarantine_updates.remove_expired(now_ms)
         self._peering.rate_limit_updates.expire(now_ms)
         self._peering.drain_updates.expire(now_ms)
-        self._backoff_updates.expire(now_ms)
+        self._peering.backoff_updates.expire(now_ms)
 
     def _rewrite_after_store_restore(self) -> None:
         """Write this VM's records again after the store was restored from an older copy.
--- a/cloverhook/gateway/eligibility.py
+++ b/cloverhook/gateway/eligibility.py
@@ -8,13 +8,19 @@
 
 from cloverhook.errors import ErrorKind
 from cloverhook.gateway.backend_server import BackendServer
+from cloverhook.gateway.backoffs import Backoffs
 from cloverhook.gateway.drain_notices import DrainNotices
 from cloverhook.gateway.rate_limits import RateLimits
 from cloverhook.gateway.registry import Registry
 
 __all__ = ["Eligibility"]
 
-REASONS = (ErrorKind.RATE_LIMITED, ErrorKind.EVACUATED, ErrorKind.DRAINING)
+REASONS = (
+    ErrorKind.BACKING_OFF,
+    ErrorKind.RATE_LIMITED,
+    ErrorKind.EVACUATED,
+    ErrorKind.DRAINING,
+)
 """Why a service has no endpoint for a request; the first reason that applies to any of its
 endpoints is given to the caller."""
 
@@ -29,9 +35,12 @@
         region_of: Callable[[str], str | None] = lambda data_center: None,
         rate_limits: RateLimits | None = None,
         drain_notices: DrainNotices | None = None,
+        backoffs: Backoffs | None = None,
     ) -> None:
         """Nothing is sent to the `evacuated` data centres, or to endpoints that have given notice.
 
+        Nor is anything sent to endpoints in the times without requests that they have asked for.
+
         `region_of` returns the region of a data centre, or None if it is unknown.  `rate_limits`
         bounds the requests to endpoints that advertise a rate limit.
         """
@@ -40,6 +49,7 @@
         self._region_of = region_of
         self.rate_limits = rate_limits
         self._drain_notices = drain_notices
+        self._backoffs = backoffs
 
     def usable(self, service: str, regions: tuple[str, ...] = ()) -> list[BackendServer]:
         """Return the endpoints of a service that are not draining, evacuated or out of region."""
@@ -54,19 +64,38 @@
 
     def excludes(self, server: BackendServer, now_ms: float) -> bool:
         """Return whether a usable endpoint must get no requests now."""
-        notices = self._drain_notices
-        return bool(notices) and notices.excludes(server.incarnation, now_ms)
+        return self._has_left(server, now_ms) or self.backoff_left_ms(server, now_ms) > 0.0
 
     def is_last_resort(self, server: BackendServer, now_ms: float) -> bool:
         """Return whether an endpoint may be used only where no other one has capacity."""
-        notices = self._drain_notices
-        return bool(notices) and notices.is_last_resort(server.incarnation, now_ms)
+        notices, backoffs = self._drain_notices, self._backoffs
+        if notices and notices.is_last_resort(server.incarnation, now_ms):
+            return True
+        return bool(backoffs) and backoffs.remaining_for_peers_ms(server.incarnation, now_ms) > 0.0
+
+    def backoff_left_ms(self, server: BackendServer, now_ms: float) -> float:
+        """Return for how long an endpoint wants no requests of this VM."""
+        backoffs = self._backoffs
+        return backoffs.remaining_ms(server.incarnation, now_ms) if backoffs else 0.0
+
+    def first_backoff_end_ms(
+        self, service: str, now_ms: float, regions: tuple[str, ...] = ()
+    ) -> float:
+        """Return the time until the first endpoint takes requests, if all want none now."""
+        left_ms = (
+            self.backoff_left_ms(server, now_ms)
+            for server in self.usable(service, regions)
+            if not self._has_left(server, now_ms)
+        )
+        return min(left_ms, default=0.0)
 
     def reason_not_to_send(self, server: BackendServer, now_ms: float) -> str:
         """Return why a request placed at an endpoint may not be sent there; "" if it may be."""
         if server.data_center in self.evacuated():
             return "its data centre is evacuated"
-        return "it is about to stop" if self.excludes(server, now_ms) else ""
+        if self._has_left(server, now_ms):
+            return "it is about to stop"
+        return "it wants no requests now" if self.backoff_left_ms(server, now_ms) > 0.0 else ""
 
     def rate_limit_allows(self, server: BackendServer, now_ms: float) -> bool:
         """Return whether an endpoint has no rate limit, or this VM's share of it is not used up."""
@@ -94,10 +123,12 @@
         for server in self._registry.of_service(service):
             if not self._in_regions(server, regions):
                 continue
-            if server.draining or self.excludes(server, now_ms):
+            if server.draining or self._has_left(server, now_ms):
                 found.add(ErrorKind.DRAINING)
             elif server.data_center in evacuated:
                 found.add(ErrorKind.EVACUATED)
+            elif self.backoff_left_ms(server, now_ms) > within_ms:
+                found.add(ErrorKind.BACKING_OFF)
             elif limits and server.incarnation in limits:
                 found.add(ErrorKind.RATE_LIMITED)
                 available += limits.available_within(server, now_ms, within_ms)
@@ -107,5 +138,9 @@
             return None
         return next((kind for kind in REASONS if kind in found), None)
 
+    def _has_left(self, server: BackendServer, now_ms: float) -> bool:
+        notices = self._drain_notices
+        return bool(notices) and notices.excludes(server.incarnation, now_ms)
+
     def _in_regions(self, server: BackendServer, regions: tuple[str, ...]) -> bool:
         return not regions or self._region_of(server.data_center) in regions
--- a/cloverhook/gateway/endpoint_notice.py
+++ b/cloverhook/gateway/endpoint_notice.py
@@ -13,7 +13,7 @@
 
 from cloverhook.gateway.call_headers import CallHeaders, HeaderList
 
-__all__ = ["EndpointNotice", "InvalidHeader"]
+__all__ = ["BACKOFF_LIMIT_MS", "EndpointNotice", "InvalidHeader"]
 
 LEAVING_VALUE = b"1"
 MS_PER_S = 1_000.0
--- a/cloverhook/gateway/final_answer.py
+++ b/cloverhook/gateway/final_answer.py
@@ -24,7 +24,11 @@
 RATE_LIMITED_RETRY_AFTER_MS = (150.0, 400.0)
 """The same when this VM's share of the endpoints' rate limits is used up: another VM may have some
 of its share left, and if none has, endpoints under strain should get fewer requests."""
+BACKOFF_RETRY_AFTER_MS = (20.0, 300.0)
+"""The same while all endpoints want no requests, counted from when the first of them takes requests
+again: callers that all return at that moment would be too many for it."""
 RETRY_AFTER_BY_KIND_MS = {
+    ErrorKind.BACKING_OFF: BACKOFF_RETRY_AFTER_MS,
     ErrorKind.EVACUATED: NO_ENDPOINT_RETRY_AFTER_MS,
     ErrorKind.DRAINING: NO_ENDPOINT_RETRY_AFTER_MS,
     ErrorKind.RATE_LIMITED: RATE_LIMITED_RETRY_AFTER_MS,
@@ -45,6 +49,8 @@
         return ErrorKind.DEADLINE_IN_RUN if late else ErrorKind.CONNECTION_CUT
     if state.quarantine_left_ms > 0.0:
         return ErrorKind.QUARANTINED
+    if unavailable is ErrorKind.BACKING_OFF:
+        return ErrorKind.BACKING_OFF
     if any(item.outcome is Outcome.REJECTED for item in state.results):
         return ErrorKind.REFUSED
     if unavailable is not None and (unavailable not in PASSING_REASONS or not state.attempts):
@@ -54,12 +60,16 @@
     return ErrorKind.OVERLOADED
 
 
-def error_answer(kind: ErrorKind, least_retry_ms: float = 0.0) -> CallerAnswer:
-    """Return the response for an error kind; any `Retry-After` is at least `least_retry_ms`."""
+def error_answer(kind: ErrorKind, unavailable_ms: float = 0.0) -> CallerAnswer:
+    """Return the response for an error kind.
+
+    `Retry-After`, if there is one, counts from `unavailable_ms` on: until then the request would be
+    rejected again.
+    """
     answer = answer_for(kind)
     headers = [(b"content-type", b"text/plain")]
     if answer.retry_after:
         range_ms = RETRY_AFTER_BY_KIND_MS.get(kind, RETRY_AFTER_RANGE_MS)
-        retry_after_ms = max(random.uniform(*range_ms), least_retry_ms)
+        retry_after_ms = unavailable_ms + random.uniform(*range_ms)
         headers.append((b"retry-after", b"%.3f" % (retry_after_ms / 1000)))
     return CallerAnswer(answer.status, headers, kind.value.encode())
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -428,11 +428,14 @@
             return answered[-1].answer
         late = monotonic_ms() >= state.deadline_ms
         known = bool(self._gateway_state.registry.of_service(state.service))
-        unavailable = self._balancer.eligibility.why_unavailable(
-            state.service, monotonic_ms(), regions=state.route.regions
-        )
+        eligibility, regions = self._balancer.eligibility, state.route.regions
+        now_ms = monotonic_ms()
+        unavailable = eligibility.why_unavailable(state.service, now_ms, regions=regions)
         kind = final_error_kind(state, late, known, unavailable)
-        return error_answer(kind, state.quarantine_left_ms)
+        unavailable_ms = state.quarantine_left_ms
+        if kind is ErrorKind.BACKING_OFF:
+            unavailable_ms = eligibility.first_backoff_end_ms(state.service, now_ms, regions)
+        return error_answer(kind, unavailable_ms)
 
     def _record_latency(self, state: RequestState, result: AttemptResult) -> None:
         choice = result.choice
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -17,6 +17,7 @@
 
 from cloverhook.checking import Address, Flag, Integer, Number, compile_check, kind_field, table_of
 from cloverhook.errors import MessageError
+from cloverhook.gateway.endpoint_notice import BACKOFF_LIMIT_MS
 from cloverhook.gateway.registry import REGISTRY_DOCUMENT
 from cloverhook.gateway.server_load import LoadReport
 
@@ -36,6 +37,8 @@
     "ServerChanges",
     "CrashRecord",
     "CrashRecords",
+    "BackoffEntry",
+    "BackoffUpdate",
     "DrainNoticeEntry",
     "DrainNoticeUpdate",
     "decode",
@@ -261,6 +264,35 @@
     rows: tuple[DrainNoticeEntry, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class BackoffEntry:
+    """For how long an endpoint that has rejected a request of a VM wants no further ones."""
+
+    incarnation: str
+    remaining_ms: float
+
+    @classmethod
+    def from_row(cls, incarnation: str, remaining_ms: float) -> "BackoffEntry":
+        """Build an entry from a datagram's row.  Raises `TypeError` or `ValueError`."""
+        if not isinstance(incarnation, str) or type(remaining_ms) not in (int, float):
+            raise TypeError("backoff with fields of the wrong type")
+        if not 0 <= remaining_ms <= BACKOFF_LIMIT_MS:
+            raise ValueError("backoff with a value out of range")
+        return cls(incarnation, remaining_ms)
+
+    def to_row(self) -> list[Any]:
+        """Return the row for a datagram."""
+        return [self.incarnation, round(self.remaining_ms)]
+
+
+@dataclass(frozen=True, slots=True)
+class BackoffUpdate:
+    """What endpoints have asked of a VM."""
+
+    vm: str
+    rows: tuple[BackoffEntry, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Relay:
     """An encoded message for every VM of the receiver's data centre, including the receiver."""
@@ -281,6 +313,7 @@
     | CrashRecords
     | RateLimitUpdate
     | DrainNoticeUpdate
+    | BackoffUpdate
 )
 MESSAGE_TYPES: tuple[type, ...] = (
     Heartbeat,
@@ -294,12 +327,21 @@
     CrashRecords,
     RateLimitUpdate,
     DrainNoticeUpdate,
+    BackoffUpdate,
 )
 UNCONVERTED_FIELDS = {
     message_type: tuple(item.name for item in fields(message_type))
     for message_type in (Heartbeat, Relay, Failures, Refusals)
 }
 """The message types whose fields are encoded in order, without conversion."""
+ROW_TYPES = {
+    CrashRecords: CrashRecord,
+    RateLimitUpdate: RateLimitEntry,
+    DrainNoticeUpdate: DrainNoticeEntry,
+    BackoffUpdate: BackoffEntry,
+}
+"""The message types that consist of rows, and the type of a row."""
+ROW_MESSAGES = tuple(ROW_TYPES)
 HEARTBEAT_CHECKS = tuple(
     (name, compile_check(kind)) for name, kind in table_of(Heartbeat).fields.items()
 )
@@ -312,7 +354,7 @@
     if isinstance(message, LoadReports):
         rows = [_report_row(*item) for item in message.reports]
         return cbor2.dumps([type_number, message.vm, rows])
-    if isinstance(message, CrashRecords | RateLimitUpdate | DrainNoticeUpdate):
+    if isinstance(message, ROW_MESSAGES):
         return cbor2.dumps([type_number, message.vm, [row.to_row() for row in message.rows]])
     if isinstance(message, InFlightCounts | InFlightCountChanges):
         return cbor2.dumps([type_number, message.vm, message.counts])
@@ -330,15 +372,12 @@
         if MESSAGE_TYPES[type_number] is LoadReports:
             vm, rows = values
             message = LoadReports(vm, tuple(_report_of_row(*row) for row in rows))
-        elif MESSAGE_TYPES[type_number] is CrashRecords:
-            vm, rows = values
-            message = CrashRecords(vm, tuple(CrashRecord.from_row(*row) for row in rows))
-        elif MESSAGE_TYPES[type_number] is RateLimitUpdate:
-            vm, rows = values
-            message = RateLimitUpdate(vm, tuple(RateLimitEntry.from_row(*row) for row in rows))
-        elif MESSAGE_TYPES[type_number] is DrainNoticeUpdate:
+        elif MESSAGE_TYPES[type_number] in ROW_TYPES:
+            message_type = MESSAGE_TYPES[type_number]
             vm, rows = values
-            message = DrainNoticeUpdate(vm, tuple(DrainNoticeEntry.from_row(*row) for row in rows))
+            message = message_type(
+                vm, tuple(ROW_TYPES[message_type].from_row(*row) for row in rows)
+            )
         else:
             message = MESSAGE_TYPES[type_number](*values)
     except (cbor2.CBORError, TypeError, ValueError, IndexError, RecursionError) as error:
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -16,6 +16,7 @@
 from cloverhook.checking import Address, Items, faults_of
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
+from cloverhook.gateway.backoff_updates import BackoffUpdates
 from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.config_sender import ConfigSender
 from cloverhook.gateway.count_updates import CountUpdates
@@ -29,6 +30,7 @@
 from cloverhook.gateway.members import Member, Members
 from cloverhook.gateway.peer_link import PeerLink, StateReply
 from cloverhook.gateway.peer_messages import (
+    BackoffUpdate,
     CrashRecords,
     DrainNoticeUpdate,
     Failures,
@@ -82,6 +84,7 @@
     InFlightCounts,
     InFlightCountChanges,
     RateLimitUpdate,
+    BackoffUpdate,
 )
 """Messages that are needed only by VMs that dispatch requests, now or soon."""
 CHANGE_RELAY_COUNT = 3
@@ -150,6 +153,9 @@
             counters,
         )
         self.drain_updates = DrainUpdates(identity.vm, self.broadcast, gateway_state, log, counters)
+        self.backoff_updates = BackoffUpdates(
+            identity.vm, self.broadcast, gateway_state, log, counters
+        )
         self._started_ms = monotonic_ms()
         self._requests_per_s = requests_per_s
         self._heartbeat_intervals = HeartbeatIntervals(members)
@@ -381,6 +387,8 @@
                 self.quarantine_updates.received(message, now_ms)
             case RateLimitUpdate():
                 self.rate_limit_updates.received(message, now_ms)
+            case BackoffUpdate():
+                self.backoff_updates.received(message, now_ms)
             case DrainNoticeUpdate():
                 self.drain_updates.received(message, now_ms)
             case ServerChanges():
@@ -412,6 +420,7 @@
             member = self._members.get(heartbeat.vm)
             self.quarantine_updates.send_records_to(member, now_ms)
             self.drain_updates.send_notices_to(member, now_ms)
+            self.backoff_updates.send_backoffs_to(member, now_ms)
         if heartbeat.wants_answer or (joined and is_local):
             self.link.send_encoded(heartbeat.peer_address, encode(self._heartbeat()))
         if self._state_fetch.is_behind(heartbeat):
--- a/features/notice_fleet.py
+++ b/features/notice_fleet.py
@@ -54,14 +54,14 @@
         self._count = 0
 
     @classmethod
-    async def start(cls, gateways, backends, seed=1):
+    async def start(cls, gateways, backends, seed=1, work_ms=WORK_MS):
         """Start gateways that know each other and all backend servers."""
         self = cls(seed)
         await fleet.start_fleet(self.fixture, backends, gateways, write_log=self.write_log)
         others = gateways - 1
         await fleet.until(lambda: all(len(item._members) == others for item, _ in self.gateways))
         for backend in self.backends:
-            backend.work_ms = WORK_MS
+            backend.work_ms = work_ms
             backend.on_request = self._record_arrival
         return self
 
