cloverhookd: Send nothing to endpoints that report draining to a VM that doesn't own them

Such a VM now leaves these endpoints out for 10 s after the last report, as it doesn't probe their health; a slot of one goes back to its owner with evidence that makes the owner probe its health; and a report counts as soon as the head of the answer is there. Messages between VMs keep their form.

--- a/cloverhook/caller_app.py
+++ b/cloverhook/caller_app.py
@@ -25,7 +25,7 @@
 from cloverhook.routing_events import Arrival, AttemptEnded, AttemptResult
 from cloverhook.settings import DaemonSettings
 from cloverhook.timeline import EventName, TimeLine
-from cloverhook.upstream import RequestHead, UpstreamPool
+from cloverhook.upstream import AnswerHead, RequestHead, UpstreamPool
 
 __all__ = ["ADDRESSES_PATH", "CallerApp"]
 
@@ -196,7 +196,11 @@
         try:
             async with asyncio.timeout((exchange.deadline_ms - started_ms) / 1000):
                 answer = await exchange.attempt(
-                    address, self._pool, self._clock_ms, closing=self.draining
+                    address,
+                    self._pool,
+                    self._clock_ms,
+                    closing=self.draining,
+                    on_head=lambda head: self._record_head(exchange.target, address, head),
                 )
             load, is_server_draining = h.load_of(answer.headers), h.is_draining(answer.headers)
             result = AttemptResult.FAILED if answer.status >= 500 else AttemptResult.ANSWERED
@@ -233,6 +237,10 @@
             raise self._final_error(exchange, result) from failure
         return None
 
+    def _record_head(self, target: Target, address: str, head: AnswerHead) -> None:
+        if h.is_draining(head.headers):
+            self._dispatcher.record_draining(target, address, self._clock_ms())
+
     def _may_retry(self, exchange: Exchange, result: AttemptResult) -> bool:
         """Return whether another attempt is allowed.
 
--- a/cloverhook/dispatch.py
+++ b/cloverhook/dispatch.py
@@ -25,6 +25,7 @@
     AttemptEnded,
     AttemptResult,
     CallerDisconnected,
+    DrainReported,
     EndpointsChanged,
     Event,
     HomesChanged,
@@ -188,6 +189,10 @@
         self._handle_event(target.key, ended, now_ms)
         self._report_endpoint_state(target.key, ended.address)
 
+    def record_draining(self, target: Target, address: str, now_ms: float) -> None:
+        """Report that a backend server says in the head of an answer that it is draining."""
+        self._handle_event(target.key, DrainReported(address), now_ms)
+
     def set_homes(
         self,
         key: str,
--- a/cloverhook/endpoint_stats.py
+++ b/cloverhook/endpoint_stats.py
@@ -15,7 +15,7 @@
 from cloverhook.latency_model import LatencyModel
 from cloverhook.routing_events import AttemptResult
 
-__all__ = ["EndpointStats", "ProbationReason"]
+__all__ = ["DRAINING_EVIDENCE", "EndpointStats", "ProbationReason"]
 
 SLOW_AT = 10.0
 GOOD_EVIDENCE = -0.5
@@ -26,6 +26,12 @@
 SUCCESS_EVIDENCE = -0.5
 INITIAL_TRIAL_MS = 30.0
 MAX_TRIAL_MS = 120.0
+DRAIN_REPORT_LIFETIME_MS = 10_000.0
+"""Only the owner of an endpoint probes its health.  At other VMs a report that it is draining ends
+after this time, and the next answer may repeat it."""
+DRAINING_EVIDENCE = 100
+"""The evidence with which a VM returns a slot of an endpoint that has reported that it is draining.
+It exceeds any evidence of slowness or failures."""
 REPORT_LIFETIME_MS = 100.0
 """A reported load older than this is ignored."""
 
@@ -64,6 +70,7 @@
     removed: bool = False
     refused: bool = False
     draining: bool = False
+    drain_reported_ms: float = -1e12
     health_probed_ms: float = -1e12
 
     @classmethod
@@ -86,6 +93,11 @@
         """Whether the configuration allows new requests there."""
         return not self.removed and not self.endpoint.leaving
 
+    def accepts(self, now_ms: float) -> bool:
+        """Return whether a VM that doesn't own the endpoint may send new requests there."""
+        reported = self.draining and now_ms - self.drain_reported_ms < DRAIN_REPORT_LIFETIME_MS
+        return self.configured and not reported
+
     def free_slots(self, now_ms: float) -> int:
         """Return how many more requests may be sent there now."""
         limit = self.limit
--- a/cloverhook/endpoint_table.py
+++ b/cloverhook/endpoint_table.py
@@ -8,7 +8,12 @@
 import heapq
 from collections.abc import Iterable, Sequence
 
-from cloverhook.endpoint_stats import FAILING_AT, EndpointStats, ProbationReason
+from cloverhook.endpoint_stats import (
+    DRAINING_EVIDENCE,
+    FAILING_AT,
+    EndpointStats,
+    ProbationReason,
+)
 from cloverhook.fleet import Endpoint
 from cloverhook.latency_model import LatencyModel
 from cloverhook.routing_events import AttemptEnded, AttemptResult, ProbeEnded
@@ -110,6 +115,10 @@
         """Return a healthy owned endpoint with a free slot to lend, or None."""
         return self._pool.best()
 
+    def accepting(self, now_ms: float) -> list[str]:
+        """Return the addresses of all endpoints, owned or not, that accept new requests."""
+        return [address for address, stats in self._stats.items() if stats.accepts(now_ms)]
+
     def least_used(self, addresses: Sequence[str]) -> str:
         """Return the address, of those given, with the fewest requests of this VM in flight.
 
@@ -136,12 +145,18 @@
         if event.load is not None:
             stats.record_load(event.load, now_ms)
         if event.server_draining:
-            self._set_draining(stats, True, now_ms)
+            self._record_draining(stats, now_ms)
         self._update_probation(stats, event.result, now_ms)
         self.update(stats, now_ms)
         if stats.removed and not stats.used:
             del self._stats[event.address]
 
+    def record_draining(self, address: str, now_ms: float) -> None:
+        """Record that a backend server has reported in an answer that it is draining."""
+        stats = self._stats.get(address)
+        if stats is not None:
+            self._record_draining(stats, now_ms)
+
     def lend(self, stats: EndpointStats, now_ms: float) -> None:
         """Record that a slot is lent to another VM."""
         stats.lent += 1
@@ -156,7 +171,10 @@
         if stats is None:
             return
         stats.lent = max(0, stats.lent - 1)
-        stats.record_peer_evidence(evidence)
+        if evidence >= DRAINING_EVIDENCE:
+            stats.refused = True  # The next health probe shows whether it is draining.
+        else:
+            stats.record_peer_evidence(evidence)
         self.update(stats, now_ms)
 
     def record_probe(self, stats: EndpointStats, event: ProbeEnded, now_ms: float) -> None:
@@ -173,6 +191,10 @@
         self._pool.update(stats, now_ms)
         self._slow.update(stats, now_ms)
 
+    def _record_draining(self, stats: EndpointStats, now_ms: float) -> None:
+        stats.drain_reported_ms = now_ms
+        self._set_draining(stats, True, now_ms)
+
     def _set_draining(self, stats: EndpointStats, draining: bool, now_ms: float) -> None:
         """Record whether a backend server has reported that it accepts no new requests."""
         if stats.draining != draining:
--- a/cloverhook/exchange.py
+++ b/cloverhook/exchange.py
@@ -166,10 +166,16 @@
         return not self.answer_started and (self.body is None or self.body.can_resend)
 
     async def attempt(
-        self, address: str, pool: UpstreamPool, now_ms: Callable[[], float], closing: bool
+        self,
+        address: str,
+        pool: UpstreamPool,
+        now_ms: Callable[[], float],
+        closing: bool,
+        on_head: Callable[[AnswerHead], None] = lambda head: None,
     ) -> AnswerHead:
         """Send the request to an endpoint and its answer to the caller.
 
+        `on_head` is called with the head of the answer, which may be long before its end.
         Raises `UpstreamError` when the exchange with the backend server fails, `RejectedError`
         when the backend server rejects the request, and `RequestError` when the request's body
         can't be read.
@@ -179,6 +185,7 @@
         started_ms = now_ms()
         try:
             answer = await self._send_request(connection, now_ms)
+            on_head(answer)
             if _is_rejection(answer):
                 raise RejectedError(h.is_draining(answer.headers))
             await self._send_answer(answer, connection, closing)
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -19,6 +19,7 @@
 from collections.abc import Iterable
 from functools import singledispatchmethod
 
+from cloverhook.endpoint_stats import DRAINING_EVIDENCE
 from cloverhook.endpoint_table import EndpointTable
 from cloverhook.errors import ErrorKind
 from cloverhook.fleet import Endpoint, Policy
@@ -37,6 +38,7 @@
     AttemptEnded,
     AttemptResult,
     CallerDisconnected,
+    DrainReported,
     EndpointsChanged,
     Event,
     HomesChanged,
@@ -124,6 +126,12 @@
         actions.extend(self._assign_slots(now_ms))
         return tuple(actions)
 
+    @handle.register
+    def _(self, event: DrainReported, now_ms: float) -> tuple[Action, ...]:
+        self._table.record_draining(event.address, now_ms)
+        self._probe_schedule.schedule_check()
+        return ()
+
     @handle.register
     def _(self, event: CallerDisconnected, now_ms: float) -> tuple[Action, ...]:
         request = self._open_requests.pop(event.request_id, None)
@@ -251,7 +259,7 @@
             and not self._table.owned_count
             and not self._slot_exchange.can_send_request(now_ms)
         ):
-            return self._choose_unowned(avoid)
+            return self._choose_unowned(avoid, now_ms)
         return address
 
     def _may_wait_for_peer(self, now_ms: float) -> bool:
@@ -260,12 +268,12 @@
         waited_ms = 0.0 if first is None else now_ms - first.arrived_ms
         return waited_ms < PEER_WAIT_MS and self._slot_exchange.has_responsive_peer()
 
-    def _choose_unowned(self, avoid: str) -> str | None:
+    def _choose_unowned(self, avoid: str, now_ms: float) -> str | None:
         """Return the endpoint with the fewest of this VM's requests among a few random ones.
 
         A VM that owns no endpoints uses this when its byte budget for slot requests is used up.
         """
-        addresses = [endpoint.address for endpoint in self._endpoints if endpoint.address != avoid]
+        addresses = [address for address in self._table.accepting(now_ms) if address != avoid]
         if not addresses:
             return None
         candidates = self._random.sample(addresses, min(UNOWNED_CHOICES, len(addresses)))
@@ -336,10 +344,23 @@
         return actions
 
     def _handle_grant(self, vm: str, message: SlotGrant, now_ms: float) -> list[Action]:
-        known = tuple(item for item in message.addresses if self._table.get(item) is not None)
-        unknown = [(item, vm) for item in message.addresses if item not in known]
-        self._slot_exchange.record_grant(vm, message, known, now_ms)
-        return [*self._slot_exchange.return_slots(unknown, {}, now_ms), *self._assign_slots(now_ms)]
+        accepting = self._table.accepting(now_ms)
+        usable = tuple(item for item in message.addresses if item in accepting)
+        unusable = [(item, vm) for item in message.addresses if item not in accepting]
+        self._slot_exchange.record_grant(vm, message, usable, now_ms)
+        return [*self._return_draining(unusable, now_ms), *self._assign_slots(now_ms)]
+
+    def _return_draining(
+        self, slots: Iterable[tuple[str, str]], now_ms: float
+    ) -> Iterable[SendMessage]:
+        """Return slots of endpoints that are unknown here or draining.
+
+        Each slot is an address and its owner, which then probes the health of a draining endpoint.
+        """
+        returned = tuple(slots)
+        known = (address for address, _ in returned if self._table.get(address) is not None)
+        evidence = dict.fromkeys(known, DRAINING_EVIDENCE)
+        return self._slot_exchange.return_slots(returned, evidence, now_ms)
 
     def _release_loan(self, event: AttemptEnded, now_ms: float) -> list[Action]:
         loan = self._slot_exchange.borrowed.release(event.request_id)
@@ -348,11 +369,13 @@
         owner, ends_ms = loan
         must_return = self._slot_exchange.should_return(owner, self._queue, now_ms)
         succeeded = event.result is AttemptResult.ANSWERED
-        if succeeded and now_ms < ends_ms and not must_return:
+        stats = self._table.get(event.address)
+        is_draining = stats is not None and not stats.accepts(now_ms)
+        if succeeded and now_ms < ends_ms and not must_return and not is_draining:
             self._slot_exchange.borrowed.add_idle(event.address, owner, ends_ms, now_ms)
             return []
-        stats = self._table.get(event.address)
         evidence = int(max(stats.slowness, stats.failures)) if stats is not None else 0
+        evidence = DRAINING_EVIDENCE if is_draining else evidence
         slot = ((event.address, owner),)
         return list(self._slot_exchange.return_slots(slot, {event.address: evidence}, now_ms))
 
--- a/cloverhook/routing_events.py
+++ b/cloverhook/routing_events.py
@@ -20,6 +20,7 @@
     "AttemptEnded",
     "AttemptResult",
     "CallerDisconnected",
+    "DrainReported",
     "EndpointsChanged",
     "Event",
     "HomesChanged",
@@ -91,6 +92,13 @@
     server_draining: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class DrainReported:
+    """A backend server has reported that it is draining, in the head of an answer."""
+
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class CallerDisconnected:
     """The caller of a queued request has disconnected."""
@@ -149,6 +157,7 @@
     Arrival
     | AttemptEnded
     | CallerDisconnected
+    | DrainReported
     | EndpointsChanged
     | HomesChanged
     | PeerMessageReceived
