--- a/cloverhook/gateway/endpoint_notice.py
+++ b/cloverhook/gateway/endpoint_notice.py
@@ -8,21 +8,16 @@
 2500.0
 """
 
-import re
 from dataclasses import dataclass
 
 from cloverhook.gateway.call_headers import CallHeaders, HeaderList
+from cloverhook.retry_after_header import RETRY_AFTER, parse_retry_after_ms
 
-__all__ = ["BACKOFF_LIMIT_MS", "EndpointNotice", "InvalidHeader"]
+__all__ = ["EndpointNotice", "InvalidHeader"]
 
 LEAVING_VALUE = b"1"
-MS_PER_S = 1_000.0
 LOGGED_VALUE_BYTES = 40
 SERVICE_UNAVAILABLE = 503
-RETRY_AFTER = b"retry-after"
-SECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
-BACKOFF_LIMIT_MS = 3_600_000.0
-"""One hour.  A longer time can't be meant: an endpoint that needs it leaves the service."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +59,7 @@
                 leaving |= value == LEAVING_VALUE
                 is_valid = value == LEAVING_VALUE
             elif name == RETRY_AFTER and status == SERVICE_UNAVAILABLE:
-                found_ms = _parse_backoff_ms(value)
+                found_ms = parse_retry_after_ms(value)
                 backoff_ms = max(backoff_ms, found_ms or 0.0)
                 is_valid = found_ms is not None
             else:
@@ -72,11 +67,3 @@
             if not is_valid:
                 invalid.append(InvalidHeader.from_bytes(name, value))
         return cls(leaving, backoff_ms, tuple(invalid))
-
-
-def _parse_backoff_ms(value: bytes) -> float | None:
-    """Parse a time in seconds; return None if it is invalid or longer than `BACKOFF_LIMIT_MS`."""
-    if SECONDS.fullmatch(value) is None:
-        return None
-    backoff_ms = float(value) * MS_PER_S
-    return backoff_ms if backoff_ms <= BACKOFF_LIMIT_MS else None
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -17,9 +17,9 @@
 
 from cloverhook.checking import Address, Flag, Integer, Number, compile_check, kind_field, table_of
 from cloverhook.errors import MessageError
-from cloverhook.gateway.endpoint_notice import BACKOFF_LIMIT_MS
 from cloverhook.gateway.registry import REGISTRY_DOCUMENT
 from cloverhook.gateway.server_load import LoadReport
+from cloverhook.retry_after_header import BACKOFF_LIMIT_MS
 
 __all__ = [
     "Heartbeat",
