cloverhookd: Send nothing to an endpoint in the time without requests that it has asked for

The endpoint now leaves its VM's pools, trials, borrowed slots and free choice for that time and is back at its end, which wakes the router. The rejection is no evidence of a failure. Where all endpoints want no requests, one that may wait for the first end is queued, any other one is rejected at once (`backing-off`) with the time that is left. An invalid value is ignored with a warning, at most one a second; the time line names the time with the attempt.

--- a/cloverhook/caller_app.py
+++ b/cloverhook/caller_app.py
@@ -20,7 +20,14 @@
 from cloverhook.clock import wall_ms
 from cloverhook.dispatch import Dispatcher, Target
 from cloverhook.errors import ErrorKind, Outcome, RequestError, UpstreamError, answer_for
-from cloverhook.exchange import Exchange, Receive, RejectedError, RequestBody, Send
+from cloverhook.exchange import (
+    REJECTION_STATUS,
+    Exchange,
+    Receive,
+    RejectedError,
+    RequestBody,
+    Send,
+)
 from cloverhook.observed_app import Observation
 from cloverhook.routing_events import Arrival, AttemptEnded, AttemptResult
 from cloverhook.settings import DaemonSettings
@@ -33,6 +40,8 @@
 IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"))
 NOT_RUN_RESULTS = frozenset((AttemptResult.REFUSED, AttemptResult.NOT_SENT))
 DEFAULT_RETRY_AFTER_MS = 1_000
+WARNING_INTERVAL_S = 1
+"""A backend server may repeat an invalid header with each answer."""
 
 Addresses = Callable[[Target, str, str], dict[str, Any]]
 
@@ -192,6 +201,7 @@
         result = AttemptResult.CANCELLED
         load: int | None = None
         is_server_draining = False
+        backoff_ms = 0.0
         failure: Exception | None = None
         try:
             async with asyncio.timeout((exchange.deadline_ms - started_ms) / 1000):
@@ -213,6 +223,7 @@
             result = AttemptResult.TIMED_OUT if exchange.sent else AttemptResult.NOT_SENT
         except RejectedError as error:
             failure, is_server_draining = error, error.server_draining
+            backoff_ms = error.backoff_ms
             result = AttemptResult.REFUSED
         finally:
             exchange.maybe_ran |= exchange.sent and result not in NOT_RUN_RESULTS
@@ -226,6 +237,7 @@
                 load,
                 will_retry,
                 is_server_draining,
+                backoff_ms,
             )
             exchange.observation.record_attempt(latency_ms)
             self._note_attempt(ended)
@@ -240,6 +252,9 @@
     def _record_head(self, target: Target, address: str, head: AnswerHead) -> None:
         if h.is_draining(head.headers):
             self._dispatcher.record_draining(target, address, self._clock_ms())
+        if head.status == REJECTION_STATUS and h.backoff_ms_of(head.headers) is None:
+            text = "listener: %s sent an invalid Retry-After, which is ignored."
+            logging.log_every_n_seconds(logging.WARNING, text, WARNING_INTERVAL_S, address)
 
     def _may_retry(self, exchange: Exchange, result: AttemptResult) -> bool:
         """Return whether another attempt is allowed.
@@ -306,7 +321,10 @@
     def _note_attempt(self, ended: AttemptEnded) -> None:
         answered = ended.result is AttemptResult.ANSWERED
         name = EventName.ATTEMPT_ENDED if answered else EventName.ATTEMPT_FAILED
-        self._note(name, ended.request_id, ended.address, ended.result.value)
+        detail = ended.result.value
+        if ended.backoff_ms:
+            detail += f", wants no requests for {ended.backoff_ms:g} ms"
+        self._note(name, ended.request_id, ended.address, detail)
 
     def _note(self, name: EventName, request_id: str, address: str = "", detail: str = "") -> None:
         self._time_line.add(wall_ms(), name, request_id=request_id, address=address, detail=detail)
--- a/cloverhook/endpoint_stats.py
+++ b/cloverhook/endpoint_stats.py
@@ -52,7 +52,7 @@
     `started_ms` holds the start times of this VM's own requests in flight there, `lent` counts the
     slots granted to other VMs, and `limit` is how many slots may be in use at once.  `refused` is
     set if the endpoint has rejected a request since its health was last probed, at
-    `health_probed_ms`.
+    `health_probed_ms`.  It wants no requests of this VM until `backoff_until_ms`.
     """
 
     endpoint: Endpoint
@@ -71,6 +71,7 @@
     refused: bool = False
     draining: bool = False
     drain_reported_ms: float = -1e12
+    backoff_until_ms: float = -1e12
     health_probed_ms: float = -1e12
 
     @classmethod
@@ -85,7 +86,7 @@
 
     @property
     def takes_work(self) -> bool:
-        """Whether new requests may be sent there at all."""
+        """Whether new requests may be sent there, unless it has asked this VM to back off."""
         return self.configured and not self.draining
 
     @property
@@ -96,7 +97,11 @@
     def accepts(self, now_ms: float) -> bool:
         """Return whether a VM that doesn't own the endpoint may send new requests there."""
         reported = self.draining and now_ms - self.drain_reported_ms < DRAIN_REPORT_LIFETIME_MS
-        return self.configured and not reported
+        return self.configured and not reported and not self.backs_off(now_ms)
+
+    def backs_off(self, now_ms: float) -> bool:
+        """Return whether this VM sends nothing there because the endpoint has asked for that."""
+        return now_ms < self.backoff_until_ms
 
     def free_slots(self, now_ms: float) -> int:
         """Return how many more requests may be sent there now."""
@@ -107,7 +112,9 @@
 
     def trial_due(self, now_ms: float) -> bool:
         """Return whether the endpoint is on probation and may get a trial request now."""
-        return bool(self.probation_reason) and self.takes_work and now_ms >= self.next_trial_ms
+        if self.backs_off(now_ms) or not self.takes_work:
+            return False
+        return bool(self.probation_reason) and now_ms >= self.next_trial_ms
 
     def record_start(self, request_id: str, now_ms: float) -> None:
         """Record the start of a request; during probation it is a trial."""
@@ -123,6 +130,14 @@
             evidence += model.age_evidence(now_ms - started_ms)
         return evidence >= SLOW_AT
 
+    def record_rejection(self, request_id: str, until_ms: float) -> None:
+        """Record that the endpoint has rejected a request and wants none until a time.
+
+        That is no evidence of a failure, so that the endpoint is used again at once afterwards.
+        """
+        self.started_ms.pop(request_id, None)
+        self.backoff_until_ms = max(self.backoff_until_ms, until_ms)
+
     def record_end(
         self, request_id: str, result: AttemptResult, latency_ms: float, model: LatencyModel
     ) -> None:
--- a/cloverhook/endpoint_table.py
+++ b/cloverhook/endpoint_table.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import math
 from collections.abc import Iterable, Sequence
 
 from cloverhook.endpoint_stats import (
@@ -35,6 +36,7 @@
         self._pool = SlotPool()
         self._slow = SlotPool()
         self._trials: list[tuple[float, str]] = []
+        self._backoffs: list[tuple[float, str]] = []
         self.total_slots = 0
 
     @property
@@ -137,6 +139,10 @@
         stats = self._stats.get(event.address)
         if stats is None:
             return
+        if event.backoff_ms:
+            self._record_backoff(stats, event, now_ms)
+            self._remove_if_unused(stats)
+            return
         stats.record_end(event.request_id, event.result, event.latency_ms, self.model)
         if event.result is AttemptResult.ANSWERED:
             self.model.observe(event.latency_ms)
@@ -148,8 +154,7 @@
             self._record_draining(stats, now_ms)
         self._update_probation(stats, event.result, now_ms)
         self.update(stats, now_ms)
-        if stats.removed and not stats.used:
-            del self._stats[event.address]
+        self._remove_if_unused(stats)
 
     def record_draining(self, address: str, now_ms: float) -> None:
         """Record that a backend server has reported in an answer that it is draining."""
@@ -157,6 +162,42 @@
         if stats is not None:
             self._record_draining(stats, now_ms)
 
+    def _record_backoff(self, stats: EndpointStats, event: AttemptEnded, now_ms: float) -> None:
+        stats.record_rejection(event.request_id, now_ms + event.backoff_ms)
+        if event.server_draining:
+            stats.drain_reported_ms, stats.draining = now_ms, True
+        heapq.heappush(self._backoffs, (stats.backoff_until_ms, event.address))
+        self._place_in_pool(stats, now_ms)
+
+    def end_backoffs(self, now_ms: float) -> None:
+        """Use the endpoints again whose time without requests is over."""
+        while self._backoffs and self._backoffs[0][0] <= now_ms:
+            _, address = heapq.heappop(self._backoffs)
+            stats = self._stats.get(address)
+            if stats is not None and not stats.backs_off(now_ms):
+                self._place_in_pool(stats, now_ms)
+
+    def next_backoff_end_ms(self) -> float:
+        """Return when the next time without requests ends; infinite if there is none."""
+        return self._backoffs[0][0] if self._backoffs else math.inf
+
+    def first_backoff_end_ms(self, now_ms: float) -> float | None:
+        """Return when the first endpoint takes requests again, if all of them want none now.
+
+        Endpoints that are draining don't count.  Returns None if one takes requests, or none will.
+        """
+        if not self._backoffs:
+            return None
+        first_ms: float | None = None
+        for stats in self._stats.values():
+            if not stats.takes_work:
+                continue
+            if not stats.backs_off(now_ms):
+                return None
+            end_ms = stats.backoff_until_ms
+            first_ms = end_ms if first_ms is None else min(first_ms, end_ms)
+        return first_ms
+
     def lend(self, stats: EndpointStats, now_ms: float) -> None:
         """Record that a slot is lent to another VM."""
         stats.lent += 1
@@ -191,6 +232,10 @@
         self._pool.update(stats, now_ms)
         self._slow.update(stats, now_ms)
 
+    def _remove_if_unused(self, stats: EndpointStats) -> None:
+        if stats.removed and not stats.used:
+            del self._stats[stats.endpoint.address]
+
     def _record_draining(self, stats: EndpointStats, now_ms: float) -> None:
         stats.drain_reported_ms = now_ms
         self._set_draining(stats, True, now_ms)
@@ -234,7 +279,7 @@
         address = stats.endpoint.address
         self._pool.remove(address)
         self._slow.remove(address)
-        if address not in self._owned or not stats.takes_work:
+        if address not in self._owned or not stats.takes_work or stats.backs_off(now_ms):
             return
         if stats.probation_reason:
             heapq.heappush(self._trials, (stats.next_trial_ms, address))
--- a/cloverhook/exchange.py
+++ b/cloverhook/exchange.py
@@ -16,6 +16,7 @@
 from cloverhook.upstream import AnswerHead, RequestHead, UpstreamConnection, UpstreamPool
 
 __all__ = [
+    "REJECTION_STATUS",
     "AnswerCapture",
     "CapturedAnswer",
     "Exchange",
@@ -36,11 +37,13 @@
     """The backend server rejected the request before it did any work.
 
     `server_draining` is whether the backend server reported that it accepts no new requests at all.
+    It wants none of this VM for `backoff_ms`.
     """
 
-    def __init__(self, leaving: bool) -> None:
+    def __init__(self, leaving: bool, backoff_ms: float = 0.0) -> None:
         super().__init__("the backend server rejected the request")
         self.server_draining = leaving
+        self.backoff_ms = backoff_ms
 
 
 class RequestBody:
@@ -187,7 +190,9 @@
             answer = await self._send_request(connection, now_ms)
             on_head(answer)
             if _is_rejection(answer):
-                raise RejectedError(h.is_draining(answer.headers))
+                raise RejectedError(
+                    h.is_draining(answer.headers), h.backoff_ms_of(answer.headers) or 0.0
+                )
             await self._send_answer(answer, connection, closing)
         except RejectedError:
             raise
--- a/cloverhook/headers.py
+++ b/cloverhook/headers.py
@@ -10,6 +10,7 @@
 
 from cloverhook.errors import ErrorKind, Outcome, RequestError
 from cloverhook.hop_by_hop import ALWAYS_FORWARDED, HOP_BY_HOP, find
+from cloverhook.retry_after_header import RETRY_AFTER, parse_retry_after_ms
 
 __all__ = [
     "ATTEMPT",
@@ -24,6 +25,7 @@
     "RETRY_AFTER_MS",
     "Headers",
     "attempt_of",
+    "backoff_ms_of",
     "end_to_end",
     "find",
     "is_draining",
@@ -108,6 +110,15 @@
     return find(headers, LEAVING) == b"1"
 
 
+def backoff_ms_of(headers: Iterable[tuple[bytes, bytes]]) -> float | None:
+    """Return for how long a backend server that rejects a request wants no further ones.
+
+    Returns 0 without the header, and None if its value is invalid.
+    """
+    value = find(headers, RETRY_AFTER)
+    return 0.0 if value is None else parse_retry_after_ms(value)
+
+
 def load_of(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
     """Return the number of requests in flight that a backend server reports, or None."""
     value = find(headers, LOAD)
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -182,12 +182,14 @@
     def _(self, event: Tick, now_ms: float) -> tuple[Action, ...]:
         if self._slot_exchange.detect_unresponsive(now_ms):
             self._update_ownership(now_ms)
+        self._table.end_backoffs(now_ms)
         actions: list[Action] = []
         for request in self._queue.pop_overdue(now_ms, self._open_requests):
             actions.append(self._reject_expired(request, now_ms))
         for address in self._slot_exchange.lent.pop_expired(now_ms):
             self._table.release_lent(address, 0, now_ms)
-        if len(self._queue) and self._no_endpoint_works():
+        all_back_off = self._table.first_backoff_end_ms(now_ms) is not None
+        if len(self._queue) and self._no_endpoint_works() and not all_back_off:
             actions.extend(self._reject_all_queued(ErrorKind.NO_BACKEND_SERVER, now_ms))
         actions.extend(self._assign_slots(now_ms))
         actions.extend(self._probe_schedule.due_probes(self._table.owned, now_ms))
@@ -201,6 +203,7 @@
         )
         if waiting:
             wake_ms = min(wake_ms, self._queue.next_expiry_ms(), now_ms + QUEUE_TICK_MS)
+        wake_ms = min(wake_ms, self._table.next_backoff_end_ms())
         return None if wake_ms == math.inf else max(wake_ms, now_ms + MIN_TICK_MS)
 
     def _update_ownership(self, now_ms: float) -> None:
@@ -230,6 +233,9 @@
 
     def _place(self, request: PendingRequest, now_ms: float, avoid: str = "") -> list[Action]:
         request_id = request.arrival.request_id
+        backoff_end_ms = self._table.first_backoff_end_ms(now_ms)
+        if backoff_end_ms is not None:
+            return self._await_backoff_end(request, backoff_end_ms, now_ms)
         if not self._endpoints or self._no_endpoint_works():
             stats = self._table.choose(now_ms, 0.0) if self._endpoints else None
             if stats is None:
@@ -248,6 +254,18 @@
         self._queue.add(request, give_up_ms)
         return [*self._assign_slots(now_ms), *self._shed(now_ms)]
 
+    def _await_backoff_end(
+        self, request: PendingRequest, end_ms: float, now_ms: float
+    ) -> list[Action]:
+        """Queue a request until the first endpoint takes requests again, or reject it at once."""
+        give_up_ms = min(
+            request.arrival.deadline_ms, request.arrived_ms + self._policy.wait_limit_ms
+        )
+        if end_ms + self._table.model.mean_ms / 2 > give_up_ms:
+            return [self._reject(request, ErrorKind.BACKING_OFF, 0.0, end_ms - now_ms)]
+        self._queue.add(request, give_up_ms)
+        return []
+
     def _find_slot(self, request_id: str, now_ms: float, avoid: str = "") -> str | None:
         wait_ms = self._wait_ms(len(self._queue))
         stats = self._table.choose(now_ms, wait_ms, avoid, self._may_wait_for_peer(now_ms))
@@ -411,9 +429,13 @@
             self._queue.remove(request)
             yield self._reject(request, kind, 0.0)
 
-    def _reject(self, request: PendingRequest, kind: ErrorKind, wait_ms: float) -> Reject:
+    def _reject(
+        self, request: PendingRequest, kind: ErrorKind, wait_ms: float, unavailable_ms: float = 0.0
+    ) -> Reject:
+        """Reject a request; until `unavailable_ms` have passed, it would be rejected again."""
         del self._open_requests[request.arrival.request_id]
-        return Reject(request.arrival.request_id, kind, self._retry_after.record_rejection(wait_ms))
+        after_ms = unavailable_ms + self._retry_after.record_rejection(wait_ms)
+        return Reject(request.arrival.request_id, kind, after_ms)
 
     def _own_wait_ms(self, count: int) -> float:
         slots = self._table.slots + self._slot_exchange.borrowed.count
--- a/cloverhook/routing_events.py
+++ b/cloverhook/routing_events.py
@@ -80,7 +80,8 @@
     `load` is the number of requests in flight that the answer reported, and `server_draining` says
     whether the answer announced that the backend server is draining.  If `wants_retry` is set, the
     request has not been answered yet and needs another attempt, which the router starts only if the
-    result allows it.
+    result allows it.  A backend server that has rejected the request wants no further ones of this
+    VM for `backoff_ms`.
     """
 
     request_id: str
@@ -90,6 +91,7 @@
     load: int | None = None
     wants_retry: bool = False
     server_draining: bool = False
+    backoff_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/features/endpoint_reports.feature
+++ b/features/endpoint_reports.feature
@@ -12,3 +12,26 @@
     Then the slot is returned, and further requests don't start there
     And a slot of it that is granted again is returned too
     And the owner that gets it back probes the health of the endpoint
+
+  Scenario: An endpoint that asks for a time without requests gets none, and is used again at its end
+    Given a VM that owns 2 endpoints of 1 slot
+    When one of them rejects a request and asks for 3000 ms without any
+    Then requests start at the other one alone for 3000 ms
+    And at the end both slots are used at once
+
+  Scenario: Where all endpoints want no requests, one that would be late is rejected with the time that is left
+    Given a VM that owns 2 endpoints of 1 slot
+    When both of them reject a request and ask for 3000 ms without any
+    Then a request that may wait 1000 ms is rejected at once, with 3000 ms or more to wait
+    And one that arrives 500 ms before the end starts at the end
+
+  Scenario Outline: Only a sound time in the answer that rejects a request counts for cloverhookd
+    Then a Retry-After of <value> asks cloverhookd for <time>
+
+    Examples:
+      | value | time |
+      | 3     | 3000 |
+      | 0.5   | 500  |
+      | 3601  | none |
+      | -1    | none |
+      | soon  | none |
--- a/features/steps/endpoint_report_steps.py
+++ b/features/steps/endpoint_report_steps.py
@@ -2,6 +2,8 @@
 
 from behave import given, then, when
 
+from cloverhook.errors import ErrorKind
+from cloverhook.headers import backoff_ms_of
 from cloverhook.messages import SlotGrant, SlotReturn
 from cloverhook.routing_events import (
     AttemptEnded,
@@ -109,3 +111,81 @@
         actions += owner.do(Tick())
     probes = [item for item in actions if isinstance(item, Probe) and item.health]
     assert probes and not any(isinstance(item, SendMessage) for item in actions), actions
+
+
+@given("a VM that owns 2 endpoints of 1 slot")
+def step_owned(context):
+    context.driver = RouterDriver(endpoints(2, slots=1))
+    context.driver.do(HomesChanged(OWN_VM, (OWN_VM,)))
+
+
+def reject(driver, request, backoff_ms):
+    """End the attempt of a request as rejected, with a time without requests."""
+    address, _ = driver.active_attempts.pop(request)
+    driver.do(
+        AttemptEnded(request, address, AttemptResult.REFUSED, 1.0, backoff_ms=float(backoff_ms))
+    )
+    return address
+
+
+@when("one of them rejects a request and asks for {backoff_ms:d} ms without any")
+def step_rejects(context, backoff_ms):
+    context.resting = reject(context.driver, context.driver.arrive(), backoff_ms)
+
+
+@then("requests start at the other one alone for {time_ms:d} ms")
+def step_other_alone(context, time_ms):
+    driver = context.driver
+    before = driver.starts[context.resting]
+    driver.run(time_ms - 10, every_ms=20.0, work_ms=lambda address: 10.0)
+    assert driver.starts[context.resting] == before
+    assert sum(driver.starts.values()) > time_ms / 40
+
+
+@then("at the end both slots are used at once")
+def step_both_used(context):
+    driver = context.driver
+    driver.pass_time(50.0)
+    for request in tuple(driver.active_attempts):
+        driver.end(request)
+    requests = [driver.arrive(), driver.arrive()]
+    assert {driver.active_attempts[item][0] for item in requests} == {
+        item.address for item in endpoints(2)
+    }
+
+
+@when("both of them reject a request and ask for {backoff_ms:d} ms without any")
+def step_both_reject(context, backoff_ms):
+    driver = context.driver
+    context.end_ms = driver.now_ms + backoff_ms
+    requests = [driver.arrive(), driver.arrive()]
+    for request in requests:
+        reject(driver, request, backoff_ms)
+
+
+@then(
+    "a request that may wait {limit_ms:d} ms is rejected at once, with {left_ms:d} ms or more to"
+    " wait"
+)
+def step_late(context, limit_ms, left_ms):
+    driver = context.driver
+    rejected = driver.rejected[driver.arrive(timeout_ms=limit_ms)]
+    assert rejected.kind is ErrorKind.BACKING_OFF, rejected
+    assert rejected.retry_after_ms >= left_ms, rejected
+
+
+@then("one that arrives {before_ms:d} ms before the end starts at the end")
+def step_in_time(context, before_ms):
+    driver = context.driver
+    driver.pass_time(context.end_ms - before_ms - driver.now_ms)
+    request = driver.arrive()
+    driver.pass_time(before_ms - 10.0)
+    assert driver.waiting(request)
+    driver.pass_time(10.0)
+    assert request in driver.active_attempts
+
+
+@then("a Retry-After of {value} asks cloverhookd for {time}")
+def step_parsed(context, value, time):
+    backoff_ms = backoff_ms_of([(b"retry-after", value.encode())])
+    assert backoff_ms == (None if time == "none" else float(time)), backoff_ms
