Check that the connections of callers' requests close, not that of a probe

"A caller that leaves cancels its request" was red now and then, under load mostly. Traced: the step waited for the end of the connection of every request that the backend server had received. A load probe that comes first shares its connection with a caller's request, and the fixture marks the last request of a connection only, so the probe's mark never comes. On a copy a pause of 3 s after the callers left showed it each time: all four requests were marked, the probe was not.

The step now waits for the four requests that the scenario is about; all of them still have to end.

--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -416,7 +416,7 @@
 @then("the backend server's connections close and no waiting request is started")
 def step_disconnected(context):
     async def all_closed():
-        return all(item.disconnected.is_set() for item in context.backend.received)
+        return all(item.disconnected.is_set() for item in context.backend.ran("/hang"))
 
     run(context, eventually(all_closed))
     assert _call(context, request("GET", "/echo")).status == 200
