--- a/cloverhook/gateway/drain_updates.py
+++ b/cloverhook/gateway/drain_updates.py
@@ -9,7 +9,8 @@
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.members import Member
-from cloverhook.gateway.peer_messages import DrainNoticeEntry, DrainNoticeUpdate, encode
+from cloverhook.gateway.peer_messages import DrainNoticeUpdate, encode
+from cloverhook.gateway.peer_rows import DrainNoticeEntry
 from cloverhook.gateway.update_sender import ROWS_LIMIT, UpdateSender
 
 __all__ = ["DrainUpdates"]
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -17,9 +17,14 @@
 
 from cloverhook.checking import Address, Flag, Integer, Number, compile_check, kind_field, table_of
 from cloverhook.errors import MessageError
+from cloverhook.gateway.peer_rows import (
+    BackoffEntry,
+    CrashRecord,
+    DrainNoticeEntry,
+    RateLimitEntry,
+)
 from cloverhook.gateway.registry import REGISTRY_DOCUMENT
 from cloverhook.gateway.server_load import LoadReport
-from cloverhook.retry_after_header import BACKOFF_LIMIT_MS
 
 __all__ = [
     "Heartbeat",
@@ -30,16 +35,12 @@
     "InFlightCounts",
     "LoadReports",
     "PeerMessage",
-    "RateLimitEntry",
     "RateLimitUpdate",
     "Refusals",
     "Relay",
     "ServerChanges",
-    "CrashRecord",
     "CrashRecords",
-    "BackoffEntry",
     "BackoffUpdate",
-    "DrainNoticeEntry",
     "DrainNoticeUpdate",
     "decode",
     "encode",
@@ -48,8 +49,6 @@
 VERSION = Integer(-1)
 """A version is -1 as long as nothing is known."""
 HEARTBEAT_LIMIT_MS = 3_600_000.0
-KEY_LIMIT = 2**64
-AGE_LIMIT_MS = 1e12
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,35 +153,6 @@
     incarnations: list[str]
 
 
-@dataclass(frozen=True, slots=True)
-class CrashRecord:
-    """The number of consecutive endpoint crashes while running a request, identified by its key.
-
-    Other VMs must not send the request for `hold_ms`.  If `is_claim`, the sender of this record has
-    the lease on the single trial copy, and sends it during that time.  With 0 crashes the request
-    has been answered successfully, and its record is cleared.
-    """
-
-    key: int
-    crashes: int
-    hold_ms: float = 0.0
-    is_claim: bool = False
-
-    @classmethod
-    def from_row(cls, key: int, crashes: int, hold_ms: float, is_claim: bool) -> "CrashRecord":
-        """Build a crash record from a datagram's row.  Raises `TypeError` or `ValueError`."""
-        has_types = type(key) is type(crashes) is int and isinstance(is_claim, bool)
-        if not has_types or type(hold_ms) not in (int, float):
-            raise TypeError("crash record with fields of the wrong type")
-        if not 0 <= key < KEY_LIMIT or crashes < 0 or not 0 <= hold_ms < inf:
-            raise ValueError("crash record with a value out of range")
-        return cls(key, crashes, float(hold_ms), is_claim)
-
-    def to_row(self) -> list[Any]:
-        """Return the row for a datagram."""
-        return [self.key, self.crashes, round(self.hold_ms), self.is_claim]
-
-
 @dataclass(frozen=True, slots=True)
 class CrashRecords:
     """The crash records of a VM for some requests."""
@@ -191,32 +161,6 @@
     rows: tuple[CrashRecord, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class RateLimitEntry:
-    """The rate limit that an endpoint has advertised, in requests per second, and its age in ms.
-
-    If `per_s` is None, the endpoint no longer advertises a limit.
-    """
-
-    incarnation: str
-    per_s: float | None
-    age_ms: float
-
-    @classmethod
-    def from_row(cls, incarnation: str, per_s: float | None, age_ms: float) -> "RateLimitEntry":
-        """Build an entry from a datagram's row.  Raises `TypeError` or `ValueError`."""
-        numbers = [age_ms] if per_s is None else [age_ms, per_s]
-        if not isinstance(incarnation, str) or any(type(x) not in (int, float) for x in numbers):
-            raise TypeError("rate limit with fields of the wrong type")
-        if not all(0 <= number < inf for number in numbers):
-            raise ValueError("rate limit with a value out of range")
-        return cls(incarnation, per_s, float(age_ms))
-
-    def to_row(self) -> list[Any]:
-        """Return the row for a datagram."""
-        return [self.incarnation, self.per_s, round(self.age_ms)]
-
-
 @dataclass(frozen=True, slots=True)
 class RateLimitUpdate:
     """The rate limits of endpoints that a VM has learned of."""
@@ -225,37 +169,6 @@
     rows: tuple[RateLimitEntry, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class DrainNoticeEntry:
-    """The notice by which an endpoint says that it is about to stop, as a VM knows it.
-
-    The endpoint has given notice `first_age_ms` ago for the first time and `last_age_ms` ago for
-    the last time.  If `first_age_ms` is None, it has answered without a notice to a request that
-    was sent `last_age_ms` ago.
-    """
-
-    incarnation: str
-    first_age_ms: float | None
-    last_age_ms: float
-
-    @classmethod
-    def from_row(
-        cls, incarnation: str, first_age_ms: float | None, last_age_ms: float
-    ) -> "DrainNoticeEntry":
-        """Build an entry from a datagram's row.  Raises `TypeError` or `ValueError`."""
-        ages_ms = [last_age_ms] if first_age_ms is None else [first_age_ms, last_age_ms]
-        if not isinstance(incarnation, str) or any(type(x) not in (int, float) for x in ages_ms):
-            raise TypeError("drain notice with fields of the wrong type")
-        if not all(0 <= age_ms <= AGE_LIMIT_MS for age_ms in ages_ms):
-            raise ValueError("drain notice with a value out of range")
-        return cls(incarnation, first_age_ms, last_age_ms)
-
-    def to_row(self) -> list[Any]:
-        """Return the row for a datagram."""
-        first_age_ms = None if self.first_age_ms is None else round(self.first_age_ms)
-        return [self.incarnation, first_age_ms, round(self.last_age_ms)]
-
-
 @dataclass(frozen=True, slots=True)
 class DrainNoticeUpdate:
     """The drain notices that a VM knows of."""
@@ -264,27 +177,6 @@
     rows: tuple[DrainNoticeEntry, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class BackoffEntry:
-    """For how long an endpoint that has rejected a request of a VM wants no further ones."""
-
-    incarnation: str
-    remaining_ms: float
-
-    @classmethod
-    def from_row(cls, incarnation: str, remaining_ms: float) -> "BackoffEntry":
-        """Build an entry from a datagram's row.  Raises `TypeError` or `ValueError`."""
-        if not isinstance(incarnation, str) or type(remaining_ms) not in (int, float):
-            raise TypeError("backoff with fields of the wrong type")
-        if not 0 <= remaining_ms <= BACKOFF_LIMIT_MS:
-            raise ValueError("backoff with a value out of range")
-        return cls(incarnation, remaining_ms)
-
-    def to_row(self) -> list[Any]:
-        """Return the row for a datagram."""
-        return [self.incarnation, round(self.remaining_ms)]
-
-
 @dataclass(frozen=True, slots=True)
 class BackoffUpdate:
     """What endpoints have asked of a VM."""
--- a/cloverhook/gateway/quarantine.py
+++ b/cloverhook/gateway/quarantine.py
@@ -29,7 +29,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from cloverhook.gateway.peer_messages import CrashRecord
+from cloverhook.gateway.peer_rows import CrashRecord
 from cloverhook.gateway.rendezvous_hash import rendezvous_weight
 from cloverhook.gateway.request_key import RequestKeys
 from cloverhook.gateway.served_requests import ServedRequests
--- a/cloverhook/gateway/quarantine_persistence.py
+++ b/cloverhook/gateway/quarantine_persistence.py
@@ -11,7 +11,7 @@
 from cloverhook.clock import monotonic_ms, wall_ms
 from cloverhook.errors import PlatformError
 from cloverhook.gateway.event_log import EventKind, EventLog
-from cloverhook.gateway.peer_messages import CrashRecord
+from cloverhook.gateway.peer_rows import CrashRecord
 from cloverhook.gateway.quarantine import Quarantine
 from cloverhook.gateway.store import QuarantineRecord, Store
 
--- a/cloverhook/gateway/quarantine_updates.py
+++ b/cloverhook/gateway/quarantine_updates.py
@@ -11,7 +11,8 @@
 from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.members import Member, Members
-from cloverhook.gateway.peer_messages import CrashRecord, CrashRecords, encode
+from cloverhook.gateway.peer_messages import CrashRecords, encode
+from cloverhook.gateway.peer_rows import CrashRecord
 from cloverhook.gateway.quarantine import CRASH_RECORDS_PER_DATAGRAM, Quarantine, SendPermission
 from cloverhook.gateway.request_key import RequestKeys
 
--- a/cloverhook/gateway/rate_limit_updates.py
+++ b/cloverhook/gateway/rate_limit_updates.py
@@ -8,7 +8,8 @@
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.gateway_state import GatewayState
-from cloverhook.gateway.peer_messages import RateLimitEntry, RateLimitUpdate, encode
+from cloverhook.gateway.peer_messages import RateLimitUpdate, encode
+from cloverhook.gateway.peer_rows import RateLimitEntry
 from cloverhook.gateway.rate_limits import RateLimits
 from cloverhook.gateway.update_sender import ROWS_LIMIT, UpdateSender
 
--- a/features/quarantine_fleet.py
+++ b/features/quarantine_fleet.py
@@ -5,7 +5,7 @@
 import random
 from dataclasses import dataclass, field
 
-from cloverhook.gateway.peer_messages import CrashRecord
+from cloverhook.gateway.peer_rows import CrashRecord
 from cloverhook.gateway.quarantine import Quarantine, SendPermission
 from cloverhook.gateway.request_key import RequestKeys
 
--- a/features/steps/gateway_backoff_steps.py
+++ b/features/steps/gateway_backoff_steps.py
@@ -35,7 +35,7 @@
 OBJECTIVE_MS = 1_000.0
 """The latency objective of the fixture's routes."""
 SPREAD_MS = 500.0
-"""Callers that were rejected together are told times that differ by at most this."""
+"""Callers that were rejected together get times that differ by at most this."""
 TRANSIT_MS = 100.0
 WORK_MS = 50.0
 BORN_MS = 7
