Ignore a datagram whose integer no float can hold, as any other invalid one

A rate limit or crash record with such an age or hold time raised OverflowError out of `decode`, past the handling of invalid messages.

--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -234,6 +234,15 @@
 }
 """The message types that consist of rows, and the type of a row."""
 ROW_MESSAGES = tuple(ROW_TYPES)
+DECODING_ERRORS = (
+    cbor2.CBORError,
+    TypeError,
+    ValueError,
+    IndexError,
+    OverflowError,
+    RecursionError,
+)
+"""`OverflowError`: a row may hold an integer that no float can hold."""
 HEARTBEAT_CHECKS = tuple(
     (name, compile_check(kind)) for name, kind in table_of(Heartbeat).fields.items()
 )
@@ -272,7 +281,7 @@
             )
         else:
             message = MESSAGE_TYPES[type_number](*values)
-    except (cbor2.CBORError, TypeError, ValueError, IndexError, RecursionError) as error:
+    except DECODING_ERRORS as error:
         raise MessageError(f"datagram that is not a message: {error!r}") from error
     if not isinstance(message.vm, str) or not _is_valid(message):
         raise MessageError(f"datagram with an invalid {type(message).__name__}")
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -208,7 +208,8 @@
     valid_row = ["i-1", 2.5, 10.0]
     assert decode(cbor2.dumps([kind, "vm-1", [valid_row]])).rows[0].per_s == 2.5
     invalid_rows = (["i-1", -1, 0], ["i-1", "2", 0], [7, 2.5, 0], ["i-1", 2.5, -1], ["i-1", 2.5])
-    for row in (*invalid_rows, ["i-1", float("nan"), 0], ["i-1", True, 0]):
+    beyond_float = ["i-1", 2.5, 10**400]
+    for row in (*invalid_rows, ["i-1", float("nan"), 0], ["i-1", True, 0], beyond_float):
         with contextlib.suppress(MessageError):
             decode(cbor2.dumps([kind, "vm-1", [row]]))
             raise AssertionError(row)
