--- a/cloverhook/gateway/notice_recorder.py
+++ b/cloverhook/gateway/notice_recorder.py
@@ -46,7 +46,7 @@
         self._record(server, notice, "probe")
 
     def record_success(self, server: BackendServer, notice: EndpointNotice, sent_ms: float) -> None:
-        """Record a complete successful response, which also shows what doesn't apply any more.
+        """Record a successful response, which also shows what does not apply any more.
 
         A probe doesn't show that: the health report of an endpoint may be wrong.
         """
