Send a burst where the test needs a request at each backend server

Traced before in gateway_backoff.feature: of two idle equal endpoints the one with an open connection is preferred, and in 2 of 8 runs 30 such requests never met the other. Five requests at once are more than one endpoint has slots.

--- a/features/steps/gateway_leaving_steps.py
+++ b/features/steps/gateway_leaving_steps.py
@@ -307,7 +307,8 @@
     async def start():
         fleet = await start_notice_fleet(context, gateways, backends)
         fleet.backends[0].notice_lines = (b"cloverhook-leaving: " + value.encode(),)
-        await send_to_each(fleet)
+        # More at once than one backend server has slots: an open connection is preferred.
+        await asyncio.gather(*(fleet.send() for _ in range(gateway_fleet.SLOTS + 1)))
 
     run(context, start())
 
