cloverhookd: Return slots of endpoints that want no requests without a sign of draining

What callers saw: nothing. The owner of a borrowed slot made a health probe that nobody needed each time an endpoint asked the borrower for a time without requests.

Cause: `_release_loan` and `_handle_grant` took every endpoint that this VM may not use for one that is draining. Since endpoints may also ask for a time without requests, that is two things.

Change: only an endpoint that has reported that it drains is returned with DRAINING_EVIDENCE. A slot of an endpoint that the configuration has removed goes back without it too: the owner reads the same configuration.

Measured: endpoint_reports, decisions, layers, dispatch and invariants, 61 passed, 0 failed.

--- a/cloverhook/endpoint_stats.py
+++ b/cloverhook/endpoint_stats.py
@@ -96,8 +96,12 @@
 
     def accepts(self, now_ms: float) -> bool:
         """Return whether a VM that doesn't own the endpoint may send new requests there."""
-        reported = self.draining and now_ms - self.drain_reported_ms < DRAIN_REPORT_LIFETIME_MS
-        return self.configured and not reported and not self.backs_off(now_ms)
+        is_draining = self.has_reported_draining(now_ms)
+        return self.configured and not is_draining and not self.backs_off(now_ms)
+
+    def has_reported_draining(self, now_ms: float) -> bool:
+        """Return whether a recent answer has said that the endpoint is draining."""
+        return self.draining and now_ms - self.drain_reported_ms < DRAIN_REPORT_LIFETIME_MS
 
     def backs_off(self, now_ms: float) -> bool:
         """Return whether this VM sends nothing there because the endpoint has asked for that."""
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -366,20 +366,27 @@
         usable = tuple(item for item in message.addresses if item in accepting)
         unusable = [(item, vm) for item in message.addresses if item not in accepting]
         self._slot_exchange.record_grant(vm, message, usable, now_ms)
-        return [*self._return_draining(unusable, now_ms), *self._assign_slots(now_ms)]
+        return [*self._return_unusable(unusable, now_ms), *self._assign_slots(now_ms)]
 
-    def _return_draining(
+    def _return_unusable(
         self, slots: Iterable[tuple[str, str]], now_ms: float
     ) -> Iterable[SendMessage]:
-        """Return slots of endpoints that are unknown here or draining.
+        """Return slots of endpoints that this VM doesn't know or may not use.
 
         Each slot is an address and its owner, which then probes the health of a draining endpoint.
         """
         returned = tuple(slots)
-        known = (address for address, _ in returned if self._table.get(address) is not None)
-        evidence = dict.fromkeys(known, DRAINING_EVIDENCE)
+        evidence = {
+            address: DRAINING_EVIDENCE
+            for address, _ in returned
+            if self._has_reported_draining(address, now_ms)
+        }
         return self._slot_exchange.return_slots(returned, evidence, now_ms)
 
+    def _has_reported_draining(self, address: str, now_ms: float) -> bool:
+        stats = self._table.get(address)
+        return stats is not None and stats.has_reported_draining(now_ms)
+
     def _release_loan(self, event: AttemptEnded, now_ms: float) -> list[Action]:
         loan = self._slot_exchange.borrowed.release(event.request_id)
         if loan is None:
@@ -388,12 +395,13 @@
         must_return = self._slot_exchange.should_return(owner, self._queue, now_ms)
         succeeded = event.result is AttemptResult.ANSWERED
         stats = self._table.get(event.address)
-        is_draining = stats is not None and not stats.accepts(now_ms)
-        if succeeded and now_ms < ends_ms and not must_return and not is_draining:
+        may_keep = stats is None or stats.accepts(now_ms)
+        if succeeded and now_ms < ends_ms and not must_return and may_keep:
             self._slot_exchange.borrowed.add_idle(event.address, owner, ends_ms, now_ms)
             return []
         evidence = int(max(stats.slowness, stats.failures)) if stats is not None else 0
-        evidence = DRAINING_EVIDENCE if is_draining else evidence
+        if self._has_reported_draining(event.address, now_ms):
+            evidence = DRAINING_EVIDENCE
         slot = ((event.address, owner),)
         return list(self._slot_exchange.return_slots(slot, {event.address: evidence}, now_ms))
 
--- a/features/endpoint_reports.feature
+++ b/features/endpoint_reports.feature
@@ -13,6 +13,12 @@
     And a slot of it that is granted again is returned too
     And the owner that gets it back probes the health of the endpoint
 
+  Scenario: A borrowed slot of an endpoint that wants no requests goes back without a report of draining
+    Given a VM that uses a borrowed slot of an endpoint
+    When the endpoint rejects the request and asks for 3000 ms without any
+    Then the slot is returned without a sign that the endpoint is draining
+    And so is a slot of it that is granted again, and further requests don't start there
+
   Scenario: An endpoint that asks for a time without requests gets none, and is used again at its end
     Given a VM that owns 2 endpoints of 1 slot
     When one of them rejects a request and asks for 3000 ms without any
--- a/features/steps/endpoint_report_steps.py
+++ b/features/steps/endpoint_report_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given, then, when
 
+from cloverhook.endpoint_stats import DRAINING_EVIDENCE
 from cloverhook.errors import ErrorKind
 from cloverhook.headers import backoff_ms_of
 from cloverhook.messages import SlotGrant, SlotReturn
@@ -113,6 +114,29 @@
     assert probes and not any(isinstance(item, SendMessage) for item in actions), actions
 
 
+@when("the endpoint rejects the request and asks for {backoff_ms:d} ms without any")
+def step_borrower_rejected(context, backoff_ms):
+    reject(context.driver, context.request, backoff_ms)
+
+
+@then("the slot is returned without a sign that the endpoint is draining")
+def step_returned_plain(context):
+    (item,) = returned(context.driver, context.sent)
+    assert item.addresses == (context.address,)
+    assert max(item.failure_evidence) < DRAINING_EVIDENCE, item
+
+
+@then("so is a slot of it that is granted again, and further requests don't start there")
+def step_granted_plain(context):
+    driver = context.driver
+    before = driver.starts[context.address]
+    context.sent = len(driver.sent_messages)
+    driver.receive(OWNER, SlotGrant(SERVICE, (context.address,), True))
+    step_returned_plain(context)
+    driver.arrive()
+    assert driver.starts[context.address] == before
+
+
 @given("a VM that owns 2 endpoints of 1 slot")
 def step_owned(context):
     context.driver = RouterDriver(endpoints(2, slots=1))
