cloverhookd: Use an endpoint from the very end of the time that it wants no requests

What callers saw: 503 no-backend-server for a request that arrives when such a time has ended, but before the VM's timer has run, if no other endpoint takes requests.

Cause: the endpoint was put back into its pool by the timer alone, and `_place` takes a VM without any usable slot for one whose endpoints don't work.

Evidence: the new scenario of `endpoint_reports.feature`, "A request that arrives just at the end of such a time is not rejected": red on the code before (no-backend-server), green now.

Change: `_place` ends the times that are over before it looks for an endpoint.

--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -233,6 +233,7 @@
 
     def _place(self, request: PendingRequest, now_ms: float, avoid: str = "") -> list[Action]:
         request_id = request.arrival.request_id
+        self._table.end_backoffs(now_ms)
         backoff_end_ms = self._table.first_backoff_end_ms(now_ms)
         if backoff_end_ms is not None:
             return self._await_backoff_end(request, backoff_end_ms, now_ms)
--- a/features/endpoint_reports.feature
+++ b/features/endpoint_reports.feature
@@ -31,6 +31,11 @@
     Then a request that may wait 1000 ms is rejected at once, with 3000 ms or more to wait
     And one that arrives 500 ms before the end starts at the end
 
+  Scenario: A request that arrives just at the end of such a time is not rejected
+    Given a VM that owns 2 endpoints of 1 slot
+    When both of them reject a request and ask for 3000 ms without any
+    Then a request that arrives at the end, before the VM's timer, starts at once
+
   Scenario Outline: Only a sound time in the answer that rejects a request counts for cloverhookd
     Then a Retry-After of <value> asks cloverhookd for <time>
 
--- a/features/steps/endpoint_report_steps.py
+++ b/features/steps/endpoint_report_steps.py
@@ -209,6 +209,14 @@
     assert request in driver.active_attempts
 
 
+@then("a request that arrives at the end, before the VM's timer, starts at once")
+def step_at_end(context):
+    driver = context.driver
+    driver.now_ms = context.end_ms
+    request = driver.arrive()
+    assert request in driver.active_attempts, driver.rejected
+
+
 @then("a Retry-After of {value} asks cloverhookd for {time}")
 def step_parsed(context, value, time):
     backoff_ms = backoff_ms_of([(b"retry-after", value.encode())])
