cloverhookd: Show what endpoints report about themselves

What operators saw: an endpoint that says in its answers that it drains, or that asks for a time without requests, got no requests of cloverhookd, and neither the time line nor a metric said why; a value of `cloverhook-leaving` other than 1 was ignored in silence.

Cause: only probation showed as an endpoint's state, and reports were read in three places.

Change: `endpoint_reports` reads the reports in the head of an answer, once. Each is counted in `cloverhook_endpoint_reports_total` by service and kind (draining, backing-off, invalid); an invalid value is logged, bounded to a line a second. The state on the time line (`endpoint-state`) is now one of well, slow, failing, unreachable, draining and backing-off.

--- a/bench/baseline_router.py
+++ b/bench/baseline_router.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from cloverhook.endpoint_stats import ProbationReason
+from cloverhook.endpoint_stats import EndpointState
 from cloverhook.errors import ErrorKind
 from cloverhook.routing_events import (
     Action,
@@ -74,10 +74,10 @@
         del address
         return False
 
-    def probation_reason_of(self, address: str) -> int:
-        """Return `NONE`: these algorithms put no endpoint on probation."""
-        del address
-        return ProbationReason.NONE
+    def state_of(self, address: str, now_ms: float) -> EndpointState:
+        """Return `WELL`: these algorithms put no endpoint on probation."""
+        del address, now_ms
+        return EndpointState.WELL
 
     def _handle_end(self, event: AttemptEnded) -> tuple[Action, ...]:
         self.in_flight[event.address] -= 1
--- a/cloverhook/caller_app.py
+++ b/cloverhook/caller_app.py
@@ -19,15 +19,9 @@
 from cloverhook.at_most_once import AtMostOnceRunner
 from cloverhook.clock import wall_ms
 from cloverhook.dispatch import Dispatcher, Target
+from cloverhook.endpoint_reports import EndpointReport, reports_in
 from cloverhook.errors import ErrorKind, Outcome, RequestError, UpstreamError, answer_for
-from cloverhook.exchange import (
-    REJECTION_STATUS,
-    Exchange,
-    Receive,
-    RejectedError,
-    RequestBody,
-    Send,
-)
+from cloverhook.exchange import Exchange, Receive, RejectedError, RequestBody, Send
 from cloverhook.observed_app import Observation
 from cloverhook.routing_events import Arrival, AttemptEnded, AttemptResult
 from cloverhook.settings import DaemonSettings
@@ -250,11 +244,14 @@
         return None
 
     def _record_head(self, target: Target, address: str, head: AnswerHead) -> None:
-        if h.is_draining(head.headers):
-            self._dispatcher.record_draining(target, address, self._clock_ms())
-        if head.status == REJECTION_STATUS and h.backoff_ms_of(head.headers) is None:
-            text = "listener: %s sent an invalid Retry-After, which is ignored."
-            logging.log_every_n_seconds(logging.WARNING, text, WARNING_INTERVAL_S, address)
+        for report in reports_in(head.status, head.headers):
+            self._dispatcher.record_report(target, address, report, self._clock_ms())
+            if report is EndpointReport.INVALID:
+                text = "listener: %s sent an invalid %s or Retry-After, which is ignored."
+                name = h.LEAVING.decode()
+                logging.log_every_n_seconds(
+                    logging.WARNING, text, WARNING_INTERVAL_S, address, name
+                )
 
     def _may_retry(self, exchange: Exchange, result: AttemptResult) -> bool:
         """Return whether another attempt is allowed.
--- a/cloverhook/dispatch.py
+++ b/cloverhook/dispatch.py
@@ -12,6 +12,8 @@
 from typing import Protocol
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.endpoint_reports import EndpointReport
+from cloverhook.endpoint_stats import EndpointState
 from cloverhook.errors import ErrorKind, RequestError
 from cloverhook.fleet import Endpoint, Policy, Service
 from cloverhook.load_shedder import LoadShedder
@@ -74,8 +76,11 @@
 class DispatchObserver(Protocol):
     """Observes endpoint states and probes, to produce events and metrics."""
 
-    def record_endpoint_state(self, address: str, probation_reason: int) -> None:
-        """Record the number of an endpoint's `ProbationReason` after an attempt or a probe."""
+    def record_endpoint_state(self, address: str, state: EndpointState) -> None:
+        """Record how this VM sees an endpoint after an attempt, a probe or a report."""
+
+    def record_report(self, target: Target, report: EndpointReport) -> None:
+        """Count what an endpoint has reported about itself in the head of an answer."""
 
     def record_probe(self, target: Target, latency_ms: float) -> None:
         """Record a completed probe and its latency in milliseconds."""
@@ -182,16 +187,22 @@
         try:
             return await self._wait_for_start(target, ended.request_id, ended, now_ms)
         finally:
-            self._report_endpoint_state(target.key, ended.address)
+            self._report_endpoint_state(target.key, ended.address, now_ms)
 
     def record_attempt_end(self, target: Target, ended: AttemptEnded, now_ms: float) -> None:
         """Report the end of a request's last attempt."""
         self._handle_event(target.key, ended, now_ms)
-        self._report_endpoint_state(target.key, ended.address)
+        self._report_endpoint_state(target.key, ended.address, now_ms)
 
-    def record_draining(self, target: Target, address: str, now_ms: float) -> None:
-        """Report that a backend server says in the head of an answer that it is draining."""
-        self._handle_event(target.key, DrainReported(address), now_ms)
+    def record_report(
+        self, target: Target, address: str, report: EndpointReport, now_ms: float
+    ) -> None:
+        """Record what a backend server reports about itself in the head of an answer."""
+        if self._observer is not None:
+            self._observer.record_report(target, report)
+        if report is EndpointReport.DRAINING:
+            self._handle_event(target.key, DrainReported(address), now_ms)
+            self._report_endpoint_state(target.key, address, now_ms)
 
     def set_homes(
         self,
@@ -217,7 +228,7 @@
         target = self._targets_by_key.get(key)
         if self._observer is not None and target is not None:
             self._observer.record_probe(target, ended.latency_ms)
-        self._report_endpoint_state(key, ended.address)
+        self._report_endpoint_state(key, ended.address, now_ms)
 
     def next_wake_ms(self) -> float | None:
         """Return when `wake` is next due, or None while only events require work."""
@@ -262,10 +273,10 @@
         else:
             self._handle_event(key, CallerDisconnected(request_id), now_ms)
 
-    def _report_endpoint_state(self, key: str, address: str) -> None:
+    def _report_endpoint_state(self, key: str, address: str, now_ms: float) -> None:
         router = self._routers.get(key)
         if self._observer is not None and router is not None:
-            self._observer.record_endpoint_state(address, router.probation_reason_of(address))
+            self._observer.record_endpoint_state(address, router.state_of(address, now_ms))
 
     def _handle_event(self, key: str, event: Event, now_ms: float) -> None:
         handle = self._handlers.get(key)
--- a/cloverhook/endpoint_stats.py
+++ b/cloverhook/endpoint_stats.py
@@ -9,13 +9,13 @@
 """
 
 from dataclasses import dataclass, field
-from enum import IntEnum
+from enum import Enum, IntEnum
 
 from cloverhook.fleet import Endpoint
 from cloverhook.latency_model import LatencyModel
 from cloverhook.routing_events import AttemptResult
 
-__all__ = ["DRAINING_EVIDENCE", "EndpointStats", "ProbationReason"]
+__all__ = ["DRAINING_EVIDENCE", "EndpointState", "EndpointStats", "ProbationReason"]
 
 SLOW_AT = 10.0
 GOOD_EVIDENCE = -0.5
@@ -45,6 +45,25 @@
     UNREACHABLE = 3
 
 
+class EndpointState(Enum):
+    """How a VM sees an endpoint; the values are shown on the time line."""
+
+    WELL = "well"
+    SLOW = "slow"
+    FAILING = "failing"
+    UNREACHABLE = "unreachable"
+    DRAINING = "draining"
+    BACKING_OFF = "backing-off"
+
+
+STATES_ON_PROBATION = {
+    ProbationReason.NONE: EndpointState.WELL,
+    ProbationReason.SLOW: EndpointState.SLOW,
+    ProbationReason.FAILING: EndpointState.FAILING,
+    ProbationReason.UNREACHABLE: EndpointState.UNREACHABLE,
+}
+
+
 @dataclass(slots=True)
 class EndpointStats:
     """The state of one endpoint, as far as this VM has observed it.
@@ -103,6 +122,14 @@
         """Return whether a recent answer has said that the endpoint is draining."""
         return self.draining and now_ms - self.drain_reported_ms < DRAIN_REPORT_LIFETIME_MS
 
+    def state(self, now_ms: float) -> EndpointState:
+        """Return how this VM sees the endpoint; what it says of itself comes first."""
+        if self.draining:
+            return EndpointState.DRAINING
+        if self.backs_off(now_ms):
+            return EndpointState.BACKING_OFF
+        return STATES_ON_PROBATION[self.probation_reason]
+
     def backs_off(self, now_ms: float) -> bool:
         """Return whether this VM sends nothing there because the endpoint has asked for that."""
         return now_ms < self.backoff_until_ms
--- a/cloverhook/exchange.py
+++ b/cloverhook/exchange.py
@@ -11,12 +11,12 @@
 
 from cloverhook import headers as h
 from cloverhook.dispatch import Target
+from cloverhook.endpoint_reports import is_rejection
 from cloverhook.errors import ErrorKind, Outcome, RequestError, UpstreamError
 from cloverhook.observed_app import Observation
 from cloverhook.upstream import AnswerHead, RequestHead, UpstreamConnection, UpstreamPool
 
 __all__ = [
-    "REJECTION_STATUS",
     "AnswerCapture",
     "CapturedAnswer",
     "Exchange",
@@ -26,7 +26,6 @@
     "Send",
 ]
 
-REJECTION_STATUS = 503
 MIN_FAILURE_STATUS = 500
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -189,7 +188,7 @@
         try:
             answer = await self._send_request(connection, now_ms)
             on_head(answer)
-            if _is_rejection(answer):
+            if is_rejection(answer.status, answer.headers):
                 raise RejectedError(
                     h.is_draining(answer.headers), h.backoff_ms_of(answer.headers) or 0.0
                 )
@@ -269,13 +268,3 @@
         return Outcome.RAN
     reported = h.outcome_of(answer.headers)
     return Outcome.RAN if reported is Outcome.RAN else Outcome.UNKNOWN
-
-
-def _is_rejection(answer: AnswerHead) -> bool:
-    """Return whether this backend server itself rejected the request before any work.
-
-    An answer with an error kind comes from a daemon further down a chain of calls, and the backend
-    server only forwarded it: it says nothing about the backend server's own work.
-    """
-    rejected = answer.status == REJECTION_STATUS and h.outcome_of(answer.headers) is Outcome.NOT_RUN
-    return rejected and h.find(answer.headers, h.ERROR) is None
--- a/cloverhook/metrics.py
+++ b/cloverhook/metrics.py
@@ -107,6 +107,14 @@
         "ms/s",
         ("service",),
     )
+    REPORTS = MetricSpec(
+        "cloverhook_endpoint_reports_total",
+        COUNTER,
+        "Answers in which an endpoint reports that it is draining or wants no requests for a time,"
+        " or in which such a report is invalid.",
+        "answers",
+        ("service", "report"),
+    )
     PEER_MESSAGES = MetricSpec(
         "cloverhook_peer_messages_total",
         COUNTER,
--- a/cloverhook/observer.py
+++ b/cloverhook/observer.py
@@ -4,11 +4,14 @@
 events and counts, and collects the samples of the other modules when the metrics page is requested.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from cloverhook.clock import monotonic_ms, wall_ms
 from cloverhook.dispatch import Target
+from cloverhook.endpoint_reports import EndpointReport
+from cloverhook.endpoint_stats import EndpointState
 from cloverhook.errors import ErrorKind
 from cloverhook.fold import FoldResult, Verdict
 from cloverhook.member_watch import MemberWatch
@@ -23,7 +26,6 @@
 
 LOOP_LAG_BOUNDS_MS = (0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 1_000.0)
 FROM_LOG = "log"
-PROBATION_STATES = ("well", "slow", "failing", "unreachable")
 
 
 @dataclass(slots=True)
@@ -48,7 +50,8 @@
         self._log_unavailable = False
         self._loop_lag_ms = HistogramCounts(LOOP_LAG_BOUNDS_MS)
         self._rejected_operator_calls = 0
-        self._probation_reasons: dict[str, int] = {}
+        self._endpoint_states: dict[str, EndpointState] = {}
+        self._reports: Counter[tuple[str, str]] = Counter()
         self._probes: dict[str, ProbeCounts] = {}
         self.records_source = FROM_LOG
         self.requests = RequestStats()
@@ -91,13 +94,17 @@
         for change in self._members.update(members):
             self.note(change.name, change.vm)
 
-    def record_endpoint_state(self, address: str, probation_reason: int) -> None:
-        """Record the number of an endpoint's `ProbationReason`, if it has changed."""
-        if self._probation_reasons.get(address, 0) != probation_reason:
-            self._probation_reasons[address] = probation_reason
-            now_ms = wall_ms()
-            detail = PROBATION_STATES[probation_reason]
-            self.time_line.add(now_ms, EventName.ENDPOINT_STATE, address=address, detail=detail)
+    def record_endpoint_state(self, address: str, state: EndpointState) -> None:
+        """Record how this VM sees an endpoint, if that has changed."""
+        if self._endpoint_states.get(address, EndpointState.WELL) is not state:
+            self._endpoint_states[address] = state
+            self.time_line.add(
+                wall_ms(), EventName.ENDPOINT_STATE, address=address, detail=state.value
+            )
+
+    def record_report(self, target: Target, report: EndpointReport) -> None:
+        """Count what an endpoint has reported about itself."""
+        self._reports[target.key, report.value] += 1
 
     def record_probe(self, target: Target, latency_ms: float) -> None:
         """Count a completed probe and its latency."""
@@ -128,6 +135,7 @@
         return [
             *_request_samples(self.requests),
             *_probe_samples(self._probes),
+            *(Sample(Metric.REPORTS, count, labels) for labels, count in self._reports.items()),
             Sample(Metric.REJECTED_OPERATOR_CALLS, self._rejected_operator_calls),
             Sample(Metric.LOG_AGE, self.log_age_ms),
             Sample(Metric.LOOP_LAG, self._loop_lag_ms),
--- a/cloverhook/routing.py
+++ b/cloverhook/routing.py
@@ -19,7 +19,7 @@
 from collections.abc import Iterable
 from functools import singledispatchmethod
 
-from cloverhook.endpoint_stats import DRAINING_EVIDENCE
+from cloverhook.endpoint_stats import DRAINING_EVIDENCE, EndpointState
 from cloverhook.endpoint_table import EndpointTable
 from cloverhook.errors import ErrorKind
 from cloverhook.fleet import Endpoint, Policy
@@ -95,10 +95,10 @@
         """Return whether this VM owns an endpoint."""
         return self._table.owns(address)
 
-    def probation_reason_of(self, address: str) -> int:
-        """Return the `endpoint_stats.ProbationReason` of an endpoint as a number."""
+    def state_of(self, address: str, now_ms: float) -> EndpointState:
+        """Return how this VM sees an endpoint; one that is unknown counts as well."""
         stats = self._table.get(address)
-        return 0 if stats is None else int(stats.probation_reason)
+        return EndpointState.WELL if stats is None else stats.state(now_ms)
 
     @singledispatchmethod
     def handle(self, event: Event, now_ms: float) -> tuple[Action, ...]:
--- a/features/endpoint_reports.feature
+++ b/features/endpoint_reports.feature
@@ -36,6 +36,24 @@
     When both of them reject a request and ask for 3000 ms without any
     Then a request that arrives at the end, before the VM's timer, starts at once
 
+  Scenario: What an endpoint reports shows on the time line and in the metrics
+    Given a dispatcher with 2 endpoints
+    When an answer of one says that it is draining, and the other rejects a request and asks for 3000 ms without any
+    Then the time line shows one as draining and the other as backing-off, until a request is answered there
+    And the metrics count a report of each kind
+
+  Scenario Outline: Reports that are invalid are ignored and counted
+    Then an answer <status> with <header> "<value>" contains the report <report>
+
+    Examples:
+      | status | header             | value | report      |
+      | 200    | cloverhook-leaving | 1     | draining    |
+      | 200    | cloverhook-leaving | 2     | invalid     |
+      | 503    | retry-after        | 3     | backing-off |
+      | 503    | retry-after        | 0     | none        |
+      | 503    | retry-after        | -1    | invalid     |
+      | 200    | retry-after        | 3     | none        |
+
   Scenario Outline: Only a sound time in the answer that rejects a request counts for cloverhookd
     Then a Retry-After of <value> asks cloverhookd for <time>
 
--- a/features/steps/endpoint_report_steps.py
+++ b/features/steps/endpoint_report_steps.py
@@ -1,12 +1,17 @@
 """Steps for what backend servers say of themselves in their answers to cloverhookd."""
 
+import asyncio
+
 from behave import given, then, when
 
+from cloverhook.endpoint_reports import EndpointReport, reports_in
 from cloverhook.endpoint_stats import DRAINING_EVIDENCE
 from cloverhook.errors import ErrorKind
-from cloverhook.headers import backoff_ms_of
+from cloverhook.fleet import Priority
+from cloverhook.headers import OUTCOME, backoff_ms_of
 from cloverhook.messages import SlotGrant, SlotReturn
 from cloverhook.routing_events import (
+    Arrival,
     AttemptEnded,
     AttemptResult,
     DrainReported,
@@ -15,7 +20,9 @@
     SendMessage,
     Tick,
 )
+from cloverhook.timeline import EventName
 from features.decision_driver import RouterDriver, endpoints
+from features.shared import HOST, run
 
 SERVICE = "brathwaite/booking"
 OWNER = "vm-1"
@@ -221,3 +228,66 @@
 def step_parsed(context, value, time):
     backoff_ms = backoff_ms_of([(b"retry-after", value.encode())])
     assert backoff_ms == (None if time == "none" else float(time)), backoff_ms
+
+
+@when(
+    "an answer of one says that it is draining, and the other rejects a request and asks for"
+    " {backoff_ms:d} ms without any"
+)
+def step_reports(context, backoff_ms):
+    dispatcher = context.dispatcher
+    target = dispatcher.target_for(HOST.encode())
+    context.draining, context.resting = "10.0.0.1:80", "10.0.0.2:80"
+    dispatcher.record_report(target, context.draining, EndpointReport.DRAINING, 0.0)
+    dispatcher.record_report(target, context.draining, EndpointReport.INVALID, 0.0)
+    dispatcher.record_report(target, context.resting, EndpointReport.BACKING_OFF, 0.0)
+    ended = {"result": AttemptResult.REFUSED, "backoff_ms": float(backoff_ms)}
+    context.ends_ms = backoff_ms
+    run(context, attempt(context, 0.0, ended))
+
+
+async def attempt(context, now_ms, ended):
+    """Make the attempt of a new request; `ended` says how it ends.  Return its endpoint."""
+    dispatcher = context.dispatcher
+    target = dispatcher.target_for(HOST.encode())
+    arrival = Arrival(f"r-{now_ms}", Priority.NORMAL, now_ms + 1_000.0, idempotent=True)
+    async with asyncio.timeout(1.0):
+        address = await dispatcher.admit(target, arrival, now_ms)
+    dispatcher.record_attempt_end(
+        target, AttemptEnded(arrival.request_id, address, latency_ms=5.0, **ended), now_ms
+    )
+    return address
+
+
+@then(
+    "the time line shows one as draining and the other as backing-off, until a request is answered"
+    " there"
+)
+def step_time_line(context):
+    address = run(context, attempt(context, context.ends_ms, {"result": AttemptResult.ANSWERED}))
+    assert address == context.resting
+    found = [
+        (event.address, event.detail)
+        for event in context.observer.time_line.events()
+        if event.name is EventName.ENDPOINT_STATE
+    ]
+    assert found == [
+        (context.draining, "draining"),
+        (context.resting, "backing-off"),
+        (context.resting, "well"),
+    ], found
+
+
+@then("the metrics count a report of each kind")
+def step_counted(context):
+    page = context.observer.metrics.render("text/plain")[0].decode()
+    lines = [line for line in page.splitlines() if line.startswith("cloverhook_endpoint_reports")]
+    for report in EndpointReport:
+        assert any(f'report="{report.value}"' in line and line.endswith(" 1") for line in lines)
+
+
+@then('an answer {status:d} with {header} "{value}" contains the report {report}')
+def step_report(context, status, header, value, report):
+    headers = [(OUTCOME, b"not-run"), (header.encode(), value.encode())]
+    found = [item.value for item in reports_in(status, headers)]
+    assert found == ([] if report == "none" else [report]), found
--- a/features/steps/timeline_steps.py
+++ b/features/steps/timeline_steps.py
@@ -261,6 +261,7 @@
     assert names == set(context.fleet.daemons)
 
 
+@given("a dispatcher with 2 endpoints")
 @given("a dispatcher with an endpoint that refuses connections")
 def step_dispatcher(context):
     settings = DaemonSettings("vm-0", "papine", "a", "b", "c", "d")
