--- a/cloverhook/replica.py
+++ b/cloverhook/replica.py
@@ -35,10 +35,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Read:
-    """What to read next from the log; `wait` is set if there may be nothing new yet."""
+    """What to read next from the log; `wait` is set if there may be nothing new yet.
+
+    `position` is the replica's own position when the read was planned.  If it has changed since, the
+    answer may be older than what a peer has sent, and must not be compared with it.
+    """
 
     offset: int
     wait: bool
+    position: int
 
 
 @dataclass(slots=True)
@@ -102,12 +107,13 @@
 
     def next_read(self) -> Read:
         """Return what to read next from the log."""
+        position = self.state.next_offset
         if self._search is not None:
-            return Read(self._search.cursor, self._search.at_end)
-        offset = offset_of(self.state.next_offset)
+            return Read(self._search.cursor, self._search.at_end, position)
+        offset = offset_of(position)
         if self._verify_last and self._recent_records:
-            return Read(offset - 1, wait=False)
-        return Read(offset, self.at_end)
+            return Read(offset - 1, wait=False, position=position)
+        return Read(offset, self.at_end, position)
 
     def record_read_failure(self) -> None:
         """Record that a read failed; the log may have been replaced when it is available again."""
--- a/features/following.feature
+++ b/features/following.feature
@@ -59,6 +59,12 @@
     Then the change is accepted, and the log holds it once
     And every follower has version 4 and is not behind
 
+  Scenario: The answer to a read that is older than a peer's state counts no restart of the log
+    When the log starts over
+    And a follower reads it empty, and gets the state of one that has appended a snapshot before the answer
+    Then every follower has version 3 and is not behind
+    And every follower counts 1 restart of the log
+
   Scenario: The log starts over unseen and outgrows what was read
     When the log is down for the followers, starts over and grows further
     Then every follower has version 3 and says that it is behind
--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -245,6 +245,35 @@
     pass_time(context, 14_000)
 
 
+@when(
+    "a follower reads it empty, and gets the state of one that has appended a snapshot before the"
+    " answer"
+)
+def step_old_answer(context):
+    poll_all(context)
+    first, second = context.followers[:2]
+
+    async def answer_late(stream, from_offset, wait_ms=0):
+        found = await NonBlockingLog.read(context.log, stream, from_offset)
+        assert found.next_offset == 0, found
+        while not await first.append_snapshot_if_due():
+            context.now_ms += STEP_MS
+        del context.log.read
+        for _ in range(POLLS):
+            await first.poll()
+        second.adopt(first.state)
+        return found
+
+    context.log.read = answer_late
+    poll_all(context, [second])
+
+
+@then("every follower counts {restarts:d} restart of the log")
+def step_restarts(context, restarts):
+    counts = [follower.status()["log_restarts"] for follower in context.followers]
+    assert set(counts) == {restarts}, counts
+
+
 @when("{minutes:d} minutes pass")
 def step_minutes(context, minutes):
     context.appends_before = context.log.appends
