--- a/cloverhook/follower.py
+++ b/cloverhook/follower.py
@@ -124,6 +124,7 @@
         try:
             await self._platform.append(CONFIG_STREAM, encode_record(self._replica.snapshot()))
         except PlatformError as error:
+            self._snapshots.record_failure(self._clock_ms())
             logging.warning("follower: the snapshot could not be appended: %s.", error)
             return False
         return True
--- a/cloverhook/replica.py
+++ b/cloverhook/replica.py
@@ -37,8 +37,8 @@
 class Read:
     """What to read next from the log; `wait` is set if there may be nothing new yet.
 
-    `position` is the replica's own position when the read was planned.  If it has changed since, the
-    answer may be older than what a peer has sent, and must not be compared with it.
+    `position` is the replica's own position when the read was planned.  If it has changed since,
+    the answer may be older than what a peer has sent, and must not be compared with it.
     """
 
     offset: int
--- a/cloverhook/snapshots.py
+++ b/cloverhook/snapshots.py
@@ -17,7 +17,8 @@
 class SnapshotLimits:
     """When a snapshot is needed, and over how long the daemons' appends are spread.
 
-    A daemon appends at most one snapshot in `min_interval_ms`.  If the log has lost records that a
+    A daemon appends at most one snapshot in `min_interval_ms`, and tries again at the earliest
+    `retry_ms` after an append that failed.  If the log has lost records that a
     daemon has not folded, the daemon waits for the snapshots of others and for peers before it
     appends its own state: for `loss_wait_ms`, or for `empty_loss_wait_ms` if its state is empty.
     """
@@ -26,6 +27,7 @@
     every_ms: float = 600_000
     spread_ms: float = 10_000
     min_interval_ms: float = 30_000
+    retry_ms: float = 5_000
     loss_wait_ms: float = 3_000
     empty_loss_wait_ms: float = 60_000
 
@@ -74,6 +76,10 @@
         self._earliest_append_ms = now_ms + self._limits.min_interval_ms
         return True
 
+    def record_failure(self, now_ms: float) -> None:
+        """Record that the append of a snapshot has failed, though it may have taken effect."""
+        self._earliest_append_ms = now_ms + self._limits.retry_ms
+
     def _observe(self, log_status: LogStatus, now_ms: float) -> None:
         if log_status.snapshot_position != self._seen_position:
             self._seen_position = log_status.snapshot_position
--- a/features/following.feature
+++ b/features/following.feature
@@ -65,6 +65,11 @@
     Then every follower has version 3 and is not behind
     And every follower counts 1 restart of the log
 
+  Scenario: A snapshot that was refused does not keep the followers from seeding a log that starts over
+    When the log refuses appends for 12 s, and then starts over
+    And the followers' patience is over
+    Then every follower has version 3 and is not behind
+
   Scenario: The log starts over unseen and outgrows what was read
     When the log is down for the followers, starts over and grows further
     Then every follower has version 3 and says that it is behind
--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -274,6 +274,16 @@
     assert set(counts) == {restarts}, counts
 
 
+@when("the log refuses appends for {time_s:d} s, and then starts over")
+def step_refuse(context, time_s):
+    poll_all(context)
+    context.log.set_faults(PlatformFaults(refuse_appends=True))
+    pass_time(context, 1_000 * time_s)
+    assert context.log.refused_appends >= len(context.followers)
+    context.log.set_faults(PlatformFaults())
+    context.log.reset(CONFIG_STREAM)
+
+
 @when("{minutes:d} minutes pass")
 def step_minutes(context, minutes):
     context.appends_before = context.log.appends
