--- a/cloverhook/follower.py
+++ b/cloverhook/follower.py
@@ -111,7 +111,13 @@
         self._last_poll_ms = now_ms
 
     async def append_snapshot_if_due(self) -> bool:
-        """Append a snapshot if one is due, and return whether one was appended."""
+        """Append a snapshot if one is due, and return whether one was appended.
+
+        None is appended while the replica does not know yet whether the log is the one that it has
+        followed: one that started over during an outage can't use a snapshot of the earlier log.
+        """
+        if self._failures or not (self._replica.at_end or self._replica.records_lost):
+            return False
         log_status = LogStatus(
             self.state.next_offset,
             self._replica.first_offset,
@@ -119,7 +125,7 @@
             self._replica.records_lost,
             replica_is_empty=not self.state.brands and not self.state.removed,
         )
-        if self._failures or not self._snapshots.decide(log_status, self._clock_ms()):
+        if not self._snapshots.decide(log_status, self._clock_ms()):
             return False
         try:
             await self._platform.append(CONFIG_STREAM, encode_record(self._replica.snapshot()))
--- a/features/following.feature
+++ b/features/following.feature
@@ -70,6 +70,11 @@
     And the followers' patience is over
     Then every follower has version 3 and is not behind
 
+  Scenario: A snapshot that came due in an outage does not go into a log that has started over
+    When a snapshot comes due while the log is down, and the log starts over
+    And the followers' patience is over
+    Then every follower has version 3 and is not behind
+
   Scenario: The log starts over unseen and outgrows what was read
     When the log is down for the followers, starts over and grows further
     Then every follower has version 3 and says that it is behind
--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -284,6 +284,15 @@
     context.log.reset(CONFIG_STREAM)
 
 
+@when("a snapshot comes due while the log is down, and the log starts over")
+def step_due_in_outage(context):
+    pass_time(context, STEP_MS)
+    set_unavailable(context, True)
+    pass_time(context, 12_000)
+    set_unavailable(context, False)
+    context.log.reset(CONFIG_STREAM)
+
+
 @when("{minutes:d} minutes pass")
 def step_minutes(context, minutes):
     context.appends_before = context.log.appends
