soak: Let backend servers say that they leave and ask for times without requests

`NoticeChecks` follows which gateway process sent what: no request of a caller later than 2 s after that process passed on a notice, and at most two in a time without requests, from 500 ms on. A new process, or one that was paused, starts anew.

--- a/features/gateway_soak.feature
+++ b/features/gateway_soak.feature
@@ -14,6 +14,8 @@
       | 1000 |
       | 1001 |
       | 2000 |
+      | 3004 |
+      | 3007 |
 
     Examples: Seeds that have failed; docs/FINDINGS.md says why
       | seed | seen                                            |
--- a/features/gateway_soak.py
+++ b/features/gateway_soak.py
@@ -22,8 +22,10 @@
 from types import SimpleNamespace
 
 import features
+from cloverhook.clock import monotonic_ms
 from cloverhook_emulator.log_store_server import LogStoreServer
 from features import gateway_fleet as fleet
+from features.soak_notices import NoticeChecks
 
 ROOT = Path(features.__file__).resolve().parent.parent
 sys.path.append(str(ROOT / "platform"))
@@ -39,6 +41,7 @@
 RECOVERY_TIMEOUT_S = 60
 FIRST_SEED_WITH_ENTRIES = 1_000
 FIRST_SEED_WITH_ERAS = 2_000
+FIRST_SEED_WITH_NOTICES = 3_000
 """Seeds below these numbers keep the same choice of faults, so that a seed that once failed still
 reproduces its failure."""
 BORN_MS = 1_760_000_000_000
@@ -59,6 +62,12 @@
     disturbed: bool = False
     stopping: bool = False
     start_count: int = 0
+    pause_count: int = 0
+
+    @property
+    def identity(self):
+        """Return what identifies the process, and changes when it has been paused."""
+        return self.name, self.start_count, self.pause_count
 
     @property
     def alive(self):
@@ -79,8 +88,8 @@
 
     request_id: str
     idempotent: bool
-    gateway: GatewayProcess
-    life: int
+    identity: tuple
+    sent_ms: float
     answer: fleet.Answer | None = None
 
 
@@ -99,14 +108,19 @@
     backends: list = field(default_factory=list)
     stopped_backends: list = field(default_factory=list)
     calls: list = field(default_factory=list)
+    calls_by_id: dict = field(default_factory=dict)
+    backoffs_ms: dict = field(default_factory=dict)
     faults: list = field(default_factory=list)
     planned_stops: list = field(default_factory=list)
+    notices: NoticeChecks = field(default_factory=NoticeChecks)
     version: int = 0
     number: int = 0
 
     async def play(self):
         """Run the seed and return the violations found."""
         self.source = random.Random(self.seed)
+        self.notices.stalls.start()
+        self.stack.callback(self.notices.stalls.stop)
         self.store_address = fleet.free_address()
         await self.store.listen(self.store_address)
         self.stack.callback(self.store.close)
@@ -175,8 +189,20 @@
         backend = await fleet.Backend(f"i-{self.number}", names=HEADERS).start(self)
         self.backends.append(backend)
         self.put(backend)
+        backend.on_request = self._record_arrival
         return backend
 
+    def _record_arrival(self, backend, _):
+        """Record a request that is meant for the incarnation which it has reached."""
+        headers = backend.seen[-1][1]
+        call = self.calls_by_id.get(headers[HEADERS.request_id].decode())
+        if call is not None and headers[HEADERS.incarnation_wanted].decode() == backend.incarnation:
+            rejects = backend.default == "reject" and not backend.script
+            backoff_ms = self.backoffs_ms.get(backend.incarnation, 0.0) if rejects else 0.0
+            self.notices.record_arrival(
+                (backend.incarnation, backend.born_ms), call.identity, call.sent_ms, backoff_ms
+            )
+
     def put(self, backend, state="ready"):
         """Write a backend server's entry to the store."""
         entry = {
@@ -259,8 +285,9 @@
 
     async def call(self, gateway, request_id, idempotent):
         """Send a request, and record and return the answer."""
-        record = Call(request_id, idempotent, gateway, gateway.start_count)
+        record = Call(request_id, idempotent, gateway.identity, monotonic_ms())
         self.calls.append(record)
+        self.calls_by_id[request_id] = record
         path = fleet.SAFE if idempotent else fleet.UNSAFE
         lines = (
             f"{HEADERS.request_id.decode()}: {request_id}",
@@ -271,6 +298,8 @@
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(10):
                 record.answer = await fleet.call(address, path, method, lines=lines, body=body)
+        if record.answer is not None and record.answer.status == 200:
+            self.notices.record_answer(record.answer.body, record.identity, record.sent_ms)
         return record.answer
 
     # Faults.
@@ -294,6 +323,8 @@
             kinds += (self.backend_restarts, self.foreign_entry, self.backend_hangs)
         if self.seed >= FIRST_SEED_WITH_ERAS:
             kinds += (self.store_restored, self.store_restored)
+        if self.seed >= FIRST_SEED_WITH_NOTICES:
+            kinds += 2 * (self.backend_says_leaving, self.backend_backs_off)
         kind = self.source.choice(kinds)
         self.faults.append(kind.__name__)
         await kind()
@@ -317,6 +348,7 @@
         gateway = self._running()
         if gateway is not None:
             gateway.disturbed = True
+            gateway.pause_count += 1
             gateway.process.send_signal(signal.SIGSTOP)
             loop = asyncio.get_running_loop()
             loop.call_later(self.source.uniform(0.2, 2.0), self._resume, gateway.process)
@@ -399,6 +431,27 @@
         self.put(backend, "draining")
         self.stopped_backends.append(backend)
 
+    async def backend_says_leaving(self):
+        """Add a backend server, and let the oldest one say in its answers alone that it leaves."""
+        backend = self.backends.pop(0)
+        await self.add_backend()
+        self.stopped_backends.append(backend)
+        backend.notice_lines = (HEADERS.leaving[0] + b": 1",)
+        self.notices.record_leaving((backend.incarnation, backend.born_ms))
+
+    async def backend_backs_off(self):
+        """Let a backend server reject all requests for a while, and ask for a time without any."""
+        backend = self.source.choice(self.backends)
+        backoff_s = self.source.choice((1, 2, 3))
+        self.backoffs_ms[backend.incarnation] = 1_000.0 * backoff_s
+        backend.default, backend.notice_lines = "reject", (b"retry-after: %d" % backoff_s,)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.source.uniform(0.3, 2.0), self._end_backoff, backend)
+
+    def _end_backoff(self, backend):
+        if backend.default == "reject":
+            backend.default, backend.notice_lines = "ok", ()
+
     async def backend_vanishes(self):
         """Remove an entry and write it again, as if it had expired in between."""
         backend = self.source.choice(self.backends)
@@ -423,6 +476,7 @@
         self.stopped_backends.append(backend)
         replacement = fleet.Backend(backend.incarnation, names=HEADERS)
         replacement.born_ms = backend.born_ms + 1_000 or BORN_MS
+        replacement.on_request = self._record_arrival
         self.backends[self.backends.index(backend)] = await replacement.start(self)
         asyncio.get_running_loop().call_later(self.source.uniform(0.0, 0.8), self.put, replacement)
 
@@ -452,7 +506,8 @@
         """End all faults, and wait until every gateway has a process."""
         self._repair_store()
         for backend in self.backends:
-            backend.script, backend.default = [], "ok"
+            backend.script = []
+            self._end_backoff(backend)
         for gateway in self.gateways:
             self._resume(gateway.process)
         if self.planned_stops:
@@ -485,6 +540,7 @@
             for task in self.planned_stops
             if task.result()
         ]
+        found += self.notices.violations()
         for call in self.calls:
             found += self._call_violations(call, runs.get(call.request_id, 0))
         return found
