Ignore numbers in datagrams that no float can hold

What operators would see: a gateway that gets such a datagram logs a fault where it uses the number; the datagram is not named as invalid.

Cause: decoding compares with infinity, which integers of any size pass. Ages and loads in LoadReports, the age in Failures, the limit in RateLimitUpdate and the counts of InFlightCounts and InFlightCountChanges became floats only later.

Change: ages are at most AGE_LIMIT_MS, counts at most COUNT_LIMIT, limits become floats in from_row. The drawn examples of the scenario now include failures, limits, notices and backoffs, and apply them.

--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -10,7 +10,6 @@
 """
 
 from dataclasses import dataclass, fields
-from math import inf
 from typing import Any
 
 import cbor2
@@ -18,6 +17,7 @@
 from cloverhook.checking import Address, Flag, Integer, Number, compile_check, kind_field, table_of
 from cloverhook.errors import MessageError
 from cloverhook.gateway.peer_rows import (
+    AGE_LIMIT_MS,
     BackoffEntry,
     CrashRecord,
     DrainNoticeEntry,
@@ -246,6 +246,8 @@
 HEARTBEAT_CHECKS = tuple(
     (name, compile_check(kind)) for name, kind in table_of(Heartbeat).fields.items()
 )
+COUNT_LIMIT = 10**9
+"""No VM or endpoint has more requests at a time; greater integers may be no floats."""
 is_registry_document = compile_check(REGISTRY_DOCUMENT)
 
 
@@ -310,14 +312,14 @@
 
 
 def _is_count(incarnation: object, count: object) -> bool:
-    return isinstance(incarnation, str) and type(count) is int and count >= 0
+    return isinstance(incarnation, str) and type(count) is int and 0 <= count <= COUNT_LIMIT
 
 
 def _is_failure(row: object) -> bool:
     if not isinstance(row, list) or len(row) != 3:
         return False
     incarnation, age_ms, answered = row
-    has_age = type(age_ms) in (int, float) and 0 <= age_ms < inf
+    has_age = type(age_ms) in (int, float) and 0 <= age_ms <= AGE_LIMIT_MS
     return isinstance(incarnation, str) and has_age and isinstance(answered, bool)
 
 
@@ -341,7 +343,9 @@
         and isinstance(incarnation, str)
     ):
         raise TypeError("load report with fields of the wrong type")
-    if running < 0 or waiting < 0 or not 0 <= age_ms < inf or not 0 <= cold_for_ms < inf:
+    counts_are_valid = 0 <= running <= COUNT_LIMIT and 0 <= waiting <= COUNT_LIMIT
+    times_are_valid = 0 <= age_ms <= AGE_LIMIT_MS and 0 <= cold_for_ms <= AGE_LIMIT_MS
+    if not counts_are_valid or not times_are_valid:
         raise ValueError("load report with a value out of range")
     reachable = scaled_slowdown >= 0
     return (
--- a/cloverhook/gateway/peer_rows.py
+++ b/cloverhook/gateway/peer_rows.py
@@ -13,10 +13,11 @@
 
 from cloverhook.retry_after_header import BACKOFF_LIMIT_MS
 
-__all__ = ["BackoffEntry", "CrashRecord", "DrainNoticeEntry", "RateLimitEntry"]
+__all__ = ["AGE_LIMIT_MS", "BackoffEntry", "CrashRecord", "DrainNoticeEntry", "RateLimitEntry"]
 
 KEY_LIMIT = 2**64
 AGE_LIMIT_MS = 1e12
+"""A greater age, of 31 years, can't be meant, and may be no float."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +68,7 @@
             raise TypeError("rate limit with fields of the wrong type")
         if not all(0 <= number < inf for number in numbers):
             raise ValueError("rate limit with a value out of range")
-        return cls(incarnation, per_s, float(age_ms))
+        return cls(incarnation, None if per_s is None else float(per_s), float(age_ms))
 
     def to_row(self) -> list[Any]:
         """Return the row for a datagram."""
--- a/features/entries.feature
+++ b/features/entries.feature
@@ -58,6 +58,20 @@
 
   Scenario: No bytes from a peer raise anything but that they are no message
     Then 9000 altered messages and states are taken or told to be none
+    And a message with a number that no float can hold is none
+      | type              | row                       |
+      | CrashRecords      | 1, 2, NUMBER, false       |
+      | LoadReports       | "i", NUMBER, 2, 700, 1    |
+      | LoadReports       | "i", 1, NUMBER, 700, 1    |
+      | LoadReports       | "i", 1, 2, NUMBER, 1      |
+      | LoadReports       | "i", 1, 2, 700, NUMBER    |
+      | LoadReports       | "i", 1, 2, 700, 1, NUMBER |
+      | Failures          | "i", NUMBER, true         |
+      | RateLimitUpdate   | "i", NUMBER, 1            |
+      | RateLimitUpdate   | "i", 2.5, NUMBER          |
+      | DrainNoticeUpdate | "i", NUMBER, 1            |
+      | DrainNoticeUpdate | "i", 1, NUMBER            |
+      | BackoffUpdate     | "i", NUMBER               |
 
   Scenario: A task that fails is logged and begins again
     Given a gateway whose store client fails with a fault of its own
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -19,17 +19,25 @@
 from cloverhook.gateway.event_log import EventKind
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.peer_messages import (
+    MESSAGE_TYPES,
+    BackoffUpdate,
     CrashRecord,
     CrashRecords,
+    DrainNoticeUpdate,
+    Failures,
     Heartbeat,
+    InFlightCountChanges,
     InFlightCounts,
     LoadReports,
+    RateLimitUpdate,
     Relay,
     ServerChanges,
     decode,
     encode,
 )
+from cloverhook.gateway.peer_rows import BackoffEntry, DrainNoticeEntry, RateLimitEntry
 from cloverhook.gateway.quarantine import Quarantine
+from cloverhook.gateway.rate_limits import RateLimits
 from cloverhook.gateway.registry import Registry
 from cloverhook.gateway.routes import GatewayConfig
 from cloverhook.gateway.server_load import LoadReport
@@ -293,6 +301,24 @@
     return registry.to_document(0.0)
 
 
+@then("a message with a number that no float can hold is none")
+def step_large_numbers(context):
+    names = [item.__name__ for item in MESSAGE_TYPES]
+    for line in context.table:
+        row = json.loads("[" + line["row"].replace("NUMBER", str(10**400)) + "]")
+        try:
+            message = decode(cbor2.dumps([names.index(line["type"]), "vm", [row]]))
+        except MessageError:
+            continue
+        raise AssertionError((line["type"], line["row"], type(message)))
+    for counts_type in (InFlightCounts, InFlightCountChanges):
+        try:
+            decode(encode(counts_type("vm", {"i": 10**400})))
+        except MessageError:
+            continue
+        raise AssertionError(counts_type)
+
+
 @then("{count:d} altered messages and states are taken or told to be none")
 def step_fuzz_peers(context, count):
     document = document_of(decode_server("i-1", entry(), 0.0))
@@ -305,6 +331,10 @@
         InFlightCounts("vm", {"i": 2}),
         ServerChanges("vm", 1, document),
         CrashRecords("vm", (CrashRecord(2**64 - 1, 2, 500.0), CrashRecord(7, 0))),
+        Failures("vm", [["i", 20.0, True]]),
+        RateLimitUpdate("vm", (RateLimitEntry("i", 2.5, 20.0),)),
+        DrainNoticeUpdate("vm", (DrainNoticeEntry("i", 40.0, 20.0),)),
+        BackoffUpdate("vm", (BackoffEntry("i", 3_000.0),)),
     ]
     config = decode_config(json.dumps(DOCUMENT).encode()).to_document()
     config = cbor2.loads(cbor2.dumps(config))
@@ -331,6 +361,27 @@
             case CrashRecords():
                 for row in message.rows:
                     Quarantine("vm-own").apply_update(message.vm, row, 0.0)
+            case Failures():
+                for incarnation, age_ms, answered in message.rows:
+                    load = gateway_state.load_table.get_or_create(incarnation)
+                    load.circuit_breaker.record_peer_failure(0.0, 0.0 - age_ms, answered)
+            case RateLimitUpdate():
+                server = BackendServer("i", "orders", "10.0.0.1:1", "z", 4)
+                limits = RateLimits("vm-own", lambda data_center, now_ms: ("vm-own",))
+                for row in message.rows:
+                    if row.per_s is not None:
+                        limits.record_limit(server.incarnation, row.per_s, 0.0 - row.age_ms)
+                        limits.available_within(server, 0.0, 1_000.0)
+                        limits.record_sent(server, 0.0)
+            case DrainNoticeUpdate():
+                for row in message.rows:
+                    if row.first_age_ms is not None:
+                        gateway_state.drain_notices.record(
+                            row.incarnation, 0.0 - row.first_age_ms, 0.0 - row.last_age_ms
+                        )
+            case BackoffUpdate():
+                for row in message.rows:
+                    gateway_state.backoffs.record_for_peer(row.incarnation, row.remaining_ms)
             case InFlightCounts():
                 for incarnation, number in message.counts.items():
                     gateway_state.load_table.get_or_create(incarnation).set_peer_in_flight(
