Tell a gateway that joins what endpoints have asked of any other

What callers saw: a gateway that has just joined sends its first requests to an endpoint that has asked others for a time without any, is turned away, and uses up part of its retry budget.

Cause: only the three gateways that send what they know to one that joins sent what they themselves had been asked. In a larger fleet the one that was asked is mostly not among them. Drain notices do not have this fault: each gateway keeps all of them.

Evidence: `gateway_backoff.feature`, "A gateway that joins learns of such a time also from one that was not asked itself": only the own time was sent on the code before.

Change: the times that other gateways were asked for are sent too. The one that joins uses such endpoints as a last resort, as for any time that it was not asked for itself.

--- a/cloverhook/gateway/backoff_updates.py
+++ b/cloverhook/gateway/backoff_updates.py
@@ -56,7 +56,10 @@
                 self._note(row.incarnation, row.remaining_ms, message.vm)
 
     def send_backoffs_to(self, member: Member, now_ms: float) -> None:
-        """Send what endpoints have asked of this VM to one that has just joined or returned."""
+        """Send what endpoints have asked of any VM to one that has just joined or returned.
+
+        The VM that was asked may not be among the few that send to the one that joins.
+        """
         if not self._backoffs or not self._broadcast.is_join_sender(member, now_ms):
             return
         for batch in in_batches(self._backoffs):
@@ -85,6 +88,7 @@
 
     def _encode(self, incarnations: tuple[str, ...], now_ms: float) -> bytes:
         rows = tuple(
-            BackoffEntry(name, self._backoffs.remaining_ms(name, now_ms)) for name in incarnations
+            BackoffEntry(name, self._backoffs.remaining_for_any_ms(name, now_ms))
+            for name in incarnations
         )
         return encode(BackoffUpdate(self._own_vm, rows))
--- a/cloverhook/gateway/backoffs.py
+++ b/cloverhook/gateway/backoffs.py
@@ -35,7 +35,8 @@
         return bool(self._until_ms) or bool(self._peers_until_ms)
 
     def __iter__(self) -> Iterator[str]:
-        return iter(self._until_ms)
+        """Iterate over the endpoints that have asked this VM or another one."""
+        return iter(self._until_ms | self._peers_until_ms)
 
     def record(self, incarnation: str, until_ms: float) -> bool:
         """Record that an endpoint has asked this VM to back off; return if it had not before.
@@ -56,6 +57,11 @@
         """Return for how long other VMs may send an endpoint no requests, as far as is known."""
         return max(0.0, self._peers_until_ms.get(incarnation, now_ms) - now_ms)
 
+    def remaining_for_any_ms(self, incarnation: str, now_ms: float) -> float:
+        """Return for how long an endpoint wants no requests of this VM or of another one."""
+        own_ms = self.remaining_ms(incarnation, now_ms)
+        return max(own_ms, self.remaining_for_peers_ms(incarnation, now_ms))
+
     def expire(self, now_ms: float) -> tuple[str, ...]:
         """End the times that are over; return the incarnations that had asked this VM."""
         _remove_expired(self._peers_until_ms, now_ms)
--- a/features/gateway_backoff.feature
+++ b/features/gateway_backoff.feature
@@ -62,6 +62,11 @@
     When it starts again as another incarnation that serves
     Then each gateway that had been turned away uses it again
 
+  Scenario: A gateway that joins learns of such a time also from one that was not asked itself
+    Given a gateway that knows of 2 endpoints, one of which has asked it for 2000 ms and the other another gateway for 3000 ms
+    When 500 ms later a gateway joins
+    Then it is sent that they want no requests for 1500 and 2500 ms
+
   Scenario: The cause of a rejected request names the endpoints that want none
     Given 1 gateways and 2 backend servers that all turn requests away and ask for 5 s without any
     When a request is rejected for that
--- a/features/steps/gateway_backoff_steps.py
+++ b/features/steps/gateway_backoff_steps.py
@@ -4,15 +4,19 @@
 import contextlib
 from collections import Counter, defaultdict
 from dataclasses import dataclass
+from types import SimpleNamespace
 
 import cbor2
 from behave import given, then, when
 
 from cloverhook.errors import MessageError
 from cloverhook.explain import explain_request, read_lines
+from cloverhook.gateway.backoff_updates import BackoffUpdates
 from cloverhook.gateway.call_headers import CallHeaders
 from cloverhook.gateway.choice import CapacityRequirement
+from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.endpoint_notice import EndpointNotice
+from cloverhook.gateway.event_log import EventLog
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.peer_messages import MESSAGE_TYPES, BackoffUpdate, decode
 from cloverhook.gateway.request_queue import QueuedRequest, RequestQueue
@@ -368,6 +372,34 @@
     run(context, check())
 
 
+@given(
+    "a gateway that knows of 2 endpoints, one of which has asked it for {own_ms:d} ms and the other"
+    " another gateway for {peer_ms:d} ms"
+)
+def step_both_known(context, own_ms, peer_ms):
+    context.known = GatewayState()
+    context.known.backoffs.record("i-0", own_ms)
+    context.known.backoffs.record_for_peer("i-1", peer_ms)
+
+
+@when("{at_ms:d} ms later a gateway joins")
+def step_joins(context, at_ms):
+    context.sent = []
+    broadcast = SimpleNamespace(
+        is_join_sender=lambda member, now_ms: True,
+        send_to=lambda members, data: context.sent.append(decode(data)),
+    )
+    updates = BackoffUpdates("vm-0", broadcast, context.known, EventLog("vm-0", len), Counters())
+    updates.send_backoffs_to(None, at_ms)
+
+
+@then("it is sent that they want no requests for {own_ms:d} and {peer_ms:d} ms")
+def step_sent_to_joined(context, own_ms, peer_ms):
+    (message,) = context.sent
+    found = {row.incarnation: row.remaining_ms for row in message.rows}
+    assert found == {"i-0": own_ms, "i-1": peer_ms}, found
+
+
 @when("a request is rejected for that")
 def step_until_rejected(context):
     async def send():
