--- a/cloverhook/gateway/backoff_updates.py
+++ b/cloverhook/gateway/backoff_updates.py
@@ -62,7 +62,7 @@
         """
         if not self._backoffs or not self._broadcast.is_join_sender(member, now_ms):
             return
-        for batch in in_batches(self._backoffs):
+        for batch in in_batches(self._backoffs.incarnations()):
             self._broadcast.send_to([member], self._encode(batch, now_ms))
 
     def expire(self, now_ms: float) -> None:
--- a/cloverhook/gateway/backoffs.py
+++ b/cloverhook/gateway/backoffs.py
@@ -26,15 +26,16 @@
         self._until_ms: dict[str, float] = {}
         self._peers_until_ms: dict[str, float] = {}
 
-    def __len__(self) -> int:
-        """Return how many endpoints have asked this VM for a time without requests."""
-        return len(self._until_ms)
-
     def __bool__(self) -> bool:
         """Return whether any endpoint has asked this VM or another one for such a time."""
         return bool(self._until_ms) or bool(self._peers_until_ms)
 
-    def __iter__(self) -> Iterator[str]:
+    @property
+    def own_count(self) -> int:
+        """The number of endpoints that have asked this VM for a time without requests."""
+        return len(self._until_ms)
+
+    def incarnations(self) -> Iterator[str]:
         """Iterate over the endpoints that have asked this VM or another one."""
         return iter(self._until_ms | self._peers_until_ms)
 
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -328,7 +328,7 @@
         counters.set("requests_suspected", len(quarantine))
         counters.set("requests_quarantined", len(quarantine.quarantined(now_ms)))
         counters.set("rate_limits", len(self._peering.rate_limit_updates.limits))
-        counters.set("backoffs", len(self._gateway_state.backoffs))
+        counters.set("backoffs", self._gateway_state.backoffs.own_count)
         counters.set("drain_notices", len(self._gateway_state.drain_notices))
         counters.set("waiting", len(self._forwarder.admission))
         counters.set("probes", self._prober.probe_count)
