Make sure that the test of leaving endpoints has passed on a notice

A notice in the answer to a probe may come before any answer to a request. Then no VM passes one on, and the first check holds whatever the VMs do. At least one of the three fleets must have passed one on for each endpoint that leaves; in the third all leave and probes are slower than requests.

--- a/features/steps/gateway_leaving_steps.py
+++ b/features/steps/gateway_leaving_steps.py
@@ -44,6 +44,10 @@
         """Whether no backend server is left that can serve."""
         return len(self.leaving) == len(self.fleet.backends)
 
+    def has_passed_on_notices(self):
+        """Return whether a VM has passed on an answer of each leaving backend server."""
+        return all(self.fleet.first_passed_on_ms(name, self.begun_ms) for name in self.leaving)
+
     def arrivals_after_own_answer(self, delay_ms):
         """Return the late arrivals at the leaving backend servers.
 
@@ -101,6 +105,8 @@
 def step_bound(context, bound_ms):
     late = [len(item.arrivals_after_own_answer(bound_ms)) for item in context.runs]
     assert not any(late), late
+    # A notice in the answer to a probe may come first, so that no such answer is passed on.
+    assert any(item.has_passed_on_notices() for item in context.runs)
 
 
 @then(
