cloverhookd: Notice a replaced log after getting the state from a peer

What operators would see: a daemon that has got its state from a peer, and then meets a log that has started over and grown beyond its position, reads on as if it were the same log. Its version stays, but it is not behind, seeds nothing, and folds records that it must not.

Cause: after a failed read a daemon compares the last record that it has folded with the log's. A state from a peer comes without that record, and the comparison was left out.

Evidence: `following.feature`, "The log starts over unseen after a follower has got its state from a peer": offset 6, no restart, not behind on the code before.

Change: after such a state the replica reads the record before its position once, and compares with it.

Left: the log is replaced between the state and that read.

--- a/cloverhook/replica.py
+++ b/cloverhook/replica.py
@@ -86,6 +86,8 @@
         self._on_adopted = on_adopted
         self._recent_records: deque[tuple[int, Mapping[str, Any]]] = deque(maxlen=KEPT_RECORDS)
         self._search: _Search | None = _Search(lost=False, restarts=0)
+        self._last_record: tuple[int, Mapping[str, Any]] | None = None
+        self._must_read_last = False
         self._verify_last = False
         self._short_log_seen = False
         self._searched_restarts = 0
@@ -111,13 +113,13 @@
         if self._search is not None:
             return Read(self._search.cursor, self._search.at_end, position)
         offset = offset_of(position)
-        if self._verify_last and self._recent_records:
+        if offset and (self._verify_last or self._must_read_last):
             return Read(offset - 1, wait=False, position=position)
         return Read(offset, self.at_end, position)
 
     def record_read_failure(self) -> None:
         """Record that a read failed; the log may have been replaced when it is available again."""
-        self._verify_last = bool(self._recent_records)
+        self._verify_last = self._last_record is not None
         self.at_end = False
 
     def apply_read(self, read: LogSlice) -> int:
@@ -141,6 +143,8 @@
             self._begin_search(lost=True, restarts=restarts)
             return 0
         self._verify_last = False
+        if self._must_read_last:
+            self._keep_last_record(read)
         folded = self.fold_records(position_of(restarts, read.from_offset), read.records)
         self.at_end = offset_of(self.state.next_offset) >= read.next_offset
         return folded
@@ -173,6 +177,7 @@
         joined = self.state.join(state)
         changed = not joined.same_brands(self.state)
         self._recent_records.clear()
+        self._last_record, self._must_read_last = None, True
         self.state = joined
         if changed:
             self._on_adopted(self.state)
@@ -232,6 +237,7 @@
         self._uncovered = None if joined.same_brands(found) else joined
         self._search = None
         self._recent_records.clear()
+        self._last_record, self._must_read_last = None, False  # The snapshot is folded next.
         self.state = joined
         if changed:
             self._on_adopted(self.state)
@@ -251,17 +257,29 @@
 
     def _last_record_differs(self, read: LogSlice) -> bool:
         """Return whether the log has a different record at the offset that was folded last."""
-        if not self._verify_last or not self._recent_records:
+        if not self._verify_last or self._last_record is None:
             return False
-        position, data = self._recent_records[-1]
+        position, data = self._last_record
         index = offset_of(position) - read.from_offset
         return 0 <= index < len(read.records) and read.records[index] != data
 
+    def _keep_last_record(self, read: LogSlice) -> None:
+        """Keep the record before the position of a state that a peer has sent.
+
+        Without it, a log that starts over and grows further could not be told from the same log.
+        """
+        self._must_read_last = False
+        position = self.state.next_offset - 1
+        index = offset_of(position) - read.from_offset
+        if 0 <= index < len(read.records):
+            self._last_record = position, read.records[index]
+
     def _fold(self, position: int, data: Mapping[str, Any]) -> None:
         before = self.state
         record, result = fold_data(before, position, data)
         self.state = result.state
         self._recent_records.append((position, data))
+        self._last_record, self._must_read_last = (position, data), False
         if result.verdict is not Verdict.ACCEPTED:
             logging.info(
                 "replica: record %d is %s: %s.",
--- a/features/following.feature
+++ b/features/following.feature
@@ -81,6 +81,13 @@
     When the followers' patience is over
     Then every follower has version 3 and is not behind
 
+  Scenario: The log starts over unseen after a follower has got its state from a peer
+    When a change on version 3 reaches the log, and a follower gets it with a peer's state
+    And the log is down for the followers, starts over and grows further
+    Then every follower has version 4 and says that it is behind
+    When the followers' patience is over
+    Then every follower has version 4 and is not behind
+
   Scenario: One snapshot does for all, and an outage ends without a stampede
     Given 19 more followers
     When 20 minutes pass
--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -354,6 +354,15 @@
     run(context, context.log.append(CONFIG_STREAM, encode_record(change)))
 
 
+@when("a change on version 3 reaches the log, and a follower gets it with a peer's state")
+def step_change_by_state(context):
+    step_change(context)
+    first, second = context.followers[:2]
+    poll_all(context, [first, *context.followers[2:]])
+    assert second.adopt(first.state)
+    poll_all(context, [second])
+
+
 @then("a follower folds it from a peer only at its own position")
 def step_position(context):
     follower = context.followers[0]
