cloverhookd: Grant no key twice in a log that starts over and grows past what was read

What callers would see: a payment that runs twice. A daemon grants a key that another one holds.

Cause: a daemon took the log of claims for the same one unless it ended before the daemon's offset. A log that starts over and grows past it within the second between two reads, or during an outage, holds claims that the daemon never reads.

Evidence: `at_most_once.feature`, "A key is not granted twice in a log that starts over and grows past what was read": granted twice on the code before; found by reading, after the same fault of the configuration's log.

Change: each round of reads begins with the last record that was folded; another record there is a gap, after which the daemon grants nothing for a window, as for any missed record.

Measured: at_most_once and layers green.

--- a/cloverhook/claim_log.py
+++ b/cloverhook/claim_log.py
@@ -8,13 +8,14 @@
 
 import asyncio
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import Any
 
 from absl import logging
 
 from cloverhook.claims import ClaimTable, Decision, Denied, Granted
 from cloverhook.errors import ErrorKind, PlatformError, PlatformSilentError, RequestError
-from cloverhook.platform_api import Platform
+from cloverhook.platform_api import LogSlice, Platform
 
 __all__ = ["ClaimLog"]
 
@@ -45,6 +46,7 @@
         self._last_refill_ms = clock_ms()
         self._futures: dict[str, asyncio.Future[Decision]] = {}
         self._has_work = asyncio.Event()
+        self._last_record: Mapping[str, Any] | None = None
 
     async def claim(self, key: str) -> Decision:
         """Claim a key and return the decision.
@@ -122,18 +124,35 @@
         await self._read()
 
     async def _read(self) -> None:
+        """Read up to the end of the log.
+
+        The first read begins with the last record that was folded: if the log has another one
+        there, it has started over and grown past that offset, and others may have claimed keys in
+        the part that was not read.
+        """
+        verify = self._last_record is not None
         more = True
         while more:
-            wait_ms = RETRY_MS if self._table.undecided else 0
-            read = await self._platform.read(STREAM, self._table.next_offset, wait_ms)
+            offset = self._table.next_offset
+            wait_ms = RETRY_MS if self._table.undecided and not verify else 0
+            read = await self._platform.read(STREAM, offset - 1 if verify else offset, wait_ms)
             now_ms = self._clock_ms()
-            if read.next_offset < self._table.next_offset:
+            if read.next_offset < offset or (verify and self._last_record_differs(read)):
                 logging.warning("claims: the log has started over.")
                 self._table.record_gap(read.first_offset, now_ms)
+                self._last_record, verify = None, False
                 continue
             for decision in self._table.fold(read.from_offset, read.records, now_ms):
                 self._resolve(decision)
-            more = self._table.next_offset < read.next_offset
+            if read.records:
+                self._last_record = read.records[-1]
+            more = self._table.next_offset < read.next_offset or (verify and self._table.undecided)
+            verify = False
+
+    def _last_record_differs(self, read: LogSlice) -> bool:
+        """Return whether the log has a different record at the offset that was folded last."""
+        index = self._table.next_offset - 1 - read.from_offset
+        return 0 <= index < len(read.records) and read.records[index] != self._last_record
 
     def _resolve(self, decision: Decision) -> None:
         future = self._futures.get(decision.claim_id)
--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -16,6 +16,11 @@
     Then 100 claims at once are all granted, with 4 appends at most
     And what is left at a planned stop is appended
 
+  Scenario: A key is not granted twice in a log that starts over and grows past what was read
+    Given a daemon that has read 3 claims, which the log then loses
+    When another daemon claims a key there, and 5 others
+    Then the first daemon does not get the key
+
   Scenario: A caller repeats a request
     Given 2 daemons before one backend server
     Then a repeat at the same daemon gets the same answer and does not run
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -17,6 +17,7 @@
 from features.shared import CONFIG, eventually, run
 
 WINDOW_MS = 60_000
+SETTLE_S = 0.05
 WAIT_MS = 20_000
 KEYS = 4
 SEEDS = 30
@@ -244,6 +245,49 @@
     assert context.platform.streams["claims"][-1]["ran"] == [["k0", "c0"]]
 
 
+async def _claim(platform, table, keys):
+    """Claim keys one after the other, as a daemon with this table; return the decisions."""
+    claims = ClaimLog(platform, table, _now_ms, WAIT_MS, appends_per_s=100)
+    task = asyncio.create_task(claims.run())
+    try:
+        return [await claims.claim(key) for key in keys]
+    finally:
+        task.cancel()
+
+
+@given("a daemon that has read {count:d} claims, which the log then loses")
+def step_claims_lost(context, count):
+    context.platform = MemoryPlatform()
+    context.claim_table = ClaimTable("vm-0", WINDOW_MS)
+    context.claims = ClaimLog(
+        context.platform, context.claim_table, _now_ms, WAIT_MS, appends_per_s=100
+    )
+    context.stack.callback(lambda: context.task.cancel())
+
+    async def read():
+        context.task = asyncio.create_task(context.claims.run())
+        for index in range(count):
+            assert isinstance(await context.claims.claim(f"old-{index}"), Granted)
+        await asyncio.sleep(SETTLE_S)
+
+    run(context, read())
+    assert context.claim_table.next_offset == count
+    context.platform.streams.clear()
+
+
+@when("another daemon claims a key there, and {count:d} others")
+def step_other_claims(context, count):
+    keys = ["contested", *(f"new-{index}" for index in range(count))]
+    decisions = run(context, _claim(context.platform, ClaimTable("vm-1", WINDOW_MS), keys))
+    assert all(isinstance(item, Granted) for item in decisions), decisions
+
+
+@then("the first daemon does not get the key")
+def step_not_granted(context):
+    decision = run(context, context.claims.claim("contested"))
+    assert not isinstance(decision, Granted), decision
+
+
 # Real daemons.
 
 
