--- a/features/gateway_soak.py
+++ b/features/gateway_soak.py
@@ -66,7 +66,7 @@
 
     @property
     def identity(self):
-        """Return what identifies the process, and changes when it has been paused."""
+        """Return the name, the number of the process, and how often it was paused."""
         return self.name, self.start_count, self.pause_count
 
     @property
@@ -88,7 +88,7 @@
 
     request_id: str
     idempotent: bool
-    identity: tuple
+    identity: tuple[str, int, int]
     sent_ms: float
     answer: fleet.Answer | None = None
 
--- a/features/soak_notices.py
+++ b/features/soak_notices.py
@@ -1,8 +1,8 @@
 """Checks of a soak run on what backend servers say of themselves in their answers.
 
-An incarnation is a backend server's name with the time of its birth.
-A gateway process is identified by its name, its number and how often it was paused: a new one, or
-one that was paused, is excused for what its predecessor knew.
+An incarnation is given by a backend server's name and the time of its birth.  A gateway process is
+given by its name, how often it was started and how often it was paused: one that has started or was
+paused since then need not know what it knew before.
 """
 
 import math
@@ -26,8 +26,8 @@
     `backoff_ms` is set if the backend server rejects it and wants no requests for that time.
     """
 
-    incarnation: str
-    process: tuple
+    incarnation: tuple[str, int]
+    process: tuple[str, int, int]
     caller_sent_ms: float
     at_ms: float
     backoff_ms: float = 0.0
