Share what the exchanges on endpoints' statements have in common

Drain notices, times without requests and rate limits had the same constructor, the same way to send what is known to a VM that joins, and the same look-up of the service for the log. `EndpointUpdates` holds these; each subclass encodes its rows and chooses who gets them. No behaviour changes.

--- a/cloverhook/gateway/backoff_updates.py
+++ b/cloverhook/gateway/backoff_updates.py
@@ -5,23 +5,25 @@
 
 from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.counters import Counters
+from cloverhook.gateway.endpoint_updates import EndpointUpdates
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.members import Member
 from cloverhook.gateway.peer_messages import BackoffUpdate, encode
 from cloverhook.gateway.peer_rows import BackoffEntry
-from cloverhook.gateway.update_sender import ROWS_LIMIT, UpdateSender, in_batches
+from cloverhook.gateway.update_sender import ROWS_LIMIT
 
 __all__ = ["BackoffUpdates"]
 
-REPEAT_MS = 1_000.0
-"""What is known to the other VMs is sent again only if it is this much longer than they know."""
 RELAY_COUNT = 2
 
 
-class BackoffUpdates:
+class BackoffUpdates(EndpointUpdates):
     """Applies what endpoints ask of this VM, and what other VMs have been asked."""
 
+    REPEAT_MS = 1_000.0
+    """What the other VMs know is sent again only if it is this much longer than they know."""
+
     def __init__(
         self,
         own_vm: str,
@@ -30,13 +32,8 @@
         log: EventLog,
         counters: Counters,
     ) -> None:
-        self._own_vm = own_vm
-        self._broadcast = broadcast
-        self._registry = gateway_state.registry
+        super().__init__(own_vm, broadcast, gateway_state, log, counters)
         self._backoffs = gateway_state.backoffs
-        self._log = log
-        self._counters = counters
-        self._sender = UpdateSender(REPEAT_MS, self._send)
 
     def record_rejection(self, incarnation: str, backoff_ms: float, at_ms: float) -> None:
         """Record that an endpoint has rejected a request and asked for a time without requests."""
@@ -45,7 +42,7 @@
         if is_new:
             self._note(incarnation, backoff_ms, "answer")
         known_ms = self._backoffs.remaining_for_peers_ms(incarnation, at_ms)
-        if backoff_ms > known_ms + REPEAT_MS:
+        if backoff_ms > known_ms + self.REPEAT_MS:
             self._backoffs.record_for_peer(incarnation, at_ms + backoff_ms)
             self._sender.send_change(incarnation)
 
@@ -60,10 +57,8 @@
 
         The VM that was asked may not be among the few that send to the one that joins.
         """
-        if not self._backoffs or not self._broadcast.is_join_sender(member, now_ms):
-            return
-        for batch in in_batches(self._backoffs.incarnations()):
-            self._broadcast.send_to([member], self._encode(batch, now_ms))
+        if self._backoffs:
+            self._send_to_joined(member, self._backoffs.incarnations(), now_ms)
 
     def expire(self, now_ms: float) -> None:
         """End the times without requests that are over."""
@@ -72,11 +67,10 @@
             self._sender.forget(incarnation)
 
     def _note(self, incarnation: str, backoff_ms: float, source: str) -> None:
-        server = self._registry.get(incarnation)
         self._log.note(
             EventKind.BACKOFF,
             server=incarnation,
-            service="" if server is None else server.service,
+            service=self._service_of(incarnation),
             left_ms=round(backoff_ms),
             source=source,
         )
--- a/cloverhook/gateway/drain_updates.py
+++ b/cloverhook/gateway/drain_updates.py
@@ -6,23 +6,25 @@
 
 from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.counters import Counters
+from cloverhook.gateway.endpoint_updates import EndpointUpdates
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.members import Member
 from cloverhook.gateway.peer_messages import DrainNoticeUpdate, encode
 from cloverhook.gateway.peer_rows import DrainNoticeEntry
-from cloverhook.gateway.update_sender import ROWS_LIMIT, UpdateSender, in_batches
+from cloverhook.gateway.update_sender import ROWS_LIMIT
 
 __all__ = ["DrainUpdates"]
 
-REPEAT_MS = 2_000.0
 RELAY_COUNT = 3
 """How many VMs of each remote data centre relay an update: one of them may be isolated."""
 
 
-class DrainUpdates:
+class DrainUpdates(EndpointUpdates):
     """Applies the notices in responses to this VM and in updates of other VMs."""
 
+    REPEAT_MS = 2_000.0
+
     def __init__(
         self,
         own_vm: str,
@@ -31,13 +33,8 @@
         log: EventLog,
         counters: Counters,
     ) -> None:
-        self._own_vm = own_vm
-        self._broadcast = broadcast
-        self._registry = gateway_state.registry
+        super().__init__(own_vm, broadcast, gateway_state, log, counters)
         self._notices = gateway_state.drain_notices
-        self._log = log
-        self._counters = counters
-        self._sender = UpdateSender(REPEAT_MS, self._send)
         self._revoked_ms: dict[str, float] = {}
 
     def record_notice(self, incarnation: str, at_ms: float, source: str) -> None:
@@ -68,10 +65,8 @@
 
     def send_notices_to(self, member: Member, now_ms: float) -> None:
         """Send all notices to a VM that has just joined or returned."""
-        if not self._notices or not self._broadcast.is_join_sender(member, now_ms):
-            return
-        for batch in in_batches(self._notices):
-            self._broadcast.send_to([member], self._encode(batch, now_ms))
+        if self._notices:
+            self._send_to_joined(member, self._notices, now_ms)
 
     def expire(self, now_ms: float) -> None:
         """End the notices that have not been repeated for long."""
@@ -80,11 +75,10 @@
             self._sender.forget(incarnation)
 
     def _record_change(self, incarnation: str, leaving: bool, source: str) -> None:
-        server = self._registry.get(incarnation)
         self._log.note(
             EventKind.DRAINING,
             server=incarnation,
-            service="" if server is None else server.service,
+            service=self._service_of(incarnation),
             leaving=leaving,
             source=source,
         )
--- a/cloverhook/gateway/rate_limit_updates.py
+++ b/cloverhook/gateway/rate_limit_updates.py
@@ -6,22 +6,24 @@
 
 from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.counters import Counters
+from cloverhook.gateway.endpoint_updates import EndpointUpdates
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.peer_messages import RateLimitUpdate, encode
 from cloverhook.gateway.peer_rows import RateLimitEntry
 from cloverhook.gateway.rate_limits import RateLimits
-from cloverhook.gateway.update_sender import ROWS_LIMIT, UpdateSender
+from cloverhook.gateway.update_sender import ROWS_LIMIT
 
 __all__ = ["RateLimitUpdates"]
 
-REPEAT_MS = 1_000.0
 RELAY_COUNT = 2
 
 
-class RateLimitUpdates:
+class RateLimitUpdates(EndpointUpdates):
     """Sends the rate limits that endpoints advertise to this VM, and applies other VMs' limits."""
 
+    REPEAT_MS = 1_000.0
+
     def __init__(
         self,
         own_vm: str,
@@ -31,13 +33,8 @@
         log: EventLog,
         counters: Counters,
     ) -> None:
-        self._own_vm = own_vm
-        self._broadcast = broadcast
+        super().__init__(own_vm, broadcast, gateway_state, log, counters)
         self.limits = limits
-        self._gateway_state = gateway_state
-        self._log = log
-        self._counters = counters
-        self._sender = UpdateSender(REPEAT_MS, self._send)
 
     def record_response(self, incarnation: str, per_s: float | None, at_ms: float) -> None:
         """Process the limit in an endpoint's answer to a request; None means that it has none."""
@@ -83,11 +80,14 @@
         self._log.note(EventKind.RATE_LIMIT, server=incarnation, per_s=None, source=source)
 
     def _send(self, incarnations: tuple[str, ...], now_ms: float) -> None:
-        rows = tuple(self._row(incarnation, now_ms) for incarnation in incarnations)
-        data = encode(RateLimitUpdate(self._own_vm, rows))
+        data = self._encode(incarnations, now_ms)
         self._broadcast.send_to_load_subscribers(data, now_ms)
         self._broadcast.send_remote(data, now_ms, RELAY_COUNT)
 
+    def _encode(self, incarnations: tuple[str, ...], now_ms: float) -> bytes:
+        rows = tuple(self._row(incarnation, now_ms) for incarnation in incarnations)
+        return encode(RateLimitUpdate(self._own_vm, rows))
+
     def _row(self, incarnation: str, now_ms: float) -> RateLimitEntry:
         limit = self.limits.get(incarnation)
         if limit is None:
