Log and count the endpoints that a gateway does not reach

Callers of gateways without links to the endpoints were rejected, and so were those of gateways with links. A line `link` and the metric `links_down` say what this gateway found, `endpoint` lines name the gateway that reported an endpoint as not reachable. No decision changes.

--- a/cloverhook/errors.py
+++ b/cloverhook/errors.py
@@ -19,6 +19,7 @@
     "AuthenticationError",
     "CloverhookError",
     "ConfigError",
+    "ConnectError",
     "ErrorKind",
     "Fault",
     "MessageError",
@@ -177,6 +178,17 @@
         self.bad_answer = bad_answer
 
 
+class ConnectError(UpstreamError):
+    """A connection to a backend server that could not be opened.
+
+    `refused` is whether its address refused the connection; otherwise there was no answer in time.
+    """
+
+    def __init__(self, reason: str, refused: bool) -> None:
+        super().__init__(reason, sent=False)
+        self.refused = refused
+
+
 class RequestError(CloverhookError):
     """The end of a request with an error kind.  `retry_after_ms` is 0 if there is none."""
 
--- a/cloverhook/explain.py
+++ b/cloverhook/explain.py
@@ -22,6 +22,7 @@
     "evacuation",
     "server",
     "endpoint",
+    "link",
     QUARANTINE_KIND,
     "rate-limit",
     DRAINING_KIND,
--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -15,7 +15,7 @@
 from enum import Enum
 
 from cloverhook.clock import monotonic_ms
-from cloverhook.errors import UpstreamError
+from cloverhook.errors import ConnectError, UpstreamError
 from cloverhook.gateway.backend_pool import BackendPool
 from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.call_headers import (
@@ -28,6 +28,7 @@
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
 from cloverhook.gateway.choice import Choice
 from cloverhook.gateway.endpoint_notice import EndpointNotice
+from cloverhook.gateway.links import LinkFailure, Links
 from cloverhook.gateway.load_probe import probe_load
 from cloverhook.gateway.notice_recorder import NoticeRecorder
 from cloverhook.gateway.server_load import SLOW_FACTOR, LoadTable, ServerLoad
@@ -113,6 +114,7 @@
         idempotent: bool,
         headers: CallHeaders,
         notices: NoticeRecorder,
+        links: Links,
         probe_path: str | None = None,
         reason_not_to_send: Callable[[BackendServer], str] = lambda server: "",
     ) -> None:
@@ -123,6 +125,7 @@
         another VM may have found that the request crashes endpoints.
         """
         self._notices = notices
+        self._links = links
         self._reason_not_to_send = reason_not_to_send
         self._probe_path = probe_path
         self._declined: AnswerHead | None = None
@@ -152,6 +155,7 @@
                 await self._probe(connection, load, self._probe_path)
             sent_ms = monotonic_ms()
             head = await self._send(connection)
+            self._links.record_contact(server, monotonic_ms())
             notice = self._record_notice(head)
             load_report = parse_load(find(head.headers, self._headers.load))
             if load_report is not None:
@@ -173,6 +177,8 @@
             if not still_in_use:
                 pool.release(server, connection, head)
         except UpstreamError as error:
+            if isinstance(error, ConnectError):
+                self._links.record_failure(server, LinkFailure.of(error), monotonic_ms())
             self.sent = self.sent and error.sent
             result = self._failure_result(error, monotonic_ms() - started_ms)
             stale = False
@@ -208,6 +214,7 @@
                 result = await probe_load(connection, server, path, self._headers)
         except TimeoutError as error:
             connection.close()
+            self._links.record_failure(server, LinkFailure.PROBE_UNANSWERED, monotonic_ms())
             raise UpstreamError("no response to the load probe", sent=False) from error
         except UpstreamError as error:
             raise UpstreamError(f"load probe failed: {error}", sent=False) from error
--- a/cloverhook/gateway/backend_pool.py
+++ b/cloverhook/gateway/backend_pool.py
@@ -11,7 +11,7 @@
 from collections import deque
 
 from cloverhook.clock import monotonic_ms
-from cloverhook.errors import UpstreamError
+from cloverhook.errors import ConnectError, UpstreamError
 from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.call_headers import find
 from cloverhook.upstream_connection import AnswerHead, UpstreamConnection
@@ -57,7 +57,8 @@
 
         `limit` is the largest number of open connections to this incarnation.  `connect_ms` bounds
         the time to open a new connection.
-        Raises `UpstreamError` with `sent` False when no connection is available.
+        Raises `UpstreamError` with `sent` False when no connection is available, and
+        `ConnectError` when one could not be opened.
         """
         idle = self._idle.get(server.incarnation)
         now_ms = monotonic_ms()
@@ -92,8 +93,8 @@
     async def _refuses_connection(self, server: BackendServer) -> bool:
         try:
             connection = await self._connect(server, CONNECT_TIMEOUT_MS)
-        except UpstreamError as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
+        except ConnectError as error:
+            return error.refused
         connection.close()
         return False
 
@@ -170,7 +171,7 @@
         except (OSError, TimeoutError) as error:
             connection.close()
             reason = f"could not connect to {server.address}: {error!r}"
-            raise UpstreamError(reason, sent=False) from error
+            raise ConnectError(reason, isinstance(error, ConnectionRefusedError)) from error
         except asyncio.CancelledError:
             connection.close()
             raise
--- a/cloverhook/gateway/counters.py
+++ b/cloverhook/gateway/counters.py
@@ -36,6 +36,7 @@
     "members_alive": "other gateways with a recent heartbeat",
     "cut_off": "1 while this gateway receives no messages or most of its neighbours are silent",
     "reading_store": "1 while this gateway reads the store for the others and gets responses",
+    "links_down": "endpoints that this gateway does not reach",
     "waiting": "requests that wait for capacity at a backend server",
     "probes": "probes sent",
     "connects": "attempts to connect to backend servers, without those of probes",
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -28,6 +28,7 @@
 from cloverhook.gateway.forwarding import Forwarder
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.ingress import Ingress
+from cloverhook.gateway.links import LinkChange, Links
 from cloverhook.gateway.members import READERS, Members
 from cloverhook.gateway.notice_recorder import NoticeRecorder
 from cloverhook.gateway.peer_messages import Identity
@@ -124,13 +125,14 @@
             store, self._gateway_state, self._on_change, self._log, self._counters
         )
         self._pool = BackendPool()
+        self._links = Links(self._on_link_change)
         notices = NoticeRecorder(
             self._peering.drain_updates,
             self._peering.backoff_updates,
             self._log,
             self._counters,
         )
-        self._prober = Prober(headers, self._on_load_report, notices.record_probe)
+        self._prober = Prober(headers, self._on_load_report, notices.record_probe, self._links)
         estimates = WorkEstimates()
         self._cold_limit = ColdLimit(
             settings.vm,
@@ -181,6 +183,7 @@
             quarantine_updates,
             self._peering.rate_limit_updates,
             notices,
+            self._links,
             RequestReport(self._gateway_state, self._log, self._counters),
         )
         self._caller_ingress = Ingress(self._serve_caller, self._limits)
@@ -330,6 +333,7 @@
         counters.set("rate_limits", len(self._peering.rate_limit_updates.limits))
         counters.set("backoffs", self._gateway_state.backoffs.own_count)
         counters.set("drain_notices", len(self._gateway_state.drain_notices))
+        counters.set("links_down", len(self._links))
         counters.set("waiting", len(self._forwarder.admission))
         counters.set("probes", self._prober.probe_count)
         counters.set("connects", self._pool.connects)
@@ -372,6 +376,7 @@
             self._log.note(EventKind.EVACUATION, **document, source="grace period")
         for incarnation in ended:
             self._pool.forget(incarnation)
+            self._links.forget(incarnation)
             self._peering.load_updates.forget(incarnation)
             self._probe_schedule.forget(incarnation)
             self._cold_limit.forget(incarnation)
@@ -488,6 +493,18 @@
             if server.service in config.services
         )
 
+    def _on_link_change(self, change: LinkChange) -> None:
+        server, failure = change.server, change.failure
+        self._log.note(
+            EventKind.LINK,
+            server=server.incarnation,
+            address=server.address,
+            service=server.service,
+            down=failure is not None,
+            failure="" if failure is None else failure.value,
+            lasted_ms=round(change.lasted_ms),
+        )
+
     def _on_load_report(self, server: BackendServer, report: LoadReport, at_ms: float) -> None:
         load = self._gateway_state.load_table.get_or_create(server.incarnation)
         previous = load.latest_report
--- a/cloverhook/gateway/event_log.py
+++ b/cloverhook/gateway/event_log.py
@@ -49,6 +49,7 @@
     FETCH = "fetch", 20
     CUT_OFF = "cut-off", 5
     ENDPOINT = "endpoint", 30
+    LINK = "link", 30
     QUARANTINE = "quarantine", 30
     RATE_LIMIT = "rate-limit", 20
     DRAINING = "draining", 30
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -21,6 +21,7 @@
 from cloverhook.gateway.choice import CapacityRequirement, Choice, WorkEstimates
 from cloverhook.gateway.final_answer import error_answer, final_error_kind
 from cloverhook.gateway.gateway_state import GatewayState
+from cloverhook.gateway.links import Links
 from cloverhook.gateway.notice_recorder import NoticeRecorder
 from cloverhook.gateway.quarantine_updates import QuarantineUpdates
 from cloverhook.gateway.rate_limit_updates import RateLimitUpdates
@@ -76,6 +77,7 @@
         quarantine_updates: QuarantineUpdates,
         rate_limit_updates: RateLimitUpdates,
         notices: NoticeRecorder,
+        links: Links,
         report: RequestReport,
     ) -> None:
         self._gateway_state = gateway_state
@@ -90,6 +92,7 @@
         self._quarantine_updates = quarantine_updates
         self._rate_limit_updates = rate_limit_updates
         self._notices = notices
+        self._links = links
         self._report = report
         self._estimates = estimates
         self.admission = Admission(
@@ -338,6 +341,7 @@
             state.route.idempotent,
             self._headers,
             self._notices,
+            self._links,
             self._load_probe_path(state),
             lambda server: self._reason_not_to_send(state, server),
         )
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -371,9 +371,15 @@
                 self._on_heartbeat(message, now_ms, relayed)
             case LoadReports():
                 for incarnation, report, age_ms in message.reports:
-                    self._gateway_state.load_table.get_or_create(incarnation).update_from_probe(
-                        report, now_ms - age_ms
-                    )
+                    load = self._gateway_state.load_table.get_or_create(incarnation)
+                    if not (report.reachable or load.unreachable(now_ms)):
+                        self._log.note(
+                            EventKind.ENDPOINT,
+                            server=incarnation,
+                            reachable=False,
+                            source=message.vm,
+                        )
+                    load.update_from_probe(report, now_ms - age_ms)
                     self._on_load_report(incarnation)
             case InFlightCounts():
                 self.count_updates.received(message, now_ms)
--- a/cloverhook/gateway/prober.py
+++ b/cloverhook/gateway/prober.py
@@ -10,11 +10,12 @@
 from collections.abc import Callable, Iterable
 
 from cloverhook.clock import monotonic_ms
-from cloverhook.errors import UpstreamError
+from cloverhook.errors import ConnectError, UpstreamError
 from cloverhook.gateway.backend_pool import BackendPool
 from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.call_headers import CallHeaders
 from cloverhook.gateway.endpoint_notice import EndpointNotice
+from cloverhook.gateway.links import LinkFailure, Links
 from cloverhook.gateway.load_probe import UNREACHABLE_REPORT, probe_load
 from cloverhook.gateway.server_load import LoadReport
 
@@ -34,8 +35,10 @@
         headers: CallHeaders,
         on_load_report: Callable[[BackendServer, LoadReport, float], None],
         on_notice: Callable[[BackendServer, EndpointNotice], None],
+        links: Links,
     ) -> None:
         self._headers = headers
+        self._links = links
         self._on_load_report = on_load_report
         self._on_notice = on_notice
         self._pool = BackendPool()
@@ -75,10 +78,15 @@
             timeouts = self._timeouts.get(server.incarnation, 0) + 1
             self._timeouts[server.incarnation] = timeouts
             report = UNREACHABLE_REPORT if timeouts >= TIMEOUTS_LIMIT else None
+            if report is not None:
+                self._links.record_failure(server, LinkFailure.PROBE_UNANSWERED, monotonic_ms())
         except UpstreamError as error:
             report = None if error.sent else UNREACHABLE_REPORT
+            if isinstance(error, ConnectError):
+                self._links.record_failure(server, LinkFailure.of(error), monotonic_ms())
         else:
             self._timeouts[server.incarnation] = 0
+            self._links.record_contact(server, monotonic_ms())
         if report is not None:
             self._on_load_report(server, report, started_ms)
 
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -18,6 +18,7 @@
 from cloverhook.gateway.eligibility import Eligibility
 from cloverhook.gateway.evacuation import Evacuation, Evacuations
 from cloverhook.gateway.gateway_state import GatewayState
+from cloverhook.gateway.links import Links
 from cloverhook.gateway.notice_recorder import NoticeRecorder
 from cloverhook.gateway.server_load import LoadTable
 from cloverhook.gateway.store import MemoryStore
@@ -200,6 +201,7 @@
             True,
             fleet.NAMES,
             Mock(spec=NoticeRecorder),
+            Mock(spec=Links),
             None,
             lambda _: next(objections),
         )
