--- a/features/steps/gateway_links_steps.py
+++ b/features/steps/gateway_links_steps.py
@@ -1,14 +1,19 @@
 """Steps for gateways that lose their links to backend servers."""
 
 import asyncio
+from dataclasses import dataclass
 
 from behave import given, then, when
 
+from cloverhook.clock import monotonic_ms
 from features.link_cuts import Cut
 from features.link_fleet import LinkFleet
 from features.shared import run
 
 FIRST = "vm-0"
+USUAL_S = 1.5
+AFTERWARDS_S = 2.0
+SETTLE_MS = 1_000.0
 
 
 @given("{gateways:d} gateways and {backends:d} backend servers, and callers at both gateways")
@@ -66,3 +71,92 @@
         return [await context.fleet.metric(vm, "links_down") for vm in (FIRST, "vm-1")]
 
     assert run(context, metrics()) == [count, 0]
+
+
+@dataclass(frozen=True, slots=True)
+class CutRun:
+    """A fleet of which some gateways have lost their links for some time."""
+
+    fleet: LinkFleet
+    cut_vms: frozenset[str]
+    from_ms: float
+    to_ms: float
+
+    @property
+    def other_vms(self):
+        """The gateways that have kept their links."""
+        return {settings.vm for _, settings in self.fleet.gateways} - self.cut_vms
+
+
+@when("some gateways lose their links to all backend servers for {time_s:g} s")
+def step_cut(context, time_s):
+    async def play(gateways, cut, backends, links):
+        fleet = await LinkFleet.start(gateways, backends)
+        vms = frozenset(f"vm-{index}" for index in range(cut))
+        try:
+            await fleet.load_for(USUAL_S)
+            from_ms = monotonic_ms()
+            for vm in vms:
+                fleet.cuts[vm].begin(Cut(links))
+            loading = asyncio.create_task(fleet.load_for(time_s))
+            await asyncio.sleep(time_s)
+            to_ms = monotonic_ms()
+            for vm in vms:
+                fleet.cuts[vm].end()
+            await fleet.load_for(AFTERWARDS_S)
+            await loading
+        finally:
+            await fleet.close()
+        return CutRun(fleet, vms, from_ms, to_ms)
+
+    context.runs = []
+    for row in context.table:
+        gateways, cut, backends, links = row.cells
+        work = play(int(gateways), int(cut), int(backends), links)
+        context.runs.append(run(context, work))
+
+
+@then("from 1 s after the cut to its end the other gateways serve {share:g} of their first tries")
+def step_others_serve(context, share):
+    found = [
+        item.fleet.served(item.other_vms, item.from_ms + SETTLE_MS, item.to_ms)
+        for item in context.runs
+    ]
+    assert all(item.sent for item in found), found
+    assert min(item.share for item in found) >= share, found
+
+
+@then("from 1 s after the cut to its end all gateways serve {share:g} of their first tries")
+def step_all_serve(context, share):
+    found = [
+        item.fleet.served(vms, item.from_ms + SETTLE_MS, item.to_ms)
+        for item in context.runs
+        for vms in (item.cut_vms, item.other_vms)
+    ]
+    assert all(item.sent for item in found), found
+    assert min(item.share for item in found) >= share, found
+
+
+@then(
+    "from 1 s after the cut to its end {share:g} of the requests are rejected within {most_ms:d} ms"
+)
+def step_rejected(context, share, most_ms):
+    for item in context.runs:
+        calls = [
+            call
+            for call in item.fleet.calls
+            if item.from_ms + SETTLE_MS <= call.sent_ms < item.to_ms - most_ms
+        ]
+        soon = [
+            call
+            for call in calls
+            if call.answer.status == 503 and item.fleet.waited_ms(call) <= most_ms
+        ]
+        assert len(soon) >= share * len(calls) > 0, (len(soon), len(calls))
+
+
+@then("from 1 s after its end all gateways serve {share:g} of their first tries")
+def step_serve_again(context, share):
+    for item in context.runs:
+        found = item.fleet.served(item.cut_vms | item.other_vms, item.to_ms + SETTLE_MS)
+        assert found.share >= share and found.sent, found
