--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -47,6 +47,8 @@
 """Up to this age of the load report no load probe is needed; within a data centre, the response to
 one takes about 1 ms."""
 LOAD_PROBE_TIMEOUT_MS = 60.0
+SIMULTANEOUS_MS = 25.0
+"""Links that are lost together show that within this time."""
 BUFFERED_BODY_BYTES = 262_144
 """A response body up to this size is read completely before the caller gets a byte of it, so that
 the request can be retried if the response breaks off."""
@@ -152,9 +154,13 @@
             left_ms = self._deadline_ms - started_ms
             connection = await pool.acquire(server, limit, self._idempotent, left_ms)
             if self._probe_path and self._should_probe(load, started_ms):
-                await self._probe(connection, load, self._probe_path)
+                await self._probe(connection, pool, load, self._probe_path)
             sent_ms = monotonic_ms()
-            head = await self._send(connection)
+            wait = self._links.begin_wait(server, self.choice.expected_ms, sent_ms)
+            try:
+                head = await self._send(connection)
+            finally:
+                self._links.end_wait(wait)
             self._links.record_contact(server, monotonic_ms())
             notice = self._record_notice(head)
             load_report = parse_load(find(head.headers, self._headers.load))
@@ -178,7 +184,7 @@
                 pool.release(server, connection, head)
         except UpstreamError as error:
             if isinstance(error, ConnectError):
-                self._links.record_failure(server, LinkFailure.of(error), monotonic_ms())
+                self._record_link_failure(pool, LinkFailure.of(error))
             self.sent = self.sent and error.sent
             result = self._failure_result(error, monotonic_ms() - started_ms)
             stale = False
@@ -188,9 +194,7 @@
                 if quick and self.choice.load < server.slots:
                     pool.shorten_idle_limit(server, connection)
                 stale = quick and connection.idle_since_ms > 0.0
-            crashed = (
-                self.sent and not error.bad_answer and await pool.has_stopped_listening(server)
-            )
+            crashed = self.sent and not error.bad_answer and await self._has_crashed(server, pool)
             result = replace(result, server_failed=self.sent and not stale, crashed=crashed)
         finally:
             if connection is not None and not still_in_use and not connection.usable:
@@ -202,11 +206,29 @@
             result, nominal_ms=load.expected_progress_ms(monotonic_ms()) - self.progress_at_start_ms
         )
 
+    async def _has_crashed(self, server: BackendServer, pool: BackendPool) -> bool:
+        """Return whether the backend server has ended, after it has broken off the connection.
+
+        Only a refused connection shows that: a backend server that can't be reached may still be
+        running.  If links to other backend servers fail at the same time, this VM has lost them.
+        """
+        error = await pool.test_connection(server)
+        if error is None:
+            self._links.record_contact(server, monotonic_ms())
+            return False
+        self._links.record_failure(server, LinkFailure.of(error), monotonic_ms())
+        if not error.refused:
+            return False
+        await asyncio.sleep(SIMULTANEOUS_MS / 1000)
+        return not self._links.others_failed_since(server, self.began_ms)
+
     def _should_probe(self, load: ServerLoad, now_ms: float) -> bool:
         """Return whether to probe: the endpoint reports its load, but not recently."""
         return load.latest_report is not None and load.age_ms(now_ms) > LOAD_MAX_AGE_MS
 
-    async def _probe(self, connection: UpstreamConnection, load: ServerLoad, path: str) -> None:
+    async def _probe(
+        self, connection: UpstreamConnection, pool: BackendPool, load: ServerLoad, path: str
+    ) -> None:
         """Probe the load.  Raises `UpstreamError` if the request should go to another endpoint."""
         server = self.choice.server
         try:
@@ -214,10 +236,11 @@
                 result = await probe_load(connection, server, path, self._headers)
         except TimeoutError as error:
             connection.close()
-            self._links.record_failure(server, LinkFailure.PROBE_UNANSWERED, monotonic_ms())
+            self._record_link_failure(pool, LinkFailure.PROBE_UNANSWERED)
             raise UpstreamError("no response to the load probe", sent=False) from error
         except UpstreamError as error:
             raise UpstreamError(f"load probe failed: {error}", sent=False) from error
+        self._links.record_contact(server, monotonic_ms())
         if result.notice is not None:
             self._notices.record_probe(server, result.notice)
         load_report = result.report
@@ -225,6 +248,7 @@
             return
         load.update(load_report, monotonic_ms(), ended_count=1)
         if not load_report.reachable:
+            self._record_link_failure(pool, LinkFailure.OTHER_INCARNATION)
             raise UpstreamError("another incarnation answered the load probe", sent=False)
         if load_report.slowdown >= SLOW_FACTOR > self.choice.slowdown:
             self._declined = result.head
@@ -233,6 +257,13 @@
                 sent=False,
             )
 
+    def _record_link_failure(self, pool: BackendPool, failure: LinkFailure) -> None:
+        """Record that this VM does not reach the endpoint; its idle connections are not used."""
+        server = self.choice.server
+        self._links.record_failure(server, failure, monotonic_ms())
+        if failure is not LinkFailure.REFUSED:
+            pool.forget(server.incarnation)
+
     async def _send(self, connection: UpstreamConnection) -> AnswerHead:
         request, names = self._request, self._headers
         reason = self._reason_not_to_send(self.choice.server)
@@ -345,7 +376,7 @@
         now_ms = monotonic_ms()
         load = load_table.get_or_create(self.choice.server.incarnation)
         load.record_end(now_ms)
-        if result.outcome is Outcome.NOT_SENT:
+        if result.outcome is Outcome.NOT_SENT and not load.link_down:
             load.record_unreachable(now_ms)
         elif (
             result.outcome in (Outcome.DECLINED, Outcome.WITHHELD)
--- a/cloverhook/gateway/backend_pool.py
+++ b/cloverhook/gateway/backend_pool.py
@@ -47,7 +47,7 @@
         self._idle: dict[str, deque[tuple[UpstreamConnection, float]]] = {}
         self._open: dict[str, int] = {}
         self._idle_limit_ms: dict[str, float] = {}
-        self._listening_checks: dict[str, asyncio.Task[bool]] = {}
+        self._connection_tests: dict[str, asyncio.Task[ConnectError | None]] = {}
         self.connects = 0
 
     async def acquire(
@@ -77,26 +77,29 @@
             )
         return await self._connect(server, min(connect_ms, CONNECT_TIMEOUT_MS))
 
-    async def has_stopped_listening(self, server: BackendServer) -> bool:
-        """Return whether a backend server that broke off a connection has stopped listening.
+    async def test_connection(self, server: BackendServer) -> ConnectError | None:
+        """Open a connection to a backend server as a test; return the error if that fails.
 
-        This opens a connection as a test; concurrent calls share one test.  Only a refused
-        connection counts: a backend server that can't be reached may still be running.
+        Concurrent calls share one test.
         """
-        check = self._listening_checks.get(server.incarnation)
-        if check is None:
-            check = asyncio.get_running_loop().create_task(self._refuses_connection(server))
-            self._listening_checks[server.incarnation] = check
-            check.add_done_callback(lambda _: self._listening_checks.pop(server.incarnation))
-        return await asyncio.shield(check)
-
-    async def _refuses_connection(self, server: BackendServer) -> bool:
+        test = self._connection_tests.get(server.incarnation)
+        if test is None:
+            test = asyncio.get_running_loop().create_task(self._test_connection(server))
+            self._connection_tests[server.incarnation] = test
+            test.add_done_callback(lambda _: self._connection_tests.pop(server.incarnation))
+        return await asyncio.shield(test)
+
+    async def _test_connection(self, server: BackendServer) -> ConnectError | None:
         try:
             connection = await self._connect(server, CONNECT_TIMEOUT_MS)
         except ConnectError as error:
-            return error.refused
+            return error
         connection.close()
-        return False
+        return None
+
+    async def open(self, server: BackendServer) -> UpstreamConnection:
+        """Return a new connection, even if there is an idle one.  Raises `ConnectError`."""
+        return await self._connect(server, CONNECT_TIMEOUT_MS)
 
     def has_idle(self, incarnation: str) -> bool:
         """Return whether there is an idle connection to this incarnation."""
--- a/cloverhook/gateway/cold_limit.py
+++ b/cloverhook/gateway/cold_limit.py
@@ -52,11 +52,11 @@
     def __init__(
         self,
         own_vm: str,
-        senders_for: Callable[[str, float], tuple[str, ...]],
+        senders_for: Callable[[BackendServer, float], tuple[str, ...]],
         rate_per_s: Callable[[str], float],
         bound: ColdRateBound,
     ) -> None:
-        """`senders_for` returns the VMs that place requests at a data centre's endpoints.
+        """`senders_for` returns the VMs that place requests at an endpoint.
 
         `rate_per_s` returns how many requests a second a cold endpoint of a service can serve; 0
         means no limit.
@@ -87,7 +87,7 @@
 
     def _is_sender(self, server: BackendServer, now_ms: float) -> bool:
         """Return whether this VM is one of the few that use a cold endpoint."""
-        vms = self._senders_for(server.data_center, now_ms)
+        vms = self._senders_for(server, now_ms)
         if self._own_vm not in vms:
             return False
         return rendezvous_rank(server.incarnation, self._own_vm, vms) < self._bound.sender_count()
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -99,6 +99,12 @@
         retry_budget = RetryBudget(
             settings.retry_ratio, settings.retry_extra, settings.retry_window_s * 1000
         )
+        self._links = Links(
+            self._gateway_state.registry,
+            self._gateway_state.load_table,
+            self._on_link_change,
+            self._check_links,
+        )
         self._peering = Peering(
             identity,
             self._gateway_state,
@@ -107,6 +113,7 @@
             lambda incarnation: self._forwarder.slowdown_changed(incarnation),
             lambda: self._forwarder.admission.schedule_admission(),
             self._counters,
+            self._links,
             fleet=settings.store_address,
             requests_per_s=retry_budget.total_requests_per_s,
         )
@@ -125,18 +132,21 @@
             store, self._gateway_state, self._on_change, self._log, self._counters
         )
         self._pool = BackendPool()
-        self._links = Links(self._on_link_change)
         notices = NoticeRecorder(
             self._peering.drain_updates,
             self._peering.backoff_updates,
             self._log,
             self._counters,
         )
-        self._prober = Prober(headers, self._on_load_report, notices.record_probe, self._links)
+        self._prober = Prober(
+            headers, self._on_load_report, notices.record_probe, self._links, self._reports_load
+        )
+        self._peering.link_updates.start_check = self._start_link_check
+        self._peering.failure_updates.check_link = self._check_link
         estimates = WorkEstimates()
         self._cold_limit = ColdLimit(
             settings.vm,
-            self._members.dispatching_vms,
+            self._peering.senders_to,
             self._gateway_state.cold_per_s,
             ColdRateBound(settings.cold_over, settings.cold_slack),
         )
@@ -168,6 +178,8 @@
             now_ms + STARTUP_DELAY_MS,
             0 if settings.first_start else GROUP_SIZE,
             self._gateway_state.evacuated,
+            self._links.is_down,
+            self._peering.link_updates.peer_links.without_link,
         )
         self._forwarder = Forwarder(
             self._gateway_state,
@@ -197,6 +209,7 @@
         self._written_era = 0
         self._stopped = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
+        self._link_checks: set[asyncio.Task[bool]] = set()
 
     async def start(self) -> None:
         """Open the listeners, and start to follow the store and to exchange messages with peers."""
@@ -376,7 +389,6 @@
             self._log.note(EventKind.EVACUATION, **document, source="grace period")
         for incarnation in ended:
             self._pool.forget(incarnation)
-            self._links.forget(incarnation)
             self._peering.load_updates.forget(incarnation)
             self._probe_schedule.forget(incarnation)
             self._cold_limit.forget(incarnation)
@@ -389,6 +401,8 @@
             )
         self._publish_readiness()
         self._probe(now_ms)
+        self._check_links()
+        self._peering.link_updates.repeat_if_due(now_ms)
         if self._peering.reading != self._follower.reading:
             self._peering.reading = self._follower.reading
             self._peering.send_heartbeat()
@@ -406,6 +420,8 @@
         known = self._gateway_state.registry.get
         self._prober.sweep(known)
         self._gateway_state.load_table.remove_unknown(known)
+        self._links.retain(known)
+        self._peering.link_updates.expire(now_ms)
         self._members.forget(now_ms)
         self._peering.failure_updates.forget(now_ms)
         self._peering.quarantine_updates.remove_expired(now_ms)
@@ -504,6 +520,32 @@
             failure="" if failure is None else failure.value,
             lasted_ms=round(change.lasted_ms),
         )
+        self._peering.link_updates.record_change(change)
+
+    def _check_links(self) -> None:
+        """Start the checks of links that are due."""
+        if not self._stopping:
+            for server in self._links.due_checks(monotonic_ms()):
+                self._start_link_check(server)
+
+    def _start_link_check(self, server: BackendServer) -> None:
+        task = asyncio.get_running_loop().create_task(self._check_link(server))
+        self._link_checks.add(task)
+        task.add_done_callback(self._link_checks.discard)
+
+    async def _check_link(self, server: BackendServer) -> bool:
+        """Return whether this VM reaches an endpoint now."""
+        config = self._gateway_state.config
+        spec = None if config is None else config.services.get(server.service)
+        if spec is None:
+            return False
+        reached = await self._prober.check_link(server, spec.health_path)
+        self._peering.link_updates.peer_links.record_check(server, reached, monotonic_ms())
+        return reached
+
+    def _reports_load(self, server: BackendServer) -> bool:
+        load = self._gateway_state.load_table.get(server.incarnation)
+        return load is not None and load.latest_report is not None
 
     def _on_load_report(self, server: BackendServer, report: LoadReport, at_ms: float) -> None:
         load = self._gateway_state.load_table.get_or_create(server.incarnation)
--- a/cloverhook/gateway/failure_updates.py
+++ b/cloverhook/gateway/failure_updates.py
@@ -2,16 +2,20 @@
 
 Layer: transport.  An endpoint may report that it is healthy and yet fail requests.  VMs that learn
 of this only from their own requests would each fail a request at every such endpoint, and there may
-be dozens of VMs and dozens of such endpoints.
+be dozens of VMs and dozens of such endpoints.  A request may also fail because this VM has lost its
+link to the endpoint, which concerns no other VM; a failure counts only if the link works.
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.circuit_breaker import RECENT_ANSWER_MS, FailureReportFilter
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.gateway_state import GatewayState
+from cloverhook.gateway.links import Links
 from cloverhook.gateway.peer_messages import Failures, encode
 
 __all__ = ["FailureUpdates"]
@@ -26,8 +30,17 @@
     """Sends the failures of this VM's requests, and applies those that other VMs send."""
 
     def __init__(
-        self, own_vm: str, broadcast: Broadcast, gateway_state: GatewayState, log: EventLog
+        self,
+        own_vm: str,
+        broadcast: Broadcast,
+        gateway_state: GatewayState,
+        log: EventLog,
+        links: Links,
     ) -> None:
+        self.check_link: Callable[[BackendServer], Awaitable[bool]] | None = None
+        """Returns whether a check finds the link to an endpoint working."""
+        self._links = links
+        self._checks: set[asyncio.Task[None]] = set()
         self._own_vm = own_vm
         self._broadcast = broadcast
         self._gateway_state = gateway_state
@@ -39,12 +52,30 @@
     def record_failure(self, incarnation: str, began_ms: float) -> None:
         """Record that a request of this VM, begun at `began_ms`, has failed, and send this soon.
 
-        Failures at endpoints that are not registered are ignored.  A failure is not sent if this VM
-        has seen so many endpoints fail that the fault is probably its own.
+        Failures at endpoints that are not registered, or that this VM does not reach, are ignored.
+        If the endpoint has answered nothing since `began_ms`, its link is checked first.
         """
-        now_ms = monotonic_ms()
-        if self._gateway_state.registry.get(incarnation) is None:
+        server = self._gateway_state.registry.get(incarnation)
+        if server is None or self._links.is_down(incarnation):
+            return
+        if self.check_link is None or self._links.contact_ms(incarnation) >= began_ms:
+            self._count(incarnation, began_ms)
             return
+        task = asyncio.get_running_loop().create_task(self._count_if_linked(server, began_ms))
+        self._checks.add(task)
+        task.add_done_callback(self._checks.discard)
+
+    async def _count_if_linked(self, server: BackendServer, began_ms: float) -> None:
+        if await self.check_link(server) and not self._links.is_down(server.incarnation):
+            self._count(server.incarnation, began_ms)
+
+    def _count(self, incarnation: str, began_ms: float) -> None:
+        """Count a failure, and send it soon.
+
+        It is not sent if this VM has seen so many endpoints fail that the fault is probably its
+        own.
+        """
+        now_ms = monotonic_ms()
         breaker = self._gateway_state.load_table.get_or_create(incarnation).circuit_breaker
         answered = breaker.answered_since(now_ms - RECENT_ANSWER_MS)
         if breaker.record_failure(now_ms, began_ms):
--- a/cloverhook/gateway/links.py
+++ b/cloverhook/gateway/links.py
@@ -1,34 +1,76 @@
 """The links between this VM and the endpoints: which ones it reaches.
 
 Layer: coordination.  That a connection can't be opened, or brings no answer, is a fact about the
-link between one VM and one endpoint.  Other VMs may reach that endpoint at the same time.
+link between one VM and one endpoint: other VMs may reach that endpoint at the same time.  A link
+that has failed is used again only after a check has found it working, so that no request of a
+caller has to find out.  A check opens a connection and probes the endpoint.
 
->>> links = Links(lambda change: None)
+If links to several endpoints of a service fail without a contact with any of them in between, the
+VM has probably lost all of them.  Then all links to the service are presumed to be down, until one
+of them works.
+
+>>> from cloverhook.gateway.backend_server import ServerRecord
+>>> registry = Registry()
 >>> server = BackendServer("i-1", "orders", "10.0.0.1:9000", "papine")
+>>> _ = registry.apply(ServerRecord("i-1", 0, server), 0.0, False)
+>>> links = Links(registry, LoadTable())
 >>> links.record_failure(server, LinkFailure.REFUSED, 5.0)
->>> links.is_down("i-1")
-True
->>> links.record_contact(server, 105.0)
->>> links.is_down("i-1")
+>>> links.is_out_of_reach("orders"), links.due_checks(105.0) == [server]
+(True, True)
+>>> links.record_contact(server, 106.0)
+>>> links.is_out_of_reach("orders")
 False
 """
 
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
 
 from cloverhook.errors import ConnectError
 from cloverhook.gateway.backend_server import BackendServer
+from cloverhook.gateway.registry import Registry
+from cloverhook.gateway.server_load import LoadTable
 
 __all__ = ["LinkChange", "LinkFailure", "Links"]
 
+PRESUMED_DOWN_FAILURES = 2
+"""Links to this many endpoints of a service that fail in a row make all others presumed down."""
+PRESUMPTION_WINDOW_MS = 1_000.0
+"""Failures further apart than this don't count as failures in a row."""
+FIRST_CHECK_MS = 50.0
+"""A link may fail because of a single lost packet, so it is checked soon."""
+MAX_CHECK_INTERVAL_MS = 1_000.0
+"""The interval between the checks of one link doubles up to this time."""
+SERVICE_CHECK_MS = 250.0
+SERVICE_CHECKS = 3
+"""While all links to a service are presumed down, so many of them are checked at a time."""
+CHECKS_LIMIT = 24
+"""The most checks that begin at a time; a small VM can make them beside its requests."""
+FLAP_WINDOW_MS = 10_000.0
+FIRST_HOLD_MS = 250.0
+MAX_HOLD_MS = 4_000.0
+"""A link that fails again within `FLAP_WINDOW_MS` stays out of use for `FIRST_HOLD_MS`, and twice
+as long with each further failure: each time that it comes and goes costs requests."""
+SILENCE_MS = 250.0
+EXPECTED_FACTOR = 1.5
+"""A link is checked if a request has been without an answer for this many times the expected time,
+and for `SILENCE_MS` at least, and its service has sent nothing meanwhile."""
+SILENCE_CHECK_INTERVAL_MS = 500.0
+LONG_AGO_MS = -1e12
+
 
 class LinkFailure(Enum):
-    """How a VM found that it does not reach an endpoint."""
+    """How a VM found that it does not reach an endpoint.
+
+    `PRESUMED` means that it has not tried this endpoint, but others of the same service.
+    """
 
     REFUSED = "refused"
     TIMED_OUT = "timed-out"
     PROBE_UNANSWERED = "probe-unanswered"
+    OTHER_INCARNATION = "other-incarnation"
+    PRESUMED = "presumed"
 
     @classmethod
     def of(cls, error: ConnectError) -> "LinkFailure":
@@ -50,15 +92,72 @@
     """A link that has failed and has not worked since."""
 
     server: BackendServer
+    failure: LinkFailure
     since_ms: float
+    unused_until_ms: float
+    next_check_ms: float
+    check_interval_ms: float = 2 * FIRST_CHECK_MS
+
+
+@dataclass(slots=True)
+class _Flaps:
+    """How often in a row something has failed again soon after it had come back."""
+
+    count: int
+    last_ms: float
+
+    def hold_ms(self) -> float:
+        """Return how long it stays out of use."""
+        if self.count < 2:
+            return 0.0
+        return min(FIRST_HOLD_MS * 2.0 ** (self.count - 2), MAX_HOLD_MS)
+
+
+@dataclass(slots=True)
+class _LostService:
+    """A service to which all links are presumed down."""
+
+    unused_until_ms: float
+    next_check_ms: float
+
+
+@dataclass(slots=True, eq=False)
+class _Wait:
+    """A request that has been sent to an endpoint and has no answer yet."""
+
+    server: BackendServer
+    since_ms: float
+    silence_ms: float
 
 
 class Links:
-    """The links that are down; times are on the monotonic clock."""
+    """The links that are down; times are on the monotonic clock.
 
-    def __init__(self, on_change: Callable[[LinkChange], None]) -> None:
+    `on_change` is called with each link that fails or works again, and `on_checks_due` when checks
+    should begin at once instead of at the next tick.
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        load_table: LoadTable,
+        on_change: Callable[[LinkChange], None] = lambda change: None,
+        on_checks_due: Callable[[], None] = lambda: None,
+        source: random.Random | None = None,
+    ) -> None:
+        self._registry = registry
+        self._load_table = load_table
         self._on_change = on_change
+        self._on_checks_due = on_checks_due
+        self._random = source or random.Random()
         self._down: dict[str, _DownLink] = {}
+        self._lost: dict[str, _LostService] = {}
+        self._flaps: dict[str, _Flaps] = {}
+        self._contact_ms: dict[str, float] = {}
+        self._service_contact_ms: dict[str, float] = {}
+        self._failed_in_row: dict[str, dict[str, float]] = {}
+        self._waits: dict[_Wait, None] = {}
+        self._silence_checked_ms: dict[str, float] = {}
 
     def __len__(self) -> int:
         """Return the number of links that are down."""
@@ -68,18 +167,185 @@
         """Return whether the link to an endpoint has failed and has not worked since."""
         return incarnation in self._down
 
+    def is_out_of_reach(self, service: str) -> bool:
+        """Return whether this VM reaches none of the endpoints of a service that has some."""
+        if not self._down:
+            return False
+        servers = self._registry.of_service(service)
+        return bool(servers) and all(server.incarnation in self._down for server in servers)
+
+    def out_of_reach(self) -> list[str]:
+        """Return the services of which this VM reaches no endpoint."""
+        services = {link.server.service for link in self._down.values()}
+        return sorted(service for service in services if self.is_out_of_reach(service))
+
+    def failed(self) -> Iterable[str]:
+        """Return the endpoints whose links were found to be down, not only presumed to be."""
+        return (
+            name for name, link in self._down.items() if link.failure is not LinkFailure.PRESUMED
+        )
+
+    def contact_ms(self, incarnation: str) -> float:
+        """Return when an endpoint last answered this VM; a time long ago if it never did."""
+        return self._contact_ms.get(incarnation, LONG_AGO_MS)
+
+    def service_contact_ms(self, service: str) -> float:
+        """Return when any endpoint of a service last answered this VM."""
+        return self._service_contact_ms.get(service, LONG_AGO_MS)
+
+    def others_failed_since(self, server: BackendServer, since_ms: float) -> bool:
+        """Return whether links to other endpoints have failed since then."""
+        return any(
+            link.since_ms >= since_ms and name != server.incarnation
+            for name, link in self._down.items()
+        )
+
     def record_failure(self, server: BackendServer, failure: LinkFailure, now_ms: float) -> None:
         """Record that this VM could not reach an endpoint."""
-        if server.incarnation not in self._down:
-            self._down[server.incarnation] = _DownLink(server, now_ms)
-            self._on_change(LinkChange(server, failure))
+        link = self._down.get(server.incarnation)
+        if link is not None:
+            link.failure = failure
+            link.next_check_ms = max(link.next_check_ms, now_ms + link.check_interval_ms)
+            return
+        self._take_down(server, failure, now_ms)
+        row = self._failed_in_row.setdefault(server.service, {})
+        for name, at_ms in tuple(row.items()):
+            if now_ms - at_ms > PRESUMPTION_WINDOW_MS:
+                del row[name]
+        row[server.incarnation] = now_ms
+        if len(row) >= PRESUMED_DOWN_FAILURES and server.service not in self._lost:
+            self._presume_down(server.service, now_ms)
 
     def record_contact(self, server: BackendServer, now_ms: float) -> None:
         """Record that an endpoint has answered this VM."""
-        link = self._down.pop(server.incarnation, None)
-        if link is not None:
-            self._on_change(LinkChange(server, None, now_ms - link.since_ms))
+        incarnation, service = server.incarnation, server.service
+        self._contact_ms[incarnation] = self._service_contact_ms[service] = now_ms
+        self._failed_in_row.pop(service, None)
+        if not self._down:
+            return
+        lost = self._lost.get(service)
+        if lost is not None and now_ms >= lost.unused_until_ms:
+            self._end_presumption(service, now_ms)
+        link = self._down.get(incarnation)
+        if lost is None and link is not None and now_ms >= link.unused_until_ms:
+            self._bring_up(link, now_ms)
+
+    def use_held_links(self, service: str, now_ms: float) -> None:
+        """Use the links that work again but were to stay out of use for a while longer.
+
+        Called if there is no other way to serve the requests of a service.
+        """
+        lost = self._lost.get(service)
+        if lost is not None:
+            lost.unused_until_ms = min(lost.unused_until_ms, now_ms)
+        for link in tuple(self._down.values()):
+            if link.server.service != service:
+                continue
+            link.unused_until_ms = min(link.unused_until_ms, now_ms)
+            if self.contact_ms(link.server.incarnation) > link.since_ms:
+                self.record_contact(link.server, now_ms)
+
+    def begin_wait(self, server: BackendServer, expected_ms: float, now_ms: float) -> _Wait:
+        """Record that a request was sent; the result is to be passed to `end_wait`."""
+        wait = _Wait(server, now_ms, max(SILENCE_MS, EXPECTED_FACTOR * expected_ms))
+        self._waits[wait] = None
+        return wait
+
+    def end_wait(self, wait: _Wait) -> None:
+        """Record that a request was answered, or has failed."""
+        self._waits.pop(wait, None)
+
+    def due_checks(self, now_ms: float) -> list[BackendServer]:
+        """Return the endpoints whose links should be checked now; to be called often."""
+        found: dict[str, BackendServer] = {}
+        for wait in self._waits:
+            if now_ms - wait.since_ms < SILENCE_MS:
+                break
+            self._check_silence(wait, found, now_ms)
+        for service, lost in self._lost.items():
+            if now_ms >= lost.next_check_ms:
+                lost.next_check_ms = now_ms + SERVICE_CHECK_MS
+                for server in self._sample(service):
+                    found[server.incarnation] = server
+        for incarnation, link in self._down.items():
+            if now_ms >= link.next_check_ms and link.server.service not in self._lost:
+                link.next_check_ms = now_ms + link.check_interval_ms
+                link.check_interval_ms = min(2 * link.check_interval_ms, MAX_CHECK_INTERVAL_MS)
+                found[incarnation] = link.server
+        return list(found.values())[:CHECKS_LIMIT]
+
+    def retain(self, known: Callable[[str], object]) -> None:
+        """Drop the data on endpoints that are gone."""
+        for table in (self._down, self._contact_ms, self._flaps):
+            for incarnation in tuple(table):
+                if not known(incarnation):
+                    del table[incarnation]
+        for service in tuple(self._lost):
+            if not self._registry.of_service(service):
+                del self._lost[service]
+
+    def _take_down(self, server: BackendServer, failure: LinkFailure, now_ms: float) -> None:
+        flaps = self._flaps.get(server.incarnation)
+        if flaps is None or now_ms - flaps.last_ms > FLAP_WINDOW_MS:
+            flaps = self._flaps[server.incarnation] = _Flaps(0, now_ms)
+        flaps.count += 1
+        flaps.last_ms = now_ms
+        self._down[server.incarnation] = _DownLink(
+            server, failure, now_ms, now_ms + flaps.hold_ms(), now_ms + FIRST_CHECK_MS
+        )
+        self._load_table.get_or_create(server.incarnation).link_down = True
+        self._on_change(LinkChange(server, failure))
+
+    def _bring_up(self, link: _DownLink, now_ms: float) -> None:
+        del self._down[link.server.incarnation]
+        self._load_table.get_or_create(link.server.incarnation).link_down = False
+        self._on_change(LinkChange(link.server, None, now_ms - link.since_ms))
+
+    def _presume_down(self, service: str, now_ms: float) -> None:
+        """Presume all links to a service down, and check some of them at once."""
+        hold_ms = max(
+            (
+                self._down[name].unused_until_ms - now_ms
+                for name in self._failed_in_row[service]
+                if name in self._down
+            ),
+            default=0.0,
+        )
+        for server in self._registry.of_service(service):
+            if server.incarnation not in self._down:
+                self._take_down(server, LinkFailure.PRESUMED, now_ms)
+        self._lost[service] = _LostService(now_ms + hold_ms, now_ms)
+        self._on_checks_due()
+
+    def _end_presumption(self, service: str, now_ms: float) -> None:
+        """Use the links to a service again that were only presumed down; check the others now."""
+        del self._lost[service]
+        for link in tuple(self._down.values()):
+            if link.server.service != service:
+                continue
+            has_contact = self.contact_ms(link.server.incarnation) >= now_ms
+            if has_contact or link.failure is LinkFailure.PRESUMED:
+                self._bring_up(link, now_ms)
+            else:
+                link.next_check_ms = now_ms
+        self._on_checks_due()
+
+    def _check_silence(self, wait: _Wait, found: dict[str, BackendServer], now_ms: float) -> None:
+        """Have the link of a request checked that has no answer, if its service is silent."""
+        server = wait.server
+        if now_ms - wait.since_ms < wait.silence_ms or self.is_down(server.incarnation):
+            return
+        if self.service_contact_ms(server.service) >= wait.since_ms:
+            return
+        if (
+            now_ms - self._silence_checked_ms.get(server.service, LONG_AGO_MS)
+            >= SILENCE_CHECK_INTERVAL_MS
+        ):
+            self._silence_checked_ms[server.service] = now_ms
+            found[server.incarnation] = server
+            for other in self._sample(server.service)[: PRESUMED_DOWN_FAILURES - 1]:
+                found[other.incarnation] = other
 
-    def forget(self, incarnation: str) -> None:
-        """Drop the link to an endpoint that is gone."""
-        self._down.pop(incarnation, None)
+    def _sample(self, service: str) -> list[BackendServer]:
+        servers = self._registry.of_service(service)
+        return self._random.sample(servers, min(SERVICE_CHECKS, len(servers)))
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -33,6 +33,7 @@
     "is_registry_document",
     "Identity",
     "InFlightCounts",
+    "LinkStatus",
     "LoadReports",
     "PeerMessage",
     "RateLimitUpdate",
@@ -185,6 +186,18 @@
     rows: tuple[BackoffEntry, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class LinkStatus:
+    """The endpoints that a VM does not reach, and the services of which it reaches none.
+
+    A row has the incarnation, and for how long the VM has not reached it, in ms.
+    """
+
+    vm: str
+    rows: list[tuple[str, float]]
+    services: list[str]
+
+
 @dataclass(frozen=True, slots=True)
 class Relay:
     """An encoded message for every VM of the receiver's data centre, including the receiver."""
@@ -206,6 +219,7 @@
     | RateLimitUpdate
     | DrainNoticeUpdate
     | BackoffUpdate
+    | LinkStatus
 )
 MESSAGE_TYPES: tuple[type, ...] = (
     Heartbeat,
@@ -220,10 +234,11 @@
     RateLimitUpdate,
     DrainNoticeUpdate,
     BackoffUpdate,
+    LinkStatus,
 )
 UNCONVERTED_FIELDS = {
     message_type: tuple(item.name for item in fields(message_type))
-    for message_type in (Heartbeat, Relay, Failures, Refusals)
+    for message_type in (Heartbeat, Relay, Failures, Refusals, LinkStatus)
 }
 """The message types whose fields are encoded in order, without conversion."""
 ROW_TYPES = {
@@ -307,7 +322,10 @@
             return isinstance(message.rows, list) and all(map(_is_failure, message.rows))
         case Refusals():
             names = message.incarnations
-            return isinstance(names, list) and all(isinstance(name, str) for name in names)
+            return _are_names(names)
+        case LinkStatus():
+            has_rows = isinstance(message.rows, list) and all(map(_is_link, message.rows))
+            return has_rows and _are_names(message.services)
     return True
 
 
@@ -315,6 +333,18 @@
     return isinstance(incarnation, str) and type(count) is int and 0 <= count <= COUNT_LIMIT
 
 
+def _are_names(names: object) -> bool:
+    return isinstance(names, list) and all(isinstance(name, str) for name in names)
+
+
+def _is_link(row: object) -> bool:
+    if not isinstance(row, list) or len(row) != 2:
+        return False
+    incarnation, age_ms = row
+    has_age = type(age_ms) in (int, float) and 0 <= age_ms <= AGE_LIMIT_MS
+    return isinstance(incarnation, str) and has_age
+
+
 def _is_failure(row: object) -> bool:
     if not isinstance(row, list) or len(row) != 3:
         return False
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -16,6 +16,7 @@
 from cloverhook.checking import Address, Items, faults_of
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
+from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.backoff_updates import BackoffUpdates
 from cloverhook.gateway.broadcast import Broadcast
 from cloverhook.gateway.config_sender import ConfigSender
@@ -26,6 +27,8 @@
 from cloverhook.gateway.failure_updates import FailureUpdates
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.heartbeat_intervals import HeartbeatIntervals
+from cloverhook.gateway.link_updates import LinkUpdates
+from cloverhook.gateway.links import Links
 from cloverhook.gateway.load_updates import LoadUpdates
 from cloverhook.gateway.members import Member, Members
 from cloverhook.gateway.peer_link import PeerLink, StateReply
@@ -38,6 +41,7 @@
     Identity,
     InFlightCountChanges,
     InFlightCounts,
+    LinkStatus,
     LoadReports,
     PeerMessage,
     RateLimitUpdate,
@@ -51,6 +55,7 @@
 from cloverhook.gateway.rate_limit_updates import RateLimitUpdates
 from cloverhook.gateway.rate_limits import RateLimits
 from cloverhook.gateway.refusal_updates import RefusalUpdates
+from cloverhook.gateway.server_load import LoadReport
 from cloverhook.gateway.state_fetch import StateFetcher, build_state_reply
 from cloverhook.gateway.store import MemberRecord
 from cloverhook.gateway.transfer_queue import Refer, Requester
@@ -85,6 +90,7 @@
     InFlightCountChanges,
     RateLimitUpdate,
     BackoffUpdate,
+    LinkStatus,
 )
 """Messages that are needed only by VMs that dispatch requests, now or soon."""
 CHANGE_RELAY_COUNT = 3
@@ -105,6 +111,7 @@
         on_load_report: Callable[[str], None],
         on_in_flight_counts: Callable[[], None],
         counters: Counters,
+        links: Links,
         fleet: str = "",
         requests_per_s: Callable[[float], float] = lambda now_ms: 0.0,
     ) -> None:
@@ -136,7 +143,10 @@
             members.in_large_data_center,
             gateway_state.needs_remote_capacity,
         )
-        self.failure_updates = FailureUpdates(identity.vm, self.broadcast, gateway_state, log)
+        self.failure_updates = FailureUpdates(
+            identity.vm, self.broadcast, gateway_state, log, links
+        )
+        self.link_updates = LinkUpdates(identity.vm, self.broadcast, gateway_state, links, log)
         self.count_updates = CountUpdates(
             identity.vm, self.broadcast, members, gateway_state, on_in_flight_counts
         )
@@ -147,7 +157,7 @@
         self.rate_limit_updates = RateLimitUpdates(
             identity.vm,
             self.broadcast,
-            RateLimits(identity.vm, members.dispatching_vms),
+            RateLimits(identity.vm, self.senders_to),
             gateway_state,
             log,
             counters,
@@ -183,6 +193,12 @@
         self.leaving = False
         self.reading = False
 
+    def senders_to(self, server: BackendServer, now_ms: float) -> tuple[str, ...]:
+        """Return the VMs that place requests at an endpoint, as far as they reach it."""
+        vms = self._members.dispatching_vms(server.data_center, now_ms)
+        without_link = self.link_updates.peer_links.without_link(server, now_ms)
+        return tuple(vm for vm in vms if vm not in without_link) if without_link else vms
+
     def add_address(self, peer_address: str, data_center: str | None = None) -> None:
         """Add an address at which a peer may run, with its data centre if that is known."""
         if peer_address != self._identity.peer_address:
@@ -371,16 +387,7 @@
                 self._on_heartbeat(message, now_ms, relayed)
             case LoadReports():
                 for incarnation, report, age_ms in message.reports:
-                    load = self._gateway_state.load_table.get_or_create(incarnation)
-                    if not (report.reachable or load.unreachable(now_ms)):
-                        self._log.note(
-                            EventKind.ENDPOINT,
-                            server=incarnation,
-                            reachable=False,
-                            source=message.vm,
-                        )
-                    load.update_from_probe(report, now_ms - age_ms)
-                    self._on_load_report(incarnation)
+                    self._on_peer_load_report(message.vm, incarnation, report, age_ms, now_ms)
             case InFlightCounts():
                 self.count_updates.received(message, now_ms)
             case InFlightCountChanges():
@@ -395,6 +402,8 @@
                 self.rate_limit_updates.received(message, now_ms)
             case BackoffUpdate():
                 self.backoff_updates.received(message, now_ms)
+            case LinkStatus():
+                self.link_updates.received(message, now_ms)
             case DrainNoticeUpdate():
                 self.drain_updates.received(message, now_ms)
             case ServerChanges():
@@ -402,6 +411,16 @@
             case Relay():
                 self._on_relay(message, sender, now_ms)
 
+    def _on_peer_load_report(
+        self, vm: str, incarnation: str, report: LoadReport, age_ms: float, now_ms: float
+    ) -> None:
+        if not report.reachable:
+            self.link_updates.record_report(vm, incarnation, now_ms - age_ms, now_ms)
+            return
+        load = self._gateway_state.load_table.get_or_create(incarnation)
+        load.update_from_probe(report, now_ms - age_ms)
+        self._on_load_report(incarnation)
+
     def _on_relay(self, message: Relay, sender: str, now_ms: float) -> None:
         try:
             inner = decode(message.data)
--- a/cloverhook/gateway/probe_schedule.py
+++ b/cloverhook/gateway/probe_schedule.py
@@ -39,6 +39,8 @@
 """The number of probes that a small VM can send beside its other work.  Where there are more
 endpoints than the probing VMs of a data centre can probe as often as wanted, all endpoints are
 probed less often: a saturated VM answers no request in time."""
+PROBED_MS = 1_000.0
+"""An endpoint without a load report for this long is probed even by a VM that did not reach it."""
 TAKEOVER_INTERVALS = 2.2
 """Two missed probes show that the VM that sends them is gone, however rare they are."""
 SLACK_MS = 5.0
@@ -65,13 +67,19 @@
         startup_until_ms: float = 0.0,
         startup_probe_limit: int = 0,
         evacuated: Callable[[], frozenset[str]] = frozenset,
+        is_link_down: Callable[[str], bool] = lambda incarnation: False,
+        without_link: Callable[[BackendServer, float], set[str]] = lambda server, now_ms: set(),
     ) -> None:
         """Set up the schedule.
 
         `requests_per_s` returns how many requests of a service this VM gets per second at a time.
         Before `startup_until_ms`, at most `startup_probe_limit` backend servers are probed.  The
         endpoints of the `evacuated` data centres get no requests, so they are not probed either.
+        `is_link_down` returns whether this VM does not reach an incarnation, and `without_link`
+        which other VMs don't reach an endpoint: the next VM in the order probes it.
         """
+        self._is_link_down = is_link_down
+        self._without_link = without_link
         self._startup_until_ms = startup_until_ms
         self._startup_probe_limit = startup_probe_limit
         self._own_vm = own_vm
@@ -120,7 +128,14 @@
         self._next_ms.pop(incarnation, None)
 
     def _is_planned(self, server: BackendServer, now_ms: float) -> bool:
-        return now_ms >= self._next_ms.get(server.incarnation, 0.0) - SLACK_MS
+        if now_ms < self._next_ms.get(server.incarnation, 0.0) - SLACK_MS:
+            return False
+        return not (self._is_link_down(server.incarnation) and self._is_probed(server, now_ms))
+
+    def _is_probed(self, server: BackendServer, now_ms: float) -> bool:
+        """Return whether another VM probes an endpoint, as its recent load reports show."""
+        load = self._load_table.get_or_create(server.incarnation)
+        return load.since_last_probe_ms(now_ms) < PROBED_MS
 
     def _to_take_over(self, now_ms: float) -> list[BackendServer]:
         """Return the backend servers that another VM should probe, but that no VM has probed.
@@ -132,7 +147,7 @@
             return []
         found, soonest_ms = [], ORDER_MS
         for server, rank in self._ranked:
-            if rank == 0:
+            if rank == 0 or self._is_link_down(server.incarnation):
                 continue
             since_probe_ms = self._load_table.get_or_create(server.incarnation).since_last_probe_ms(
                 now_ms
@@ -188,8 +203,13 @@
             ranks = self._group_ranks(data_center, -(-len(servers) // GROUP_SIZE), now_ms)
             if ranks[0] is None:
                 continue
+            reduced: dict[frozenset[str], list[int | None]] = {}
             for server in servers:
-                rank = ranks[rendezvous_weight("group", server.incarnation) % len(ranks)]
+                group = rendezvous_weight("group", server.incarnation) % len(ranks)
+                without = frozenset(self._without_link(server, now_ms))
+                if without and without not in reduced:
+                    reduced[without] = self._group_ranks(data_center, len(ranks), now_ms, without)
+                rank = reduced[without][group] if without else ranks[group]
                 if rank is not None:
                     self._ranked.append((server, rank))
 
@@ -221,20 +241,36 @@
 
         return [(server, 0) for server in sorted(servers, key=order)[:count]]
 
-    def _group_ranks(self, data_center: str, groups: int, now_ms: float) -> list[int | None]:
-        """Return this VM's rank in the order of each group, or None where it has none."""
+    def _group_ranks(
+        self,
+        data_center: str,
+        groups: int,
+        now_ms: float,
+        without: frozenset[str] = frozenset(),
+    ) -> list[int | None]:
+        """Return this VM's rank in the order of each group, or None where it has none.
+
+        The VMs in `without` are left out of the order.
+        """
         vms = self._members.data_center_vms(data_center, now_ms)
+        vms = [vm for vm in vms if vm not in without]
         if self._members.in_large_data_center():
-            return self._large_group_ranks(data_center, vms, groups, now_ms)
+            return self._large_group_ranks(data_center, vms, groups, now_ms, without)
         if not vms:
             alive = self._members.alive(now_ms)
-            vms = [item.vm for item in alive if item.ready] + [self._own_vm]
+            vms = [item.vm for item in alive if item.ready and item.vm not in without]
+            vms.append(self._own_vm)
         if self._own_vm not in vms:
             return [None] * groups
         return [self._group_rank(f"{data_center}/{group}", vms) for group in range(groups)]
 
     def _large_group_ranks(
-        self, data_center: str, vms: list[str], groups: int, now_ms: float
+        self,
+        data_center: str,
+        vms: list[str],
+        groups: int,
+        now_ms: float,
+        without: frozenset[str],
     ) -> list[int | None]:
         """Return the same for a large data centre.
 
@@ -243,10 +279,11 @@
         data centres, and by the next one once that has failed as a whole.
         """
         subscribers = self._members.load_subscribers(now_ms)
+        subscribers = [vm for vm in subscribers if vm not in without]
         if vms and self._own_vm not in vms:
             return [None] * groups
         before = 0 if vms else len(subscribers) * self._data_centers_before(data_center, now_ms)
-        serving = self._members.serving_vms(now_ms)
+        serving = [vm for vm in self._members.serving_vms(now_ms) if vm not in without]
         standby = [vm for vm in subscribers if vm not in serving]
         peers = standby if self._own_vm in standby else serving
         before += 0 if peers is standby else len(standby)
--- a/cloverhook/gateway/prober.py
+++ b/cloverhook/gateway/prober.py
@@ -18,10 +18,13 @@
 from cloverhook.gateway.links import LinkFailure, Links
 from cloverhook.gateway.load_probe import UNREACHABLE_REPORT, probe_load
 from cloverhook.gateway.server_load import LoadReport
+from cloverhook.upstream_connection import UpstreamConnection
 
 __all__ = ["Prober"]
 
 TIMEOUT_MS = 350.0
+CHECK_TIMEOUT_MS = 120.0
+"""The time for the answer to a probe that checks a link: many times the network latency."""
 TIMEOUTS_LIMIT = 2
 """A backend server is unreachable after this many consecutive probes without an answer."""
 CONNECTION_LIMIT = 1_000
@@ -36,7 +39,11 @@
         on_load_report: Callable[[BackendServer, LoadReport, float], None],
         on_notice: Callable[[BackendServer, EndpointNotice], None],
         links: Links,
+        reports_load: Callable[[BackendServer], bool] = lambda server: True,
     ) -> None:
+        """`reports_load` returns whether an endpoint is known to answer probes with its load."""
+        self._reports_load = reports_load
+        self._checks: dict[str, asyncio.Task[bool]] = {}
         self._headers = headers
         self._links = links
         self._on_load_report = on_load_report
@@ -55,6 +62,19 @@
                 self._running[server.incarnation] = task
                 task.add_done_callback(lambda _, name=server.incarnation: self._running.pop(name))
 
+    async def check_link(self, server: BackendServer, path: str) -> bool:
+        """Return whether this VM reaches a backend server, by a probe on a new connection.
+
+        The result is recorded in `Links`.  Concurrent calls share one check.
+        """
+        check = self._checks.get(server.incarnation)
+        if check is None:
+            self.probe_count += 1
+            check = asyncio.get_running_loop().create_task(self._check_link(server, path))
+            self._checks[server.incarnation] = check
+            check.add_done_callback(lambda _: self._checks.pop(server.incarnation))
+        return await asyncio.shield(check)
+
     def sweep(self, known: Callable[[str], object]) -> None:
         """Forget backend servers that are gone."""
         self._pool.sweep()
@@ -65,7 +85,7 @@
 
     def close(self) -> None:
         """Stop all probes."""
-        for task in self._running.values():
+        for task in (*self._running.values(), *self._checks.values()):
             task.cancel()
         self._pool.close()
 
@@ -77,21 +97,56 @@
         except TimeoutError:
             timeouts = self._timeouts.get(server.incarnation, 0) + 1
             self._timeouts[server.incarnation] = timeouts
-            report = UNREACHABLE_REPORT if timeouts >= TIMEOUTS_LIMIT else None
-            if report is not None:
+            if timeouts >= TIMEOUTS_LIMIT:
                 self._links.record_failure(server, LinkFailure.PROBE_UNANSWERED, monotonic_ms())
+            return
         except UpstreamError as error:
-            report = None if error.sent else UNREACHABLE_REPORT
             if isinstance(error, ConnectError):
                 self._links.record_failure(server, LinkFailure.of(error), monotonic_ms())
-        else:
-            self._timeouts[server.incarnation] = 0
+            return
+        self._timeouts[server.incarnation] = 0
+        self._record_answer(server, report, started_ms)
+
+    async def _check_link(self, server: BackendServer, path: str) -> bool:
+        started_ms = monotonic_ms()
+        try:
+            connection = await self._pool.open(server)
+        except ConnectError as error:
+            self._links.record_failure(server, LinkFailure.of(error), monotonic_ms())
+            return False
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_MS / 1000):
+                report = await self._request_load_on(connection, server, path)
+        except TimeoutError:
+            # An endpoint that reports no load may answer a probe only when it has a free slot.
+            if self._reports_load(server):
+                self._links.record_failure(server, LinkFailure.PROBE_UNANSWERED, monotonic_ms())
+                return False
             self._links.record_contact(server, monotonic_ms())
+            return True
+        except UpstreamError:
+            return False
+        return self._record_answer(server, report, started_ms)
+
+    def _record_answer(
+        self, server: BackendServer, report: LoadReport | None, started_ms: float
+    ) -> bool:
+        """Record the answer to a probe; return whether this incarnation has given it."""
+        if report is UNREACHABLE_REPORT:
+            self._links.record_failure(server, LinkFailure.OTHER_INCARNATION, monotonic_ms())
+            return False
+        self._links.record_contact(server, monotonic_ms())
         if report is not None:
             self._on_load_report(server, report, started_ms)
+        return True
 
     async def _request_load(self, server: BackendServer, path: str) -> LoadReport | None:
         connection = await self._pool.acquire(server, CONNECTION_LIMIT, True, TIMEOUT_MS)
+        return await self._request_load_on(connection, server, path)
+
+    async def _request_load_on(
+        self, connection: UpstreamConnection, server: BackendServer, path: str
+    ) -> LoadReport | None:
         result = None
         try:
             result = await probe_load(connection, server, path, self._headers)
--- a/cloverhook/gateway/rate_limits.py
+++ b/cloverhook/gateway/rate_limits.py
@@ -6,7 +6,7 @@
 share it, so that no share is less than about one request a second: with few requests at each VM,
 smaller shares would stay unused. While the VMs' member lists differ, one VM more may take part.
 
->>> limits = RateLimits("vm-1", lambda data_center, now_ms: ("vm-1",))
+>>> limits = RateLimits("vm-1", lambda server, now_ms: ("vm-1",))
 >>> server = BackendServer("i-1", "orders", "10.0.0.1:9000", "papine")
 >>> limits.record_limit("i-1", 2.0, 0.0), limits.may_send(server, 0.0)
 (True, True)
@@ -48,8 +48,10 @@
 class RateLimits:
     """The limits in force, and this VM's share of them; times are monotonic."""
 
-    def __init__(self, own_vm: str, senders_for: Callable[[str, float], tuple[str, ...]]) -> None:
-        """`senders_for` returns the VMs that place requests at a data centre's endpoints."""
+    def __init__(
+        self, own_vm: str, senders_for: Callable[[BackendServer, float], tuple[str, ...]]
+    ) -> None:
+        """`senders_for` returns the VMs that place requests at an endpoint."""
         self._own_vm = own_vm
         self._senders_for = senders_for
         self._limits: dict[str, AdvertisedLimit] = {}
@@ -130,7 +132,7 @@
         self, server: BackendServer, limit: AdvertisedLimit, now_ms: float
     ) -> float | None:
         """Return the time between two requests of this VM, or None if it may send none."""
-        vms = self._senders_for(server.data_center, now_ms)
+        vms = self._senders_for(server, now_ms)
         if limit.per_s <= 0.0 or self._own_vm not in vms:
             return None
         senders = min(len(vms), max(MIN_SENDERS, int(limit.per_s)))
--- a/cloverhook/gateway/server_load.py
+++ b/cloverhook/gateway/server_load.py
@@ -67,6 +67,7 @@
         "_refusals",
         "_unreachable_until_ms",
         "circuit_breaker",
+        "link_down",
     )
 
     def __init__(self, on_in_flight: Callable[[int], None] = lambda count: None) -> None:
@@ -90,6 +91,8 @@
         self._failure_average = 0.0
         self._failure_ms = 0.0
         self._unreachable_until_ms = 0.0
+        self.link_down = False
+        """Whether this VM has found that it does not reach the endpoint; `Links` sets this."""
 
     @property
     def in_flight(self) -> int:
@@ -202,8 +205,13 @@
         )
 
     def unreachable(self, now_ms: float) -> bool:
-        """Return whether the endpoint has recently been found unreachable."""
-        return now_ms < self._unreachable_until_ms
+        """Return whether the endpoint is out of reach, or has recently been found to be."""
+        return self.link_down or now_ms < self._unreachable_until_ms
+
+    def doubt_until(self, until_ms: float) -> None:
+        """Leave the endpoint out until then, unless it answers before; 0 ends that."""
+        self._unreachable_until_ms = until_ms
+        self._notify_change()
 
     def record_unreachable(self, now_ms: float) -> None:
         """Record an attempt that could not reach the endpoint."""
--- a/features/gateway_crowd.py
+++ b/features/gateway_crowd.py
@@ -4,6 +4,7 @@
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.event_log import EventLog
 from cloverhook.gateway.gateway_state import GatewayState
+from cloverhook.gateway.links import Links
 from cloverhook.gateway.members import Members
 from cloverhook.gateway.peer_messages import Heartbeat, Identity, Relay, decode
 from cloverhook.gateway.peering import Peering
@@ -50,13 +51,19 @@
     for other in names:
         if other != name:
             members.record_heartbeat(heartbeat(other), monotonic_ms())
-    peering = Peering(
-        own, GatewayState(), members, EventLog(name, len), None, lambda: None, Counters()
-    )
+    peering = _peering(own, members)
     peering.link = peering.broadcast._link = RecordingLink()
     return peering
 
 
+def _peering(own, members):
+    known = GatewayState()
+    links = Links(known.registry, known.load_table)
+    return Peering(
+        own, known, members, EventLog(own.vm, len), None, lambda: None, Counters(), links
+    )
+
+
 def start_large_data_centers(context, count):
     """Create two data centres of `count` VMs each, in which all VMs have each other as members."""
     context.peerings = {}
@@ -72,9 +79,7 @@
         for other, other_data_center in names.items():
             if other != name:
                 members.record_heartbeat(heartbeat(other, other_data_center), 0.0)
-        peering = Peering(
-            own, GatewayState(), members, EventLog(name, len), None, lambda: None, Counters()
-        )
+        peering = _peering(own, members)
         peering.ready = True
         peering.link = peering.broadcast._link = RecordingLink()
         context.peerings[f"{name}:2"] = peering
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -82,9 +82,9 @@
     Then all requests go to the third of them
     And with the own ones full they go to the other data centre
 
-  Scenario: A backend server that a peer can't reach attracts nothing
+  Scenario: A backend server that this VM can't reach attracts nothing, whatever a peer reports
     Given a balancer over 6 backend servers, 3 of them in another data centre
-    When a peer tells that it can't reach two of the own data centre
+    When this VM can't reach two of the own data centre, and a peer reports their load
     Then all requests go to the third of them
 
   Scenario: A stale figure is not believed
--- a/features/gateway_links.feature
+++ b/features/gateway_links.feature
@@ -36,3 +36,54 @@
       | 4        | 4   | 4               | hang  |
     Then from 1 s after the cut to its end 0.97 of the requests are rejected within 150 ms
     And from 1 s after its end all gateways serve 0.97 of their first tries
+
+  Scenario Outline: What a VM has found of its links decides which endpoints it uses
+    Given a VM with links to <all> endpoints of a service
+    When these links change: <events>
+    Then after <at> ms it uses all but <down>, and reaches the service: <reach>
+    And it checks <checks> of the links at that time
+
+    Examples: a single link
+      | all | events                        | at   | down | reach | checks |
+      | 6   | i-0 refused at 0              | 10   | i-0  | yes   | 0      |
+      | 6   | i-0 refused at 0              | 60   | i-0  | yes   | 1      |
+      | 6   | i-0 refused at 0              | 9000 | i-0  | yes   | 1      |
+      | 6   | i-0 refused at 0, works at 60 | 60   | none | yes   | 0      |
+      | 1   | i-0 refused at 0              | 10   | i-0  | no    | 0      |
+
+    Examples: links that fail in a row
+      | all | events                                                      | at  | down | reach | checks |
+      | 6   | i-0 refused at 0, i-1 refused at 9                          | 10  | all  | no    | 3      |
+      | 6   | i-0 refused at 0, i-2 works at 5, i-1 refused at 9          | 10  | i-0 i-1 | yes | 0     |
+      | 6   | i-0 refused at 0, i-1 refused at 9, i-2 works at 12         | 20  | i-0 i-1 | yes | 2     |
+      | 6   | i-0 refused at 0, i-1 refused at 1100                       | 1101 | i-0 i-1 | yes | 1    |
+
+    Examples: links that come and go
+      | all | events                                                                 | at  | down | reach | checks |
+      | 6   | i-0 refused at 0, works at 50, refused at 60, works at 120             | 120 | i-0  | yes   | 1      |
+      | 6   | i-0 refused at 0, works at 50, refused at 60, works at 120, works at 320 | 320 | none | yes | 0     |
+
+  Scenario Outline: A report of another VM has a link checked, and costs nothing if the link works
+    Given a VM with links to 6 endpoints of a service, of which it used i-0 <used> ms ago
+    When another VM reports at 0 ms that it has not reached i-0 since <since> ms
+    Then the link to i-0 is <checked>, and <result> afterwards
+
+    Examples:
+      | used   | since | checked       | result                  |
+      | 20     | 5     | checked       | used if the check works |
+      | 20     | 5     | checked       | down if the check fails |
+      | 20     | 100   | not checked   | used                    |
+      | 60000  | 5     | not checked   | used                    |
+
+  Scenario: A VM that is wrong about one endpoint is not believed about the others for a while
+    Given a VM with links to 6 endpoints of a service, of which it used all 20 ms ago
+    When another VM reports that it reaches none of the 6
+    Then 3 links are checked, and the 6 endpoints get no requests for 150 ms at most
+    When the first check finds a link working
+    Then all 6 endpoints get requests again, and further reports of that VM have none checked for 2 s
+
+  Scenario: Requests without an answer have a link checked if the whole service is silent
+    Given a VM with links to 6 endpoints of a service
+    When a request that is expected to take 40 ms has been at i-0 since 0 ms
+    Then the link to i-0 is checked after 250 ms and not before
+    And not if another endpoint of the service has answered meanwhile
--- a/features/rate_limit_replay.py
+++ b/features/rate_limit_replay.py
@@ -38,7 +38,7 @@
             self._record_limits(limits)
 
     def _limits(self, name):
-        return RateLimits(name, lambda data_center, now_ms: self._cached_list(name))
+        return RateLimits(name, lambda server, now_ms: self._cached_list(name))
 
     def _record_limits(self, limits):
         for server in self.servers:
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -18,6 +18,8 @@
 from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.event_log import EventKind
 from cloverhook.gateway.gateway_state import GatewayState
+from cloverhook.gateway.links import Links
+from cloverhook.gateway.peer_links import PeerLinks
 from cloverhook.gateway.peer_messages import (
     MESSAGE_TYPES,
     BackoffUpdate,
@@ -28,6 +30,7 @@
     Heartbeat,
     InFlightCountChanges,
     InFlightCounts,
+    LinkStatus,
     LoadReports,
     RateLimitUpdate,
     Relay,
@@ -335,6 +338,7 @@
         RateLimitUpdate("vm", (RateLimitEntry("i", 2.5, 20.0),)),
         DrainNoticeUpdate("vm", (DrainNoticeEntry("i", 40.0, 20.0),)),
         BackoffUpdate("vm", (BackoffEntry("i", 3_000.0),)),
+        LinkStatus("vm", [["i", 40.0]], ["orders"]),
     ]
     config = decode_config(json.dumps(DOCUMENT).encode()).to_document()
     config = cbor2.loads(cbor2.dumps(config))
@@ -367,7 +371,7 @@
                     load.circuit_breaker.record_peer_failure(0.0, 0.0 - age_ms, answered)
             case RateLimitUpdate():
                 server = BackendServer("i", "orders", "10.0.0.1:1", "z", 4)
-                limits = RateLimits("vm-own", lambda data_center, now_ms: ("vm-own",))
+                limits = RateLimits("vm-own", lambda server, now_ms: ("vm-own",))
                 for row in message.rows:
                     if row.per_s is not None:
                         limits.record_limit(server.incarnation, row.per_s, 0.0 - row.age_ms)
@@ -382,6 +386,15 @@
             case BackoffUpdate():
                 for row in message.rows:
                     gateway_state.backoffs.record_for_peer(row.incarnation, row.remaining_ms)
+            case LinkStatus():
+                links = Links(gateway_state.registry, gateway_state.load_table)
+                peer_links = PeerLinks(links, gateway_state.load_table)
+                names = [name for name, _ in message.rows]
+                peer_links.record_status(message.vm, names, message.services, 0.0)
+                server = BackendServer("i", "orders", "10.0.0.1:1", "z", 4)
+                for _, age_ms in message.rows:
+                    peer_links.should_check(message.vm, server, 0.0 - age_ms, 0.0)
+                peer_links.without_link(server, 0.0)
             case InFlightCounts():
                 for incarnation, number in message.counts.items():
                     gateway_state.load_table.get_or_create(incarnation).set_peer_in_flight(
--- a/features/steps/gateway_decision_steps.py
+++ b/features/steps/gateway_decision_steps.py
@@ -11,6 +11,7 @@
 from cloverhook.gateway.choice import WorkEstimates
 from cloverhook.gateway.event_log import BUFFER_LIMIT_BYTES, EventKind, EventLog
 from cloverhook.gateway.gateway_state import GatewayState
+from cloverhook.gateway.links import LinkFailure, Links
 from cloverhook.gateway.members import Members
 from cloverhook.gateway.peer_messages import (
     Heartbeat,
@@ -288,12 +289,16 @@
     fill_servers(context, "near-1")
 
 
-@when("a peer tells that it can't reach two of the own data centre")
-def step_peer_unreachable(context):
-    unreachable = LoadReport(0, 0, 1.0, reachable=False)
-    message = LoadReports("vm-2", (("near-0", unreachable, 0.0), ("near-1", unreachable, 0.0)))
+@when("this VM can't reach two of the own data centre, and a peer reports their load")
+def step_unreachable(context):
+    links = Links(context.registry, context.load_table)
+    for name in ("near-0", "near-1"):
+        links.record_failure(context.registry.get(name), LinkFailure.REFUSED, context.now_ms)
+        links.record_contact(context.registry.get("near-2"), context.now_ms)
+    idle = LoadReport(0, 0, 1.0)
+    message = LoadReports("vm-2", (("near-0", idle, 0.0), ("near-1", idle, 0.0)))
     for name, report, age_ms in decode(encode(message)).reports:
-        context.load_table.get_or_create(name).update(report, context.now_ms - age_ms)
+        context.load_table.get_or_create(name).update_from_probe(report, context.now_ms - age_ms)
 
 
 @then("all requests go to the third of them")
--- a/features/steps/gateway_trust_steps.py
+++ b/features/steps/gateway_trust_steps.py
@@ -13,6 +13,7 @@
 from cloverhook.gateway.event_log import EventLog
 from cloverhook.gateway.failure_updates import FailureUpdates
 from cloverhook.gateway.gateway_state import GatewayState
+from cloverhook.gateway.links import Links
 from cloverhook.gateway.peer_messages import Failures
 from features import gateway_fleet as fleet
 from features.shared import run
@@ -179,7 +180,9 @@
 @given("{count:d} endpoints that one VM says have all failed twice")
 def step_accused(context, count):
     start_endpoints(context, count)
-    updates = FailureUpdates("vm-0", None, context.gateway_state, EventLog("vm-0", len))
+    known = context.gateway_state
+    links = Links(known.registry, known.load_table)
+    updates = FailureUpdates("vm-0", None, known, EventLog("vm-0", len), links)
     for number in range(count):
         for now_ms in (10.0, 20.0):
             updates.received(Failures("vm-1", [[f"i-{number}", 5.0, False]]), now_ms)
