Reject requests at once while a gateway reaches no endpoint of their service

Cause: an endpoint out of reach was treated as full, as if a slot might become free. Now a link that has been down for as long as a check takes counts as a reason of its own, `unreachable` (503, not run, retry after 200 to 500 ms), and a link that works again admits waiting requests.

--- a/cloverhook/errors.py
+++ b/cloverhook/errors.py
@@ -55,6 +55,7 @@
     HEADERS_TOO_LARGE = "headers-too-large"
     OVERLOADED = "overloaded"
     NO_BACKEND_SERVER = "no-backend-server"
+    UNREACHABLE = "unreachable"
     EVACUATED = "evacuated"
     DRAINING = "draining"
     BACKING_OFF = "backing-off"
@@ -97,6 +98,7 @@
     ErrorKind.HEADERS_TOO_LARGE: Answer(431, Outcome.NOT_RUN),
     ErrorKind.OVERLOADED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.NO_BACKEND_SERVER: Answer(503, Outcome.NOT_RUN, retry_after=True),
+    ErrorKind.UNREACHABLE: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.EVACUATED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.DRAINING: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.BACKING_OFF: Answer(503, Outcome.NOT_RUN, retry_after=True),
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -157,6 +157,7 @@
             self._peering.rate_limit_updates.limits,
             self._gateway_state.drain_notices,
             self._gateway_state.backoffs,
+            self._links.is_lost,
         )
         balancer = Balancer(
             self._gateway_state.registry,
@@ -521,6 +522,8 @@
             lasted_ms=round(change.lasted_ms),
         )
         self._peering.link_updates.record_change(change)
+        if failure is None:
+            self._forwarder.admission.schedule_admission()
 
     def _check_links(self) -> None:
         """Start the checks of links that are due."""
--- a/cloverhook/gateway/eligibility.py
+++ b/cloverhook/gateway/eligibility.py
@@ -20,6 +20,7 @@
     ErrorKind.RATE_LIMITED,
     ErrorKind.EVACUATED,
     ErrorKind.DRAINING,
+    ErrorKind.UNREACHABLE,
 )
 """Why a service has no endpoint for a request; the first reason that applies to any of its
 endpoints is given to the caller."""
@@ -36,14 +37,17 @@
         rate_limits: RateLimits | None = None,
         drain_notices: DrainNotices | None = None,
         backoffs: Backoffs | None = None,
+        is_link_lost: Callable[[str, float], bool] = lambda incarnation, now_ms: False,
     ) -> None:
         """Nothing is sent to the `evacuated` data centres, or to endpoints that have given notice.
 
         Nor is anything sent to endpoints in the times without requests that they have asked for.
 
         `region_of` returns the region of a data centre, or None if it is unknown.  `rate_limits`
-        bounds the requests to endpoints that advertise a rate limit.
+        bounds the requests to endpoints that advertise a rate limit.  `is_link_lost` returns
+        whether this VM is certain at a time that it does not reach an incarnation.
         """
+        self._is_link_lost = is_link_lost
         self._registry = registry
         self.evacuated = evacuated
         self._region_of = region_of
@@ -132,6 +136,8 @@
                 found.add(ErrorKind.DRAINING)
             elif server.data_center in evacuated:
                 found.add(ErrorKind.EVACUATED)
+            elif self._is_link_lost(server.incarnation, now_ms):
+                found.add(ErrorKind.UNREACHABLE)
             elif self.backoff_left_ms(server, now_ms) > within_ms:
                 found.add(ErrorKind.BACKING_OFF)
             elif limits and server.incarnation in limits:
--- a/cloverhook/gateway/final_answer.py
+++ b/cloverhook/gateway/final_answer.py
@@ -27,7 +27,10 @@
 BACKOFF_RETRY_AFTER_MS = (20.0, 300.0)
 """The same while all endpoints want no requests, counted from when the first of them takes requests
 again: callers that all return at that moment would be too many for it."""
+UNREACHABLE_RETRY_AFTER_MS = (200.0, 500.0)
+"""The same while no endpoint is reached: by then the links have been checked again."""
 RETRY_AFTER_BY_KIND_MS = {
+    ErrorKind.UNREACHABLE: UNREACHABLE_RETRY_AFTER_MS,
     ErrorKind.BACKING_OFF: BACKOFF_RETRY_AFTER_MS,
     ErrorKind.EVACUATED: NO_ENDPOINT_RETRY_AFTER_MS,
     ErrorKind.DRAINING: NO_ENDPOINT_RETRY_AFTER_MS,
--- a/cloverhook/gateway/links.py
+++ b/cloverhook/gateway/links.py
@@ -40,6 +40,8 @@
 """Failures further apart than this don't count as failures in a row."""
 FIRST_CHECK_MS = 50.0
 """A link may fail because of a single lost packet, so it is checked soon."""
+CONFIRM_MS = 150.0
+"""The first check of a link has ended by then."""
 MAX_CHECK_INTERVAL_MS = 1_000.0
 """The interval between the checks of one link doubles up to this time."""
 SERVICE_CHECK_MS = 250.0
@@ -167,6 +169,14 @@
         """Return whether the link to an endpoint has failed and has not worked since."""
         return incarnation in self._down
 
+    def is_lost(self, incarnation: str, now_ms: float) -> bool:
+        """Return whether a link has been down for so long that a check would have shown it works.
+
+        Until then a request waits: the failure may have been a single lost packet.
+        """
+        link = self._down.get(incarnation)
+        return link is not None and now_ms - link.since_ms >= CONFIRM_MS
+
     def is_out_of_reach(self, service: str) -> bool:
         """Return whether this VM reaches none of the endpoints of a service that has some."""
         if not self._down:
