Send requests by way of another gateway while this one reaches no endpoint

Cause: a request had one way only.

Change: a gateway that reaches no endpoint of a service says so; those that do offer to send its requests, and it passes them on over the port between gateways, one hop at most. The proxy decides with its own limits, retries and quarantine, counts the request in its own retry budget, and is told how many endpoints may still run it. What it rejects has not run; a connection that breaks after the request was sent means that it may have. Closing it cancels the work. Without an offer a request is rejected at once. A request whose link is found lost while it waits is hedged the same way.

--- a/cloverhook/explain.py
+++ b/cloverhook/explain.py
@@ -23,6 +23,7 @@
     "server",
     "endpoint",
     "link",
+    "reach",
     QUARANTINE_KIND,
     "rate-limit",
     DRAINING_KIND,
--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -70,10 +70,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
-    """The result of an attempt; `answer` is set for `ANSWERED` only."""
+    """The result of an attempt; `answer` is set for `ANSWERED` only.
+
+    If another gateway, `proxy`, has sent the request, there is no `choice`.
+    """
 
     outcome: Outcome
-    choice: Choice
+    choice: Choice | None
     latency_ms: float
     status: int = 0
     answer: CallerAnswer | None = None
@@ -90,6 +93,7 @@
     that time."""
     advertised_limit_per_s: float | None = None
     """The rate limit that the backend server advertised, in requests a second."""
+    proxy: str = ""
     nominal_ms: float = 0.0
     """How long the work would have taken without slowdown, by the load reports of that time."""
 
@@ -134,6 +138,8 @@
         self._withheld = False
         self.choice = choice
         self.sent = False
+        self.broken = False
+        """Whether the exchange has failed; it may not be known yet if the endpoint has crashed."""
         self.began_ms = monotonic_ms()
         self.progress_at_start_ms = 0.0
         self._request = request
@@ -183,6 +189,7 @@
             if not still_in_use:
                 pool.release(server, connection, head)
         except UpstreamError as error:
+            self.broken = True
             if isinstance(error, ConnectError):
                 self._record_link_failure(pool, LinkFailure.of(error))
             self.sent = self.sent and error.sent
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -35,6 +35,8 @@
 from cloverhook.gateway.peering import Peering
 from cloverhook.gateway.probe_schedule import GROUP_SIZE, STARTUP_DELAY_MS, ProbeSchedule
 from cloverhook.gateway.prober import Prober
+from cloverhook.gateway.proxy_server import ProxyServer
+from cloverhook.gateway.proxying import Proxying
 from cloverhook.gateway.quarantine_persistence import QuarantinePersistence
 from cloverhook.gateway.request_report import RequestReport
 from cloverhook.gateway.retry_budget import RetryBudget
@@ -182,6 +184,14 @@
             self._links.is_down,
             self._peering.link_updates.peer_links.without_link,
         )
+        proxying = Proxying(
+            settings.vm,
+            self._peering.link.fleet_tag,
+            self._gateway_state,
+            self._members,
+            self._peering.link_updates,
+            self._counters,
+        )
         self._forwarder = Forwarder(
             self._gateway_state,
             balancer,
@@ -197,8 +207,12 @@
             self._peering.rate_limit_updates,
             notices,
             self._links,
+            proxying,
             RequestReport(self._gateway_state, self._log, self._counters),
         )
+        self._proxy_server = ProxyServer(self._forwarder.handle_proxied)
+        self._peering.link.serve_proxied = self._proxy_server.serve
+        self._peering.link_updates.may_offer = self._is_ready
         self._caller_ingress = Ingress(self._serve_caller, self._limits)
         self._readiness_ingress = Ingress(self._answer_ready)
         self._directory_ingress = Ingress(self._serve_directory)
@@ -283,6 +297,7 @@
         stop_ms = self._settings.stop_s * 1000
         started_ms = monotonic_ms()
         self._caller_ingress.start_draining()
+        self._proxy_server.accepting = False
         self._peering.leaving = True
         self._peering.ready = False
         self._peering.send_heartbeat()
@@ -292,11 +307,15 @@
         self._caller_ingress.close_listener()
         self._caller_ingress.close_idle()
         end_ms = started_ms + stop_ms - SHUTDOWN_RESERVE_MS
-        while self._caller_ingress.in_flight() and monotonic_ms() < end_ms:
+        while self._in_flight() and monotonic_ms() < end_ms:
             await asyncio.sleep(TICK_MS / 1000)
             self._caller_ingress.close_idle()
         self._stopped.set()
 
+    def _in_flight(self) -> int:
+        """Return how many requests are in progress, of callers and of other gateways."""
+        return self._caller_ingress.in_flight() + self._proxy_server.in_flight
+
     def _add_seeds(self) -> None:
         """Add the hosts of the seeds as peers; the peer port is the same on all VMs."""
         own_address = self._settings.peer_address
@@ -348,6 +367,8 @@
         counters.set("backoffs", self._gateway_state.backoffs.own_count)
         counters.set("drain_notices", len(self._gateway_state.drain_notices))
         counters.set("links_down", len(self._links))
+        counters.set("services_out_of_reach", self._peering.link_updates.lost_services())
+        counters.set("proxying", self._proxy_server.in_flight)
         counters.set("waiting", len(self._forwarder.admission))
         counters.set("probes", self._prober.probe_count)
         counters.set("connects", self._pool.connects)
@@ -524,6 +545,8 @@
         self._peering.link_updates.record_change(change)
         if failure is None:
             self._forwarder.admission.schedule_admission()
+        else:
+            self._forwarder.link_lost(server.incarnation)
 
     def _check_links(self) -> None:
         """Start the checks of links that are due."""
--- a/cloverhook/gateway/event_log.py
+++ b/cloverhook/gateway/event_log.py
@@ -50,6 +50,7 @@
     CUT_OFF = "cut-off", 5
     ENDPOINT = "endpoint", 30
     LINK = "link", 30
+    REACH = "reach", 20
     QUARANTINE = "quarantine", 30
     RATE_LIMIT = "rate-limit", 20
     DRAINING = "draining", 30
--- a/cloverhook/gateway/final_answer.py
+++ b/cloverhook/gateway/final_answer.py
@@ -58,7 +58,7 @@
         return ErrorKind.REFUSED
     if unavailable is not None and (unavailable not in PASSING_REASONS or not state.attempts):
         return unavailable
-    if state.attempts or not known:
+    if state.attempts or state.proxied or not known:
         return ErrorKind.NO_BACKEND_SERVER
     return ErrorKind.OVERLOADED
 
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -23,11 +23,14 @@
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.links import Links
 from cloverhook.gateway.notice_recorder import NoticeRecorder
+from cloverhook.gateway.proxied_request import ProxiedRequest
+from cloverhook.gateway.proxy_server import ServedRequest
+from cloverhook.gateway.proxying import Proxying
 from cloverhook.gateway.quarantine_updates import QuarantineUpdates
 from cloverhook.gateway.rate_limit_updates import RateLimitUpdates
 from cloverhook.gateway.request_queue import QueuedRequest, RequestQueue
 from cloverhook.gateway.request_report import RequestReport
-from cloverhook.gateway.request_state import RequestState
+from cloverhook.gateway.request_state import ProxiedAttempt, RequestState
 from cloverhook.gateway.retry_budget import RetryBudget
 from cloverhook.gateway.server_load import SLOW_FACTOR
 from cloverhook.gateway.weighted_round_robin import WeightedRoundRobin
@@ -78,6 +81,7 @@
         rate_limit_updates: RateLimitUpdates,
         notices: NoticeRecorder,
         links: Links,
+        proxying: Proxying,
         report: RequestReport,
     ) -> None:
         self._gateway_state = gateway_state
@@ -93,6 +97,7 @@
         self._rate_limit_updates = rate_limit_updates
         self._notices = notices
         self._links = links
+        self._proxying = proxying
         self._report = report
         self._estimates = estimates
         self.admission = Admission(
@@ -112,9 +117,13 @@
         if self._gateway_state.load_table.get_or_create(incarnation).slowdown(now_ms) < SLOW_FACTOR:
             return
         for state in states:
-            is_recent = now_ms - state.attempts[-1].began_ms < LOAD_REPORT_LAG_MS
-            if is_recent and state.recheck is not None and not state.recheck.done():
-                state.recheck.set_result(None)
+            if now_ms - state.attempts[-1].began_ms < LOAD_REPORT_LAG_MS:
+                state.request_recheck()
+
+    def link_lost(self, incarnation: str) -> None:
+        """Recheck for hedging the requests sent to a backend server that is not reached now."""
+        for state in self._running.get(incarnation, ()):
+            state.request_recheck()
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Return the response to a request; an exception is logged and gives an internal error."""
@@ -139,6 +148,56 @@
         service = self._round_robin.next_service(route)
         state = RequestState.of(request, request_id, route, service, self._headers)
         self._retry_budget.count_request(service, request.arrived_ms)
+        return await self._run(state)
+
+    async def handle_proxied(self, proxied: ProxiedRequest) -> ServedRequest:
+        """Serve a request that another gateway has passed on, and return its response.
+
+        It is rejected if this gateway has an older configuration than the other one, or reaches no
+        endpoint of the service either.
+        """
+        request_id = find(proxied.headers, self._headers.request_id) or b""
+        try:
+            return await self._forward_proxied(proxied, request_id)
+        except Exception:
+            self._report.record_internal_error(request_id)
+            return ServedRequest(error_answer(ErrorKind.INTERNAL), 1, ErrorKind.INTERNAL.value)
+
+    async def _forward_proxied(self, proxied: ProxiedRequest, request_id: bytes) -> ServedRequest:
+        now_ms = monotonic_ms()
+        config = self._gateway_state.config
+        if config is None or config.version < proxied.config_version:
+            return ServedRequest.rejected(ErrorKind.NO_BACKEND_SERVER)
+        path = proxied.target.partition(b"?")[0].decode("latin-1")
+        route = config.find(proxied.host, path)
+        if route is None:
+            return ServedRequest.rejected(ErrorKind.UNKNOWN_HOST)
+        service = proxied.service
+        if service not in (part.service for part in route.parts):
+            service = self._round_robin.next_service(route)
+        if self._links.is_out_of_reach(service):
+            return ServedRequest.rejected(ErrorKind.UNREACHABLE)
+        request = CallerRequest(
+            proxied.method,
+            proxied.target,
+            path,
+            proxied.host,
+            proxied.headers,
+            proxied.body,
+            proxied.has_body,
+            now_ms - proxied.elapsed_ms,
+            proxied.caller,
+        )
+        state = RequestState.of(request, request_id, route, service, self._headers)
+        state.proxied_for, state.attempts_granted = proxied.vm, proxied.attempts
+        self._retry_budget.count_request(service, now_ms)
+        answer = await self._run(state)
+        by_endpoint = any(item.answer is answer for item in state.results)
+        cause = "" if by_endpoint else answer.body.decode()
+        return ServedRequest(answer, state.possible_executions, cause)
+
+    async def _run(self, state: RequestState) -> CallerAnswer:
+        """Forward a request, and end and report it whatever happens."""
         try:
             answer = await self._forward(state)
         except asyncio.CancelledError:
@@ -147,25 +206,23 @@
         finally:
             for task, attempt in state.tasks.items():
                 task.cancel()
-                self._record_if_unanswered(state, attempt)
+                if isinstance(attempt, Attempt):
+                    self._record_if_unanswered(state, attempt)
             for attempt in state.attempts:
                 self._remove_running(state, attempt)
         self._report.record_end(state, answer)
         return answer
 
     async def _forward(self, state: RequestState) -> CallerAnswer:
-        choice = (
-            await self._wait_for_capacity(state) if await self._passes_quarantine(state) else None
-        )
-        if choice is None:
+        if not await self._start_first(state):
             return self._final_response(state)
-        self._start_attempt(state, choice)
         while state.tasks:
             done = await self._wait(state)
             for task in done:
                 attempt = state.tasks.pop(task)
                 state.results.append(task.result())
-                self._record_result(state, task.result(), attempt)
+                if isinstance(attempt, Attempt):
+                    self._record_result(state, task.result(), attempt)
             successful = next((item for item in state.results if not item.failed), None)
             if successful is not None:
                 self._quarantine_updates.record_success(state.keys)
@@ -174,13 +231,64 @@
             if monotonic_ms() >= state.deadline_ms:
                 break
             if done:
-                start_another = self._may_retry(state) and await self._passes_quarantine(state)
-            else:
-                start_another = self._should_hedge(state)
-            if start_another:
-                self._try_start_attempt(state)
+                await self._retry(state)
+            elif self._should_hedge(state) and not self._try_start_attempt(state):
+                await self._try_proxy(state)
         return self._final_response(state)
 
+    async def _start_first(self, state: RequestState) -> bool:
+        """Start the first attempt of a request; return False if it is rejected."""
+        if await self._try_proxy(state):
+            return True
+        if not await self._passes_quarantine(state):
+            return False
+        choice = await self._wait_for_capacity(state)
+        if choice is None:
+            return await self._try_proxy(state)
+        self._start_attempt(state, choice)
+        return True
+
+    async def _retry(self, state: RequestState) -> None:
+        """Start another attempt after a failed one, if that is allowed and may succeed."""
+        may_retry = self._may_retry(state) and not self._links.is_out_of_reach(state.service)
+        if may_retry and await self._passes_quarantine(state) and self._try_start_attempt(state):
+            return
+        if not state.tasks:
+            await self._try_proxy(state)
+
+    async def _try_proxy(self, state: RequestState) -> bool:
+        """Send a request by way of another gateway if this one reaches no endpoint for it.
+
+        Returns whether it was sent.  If no other gateway offers that, links that have come back
+        only a short time ago are used.
+        """
+        if not self._links.is_out_of_reach(state.service) or not self._proxying.may_start(state):
+            return False
+        vm = await self._proxying.choose(state)
+        now_ms = monotonic_ms()
+        if vm is None:
+            if not state.proxied:
+                self._links.use_held_links(state.service, now_ms)
+            return False
+        if state.deadline_ms - now_ms < ATTEMPT_TIME_MIN_MS or not self._take_retry(state, now_ms):
+            return False
+        if not state.proxied:
+            self._retry_budget.uncount_request(state.service, now_ms)
+        executions = max(1, state.attempts_allowed - state.possible_executions)
+        proxied = ProxiedAttempt(vm, executions)
+        task = asyncio.get_running_loop().create_task(self._proxying.run(state, proxied))
+        state.tasks[task] = proxied
+        state.proxied.append(proxied)
+        return True
+
+    def _take_retry(self, state: RequestState, now_ms: float) -> bool:
+        """Charge another attempt to the retry budget if an earlier one may have arrived."""
+        if not (any(item.arrived for item in state.results) or state.tasks):
+            return True
+        allowed = self._retry_budget.try_take(state.service, now_ms, self._vms())
+        self._report.record_retry(state.service, allowed)
+        return allowed
+
     async def _passes_quarantine(self, state: RequestState) -> bool:
         """Return whether the quarantine allows a request to be sent.
 
@@ -321,12 +429,8 @@
             return False
         if choice.expected_ms > state.deadline_ms - now_ms:
             return False  # It would occupy a slot for long and still answer after the deadline.
-        arrived = any(item.arrived for item in state.results) or state.tasks
-        if arrived and not self._retry_budget.try_take(state.service, now_ms, self._vms()):
-            self._report.record_retry(state.service, allowed=False)
+        if not self._take_retry(state, now_ms):
             return False
-        if arrived:
-            self._report.record_retry(state.service, allowed=True)
         self._count_placed(choice)
         self._start_attempt(state, choice)
         return True
@@ -392,7 +496,7 @@
             return False
         if state.possible_executions == 0:
             return True
-        return state.route.idempotent and state.possible_executions < state.route.attempts
+        return state.route.idempotent and state.possible_executions < state.attempts_allowed
 
     def _wait_ms(self, state: RequestState) -> float:
         """Return how long to wait before the request is checked again."""
@@ -409,7 +513,7 @@
             state.route.idempotent
             and len(state.tasks) == 1
             and len(state.attempts) < ATTEMPTS_LIMIT
-            and state.possible_executions < state.route.attempts
+            and state.possible_executions < state.attempts_allowed
             and not any(self._quarantine_updates.quarantine.crash_counts(state.keys))
         )
 
@@ -422,7 +526,12 @@
         if elapsed_ms >= HEDGE_SHARE * state.route.aim_ms:
             return True
         attempt = next(iter(state.tasks.values()))
-        load = self._gateway_state.load_table.get_or_create(attempt.choice.server.incarnation)
+        if not isinstance(attempt, Attempt):
+            return False
+        incarnation = attempt.choice.server.incarnation
+        if self._links.is_down(incarnation):
+            return not attempt.broken
+        load = self._gateway_state.load_table.get_or_create(incarnation)
         return load.slowdown(now_ms) >= SLOW_FACTOR
 
     def _final_response(self, state: RequestState) -> CallerAnswer:
@@ -430,6 +539,8 @@
         answered = [item for item in state.results if item.answer is not None]
         if answered:
             return answered[-1].answer
+        if state.rejection is not None and not state.possible_executions:
+            return state.rejection
         late = monotonic_ms() >= state.deadline_ms
         known = bool(self._gateway_state.registry.of_service(state.service))
         eligibility, regions = self._balancer.eligibility, state.route.regions
@@ -443,7 +554,7 @@
 
     def _record_latency(self, state: RequestState, result: AttemptResult) -> None:
         choice = result.choice
-        if choice.load < choice.server.slots:
+        if choice is not None and choice.load < choice.server.slots:
             route = state.route
             self._estimates.record_latency(route.name, route.aim_ms, result.latency_ms, choice)
 
--- a/cloverhook/gateway/link_updates.py
+++ b/cloverhook/gateway/link_updates.py
@@ -2,11 +2,13 @@
 
 Layer: transport.  A VM that has lost links says so at once and twice a second, and once more when
 all of them work again.  Other VMs then check their own links, probe the endpoints in its place, and
-use the shares of limits that it can't use.
+use the shares of limits that it can't use.  If the VM reaches no endpoint of a service, those that
+do offer to send its requests; a VM of an earlier version, which can't do that, offers nothing.
 """
 
 import asyncio
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Collection
 from itertools import islice
 
 from cloverhook.clock import monotonic_ms
@@ -15,8 +17,10 @@
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.links import LinkChange, LinkFailure, Links
+from cloverhook.gateway.members import Members
 from cloverhook.gateway.peer_links import PeerLinks
-from cloverhook.gateway.peer_messages import LinkStatus, encode
+from cloverhook.gateway.peer_messages import LinkOffer, LinkStatus, encode
+from cloverhook.gateway.proxy_offers import ProxyOffers
 
 __all__ = ["LinkUpdates"]
 
@@ -27,6 +31,13 @@
 """How many endpoints, and how many services, a datagram names at most, so that it fits into one
 packet.  If more links are down, most belong to services that are out of reach as a whole."""
 RELAY_COUNT = 2
+OFFER_WAIT_MS = 100.0
+"""The first offers have arrived this long after the links were lost, also from other data
+centres."""
+OFFERS_WANTED = 24
+"""How many VMs are to answer a VM that has lost its links: in a large fleet only a part of those
+that could."""
+CONTACT_AGE_LIMIT_MS = 3_600_000.0
 
 
 class LinkUpdates:
@@ -36,15 +47,20 @@
         self,
         own_vm: str,
         broadcast: Broadcast,
+        members: Members,
         gateway_state: GatewayState,
         links: Links,
         log: EventLog,
     ) -> None:
+        self.may_offer: Callable[[], bool] = lambda: False
+        """Returns whether this VM may send requests for others."""
         self.start_check: Callable[[BackendServer], None] = lambda server: None
         """Called with each endpoint to which the link of this VM should be checked now."""
         self.peer_links = PeerLinks(links, gateway_state.load_table)
+        self.offers = ProxyOffers(random.Random())
         self._own_vm = own_vm
         self._broadcast = broadcast
+        self._members = members
         self._gateway_state = gateway_state
         self._links = links
         self._log = log
@@ -52,6 +68,31 @@
         self._sent_ms = 0.0
         self._last_sent_empty = True
         self._flush_timer: asyncio.TimerHandle | None = None
+        self._lost_ms: dict[str, float] = {}
+        self._waiting: set[asyncio.Future[None]] = set()
+
+    def lost_services(self) -> int:
+        """Return the number of services of which this VM reaches no endpoint."""
+        return len(self._lost_ms)
+
+    async def wait_for_proxy(self, service: str, tried: Collection[str]) -> str | None:
+        """Return a VM that sends requests for this one, or None if there is none.
+
+        Waits for the first offers after the links to the service were lost, unless one of these
+        works again meanwhile.
+        """
+        while True:
+            now_ms = monotonic_ms()
+            vm = self.offers.choose(service, tried, now_ms)
+            left_ms = self._lost_ms.get(service, now_ms - OFFER_WAIT_MS) + OFFER_WAIT_MS - now_ms
+            if vm is not None or left_ms <= 0 or not self._links.is_out_of_reach(service):
+                return vm
+            future = asyncio.get_running_loop().create_future()
+            self._waiting.add(future)
+            try:
+                await asyncio.wait((future,), timeout=left_ms / 1000)
+            finally:
+                self._waiting.discard(future)
 
     def record_change(self, change: LinkChange) -> None:
         """Send soon that an own link has failed, or works again."""
@@ -60,9 +101,27 @@
             self._since_ms.pop(incarnation, None)
         elif change.failure is not LinkFailure.PRESUMED:
             self._since_ms[incarnation] = monotonic_ms()
+        self._update_lost(change.server.service, monotonic_ms())
         if self._flush_timer is None:
             self._flush_timer = asyncio.get_running_loop().call_later(FLUSH_MS / 1000, self._flush)
 
+    def _update_lost(self, service: str, now_ms: float) -> None:
+        """Record and log that a service is out of reach as a whole, or no longer is."""
+        lost = self._links.is_out_of_reach(service)
+        if lost == (service in self._lost_ms):
+            return
+        since_ms = self._lost_ms.setdefault(service, now_ms)
+        if not lost:
+            del self._lost_ms[service]
+            self._wake_waiting()
+        lasted_ms = round(now_ms - since_ms)
+        self._log.note(EventKind.REACH, service=service, lost=lost, lasted_ms=lasted_ms)
+
+    def _wake_waiting(self) -> None:
+        for future in self._waiting:
+            if not future.done():
+                future.set_result(None)
+
     def repeat_if_due(self, now_ms: float) -> None:
         """Send the status again if links are down, or to say that none is any more."""
         if now_ms - self._sent_ms >= REPEAT_MS and (len(self._links) or not self._last_sent_empty):
@@ -73,8 +132,31 @@
         rows = message.rows[:ROWS_LIMIT]
         services = message.services[:ROWS_LIMIT]
         self.peer_links.record_status(message.vm, (name for name, _ in rows), services, now_ms)
+        for service in services:
+            self.offers.withdraw(message.vm, service)
         for incarnation, age_ms in rows:
             self.record_report(message.vm, incarnation, now_ms - age_ms, now_ms)
+        if services and self.may_offer():
+            self._send_offer(message.vm, services, now_ms)
+
+    def received_offer(self, message: LinkOffer, now_ms: float) -> None:
+        """Apply the offer of another VM to send requests for this one."""
+        self.offers.record(message.vm, dict(message.rows[:ROWS_LIMIT]), now_ms)
+        self._wake_waiting()
+
+    def _send_offer(self, vm: str, services: list[str], now_ms: float) -> None:
+        """Offer a VM to send its requests for those of the services that this VM reaches."""
+        member = self._members.get(vm)
+        if member is None or random.random() * len(self._members) > OFFERS_WANTED:
+            return
+        rows = [
+            [name, round(min(now_ms - self._links.service_contact_ms(name), CONTACT_AGE_LIMIT_MS))]
+            for name in services
+            if self._gateway_state.registry.of_service(name)
+            and not self._links.is_out_of_reach(name)
+        ]
+        if rows:
+            self._broadcast.send_to([member], encode(LinkOffer(self._own_vm, rows)))
 
     def record_report(self, vm: str, incarnation: str, at_ms: float, now_ms: float) -> None:
         """Check the own link to an endpoint that another VM did not reach at `at_ms`."""
@@ -90,6 +172,9 @@
         """Drop what is out of date; to be called periodically."""
         known = self._gateway_state.registry.get
         self.peer_links.expire(now_ms, known)
+        self.offers.expire(now_ms)
+        for service in tuple(self._lost_ms):
+            self._update_lost(service, now_ms)
         for incarnation in tuple(self._since_ms):
             if not known(incarnation):
                 del self._since_ms[incarnation]
--- a/cloverhook/gateway/peer_link.py
+++ b/cloverhook/gateway/peer_link.py
@@ -19,24 +19,24 @@
 import xxhash
 
 from cloverhook.checking import Address, AnyTable, Integer, Table, Text, faults_of
-from cloverhook.errors import MessageError
+from cloverhook.errors import MessageError, UpstreamError
 from cloverhook.gateway.datagram_port import DatagramPort, SocketAddress
+from cloverhook.gateway.frames import read_frame, write_frame
 from cloverhook.gateway.peer_messages import PeerMessage, decode
+from cloverhook.gateway.proxied_request import PROXIED_KEY
 
 __all__ = ["StateReply", "PeerLink"]
 
-LENGTH = struct.Struct(">I")
 FLEET_TAG = struct.Struct(">I")
-STATE_LIMIT_BYTES = 16 * 1024 * 1024
 FETCH_TIMEOUT_S = 1.0
 """A transfer is abandoned if the peer sends nothing for this long, or can't be connected to."""
-CHUNK_BYTES = 16 * 1024
 ACKNOWLEDGE_TIMEOUT_S = 0.7
 SLOW_LINK_BYTES_PER_S = 250_000
 ACKNOWLEDGEMENT = b"\x06"
 """Sent by the requesting peer once it has received the whole state."""
 
 StateRequest = dict[str, Any]
+ProxiedHandler = Callable[[Any, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 STATE_REQUEST = Table(
     {
         "config": Integer(-1),
@@ -88,6 +88,13 @@
         self._on_invalid_message = on_invalid_message
         self._port = DatagramPort(self._on_datagram, receive_batch_ms)
         self._server: asyncio.Server | None = None
+        self.serve_proxied: ProxiedHandler | None = None
+        """Serves the request of another gateway, given its values and the connection."""
+
+    @property
+    def fleet_tag(self) -> bytes:
+        """What each datagram, state request and proxied request of the fleet begins with."""
+        return self._fleet_tag
 
     async def open(self, address: str) -> None:
         """Open both sockets at an address of the form `host:port`."""
@@ -112,8 +119,8 @@
             async with asyncio.timeout(FETCH_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(host, port)
             try:
-                _write_frame(writer, self._fleet_tag + cbor2.dumps(request))
-                data = await _read_frame(reader)
+                write_frame(writer, self._fleet_tag + cbor2.dumps(request))
+                data = await read_frame(reader, FETCH_TIMEOUT_S)
                 writer.write(ACKNOWLEDGEMENT)
                 state = cbor2.loads(zlib.decompress(data))
             finally:
@@ -151,12 +158,16 @@
         reply: StateReply | None = None
         received = False
         try:
-            request = cbor2.loads(self._without_fleet_tag(await _read_frame(reader)))
+            frame = await read_frame(reader, FETCH_TIMEOUT_S)
+            request = cbor2.loads(self._without_fleet_tag(frame))
+            if isinstance(request, dict) and PROXIED_KEY in request and self.serve_proxied:
+                await self.serve_proxied(request[PROXIED_KEY], reader, writer)
+                return
             if faults_of(STATE_REQUEST, "", request):
                 raise MessageError("invalid state request")
             reply = await self._answer(request)
             data = zlib.compress(cbor2.dumps(reply.state))
-            _write_frame(writer, data)
+            write_frame(writer, data)
             if reply.on_transfer_end is not None:
                 received = await self._is_acknowledged(reader, len(data))
         except (
@@ -165,6 +176,7 @@
             asyncio.IncompleteReadError,
             RecursionError,
             MessageError,
+            UpstreamError,
             cbor2.CBORError,
         ) as error:
             self._on_invalid_message("a peer that requested the state", MessageError(repr(error)))
@@ -188,28 +200,3 @@
 def _split(address: str) -> SocketAddress:
     host, _, port = address.rpartition(":")
     return host, int(port)
-
-
-def _write_frame(writer: asyncio.StreamWriter, data: bytes) -> None:
-    writer.write(LENGTH.pack(len(data)) + data)
-
-
-async def _read_frame(reader: asyncio.StreamReader) -> bytes:
-    """Return the data of a frame that a peer has written.
-
-    Raises `TimeoutError` if the peer sends nothing for `FETCH_TIMEOUT_S`, and `MessageError` if the
-    frame is too large.
-    """
-    (remaining_bytes,) = LENGTH.unpack(await _read(reader, LENGTH.size))
-    if remaining_bytes > STATE_LIMIT_BYTES:
-        raise MessageError(f"frame too large: {remaining_bytes} bytes")
-    chunks = []
-    while remaining_bytes:
-        chunks.append(await _read(reader, min(remaining_bytes, CHUNK_BYTES)))
-        remaining_bytes -= len(chunks[-1])
-    return b"".join(chunks)
-
-
-async def _read(reader: asyncio.StreamReader, size_bytes: int) -> bytes:
-    async with asyncio.timeout(FETCH_TIMEOUT_S):
-        return await reader.readexactly(size_bytes)
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -33,6 +33,7 @@
     "is_registry_document",
     "Identity",
     "InFlightCounts",
+    "LinkOffer",
     "LinkStatus",
     "LoadReports",
     "PeerMessage",
@@ -198,6 +199,17 @@
     services: list[str]
 
 
+@dataclass(frozen=True, slots=True)
+class LinkOffer:
+    """The services for which a VM sends requests on for a VM that reaches none of their endpoints.
+
+    A row has the service, and the time in ms since the VM had an answer of one of its endpoints.
+    """
+
+    vm: str
+    rows: list[tuple[str, float]]
+
+
 @dataclass(frozen=True, slots=True)
 class Relay:
     """An encoded message for every VM of the receiver's data centre, including the receiver."""
@@ -220,6 +232,7 @@
     | DrainNoticeUpdate
     | BackoffUpdate
     | LinkStatus
+    | LinkOffer
 )
 MESSAGE_TYPES: tuple[type, ...] = (
     Heartbeat,
@@ -235,10 +248,11 @@
     DrainNoticeUpdate,
     BackoffUpdate,
     LinkStatus,
+    LinkOffer,
 )
 UNCONVERTED_FIELDS = {
     message_type: tuple(item.name for item in fields(message_type))
-    for message_type in (Heartbeat, Relay, Failures, Refusals, LinkStatus)
+    for message_type in (Heartbeat, Relay, Failures, Refusals, LinkStatus, LinkOffer)
 }
 """The message types whose fields are encoded in order, without conversion."""
 ROW_TYPES = {
@@ -324,8 +338,9 @@
             names = message.incarnations
             return _are_names(names)
         case LinkStatus():
-            has_rows = isinstance(message.rows, list) and all(map(_is_link, message.rows))
-            return has_rows and _are_names(message.services)
+            return _are_rows(message.rows) and _are_names(message.services)
+        case LinkOffer():
+            return _are_rows(message.rows)
     return True
 
 
@@ -337,12 +352,16 @@
     return isinstance(names, list) and all(isinstance(name, str) for name in names)
 
 
-def _is_link(row: object) -> bool:
+def _are_rows(rows: object) -> bool:
+    return isinstance(rows, list) and all(map(_is_row_with_age, rows))
+
+
+def _is_row_with_age(row: object) -> bool:
     if not isinstance(row, list) or len(row) != 2:
         return False
-    incarnation, age_ms = row
+    name, age_ms = row
     has_age = type(age_ms) in (int, float) and 0 <= age_ms <= AGE_LIMIT_MS
-    return isinstance(incarnation, str) and has_age
+    return isinstance(name, str) and has_age
 
 
 def _is_failure(row: object) -> bool:
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -41,6 +41,7 @@
     Identity,
     InFlightCountChanges,
     InFlightCounts,
+    LinkOffer,
     LinkStatus,
     LoadReports,
     PeerMessage,
@@ -146,7 +147,9 @@
         self.failure_updates = FailureUpdates(
             identity.vm, self.broadcast, gateway_state, log, links
         )
-        self.link_updates = LinkUpdates(identity.vm, self.broadcast, gateway_state, links, log)
+        self.link_updates = LinkUpdates(
+            identity.vm, self.broadcast, members, gateway_state, links, log
+        )
         self.count_updates = CountUpdates(
             identity.vm, self.broadcast, members, gateway_state, on_in_flight_counts
         )
@@ -404,6 +407,8 @@
                 self.backoff_updates.received(message, now_ms)
             case LinkStatus():
                 self.link_updates.received(message, now_ms)
+            case LinkOffer():
+                self.link_updates.received_offer(message, now_ms)
             case DrainNoticeUpdate():
                 self.drain_updates.received(message, now_ms)
             case ServerChanges():
--- a/cloverhook/gateway/request_report.py
+++ b/cloverhook/gateway/request_report.py
@@ -14,7 +14,7 @@
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.gateway_state import GatewayState
-from cloverhook.gateway.request_state import RequestState
+from cloverhook.gateway.request_state import ProxiedAttempt, RequestState
 
 __all__ = ["RequestReport"]
 
@@ -73,7 +73,10 @@
         self._counters.observe("latency", latency_ms, route=state.route.name)
         request_id = _text(state.request_id)
         had_trouble = (
-            not answered_by_server or answer.status >= FAILURE_STATUS_MIN or len(state.attempts) > 1
+            not answered_by_server
+            or answer.status >= FAILURE_STATUS_MIN
+            or len(state.attempts) > 1
+            or bool(state.proxied or state.proxied_for)
         )
         if not had_trouble and not self._log.is_sampled(request_id):
             return
@@ -83,6 +86,8 @@
                 self._counters.add("crashes", service=state.service)
         for attempt in state.attempts:
             self._log_attempt(state, attempt, request_id)
+        for proxied in state.proxied:
+            self._log_proxied(state, proxied, request_id)
         self._log.note(
             EventKind.ANSWER if had_trouble else EventKind.SAMPLE,
             id=request_id,
@@ -93,12 +98,28 @@
             cause=cause,
             latency_ms=round(latency_ms, 1),
             time_limit_ms=round(state.deadline_ms - state.request.arrived_ms),
-            attempts=len(state.attempts),
+            attempts=len(state.attempts) + len(state.proxied),
+            proxied_for=state.proxied_for,
             config=config.version if config is not None else -1,
             config_age_ms=round(now_ms - self._gateway_state.config_at_ms),
             registry=self._gateway_state.registry.version,
         )
 
+    def _log_proxied(self, state: RequestState, proxied: ProxiedAttempt, request_id: str) -> None:
+        result = next((item for item in state.results if item.proxy == proxied.vm), None)
+        self._log.note(
+            EventKind.ATTEMPT,
+            id=request_id,
+            **_content_fields(state),
+            proxy=proxied.vm,
+            executions=proxied.executions,
+            outcome="given-up" if result is None else result.outcome.value,
+            status=0 if result is None else result.status,
+            latency_ms=-1 if result is None else round(result.latency_ms, 1),
+            crashed=False,
+            detail="" if result is None else result.detail,
+        )
+
     def _log_attempt(self, state: RequestState, attempt: Attempt, request_id: str) -> None:
         choice: Choice = attempt.choice
         result = next((item for item in state.results if item.choice is choice), None)
--- a/cloverhook/gateway/request_state.py
+++ b/cloverhook/gateway/request_state.py
@@ -8,11 +8,24 @@
 
 from cloverhook.gateway.attempt import Attempt, AttemptResult
 from cloverhook.gateway.call_headers import CallHeaders, find
-from cloverhook.gateway.calls import CallerRequest
+from cloverhook.gateway.calls import CallerAnswer, CallerRequest
 from cloverhook.gateway.request_key import RequestKeys
 from cloverhook.gateway.routes import Route
 
-__all__ = ["RequestState"]
+__all__ = ["ProxiedAttempt", "RequestState"]
+
+
+@dataclass(slots=True, eq=False)
+class ProxiedAttempt:
+    """An attempt by way of the gateway `vm`.
+
+    `executions` is how many endpoints may have run the request: at first how many that gateway may
+    send it to, and in the end what it has reported.
+    """
+
+    vm: str
+    executions: int
+    sent: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -27,7 +40,16 @@
     keys: RequestKeys
     attempts: list[Attempt] = field(default_factory=list)
     results: list[AttemptResult] = field(default_factory=list)
-    tasks: dict[asyncio.Task[AttemptResult], Attempt] = field(default_factory=dict)
+    tasks: dict[asyncio.Task[AttemptResult], Attempt | ProxiedAttempt] = field(default_factory=dict)
+    proxied: list[ProxiedAttempt] = field(default_factory=list)
+    rejection: CallerAnswer | None = None
+    """The answer of a gateway that was to send the request and has rejected it."""
+    rejection_is_final: bool = False
+    """Whether other gateways would reject the request as well."""
+    proxied_for: str = ""
+    """The gateway that has passed the request on to this one; "" if its caller has sent it here."""
+    attempts_granted: int | None = None
+    """For how many endpoints the gateway that has passed the request on allows it."""
     crash_counts_at_send: dict[str, tuple[int, ...]] = field(default_factory=dict)
     """For each incarnation that it was sent to, the crash counts of its keys known at that time."""
     quarantine_left_ms: float = 0.0
@@ -55,6 +77,11 @@
         deadline_ms = request.arrived_ms + allowed_ms
         return cls(request, request_id, route, service, deadline_ms, RequestKeys.of(request))
 
+    def request_recheck(self) -> None:
+        """Make the request check again whether to hedge, if it waits and could."""
+        if self.recheck is not None and not self.recheck.done():
+            self.recheck.set_result(None)
+
     @property
     def tried_incarnations(self) -> set[str]:
         """The incarnations at which the request has been attempted."""
@@ -63,4 +90,11 @@
     @property
     def possible_executions(self) -> int:
         """The number of backend servers that may have run the request, or may be running it."""
-        return sum(1 for attempt in self.attempts if attempt.sent)
+        own = sum(1 for attempt in self.attempts if attempt.sent)
+        return own + sum(item.executions for item in self.proxied)
+
+    @property
+    def attempts_allowed(self) -> int:
+        """The number of backend servers that may run the request."""
+        allowed = self.route.attempts if self.route.idempotent else 1
+        return allowed if self.attempts_granted is None else min(allowed, self.attempts_granted)
--- a/cloverhook/gateway/retry_budget.py
+++ b/cloverhook/gateway/retry_budget.py
@@ -40,6 +40,12 @@
         """Count a request received from a caller."""
         self._window(service, now_ms).requests.append(now_ms)
 
+    def uncount_request(self, service: str, now_ms: float) -> None:
+        """Uncount a request that another VM sends, and counts, in place of this one."""
+        requests = self._window(service, now_ms).requests
+        if requests:
+            requests.pop()
+
     def try_take(self, service: str, now_ms: float, vms: int) -> bool:
         """Count a retry and return True, or return False if the budget is exhausted."""
         window = self._window(service, now_ms)
--- a/features/gateway_links.feature
+++ b/features/gateway_links.feature
@@ -27,6 +27,7 @@
       | 4        | 2   | 6               | new refused |
       | 12       | 4   | 6               | reset       |
       | 12       | 11  | 8               | hang        |
+      | 12       | 4   | 6               | lossy       |
     Then from 1 s after the cut to its end all gateways serve 0.97 of their first tries
 
   Scenario: Requests wait for a rejection while no gateway reaches any backend server
