Check what holds for requests that a gateway passes on

Scenarios for each promise on the way through another gateway: one hop, at most once whatever breaks, deadline, cancellation, streams, the retry budget, a planned stop, a gateway of an earlier version, the log lines that explain joins, and bytes that are not valid. The last one failed at first: an answer whose cause was a list raised TypeError in place of MessageError; mended. A proxy counts only requests that it has accepted against its limit, and explain takes the end of a request from the gateway that its caller used. gateway_proxy.feature: 20 scenarios pass.

--- a/cloverhook/explain.py
+++ b/cloverhook/explain.py
@@ -89,7 +89,7 @@
         parts = [f"request {self.request_id}: {self.cause}"]
         parts += [_format_line(line, line.time_ms - start_ms) for line in self.lines]
         if self.state_changes:
-            parts.append(f"state changes of {self.lines[-1].vm} before:")
+            parts.append(f"state changes of {self.state_changes[0].vm} before:")
             parts += [_format_line(line, line.time_ms - start_ms) for line in self.state_changes]
         return "\n".join(parts)
 
@@ -129,7 +129,7 @@
     own.sort(key=lambda line: line.time_ms)
     if not own:
         return Explanation(request_id, (), (), "no log line names it")
-    end = own[-1]
+    end = _end(own)
     keys = {line.fields.get(name) for line in own for name in KEY_FIELDS}
     if end.fields.get("cause") == DRAINING_KIND:
         keys.add(end.fields.get("service"))
@@ -160,9 +160,20 @@
     return line.time_ms >= end_ms - STATE_CHANGE_WINDOW_MS
 
 
+def _end(own: list[LogLine]) -> LogLine:
+    """Return the line with the end of a request, or else its last line.
+
+    If its gateway has passed it on, the other gateway logs an end too, which may come later where
+    the clocks differ.
+    """
+    answers = [line for line in own if line.kind in ANSWER_KINDS]
+    own_answers = [line for line in answers if not line.fields.get("proxied_for")]
+    return (own_answers or answers or own)[-1]
+
+
 def _cause(own: list[LogLine]) -> str:
-    answer = next((line for line in reversed(own) if line.kind in ANSWER_KINDS), None)
-    if answer is None:
+    answer = _end(own)
+    if answer.kind not in ANSWER_KINDS:
         return "the log lines do not contain its end"
     name = answer.fields.get("cause", "")
     meaning = CAUSES.get(name, name)
--- a/cloverhook/gateway/proxied_request.py
+++ b/cloverhook/gateway/proxied_request.py
@@ -104,6 +104,7 @@
         are_valid = (
             type(answer.status) is int
             and 200 <= answer.status < 600
+            and isinstance(answer.cause, str)
             and answer.cause in CAUSES
             and type(answer.executions) is int
             and 0 <= answer.executions <= COUNT_LIMIT
--- a/cloverhook/gateway/proxy_server.py
+++ b/cloverhook/gateway/proxy_server.py
@@ -53,26 +53,28 @@
         """Serve the request on a connection.  Raises `MessageError` if it is not valid."""
         request = ProxiedRequest.from_values(values)
         UPSTREAM_LIVENESS.apply(writer.get_extra_info("socket"))
-        work = asyncio.ensure_future(self._answer(request, writer))
+        accepted = self.accepting and self.in_flight < IN_FLIGHT_LIMIT
+        work = asyncio.ensure_future(self._answer(request, writer, accepted))
         closed = asyncio.ensure_future(reader.read(1))
-        self.in_flight += 1
+        self.in_flight += accepted
         try:
             await asyncio.wait((work, closed), return_when=asyncio.FIRST_COMPLETED)
             if work.done():
                 work.result()
         finally:
-            self.in_flight -= 1
+            self.in_flight -= accepted
             for task in (work, closed):
                 task.cancel()
             await asyncio.wait((work, closed))
 
-    async def _answer(self, request: ProxiedRequest, writer: asyncio.StreamWriter) -> None:
-        if not self.accepting:
-            served = ServedRequest.rejected(ErrorKind.STOPPING)
-        elif self.in_flight > IN_FLIGHT_LIMIT:
-            served = ServedRequest.rejected(ErrorKind.OVERLOADED)
-        else:
+    async def _answer(
+        self, request: ProxiedRequest, writer: asyncio.StreamWriter, accepted: bool
+    ) -> None:
+        if accepted:
             served = await self._serve(request)
+        else:
+            kind = ErrorKind.OVERLOADED if self.accepting else ErrorKind.STOPPING
+            served = ServedRequest.rejected(kind)
         answer = served.answer
         more = answer.remaining_body is not None
         head = ProxiedAnswer(
