soak: Cut gateways from the backend servers

Besides the promises of before it checks that callers at gateways without links are served about as often as the others.

--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -108,7 +108,7 @@
     `script` holds the outcome of each request in order; `default` applies when it is empty.  `cut`
     counts the connections that the gateway has closed while a request got no answer.  All answers,
     those to probes included, have the header lines `notice_lines`.  The answer `paused` ends only
-    when `resume` is set.
+    when `resume` is set.  A connection that `accepts` returns False for gets no answer.
     """
 
     incarnation: str
@@ -135,6 +135,8 @@
     first_notice_ms: float | None = None
     resume: asyncio.Event = field(default_factory=asyncio.Event)
     on_request: Callable[["Backend", bytes], None] | None = None
+    accepts: Callable[[asyncio.StreamWriter], bool] = lambda writer: True
+    writers: dict = field(default_factory=dict)
 
     async def start(self, context):
         """Listen on a free port until the scenario ends."""
@@ -172,10 +174,15 @@
         task = asyncio.current_task()
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            while await self._serve_one(reader, writer):
-                pass
-        writer.close()
+        self.writers[writer] = task
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+                while self.accepts(writer) and await self._serve_one(reader, writer):
+                    pass
+            if self.accepts(writer):
+                writer.close()
+        finally:
+            del self.writers[writer]
 
     async def _serve_one(self, reader, writer):
         data = await reader.readuntil(b"\r\n\r\n")
--- a/features/gateway_soak.feature
+++ b/features/gateway_soak.feature
@@ -16,6 +16,8 @@
       | 2000 |
       | 3004 |
       | 3007 |
+      | 4001 |
+      | 4004 |
 
     Examples: Seeds that have failed; docs/FINDINGS.md says why
       | seed | seen                                            |
--- a/features/gateway_soak.py
+++ b/features/gateway_soak.py
@@ -25,6 +25,7 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook_emulator.log_store_server import LogStoreServer
 from features import gateway_fleet as fleet
+from features.soak_links import LinkChecks, LinkCut, owner_of
 from features.soak_notices import NoticeChecks
 
 ROOT = Path(features.__file__).resolve().parent.parent
@@ -42,6 +43,7 @@
 FIRST_SEED_WITH_ENTRIES = 1_000
 FIRST_SEED_WITH_ERAS = 2_000
 FIRST_SEED_WITH_NOTICES = 3_000
+FIRST_SEED_WITH_LINKS = 4_000
 """Seeds below these numbers keep the same choice of faults, so that a seed that once failed still
 reproduces its failure."""
 BORN_MS = 1_760_000_000_000
@@ -113,6 +115,8 @@
     faults: list = field(default_factory=list)
     planned_stops: list = field(default_factory=list)
     notices: NoticeChecks = field(default_factory=NoticeChecks)
+    links: LinkChecks = field(default_factory=LinkChecks)
+    disturbed: set = field(default_factory=set)
     version: int = 0
     number: int = 0
 
@@ -190,8 +194,22 @@
         self.backends.append(backend)
         self.put(backend)
         backend.on_request = self._record_arrival
+        backend.accepts = self._accepts
         return backend
 
+    def _accepts(self, writer):
+        """Return whether a connection is served; one of a gateway without links may be reset."""
+        how = self.links.lost.get(self._gateway_of(writer)) if self.links.lost else None
+        if how == "reset":
+            writer.transport.abort()
+        return how is None
+
+    def _gateway_of(self, writer):
+        """Return the name of the gateway that has opened a connection, or None."""
+        peer = writer.get_extra_info("peername")
+        pids = {item.process.pid: item.name for item in self.gateways if item.alive}
+        return pids.get(owner_of(peer[1], pids)) if peer else None
+
     def _record_arrival(self, backend, _):
         """Record a request that is meant for the incarnation which it has reached."""
         headers = backend.seen[-1][1]
@@ -325,6 +343,8 @@
             kinds += (self.store_restored, self.store_restored)
         if self.seed >= FIRST_SEED_WITH_NOTICES:
             kinds += 2 * (self.backend_says_leaving, self.backend_backs_off)
+        if self.seed >= FIRST_SEED_WITH_LINKS:
+            kinds += 6 * (self.links_cut,)
         kind = self.source.choice(kinds)
         self.faults.append(kind.__name__)
         await kind()
@@ -338,6 +358,7 @@
         gateway = self._running()
         if gateway is not None:
             gateway.disturbed = True
+            self.disturbed.add(gateway.name)
             gateway.process.kill()
             if not gateway.stopping:
                 await gateway.process.wait()
@@ -348,6 +369,7 @@
         gateway = self._running()
         if gateway is not None:
             gateway.disturbed = True
+            self.disturbed.add(gateway.name)
             gateway.pause_count += 1
             gateway.process.send_signal(signal.SIGSTOP)
             loop = asyncio.get_running_loop()
@@ -362,6 +384,7 @@
         gateway = self._running()
         if gateway is not None and not gateway.stopping:
             gateway.stopping = True
+            self.disturbed.add(gateway.name)
             handled = handles_stop(gateway.process.pid)
             gateway.process.send_signal(signal.SIGTERM)
             work = self._replace(gateway, gateway.process, handled)
@@ -477,6 +500,7 @@
         replacement = fleet.Backend(backend.incarnation, names=HEADERS)
         replacement.born_ms = backend.born_ms + 1_000 or BORN_MS
         replacement.on_request = self._record_arrival
+        replacement.accepts = self._accepts
         self.backends[self.backends.index(backend)] = await replacement.start(self)
         asyncio.get_running_loop().call_later(self.source.uniform(0.0, 0.8), self.put, replacement)
 
@@ -495,6 +519,26 @@
         backend = self.source.choice(self.backends)
         backend.script = ["hang"] * self.source.randrange(1, 4)
 
+    async def links_cut(self):
+        """Cut some gateways from all backend servers for a while, or all of them."""
+        count = self.source.randrange(1, len(self.gateways) + 1)
+        names = self.source.sample([item.name for item in self.gateways], count)
+        how = self.source.choice(("reset", "silent"))
+        lasts_s = self.source.uniform(0.5, 4.0)
+        if self.links.lost:
+            return
+        self.links.lost = dict.fromkeys(names, how)
+        for backend in (*self.backends, *self.stopped_backends):
+            for writer, task in tuple(backend.writers.items()):
+                if self._gateway_of(writer) in names:
+                    task.cancel()
+                    if how == "reset":
+                        writer.transport.abort()
+        started_ms = monotonic_ms()
+        cut = LinkCut(frozenset(names), started_ms, started_ms + 1_000 * lasts_s)
+        self.links.cuts.append(cut)
+        asyncio.get_running_loop().call_later(lasts_s, self.links.lost.clear)
+
     async def change_config(self):
         """Write one to three further versions of the configuration."""
         for _ in range(self.source.randrange(1, 4)):
@@ -505,6 +549,7 @@
     async def end_faults(self):
         """End all faults, and wait until every gateway has a process."""
         self._repair_store()
+        self.links.lost.clear()
         for backend in self.backends:
             backend.script = []
             self._end_backoff(backend)
@@ -541,6 +586,7 @@
             if task.result()
         ]
         found += self.notices.violations()
+        found += self.links.violations(self.calls, self.disturbed)
         for call in self.calls:
             found += self._call_violations(call, runs.get(call.request_id, 0))
         return found
