cloverhookd: Send requests by way of another daemon while this one reaches no endpoint

What callers saw: a daemon that has lost its links to the endpoints served 0 of 48, 0 of 100 and 0 of 49 requests, though the others reached all. Connections that fail to two endpoints in a row show that the links are lost; requests then go to the callers' address of another daemon, with a header that the shared key proves, so that it claims no key again and doesn't pass the request on.

--- a/cloverhook/caller_app.py
+++ b/cloverhook/caller_app.py
@@ -20,9 +20,19 @@
 from cloverhook.clock import wall_ms
 from cloverhook.dispatch import Dispatcher, Target
 from cloverhook.endpoint_reports import EndpointReport, reports_in
-from cloverhook.errors import ErrorKind, Outcome, RequestError, UpstreamError, answer_for
+from cloverhook.errors import (
+    ConnectError,
+    ErrorKind,
+    Outcome,
+    RequestError,
+    UpstreamError,
+    answer_for,
+)
 from cloverhook.exchange import Exchange, Receive, RejectedError, RequestBody, Send
 from cloverhook.observed_app import Observation
+from cloverhook.proxied import proxied_by
+from cloverhook.proxying import Proxying
+from cloverhook.reach import Reach
 from cloverhook.routing_events import Arrival, AttemptEnded, AttemptResult
 from cloverhook.settings import DaemonSettings
 from cloverhook.timeline import EventName, TimeLine
@@ -52,6 +62,8 @@
         clock_ms: Callable[[], float],
         addresses: Addresses,
         at_most_once: AtMostOnceRunner,
+        peer_key: bytes,
+        proxying: Proxying,
     ) -> None:
         self._settings = settings
         self._dispatcher = dispatcher
@@ -62,6 +74,10 @@
         self._at_most_once = at_most_once
         self._admission = Admission(settings.requests_limit)
         self._in_progress: set[str] = set()
+        self._peer_key = peer_key
+        self._proxying = proxying
+        self._reach: dict[str, Reach] = {}
+        self._checks: set[asyncio.Task[None]] = set()
         self.draining = False
 
     async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
@@ -136,6 +152,7 @@
         length = h.find(caller_headers, b"content-length")
         chunked = h.find(caller_headers, b"transfer-encoding") is not None
         has_body = chunked or length not in (None, b"0")
+        caller_id = (h.find(caller_headers, h.REQUEST_ID) or b"").decode("latin-1")
         head = RequestHead(
             scope["method"].encode(),
             scope["target"],
@@ -154,19 +171,21 @@
             send,
             observation,
             h.attempt_of(caller_headers),
+            proxied_by(self._peer_key, caller_headers, caller_id),
         )
 
     async def _serve_within_share(self, exchange: Exchange, key: bytes | None) -> None:
         """Serve a request within its brand's share of this daemon's request limit.
 
         Raises `RequestError` with `OVERLOADED` when the share is in use.  Only a request that has
-        an idempotency key and a method that is not idempotent goes through the at-most-once check.
+        an idempotency key and a method that is not idempotent goes through the at-most-once check,
+        on the daemon that its caller has sent it to.
         """
         brand = exchange.target.brand
         if not self._admission.try_enter(brand):
             raise RequestError(ErrorKind.OVERLOADED, "the brand's share of this VM is in use")
         try:
-            if key is None or exchange.idempotent:
+            if key is None or exchange.idempotent or exchange.proxied_for:
                 await self._forward(exchange)
             else:
                 await self._at_most_once.run(exchange, key, self._forward)
@@ -174,6 +193,40 @@
             self._admission.leave(brand)
 
     async def _forward(self, exchange: Exchange) -> None:
+        """Send a request to an endpoint, or by way of another daemon if this one reaches none."""
+        reach = self._reach.setdefault(exchange.target.key, Reach())
+        self._check_if_due(reach)
+        if reach.is_lost and await self._pass_on(exchange):
+            return
+        try:
+            await self._forward_to_endpoint(exchange, reach)
+        except RequestError as error:
+            if error.kind is not ErrorKind.NO_BACKEND_SERVER or not await self._pass_on(exchange):
+                raise
+
+    def _check_if_due(self, reach: Reach) -> None:
+        address = reach.due_check(self._clock_ms())
+        if address is not None:
+            task = asyncio.get_running_loop().create_task(self._check(reach, address))
+            self._checks.add(task)
+            task.add_done_callback(self._checks.discard)
+
+    async def _check(self, reach: Reach, address: str) -> None:
+        """Record whether a connection to an endpoint can be opened."""
+        try:
+            connection = await self._pool.acquire(address, idempotent=False)
+        except UpstreamError:
+            reach.record_failure(address, self._clock_ms())
+        else:
+            self._pool.release(address, connection)
+            reach.record_contact()
+
+    async def _pass_on(self, exchange: Exchange) -> bool:
+        if not self._proxying.may_pass_on(exchange):
+            return False
+        return await self._proxying.pass_on(exchange, self.draining)
+
+    async def _forward_to_endpoint(self, exchange: Exchange, reach: Reach) -> None:
         arrival = Arrival(
             exchange.request_id,
             exchange.target.service.priority_of(exchange.path),
@@ -183,12 +236,12 @@
         )
         address = await self._dispatcher.admit(exchange.target, arrival, self._clock_ms())
         while True:
-            ended = await self._attempt(exchange, address)
+            ended = await self._attempt(exchange, address, reach)
             if ended is None:
                 return
             address = await self._dispatcher.retry(exchange.target, ended, self._clock_ms())
 
-    async def _attempt(self, exchange: Exchange, address: str) -> AttemptEnded | None:
+    async def _attempt(self, exchange: Exchange, address: str, reach: Reach) -> AttemptEnded | None:
         """Make one attempt; return how it ended if the request should be retried, else None."""
         started_ms = self._clock_ms()
         self._note(EventName.ATTEMPT_STARTED, exchange.request_id, address)
@@ -204,11 +257,13 @@
                     self._pool,
                     self._clock_ms,
                     closing=self.draining,
-                    on_head=lambda head: self._record_head(exchange.target, address, head),
+                    on_head=lambda head: self._record_head(exchange.target, address, head, reach),
                 )
             load, is_server_draining = h.load_of(answer.headers), h.is_draining(answer.headers)
             result = AttemptResult.FAILED if answer.status >= 500 else AttemptResult.ANSWERED
         except UpstreamError as error:
+            if isinstance(error, ConnectError):
+                reach.record_failure(address, self._clock_ms())
             failure = error
             exchange.bad_answer = error.bad_answer
             result = AttemptResult.CUT if error.sent else AttemptResult.NOT_SENT
@@ -243,7 +298,8 @@
             raise self._final_error(exchange, result) from failure
         return None
 
-    def _record_head(self, target: Target, address: str, head: AnswerHead) -> None:
+    def _record_head(self, target: Target, address: str, head: AnswerHead, reach: Reach) -> None:
+        reach.record_contact()
         for report in reports_in(head.status, head.headers):
             self._dispatcher.record_report(target, address, report, self._clock_ms())
             if report is EndpointReport.INVALID:
--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -35,6 +35,7 @@
 from cloverhook.platform_api import Platform
 from cloverhook.platform_http import HttpPlatform
 from cloverhook.probing import LoadProbes
+from cloverhook.proxying import Proxying
 from cloverhook.records import Change, Record
 from cloverhook.routing_events import ProbeEnded
 from cloverhook.server import Listener
@@ -83,6 +84,15 @@
             self._observer,
             self.drain,
         )
+        self._proxy_pool = UpstreamPool(settings.header_limit_bytes)
+        self._proxying = Proxying(
+            settings.peer_key(),
+            settings.vm,
+            self._proxy_pool,
+            lambda: self._cluster.membership.serving(),
+            monotonic_ms,
+            self._observer.note_proxied,
+        )
         self._stop_requested = asyncio.Event()
         self._drain_plan = DrainPlan(0.0, 0.0)
         self._draining = False
@@ -105,6 +115,8 @@
             AtMostOnceRunner(
                 self._claims, AnswerCache(self._settings.replay_limit_bytes), monotonic_ms
             ),
+            self._settings.peer_key(),
+            self._proxying,
         )
         operators_app = operator_app(
             self,
@@ -164,6 +176,7 @@
         await self._operator_listener.stop()
         self._probes.close()
         self._pool.close()
+        self._proxy_pool.close()
         await self._platform.close()
         logging.info("daemon: %s has stopped.", self._settings.vm)
 
@@ -269,6 +282,7 @@
             Sample(Metric.WAITING, self._dispatcher.queued_count()),
             Sample(Metric.OFFSET, self._follower.state.next_offset),
             Sample(Metric.DRAINING, int(self._draining)),
+            Sample(Metric.PASSED_ON, self._proxying.passed_on),
         ]
 
 
--- a/cloverhook/exchange.py
+++ b/cloverhook/exchange.py
@@ -152,6 +152,10 @@
     send: Send
     observation: Observation
     caller_attempt: int = 1
+    proxied_for: str = ""
+    """The daemon that has passed the request on to this one; "" for a caller's request."""
+    proxy_header: tuple[bytes, bytes] | None = None
+    """Set while the current attempt is by way of another daemon."""
     attempts: int = 0
     sent: bool = False
     maybe_ran: bool = False
@@ -188,6 +192,8 @@
         try:
             answer = await self._send_request(connection, now_ms)
             on_head(answer)
+            if self.proxy_header is not None and h.outcome_of(answer.headers) is Outcome.NOT_RUN:
+                raise RejectedError(leaving=False)
             if is_rejection(answer.status, answer.headers):
                 raise RejectedError(
                     h.is_draining(answer.headers), h.backoff_ms_of(answer.headers) or 0.0
@@ -230,17 +236,28 @@
         ]
         self.attempts += 1
         attempt = max(self.attempts, self.caller_attempt)
+        if self.proxy_header is not None:
+            headers.append(self.proxy_header)
+            attempt = self.caller_attempt
         if attempt > 1:
             headers.append((h.ATTEMPT, str(attempt).encode()))
         head = self.head
         return RequestHead(head.method, head.target, headers, head.has_body, head.chunked)
 
+    def _outcome(self, answer: AnswerHead) -> Outcome:
+        reported = h.outcome_of(answer.headers)
+        if self.proxy_header is not None and reported is not None:
+            return reported
+        return _outcome(answer)
+
     async def _send_answer(
         self, answer: AnswerHead, connection: UpstreamConnection, closing: bool
     ) -> None:
         headers = h.end_to_end(answer.headers)
         headers.append((h.REQUEST_ID, self.request_id.encode()))
-        headers.append((h.OUTCOME, _outcome(answer).value.encode()))
+        headers.append((h.OUTCOME, self._outcome(answer).value.encode()))
+        if self.proxy_header is not None:
+            headers += [pair for pair in answer.headers if pair[0] == h.ERROR]
         if closing:
             headers.append((b"connection", b"close"))
         self.answer_started = True
--- a/cloverhook/headers.py
+++ b/cloverhook/headers.py
@@ -20,6 +20,7 @@
     "LEAVING",
     "LOAD",
     "OUTCOME",
+    "PROXIED",
     "REPLAYED",
     "REQUEST_ID",
     "RETRY_AFTER_MS",
@@ -47,6 +48,7 @@
 ATTEMPT = b"cloverhook-attempt"
 IDEMPOTENCY_KEY = b"idempotency-key"
 REPLAYED = b"cloverhook-replayed"
+PROXIED = b"cloverhook-proxied"
 
 CONTROL_PREFIX = b"cloverhook-"
 NEVER_FORWARDED = HOP_BY_HOP | {REQUEST_ID}
--- a/cloverhook/metrics.py
+++ b/cloverhook/metrics.py
@@ -90,6 +90,12 @@
     RETRIES = MetricSpec(
         "cloverhook_retries_total", COUNTER, "Attempts beyond a request's first one.", "attempts"
     )
+    PASSED_ON = MetricSpec(
+        "cloverhook_passed_on_total",
+        COUNTER,
+        "Requests sent to another daemon, because this one reached no endpoint.",
+        "attempts",
+    )
     PROBES = MetricSpec(
         "cloverhook_probes_total", COUNTER, "Probes of endpoints.", "probes", ("service",)
     )
--- a/cloverhook/observer.py
+++ b/cloverhook/observer.py
@@ -70,6 +70,11 @@
         """Add an event that concerns no request to the time line."""
         self.time_line.add(wall_ms(), name, change_id=change_id, detail=detail)
 
+    def note_proxied(self, request_id: str, address: str, detail: str) -> None:
+        """Add to the time line that a request is sent to another daemon at an address."""
+        name = EventName.ATTEMPT_STARTED
+        self.time_line.add(wall_ms(), name, request_id=request_id, address=address, detail=detail)
+
     def record_change(self, change: Change, result: FoldResult) -> None:
         """Record a change of the configuration and whether it was accepted."""
         accepted = result.verdict is Verdict.ACCEPTED
--- a/cloverhook/upstream.py
+++ b/cloverhook/upstream.py
@@ -11,7 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from cloverhook.errors import UpstreamError
+from cloverhook.errors import ConnectError, UpstreamError
 from cloverhook.upstream_connection import (
     HEADER_LIMIT_BYTES,
     AnswerHead,
@@ -166,7 +166,8 @@
                 await loop.create_connection(lambda: connection, host, int(port))
         except (OSError, TimeoutError) as error:
             connection.close()
-            raise UpstreamError(f"can't connect to {address}: {error!r}", sent=False) from error
+            reason = f"can't connect to {address}: {error!r}"
+            raise ConnectError(reason, isinstance(error, ConnectionRefusedError)) from error
         except asyncio.CancelledError:
             connection.close()
             raise
