Forward other gateways' requests, and check links, in modules of their own

No decision changes, but one: a proxy rejects a request for a service that is not one of its route's, where it chose one itself before. gateway_proxy, layers, gateway and gateway_backoff pass.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -28,6 +28,7 @@
 from cloverhook.gateway.forwarding import Forwarder
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.ingress import Ingress
+from cloverhook.gateway.link_checks import LinkChecks
 from cloverhook.gateway.links import LinkChange, Links
 from cloverhook.gateway.members import READERS, Members
 from cloverhook.gateway.notice_recorder import NoticeRecorder
@@ -35,6 +36,7 @@
 from cloverhook.gateway.peering import Peering
 from cloverhook.gateway.probe_schedule import GROUP_SIZE, STARTUP_DELAY_MS, ProbeSchedule
 from cloverhook.gateway.prober import Prober
+from cloverhook.gateway.proxied_forwarding import ProxiedForwarder
 from cloverhook.gateway.proxy_server import ProxyServer
 from cloverhook.gateway.proxying import Proxying
 from cloverhook.gateway.quarantine_persistence import QuarantinePersistence
@@ -105,7 +107,7 @@
             self._gateway_state.registry,
             self._gateway_state.load_table,
             self._on_link_change,
-            self._check_links,
+            lambda: self._link_checks.start_due(),
         )
         self._peering = Peering(
             identity,
@@ -143,8 +145,11 @@
         self._prober = Prober(
             headers, self._on_load_report, notices.record_probe, self._links, self._reports_load
         )
-        self._peering.link_updates.start_check = self._start_link_check
-        self._peering.failure_updates.check_link = self._check_link
+        self._link_checks = LinkChecks(
+            self._gateway_state, self._links, self._peering.link_updates.peer_links, self._prober
+        )
+        self._peering.link_updates.start_check = self._link_checks.start
+        self._peering.failure_updates.check_link = self._link_checks.check
         estimates = WorkEstimates()
         self._cold_limit = ColdLimit(
             settings.vm,
@@ -184,6 +189,7 @@
             self._links.is_down,
             self._peering.link_updates.peer_links.without_link,
         )
+        report = RequestReport(self._gateway_state, self._log, self._counters)
         proxying = Proxying(
             settings.vm,
             self._peering.link.fleet_tag,
@@ -208,9 +214,12 @@
             notices,
             self._links,
             proxying,
-            RequestReport(self._gateway_state, self._log, self._counters),
+            report,
+        )
+        proxied_forwarder = ProxiedForwarder(
+            self._gateway_state, self._links, headers, self._forwarder, report
         )
-        self._proxy_server = ProxyServer(self._forwarder.handle_proxied)
+        self._proxy_server = ProxyServer(proxied_forwarder.serve)
         self._peering.link.serve_proxied = self._proxy_server.serve
         self._peering.link_updates.may_offer = self._is_ready
         self._caller_ingress = Ingress(self._serve_caller, self._limits)
@@ -224,7 +233,6 @@
         self._written_era = 0
         self._stopped = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._link_checks: set[asyncio.Task[bool]] = set()
 
     async def start(self) -> None:
         """Open the listeners, and start to follow the store and to exchange messages with peers."""
@@ -259,6 +267,7 @@
         for task in self._tasks:
             task.cancel()
         self._follower.stop("stopping")
+        self._link_checks.close()
         self._prober.close()
         self._pool.close()
         self._peering.link.close()
@@ -423,7 +432,7 @@
             )
         self._publish_readiness()
         self._probe(now_ms)
-        self._check_links()
+        self._link_checks.start_due()
         self._peering.link_updates.repeat_if_due(now_ms)
         if self._peering.reading != self._follower.reading:
             self._peering.reading = self._follower.reading
@@ -548,27 +557,6 @@
         else:
             self._forwarder.link_lost(server.incarnation)
 
-    def _check_links(self) -> None:
-        """Start the checks of links that are due."""
-        if not self._stopping:
-            for server in self._links.due_checks(monotonic_ms()):
-                self._start_link_check(server)
-
-    def _start_link_check(self, server: BackendServer) -> None:
-        task = asyncio.get_running_loop().create_task(self._check_link(server))
-        self._link_checks.add(task)
-        task.add_done_callback(self._link_checks.discard)
-
-    async def _check_link(self, server: BackendServer) -> bool:
-        """Return whether this VM reaches an endpoint now."""
-        config = self._gateway_state.config
-        spec = None if config is None else config.services.get(server.service)
-        if spec is None:
-            return False
-        reached = await self._prober.check_link(server, spec.health_path)
-        self._peering.link_updates.peer_links.record_check(server, reached, monotonic_ms())
-        return reached
-
     def _reports_load(self, server: BackendServer) -> bool:
         load = self._gateway_state.load_table.get(server.incarnation)
         return load is not None and load.latest_report is not None
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -23,8 +23,6 @@
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.links import Links
 from cloverhook.gateway.notice_recorder import NoticeRecorder
-from cloverhook.gateway.proxied_request import ProxiedRequest
-from cloverhook.gateway.proxy_server import ServedRequest
 from cloverhook.gateway.proxying import Proxying
 from cloverhook.gateway.quarantine_updates import QuarantineUpdates
 from cloverhook.gateway.rate_limit_updates import RateLimitUpdates
@@ -147,57 +145,11 @@
             return self._reject_unrouted(request, request_id, kind, reason)
         service = self._round_robin.next_service(route)
         state = RequestState.of(request, request_id, route, service, self._headers)
-        self._retry_budget.count_request(service, request.arrived_ms)
-        return await self._run(state)
+        return await self.forward(state)
 
-    async def handle_proxied(self, proxied: ProxiedRequest) -> ServedRequest:
-        """Serve a request that another gateway has passed on, and return its response.
-
-        It is rejected if this gateway has an older configuration than the other one, or reaches no
-        endpoint of the service either.
-        """
-        request_id = find(proxied.headers, self._headers.request_id) or b""
-        try:
-            return await self._forward_proxied(proxied, request_id)
-        except Exception:
-            self._report.record_internal_error(request_id)
-            return ServedRequest(error_answer(ErrorKind.INTERNAL), 1, ErrorKind.INTERNAL.value)
-
-    async def _forward_proxied(self, proxied: ProxiedRequest, request_id: bytes) -> ServedRequest:
-        now_ms = monotonic_ms()
-        config = self._gateway_state.config
-        if config is None or config.version < proxied.config_version:
-            return ServedRequest.rejected(ErrorKind.NO_BACKEND_SERVER)
-        path = proxied.target.partition(b"?")[0].decode("latin-1")
-        route = config.find(proxied.host, path)
-        if route is None:
-            return ServedRequest.rejected(ErrorKind.UNKNOWN_HOST)
-        service = proxied.service
-        if service not in (part.service for part in route.parts):
-            service = self._round_robin.next_service(route)
-        if self._links.is_out_of_reach(service):
-            return ServedRequest.rejected(ErrorKind.UNREACHABLE)
-        request = CallerRequest(
-            proxied.method,
-            proxied.target,
-            path,
-            proxied.host,
-            proxied.headers,
-            proxied.body,
-            proxied.has_body,
-            now_ms - proxied.elapsed_ms,
-            proxied.caller,
-        )
-        state = RequestState.of(request, request_id, route, service, self._headers)
-        state.proxied_for, state.attempts_granted = proxied.vm, proxied.attempts
-        self._retry_budget.count_request(service, now_ms)
-        answer = await self._run(state)
-        by_endpoint = any(item.answer is answer for item in state.results)
-        cause = "" if by_endpoint else answer.body.decode()
-        return ServedRequest(answer, state.possible_executions, cause)
-
-    async def _run(self, state: RequestState) -> CallerAnswer:
-        """Forward a request, and end and report it whatever happens."""
+    async def forward(self, state: RequestState) -> CallerAnswer:
+        """Forward a request that has a route, and return the response; log and count its end."""
+        self._retry_budget.count_request(state.service, monotonic_ms())
         try:
             answer = await self._forward(state)
         except asyncio.CancelledError:
--- a/cloverhook/gateway/proxying.py
+++ b/cloverhook/gateway/proxying.py
@@ -7,8 +7,8 @@
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import ANSWERS, ConnectError, ErrorKind, Outcome, UpstreamError
-from cloverhook.gateway import attempt
 from cloverhook.gateway.attempt import AttemptResult
+from cloverhook.gateway.attempt import Outcome as AttemptOutcome
 from cloverhook.gateway.calls import CallerAnswer
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.gateway_state import GatewayState
@@ -80,10 +80,10 @@
         except ConnectError as error:
             proxied.executions = 0
             offers.withdraw(vm)
-            result = _failure(attempt.Outcome.NOT_SENT, vm, started_ms, str(error))
+            result = _failure(AttemptOutcome.NOT_SENT, vm, started_ms, str(error))
         except UpstreamError as error:
             offers.withdraw(vm)
-            result = _failure(attempt.Outcome.CUT, vm, started_ms, str(error))
+            result = _failure(AttemptOutcome.CUT, vm, started_ms, str(error))
         finally:
             offers.record_ended(vm)
         if result.failed:
@@ -141,7 +141,7 @@
         latency_ms = monotonic_ms() - started_ms
         if not answer.cause:
             return AttemptResult(
-                attempt.Outcome.ANSWERED,
+                AttemptOutcome.ANSWERED,
                 None,
                 latency_ms,
                 answer.status,
@@ -150,16 +150,16 @@
             )
         kind = ErrorKind(answer.cause)
         if answer.executions or ANSWERS[kind].outcome is not Outcome.NOT_RUN:
-            return _failure(attempt.Outcome.CUT, proxied.vm, started_ms, answer.cause)
+            return _failure(AttemptOutcome.CUT, proxied.vm, started_ms, answer.cause)
         if kind in TRY_ELSEWHERE:
             self._link_updates.offers.withdraw(proxied.vm, state.service)
         else:
             state.rejection_is_final = True
         if kind is not ErrorKind.UNKNOWN_HOST:
             state.rejection = found
-        return _failure(attempt.Outcome.REJECTED, proxied.vm, started_ms, answer.cause)
+        return _failure(AttemptOutcome.REJECTED, proxied.vm, started_ms, answer.cause)
 
 
-def _failure(outcome: attempt.Outcome, vm: str, started_ms: float, detail: str) -> AttemptResult:
+def _failure(outcome: AttemptOutcome, vm: str, started_ms: float, detail: str) -> AttemptResult:
     latency_ms = monotonic_ms() - started_ms
     return AttemptResult(outcome, None, latency_ms, detail=detail, proxy=vm)
