A connection that opens and breaks off at once is no sign of a working link

Found by the soak, which closes connections after it has accepted them: the test whether an endpoint still listens succeeded and counted as a contact, so a gateway in that state never found that it reached nothing. Only an answer counts now, and a check whose probe is broken off has failed.

soak: The owner of a connection is asked of the kernel; reading the list of all connections took 70 ms each and kept the callers from sending in a cut.

--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -221,7 +221,6 @@
         """
         error = await pool.test_connection(server)
         if error is None:
-            self._links.record_contact(server, monotonic_ms())
             return False
         self._links.record_failure(server, LinkFailure.of(error), monotonic_ms())
         if not error.refused:
--- a/cloverhook/gateway/links.py
+++ b/cloverhook/gateway/links.py
@@ -72,6 +72,7 @@
     REFUSED = "refused"
     TIMED_OUT = "timed-out"
     PROBE_UNANSWERED = "probe-unanswered"
+    BROKEN_OFF = "broken-off"
     OTHER_INCARNATION = "other-incarnation"
     PRESUMED = "presumed"
 
--- a/cloverhook/gateway/prober.py
+++ b/cloverhook/gateway/prober.py
@@ -125,6 +125,7 @@
             self._links.record_contact(server, monotonic_ms())
             return True
         except UpstreamError:
+            self._links.record_failure(server, LinkFailure.BROKEN_OFF, monotonic_ms())
             return False
         return self._record_answer(server, report, started_ms)
 
--- a/features/gateway_soak.py
+++ b/features/gateway_soak.py
@@ -206,9 +206,12 @@
 
     def _gateway_of(self, writer):
         """Return the name of the gateway that has opened a connection, or None."""
-        peer = writer.get_extra_info("peername")
-        pids = {item.process.pid: item.name for item in self.gateways if item.alive}
-        return pids.get(owner_of(peer[1], pids)) if peer else None
+        if writer not in self.links.owners:
+            names = {item.process.pid: item.name for item in self.gateways if item.alive}
+            peer, own = (writer.get_extra_info(name) for name in ("peername", "sockname"))
+            pid = owner_of(peer, own, names) if peer else None
+            self.links.owners[writer] = names.get(pid)
+        return self.links.owners[writer]
 
     def _record_arrival(self, backend, _):
         """Record a request that is meant for the incarnation which it has reached."""
@@ -528,12 +531,13 @@
         if self.links.lost:
             return
         self.links.lost = dict.fromkeys(names, how)
-        for backend in (*self.backends, *self.stopped_backends):
-            for writer, task in tuple(backend.writers.items()):
-                if self._gateway_of(writer) in names:
-                    task.cancel()
-                    if how == "reset":
-                        writer.transport.abort()
+        backends = (*self.backends, *self.stopped_backends)
+        tasks = {writer: task for item in backends for writer, task in item.writers.items()}
+        for writer, task in tasks.items():
+            if self._gateway_of(writer) in names:
+                task.cancel()
+                if how == "reset":
+                    writer.transport.abort()
         started_ms = monotonic_ms()
         cut = LinkCut(frozenset(names), started_ms, started_ms + 1_000 * lasts_s)
         self.links.cuts.append(cut)
--- a/features/soak_links.py
+++ b/features/soak_links.py
@@ -2,38 +2,64 @@
 
 import contextlib
 import os
+import socket
+import struct
 from collections import Counter
 from dataclasses import dataclass, field
-from pathlib import Path
+from weakref import WeakKeyDictionary
 
 __all__ = ["LinkChecks", "owner_of"]
 
-SETTLE_MS = 1_500.0
+NETLINK_SOCK_DIAG = 4
+SOCK_DIAG_BY_FAMILY = 20
+NLM_F_REQUEST = 1
+NETLINK_HEADER_BYTES = 16
+INODE_OFFSET = NETLINK_HEADER_BYTES + 4 + 48 + 16
+ANY = 0xFFFFFFFF
+SETTLE_MS = 1_000.0
 LOST_MIN, LOST_SHARE = 10, 0.02
 SERVED_RATIO = 2 / 3
 """Callers at gateways without links may be served this much less often than those at others, once
 `SETTLE_MS` have passed, and a few first tries may be lost."""
 
 
-def owner_of(port, pids):
-    """Return which of some processes has the socket with this local port, or None."""
-    inode = _inode_of(port)
+def owner_of(local, remote, pids):
+    """Return which of some processes has the socket with these two addresses, or None.
+
+    The kernel is asked for the socket's inode: its list of all connections takes too long to read
+    while a soak has thousands of them.
+    """
+    name = f"socket:[{_inode(local, remote)}]"
     for pid in pids:
         with contextlib.suppress(OSError):
-            for name in os.listdir(f"/proc/{pid}/fd"):
+            for descriptor in os.listdir(f"/proc/{pid}/fd"):
                 with contextlib.suppress(OSError):
-                    if os.readlink(f"/proc/{pid}/fd/{name}") == f"socket:[{inode}]":
+                    if os.readlink(f"/proc/{pid}/fd/{descriptor}") == name:
                         return pid
     return None
 
 
-def _inode_of(port):
-    local = f":{port:04X}"
-    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        row = line.split()
-        if row[1].endswith(local):
-            return row[9]
-    return None
+def _inode(local, remote):
+    """Return the inode of an open TCP socket, or 0."""
+    socket_id = (
+        struct.pack("!HH", local[1], remote[1])
+        + socket.inet_aton(local[0])
+        + bytes(12)
+        + socket.inet_aton(remote[0])
+        + bytes(12)
+        + struct.pack("=III", 0, ANY, ANY)
+    )
+    request = struct.pack("=BBBBI", socket.AF_INET, socket.IPPROTO_TCP, 0, 0, ANY) + socket_id
+    header = struct.pack(
+        "=IHHII", NETLINK_HEADER_BYTES + len(request), SOCK_DIAG_BY_FAMILY, NLM_F_REQUEST, 1, 0
+    )
+    with socket.socket(socket.AF_NETLINK, socket.SOCK_RAW, NETLINK_SOCK_DIAG) as link:
+        link.send(header + request)
+        answer = link.recv(4_096)
+    (kind,) = struct.unpack_from("=H", answer, 4)
+    if kind != SOCK_DIAG_BY_FAMILY:
+        return 0
+    return struct.unpack_from("=I", answer, INODE_OFFSET)[0]
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,10 +73,14 @@
 
 @dataclass(slots=True)
 class LinkChecks:
-    """The cuts of a run; `lost` holds the gateways that are cut off now, and how."""
+    """The cuts of a run; `lost` holds the gateways that are cut off now, and how.
+
+    `owners` holds the gateways that have opened connections, as far as they were looked up.
+    """
 
     lost: dict[str, str] = field(default_factory=dict)
     cuts: list[LinkCut] = field(default_factory=list)
+    owners: WeakKeyDictionary = field(default_factory=WeakKeyDictionary)
 
     def violations(self, calls, disturbed):
         """Yield a text for each cut by which callers at some gateways lost far more than others.
