A service whose links are all lost is not reached by a new endpoint's mere registration

An endpoint that registered during a cut had no failed link yet, so the service counted as reached and requests went there until that link was found down, 0.4 s later in the trace. Now the service stays out of reach until one of its links works.

--- a/cloverhook/gateway/links.py
+++ b/cloverhook/gateway/links.py
@@ -186,6 +186,8 @@
         if not self._down:
             return False
         servers = self._registry.of_service(service)
+        if service in self._lost:
+            return bool(servers)  # A link to a new endpoint has not been found working yet.
         return bool(servers) and all(server.incarnation in self._down for server in servers)
 
     def out_of_reach(self) -> list[str]:
--- a/features/gateway_links.feature
+++ b/features/gateway_links.feature
@@ -76,6 +76,12 @@
       | 6   | i-0 refused at 0, works at 50, refused at 60, works at 120             | 120 | i-0  | yes   | 1      |
       | 6   | i-0 refused at 0, works at 50, refused at 60, works at 120, works at 1120 | 1120 | none | yes | 0     |
 
+  Scenario: An endpoint that registers while all links are lost is checked before requests rely on it
+    Given a VM with links to 6 endpoints of a service
+    When these links change: i-0 refused at 0, i-1 refused at 9
+    And a further endpoint registers
+    Then the service stays out of reach until any of its links works
+
   Scenario Outline: A report of another VM has a link checked, and costs nothing if the link works
     Given a VM with links to 6 endpoints of a service, of which it used i-0 <used> ms ago
     When another VM reports at 0 ms that it has not reached i-0 since <since> ms
--- a/features/steps/link_decision_steps.py
+++ b/features/steps/link_decision_steps.py
@@ -86,6 +86,19 @@
     assert len(found) == count, found
 
 
+@when("a further endpoint registers")
+def step_registers(context):
+    entry = BackendServer("i-new", SERVICE, "10.0.1.0:1", "papine", 4)
+    context.registry.apply(ServerRecord("i-new", 100, entry), 20.0, False)
+
+
+@then("the service stays out of reach until any of its links works")
+def step_stays_lost(context):
+    assert context.links.is_out_of_reach(SERVICE)
+    context.links.record_contact(server(context, "i-new"), 30.0)
+    assert not context.links.is_out_of_reach(SERVICE)
+
+
 @when("another VM reports at 0 ms that it has not reached i-0 since {since:d} ms")
 def step_report(context, since):
     context.checked = context.peer_links.should_check(
