--- a/features/gateway_proxy.feature
+++ b/features/gateway_proxy.feature
@@ -53,7 +53,7 @@
   Scenario: A proxy is not drowned
     When 200 requests of 300 ms work are sent to the first gateway at once
     Then a proxy has 64 of them at most at a time, and each one is answered 200 or rejected as not run
-    And requests of the proxies' own callers are served meanwhile
+    And of 10 requests of each proxy's own callers as large a share is served meanwhile
 
   Scenario: A gateway that stops takes no more requests of others, and ends those that it has
     When a proxy begins a planned stop while it has a request
--- a/features/steps/gateway_proxy_steps.py
+++ b/features/steps/gateway_proxy_steps.py
@@ -24,6 +24,7 @@
 NOT_RUN_STATUSES = (429, 503)
 LARGE_PARTS, PART_BYTES = 8, 100_000
 SOON_S = 0.05
+OWN_REQUESTS = 10
 
 
 def address(context, vm):
@@ -365,7 +366,11 @@
         ]
         await asyncio.sleep(SOON_S)
         context.own_answers = await asyncio.gather(
-            *(fleet.call(address(context, vm), request_id=f"own-{vm}") for vm in (SECOND, THIRD))
+            *(
+                fleet.call(address(context, vm), request_id=f"own-{vm}-{number}")
+                for vm in (SECOND, THIRD)
+                for number in range(OWN_REQUESTS)
+            )
         )
         context.answers = await asyncio.gather(*work)
         watching.cancel()
@@ -389,9 +394,12 @@
     assert not ids & ran, ids & ran
 
 
-@then("requests of the proxies' own callers are served meanwhile")
+@then("of 10 requests of each proxy's own callers as large a share is served meanwhile")
 def step_own_served(context):
-    assert all(item.status in (200, 503) for item in context.own_answers), context.own_answers
+    own = [item.status for item in context.own_answers]
+    passed_on = [item.status for item in context.answers]
+    own_share, share = (found.count(200) / len(found) for found in (own, passed_on))
+    assert own_share >= share > 0.0, (Counter(own), Counter(passed_on))
 
 
 @when("a proxy begins a planned stop while it has a request")
