--- a/cloverhook/gateway/backend_pool.py
+++ b/cloverhook/gateway/backend_pool.py
@@ -91,7 +91,7 @@
 
     async def _test_connection(self, server: BackendServer) -> ConnectError | None:
         try:
-            connection = await self._connect(server, CONNECT_TIMEOUT_MS)
+            connection = await self.open(server)
         except ConnectError as error:
             return error
         connection.close()
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -568,14 +568,14 @@
 
     def _on_load_report(self, server: BackendServer, report: LoadReport, at_ms: float) -> None:
         load = self._gateway_state.load_table.get_or_create(server.incarnation)
-        previous = load.latest_report
+        is_first = load.latest_report is None
         load.update_from_probe(report, at_ms)
         self._peering.load_updates.add(server.incarnation, report, at_ms)
         self._forwarder.slowdown_changed(server.incarnation)
-        if previous is None or previous.reachable != report.reachable:
+        if is_first:
             self._log.note(
                 EventKind.ENDPOINT,
                 server=server.incarnation,
                 address=server.address,
-                reachable=report.reachable,
+                reachable=True,
             )
--- a/cloverhook/gateway/proxy_offers.py
+++ b/cloverhook/gateway/proxy_offers.py
@@ -1,8 +1,8 @@
 """The VMs that offer to send requests to endpoints for this one.
 
 Layer: coordination.  A VM that reaches no endpoint of a service says so to the others, and those
-that reach some answer with an offer.  An offer ends when it is not repeated, or when its VM has
-turned out not to reach the service.  Requests are spread over the VMs that offer: of a few that are
+that reach some answer with an offer.  An offer ends when it is not repeated, or when its VM is
+found not to reach the service.  Requests are spread over the VMs that offer: of a few that are
 drawn, the one with the fewest requests of this VM gets the next one.
 
 >>> offers = ProxyOffers(random.Random(1))
@@ -39,10 +39,6 @@
         self._in_flight: Counter[str] = Counter()
         self._lost_ms: dict[tuple[str, str], float] = {}
 
-    def __len__(self) -> int:
-        """Return the number of VMs whose offers are known."""
-        return len(self._offers)
-
     def record(self, vm: str, contact_age_ms: Mapping[str, float], now_ms: float) -> None:
         """Record a VM's offer, with the time since its last contact with each service."""
         self._offers[vm] = {
