soak: Count requests at the gateway that sends them, also where another one passed them on

Cause: an arrival was counted for the gateway that its caller had called. While that one is without links, any of the others sends its requests, each of which may not know of the rejection yet. The kernel tells which process has opened a connection, so arrivals and answers count for the process that has sent the request; bounds as before.

--- a/features/gateway_soak.py
+++ b/features/gateway_soak.py
@@ -25,7 +25,7 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook_emulator.log_store_server import LogStoreServer
 from features import gateway_fleet as fleet
-from features.soak_links import LinkChecks, LinkCut, owner_of
+from features.soak_links import LinkChecks, LinkCut, Owner, owner_of
 from features.soak_notices import NoticeChecks
 
 ROOT = Path(features.__file__).resolve().parent.parent
@@ -93,6 +93,9 @@
     identity: tuple[str, int, int]
     sent_ms: float
     answer: fleet.Answer | None = None
+    senders: dict[str, tuple[str, int, int]] = field(default_factory=dict)
+    """The gateway process that has sent it to a backend server, by the incarnation of that one: a
+    gateway without links passes requests on to another one."""
 
 
 @dataclass
@@ -199,20 +202,32 @@
 
     def _accepts(self, writer):
         """Return whether a connection is served; one of a gateway without links may be reset."""
-        how = self.links.lost.get(self._gateway_of(writer)) if self.links.lost else None
+        owner = self._owner_of(writer)
+        how = self.links.lost.get(owner.name) if owner is not None else None
         if how == "reset":
             writer.transport.abort()
         return how is None
 
-    def _gateway_of(self, writer):
-        """Return the name of the gateway that has opened a connection, or None."""
+    def _owner_of(self, writer):
+        """Return the gateway process that has opened a connection, or None if it is not known."""
         if writer not in self.links.owners:
-            names = {item.process.pid: item.name for item in self.gateways if item.alive}
+            gateways = {item.process.pid: item for item in self.gateways if item.alive}
             peer, own = (writer.get_extra_info(name) for name in ("peername", "sockname"))
-            pid = owner_of(peer, own, names) if peer else None
-            self.links.owners[writer] = names.get(pid)
+            gateway = gateways.get(owner_of(peer, own, gateways)) if peer else None
+            owner = None if gateway is None else Owner(gateway.name, gateway.start_count)
+            self.links.owners[writer] = owner
         return self.links.owners[writer]
 
+    def _sender(self, backend, call):
+        """Return the gateway process that sends the request on the current task's connection."""
+        current = asyncio.current_task()
+        writer = next(item for item, task in backend.writers.items() if task is current)
+        owner = self._owner_of(writer)
+        if owner is None:
+            return call.identity
+        pauses = next(item.pause_count for item in self.gateways if item.name == owner.name)
+        return owner.name, owner.start_count, pauses
+
     def _record_arrival(self, backend, _):
         """Record a request that is meant for the incarnation which it has reached."""
         headers = backend.seen[-1][1]
@@ -220,8 +235,9 @@
         if call is not None and headers[HEADERS.incarnation_wanted].decode() == backend.incarnation:
             rejects = backend.default == "reject" and not backend.script
             backoff_ms = self.backoffs_ms.get(backend.incarnation, 0.0) if rejects else 0.0
+            sender = call.senders[backend.incarnation] = self._sender(backend, call)
             self.notices.record_arrival(
-                (backend.incarnation, backend.born_ms), call.identity, call.sent_ms, backoff_ms
+                (backend.incarnation, backend.born_ms), sender, call.sent_ms, backoff_ms
             )
 
     def put(self, backend, state="ready"):
@@ -320,7 +336,9 @@
             async with asyncio.timeout(10):
                 record.answer = await fleet.call(address, path, method, lines=lines, body=body)
         if record.answer is not None and record.answer.status == 200:
-            self.notices.record_answer(record.answer.body, record.identity, record.sent_ms)
+            body = record.answer.body
+            sender = record.senders.get(body.decode(errors="replace"), record.identity)
+            self.notices.record_answer(body, sender, record.sent_ms)
         return record.answer
 
     # Faults.
@@ -534,7 +552,8 @@
         backends = (*self.backends, *self.stopped_backends)
         tasks = {writer: task for item in backends for writer, task in item.writers.items()}
         for writer, task in tasks.items():
-            if self._gateway_of(writer) in names:
+            owner = self._owner_of(writer)
+            if owner is not None and owner.name in names:
                 task.cancel()
                 if how == "reset":
                     writer.transport.abort()
--- a/features/soak_links.py
+++ b/features/soak_links.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from weakref import WeakKeyDictionary
 
-__all__ = ["LinkChecks", "owner_of"]
+__all__ = ["LinkChecks", "LinkCut", "Owner", "owner_of"]
 
 NETLINK_SOCK_DIAG = 4
 SOCK_DIAG_BY_FAMILY = 20
@@ -62,6 +62,14 @@
     return struct.unpack_from("=I", answer, INODE_OFFSET)[0]
 
 
+@dataclass(frozen=True, slots=True)
+class Owner:
+    """The gateway process that has opened a connection: how often it was started before."""
+
+    name: str
+    start_count: int
+
+
 @dataclass(frozen=True, slots=True)
 class LinkCut:
     """A cut of some gateways from all backend servers."""
@@ -76,7 +84,7 @@
 class LinkChecks:
     """The cuts of a run; `lost` holds the gateways that are cut off now, and how.
 
-    `owners` holds the gateways that have opened connections, as far as they were looked up.
+    `owners` holds the gateway processes that have opened connections, where that is known.
     """
 
     lost: dict[str, str] = field(default_factory=dict)
