Presume that all links to a service are lost only after checks of others have failed

Cause: two failed links in a row made a gateway presume all links to the service down. When two endpoints end together, each gateway checks both on the first report and finds both down: in the trace all four gateways had given up all twelve endpoints within 16 ms, each with 12 lines in its log, and after the second time within 10 s they held working links back for 1 s. So there was nobody to pass requests on to.

Two failures in a row now have links to four other endpoints checked at once, and only if none of them works the rest is presumed down. Where connections are refused that takes a millisecond more, where they hang 120 ms. The decision scenario's row "i-0 and i-1 refused" said that all six are given up, which is the fault; it now says that these two are, and further rows that all are once the checks fail, and none of the others once one works.

--- a/cloverhook/gateway/links.py
+++ b/cloverhook/gateway/links.py
@@ -6,8 +6,9 @@
 caller has to find out.  A check opens a connection and probes the endpoint.
 
 If links to several endpoints of a service fail without a contact with any of them in between, the
-VM has probably lost all of them.  Then all links to the service are presumed to be down, until one
-of them works.
+VM may have lost all of them, or these endpoints have ended together.  So links to some others are
+checked at once.  If none of these works, all links to the service are presumed to be down, until
+one of them works.
 
 >>> from cloverhook.gateway.backend_server import ServerRecord
 >>> registry = Registry()
@@ -34,9 +35,12 @@
 
 __all__ = ["LinkChange", "LinkFailure", "Links"]
 
-PRESUMED_DOWN_FAILURES = 2
-"""Links to this many endpoints of a service that fail in a row make all others presumed down."""
-PRESUMPTION_WINDOW_MS = 1_000.0
+SUSPICION_FAILURES = 2
+"""If links to this many endpoints of a service fail in a row, links to others are checked."""
+SUSPICION_CHECKS = 4
+"""How many others are checked.  If a third of the endpoints have ended together, all of these have
+ended in 1 of 100 cases."""
+SUSPICION_WINDOW_MS = 1_000.0
 """Failures further apart than this don't count as failures in a row."""
 FIRST_CHECK_MS = 50.0
 """A link may fail because of a single lost packet, so it is checked soon."""
@@ -118,6 +122,18 @@
         return min(FIRST_HOLD_MS * 2.0 ** (self.count - 2), MAX_HOLD_MS)
 
 
+@dataclass(slots=True)
+class _Suspicion:
+    """The endpoints of a service whose links decide whether all its links are presumed down.
+
+    Those in `due` are to be checked; `undecided` are all that have not failed so far.
+    """
+
+    due: list[BackendServer]
+    undecided: set[str]
+    since_ms: float
+
+
 @dataclass(slots=True)
 class _LostService:
     """A service to which all links are presumed down."""
@@ -158,6 +174,7 @@
         self._random = source or random.Random()
         self._down: dict[str, _DownLink] = {}
         self._lost: dict[str, _LostService] = {}
+        self._suspected: dict[str, _Suspicion] = {}
         self._flaps: dict[str, _Flaps] = {}
         self._contact_ms: dict[str, float] = {}
         self._service_contact_ms: dict[str, float] = {}
@@ -228,17 +245,18 @@
         self._take_down(server, failure, now_ms)
         row = self._failed_in_row.setdefault(server.service, {})
         for name, at_ms in tuple(row.items()):
-            if now_ms - at_ms > PRESUMPTION_WINDOW_MS:
+            if now_ms - at_ms > SUSPICION_WINDOW_MS:
                 del row[name]
         row[server.incarnation] = now_ms
-        if len(row) >= PRESUMED_DOWN_FAILURES and server.service not in self._lost:
-            self._presume_down(server.service, now_ms)
+        if server.service not in self._lost:
+            self._update_suspicion(server, len(row), now_ms)
 
     def record_contact(self, server: BackendServer, now_ms: float) -> None:
         """Record that an endpoint has answered this VM."""
         incarnation, service = server.incarnation, server.service
         self._contact_ms[incarnation] = self._service_contact_ms[service] = now_ms
         self._failed_in_row.pop(service, None)
+        self._suspected.pop(service, None)
         if not self._down:
             return
         lost = self._lost.get(service)
@@ -275,6 +293,9 @@
     def due_checks(self, now_ms: float) -> list[BackendServer]:
         """Return the endpoints whose links should be checked now; to be called often."""
         found: dict[str, BackendServer] = {}
+        for suspicion in self._suspected.values():
+            found |= {server.incarnation: server for server in suspicion.due}
+            suspicion.due = []
         for wait in self._waits:
             if now_ms - wait.since_ms < SILENCE_MS:
                 break
@@ -301,6 +322,24 @@
             if not self._registry.of_service(service):
                 del self._lost[service]
 
+    def _update_suspicion(self, failed: BackendServer, in_row: int, now_ms: float) -> None:
+        """Suspect that all links to a service are down, or presume it if no check has worked."""
+        service = failed.service
+        suspicion = self._suspected.get(service)
+        if suspicion is not None and now_ms - suspicion.since_ms <= SUSPICION_WINDOW_MS:
+            suspicion.undecided.discard(failed.incarnation)
+            if not suspicion.undecided:
+                del self._suspected[service]
+                self._presume_down(service, now_ms)
+        elif in_row >= SUSPICION_FAILURES:
+            servers = self._registry.of_service(service)
+            others = [item for item in servers if item.incarnation not in self._down]
+            if others:
+                due = self._random.sample(others, min(SUSPICION_CHECKS, len(others)))
+                names = {item.incarnation for item in due}
+                self._suspected[service] = _Suspicion(due, names, now_ms)
+                self._on_checks_due()
+
     def _take_down(self, server: BackendServer, failure: LinkFailure, now_ms: float) -> None:
         flaps = self._flaps.get(server.incarnation)
         if flaps is None or now_ms - flaps.last_ms > FLAP_WINDOW_MS:
@@ -360,7 +399,7 @@
         ):
             self._silence_checked_ms[server.service] = now_ms
             found[server.incarnation] = server
-            for other in self._sample(server.service)[: PRESUMED_DOWN_FAILURES - 1]:
+            for other in self._sample(server.service)[: SUSPICION_FAILURES - 1]:
                 found[other.incarnation] = other
 
     def _sample(self, service: str) -> list[BackendServer]:
--- a/features/gateway_links.feature
+++ b/features/gateway_links.feature
@@ -66,9 +66,11 @@
 
     Examples: links that fail in a row
       | all | events                                                      | at  | down | reach | checks |
-      | 6   | i-0 refused at 0, i-1 refused at 9                          | 10  | all  | no    | 3      |
+      | 6   | i-0 refused at 0, i-1 refused at 9                          | 10  | i-0 i-1 | yes | 4     |
+      | 6   | i-0 refused at 0, i-1 refused at 9, i-2 refused at 10, i-3 refused at 10, i-4 refused at 10, i-5 refused at 10 | 10 | all | no | 3 |
+      | 6   | i-0 refused at 0, i-1 refused at 9, i-2 refused at 10, i-3 refused at 10, i-4 refused at 10, i-5 works at 10 | 10 | i-0 i-1 i-2 i-3 i-4 | yes | 0 |
       | 6   | i-0 refused at 0, i-2 works at 5, i-1 refused at 9          | 10  | i-0 i-1 | yes | 0     |
-      | 6   | i-0 refused at 0, i-1 refused at 9, i-2 works at 12         | 20  | i-0 i-1 | yes | 2     |
+      | 6   | i-0 refused at 0, i-1 refused at 9, i-2 works at 12         | 20  | i-0 i-1 | yes | 0     |
       | 6   | i-0 refused at 0, i-1 refused at 1100                       | 1101 | i-0 i-1 | yes | 1    |
 
     Examples: links that come and go
@@ -78,7 +80,7 @@
 
   Scenario: An endpoint that registers while all links are lost is checked before requests rely on it
     Given a VM with links to 6 endpoints of a service
-    When these links change: i-0 refused at 0, i-1 refused at 9
+    When these links change: i-0 refused at 0, i-1 refused at 9, i-2 refused at 10, i-3 refused at 10, i-4 refused at 10, i-5 refused at 10
     And a further endpoint registers
     Then the service stays out of reach until any of its links works
 
