Retry a request here if its proxies have rejected it and own links are back

In the trace of the commit before, a request that its last proxy rejected was rejected for good, though links of this gateway had come back meanwhile and were only held back for a time. They are used now, and the request gets another attempt of this gateway, as it has not run.

--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -202,11 +202,15 @@
 
     async def _retry(self, state: RequestState) -> None:
         """Start another attempt after a failed one, if that is allowed and may succeed."""
-        may_retry = self._may_retry(state) and not self._links.is_out_of_reach(state.service)
-        if may_retry and await self._passes_quarantine(state) and self._try_start_attempt(state):
+        if await self._try_retry_here(state) or state.tasks or await self._try_proxy(state):
             return
-        if not state.tasks:
-            await self._try_proxy(state)
+        await self._try_retry_here(state)  # The last proxy may have failed after links came back.
+
+    async def _try_retry_here(self, state: RequestState) -> bool:
+        """Start another attempt of this VM if that is allowed; return whether one was started."""
+        if not self._may_retry(state) or self._links.is_out_of_reach(state.service):
+            return False
+        return await self._passes_quarantine(state) and self._try_start_attempt(state)
 
     async def _try_proxy(self, state: RequestState) -> bool:
         """Send a request by way of another gateway if this one reaches no endpoint for it.
@@ -219,8 +223,7 @@
         vm = await self._proxying.choose(state)
         now_ms = monotonic_ms()
         if vm is None:
-            if not state.proxied:
-                self._links.use_held_links(state.service, now_ms)
+            self._links.use_held_links(state.service, now_ms)
             return False
         if state.deadline_ms - now_ms < ATTEMPT_TIME_MIN_MS or not self._take_retry(state, now_ms):
             return False
