Count crashes of endpoints that end at the same moment

Cause: a refused connection after a cut counted as a crash only if no other link had failed since the attempt began, as a gateway that loses its links sees the same. That holds for two endpoints that end together, and for a long request also if any other link failed while it ran.

Now the gateway connects to up to six other endpoints that have answered before. If none accepts, it has lost its links. If some accept and no other link failed within 25 ms, the endpoint has crashed. If others failed, another gateway must report that it does not reach the endpoint either, within 100 ms. Requests cut by one crash share the tests.

A service of whose endpoints none has answered yet counts a crash as before.

--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -27,6 +27,7 @@
 )
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
 from cloverhook.gateway.choice import Choice
+from cloverhook.gateway.crash_detection import CrashDetector
 from cloverhook.gateway.endpoint_notice import EndpointNotice
 from cloverhook.gateway.links import LinkFailure, Links
 from cloverhook.gateway.load_probe import probe_load
@@ -47,8 +48,6 @@
 """Up to this age of the load report no load probe is needed; within a data centre, the response to
 one takes about 1 ms."""
 LOAD_PROBE_TIMEOUT_MS = 60.0
-SIMULTANEOUS_MS = 25.0
-"""Links that are lost together show that within this time."""
 BUFFERED_BODY_BYTES = 262_144
 """A response body up to this size is read completely before the caller gets a byte of it, so that
 the request can be retried if the response breaks off."""
@@ -121,6 +120,7 @@
         headers: CallHeaders,
         notices: NoticeRecorder,
         links: Links,
+        crashes: CrashDetector,
         probe_path: str | None = None,
         reason_not_to_send: Callable[[BackendServer], str] = lambda server: "",
     ) -> None:
@@ -132,6 +132,7 @@
         """
         self._notices = notices
         self._links = links
+        self._crashes = crashes
         self._reason_not_to_send = reason_not_to_send
         self._probe_path = probe_path
         self._declined: AnswerHead | None = None
@@ -201,7 +202,8 @@
                 if quick and self.choice.load < server.slots:
                     pool.shorten_idle_limit(server, connection)
                 stale = quick and connection.idle_since_ms > 0.0
-            crashed = self.sent and not error.bad_answer and await self._has_crashed(server, pool)
+            may_have_crashed = self.sent and not error.bad_answer
+            crashed = may_have_crashed and await self._crashes.has_crashed(server)
             result = replace(result, server_failed=self.sent and not stale, crashed=crashed)
         finally:
             if connection is not None and not still_in_use and not connection.usable:
@@ -213,21 +215,6 @@
             result, nominal_ms=load.expected_progress_ms(monotonic_ms()) - self.progress_at_start_ms
         )
 
-    async def _has_crashed(self, server: BackendServer, pool: BackendPool) -> bool:
-        """Return whether the backend server has ended, after it has broken off the connection.
-
-        Only a refused connection shows that: a backend server that can't be reached may still be
-        running.  If links to other backend servers fail at the same time, this VM has lost them.
-        """
-        error = await pool.test_connection(server)
-        if error is None:
-            return False
-        self._links.record_failure(server, LinkFailure.of(error), monotonic_ms())
-        if not error.refused:
-            return False
-        await asyncio.sleep(SIMULTANEOUS_MS / 1000)
-        return not self._links.others_failed_since(server, self.began_ms)
-
     def _should_probe(self, load: ServerLoad, now_ms: float) -> bool:
         """Return whether to probe: the endpoint reports its load, but not recently."""
         return load.latest_report is not None and load.age_ms(now_ms) > LOAD_MAX_AGE_MS
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -22,6 +22,7 @@
 from cloverhook.gateway.choice import WorkEstimates
 from cloverhook.gateway.cold_limit import ColdLimit, ColdRateBound
 from cloverhook.gateway.counters import Counters
+from cloverhook.gateway.crash_detection import CrashDetector
 from cloverhook.gateway.discovery import Discovery
 from cloverhook.gateway.eligibility import Eligibility
 from cloverhook.gateway.event_log import EventKind, EventLog
@@ -213,6 +214,7 @@
             self._peering.rate_limit_updates,
             notices,
             self._links,
+            CrashDetector(self._pool, self._links, self._peering.link_updates.peer_links),
             proxying,
             report,
         )
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -19,6 +19,7 @@
 from cloverhook.gateway.call_headers import CallHeaders, find
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
 from cloverhook.gateway.choice import CapacityRequirement, Choice, WorkEstimates
+from cloverhook.gateway.crash_detection import CrashDetector
 from cloverhook.gateway.final_answer import error_answer, final_error_kind
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.links import Links
@@ -79,6 +80,7 @@
         rate_limit_updates: RateLimitUpdates,
         notices: NoticeRecorder,
         links: Links,
+        crashes: CrashDetector,
         proxying: Proxying,
         report: RequestReport,
     ) -> None:
@@ -95,6 +97,7 @@
         self._rate_limit_updates = rate_limit_updates
         self._notices = notices
         self._links = links
+        self._crashes = crashes
         self._proxying = proxying
         self._report = report
         self._estimates = estimates
@@ -401,6 +404,7 @@
             self._headers,
             self._notices,
             self._links,
+            self._crashes,
             self._load_probe_path(state),
             lambda server: self._reason_not_to_send(state, server),
         )
--- a/cloverhook/gateway/links.py
+++ b/cloverhook/gateway/links.py
@@ -226,6 +226,16 @@
         """Return when any endpoint of a service last answered this VM."""
         return self._service_contact_ms.get(service, LONG_AGO_MS)
 
+    def sample_contacts(self, count: int, excluded: BackendServer) -> list[BackendServer]:
+        """Return random other endpoints that have answered, and whose links are not down."""
+        found = [
+            server
+            for name in self._contact_ms
+            if name not in self._down and (server := self._registry.get(name)) is not None
+        ]
+        found = [server for server in found if server.incarnation != excluded.incarnation]
+        return self._random.sample(found, min(count, len(found)))
+
     def others_failed_since(self, server: BackendServer, since_ms: float) -> bool:
         """Return whether links to other endpoints have failed since then."""
         return any(
--- a/cloverhook/gateway/peer_links.py
+++ b/cloverhook/gateway/peer_links.py
@@ -76,6 +76,11 @@
         )
         return found
 
+    def is_reported(self, server: BackendServer, since_ms: float) -> bool:
+        """Return whether a VM has reported since then that it does not reach an endpoint."""
+        times_ms = self._down_ms.get(server.incarnation, {}).values()
+        return any(at_ms >= since_ms for at_ms in times_ms)
+
     def should_check(self, vm: str, server: BackendServer, at_ms: float, now_ms: float) -> bool:
         """Return whether this VM should check its link to an endpoint that another VM reports.
 
--- a/features/gateway_quarantine.feature
+++ b/features/gateway_quarantine.feature
@@ -20,6 +20,12 @@
     And it reached at most 3 endpoints later than 3 s after the third of them had ended
     And each sound request was answered well
 
+  Scenario: Requests that crash endpoints at the same moment at the same gateway
+    Given 4 gateways and 12 backend servers that are back a second after they end
+    When two requests that crash who runs them are sent together every 200 ms for 6 s, beside sound ones
+    Then at most 6 endpoints have ended
+    And no sound request was rejected
+
   Scenario: A request that crashes who runs it may not be repeated at all
     Given 4 gateways and 12 backend servers that are back a second after they end
     When a payment that crashes who runs it is sent every 200 ms for 4 s
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -103,11 +103,16 @@
     return await fleet.call(settings.caller_address, path, request_id=request_id, **fields)
 
 
-async def send_fatal(context, count, every_s):
-    """Send the fatal request repeatedly, without waiting for answers in between."""
+async def send_fatal(context, count, every_s, paths=(FATAL,)):
+    """Send fatal requests repeatedly, without waiting for answers in between.
+
+    Those with different paths are sent together to the same gateway.
+    """
     calls = []
     for number in range(count):
-        calls.append(asyncio.create_task(send(context, number, FATAL, f"fatal-{number}")))
+        for path in paths:
+            request_id = f"{path}-{number}"
+            calls.append(asyncio.create_task(send(context, number, path, request_id)))
         await asyncio.sleep(every_s)
     context.fatal_answers = await asyncio.gather(*calls)
 
@@ -181,6 +186,20 @@
     run(context, send_both())
 
 
+@when(
+    "two requests that crash who runs them are sent together every {every_ms:d} ms for {for_s:d} s,"
+    " beside sound ones"
+)
+def step_send_two_fatal(context, every_ms, for_s):
+    async def send_all():
+        paths = (FATAL, FATAL + "-too")
+        count = for_s * 1000 // every_ms
+        fatal = asyncio.create_task(send_fatal(context, count, every_ms / 1000, paths))
+        await send_sound(context, fatal)
+
+    run(context, send_all())
+
+
 @then("at most {most:d} endpoints have ended")
 def step_ended(context, most):
     assert 0 < len(context.ends_ms) <= most, len(context.ends_ms)
@@ -201,6 +220,12 @@
     assert set(statuses) == {200}, {status: statuses.count(status) for status in set(statuses)}
 
 
+@then("no sound request was rejected")
+def step_none_rejected(context):
+    rejected = [answer.body for answer in context.sound_answers if answer.status == 503]
+    assert context.sound_answers and not rejected, rejected
+
+
 @when("a payment that crashes who runs it is sent every {every_ms:d} ms for {for_s:d} s")
 def step_send_payment(context, every_ms, for_s):
     async def pay():
