Keep asking a proxy that was full

Cause, by the logs: the first request that this gateway had no room for ended its offer, and the next offer came up to 500 ms later; until then every request was rejected. A proxy that rejects a request as overloaded now only comes after the others for 100 ms.

--- a/cloverhook/gateway/proxy_offers.py
+++ b/cloverhook/gateway/proxy_offers.py
@@ -25,6 +25,9 @@
 RECENT_CONTACT_MS = 300.0
 """A VM that has had no answer from the service for longer may be about to find that it has lost
 its links too."""
+BUSY_MS = 100.0
+"""A VM that has rejected a request as overloaded is used for this long only if no other one is
+left: it may have room again at any time."""
 STEADY_MS = 10_000.0
 """A VM that has reached the service for at least this long is preferred: links that have been lost
 recently may be lost again."""
@@ -38,6 +41,7 @@
         self._offers: dict[str, dict[str, tuple[float, float]]] = {}
         self._in_flight: Counter[str] = Counter()
         self._lost_ms: dict[tuple[str, str], float] = {}
+        self._busy_until_ms: dict[str, float] = {}
 
     def record(self, vm: str, contact_age_ms: Mapping[str, float], now_ms: float) -> None:
         """Record a VM's offer, with the time since its last contact with each service."""
@@ -57,6 +61,10 @@
         else:
             self._offers.get(vm, {}).pop(service, None)
 
+    def record_busy(self, vm: str, now_ms: float) -> None:
+        """Record that a VM has rejected a request because it had no room for it."""
+        self._busy_until_ms[vm] = now_ms + BUSY_MS
+
     def choose(self, service: str, tried: Collection[str], now_ms: float) -> str | None:
         """Return the VM to send a request by, or None if none offers that or has not been tried."""
         found = {
@@ -66,9 +74,9 @@
         }
         if not found:
             return None
-        steady = [vm for vm in found if not self._lost_recently(vm, service, now_ms)]
-        recent = [vm for vm in steady or found if found[vm] <= RECENT_CONTACT_MS]
-        candidates = recent or steady or list(found)
+        free = [vm for vm in found if self._busy_until_ms.get(vm, 0.0) <= now_ms] or list(found)
+        steady = [vm for vm in free if not self._lost_recently(vm, service, now_ms)] or free
+        candidates = [vm for vm in steady if found[vm] <= RECENT_CONTACT_MS] or steady
         sample = self._random.sample(candidates, min(SAMPLE_SIZE, len(candidates)))
         return min(sample, key=lambda vm: self._in_flight[vm])
 
@@ -92,5 +100,8 @@
         for key in [key for key, at_ms in self._lost_ms.items() if now_ms - at_ms > STEADY_MS]:
             del self._lost_ms[key]
 
+        for vm in [vm for vm, until_ms in self._busy_until_ms.items() if until_ms <= now_ms]:
+            del self._busy_until_ms[vm]
+
     def _lost_recently(self, vm: str, service: str, now_ms: float) -> bool:
         return now_ms - self._lost_ms.get((vm, service), now_ms - STEADY_MS) < STEADY_MS
--- a/cloverhook/gateway/proxying.py
+++ b/cloverhook/gateway/proxying.py
@@ -151,8 +151,11 @@
         kind = ErrorKind(answer.cause)
         if answer.executions or ANSWERS[kind].outcome is not Outcome.NOT_RUN:
             return _failure(AttemptOutcome.CUT, proxied.vm, started_ms, answer.cause)
-        if kind in TRY_ELSEWHERE:
-            self._link_updates.offers.withdraw(proxied.vm, state.service)
+        offers = self._link_updates.offers
+        if kind is ErrorKind.OVERLOADED:
+            offers.record_busy(proxied.vm, monotonic_ms())
+        elif kind in TRY_ELSEWHERE:
+            offers.withdraw(proxied.vm, state.service)
         else:
             state.rejection_is_final = True
         if kind is not ErrorKind.UNKNOWN_HOST:
--- a/features/gateway_proxy.feature
+++ b/features/gateway_proxy.feature
@@ -55,6 +55,11 @@
     Then a proxy has 64 of them at most at a time, and each one is answered 200 or rejected as not run
     And of 10 requests of each proxy's own callers as large a share is served meanwhile
 
+  Scenario: The only proxy gets requests again as soon as it has room after it was full
+    Given the third gateway has lost its links as well, so that only the second one offers to help
+    When 100 requests are sent to the first gateway at once, and 20 more after they have ended
+    Then some of the 100 were rejected as not run, and the 20 are answered 200
+
   Scenario: A gateway that stops takes no more requests of others, and ends those that it has
     When a proxy begins a planned stop while it has a request
     Then that request is answered 200, and the next 20 are served by way of the other one
--- a/features/steps/gateway_proxy_steps.py
+++ b/features/steps/gateway_proxy_steps.py
@@ -402,6 +402,41 @@
     assert own_share >= share > 0.0, (Counter(own), Counter(passed_on))
 
 
+@given("the third gateway has lost its links as well, so that only the second one offers to help")
+def step_one_proxy(context):
+    async def lose():
+        context.fleet.cuts[THIRD].begin(Cut.RESET)
+        await context.fleet.load(50, 0.3)
+        await wait_for_offers(context, {SECOND})
+
+    run(context, lose())
+
+
+@when(
+    "{first:d} requests are sent to the first gateway at once, and {more:d} more after they have"
+    " ended"
+)
+def step_full_before(context, first, more):
+    async def send():
+        context.answers = await asyncio.gather(
+            *(fleet.call(address(context, FIRST), request_id=f"p-{n}") for n in range(first))
+        )
+        context.later = [
+            await fleet.call(address(context, FIRST), request_id=f"later-{number}")
+            for number in range(more)
+        ]
+
+    run(context, send())
+
+
+@then("some of the {first:d} were rejected as not run, and the {more:d} are answered 200")
+def step_has_room(context, first, more):
+    statuses = Counter(item.status for item in context.answers)
+    assert statuses[200] and any(statuses[item] for item in NOT_RUN_STATUSES), statuses
+    later = Counter((item.status, item.body) for item in context.later if item.status != 200)
+    assert len(context.later) == more and not later, later
+
+
 @when("a proxy begins a planned stop while it has a request")
 def step_proxy_stops(context):
     async def stop():
