Pass requests on where a gateway reaches only endpoints that they may not use

Seen in `gateway_links.feature` on the code before, counted from 1 s after the cut: two of four gateways that had lost their links to all endpoints but draining ones served 0 of 56 first tries (reset) and 28 of 56 (hang), the others 69 of 69 and 72 of 72; those that reached no endpoint in the region of the routes 28 of 56 twice, the others all. Cause: a service counted as out of reach only if none of its endpoints was reached, whichever of them a request may use. Endpoints that leave, are evacuated or lie in other regions don't count now. For a route with regions the gateway asks for offers (`LinkStatus.wanted`) when a request needs them; a proxy decides by the route's regions too. While all links work, nothing is computed.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -165,7 +165,7 @@
             self._peering.rate_limit_updates.limits,
             self._gateway_state.drain_notices,
             self._gateway_state.backoffs,
-            self._links.is_lost,
+            self._links,
         )
         balancer = Balancer(
             self._gateway_state.registry,
@@ -219,11 +219,12 @@
             report,
         )
         proxied_forwarder = ProxiedForwarder(
-            self._gateway_state, self._links, headers, self._forwarder, report
+            self._gateway_state, eligibility, headers, self._forwarder, report
         )
         self._proxy_server = ProxyServer(proxied_forwarder.serve)
         self._peering.link.serve_proxied = self._proxy_server.serve
         self._peering.link_updates.may_offer = self._is_ready
+        self._peering.link_updates.is_out_of_reach = eligibility.is_out_of_reach
         self._caller_ingress = Ingress(self._serve_caller, self._limits)
         self._readiness_ingress = Ingress(self._answer_ready)
         self._directory_ingress = Ingress(self._serve_directory)
--- a/cloverhook/gateway/eligibility.py
+++ b/cloverhook/gateway/eligibility.py
@@ -4,12 +4,14 @@
 among the endpoints that they allow.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
+from cloverhook.clock import monotonic_ms
 from cloverhook.errors import ErrorKind
 from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.backoffs import Backoffs
 from cloverhook.gateway.drain_notices import DrainNotices
+from cloverhook.gateway.links import Links
 from cloverhook.gateway.rate_limits import RateLimits
 from cloverhook.gateway.registry import Registry
 
@@ -37,17 +39,16 @@
         rate_limits: RateLimits | None = None,
         drain_notices: DrainNotices | None = None,
         backoffs: Backoffs | None = None,
-        is_link_lost: Callable[[str, float], bool] = lambda incarnation, now_ms: False,
+        links: Links | None = None,
     ) -> None:
         """Nothing is sent to the `evacuated` data centres, or to endpoints that have given notice.
 
         Nor is anything sent to endpoints in the times without requests that they have asked for.
 
         `region_of` returns the region of a data centre, or None if it is unknown.  `rate_limits`
-        bounds the requests to endpoints that advertise a rate limit.  `is_link_lost` returns
-        whether this VM is certain at a time that it does not reach an incarnation.
+        bounds the requests to endpoints that advertise a rate limit.  `links` are those of this VM.
         """
-        self._is_link_lost = is_link_lost
+        self._links = links
         self._registry = registry
         self.evacuated = evacuated
         self._region_of = region_of
@@ -57,14 +58,19 @@
 
     def usable(self, service: str, regions: tuple[str, ...] = ()) -> list[BackendServer]:
         """Return the endpoints of a service that are not draining, evacuated or out of region."""
-        evacuated = self.evacuated()
-        return [
-            server
-            for server in self._registry.of_service(service)
-            if not server.draining
-            and server.data_center not in evacuated
-            and self._in_regions(server, regions)
-        ]
+        return list(self._usable(service, regions))
+
+    def is_out_of_reach(self, service: str, regions: tuple[str, ...] = ()) -> bool:
+        """Return whether there are endpoints for a request, and this VM reaches none of them.
+
+        Endpoints that are about to stop don't count: others may get the request.
+        """
+        if not self._links:
+            return False
+        now_ms = monotonic_ms()
+        usable = self._usable(service, regions)
+        staying = (server for server in usable if not self._has_left(server, now_ms))
+        return self._links.reaches_none(service, staying)
 
     @property
     def has_notices(self) -> bool:
@@ -136,7 +142,7 @@
                 found.add(ErrorKind.DRAINING)
             elif server.data_center in evacuated:
                 found.add(ErrorKind.EVACUATED)
-            elif self._is_link_lost(server.incarnation, now_ms):
+            elif self._links and self._links.is_lost(server.incarnation, now_ms):
                 found.add(ErrorKind.UNREACHABLE)
             elif self.backoff_left_ms(server, now_ms) > within_ms:
                 found.add(ErrorKind.BACKING_OFF)
@@ -149,6 +155,16 @@
             return None
         return next((kind for kind in REASONS if kind in found), None)
 
+    def _usable(self, service: str, regions: tuple[str, ...]) -> Iterator[BackendServer]:
+        evacuated = self.evacuated()
+        return (
+            server
+            for server in self._registry.of_service(service)
+            if not server.draining
+            and server.data_center not in evacuated
+            and self._in_regions(server, regions)
+        )
+
     def _has_left(self, server: BackendServer, now_ms: float) -> bool:
         notices = self._drain_notices
         return bool(notices) and notices.excludes(server.incarnation, now_ms)
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -211,7 +211,7 @@
 
     async def _try_retry_here(self, state: RequestState) -> bool:
         """Start another attempt of this VM if that is allowed; return whether one was started."""
-        if not self._may_retry(state) or self._links.is_out_of_reach(state.service):
+        if not self._may_retry(state) or self._is_out_of_reach(state):
             return False
         return await self._passes_quarantine(state) and self._try_start_attempt(state)
 
@@ -221,7 +221,7 @@
         Returns whether it was sent.  If no other gateway offers that, links that have come back
         only a short time ago are used.
         """
-        if not self._links.is_out_of_reach(state.service) or not self._proxying.may_start(state):
+        if not self._is_out_of_reach(state) or not self._proxying.may_start(state):
             return False
         vm = await self._proxying.choose(state)
         now_ms = monotonic_ms()
@@ -239,6 +239,11 @@
         state.proxied.append(proxied)
         return True
 
+    def _is_out_of_reach(self, state: RequestState) -> bool:
+        """Return whether this VM reaches none of the endpoints for a request."""
+        eligibility = self._balancer.eligibility
+        return eligibility.is_out_of_reach(state.service, state.route.regions)
+
     def _take_retry(self, state: RequestState, now_ms: float) -> bool:
         """Charge another attempt to the retry budget if an earlier one may have arrived."""
         if not (any(item.arrived for item in state.results) or state.tasks):
--- a/cloverhook/gateway/link_updates.py
+++ b/cloverhook/gateway/link_updates.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Collection
+from dataclasses import dataclass
 from itertools import islice
 
 from cloverhook.clock import monotonic_ms
@@ -22,7 +23,7 @@
 from cloverhook.gateway.peer_messages import LinkOffer, LinkStatus, encode
 from cloverhook.gateway.proxy_offers import ProxyOffers
 
-__all__ = ["LinkUpdates"]
+__all__ = ["LinkUpdates", "ReachGroup"]
 
 FLUSH_MS = 5.0
 """Links that fail together share a datagram."""
@@ -40,6 +41,14 @@
 CONTACT_AGE_LIMIT_MS = 3_600_000.0
 
 
+@dataclass(frozen=True, slots=True)
+class ReachGroup:
+    """The endpoints of a service that may serve a route: those in its regions, or all."""
+
+    service: str
+    regions: tuple[str, ...] = ()
+
+
 class LinkUpdates:
     """Sends which links of this VM are down, and applies what other VMs send of theirs."""
 
@@ -56,6 +65,10 @@
         """Returns whether this VM may send requests for others."""
         self.start_check: Callable[[BackendServer], None] = lambda server: None
         """Called with each endpoint to which the link of this VM should be checked now."""
+        self.is_out_of_reach: Callable[[str, tuple[str, ...]], bool] = (
+            lambda service, regions: links.is_out_of_reach(service)
+        )
+        """Returns whether this VM reaches none of the endpoints of a service in some regions."""
         self.peer_links = PeerLinks(links, gateway_state.load_table)
         self.offers = ProxyOffers(random.Random())
         self._own_vm = own_vm
@@ -68,24 +81,25 @@
         self._sent_ms = 0.0
         self._last_sent_empty = True
         self._flush_timer: asyncio.TimerHandle | None = None
-        self._lost_ms: dict[str, float] = {}
+        self._lost_ms: dict[ReachGroup, float] = {}
         self._waiting: set[asyncio.Future[None]] = set()
 
     def lost_services(self) -> int:
         """Return the number of services of which this VM reaches no endpoint."""
         return len(self._lost_ms)
 
-    async def wait_for_proxy(self, service: str, tried: Collection[str]) -> str | None:
+    async def wait_for_proxy(self, group: ReachGroup, tried: Collection[str]) -> str | None:
         """Return a VM that sends requests for this one, or None if there is none.
 
-        Waits for the first offers after the links to the service were lost, unless one of these
-        works again meanwhile.
+        Waits for the first offers after the links to a group of endpoints were lost, unless one of
+        these works again meanwhile.
         """
         while True:
             now_ms = monotonic_ms()
-            vm = self.offers.choose(service, tried, now_ms)
-            left_ms = self._lost_ms.get(service, now_ms - OFFER_WAIT_MS) + OFFER_WAIT_MS - now_ms
-            if vm is not None or left_ms <= 0 or not self._links.is_out_of_reach(service):
+            self._update_lost(group, now_ms)
+            vm = self.offers.choose(group.service, tried, now_ms)
+            left_ms = self._lost_ms.get(group, now_ms - OFFER_WAIT_MS) + OFFER_WAIT_MS - now_ms
+            if vm is not None or left_ms <= 0 or group not in self._lost_ms:
                 return vm
             future = asyncio.get_running_loop().create_future()
             self._waiting.add(future)
@@ -101,21 +115,34 @@
             self._since_ms.pop(incarnation, None)
         elif change.failure is not LinkFailure.PRESUMED:
             self._since_ms[incarnation] = monotonic_ms()
-        self._update_lost(change.server.service, monotonic_ms())
-        if self._flush_timer is None:
-            self._flush_timer = asyncio.get_running_loop().call_later(FLUSH_MS / 1000, self._flush)
-
-    def _update_lost(self, service: str, now_ms: float) -> None:
-        """Record and log that a service is out of reach as a whole, or no longer is."""
-        lost = self._links.is_out_of_reach(service)
-        if lost == (service in self._lost_ms):
+        service = change.server.service
+        groups = [group for group in self._lost_ms if group.service == service]
+        for group in {ReachGroup(service), *groups}:
+            self._update_lost(group, monotonic_ms())
+        self._schedule_flush()
+
+    def _update_lost(self, group: ReachGroup, now_ms: float) -> None:
+        """Record and log that a group is out of reach as a whole, or no longer is."""
+        lost = self.is_out_of_reach(group.service, group.regions)
+        if lost == (group in self._lost_ms):
             return
-        since_ms = self._lost_ms.setdefault(service, now_ms)
-        if not lost:
-            del self._lost_ms[service]
+        since_ms = self._lost_ms.setdefault(group, now_ms)
+        if lost:
+            self._schedule_flush()
+        else:
+            del self._lost_ms[group]
             self._wake_waiting()
-        lasted_ms = round(now_ms - since_ms)
-        self._log.note(EventKind.REACH, service=service, lost=lost, lasted_ms=lasted_ms)
+        self._log.note(
+            EventKind.REACH,
+            service=group.service,
+            regions=",".join(group.regions),
+            lost=lost,
+            lasted_ms=round(now_ms - since_ms),
+        )
+
+    def _schedule_flush(self) -> None:
+        if self._flush_timer is None:
+            self._flush_timer = asyncio.get_running_loop().call_later(FLUSH_MS / 1000, self._flush)
 
     def _wake_waiting(self) -> None:
         for future in self._waiting:
@@ -136,15 +163,16 @@
             self.offers.record_lost(message.vm, service, now_ms)
         for incarnation, age_ms in rows:
             self.record_report(message.vm, incarnation, now_ms - age_ms, now_ms)
-        if services and self.may_offer():
-            self._send_offer(message.vm, services, now_ms)
+        wanted = {*services, *message.wanted[:ROWS_LIMIT]}
+        if wanted and self.may_offer():
+            self._send_offer(message.vm, wanted, now_ms)
 
     def received_offer(self, message: LinkOffer, now_ms: float) -> None:
         """Apply the offer of another VM to send requests for this one."""
         self.offers.record(message.vm, dict(message.rows[:ROWS_LIMIT]), now_ms)
         self._wake_waiting()
 
-    def _send_offer(self, vm: str, services: list[str], now_ms: float) -> None:
+    def _send_offer(self, vm: str, services: Collection[str], now_ms: float) -> None:
         """Offer a VM to send its requests for those of the services that this VM reaches."""
         member = self._members.get(vm)
         if member is None or random.random() * len(self._members) > OFFERS_WANTED:
@@ -152,8 +180,7 @@
         rows = [
             [name, round(min(now_ms - self._links.service_contact_ms(name), CONTACT_AGE_LIMIT_MS))]
             for name in services
-            if self._gateway_state.registry.of_service(name)
-            and not self._links.is_out_of_reach(name)
+            if self._gateway_state.registry.of_service(name) and not self.is_out_of_reach(name, ())
         ]
         if rows:
             self._broadcast.send_to([member], encode(LinkOffer(self._own_vm, rows)))
@@ -173,8 +200,9 @@
         known = self._gateway_state.registry.get
         self.peer_links.expire(now_ms, known)
         self.offers.expire(now_ms)
-        for service in tuple(self._lost_ms):
-            self._update_lost(service, now_ms)
+        whole = map(ReachGroup, self._links.affected_services())
+        for group in {*self._lost_ms, *whole}:
+            self._update_lost(group, now_ms)
         for incarnation in tuple(self._since_ms):
             if not known(incarnation):
                 del self._since_ms[incarnation]
@@ -186,11 +214,12 @@
     def _send(self, now_ms: float) -> None:
         self._sent_ms = now_ms
         self._last_sent_empty = not len(self._links)
-        lost = self._links.out_of_reach()[:ROWS_LIMIT]
+        lost = [group.service for group in self._lost_ms if not group.regions][:ROWS_LIMIT]
+        wanted = {group.service for group in self._lost_ms if group.regions}
         rows = [
             [incarnation, round(now_ms - self._since_ms.get(incarnation, now_ms))]
             for incarnation in islice(self._links.failed(), ROWS_LIMIT)
         ]
-        data = encode(LinkStatus(self._own_vm, rows, lost))
+        data = encode(LinkStatus(self._own_vm, rows, lost, list(wanted)[:ROWS_LIMIT]))
         self._broadcast.send_to_load_subscribers(data, now_ms)
         self._broadcast.send_remote(data, now_ms, RELAY_COUNT)
--- a/cloverhook/gateway/links.py
+++ b/cloverhook/gateway/links.py
@@ -200,17 +200,27 @@
 
     def is_out_of_reach(self, service: str) -> bool:
         """Return whether this VM reaches none of the endpoints of a service that has some."""
+        return self.reaches_none(service, self._registry.of_service(service))
+
+    def reaches_none(self, service: str, servers: Iterable[BackendServer]) -> bool:
+        """Return whether there are such endpoints of a service, and this VM reaches none of them.
+
+        While all links to the service are presumed down, that includes one to a new endpoint, which
+        has not been found working yet.
+        """
         if not self._down:
             return False
-        servers = self._registry.of_service(service)
-        if service in self._lost:
-            return bool(servers)  # A link to a new endpoint has not been found working yet.
-        return bool(servers) and all(server.incarnation in self._down for server in servers)
-
-    def out_of_reach(self) -> list[str]:
-        """Return the services of which this VM reaches no endpoint."""
-        services = {link.server.service for link in self._down.values()}
-        return sorted(service for service in services if self.is_out_of_reach(service))
+        is_lost = service in self._lost
+        has_any = False
+        for server in servers:
+            if not is_lost and server.incarnation not in self._down:
+                return False
+            has_any = True
+        return has_any
+
+    def affected_services(self) -> set[str]:
+        """Return the services of which a link to any endpoint is down."""
+        return {link.server.service for link in self._down.values()}
 
     def failed(self) -> Iterable[str]:
         """Return the endpoints whose links were found to be down, not only presumed to be."""
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -191,12 +191,14 @@
 class LinkStatus:
     """The endpoints that a VM does not reach, and the services of which it reaches none.
 
-    A row has the incarnation, and for how long the VM has not reached it, in ms.
+    A row has the incarnation, and for how long the VM has not reached it, in ms.  Of the services
+    in `wanted` it reaches none that may serve certain routes.
     """
 
     vm: str
     rows: list[tuple[str, float]]
     services: list[str]
+    wanted: list[str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -338,7 +340,8 @@
             names = message.incarnations
             return _are_names(names)
         case LinkStatus():
-            return _are_rows(message.rows) and _are_names(message.services)
+            are_named = _are_names(message.services) and _are_names(message.wanted)
+            return _are_rows(message.rows) and are_named
         case LinkOffer():
             return _are_rows(message.rows)
     return True
--- a/cloverhook/gateway/proxied_forwarding.py
+++ b/cloverhook/gateway/proxied_forwarding.py
@@ -8,10 +8,10 @@
 from cloverhook.errors import ErrorKind
 from cloverhook.gateway.call_headers import CallHeaders, find
 from cloverhook.gateway.calls import CallerRequest
+from cloverhook.gateway.eligibility import Eligibility
 from cloverhook.gateway.final_answer import error_answer
 from cloverhook.gateway.forwarding import Forwarder
 from cloverhook.gateway.gateway_state import GatewayState
-from cloverhook.gateway.links import Links
 from cloverhook.gateway.proxied_request import ProxiedRequest
 from cloverhook.gateway.proxy_server import ServedRequest
 from cloverhook.gateway.request_report import RequestReport
@@ -26,13 +26,13 @@
     def __init__(
         self,
         gateway_state: GatewayState,
-        links: Links,
+        eligibility: Eligibility,
         headers: CallHeaders,
         forwarder: Forwarder,
         report: RequestReport,
     ) -> None:
         self._gateway_state = gateway_state
-        self._links = links
+        self._eligibility = eligibility
         self._headers = headers
         self._forwarder = forwarder
         self._report = report
@@ -63,7 +63,7 @@
         service = proxied.service
         if service not in (part.service for part in route.parts):
             return ServedRequest.rejected(ErrorKind.UNKNOWN_HOST)
-        if self._links.is_out_of_reach(service):
+        if self._eligibility.is_out_of_reach(service, route.regions):
             return ServedRequest.rejected(ErrorKind.UNREACHABLE)
         state = RequestState.of(request, request_id, route, service, self._headers)
         state.proxied_for, state.attempts_granted = proxied.vm, proxied.attempts
--- a/cloverhook/gateway/proxying.py
+++ b/cloverhook/gateway/proxying.py
@@ -12,7 +12,7 @@
 from cloverhook.gateway.calls import CallerAnswer
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.gateway_state import GatewayState
-from cloverhook.gateway.link_updates import LinkUpdates
+from cloverhook.gateway.link_updates import LinkUpdates, ReachGroup
 from cloverhook.gateway.members import Members
 from cloverhook.gateway.proxied_request import ProxiedAnswer, ProxiedRequest
 from cloverhook.gateway.proxy_client import ProxyExchange
@@ -67,7 +67,8 @@
         Just after the links were lost this waits for the first offers.
         """
         tried = [item.vm for item in state.proxied]
-        return await self._link_updates.wait_for_proxy(state.service, tried)
+        group = ReachGroup(state.service, state.route.regions)
+        return await self._link_updates.wait_for_proxy(group, tried)
 
     async def run(self, state: RequestState, proxied: ProxiedAttempt) -> AttemptResult:
         """Send a request by way of a proxy; cancelling this also ends the work there."""
--- a/features/gateway_links.feature
+++ b/features/gateway_links.feature
@@ -42,6 +42,15 @@
       | 6        | 2   | 6               | reset       | to all, the VMs that measure          |
     Then from 1 s after the cut to its end all gateways serve 0.95 of their first tries
 
+  Scenario: Callers are served while a gateway reaches only endpoints that their requests may not use
+    When gateways lose links for 3 s in these ways
+      | gateways | cut | backend servers | links | how                                             |
+      | 4        | 2   | 6               | reset | to all that are not draining                    |
+      | 4        | 2   | 6               | hang  | to all that are not draining                    |
+      | 4        | 2   | 6               | reset | to all in the region that the routes are served in |
+      | 4        | 2   | 6               | hang  | to all in the region that the routes are served in |
+    Then from 1 s after the cut to its end all gateways serve 0.97 of their first tries
+
   Scenario: Requests wait for a rejection while no gateway reaches any backend server
     When some gateways lose their links to all backend servers for 4 s
       | gateways | cut | backend servers | links |
--- a/features/link_fleet.py
+++ b/features/link_fleet.py
@@ -1,18 +1,20 @@
 """Gateways, backend servers and callers, with cuts between single gateways and backend servers."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from cloverhook.gateway.routes import GatewayConfig
 from features import gateway_fleet as fleet
 from features.link_cuts import LinkCuts
 from features.notice_fleet import NoticeFleet
 
-__all__ = ["LinkFleet", "Served"]
+__all__ = ["REGIONS", "LinkFleet", "Served"]
 
 REQUESTS_PER_S = 67
 STALL_MS = 100.0
 """Requests during a longer stall of the test's process, with all gateways in it, don't count."""
 WORK_MS = 40.0
+REGIONS = {fleet.DATA_CENTER: "east", fleet.REMOTE_DATA_CENTER: "west"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,18 +34,52 @@
     """A fleet whose links can be cut; `cuts` holds the `LinkCuts` of each gateway by its name."""
 
     @classmethod
-    async def start(cls, gateways, backends, seed=1, work_ms=WORK_MS, remote_vms=()):
+    async def start(cls, gateways, backends, seed=1, work_ms=WORK_MS, remote_vms=(), **fields):
         """Start gateways that know each other and all backend servers.
 
         The gateways named by `remote_vms` are in another data centre than the rest.
         """
-        self = await super().start(gateways, backends, seed, work_ms, remote_vms)
+        self = await super().start(gateways, backends, seed, work_ms, remote_vms, **fields)
         self.cuts = {settings.vm: LinkCuts(item) for item, settings in self.gateways}
         for gateway, _ in self.gateways:
             gateway._pool.close()
             gateway._prober._pool.close()
         return self
 
+    async def drain(self, backends):
+        """Let backend servers drain, and wait until all gateways know it."""
+        for backend in backends:
+            self.store.put_server(backend.entry(draining=True))
+        await self._until_known(backends, lambda server: server.draining)
+
+    async def restrict_routes(self, backends):
+        """Move backend servers to the other data centre, and let no route be served there."""
+        for backend in backends:
+            self.store.put_server(backend.entry(data_center=fleet.REMOTE_DATA_CENTER))
+        usual = fleet.config()
+        regions = (REGIONS[fleet.DATA_CENTER],)
+        routes = tuple(replace(item, regions=regions) for item in usual.routes)
+        services = tuple(usual.services.values())
+        self.store.put_config(GatewayConfig.of(2, routes, services, usual.limits))
+        await fleet.until(
+            lambda: all(item._gateway_state.config_version == 2 for item, _ in self.gateways)
+        )
+        await self._until_known(
+            backends, lambda server: server.data_center == fleet.REMOTE_DATA_CENTER
+        )
+
+    async def _until_known(self, backends, accepts):
+        """Wait until all gateways hold entries of backend servers that are accepted."""
+
+        def known():
+            return all(
+                accepts(gateway._gateway_state.registry.get(backend.incarnation))
+                for gateway, _ in self.gateways
+                for backend in backends
+            )
+
+        await fleet.until(known)
+
     def probing(self):
         """Return how many probes each gateway has sent, by its name."""
         return {settings.vm: item._prober.probe_count for item, settings in self.gateways}
--- a/features/notice_fleet.py
+++ b/features/notice_fleet.py
@@ -86,14 +86,15 @@
         self._count = 0
 
     @classmethod
-    async def start(cls, gateways, backends, seed=1, work_ms=WORK_MS, remote_vms=()):
+    async def start(cls, gateways, backends, seed=1, work_ms=WORK_MS, remote_vms=(), **fields):
         """Start gateways that know each other and all backend servers.
 
-        The gateways named by `remote_vms` are in another data centre than the rest.
+        The gateways named by `remote_vms` are in another data centre than the rest.  `fields` are
+        settings of all gateways.
         """
         self = cls(seed)
         await fleet.start_fleet(
-            self.fixture, backends, gateways, remote_vms=remote_vms, write_log=self.write_log
+            self.fixture, backends, gateways, remote_vms, write_log=self.write_log, **fields
         )
         others = gateways - 1
         await fleet.until(lambda: all(len(item._members) == others for item, _ in self.gateways))
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -338,7 +338,7 @@
         RateLimitUpdate("vm", (RateLimitEntry("i", 2.5, 20.0),)),
         DrainNoticeUpdate("vm", (DrainNoticeEntry("i", 40.0, 20.0),)),
         BackoffUpdate("vm", (BackoffEntry("i", 3_000.0),)),
-        LinkStatus("vm", [["i", 40.0]], ["orders"]),
+        LinkStatus("vm", [["i", 40.0]], ["orders"], ["menus"]),
     ]
     config = decode_config(json.dumps(DOCUMENT).encode()).to_document()
     config = cbor2.loads(cbor2.dumps(config))
--- a/features/steps/gateway_links_steps.py
+++ b/features/steps/gateway_links_steps.py
@@ -7,13 +7,14 @@
 
 from cloverhook.clock import monotonic_ms
 from features.link_cuts import Cut
-from features.link_fleet import LinkFleet
+from features.link_fleet import REGIONS, LinkFleet
 from features.shared import run
 
 FIRST = "vm-0"
 USUAL_S = 1.5
 AFTERWARDS_S = 2.0
 SETTLE_MS = 1_000.0
+UNUSED_BACKENDS = 2
 FLAP_DOWN_S, FLAP_UP_S = 0.7, 0.3
 
 
@@ -130,13 +131,22 @@
     """Play a fleet of which some gateways lose some links, in the way that `how` describes."""
     vms = [f"vm-{index}" for index in range(cut)]
     remote = vms if "data centre" in how else ()
-    fleet = await LinkFleet.start(gateways, backends, remote_vms=remote)
+    fleet = await LinkFleet.start(gateways, backends, remote_vms=remote, regions=REGIONS)
     try:
+        kept = fleet.backends[:UNUSED_BACKENDS]
+        if "draining" in how:
+            await fleet.drain(kept)
+        elif "region" in how:
+            await fleet.restrict_routes(kept)
         await fleet.load_for(USUAL_S)
         if "measure" in how:
             vms = sorted(fleet.probing(), key=fleet.probing().get, reverse=True)[:cut]
-        some = frozenset(item.incarnation for item in fleet.backends[: backends // 2])
-        incarnations = some if "half" in how else None
+        incarnations = None
+        if "half" in how:
+            incarnations = frozenset(item.incarnation for item in fleet.backends[: backends // 2])
+        elif "draining" in how or "region" in how:
+            used = fleet.backends[UNUSED_BACKENDS:]
+            incarnations = frozenset(item.incarnation for item in used)
         if "store" in how:
             fleet.stop_store()
         from_ms = monotonic_ms()
--- a/features/steps/gateway_proxy_steps.py
+++ b/features/steps/gateway_proxy_steps.py
@@ -607,7 +607,7 @@
         for rows in ([["i", -1]], [["i", float("nan")]], [["i", 2**70]], [7], None, {}):
             for services in (["s"], [7], None):
                 peering.link._on_datagram(
-                    tag + encode(LinkStatus("vm-9", rows, services)), ("127.0.0.1", 9)
+                    tag + encode(LinkStatus("vm-9", rows, services, services)), ("127.0.0.1", 9)
                 )
 
     run(context, send_all())
