--- a/cloverhook/gateway/eligibility.py
+++ b/cloverhook/gateway/eligibility.py
@@ -20,9 +20,9 @@
 REASONS = (
     ErrorKind.BACKING_OFF,
     ErrorKind.RATE_LIMITED,
+    ErrorKind.UNREACHABLE,
     ErrorKind.EVACUATED,
     ErrorKind.DRAINING,
-    ErrorKind.UNREACHABLE,
 )
 """Why a service has no endpoint for a request; the first reason that applies to any of its
 endpoints is given to the caller."""
--- a/features/gateway_links.feature
+++ b/features/gateway_links.feature
@@ -93,6 +93,12 @@
     And a further endpoint registers
     Then the service stays out of reach until any of its links works
 
+  Scenario: Lost links are the cause of a rejection, not endpoints that are draining as well
+    Given a VM with links to 3 endpoints of a service
+    And the endpoint i-0 is draining
+    When these links change: i-1 refused at 0, i-2 refused at 0
+    Then after 200 ms requests are rejected as unreachable
+
   Scenario Outline: A report of another VM has a link checked, and costs nothing if the link works
     Given a VM with links to 6 endpoints of a service, of which it used i-0 <used> ms ago
     When another VM reports at 0 ms that it has not reached i-0 since <since> ms
--- a/features/steps/link_decision_steps.py
+++ b/features/steps/link_decision_steps.py
@@ -2,12 +2,15 @@
 
 import random
 import re
+from dataclasses import replace
 
 from behave import given, then, when
 
+from cloverhook.errors import ErrorKind
 from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.balancer import Balancer
 from cloverhook.gateway.choice import WorkEstimates
+from cloverhook.gateway.eligibility import Eligibility
 from cloverhook.gateway.links import LinkFailure, Links
 from cloverhook.gateway.peer_links import PeerLinks
 from cloverhook.gateway.registry import Registry
@@ -99,6 +102,18 @@
     assert not context.links.is_out_of_reach(SERVICE)
 
 
+@given("the endpoint {name} is draining")
+def step_draining(context, name):
+    entry = replace(server(context, name), draining=True)
+    context.registry.apply(ServerRecord(name, 100, entry), 0.0, False)
+
+
+@then("after {at_ms:d} ms requests are rejected as {cause}")
+def step_cause(context, at_ms, cause):
+    eligibility = Eligibility(context.registry, links=context.links)
+    assert eligibility.why_unavailable(SERVICE, float(at_ms)) is ErrorKind(cause)
+
+
 @when("another VM reports at 0 ms that it has not reached i-0 since {since:d} ms")
 def step_report(context, since):
     context.checked = context.peer_links.should_check(
