cloverhookd: Give up a connection attempt after 500 ms instead of 1 s

Traced: until two connections had hung for 1 s each, requests went on to such connections and held slots of all endpoints, and those behind them had used up their waiting time. It is still longer than a round trip between regions. The fixture's hanging connection lasts as long as the pool's timeout; the scenario's bounds are as before.

--- a/cloverhook/upstream.py
+++ b/cloverhook/upstream.py
@@ -26,7 +26,9 @@
     "UpstreamPool",
 ]
 
-CONNECT_TIMEOUT_MS = 1_000
+CONNECT_TIMEOUT_MS = 500
+"""Longer than a round trip between regions.  A request whose connection hangs holds a slot of its
+endpoint meanwhile."""
 CONNECTION_LIMIT = 200
 NON_IDEMPOTENT_IDLE_LIMIT_MS = 250
 IDLE_LIMIT_MS = 3_000
--- a/features/daemon_fleet.py
+++ b/features/daemon_fleet.py
@@ -11,6 +11,7 @@
 from cloverhook.errors import ConnectError
 from cloverhook.platform_api import MemoryPlatform
 from cloverhook.settings import DaemonSettings
+from cloverhook.upstream import CONNECT_TIMEOUT_MS
 from cloverhook_emulator.fleet_runner import OPERATOR_TOKEN, PEER_KEY
 from features.http_peers import HOST, ScriptedBackend, call, request
 from features.shared import eventually
@@ -93,7 +94,7 @@
         async def connect_if_linked(address, address_pool):
             how = self.cut.get(vm)
             if how == "hang":
-                await asyncio.sleep(1.0)
+                await asyncio.sleep(CONNECT_TIMEOUT_MS / 1000)
             if how is not None:
                 raise ConnectError(f"no way to {address}", refused=how == "reset")
             return await connect(address, address_pool)
