Pause the daemon in the test for longer than a pause has to last to be noticed

Cause, likely: the step resumed it as soon as the others had dropped it, which takes 1.8 to 2.0 s on a calm machine (12 plays), but on a busy one they may drop it for another reason before; a pause of up to 1.5 s is not one by definition. The red run's own times were not kept, so that it was this is not shown. The step now lasts 3 s at least; what it checks stays.

--- a/features/steps/membership_fleet_steps.py
+++ b/features/steps/membership_fleet_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from websockets.asyncio.client import connect
 
+from cloverhook.clock import PAUSE_THRESHOLD_MS
 from cloverhook.handshake import Handshake, Role
 from cloverhook.messages import Hello, encode
 from cloverhook_emulator.cut_proxy import CutProxy, Mode
@@ -141,11 +142,13 @@
 
 @when('"{vm}" is stopped until the others have dropped it')
 def step_paused(context, vm):
-    context.fleet.daemons[vm].process.send_signal(signal.SIGSTOP)
-    run(
-        context,
-        _wait_for_addresses(context, [name for name in context.fleet.daemons if name != vm]),
-    )
+    async def pause():
+        context.fleet.daemons[vm].process.send_signal(signal.SIGSTOP)
+        # On a busy machine the others may drop it sooner, but a shorter pause is not noticed.
+        await asyncio.sleep(2 * PAUSE_THRESHOLD_MS / 1000)
+        await _wait_for_addresses(context, [name for name in context.fleet.daemons if name != vm])
+
+    run(context, pause())
 
 
 @when('"{vm}" goes on')
