Wait for the checks of the links before rejecting a request that no endpoint has a slot for

A request that finds no slot meanwhile now waits for the checks, 250 ms at most, and is then passed on or sent.

--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -57,6 +57,7 @@
 work this many times; an endpoint that merely takes a few times as long as it reports has not."""
 ATTEMPT_TIME_MIN_MS = 10.0
 """With less time than this left before the deadline, a further attempt isn't worth starting."""
+LINK_CHECKS_POLL_MS = 10.0
 CONNECTION_SHARE = 0.8
 """The share of an endpoint's connections that all gateways together may use."""
 
@@ -199,7 +200,7 @@
             return False
         choice = await self._wait_for_capacity(state)
         if choice is None:
-            return await self._try_proxy(state)
+            return await self._try_proxy(state) or await self._try_after_link_checks(state)
         self._start_attempt(state, choice)
         return True
 
@@ -207,7 +208,9 @@
         """Start another attempt after a failed one, if that is allowed and may succeed."""
         if await self._try_retry_here(state) or state.tasks or await self._try_proxy(state):
             return
-        await self._try_retry_here(state)  # The last proxy may have failed after links came back.
+        # The last proxy may have failed after links came back.
+        if not await self._try_retry_here(state):
+            await self._try_after_link_checks(state)
 
     async def _try_retry_here(self, state: RequestState) -> bool:
         """Start another attempt of this VM if that is allowed; return whether one was started."""
@@ -215,6 +218,18 @@
             return False
         return await self._passes_quarantine(state) and self._try_start_attempt(state)
 
+    async def _try_after_link_checks(self, state: RequestState) -> bool:
+        """Try a request again once checks have shown whether this VM has lost its links.
+
+        Until then requests that wait for connections may hold the slots of all endpoints.  Returns
+        whether the request was sent.
+        """
+        if not self._links.is_suspected(state.service, monotonic_ms()):
+            return False
+        while self._links.is_suspected(state.service, monotonic_ms()):
+            await asyncio.sleep(LINK_CHECKS_POLL_MS / 1000)
+        return await self._try_proxy(state) or await self._try_retry_here(state)
+
     async def _try_proxy(self, state: RequestState) -> bool:
         """Send a request by way of another gateway if this one reaches no endpoint for it.
 
--- a/cloverhook/gateway/links.py
+++ b/cloverhook/gateway/links.py
@@ -40,6 +40,8 @@
 SUSPICION_CHECKS = 4
 """How many others are checked.  If a third of the endpoints have ended together, all of these have
 ended in 1 of 100 cases."""
+DECISION_MS = 250.0
+"""All of these checks have ended by then."""
 SUSPICION_WINDOW_MS = 1_000.0
 """Failures further apart than this don't count as failures in a row."""
 FIRST_CHECK_MS = 50.0
@@ -202,6 +204,11 @@
         """Return whether this VM reaches none of the endpoints of a service that has some."""
         return self.reaches_none(service, self._registry.of_service(service))
 
+    def is_suspected(self, service: str, now_ms: float) -> bool:
+        """Return whether checks will soon show if this VM has lost all links to a service."""
+        suspicion = self._suspected.get(service)
+        return suspicion is not None and now_ms - suspicion.since_ms <= DECISION_MS
+
     def reaches_none(self, service: str, servers: Iterable[BackendServer]) -> bool:
         """Return whether there are such endpoints of a service, and this VM reaches none of them.
 
@@ -338,9 +345,10 @@
             for incarnation in tuple(table):
                 if not known(incarnation):
                     del table[incarnation]
-        for service in tuple(self._lost):
-            if not self._registry.of_service(service):
-                del self._lost[service]
+        for by_service in (self._lost, self._suspected, self._failed_in_row):
+            for service in tuple(by_service):
+                if not self._registry.of_service(service):
+                    del by_service[service]
 
     def _update_suspicion(self, failed: BackendServer, in_row: int, now_ms: float) -> None:
         """Suspect that all links to a service are down, or presume it if no check has worked."""
