Don't take links for lost because this process has stalled

Cause: while the event loop stalls, what has arrived waits in the socket; the timer of 120 ms then expires before it is looked at, the checks fail, and the gateway holds all its links for lost. The new scenario blocks the loop for 400 ms during checks: all three links lost before (3 of 3), none after (3 of 3). Connections, checks and probes get some iterations of the loop after their timeout; that takes less than a millisecond on a loop that is not busy.

--- a/cloverhook/gateway/backend_pool.py
+++ b/cloverhook/gateway/backend_pool.py
@@ -14,6 +14,7 @@
 from cloverhook.errors import ConnectError, UpstreamError
 from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.call_headers import find
+from cloverhook.gateway.timeouts import within
 from cloverhook.upstream_connection import AnswerHead, UpstreamConnection
 
 __all__ = ["BackendPool"]
@@ -169,8 +170,7 @@
         self.connects += 1
         connection = UpstreamConnection(on_closed=lambda: self._on_connection_closed(incarnation))
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
-                await loop.create_connection(lambda: connection, host, int(port))
+            await within(timeout_ms, loop.create_connection(lambda: connection, host, int(port)))
         except (OSError, TimeoutError) as error:
             connection.close()
             reason = f"could not connect to {server.address}: {error!r}"
--- a/cloverhook/gateway/prober.py
+++ b/cloverhook/gateway/prober.py
@@ -18,6 +18,7 @@
 from cloverhook.gateway.links import LinkFailure, Links
 from cloverhook.gateway.load_probe import UNREACHABLE_REPORT, probe_load
 from cloverhook.gateway.server_load import LoadReport
+from cloverhook.gateway.timeouts import within
 from cloverhook.upstream_connection import UpstreamConnection
 
 __all__ = ["Prober"]
@@ -92,8 +93,7 @@
     async def _probe(self, server: BackendServer, path: str) -> None:
         started_ms = monotonic_ms()
         try:
-            async with asyncio.timeout(TIMEOUT_MS / 1000):
-                report = await self._request_load(server, path)
+            report = await within(TIMEOUT_MS, self._request_load(server, path))
         except TimeoutError:
             timeouts = self._timeouts.get(server.incarnation, 0) + 1
             self._timeouts[server.incarnation] = timeouts
@@ -115,8 +115,7 @@
             self._links.record_failure(server, LinkFailure.of(error), monotonic_ms())
             return False
         try:
-            async with asyncio.timeout(CHECK_TIMEOUT_MS / 1000):
-                report = await self._request_load_on(connection, server, path)
+            report = await within(CHECK_TIMEOUT_MS, self._request_load_on(connection, server, path))
         except TimeoutError:
             # An endpoint that reports no load may answer a probe only when it has a free slot.
             if self._reports_load(server):
--- a/cloverhook/gateway/proxy_client.py
+++ b/cloverhook/gateway/proxy_client.py
@@ -11,6 +11,7 @@
 from cloverhook.errors import ConnectError, MessageError, UpstreamError
 from cloverhook.gateway.frames import read_frame, write_frame
 from cloverhook.gateway.proxied_request import ProxiedAnswer, ProxiedRequest, decode_part
+from cloverhook.gateway.timeouts import within
 from cloverhook.socket_options import UPSTREAM_LIVENESS
 
 __all__ = ["ProxyExchange"]
@@ -32,8 +33,9 @@
         """Connect to the proxy at an address.  Raises `ConnectError`."""
         host, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
-                reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await within(
+                CONNECT_TIMEOUT_MS, asyncio.open_connection(host, int(port))
+            )
         except (OSError, TimeoutError) as error:
             reason = f"could not connect to the gateway at {address}: {error!r}"
             raise ConnectError(reason, isinstance(error, ConnectionRefusedError)) from error
--- a/features/gateway_links.feature
+++ b/features/gateway_links.feature
@@ -10,6 +10,11 @@
     Then its log says of each of them that it is reached again, and for how long it was not
     And its metrics count 0 links as down, and those of the other gateway none
 
+  Scenario: A gateway does not take its links for lost because its own process has stalled
+    Given 2 gateways and 3 backend servers, and callers at both gateways
+    When the process stalls for 400 ms while the first gateway checks its links
+    Then the checks find all links working
+
   Scenario: Gateways that reach all backend servers stop serving because others reach none
     When some gateways lose their links to all backend servers for 4 s
       | gateways | cut | backend servers | links  |
--- a/features/steps/gateway_links_steps.py
+++ b/features/steps/gateway_links_steps.py
@@ -1,11 +1,13 @@
 """Steps for gateways that lose their links to backend servers."""
 
 import asyncio
+import time
 from dataclasses import dataclass
 
 from behave import given, then, when
 
 from cloverhook.clock import monotonic_ms
+from features.gateway_fleet import SERVICE
 from features.link_cuts import Cut
 from features.link_fleet import REGIONS, LinkFleet
 from features.shared import run
@@ -38,6 +40,25 @@
     run(context, lose())
 
 
+@when("the process stalls for {time_ms:d} ms while the first gateway checks its links")
+def step_stall(context, time_ms):
+    async def check():
+        gateway, _ = context.fleet.named([FIRST])[0]
+        servers = gateway._gateway_state.registry.of_service(SERVICE)
+        checks = [asyncio.ensure_future(gateway._link_checks.check(item)) for item in servers]
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        time.sleep(time_ms / 1000)
+        context.checks = await asyncio.gather(*checks)
+
+    run(context, check())
+
+
+@then("the checks find all links working")
+def step_found_working(context):
+    assert context.checks == [True] * len(context.fleet.backends), context.checks
+
+
 @when("it has them again")
 def step_regain(context):
     context.fleet.cuts[FIRST].end()
