--- a/features/steps/gateway_proxy_steps.py
+++ b/features/steps/gateway_proxy_steps.py
@@ -25,6 +25,7 @@
 LARGE_PARTS, PART_BYTES = 8, 100_000
 SOON_S = 0.05
 OWN_REQUESTS = 10
+OWN_INTERVAL_S = 0.06
 
 
 def address(context, vm):
@@ -365,13 +366,16 @@
             for number in range(count)
         ]
         await asyncio.sleep(SOON_S)
-        context.own_answers = await asyncio.gather(
-            *(
-                fleet.call(address(context, vm), request_id=f"own-{vm}-{number}")
+        own = []
+        for number in range(OWN_REQUESTS):
+            own += [
+                asyncio.ensure_future(
+                    fleet.call(address(context, vm), request_id=f"own-{vm}-{number}")
+                )
                 for vm in (SECOND, THIRD)
-                for number in range(OWN_REQUESTS)
-            )
-        )
+            ]
+            await asyncio.sleep(OWN_INTERVAL_S)
+        context.own_answers = await asyncio.gather(*own)
         context.answers = await asyncio.gather(*work)
         watching.cancel()
 
