--- a/features/gateway_soak.feature
+++ b/features/gateway_soak.feature
@@ -31,4 +31,5 @@
       | 4005 | a check without an answer counted as a contact  |
       | 4020 | as 4005                                         |
       | 4039 | as 4005                                         |
-      | 4007 | requests to a server that wanted none; open     |
+      | 4007 | requests of other gateways counted for one      |
+      | 4042 | the only proxy was full, and not asked again    |
