--- a/cloverhook/gateway/counters.py
+++ b/cloverhook/gateway/counters.py
@@ -37,7 +37,8 @@
     "cut_off": "1 while this gateway receives no messages or most of its neighbours are silent",
     "reading_store": "1 while this gateway reads the store for the others and gets responses",
     "links_down": "endpoints that this gateway does not reach",
-    "services_out_of_reach": "services of which this gateway reaches no endpoint, or none that certain routes may use",
+    "services_out_of_reach": "services of which this gateway reaches no endpoint, or no endpoint "
+    "that certain routes may use",
     "proxied": "requests passed on to another gateway that reaches their service, by service",
     "proxied_failed": "such requests that the other gateway did not answer or rejected",
     "proxying": "requests in progress that other gateways have passed on to this one",
