--- a/features/soak_links.py
+++ b/features/soak_links.py
@@ -91,6 +91,11 @@
     cuts: list[LinkCut] = field(default_factory=list)
     owners: WeakKeyDictionary = field(default_factory=WeakKeyDictionary)
 
+    def can_be_served(self, call, size):
+        """Return whether any of `size` gateways had its links when a call was sent."""
+        total = (cut for cut in self.cuts if len(cut.names) == size)
+        return not any(cut.from_ms <= call.sent_ms < cut.to_ms for cut in total)
+
     def violations(self, calls, disturbed):
         """Yield a text for each cut by which callers at some gateways lost far more than others.
 
