--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -15,6 +15,7 @@
 from cloverhook.gateway.balancer import Balancer
 from cloverhook.gateway.calls import CallerRequest
 from cloverhook.gateway.choice import CapacityRequirement, Choice, WorkEstimates
+from cloverhook.gateway.crash_detection import CrashDetector
 from cloverhook.gateway.eligibility import Eligibility
 from cloverhook.gateway.evacuation import Evacuation, Evacuations
 from cloverhook.gateway.gateway_state import GatewayState
@@ -202,6 +203,7 @@
             fleet.NAMES,
             Mock(spec=NoticeRecorder),
             Mock(spec=Links),
+            Mock(spec=CrashDetector),
             None,
             lambda _: next(objections),
         )
