Answer a request that may not be sent again at once, also while links are checked

Found on reading: a payment whose connection was cut waited up to 250 ms for the checks of the links, though no result of them lets it be sent again. Only a request that may be retried or passed on waits now.

--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -224,7 +224,8 @@
         Until then requests that wait for connections may hold the slots of all endpoints.  Returns
         whether the request was sent.
         """
-        if not self._links.is_suspected(state.service, monotonic_ms()):
+        may_send = self._may_retry(state) or self._proxying.may_start(state)
+        if not may_send or not self._links.is_suspected(state.service, monotonic_ms()):
             return False
         while self._links.is_suspected(state.service, monotonic_ms()):
             await asyncio.sleep(LINK_CHECKS_POLL_MS / 1000)
--- a/features/gateway_links.feature
+++ b/features/gateway_links.feature
@@ -15,6 +15,11 @@
     When the process stalls for 400 ms while the first gateway checks its links
     Then the checks find all links working
 
+  Scenario: A payment that may have run is not held back by checks of links
+    Given 2 gateways and 3 backend servers, and callers at both gateways
+    When the first gateway checks its links for 400 ms, and all backend servers reset a payment
+    Then the payment is answered 502 within 200 ms
+
   Scenario: Gateways that reach all backend servers stop serving because others reach none
     When some gateways lose their links to all backend servers for 4 s
       | gateways | cut | backend servers | links  |
--- a/features/steps/gateway_links_steps.py
+++ b/features/steps/gateway_links_steps.py
@@ -7,7 +7,8 @@
 from behave import given, then, when
 
 from cloverhook.clock import monotonic_ms
-from features.gateway_fleet import SERVICE
+from features.gateway_fleet import SERVICE, UNSAFE
+from features.gateway_fleet import call as fleet_call
 from features.link_cuts import Cut
 from features.link_fleet import REGIONS, LinkFleet
 from features.shared import run
@@ -59,6 +60,32 @@
     assert context.checks == [True] * len(context.fleet.backends), context.checks
 
 
+@when(
+    "the first gateway checks its links for {time_ms:d} ms, and all backend servers reset a payment"
+)
+def step_pay(context, time_ms):
+    async def pay():
+        gateway, settings = context.fleet.named([FIRST])[0]
+        await context.fleet.end_load()
+        for backend in context.fleet.backends:
+            backend.default, backend.on_request = "reset", None
+        started_ms = monotonic_ms()
+        gateway._links.is_suspected = lambda service, now_ms: now_ms < started_ms + time_ms
+        address = settings.caller_address
+        context.answer = await fleet_call(address, UNSAFE, "POST", "pay-1", body=b"x")
+        ended_ms = monotonic_ms()
+        lost_ms = context.fleet.stalls.lost_ms(started_ms, ended_ms)
+        context.took_ms = ended_ms - started_ms - lost_ms
+
+    run(context, pay())
+
+
+@then("the payment is answered {status:d} within {most_ms:d} ms")
+def step_paid(context, status, most_ms):
+    assert context.answer.status == status, context.answer
+    assert context.took_ms <= most_ms, context.took_ms
+
+
 @when("it has them again")
 def step_regain(context):
     context.fleet.cuts[FIRST].end()
