Count messages between gateways by type, checks of links and open connections

Whether the links of the VMs are full of the gateways' own messages, and of which, could not be told from logs or metrics, nor how many connections to backend servers are open. The line config says for how long a VM had known of a newer configuration when it put it in force. Metrics: messages_sent and message_bytes_sent by type, link_checks, connections.

--- a/cloverhook/gateway/backend_pool.py
+++ b/cloverhook/gateway/backend_pool.py
@@ -102,6 +102,11 @@
         """Return a new connection, even if there is an idle one.  Raises `ConnectError`."""
         return await self._connect(server, CONNECT_TIMEOUT_MS)
 
+    @property
+    def open_count(self) -> int:
+        """The number of open connections, in use or idle."""
+        return sum(self._open.values())
+
     def has_idle(self, incarnation: str) -> bool:
         """Return whether there is an idle connection to this incarnation."""
         return bool(self._idle.get(incarnation))
--- a/cloverhook/gateway/counters.py
+++ b/cloverhook/gateway/counters.py
@@ -45,6 +45,10 @@
     "waiting": "requests that wait for capacity at a backend server",
     "probes": "probes sent",
     "connects": "attempts to connect to backend servers, without those of probes",
+    "connections": "open connections to backend servers, with those of probes",
+    "link_checks": "checks of links to backend servers, by whether the link worked",
+    "messages_sent": "datagrams sent to other gateways, by type of message",
+    "message_bytes_sent": "bytes of these datagrams, by type of message",
     "log_lines_dropped": "log lines dropped because over budget or because the output was not read",
 }
 
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -147,7 +147,11 @@
             headers, self._on_load_report, notices.record_probe, self._links, self._reports_load
         )
         self._link_checks = LinkChecks(
-            self._gateway_state, self._links, self._peering.link_updates.peer_links, self._prober
+            self._gateway_state,
+            self._links,
+            self._peering.link_updates.peer_links,
+            self._prober,
+            self._counters,
         )
         self._peering.link_updates.start_check = self._link_checks.start
         self._peering.failure_updates.check_link = self._link_checks.check
@@ -384,6 +388,10 @@
         counters.set("waiting", len(self._forwarder.admission))
         counters.set("probes", self._prober.probe_count)
         counters.set("connects", self._pool.connects)
+        counters.set("connections", self._pool.open_count + self._prober.connections)
+        for name, count in self._peering.link.messages_sent.items():
+            counters.set("messages_sent", count, type=name)
+            counters.set("message_bytes_sent", self._peering.link.bytes_sent[name], type=name)
         counters.set("log_lines_dropped", self._log.dropped_total)
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
         return CallerAnswer(200, headers, counters.to_prometheus_text())
--- a/cloverhook/gateway/link_checks.py
+++ b/cloverhook/gateway/link_checks.py
@@ -7,6 +7,7 @@
 
 from cloverhook.clock import monotonic_ms
 from cloverhook.gateway.backend_server import BackendServer
+from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.links import Links
 from cloverhook.gateway.peer_links import PeerLinks
@@ -19,12 +20,18 @@
     """The checks in progress; `close` prevents further ones."""
 
     def __init__(
-        self, gateway_state: GatewayState, links: Links, peer_links: PeerLinks, prober: Prober
+        self,
+        gateway_state: GatewayState,
+        links: Links,
+        peer_links: PeerLinks,
+        prober: Prober,
+        counters: Counters,
     ) -> None:
         self._gateway_state = gateway_state
         self._links = links
         self._peer_links = peer_links
         self._prober = prober
+        self._counters = counters
         self._tasks: set[asyncio.Task[bool]] = set()
         self._closed = False
 
@@ -47,6 +54,7 @@
         if spec is None:
             return False
         reached = await self._prober.check_link(server, spec.health_path)
+        self._counters.add("link_checks", reached="yes" if reached else "no")
         self._peer_links.record_check(server, reached, monotonic_ms())
         return reached
 
--- a/cloverhook/gateway/peer_link.py
+++ b/cloverhook/gateway/peer_link.py
@@ -11,6 +11,7 @@
 import asyncio
 import struct
 import zlib
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -22,7 +23,7 @@
 from cloverhook.errors import MessageError, UpstreamError
 from cloverhook.gateway.datagram_port import DatagramPort, SocketAddress
 from cloverhook.gateway.frames import read_frame, write_frame
-from cloverhook.gateway.peer_messages import PeerMessage, decode
+from cloverhook.gateway.peer_messages import PeerMessage, decode, type_name_of
 from cloverhook.gateway.proxied_request import PROXIED_KEY
 
 __all__ = ["StateReply", "PeerLink"]
@@ -90,6 +91,9 @@
         self._server: asyncio.Server | None = None
         self.serve_proxied: ProxiedHandler | None = None
         """Serves the request of another gateway, given its values and the connection."""
+        self.messages_sent: Counter[str] = Counter()
+        """How many datagrams were sent, by type of message."""
+        self.bytes_sent: Counter[str] = Counter()
 
     @property
     def fleet_tag(self) -> bytes:
@@ -110,6 +114,9 @@
 
     def send_encoded(self, address: str, data: bytes) -> None:
         """Send an encoded message, which may be lost."""
+        name = type_name_of(data)
+        self.messages_sent[name] += 1
+        self.bytes_sent[name] += len(data)
         self._port.send(self._fleet_tag + data, _split(address))
 
     async def fetch(self, address: str, request: StateRequest) -> dict[str, Any]:
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -46,6 +46,7 @@
     "DrainNoticeUpdate",
     "decode",
     "encode",
+    "type_name_of",
 ]
 
 VERSION = Integer(-1)
@@ -299,6 +300,15 @@
     )
 
 
+def type_name_of(data: bytes) -> str:
+    """Return the name of the type of an encoded message, without decoding the message.
+
+    >>> type_name_of(encode(Refusals("vm-1", ["i-7"])))
+    'Refusals'
+    """
+    return MESSAGE_TYPES[data[1]].__name__
+
+
 def decode(data: bytes) -> PeerMessage:
     """Decode a datagram.  Raises `MessageError` if it is not a valid message."""
     try:
--- a/cloverhook/gateway/prober.py
+++ b/cloverhook/gateway/prober.py
@@ -76,6 +76,11 @@
             check.add_done_callback(lambda _: self._checks.pop(server.incarnation))
         return await asyncio.shield(check)
 
+    @property
+    def connections(self) -> int:
+        """The number of open connections of probes."""
+        return self._pool.open_count
+
     def sweep(self, known: Callable[[str], object]) -> None:
         """Forget backend servers that are gone."""
         self._pool.sweep()
--- a/cloverhook/gateway/state_fetch.py
+++ b/cloverhook/gateway/state_fetch.py
@@ -240,8 +240,12 @@
         except MessageError:
             gateway_state.stop_relaying_config(encoded)
             raise
-        if config is not None and gateway_state.apply_config(config, monotonic_ms()):
-            self._log.note(EventKind.CONFIG, version=version, source=address)
+        now_ms = monotonic_ms()
+        if config is not None and gateway_state.apply_config(config, now_ms):
+            behind_ms = now_ms - self._behind_since_ms.get(StatePart.CONFIG, now_ms)
+            self._log.note(
+                EventKind.CONFIG, version=version, source=address, behind_ms=round(behind_ms)
+            )
             self._on_fetched(address)
 
     def _apply_servers(self, state: State, address: str) -> None:
