Failing tests of changes that reach gateways past the bound

What callers see: a 404 for a route that was added more than 2.5 s ago, and requests at endpoints that left as long ago.

The first scenario: a gateway of a large fleet that gets no messages waits for up to 120 others to begin to read the store, and had changes after 2,511 and 2,563 ms of 2,000; where the readers' calls to the store are silent, the others had them after 2,086 to 2,134 ms; a configuration that no neighbour hands out was never had. The second: where half of a service vanishes, and where the only reader had lost the store for 600 ms, all gateways use an endpoint for 2,412 to 2,536 ms, and one without messages for 4,960 ms.

--- /dev/null
+++ b/features/gateway_freshness.feature
@@ -0,0 +1,22 @@
+Feature: No gateway acts on a state that is older than the bound
+  A gateway that reaches the store has each change in time, whatever becomes of the others and of their messages.
+
+  Scenario: Changes reach some gateways too late, or not at all, while messages and readers are lost
+    When changes are made in fleets with a bound of 2000 ms while this goes on
+      | gateways | what goes on                                                        |
+      | 4        | nothing                                                             |
+      | 4        | one of a large fleet gets no message                                |
+      | 4        | one of a large fleet gets no message and one reader ends            |
+      | 4        | the readers' calls to the store are silent, and they go on beating  |
+      | 6        | both readers end, and both that follow them                         |
+      | 4        | a configuration of 1800 routes, while no neighbour hands it out     |
+    Then every gateway that reaches the store has them within 2000 ms
+
+  Scenario: A vanished backend server is used past the bound because its entry is held too long
+    When backend servers vanish in fleets with a bound of 2000 ms in these ways
+      | gateways | how                                                          |
+      | 4        | one alone                                                    |
+      | 4        | half of a service at once                                    |
+      | 4        | one, and the only reader had lost the store for 600 ms just before |
+      | 4        | half of a service, and one of a large fleet gets no message  |
+    Then no gateway uses one later than 2000 ms after it has vanished
