Close the connections of link checks that have one open already

Cause: each check of a link opens a connection, and one that succeeded went to the prober's idle connections, of which only the last is ever used again; the others stayed open for their keep-alive time and counted towards the connections that endpoints accept.

--- a/cloverhook/gateway/backend_pool.py
+++ b/cloverhook/gateway/backend_pool.py
@@ -44,7 +44,9 @@
     `connects` counts the connection attempts.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, idle_limit: int | None = None) -> None:
+        """Keep at most `idle_limit` idle connections to each incarnation; None: no limit."""
+        self._idle_limit = idle_limit
         self._idle: dict[str, deque[tuple[UpstreamConnection, float]]] = {}
         self._open: dict[str, int] = {}
         self._idle_limit_ms: dict[str, float] = {}
@@ -127,6 +129,8 @@
         connection.idle_since_ms = now_ms
         kept = self._idle.setdefault(server.incarnation, deque())
         kept.append((connection, now_ms + keep_alive_ms))
+        if self._idle_limit is not None and len(kept) > self._idle_limit:
+            kept.popleft()[0].close()
 
     def shorten_idle_limit(self, server: BackendServer, connection: UpstreamConnection) -> None:
         """Lower the idle limit of a service after a reused idle connection was reset."""
--- a/cloverhook/gateway/prober.py
+++ b/cloverhook/gateway/prober.py
@@ -29,6 +29,9 @@
 TIMEOUTS_LIMIT = 2
 """A backend server is unreachable after this many consecutive probes without an answer."""
 CONNECTION_LIMIT = 1_000
+IDLE_LIMIT = 1
+"""A check opens a connection of its own; kept open, these would use up the connections that an
+endpoint accepts."""
 
 
 class Prober:
@@ -49,7 +52,7 @@
         self._links = links
         self._on_load_report = on_load_report
         self._on_notice = on_notice
-        self._pool = BackendPool()
+        self._pool = BackendPool(IDLE_LIMIT)
         self._running: dict[str, asyncio.Task[None]] = {}
         self._timeouts: dict[str, int] = {}
         self.probe_count = 0
--- a/features/gateway_links.feature
+++ b/features/gateway_links.feature
@@ -15,6 +15,11 @@
     When the process stalls for 400 ms while the first gateway checks its links
     Then the checks find all links working
 
+  Scenario: Checks of links leave connections open that count towards the limits of endpoints
+    Given 2 gateways and 3 backend servers, and callers at both gateways
+    When the first gateway checks its links 20 times
+    Then its checks have left 1 connection open to each backend server at most
+
   Scenario: A payment that may have run is not held back by checks of links
     Given 2 gateways and 3 backend servers, and callers at both gateways
     When the first gateway checks its links for 400 ms, and all backend servers reset a payment
--- a/features/steps/gateway_links_steps.py
+++ b/features/steps/gateway_links_steps.py
@@ -55,6 +55,24 @@
     run(context, check())
 
 
+@when("the first gateway checks its links {count:d} times")
+def step_check_often(context, count):
+    async def check():
+        gateway, _ = context.fleet.named([FIRST])[0]
+        for _ in range(count):
+            for server in gateway._gateway_state.registry.of_service(SERVICE):
+                assert await gateway._link_checks.check(server), server
+
+    run(context, check())
+
+
+@then("its checks have left {count:d} connection open to each backend server at most")
+def step_few_connections(context, count):
+    gateway, _ = context.fleet.named([FIRST])[0]
+    servers = gateway._gateway_state.registry.of_service(SERVICE)
+    assert gateway._prober.connections <= count * len(servers), gateway._prober.connections
+
+
 @then("the checks find all links working")
 def step_found_working(context):
     assert context.checks == [True] * len(context.fleet.backends), context.checks
