Check links to endpoints that no VM reaches less often the larger the fleet is

Cause: each VM checked each endpoint that did not answer once a second, so an endpoint that hangs got 132 connections a second in a fleet of 132 VMs, beside those of requests. Now the interval between two checks of a VM grows with the fleet, so that all VMs together make fewer than 17 a second; a load report of another VM has the link checked again as before, at most once a second. Fleets of up to 16 VMs check as before. Evidence: the test fails without the change for 132 and 300 VMs (60 checks a minute of a VM; at most 9 and 4 now).

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -109,6 +109,7 @@
             self._gateway_state.load_table,
             self._on_link_change,
             lambda: self._link_checks.start_due(),
+            fleet_size=self._members.estimated_fleet_size,
         )
         self._peering = Peering(
             identity,
--- a/cloverhook/gateway/links.py
+++ b/cloverhook/gateway/links.py
@@ -50,6 +50,9 @@
 """The first check of a link has ended by then."""
 MAX_CHECK_INTERVAL_MS = 1_000.0
 """The interval between the checks of one link doubles up to this time."""
+CHECK_INTERVAL_MS_PER_VM = 60.0
+"""The interval doubles further, up to this time for each VM of the fleet, where no VM reaches the
+endpoint: the checks of all VMs together stay below 17 a second, however large the fleet is."""
 SERVICE_CHECK_MS = 250.0
 SERVICE_CHECKS = 3
 """While all links to a service are presumed down, so many of them are checked at a time."""
@@ -106,6 +109,7 @@
     since_ms: float
     hold_ms: float
     next_check_ms: float
+    checked_ms: float
     works_since_ms: float | None = None
     check_interval_ms: float = 2 * FIRST_CHECK_MS
 
@@ -168,12 +172,14 @@
         on_change: Callable[[LinkChange], None] = lambda change: None,
         on_checks_due: Callable[[], None] = lambda: None,
         source: random.Random | None = None,
+        fleet_size: Callable[[], int] = lambda: 1,
     ) -> None:
         self._registry = registry
         self._load_table = load_table
         self._on_change = on_change
         self._on_checks_due = on_checks_due
         self._random = source or random.Random()
+        self._fleet_size = fleet_size
         self._down: dict[str, _DownLink] = {}
         self._lost: dict[str, _LostService] = {}
         self._suspected: dict[str, _Suspicion] = {}
@@ -333,12 +339,28 @@
                 for server in self._sample(service):
                     found[server.incarnation] = server
         for incarnation, link in self._down.items():
-            if now_ms >= link.next_check_ms and link.server.service not in self._lost:
+            if link.server.service not in self._lost and self._is_check_due(link, now_ms):
+                link.checked_ms = now_ms
                 link.next_check_ms = now_ms + link.check_interval_ms
-                link.check_interval_ms = min(2 * link.check_interval_ms, MAX_CHECK_INTERVAL_MS)
+                link.check_interval_ms = min(
+                    2 * link.check_interval_ms, self._max_check_interval_ms()
+                )
                 found[incarnation] = link.server
         return list(found.values())[:CHECKS_LIMIT]
 
+    def _is_check_due(self, link: _DownLink, now_ms: float) -> bool:
+        """Return whether a link should be checked: it is time, or other VMs reach the endpoint."""
+        if now_ms >= link.next_check_ms:
+            return True
+        if now_ms - link.checked_ms < MAX_CHECK_INTERVAL_MS:
+            return False
+        load = self._load_table.get_or_create(link.server.incarnation)
+        return load.reported_since(link.checked_ms)
+
+    def _max_check_interval_ms(self) -> float:
+        """Return the longest interval between two checks of one link by this VM."""
+        return max(MAX_CHECK_INTERVAL_MS, CHECK_INTERVAL_MS_PER_VM * self._fleet_size())
+
     def retain(self, known: Callable[[str], object]) -> None:
         """Drop the data on endpoints that are gone."""
         for table in (self._down, self._contact_ms, self._flaps):
@@ -375,7 +397,7 @@
         flaps.count += 1
         flaps.last_ms = now_ms
         self._down[server.incarnation] = _DownLink(
-            server, failure, now_ms, flaps.hold_ms(), now_ms + FIRST_CHECK_MS
+            server, failure, now_ms, flaps.hold_ms(), now_ms + FIRST_CHECK_MS, now_ms
         )
         self._load_table.get_or_create(server.incarnation).link_down = True
         self._on_change(LinkChange(server, failure))
--- a/cloverhook/gateway/server_load.py
+++ b/cloverhook/gateway/server_load.py
@@ -126,6 +126,10 @@
         """Return the age of the latest load report."""
         return now_ms - self._latest_report_ms
 
+    def reported_since(self, at_ms: float) -> bool:
+        """Return whether any VM has received a load report of the endpoint since then."""
+        return self._latest_report_ms > at_ms
+
     def set_peer_in_flight(self, vm: str, count: int, now_ms: float) -> None:
         """Set how many requests another VM has in flight there."""
         before, _ = self._peer_counts.get(vm, (0, 0.0))
--- a/features/gateway_links.feature
+++ b/features/gateway_links.feature
@@ -102,6 +102,19 @@
       | 6   | i-0 refused at 0, works at 50, refused at 60, works at 120             | 120 | i-0  | yes   | 1      |
       | 6   | i-0 refused at 0, works at 50, refused at 60, works at 120, works at 1120 | 1120 | none | yes | 0     |
 
+  Scenario Outline: All VMs together check an endpoint that none of them reaches more than 20 times a second
+    Given a VM in a fleet of <vms> with links to 6 endpoints of a service
+    When the link to i-0 fails, and each check of it
+    Then it checks that link at most <checks> times from 20 s to 80 s afterwards
+    When another VM has a report of i-0
+    Then it checks that link within 1100 ms
+
+    Examples:
+      | vms | checks |
+      | 13  | 61     |
+      | 132 | 9      |
+      | 300 | 4      |
+
   Scenario: An endpoint that registers while all links are lost is checked before requests rely on it
     Given a VM with links to 6 endpoints of a service
     When these links change: i-0 refused at 0, i-1 refused at 9, i-2 refused at 10, i-3 refused at 10, i-4 refused at 10, i-5 refused at 10
--- a/features/steps/link_decision_steps.py
+++ b/features/steps/link_decision_steps.py
@@ -15,12 +15,13 @@
 from cloverhook.gateway.peer_links import PeerLinks
 from cloverhook.gateway.registry import Registry
 from cloverhook.gateway.request_queue import QueuedRequest, RequestQueue
-from cloverhook.gateway.server_load import LoadTable
+from cloverhook.gateway.server_load import LoadReport, LoadTable
 
 SERVICE = "orders"
 OTHER_VM = "vm-2"
 EVENT = re.compile(r"(?:(i-\d+) )?(refused|works) at (\d+)")
 EXPECTED_MS = 40.0
+TICK_MS = 50
 
 
 def server(context, name):
@@ -50,6 +51,47 @@
     context.peer_links = PeerLinks(context.links, context.load_table)
 
 
+@given("a VM in a fleet of {vms:d} with links to {count:d} endpoints of a service")
+def step_vm_of_fleet(context, vms, count):
+    step_vm(context, count)
+    context.links = Links(context.registry, context.load_table, fleet_size=lambda: vms)
+
+
+@when("the link to i-0 fails, and each check of it")
+def step_fails_for_good(context):
+    context.links.record_failure(server(context, "i-0"), LinkFailure.REFUSED, 0.0)
+    context.checks_ms = []
+    for now_ms in range(0, 80_000, TICK_MS):
+        check_link(context, float(now_ms))
+
+
+def check_link(context, now_ms):
+    """Make the checks that are due, all of which fail."""
+    for item in context.links.due_checks(now_ms):
+        context.checks_ms.append(now_ms)
+        context.links.record_failure(item, LinkFailure.REFUSED, now_ms)
+
+
+@then("it checks that link at most {count:d} times from {from_s:d} s to {to_s:d} s afterwards")
+def step_few_checks(context, count, from_s, to_s):
+    checks = [at_ms for at_ms in context.checks_ms if 1000 * from_s <= at_ms < 1000 * to_s]
+    assert 1 <= len(checks) <= count, len(checks)
+
+
+@when("another VM has a report of i-0")
+def step_reported(context):
+    context.checks_ms = []
+    context.load_table.get_or_create("i-0").update_from_probe(LoadReport(0, 0, 1.0), 80_000.0)
+    for now_ms in range(80_000, 84_000, TICK_MS):
+        check_link(context, float(now_ms))
+
+
+@then("it checks that link within {time_ms:d} ms")
+def step_checked_soon(context, time_ms):
+    assert context.checks_ms, "no check"
+    assert context.checks_ms[0] <= 80_000 + time_ms, context.checks_ms
+
+
 @given("a VM with links to {count:d} endpoints of a service, of which it used i-0 {ago:d} ms ago")
 def step_used(context, count, ago):
     step_vm(context, count)
