Report lost links in a large data centre only as news, and repeat them to few

Cause: each VM with a link down said so at once with each change, and twice a second, to 20 neighbours and, by way of two relays each, to 20 VMs of each other data centre. Now a VM of a large data centre says at once only what no other one has reported, and repeats its status to its neighbours alone, each 60 ms for each neighbour. A VM that reaches no endpoint of a service still says so everywhere, twice a second. What a VM reports holds for three repetitions, and ends with a status that lacks it.

--- a/cloverhook/gateway/link_updates.py
+++ b/cloverhook/gateway/link_updates.py
@@ -4,11 +4,16 @@
 all of them work again.  Other VMs then check their own links, probe the endpoints in its place, and
 use the shares of limits that it can't use.  If the VM reaches no endpoint of a service, those that
 do offer to send its requests; a VM of an earlier version, which can't do that, offers nothing.
+
+An endpoint that hangs is out of reach for every VM.  In a large data centre a VM therefore says at
+once only what no other one has reported, and repeats its status less often the more neighbours it
+has, and only to these.  A VM that reaches no endpoint of a service still says so everywhere, twice
+a second.
 """
 
 import asyncio
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
 from itertools import islice
 
@@ -19,7 +24,7 @@
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.links import LinkChange, LinkFailure, Links
 from cloverhook.gateway.members import Members
-from cloverhook.gateway.peer_links import PeerLinks
+from cloverhook.gateway.peer_links import STATUS_EXPIRY_MS, PeerLinks
 from cloverhook.gateway.peer_messages import LinkOffer, LinkStatus, encode
 from cloverhook.gateway.proxy_offers import ProxyOffers
 
@@ -28,6 +33,11 @@
 FLUSH_MS = 5.0
 """Links that fail together share a datagram."""
 REPEAT_MS = 500.0
+REPEAT_MS_PER_VM = 60.0
+"""The time between two repetitions for each neighbour in a large data centre, where a VM then
+receives at most 17 a second, however many VMs have links down."""
+LARGE_FLUSH_GAP_MS = 250.0
+"""In a large data centre, links that fail one after the other share a datagram too."""
 ROWS_LIMIT = 30
 """How many endpoints, and how many services, a datagram names at most, so that it fits into one
 packet.  If more links are down, most belong to services that are out of reach as a whole."""
@@ -39,6 +49,8 @@
 """How many VMs are to answer a VM that has lost its links: in a large fleet only a part of those
 that could."""
 CONTACT_AGE_LIMIT_MS = 3_600_000.0
+REPEATS_KEPT = 3
+"""What a VM reports holds for the time of so many repetitions; one or two of them may be lost."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +92,7 @@
         self._since_ms: dict[str, float] = {}
         self._sent_ms = 0.0
         self._last_sent_empty = True
+        self._sent_lost = False
         self._flush_timer: asyncio.TimerHandle | None = None
         self._lost_ms: dict[ReachGroup, float] = {}
         self._waiting: set[asyncio.Future[None]] = set()
@@ -119,7 +132,16 @@
         groups = [group for group in self._lost_ms if group.service == service]
         for group in {ReachGroup(service), *groups}:
             self._update_lost(group, monotonic_ms())
-        self._schedule_flush()
+        if not self._members.in_large_data_center():
+            self._schedule_flush()
+        elif self._is_news(change):
+            self._schedule_flush(self._sent_ms + LARGE_FLUSH_GAP_MS - monotonic_ms())
+
+    def _is_news(self, change: LinkChange) -> bool:
+        """Return whether a link was found to be down whose endpoint no other VM has reported."""
+        if change.failure in (None, LinkFailure.PRESUMED):
+            return False
+        return not self.peer_links.is_reported(change.server, monotonic_ms() - STATUS_EXPIRY_MS)
 
     def _update_lost(self, group: ReachGroup, now_ms: float) -> None:
         """Record and log that a group is out of reach as a whole, or no longer is."""
@@ -140,9 +162,15 @@
             lasted_ms=round(now_ms - since_ms),
         )
 
-    def _schedule_flush(self) -> None:
-        if self._flush_timer is None:
-            self._flush_timer = asyncio.get_running_loop().call_later(FLUSH_MS / 1000, self._flush)
+    def _schedule_flush(self, wait_ms: float = 0.0) -> None:
+        """Send the status after `wait_ms`, or sooner if that is scheduled already."""
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + max(wait_ms, FLUSH_MS) / 1000
+        if self._flush_timer is not None:
+            if self._flush_timer.when() <= due_s:
+                return
+            self._flush_timer.cancel()
+        self._flush_timer = loop.call_at(due_s, self._flush)
 
     def _wake_waiting(self) -> None:
         for future in self._waiting:
@@ -151,8 +179,18 @@
 
     def repeat_if_due(self, now_ms: float) -> None:
         """Send the status again if links are down, or to say that none is any more."""
-        if now_ms - self._sent_ms >= REPEAT_MS and (len(self._links) or not self._last_sent_empty):
-            self._send(now_ms)
+        repeat_ms = self._repeat_ms()
+        self.peer_links.status_expiry_ms = max(STATUS_EXPIRY_MS, REPEATS_KEPT * repeat_ms)
+        if self._lost_ms:
+            repeat_ms = REPEAT_MS
+        if now_ms - self._sent_ms >= repeat_ms and (len(self._links) or not self._last_sent_empty):
+            self._send(now_ms, has_news=False)
+
+    def _repeat_ms(self) -> float:
+        """Return the time between two statuses of a VM that has lost no service as a whole."""
+        if not self._members.in_large_data_center():
+            return REPEAT_MS
+        return max(REPEAT_MS, REPEAT_MS_PER_VM * self._members.local_count())
 
     def received(self, message: LinkStatus, now_ms: float) -> None:
         """Apply what another VM has sent."""
@@ -209,17 +247,33 @@
 
     def _flush(self) -> None:
         self._flush_timer = None
-        self._send(monotonic_ms())
+        self._send(monotonic_ms(), has_news=True)
 
-    def _send(self, now_ms: float) -> None:
+    def _send(self, now_ms: float, has_news: bool) -> None:
+        """Send the status of this VM.
+
+        A mere repetition stays in a large data centre, and a service that is out of reach stands
+        for all of its endpoints in it.
+        """
+        is_brief = not has_news and self._members.in_large_data_center()
+        was_lost, self._sent_lost = self._sent_lost, bool(self._lost_ms)
         self._sent_ms = now_ms
         self._last_sent_empty = not len(self._links)
         lost = [group.service for group in self._lost_ms if not group.regions][:ROWS_LIMIT]
         wanted = {group.service for group in self._lost_ms if group.regions}
         rows = [
             [incarnation, round(now_ms - self._since_ms.get(incarnation, now_ms))]
-            for incarnation in islice(self._links.failed(), ROWS_LIMIT)
+            for incarnation in islice(self._failed_outside(lost if is_brief else ()), ROWS_LIMIT)
         ]
         data = encode(LinkStatus(self._own_vm, rows, lost, list(wanted)[:ROWS_LIMIT]))
         self._broadcast.send_to_load_subscribers(data, now_ms)
-        self._broadcast.send_remote(data, now_ms, RELAY_COUNT)
+        if self._lost_ms or was_lost or not is_brief:
+            self._broadcast.send_remote(data, now_ms, RELAY_COUNT)
+
+    def _failed_outside(self, services: Collection[str]) -> Iterator[str]:
+        """Return the endpoints whose links have failed, but not those of some services."""
+        registry = self._gateway_state.registry
+        for incarnation in self._links.failed():
+            server = registry.get(incarnation)
+            if server is None or server.service not in services:
+                yield incarnation
--- a/cloverhook/gateway/peer_links.py
+++ b/cloverhook/gateway/peer_links.py
@@ -46,12 +46,18 @@
         self._reporters: dict[str, str] = {}
         self._checking: dict[str, dict[str, float]] = {}
         self._ignored_until_ms: dict[str, float] = {}
+        self.status_expiry_ms = STATUS_EXPIRY_MS
+        """How long a report of a single endpoint holds; other VMs repeat it more often."""
 
     def record_status(
         self, vm: str, incarnations: Iterable[str], services: Iterable[str], now_ms: float
     ) -> None:
         """Record which endpoints a VM does not reach, and of which services it reaches none."""
-        for incarnation in incarnations:
+        down = frozenset(incarnations)
+        for incarnation, reported in self._down_ms.items():
+            if incarnation not in down:
+                reported.pop(vm, None)
+        for incarnation in down:
             self._down_ms.setdefault(incarnation, {})[vm] = now_ms
         found = frozenset(services)
         if found:
@@ -63,12 +69,13 @@
         """Return the VMs that have recently reported that they don't reach an endpoint."""
         if not self._down_ms and not self._lost_services:
             return set()
-        oldest_ms = now_ms - STATUS_EXPIRY_MS
+        oldest_ms = now_ms - self.status_expiry_ms
         found = {
             vm
             for vm, at_ms in self._down_ms.get(server.incarnation, {}).items()
             if at_ms > oldest_ms
         }
+        oldest_ms = now_ms - STATUS_EXPIRY_MS
         found.update(
             vm
             for vm, (services, at_ms) in self._lost_services.items()
@@ -119,12 +126,13 @@
 
     def expire(self, now_ms: float, known: Callable[[str], object]) -> None:
         """Drop what is out of date, and the data on endpoints that are gone."""
-        oldest_ms = now_ms - STATUS_EXPIRY_MS
+        oldest_ms = now_ms - self.status_expiry_ms
         for incarnation, reported in tuple(self._down_ms.items()):
             for vm in [vm for vm, at_ms in reported.items() if at_ms <= oldest_ms]:
                 del reported[vm]
             if not reported or not known(incarnation):
                 del self._down_ms[incarnation]
+        oldest_ms = now_ms - STATUS_EXPIRY_MS
         for vm, (_, at_ms) in tuple(self._lost_services.items()):
             if at_ms <= oldest_ms:
                 del self._lost_services[vm]
--- a/features/gateway_crowd.py
+++ b/features/gateway_crowd.py
@@ -64,7 +64,7 @@
     )
 
 
-def start_large_data_centers(context, count):
+def start_large_data_centers(context, count, now_ms=0.0):
     """Create two data centres of `count` VMs each, in which all VMs have each other as members."""
     context.peerings = {}
     hosts = {LOCAL: LOCAL_HOSTS, REMOTE: REMOTE_HOSTS}
@@ -75,15 +75,15 @@
     }
     for name, vm_data_center in names.items():
         own = Identity(name, 1, vm_data_center, f"{name}:1", f"{name}:2")
-        members = Members(name, vm_data_center, 0.0)
+        members = Members(name, vm_data_center, now_ms)
         for other, other_data_center in names.items():
             if other != name:
-                members.record_heartbeat(heartbeat(other, other_data_center), 0.0)
+                members.record_heartbeat(heartbeat(other, other_data_center), now_ms)
         peering = _peering(own, members)
         peering.ready = True
         peering.link = peering.broadcast._link = RecordingLink()
         context.peerings[f"{name}:2"] = peering
-    context.now_ms = 0.0
+    context.now_ms = now_ms
 
 
 def advance_time(context, duration_ms):
--- a/features/gateway_links.feature
+++ b/features/gateway_links.feature
@@ -115,6 +115,17 @@
       | 132 | 9      |
       | 300 | 4      |
 
+  Scenario Outline: Reports of links fill the VMs' own links where an endpoint hangs for every VM
+    Given <vms> VMs in each of two data centres that know each other now
+    When 30 endpoints hang for all of them, and come and go for 3 s
+    Then each receives at most 22 KB of reports of links a second
+
+    Examples:
+      | vms |
+      | 7   |
+      | 20  |
+      | 44  |
+
   Scenario: An endpoint that registers while all links are lost is checked before requests rely on it
     Given a VM with links to 6 endpoints of a service
     When these links change: i-0 refused at 0, i-1 refused at 9, i-2 refused at 10, i-3 refused at 10, i-4 refused at 10, i-5 refused at 10
--- a/features/steps/gateway_links_steps.py
+++ b/features/steps/gateway_links_steps.py
@@ -1,12 +1,18 @@
 """Steps for gateways that lose their links to backend servers."""
 
 import asyncio
+import random
 import time
+from collections import Counter
 from dataclasses import dataclass
 
 from behave import given, then, when
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
+from cloverhook.gateway.links import LinkFailure
+from cloverhook.gateway.peer_messages import LinkStatus, Relay, decode
+from features.gateway_crowd import LOCAL, start_large_data_centers
 from features.gateway_fleet import SERVICE, UNSAFE
 from features.gateway_fleet import call as fleet_call
 from features.link_cuts import Cut
@@ -19,6 +25,8 @@
 SETTLE_MS = 1_000.0
 UNUSED_BACKENDS = 2
 FLAP_DOWN_S, FLAP_UP_S = 0.7, 0.3
+RETURNS_SHARE = 0.2
+"""How often a link that is down is found working, as where an endpoint answers now and then."""
 
 
 @given("{gateways:d} gateways and {backends:d} backend servers, and callers at both gateways")
@@ -73,6 +81,62 @@
     assert gateway._prober.connections <= count * len(servers), gateway._prober.connections
 
 
+@given("{vms:d} VMs in each of two data centres that know each other now")
+def step_crowd(context, vms):
+    start_large_data_centers(context, vms, monotonic_ms())
+
+
+@when("{count:d} endpoints hang for all of them, and come and go for {time_s:d} s")
+def step_hang(context, count, time_s):
+    servers = [BackendServer(f"i-{n}", SERVICE, f"10.0.0.{n}:1", LOCAL) for n in range(count)]
+    source = random.Random(1)
+    context.received_bytes = Counter()
+    context.time_s = time_s
+
+    async def play():
+        for peering in context.peerings.values():
+            for offset, server in enumerate(servers):
+                record = ServerRecord(server.name, offset, server)
+                peering._gateway_state.registry.apply(record, 0.0, False)
+        started_ms = monotonic_ms()
+        while monotonic_ms() - started_ms < 1000 * time_s:
+            for peering in context.peerings.values():
+                links, server = peering.link_updates._links, source.choice(servers)
+                if links.is_down(server.incarnation) and source.random() < RETURNS_SHARE:
+                    links.record_contact(server, monotonic_ms())
+                else:
+                    links.record_failure(server, LinkFailure.PROBE_UNANSWERED, monotonic_ms())
+                peering.link_updates.repeat_if_due(monotonic_ms())
+            await asyncio.sleep(0.02)
+            deliver_link_messages(context)
+
+    run(context, play())
+
+
+def deliver_link_messages(context):
+    """Deliver the messages that the VMs have sent, and count their bytes where they arrive."""
+    while any(peering.link.sent for peering in context.peerings.values()):
+        for peering in context.peerings.values():
+            sent, peering.link.sent = peering.link.sent, []
+            for address, data in sent:
+                receiver = context.peerings[address]
+                context.received_bytes[address] += len(data)
+                message = decode(data)
+                if isinstance(message, Relay):
+                    receiver.broadcast.relay(message, monotonic_ms(), load_subscribers_only=True)
+                    message = decode(message.data)
+                if isinstance(message, LinkStatus):
+                    receiver.link_updates.received(message, monotonic_ms())
+                else:
+                    receiver.link_updates.received_offer(message, monotonic_ms())
+
+
+@then("each receives at most {limit:d} KB of reports of links a second")
+def step_few_bytes(context, limit):
+    most = max(context.received_bytes.values()) / context.time_s / 1000
+    assert 0 < most <= limit, most
+
+
 @then("the checks find all links working")
 def step_found_working(context):
     assert context.checks == [True] * len(context.fleet.backends), context.checks
