Hold the state of each VM on a lease that only the store renews

What callers saw: a VM answered 404 by an older configuration 2.64 s after a newer one was acknowledged, and two VMs used an endpoint 2.55 and 2.98 s after it had left, at a bound of 2.5 s.

Cause: no VM knew how old its state was. It relied on a reader, a relay, a heartbeat and a holder, each in time; a VM that got no messages began to read only after all that ranked before it, 150 ms each, so after seconds in a fleet of 120; a reader's heartbeat confirmed its state as of the arrival, though its call to the store might be silent for 1.7 s; and a fetch that had failed three times was not repeated until somebody was heard.

Change: each VM keeps the moment as of which it has a feed completely. VMs that read the store send it (StoreConfirmation) with the age of what they have read; the time for which the message was under way, by comparison with the sender's quickest message, counts too, and so does a state that arrives after the message. The readers' calls wait for 1 s at most and never let the state get older than that; the configuration's waited for 1.2 s before.

Metrics config_confirmed_age_ms, registry_confirmed_age_ms and refreshes, the line freshness, and both ages in the line of each request that is logged; explain shows them.

--- a/cloverhook/explain.py
+++ b/cloverhook/explain.py
@@ -19,6 +19,7 @@
 KEY_FIELDS = ("content", "content_of_caller")
 STATE_CHANGE_KINDS = (
     "config",
+    "freshness",
     "evacuation",
     "server",
     "endpoint",
--- a/cloverhook/gateway/counters.py
+++ b/cloverhook/gateway/counters.py
@@ -25,6 +25,10 @@
     "requests_quarantined": "keys of requests not sent for a time, because endpoints crash on them",
     "repeats_denied": "retries not made because the retry budget was used up, by service",
     "store_calls": "calls to the store, by feed and by whether a response came",
+    "refreshes": "calls to the store for a state that was not confirmed in time, by feed and by "
+    "whether a response came",
+    "config_confirmed_age_ms": "time in ms since the configuration was known to be the newest",
+    "registry_confirmed_age_ms": "time in ms since the backend servers were known to be the newest",
     "config_version": "version of the configuration in force",
     "registry_version": "position in the store's log of the last known change of backend servers",
     "registry_digest": "hash of the backend servers in use; equal where gateways use the same",
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -41,13 +41,15 @@
 from cloverhook.gateway.proxy_server import ProxyServer
 from cloverhook.gateway.proxying import Proxying
 from cloverhook.gateway.quarantine_persistence import QuarantinePersistence
+from cloverhook.gateway.refresh_schedule import RefreshSchedule
 from cloverhook.gateway.request_report import RequestReport
 from cloverhook.gateway.retry_budget import RetryBudget
 from cloverhook.gateway.routes import IngressLimits
 from cloverhook.gateway.server_load import LoadReport
 from cloverhook.gateway.settings import GatewaySettings
-from cloverhook.gateway.store import MemberRecord, Store
+from cloverhook.gateway.store import Feed, MemberRecord, Store
 from cloverhook.gateway.store_follower import StoreFollower
+from cloverhook.gateway.store_refresher import StoreRefresher
 from cloverhook.gateway.supervision import run_with_restarts
 
 __all__ = ["DirectoryHandler", "Gateway"]
@@ -56,6 +58,8 @@
 IDLE_TICK_MS = 100.0
 """The interval on a VM that gets no callers and measures nothing: it has little to do."""
 SWEEP_MS = 1_000.0
+FIRST_START_MS = 6_000.0
+"""When a whole fleet starts, one VM reads the store for all within this time."""
 ACCEPT_FRACTION = 0.55
 """The fraction of a planned stop during which callers that still use an older directory response
 are accepted."""
@@ -135,7 +139,27 @@
             member_record, store, self._discovery, self._peering.add_member_addresses, self._log
         )
         self._follower = StoreFollower(
-            store, self._gateway_state, self._on_change, self._log, self._counters
+            store,
+            self._gateway_state,
+            self._on_change,
+            self._peering.confirm_soon,
+            self._log,
+            self._counters,
+        )
+        bounds_ms = {
+            Feed.CONFIG: 1000 * settings.config_apply_s,
+            Feed.SERVERS: 1000 * settings.drain_s,
+        }
+        lease_start_ms = now_ms + (FIRST_START_MS if settings.first_start else 0.0)
+        schedule = RefreshSchedule(settings.vm, self._members, bounds_ms, lease_start_ms)
+        self._refresher = StoreRefresher(
+            schedule,
+            self._follower,
+            self._gateway_state,
+            self._peering.state_fetch,
+            lambda: self._peering.send_confirmation(monotonic_ms(), to_remote=False),
+            self._log,
+            self._counters,
         )
         self._pool = BackendPool()
         notices = NoticeRecorder(
@@ -275,6 +299,7 @@
         for task in self._tasks:
             task.cancel()
         self._follower.stop("stopping")
+        self._refresher.close()
         self._link_checks.close()
         self._prober.close()
         self._pool.close()
@@ -368,12 +393,17 @@
         counters = self._counters
         gateway_state = self._gateway_state
         counters.set("config_version", gateway_state.config_version)
+        now_ms = monotonic_ms()
+        for name, freshness in (
+            ("config_confirmed_age_ms", gateway_state.config_freshness),
+            ("registry_confirmed_age_ms", gateway_state.registry.position.freshness),
+        ):
+            counters.set(name, round(min(freshness.age_ms(now_ms), now_ms)))
         counters.set("registry_version", gateway_state.registry.version)
         counters.set("registry_digest", gateway_state.registry.digest())
         counters.set("store_era", gateway_state.store_era)
         counters.set("backend_servers", len(gateway_state.registry))
         counters.set("data_centers_evacuated", len(gateway_state.evacuated()))
-        now_ms = monotonic_ms()
         counters.set("members_alive", len(self._members.alive(now_ms)))
         counters.set("cut_off", int(self._members.is_cut_off(now_ms)))
         counters.set("reading_store", int(self._follower.reading))
@@ -425,6 +455,7 @@
 
     def _run_periodic_work(self, now_ms: float) -> None:
         self._update_store_following(now_ms)
+        self._refresher.start_due(now_ms)
         evacuated = self._gateway_state.evacuated()
         ended = self._gateway_state.expire(now_ms)
         if self._gateway_state.evacuated() != evacuated:
--- a/cloverhook/gateway/event_log.py
+++ b/cloverhook/gateway/event_log.py
@@ -43,6 +43,7 @@
     STORE = "store", 10
     READER = "reader", 10
     CONFIG = "config", 20
+    FRESHNESS = "freshness", 10
     EVACUATION = "evacuation", 20
     SERVER = "server", 50
     MEMBER = "member", 50
--- /dev/null
+++ b/cloverhook/gateway/freshness.py
@@ -0,0 +1,125 @@
+"""As of when a VM has everything that was written to a feed of the store.
+
+Layer: state.  A VM that reads a feed has everything that was written before it sent the call.  Any
+other VM that has as much is current as of the same moment, whichever way the state has reached it.
+The report of a reader may arrive before the state itself: it counts once the state is here.
+
+>>> freshness = Freshness()
+>>> freshness.confirm((4,), as_of_ms=100.0, known=(3,))
+>>> freshness.age_ms(150.0)
+inf
+>>> freshness.advance(known=(4,))
+>>> freshness.age_ms(150.0)
+50.0
+"""
+
+import math
+from collections import deque
+
+__all__ = ["Freshness", "Lag", "MessageDelays"]
+
+PENDING_LIMIT = 32
+"""How many reports may wait for their state; a VM that lags further asks the store itself."""
+SENDERS_LIMIT = 1_024
+
+Versions = tuple[int, ...]
+
+
+class Freshness:
+    """The latest moment as of which a VM is known to have a feed completely.
+
+    Times are monotonic.  Versions are those of the feed's parts, always in the same order.
+    """
+
+    def __init__(self) -> None:
+        self.as_of_ms: float | None = None
+        self._pending: deque[tuple[Versions, float]] = deque(maxlen=PENDING_LIMIT)
+
+    def age_ms(self, now_ms: float) -> float:
+        """Return how old the state may be; infinite where that isn't known."""
+        return math.inf if self.as_of_ms is None else now_ms - self.as_of_ms
+
+    def confirm(self, versions: Versions, as_of_ms: float, known: Versions) -> None:
+        """Record that nothing newer than `versions` was written before a time.
+
+        `known` holds the versions that this VM has.
+        """
+        if self.as_of_ms is not None and as_of_ms <= self.as_of_ms:
+            return
+        if _covers(known, versions):
+            self.as_of_ms = as_of_ms
+        else:
+            self._pending.append((versions, as_of_ms))
+
+    def advance(self, known: Versions) -> None:
+        """Apply the reports that have waited for the versions that this VM has now."""
+        for versions, as_of_ms in tuple(self._pending):
+            if _covers(known, versions):
+                self.confirm(versions, as_of_ms, known)
+                self._pending.remove((versions, as_of_ms))
+
+
+class Lag:
+    """For how long this VM has known that there are newer versions than it has.
+
+    >>> lag = Lag()
+    >>> lag.record((5,), known=(4,), now_ms=100.0)
+    >>> lag.behind_ms(known=(4,), now_ms=130.0), lag.behind_ms(known=(5,), now_ms=130.0)
+    (30.0, 0.0)
+    """
+
+    def __init__(self) -> None:
+        self._wanted: Versions | None = None
+        self._since_ms = 0.0
+
+    def record(self, versions: Versions, known: Versions, now_ms: float) -> None:
+        """Record the versions that another VM has, and those that this VM has now."""
+        if _covers(known, versions):
+            return
+        if self._wanted is None or _covers(known, self._wanted):
+            self._wanted, self._since_ms = versions, now_ms
+        else:
+            self._wanted = tuple(map(max, self._wanted, versions))
+
+    def behind_ms(self, known: Versions, now_ms: float) -> float:
+        """Return for how long this VM has lacked something; 0 if it lacks nothing."""
+        if self._wanted is None or _covers(known, self._wanted):
+            return 0.0
+        return now_ms - self._since_ms
+
+
+class MessageDelays:
+    """How long messages were under way, compared with the quickest message of the same sender.
+
+    Clocks of two VMs differ by an amount that is unknown but stays the same.  So the difference
+    between sending and arrival shows what a message has waited for in links, sockets and relays.
+
+    >>> delays = MessageDelays()
+    >>> delays.observe("vm-1", sent_ms=10.0, arrived_ms=500.0)
+    >>> delays.observe("vm-1", sent_ms=20.0, arrived_ms=510.0)
+    0.0
+    >>> delays.observe("vm-1", sent_ms=30.0, arrived_ms=820.0)
+    300.0
+    """
+
+    def __init__(self) -> None:
+        self._quickest_ms: dict[str, float] = {}
+
+    def observe(self, sender: str, sent_ms: float, arrived_ms: float) -> float | None:
+        """Record a message; return its delay, or None where there is none to compare it with.
+
+        `sender` must change when the sender's process does, as its clock may start anew.
+        """
+        difference_ms = arrived_ms - sent_ms
+        quickest_ms = self._quickest_ms.get(sender)
+        if quickest_ms is None:
+            while len(self._quickest_ms) >= SENDERS_LIMIT:
+                del self._quickest_ms[next(iter(self._quickest_ms))]
+            self._quickest_ms[sender] = difference_ms
+            return None
+        self._quickest_ms[sender] = min(quickest_ms, difference_ms)
+        return max(0.0, difference_ms - quickest_ms)
+
+
+def _covers(known: Versions, versions: Versions) -> bool:
+    return all(has >= wanted for has, wanted in zip(known, versions, strict=True))
--- a/cloverhook/gateway/gateway_state.py
+++ b/cloverhook/gateway/gateway_state.py
@@ -12,6 +12,7 @@
 from cloverhook.gateway.config_codec import EncodedConfig
 from cloverhook.gateway.drain_notices import DrainNotices
 from cloverhook.gateway.evacuation import Evacuations
+from cloverhook.gateway.freshness import Freshness
 from cloverhook.gateway.registry import DRAIN_MS, Registry
 from cloverhook.gateway.routes import GatewayConfig
 from cloverhook.gateway.server_load import LoadTable
@@ -38,6 +39,7 @@
         self.config: GatewayConfig | None = None
         self.config_at_ms = 0.0
         self.config_as_of = -1
+        self.config_freshness = Freshness()
         self._encoded: EncodedConfig | None = None
         self.evacuations = Evacuations()
         self.drain_ms = drain_ms
@@ -57,6 +59,15 @@
         """The version of the configuration in force, or -1 if there is none."""
         return -1 if self.config is None else self.config.version
 
+    @property
+    def config_versions(self) -> tuple[int, int]:
+        """The versions of the parts of the configuration feed: configuration and evacuations."""
+        return self.config_version, self.evacuations.version
+
+    def confirm_config(self, versions: tuple[int, int], as_of_ms: float) -> None:
+        """Record that the store's configuration feed held nothing newer at a time."""
+        self.config_freshness.confirm(versions, as_of_ms, self.config_versions)
+
     @property
     def store_era(self) -> int:
         """The latest era of the store that anything known here belongs to."""
@@ -82,6 +93,7 @@
             return False
         self.config = config
         self.config_at_ms = now_ms
+        self.config_freshness.advance(self.config_versions)
         return True
 
     def encoded_config(self) -> EncodedConfig | None:
@@ -151,6 +163,7 @@
             self._retained_until_ms = now_ms + EVACUATION_GRACE_MS
         self._retained_evacuations -= revoked
         self.evacuations = found
+        self.config_freshness.advance(self.config_versions)
         return before != self.evacuated()
 
     def evacuated(self) -> frozenset[str]:
@@ -182,18 +195,20 @@
         end_offset: int,
         now_ms: float,
         follows_store: bool = True,
+        as_of_ms: float | None = None,
     ) -> tuple[str, ...]:
         """Apply a full snapshot of the store's list; return the names that changed or vanished.
 
         A snapshot that ends before what is known was read from a copy that lags, and is ignored.
         Other VMs rely on a VM that follows the store (`follows_store`) from then on, and request
-        all that it knows.
+        all that it knows.  The snapshot holds everything that was written before `as_of_ms`, which
+        is now if it isn't given.
         """
         newest_offset = end_offset - 1
         if newest_offset < self.registry.as_of:
             return ()
         recovering = self.store_was_unavailable(now_ms)
-        touched = self.registry.apply_snapshot(records, newest_offset, now_ms, recovering)
+        touched = self.registry.apply_snapshot(records, newest_offset, now_ms, recovering, as_of_ms)
         if follows_store:
             self.registry.position.assume_last_change()
         return touched
--- a/cloverhook/gateway/log_position.py
+++ b/cloverhook/gateway/log_position.py
@@ -12,6 +12,7 @@
 (4, 9)
 """
 
+from cloverhook.gateway.freshness import Freshness
 from cloverhook.gateway.versions import era_of
 
 __all__ = ["LogPosition"]
@@ -29,7 +30,7 @@
         self._as_of = -1
         self._has_last_change = True
         self._history_floor = -1
-        self._confirmed_ms: float | None = None
+        self.freshness = Freshness()
 
     @property
     def as_of(self) -> int:
@@ -53,6 +54,7 @@
     def advance_to(self, position: int) -> None:
         """Record that all records up to a position have been applied."""
         self._as_of = max(self._as_of, position)
+        self.freshness.advance((self.as_of,))
 
     def advance_from_peer(self, version: int, as_of: int) -> None:
         """Take a peer's report that nothing has changed between a version and `as_of`."""
@@ -60,6 +62,7 @@
             self._as_of = as_of
             self.version = max(self.version, version)
             self._has_last_change = True
+            self.freshness.advance((self.as_of,))
 
     def assume_last_change(self) -> None:
         """Treat the position read up to as the last change, where the last change isn't known.
@@ -82,11 +85,13 @@
         self.version = known_version
         self._as_of = max(as_of, known_as_of)
         self.record_full_state(known_as_of, as_of)
+        self.freshness.advance((self.as_of,))
 
     def record_peer_state(self, version: int, as_of: int) -> None:
         """Record that everything that a peer knows has been applied."""
         self.version, self._as_of = version, max(as_of, self._as_of)
         self._has_last_change = True
+        self.freshness.advance((self.as_of,))
 
     def record_full_state(self, known_as_of: int, floor: int) -> None:
         """Record that a full state was applied, with all changes since `floor` known one by one."""
@@ -99,13 +104,13 @@
         """Record that changes up to a position are no longer known individually."""
         self._history_floor = max(self._history_floor, position)
 
-    def confirm_current(self, version: int, now_ms: float) -> None:
-        """Record that the store holds nothing newer than a version at this time."""
-        if version <= self.as_of:
-            self._confirmed_ms = now_ms
+    def confirm_current(self, version: int, as_of_ms: float) -> None:
+        """Record that the store held nothing newer than a version at a time."""
+        self.freshness.confirm((version,), as_of_ms, (self.as_of,))
 
     def earliest_removal_ms(self, now_ms: float) -> float:
         """Return the earliest time at which an entry found missing now may have vanished."""
-        if self._confirmed_ms is None or now_ms - self._confirmed_ms > CONFIRMED_LIMIT_MS:
+        confirmed_ms = self.freshness.as_of_ms
+        if confirmed_ms is None or now_ms - confirmed_ms > CONFIRMED_LIMIT_MS:
             return now_ms
-        return self._confirmed_ms
+        return confirmed_ms
--- a/cloverhook/gateway/peer_messages.py
+++ b/cloverhook/gateway/peer_messages.py
@@ -41,6 +41,7 @@
     "Refusals",
     "Relay",
     "ServerChanges",
+    "StoreConfirmation",
     "CrashRecords",
     "BackoffUpdate",
     "DrainNoticeUpdate",
@@ -213,6 +214,25 @@
     rows: list[tuple[str, float]]
 
 
+@dataclass(frozen=True, slots=True)
+class StoreConfirmation:
+    """How far the store's feeds went, by a VM that has read them.
+
+    Nothing newer than the versions was written up to `config_age_ms` and `registry_age_ms` before
+    the message was sent; an age is -1 where that isn't known.  `sent_ms` is the sender's monotonic
+    clock, which is compared only with other messages of the same process.
+    """
+
+    vm: str
+    incarnation: int
+    sent_ms: float = kind_field(Number(0))
+    config_version: int = kind_field(VERSION)
+    evacuation_version: int = kind_field(VERSION)
+    config_age_ms: float = kind_field(Number(-1, AGE_LIMIT_MS))
+    registry_version: int = kind_field(VERSION)
+    registry_age_ms: float = kind_field(Number(-1, AGE_LIMIT_MS))
+
+
 @dataclass(frozen=True, slots=True)
 class Relay:
     """An encoded message for every VM of the receiver's data centre, including the receiver."""
@@ -236,6 +256,7 @@
     | BackoffUpdate
     | LinkStatus
     | LinkOffer
+    | StoreConfirmation
 )
 MESSAGE_TYPES: tuple[type, ...] = (
     Heartbeat,
@@ -252,10 +273,19 @@
     BackoffUpdate,
     LinkStatus,
     LinkOffer,
+    StoreConfirmation,
 )
 UNCONVERTED_FIELDS = {
     message_type: tuple(item.name for item in fields(message_type))
-    for message_type in (Heartbeat, Relay, Failures, Refusals, LinkStatus, LinkOffer)
+    for message_type in (
+        Heartbeat,
+        Relay,
+        Failures,
+        Refusals,
+        LinkStatus,
+        LinkOffer,
+        StoreConfirmation,
+    )
 }
 """The message types whose fields are encoded in order, without conversion."""
 ROW_TYPES = {
@@ -275,9 +305,12 @@
     RecursionError,
 )
 """`OverflowError`: a row may hold an integer that no float can hold."""
-HEARTBEAT_CHECKS = tuple(
-    (name, compile_check(kind)) for name, kind in table_of(Heartbeat).fields.items()
-)
+FIELD_CHECKS = {
+    message_type: tuple(
+        (name, compile_check(kind)) for name, kind in table_of(message_type).fields.items()
+    )
+    for message_type in (Heartbeat, StoreConfirmation)
+}
 COUNT_LIMIT = 10**9
 """No VM or endpoint has more requests at a time; greater integers may be no floats."""
 is_registry_document = compile_check(REGISTRY_DOCUMENT)
@@ -334,8 +367,9 @@
 def _is_valid(message: PeerMessage) -> bool:
     """Return whether the fields of a message that decoding did not check have the right types."""
     match message:
-        case Heartbeat():
-            return all(accepts(getattr(message, name)) for name, accepts in HEARTBEAT_CHECKS)
+        case Heartbeat() | StoreConfirmation():
+            checks = FIELD_CHECKS[type(message)]
+            return all(accepts(getattr(message, name)) for name, accepts in checks)
         case ServerChanges():
             base_is_valid = type(message.base_version) is int
             return base_is_valid and is_registry_document(message.document)
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -25,6 +25,7 @@
 from cloverhook.gateway.drain_updates import DrainUpdates
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.failure_updates import FailureUpdates
+from cloverhook.gateway.freshness import Freshness, MessageDelays
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.heartbeat_intervals import HeartbeatIntervals
 from cloverhook.gateway.link_updates import LinkUpdates
@@ -49,9 +50,11 @@
     Refusals,
     Relay,
     ServerChanges,
+    StoreConfirmation,
     decode,
     encode,
 )
+from cloverhook.gateway.peer_rows import AGE_LIMIT_MS
 from cloverhook.gateway.quarantine_updates import QuarantineUpdates
 from cloverhook.gateway.rate_limit_updates import RateLimitUpdates
 from cloverhook.gateway.rate_limits import RateLimits
@@ -179,7 +182,9 @@
         self._relay_count = 1
         self._has_update = False
         self._contact_due_ms = 0.0
-        self._state_fetch = StateFetcher(
+        self._delays = MessageDelays()
+        self._confirmation_due = False
+        self.state_fetch = StateFetcher(
             gateway_state,
             members,
             log,
@@ -222,7 +227,11 @@
             )
             self._send_discovery_requests(now_ms)
         self.count_updates.resend_all(now_ms)
-        if now_ms >= self._local_heartbeat_due_ms:
+        is_local_due = now_ms >= self._local_heartbeat_due_ms
+        if self._confirmation_due or (self.reading and is_local_due):
+            self._confirmation_due = False
+            self.send_confirmation(now_ms, to_remote=True)
+        if is_local_due:
             every_ms = self._heartbeat_intervals.local_interval_ms(self.reading, now_ms)
             self._local_heartbeat_due_ms = now_ms + every_ms
             self.broadcast.send_local(encode(self._heartbeat(every_ms)), now_ms)
@@ -248,6 +257,29 @@
         if self._members.in_large_data_center():
             self._relay_count = CHANGE_RELAY_COUNT
 
+    def confirm_soon(self) -> None:
+        """Send at the next tick as of when this VM has everything in the store."""
+        self._confirmation_due = True
+
+    def send_confirmation(self, now_ms: float, to_remote: bool) -> None:
+        """Send as of when this VM has everything in the store, to its neighbours at least."""
+        gateway_state = self._gateway_state
+        position = gateway_state.registry.position
+        known_change = position.advertised_version
+        message = StoreConfirmation(
+            self._identity.vm,
+            self._identity.incarnation,
+            now_ms,
+            *gateway_state.config_versions,
+            _age_ms(gateway_state.config_freshness, now_ms),
+            known_change if known_change >= 0 else position.as_of,
+            _age_ms(position.freshness, now_ms),
+        )
+        data = encode(message)
+        self.broadcast.send_local(data, now_ms)
+        if to_remote:
+            self.broadcast.send_remote(data, now_ms)
+
     def broadcast_registry_changes(self, base_version: int, changed_names: tuple[str, ...]) -> None:
         """Send registry changes to all VMs, or a heartbeat if they do not fit into a datagram.
 
@@ -411,6 +443,8 @@
                 self.link_updates.received_offer(message, now_ms)
             case DrainNoticeUpdate():
                 self.drain_updates.received(message, now_ms)
+            case StoreConfirmation():
+                self._on_store_confirmation(message, now_ms)
             case ServerChanges():
                 self._on_server_changes(message, now_ms, relayed)
             case Relay():
@@ -453,25 +487,40 @@
             self.backoff_updates.send_backoffs_to(member, now_ms)
         if heartbeat.wants_answer or (joined and is_local):
             self.link.send_encoded(heartbeat.peer_address, encode(self._heartbeat()))
-        if self._state_fetch.is_behind(heartbeat):
-            self._state_fetch.schedule_fetch(heartbeat.vm, is_local or relayed)
+        if self.state_fetch.is_behind(heartbeat):
+            self.state_fetch.schedule_fetch(heartbeat.vm, is_local or relayed)
         self._update_log_positions(heartbeat, now_ms)
 
     def _update_log_positions(self, heartbeat: Heartbeat, now_ms: float) -> None:
-        """Take over the positions in the store's logs up to which the sender has all changes.
-
-        A sender that reads the store also confirms its registry version as current.
-        """
+        """Take over the positions in the store's logs up to which the sender has all changes."""
         gateway_state = self._gateway_state
         gateway_state.registry.position.advance_from_peer(
             heartbeat.registry_version, heartbeat.registry_as_of
         )
-        if heartbeat.reading:
-            gateway_state.registry.position.confirm_current(heartbeat.registry_version, now_ms)
         gateway_state.confirm_config_as_of(
             heartbeat.config_version, heartbeat.evacuation_version, heartbeat.config_as_of
         )
 
+    def _on_store_confirmation(self, message: StoreConfirmation, now_ms: float) -> None:
+        """Take over as of when the store held nothing newer than the sender's versions.
+
+        The time for which the message was under way counts too.
+        """
+        sender = f"{message.vm} {message.incarnation}"
+        delay_ms = self._delays.observe(sender, message.sent_ms, now_ms)
+        self.state_fetch.is_behind(message)
+        if delay_ms is None:
+            return
+        sent_ms = now_ms - delay_ms
+        gateway_state = self._gateway_state
+        if message.config_age_ms >= 0:
+            versions = message.config_version, message.evacuation_version
+            gateway_state.confirm_config(versions, sent_ms - message.config_age_ms)
+        if message.registry_age_ms >= 0:
+            gateway_state.registry.position.confirm_current(
+                message.registry_version, sent_ms - message.registry_age_ms
+            )
+
     def _on_server_changes(self, changes: ServerChanges, now_ms: float, relayed: bool) -> None:
         registry = self._gateway_state.registry
         if changes.base_version > registry.as_of:
@@ -480,7 +529,7 @@
                 member.registry_version = max(member.registry_version, changes.base_version)
                 member.registry_as_of = max(member.registry_as_of, changes.base_version)
             is_local = member is not None and member.data_center == self._identity.data_center
-            self._state_fetch.schedule_fetch(changes.vm, is_local or relayed)
+            self.state_fetch.schedule_fetch(changes.vm, is_local or relayed)
         elif registry.adopt(changes.document, now_ms):
             self._log.note(
                 EventKind.SERVER,
@@ -535,3 +584,9 @@
 
     def _on_invalid_message(self, sender: str, error: MessageError) -> None:
         self._log.note(EventKind.MEMBER, member=sender, state="garbage", error=str(error))
+
+
+def _age_ms(freshness: Freshness, now_ms: float) -> float:
+    """Return the age of a state in a message: -1 where it isn't known."""
+    age_ms = freshness.age_ms(now_ms)
+    return -1 if age_ms > AGE_LIMIT_MS else round(age_ms, 1)
--- a/cloverhook/gateway/registry.py
+++ b/cloverhook/gateway/registry.py
@@ -243,10 +243,12 @@
         offset: int,
         now_ms: float,
         store_was_unavailable: bool,
+        as_of_ms: float | None = None,
     ) -> tuple[str, ...]:
         """Apply the store's snapshot as of `offset`; return the names that changed or vanished.
 
-        The snapshot does not show which change was the last one before it.
+        The snapshot does not show which change was the last one before it.  It holds everything
+        that was written before `as_of_ms`, which is now if it isn't given.
         """
         known = self.version, self.as_of
         kept = tuple(records)
@@ -254,7 +256,7 @@
         names = {record.name for record in kept if record.server is not None}
         missing = self.remove_missing(names, offset, now_ms, store_was_unavailable)
         self.position.record_snapshot(known, offset, bool(changed or missing))
-        self.position.confirm_current(offset, now_ms)
+        self.position.confirm_current(offset, now_ms if as_of_ms is None else as_of_ms)
         return (*changed, *missing)
 
     def expire_grace_periods(self, now_ms: float) -> tuple[str, ...]:
--- a/cloverhook/gateway/request_report.py
+++ b/cloverhook/gateway/request_report.py
@@ -57,6 +57,7 @@
             cause=kind.value,
             reason=reason,
             config=self._gateway_state.config_version,
+            **self._confirmed_ages(monotonic_ms()),
         )
 
     def record_end(self, state: RequestState, answer: CallerAnswer) -> None:
@@ -103,8 +104,18 @@
             config=config.version if config is not None else -1,
             config_age_ms=round(now_ms - self._gateway_state.config_at_ms),
             registry=self._gateway_state.registry.version,
+            **self._confirmed_ages(now_ms),
         )
 
+    def _confirmed_ages(self, now_ms: float) -> dict[str, int]:
+        """Return as log fields how long ago the state was known to be the newest."""
+        state = self._gateway_state
+        ages_ms = {
+            "config_confirmed_age_ms": state.config_freshness.age_ms(now_ms),
+            "registry_confirmed_age_ms": state.registry.position.freshness.age_ms(now_ms),
+        }
+        return {name: round(min(age_ms, now_ms)) for name, age_ms in ages_ms.items()}
+
     def _log_proxied(self, state: RequestState, proxied: ProxiedAttempt, request_id: str) -> None:
         result = next((item for item in state.results if item.proxy == proxied.vm), None)
         self._log.note(
--- a/cloverhook/gateway/settings.py
+++ b/cloverhook/gateway/settings.py
@@ -25,8 +25,9 @@
     """The settings that a gateway needs at its start.
 
     Addresses are `ip:port`.  `seed_addresses` lists peers to ask while the store is unavailable.
-    `drain_s` is the time after which a leaving backend server must get no more work, and `stop_s`
-    the longest time for a planned stop.  At the `first_start` of a whole fleet there is time to let
+    `drain_s` is the time after which a leaving backend server must get no more work,
+    `config_apply_s` that in which a new configuration has to be in force, and `stop_s` the longest
+    time for a planned stop.  At the `first_start` of a whole fleet there is time to let
     one VM read the store for all; at a later start each VM reads it once.  Within `retry_window_s`,
     all gateways together may retry the fraction `retry_ratio` of a service's requests and
     `retry_extra` requests more.  In a second, a cold backend server gets at most `cold_over` times
@@ -46,6 +47,7 @@
     first_start: bool = False
     metrics_port: int = kind(Integer(0, 65_535), 0)
     drain_s: float = kind(Number(0, HOUR_S), 2)
+    config_apply_s: float = kind(Number(0.1, HOUR_S), 2)
     stop_s: float = kind(Number(0, HOUR_S), 6)
     retry_ratio: float = kind(Number(0, 1), 0.2)
     retry_window_s: float = kind(Number(0.1, HOUR_S), 10)
--- a/cloverhook/gateway/state_fetch.py
+++ b/cloverhook/gateway/state_fetch.py
@@ -20,6 +20,7 @@
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.evacuation import Evacuations
 from cloverhook.gateway.event_log import EventKind, EventLog
+from cloverhook.gateway.freshness import Lag
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.members import KnownVersions, Member, Members
 from cloverhook.gateway.peer_messages import is_registry_document
@@ -85,25 +86,32 @@
         self._on_fetched = on_fetched
         self._on_invalid_message = on_invalid_message
         self._tasks: dict[StatePart, asyncio.Task[None]] = {}
-        self._behind_since_ms: dict[StatePart, float] = {}
+        self._lags = {part: Lag() for part in StatePart}
 
     def is_behind(self, other: KnownVersions) -> bool:
         """Return whether another VM's versions are newer than this VM's in any part."""
         return any(self._lacks(part, other) for part in StatePart)
 
+    def behind_ms(self, part: StatePart, now_ms: float) -> float:
+        """Return for how long this VM has known of a newer version of a part; 0 if of none."""
+        return self._lags[part].behind_ms(self._known(part), now_ms)
+
+    def _known(self, part: StatePart) -> tuple[int, ...]:
+        """Return the versions of a part that this VM has."""
+        gateway_state = self._gateway_state
+        if part is StatePart.CONFIG:
+            return (gateway_state.config_version,)
+        return gateway_state.registry.as_of, gateway_state.evacuations.version
+
     def _lacks(self, part: StatePart, other: KnownVersions) -> bool:
         """Return whether another VM's version of a part is newer."""
-        gateway_state = self._gateway_state
         if part is StatePart.CONFIG:
-            lacks = other.config_version > gateway_state.config_version
+            versions: tuple[int, ...] = (other.config_version,)
         else:
-            lacks = (
-                other.registry_version > gateway_state.registry.as_of
-                or other.evacuation_version > gateway_state.evacuations.version
-            )
-        if lacks:
-            self._behind_since_ms.setdefault(part, monotonic_ms())
-        return lacks
+            versions = other.registry_version, other.evacuation_version
+        known = self._known(part)
+        self._lags[part].record(versions, known, monotonic_ms())
+        return any(theirs > own for theirs, own in zip(versions, known, strict=True))
 
     def schedule_fetch(self, vm: str, immediately: bool) -> None:
         """Fetch newer state of a peer soon.
@@ -134,7 +142,6 @@
         """Fetch a part; after each success, repeat this while a live VM has a newer version."""
         ahead: Member | None = member
         while ahead is not None and await self._fetch_from_holders(part, ahead):
-            self._behind_since_ms.pop(part, None)
             alive = self._members.alive(monotonic_ms())
             ahead = next((item for item in alive if self._lacks(part, item)), None)
 
@@ -207,7 +214,7 @@
             asked=request,
             parts=list(state),
             took_ms=round(now_ms - started_ms, 1),
-            behind_ms=round(now_ms - self._behind_since_ms.get(part, now_ms)),
+            behind_ms=round(self.behind_ms(part, now_ms)),
         )
         return state
 
@@ -241,8 +248,8 @@
             gateway_state.stop_relaying_config(encoded)
             raise
         now_ms = monotonic_ms()
+        behind_ms = self.behind_ms(StatePart.CONFIG, now_ms)
         if config is not None and gateway_state.apply_config(config, now_ms):
-            behind_ms = now_ms - self._behind_since_ms.get(StatePart.CONFIG, now_ms)
             self._log.note(
                 EventKind.CONFIG, version=version, source=address, behind_ms=round(behind_ms)
             )
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -21,10 +21,10 @@
 
 __all__ = ["POLL_GAP_MS", "POLL_GAP_DRAIN_RATIO", "StoreFollower", "offsets_to_versions"]
 
-WAIT_MS = {Feed.CONFIG: 1_200, Feed.SERVERS: 1_000}
-"""How long a call waits for changes.  Each call is paid for.  A silent store is noticed after the
-shorter wait plus the client's timeout, and a slow store may not return an existing record to a
-waiting call until the wait ends."""
+WAIT_MS = 1_000
+"""How long a call waits for changes.  Each call is paid for.  A silent store is noticed after this
+time plus the client's timeout, and a slow store may not return an existing record to a waiting call
+until the wait ends.  The state of all VMs is confirmed as often as a call ends."""
 POLL_GAP_MS = 200.0
 """Changes that are made within this time are read by one call, because calls are paid for."""
 POLL_GAP_DRAIN_RATIO = 0.1
@@ -51,12 +51,18 @@
         store: Store,
         gateway_state: GatewayState,
         on_change: Callable[[tuple[str, ...], int], None],
+        on_confirmed: Callable[[], None],
         log: EventLog,
         counters: Counters,
     ) -> None:
+        """Set up without any call.
+
+        `on_confirmed` is called with each answer to a call of a VM that follows the store.
+        """
         self._store = store
         self._gateway_state = gateway_state
         self._on_change = on_change
+        self._on_confirmed = on_confirmed
         self._log = log
         self._counters = counters
         self._tasks: dict[Feed, asyncio.Task[None]] = {}
@@ -64,6 +70,7 @@
         self._eras: dict[Feed, int] = {}
         self._read_era = 0
         self._answered: dict[Feed, bool] = {}
+        self._read_as_of_ms: dict[Feed, float] = {}
         self._failing_since_ms: dict[Feed, float] = {}
         self._initial_only = False
 
@@ -98,10 +105,11 @@
     def _begin(self, action: str) -> None:
         self._answered.clear()
         self._offsets.clear()
+        self._read_as_of_ms.clear()
         if not self._initial_only:
             self._gateway_state.registry.position.assume_last_change()
-            self._resume_from(Feed.SERVERS, self._gateway_state.registry.as_of)
-            self._resume_from(Feed.CONFIG, self._gateway_state.config_as_of)
+            for feed in Feed:
+                self._resume_from(feed, self._known_as_of(feed))
         for feed in Feed:
             self._follow_feed(feed)
         self._log.note(
@@ -140,12 +148,11 @@
                 return
             offset = self._offsets.get(feed)
             called_ms = monotonic_ms()
+            wait_ms = self._wait_ms(feed, called_ms)
             try:
                 if offset is None:
                     found = await self._store.newest(feed)
                 else:
-                    # Peers rely on a VM that has had an answer, so the first call doesn't wait.
-                    wait_ms = WAIT_MS[feed] if self._answered.get(feed) else 0
                     found = await self._store.changes(feed, offset, wait_ms)
             except HistoryLostError:
                 self._log.note(
@@ -165,13 +172,62 @@
                 self._offsets.pop(feed, None)  # The offset belongs to another record now.
                 continue
             if era >= self._gateway_state.store_era:
-                arrived_while_waiting = monotonic_ms() - called_ms > EXISTING_RECORD_MS
+                took_ms = monotonic_ms() - called_ms
+                waited_in_vain = found.end_offset == offset and took_ms >= wait_ms
+                as_of_ms = called_ms + wait_ms if waited_in_vain else called_ms
                 self._apply(
-                    feed, offsets_to_versions(found, era), offset is None, arrived_while_waiting
+                    feed,
+                    offsets_to_versions(found, era),
+                    as_of_ms,
+                    whole=offset is None,
+                    arrived_while_waiting=took_ms > EXISTING_RECORD_MS,
                 )
                 self._offsets[feed], self._eras[feed] = found.end_offset, era
+                self._read_as_of_ms[feed] = as_of_ms
+                self._on_confirmed()
             await asyncio.sleep(self._poll_gap_ms(feed) / 1000)
 
+    def _wait_ms(self, feed: Feed, now_ms: float) -> int:
+        """Return how long the next call for a feed may wait for changes.
+
+        Peers rely on a VM that has had an answer, so the first call doesn't wait.  A change that
+        ended the wait of a call shows only that nothing else was written before that call, so the
+        next call is the shorter the longer ago that was.
+        """
+        if not self._answered.get(feed) or feed not in self._read_as_of_ms:
+            return 0
+        return max(0, min(WAIT_MS, round(self._read_as_of_ms[feed] + WAIT_MS - now_ms)))
+
+    async def refresh(self, feed: Feed) -> None:
+        """Read what is new in a feed by a single call, whether this VM follows the store or not.
+
+        Raises `PlatformError` if there is no answer.
+        """
+        as_of = self._known_as_of(feed)
+        is_whole = as_of < 0
+        while True:
+            called_ms = monotonic_ms()
+            try:
+                if is_whole:
+                    found = await self._store.newest(feed)
+                else:
+                    found = await self._store.changes(feed, offset_of(as_of) + 1, 0)
+            except HistoryLostError:
+                is_whole = True
+                continue
+            era = self._era_of(feed, found)
+            if is_whole or era == era_of(as_of):
+                break
+            is_whole = True  # The offset belongs to another record now.
+        if era >= self._gateway_state.store_era:
+            self._apply(feed, offsets_to_versions(found, era), called_ms, whole=is_whole)
+
+    def _known_as_of(self, feed: Feed) -> int:
+        """Return the position up to which a feed is known, by own reading or a peer's report."""
+        if feed is Feed.CONFIG:
+            return self._gateway_state.config_as_of
+        return self._gateway_state.registry.as_of
+
     def _era_of(self, feed: Feed, found: FeedSlice) -> int:
         """Return the era of an answer, and switch to that era if it is a later one.
 
@@ -210,8 +266,14 @@
         return max(POLL_GAP_MS, POLL_GAP_DRAIN_RATIO * self._gateway_state.drain_ms)
 
     def _apply(
-        self, feed: Feed, found: FeedSlice, whole: bool, arrived_while_waiting: bool
+        self,
+        feed: Feed,
+        found: FeedSlice,
+        as_of_ms: float,
+        whole: bool,
+        arrived_while_waiting: bool = False,
     ) -> None:
+        """Apply an answer, which holds everything that was written before `as_of_ms`."""
         now_ms = monotonic_ms()
         gateway_state = self._gateway_state
         base_version = gateway_state.registry.version
@@ -220,12 +282,13 @@
         if feed is Feed.CONFIG:
             changed = self._apply_config(found, now_ms) | self._apply_evacuations(found, whole)
             gateway_state.config_as_of = max(gateway_state.config_as_of, found.end_offset - 1)
+            gateway_state.confirm_config(gateway_state.config_versions, as_of_ms)
             if changed:
                 self._on_change((), base_version)
             return
         if whole:
             touched = gateway_state.apply_server_list(
-                found.servers, found.end_offset, now_ms, follows_store=not self._initial_only
+                found.servers, found.end_offset, now_ms, self.active, as_of_ms
             )
             if touched:
                 self._log.note(
@@ -246,7 +309,7 @@
             )
         ]
         gateway_state.registry.position.advance_to(found.end_offset - 1)
-        gateway_state.registry.position.confirm_current(found.end_offset - 1, now_ms)
+        gateway_state.registry.position.confirm_current(found.end_offset - 1, as_of_ms)
         if touched:
             self._on_change(tuple(touched), base_version)
 
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -17,6 +17,7 @@
 from cloverhook.errors import MessageError, PlatformError
 from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.event_log import EventKind
+from cloverhook.gateway.freshness import MessageDelays
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.links import Links
 from cloverhook.gateway.peer_links import PeerLinks
@@ -35,6 +36,7 @@
     RateLimitUpdate,
     Relay,
     ServerChanges,
+    StoreConfirmation,
     decode,
     encode,
 )
@@ -339,6 +341,7 @@
         DrainNoticeUpdate("vm", (DrainNoticeEntry("i", 40.0, 20.0),)),
         BackoffUpdate("vm", (BackoffEntry("i", 3_000.0),)),
         LinkStatus("vm", [["i", 40.0]], ["orders"], ["menus"]),
+        StoreConfirmation("vm", 1, 10.0, 1, 2, 300.0, 4, 500.0),
     ]
     config = decode_config(json.dumps(DOCUMENT).encode()).to_document()
     config = cbor2.loads(cbor2.dumps(config))
@@ -395,6 +398,15 @@
                 for _, age_ms in message.rows:
                     peer_links.should_check(message.vm, server, 0.0 - age_ms, 0.0)
                 peer_links.without_link(server, 0.0)
+            case StoreConfirmation():
+                delays = MessageDelays()
+                for _ in range(2):
+                    delays.observe(f"{message.vm} {message.incarnation}", message.sent_ms, 0.0)
+                versions = message.config_version, message.evacuation_version
+                gateway_state.confirm_config(versions, 0.0 - message.config_age_ms)
+                gateway_state.registry.position.confirm_current(
+                    message.registry_version, 0.0 - message.registry_age_ms
+                )
             case InFlightCounts():
                 for incarnation, number in message.counts.items():
                     gateway_state.load_table.get_or_create(incarnation).set_peer_in_flight(
--- a/features/steps/gateway_broadcast_steps.py
+++ b/features/steps/gateway_broadcast_steps.py
@@ -265,7 +265,7 @@
         peering.link.fetch = fetch
         for name in (first_with_state, second_with_state):
             peering._members.get(name).config_version = 7
-        peering._state_fetch.schedule_fetch(first_with_state, immediately=True)
+        peering.state_fetch.schedule_fetch(first_with_state, immediately=True)
         await fleet.until(lambda: len(requested_addresses) == state_fetch.FETCH_TRIES)
 
     run(context, catch_up())
--- a/features/steps/gateway_changes_steps.py
+++ b/features/steps/gateway_changes_steps.py
@@ -196,7 +196,7 @@
     async def start_fetch():
         context.peering.link.fetch = fetch
         context.peering._members.get("vm-1").config_version = 7
-        context.peering._state_fetch.schedule_fetch("vm-1", immediately=True)
+        context.peering.state_fetch.schedule_fetch("vm-1", immediately=True)
         await fleet.until(lambda: any("config" in request for request in context.state_requests))
 
     run(context, start_fetch())
@@ -207,7 +207,7 @@
     async def learn_new_version():
         context.state_requests.clear()
         context.peering._members.get("vm-1").registry_version = 40
-        context.peering._state_fetch.schedule_fetch("vm-1", immediately=True)
+        context.peering.state_fetch.schedule_fetch("vm-1", immediately=True)
         await fleet.until(lambda: context.state_requests)
 
     run(context, learn_new_version())
@@ -215,7 +215,7 @@
 
 @then("it has asked for that before the configuration has come")
 def step_asked_for_servers(context):
-    for task in context.peering._state_fetch._tasks.values():
+    for task in context.peering.state_fetch._tasks.values():
         task.cancel()
     run(context, asyncio.sleep(0))
     assert all("registry" in request for request in context.state_requests), context.state_requests
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -341,10 +341,11 @@
     assert settings.first_start and settings.retry_extra == 56
     assert (settings.cold_over, settings.cold_slack) == (1.5, 8)
     assert settings.regions == TEMPLATE_FIELDS["zones"]
-    bounds = {**TEMPLATE_FIELDS["bounds"], "coldOver": 1.2, "coldSlack": 4}
+    bounds = {**TEMPLATE_FIELDS["bounds"], "coldOver": 1.2, "coldSlack": 4, "configApply": 2.5}
     document = tomllib.loads(fill(context.template, {**TEMPLATE_FIELDS, "bounds": bounds}))
     settings = GatewaySettings.from_document(document)
     assert (settings.cold_over, settings.cold_slack) == (1.2, 4)
+    assert settings.config_apply_s == 2.5
 
 
 @then("a setting that is wrong is named")
