Count the hold of a vanished entry from when it was last known to be listed

What callers saw: requests at an endpoint 2.55 and 2.98 s after it had left, at a bound of 2.5 s; it was chosen last, as entries are that are held.

Cause: a hold counted from the moment at which a VM learned that the entry had vanished. It lasted 2.4 s where half of a service vanishes, whatever the bound, and also for everything that vanishes within 4 s after *one* reader had had no answer for 0.4 s, as if the store had failed; and that reader's hold was passed on to VMs that had never lost the store, with the time of the passing on top.

Change: no hold lasts longer than the drain time, less 0.2 s, from the latest moment as of which the VM knew its registry to be complete: the entry was listed then, so it can't have left before, however late and from whom the VM learns of it. That bounds holds that peers report, too. An outage of the store is a gap in that knowledge of more than 1.1 drain times, which a VM that reaches the store can't have; only then, and for 2 s after it (4 s before), entries are held for 2.4 s.

--- a/cloverhook/gateway/freshness.py
+++ b/cloverhook/gateway/freshness.py
@@ -29,10 +29,14 @@
     """The latest moment as of which a VM is known to have a feed completely.
 
     Times are monotonic.  Versions are those of the feed's parts, always in the same order.
+    `regained_ms` is the moment that has ended the last gap, a longer time without a confirmation
+    than `gap_ms`.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, gap_ms: float = math.inf) -> None:
         self.as_of_ms: float | None = None
+        self.regained_ms = -math.inf
+        self._gap_ms = gap_ms
         self._pending: deque[tuple[Versions, float]] = deque(maxlen=PENDING_LIMIT)
 
     def age_ms(self, now_ms: float) -> float:
@@ -46,10 +50,12 @@
         """
         if self.as_of_ms is not None and as_of_ms <= self.as_of_ms:
             return
-        if _covers(known, versions):
-            self.as_of_ms = as_of_ms
-        else:
+        if not _covers(known, versions):
             self._pending.append((versions, as_of_ms))
+            return
+        if self.as_of_ms is not None and as_of_ms - self.as_of_ms > self._gap_ms:
+            self.regained_ms = as_of_ms
+        self.as_of_ms = as_of_ms
 
     def advance(self, known: Versions) -> None:
         """Apply the reports that have waited for the versions that this VM has now."""
--- a/cloverhook/gateway/gateway_state.py
+++ b/cloverhook/gateway/gateway_state.py
@@ -20,7 +20,7 @@
 
 __all__ = ["GatewayState"]
 
-STORE_RECOVERY_MS = 4_000.0
+STORE_RECOVERY_MS = 2_000.0
 """For this long after the store's return, entries that vanish may have expired during its
 outage."""
 EVACUATION_GRACE_MS = 3_000.0
@@ -80,7 +80,7 @@
         Entries missing from that copy may soon be written again.
         """
         self._begun_era = era
-        self.record_store_recovery(now_ms)
+        self._store_recovered_ms = now_ms
 
     @property
     def can_serve(self) -> bool:
@@ -170,24 +170,14 @@
         """Return the data centres whose endpoints get no requests."""
         return self.evacuations.data_centers | self._retained_evacuations
 
-    def record_store_recovery(self, now_ms: float) -> None:
-        """Record that the store is available again."""
-        self._store_recovered_ms = now_ms
-
     def store_was_unavailable(self, now_ms: float) -> bool:
         """Return whether the store was unavailable until a short time ago."""
-        return now_ms - self._store_recovered_ms < STORE_RECOVERY_MS
+        recovered_ms = max(self._store_recovered_ms, self.registry.position.freshness.regained_ms)
+        return now_ms - recovered_ms < STORE_RECOVERY_MS
 
-    def apply_server_record(
-        self, record: ServerRecord, now_ms: float, from_long_poll: bool = True
-    ) -> bool:
-        """Apply the store's record of a backend server; return whether anything has changed.
-
-        A record `from_long_poll` has just been written; another one may have been written at any
-        time since the last read.
-        """
-        recovering = self.store_was_unavailable(now_ms)
-        return self.registry.apply(record, now_ms, recovering, from_long_poll=from_long_poll)
+    def apply_server_record(self, record: ServerRecord, now_ms: float) -> bool:
+        """Apply the store's record of a backend server; return whether anything has changed."""
+        return self.registry.apply(record, now_ms, self.store_was_unavailable(now_ms))
 
     def apply_server_list(
         self,
--- a/cloverhook/gateway/grace_periods.py
+++ b/cloverhook/gateway/grace_periods.py
@@ -5,22 +5,37 @@
 A single entry that vanishes most likely belongs to an endpoint that has left, and gets a shorter
 grace period.
 
+An endpoint that has left must get no work after the drain time.  How long ago it left isn't known,
+but not before the moment as of which its entry was last known to be listed.  So no grace period
+lasts longer than the drain time from that moment, however late and from whom a VM learns of it.
+Only while the store is unavailable does a moment too long ago show nothing.
+
 >>> periods = GracePeriods(drain_ms=2_000.0)
->>> periods.start("i-1", "orders", service_size=9, now_ms=0.0, store_was_unavailable=False)
+>>> periods.start("i-1", "orders", 9, now_ms=0.0, listed_ms=-100.0, store_was_unavailable=False)
 False
 >>> "i-1" in periods, periods.expired(1_499.0), periods.expired(1_500.0)
 (True, [], ['i-1'])
+>>> periods.start("i-2", "orders", 9, now_ms=0.0, listed_ms=-900.0, store_was_unavailable=False)
+False
+>>> periods.expired(899.0), periods.expired(900.0)
+([], ['i-2'])
 """
 
+import math
 from collections.abc import Iterable
 
-__all__ = ["GracePeriods"]
+__all__ = ["OUTAGE_SHARE", "GracePeriods"]
 
 GRACE_SHARE = 0.75
 """The grace period as a share of the drain time, after which a vanished entry must get no work."""
-MASS_EXPIRY_GRACE_MS = 2_400.0
-"""The grace period when half of a service vanishes at once, or the store was unavailable: such
-entries are back within 2 s."""
+HOLD_MARGIN_MS = 200.0
+"""A grace period ends this long before the drain time: requests that are on their way have to
+arrive in time."""
+OUTAGE_GRACE_MS = 2_400.0
+"""The grace period when the store was unavailable: such entries are back within 2 s."""
+OUTAGE_SHARE = 1.1
+"""A VM that can reach the store knows its state to be current within the drain time.  If that was
+longer ago, by this share of it, the store was unavailable."""
 MASS_EXPIRY_SHARE = 0.5
 MASS_EXPIRY_WINDOW_MS = 1_000.0
 
@@ -29,43 +44,69 @@
     """The names of vanished entries and the end of each grace period; times are monotonic."""
 
     def __init__(self, drain_ms: float) -> None:
-        self._grace_ms = GRACE_SHARE * drain_ms
+        self._drain_ms = drain_ms
         self._until_ms: dict[str, float] = {}
-        self._since_ms: dict[str, float] = {}
+        self._limits: dict[str, tuple[float, float]] = {}
         self._vanished_ms: dict[str, list[float]] = {}
 
     def __contains__(self, name: str) -> bool:
         return name in self._until_ms
 
     def start(
-        self, name: str, service: str, service_size: int, now_ms: float, store_was_unavailable: bool
+        self,
+        name: str,
+        service: str,
+        service_size: int,
+        now_ms: float,
+        listed_ms: float | None,
+        store_was_unavailable: bool,
     ) -> bool:
         """Start the grace period of an entry whose service has `service_size` entries.
 
-        Returns whether the entry has more likely expired because of the store than left.
+        `listed_ms` is the latest time as of which the entry is known to have been listed.  Returns
+        whether it has more likely expired because of the store than left.
         """
+        limit_ms = self._limit_ms(now_ms, listed_ms, store_was_unavailable)
         expired = self._is_mass_expiry(service, service_size, now_ms) or store_was_unavailable
-        self._until_ms[name] = now_ms + (MASS_EXPIRY_GRACE_MS if expired else self._grace_ms)
-        self._since_ms[name] = now_ms
+        self._limits[name] = now_ms, limit_ms
+        self._until_ms[name] = (
+            limit_ms if expired else min(now_ms + GRACE_SHARE * self._drain_ms, limit_ms)
+        )
         return expired
 
+    def _limit_ms(
+        self, now_ms: float, listed_ms: float | None, store_was_unavailable: bool = False
+    ) -> float:
+        """Return the time after which an entry that has vanished must be out of use."""
+        if store_was_unavailable or self._is_outage(now_ms, listed_ms):
+            return now_ms + OUTAGE_GRACE_MS
+        return listed_ms + self._drain_ms - HOLD_MARGIN_MS
+
+    def _is_outage(self, now_ms: float, listed_ms: float | None) -> bool:
+        """Return whether an entry was last known to be listed so long ago that the store failed."""
+        return listed_ms is None or now_ms - listed_ms > OUTAGE_SHARE * self._drain_ms
+
     def extend(self, names: Iterable[str], now_ms: float) -> None:
         """Extend the grace periods of entries that vanished together with one that expires now.
 
-        They then last as long as the grace period of that one.
+        They then last as long as they may.
         """
         for name in names:
-            since_ms = self._since_ms.get(name)
-            if since_ms is not None and now_ms - since_ms <= MASS_EXPIRY_WINDOW_MS:
-                self._until_ms[name] = now_ms + MASS_EXPIRY_GRACE_MS
+            since_ms, limit_ms = self._limits.get(name, (-math.inf, 0.0))
+            if now_ms - since_ms <= MASS_EXPIRY_WINDOW_MS:
+                self._until_ms[name] = limit_ms
+
+    def adopt(self, name: str, left_ms: float, now_ms: float, listed_ms: float | None) -> None:
+        """Start a grace period with the time left that a peer reports, unless there is one.
 
-    def adopt(self, name: str, left_ms: float, now_ms: float) -> None:
-        """Start a grace period with the time left that a peer reports, unless there is one."""
-        self._until_ms.setdefault(name, now_ms + left_ms)
+        `listed_ms` is described at `start`.
+        """
+        until_ms = min(now_ms + left_ms, self._limit_ms(now_ms, listed_ms))
+        self._until_ms.setdefault(name, until_ms)
 
     def end(self, name: str) -> bool:
         """End the grace period of an entry; return whether there was one."""
-        self._since_ms.pop(name, None)
+        self._limits.pop(name, None)
         return self._until_ms.pop(name, None) is not None
 
     def remaining_ms(self, name: str, now_ms: float) -> float:
--- a/cloverhook/gateway/log_position.py
+++ b/cloverhook/gateway/log_position.py
@@ -12,25 +12,24 @@
 (4, 9)
 """
 
+import math
+
 from cloverhook.gateway.freshness import Freshness
 from cloverhook.gateway.versions import era_of
 
 __all__ = ["LogPosition"]
 
-CONFIRMED_LIMIT_MS = 2_500.0
-"""After a longer time without a confirmation by the store, a missing entry may have expired in the
-meantime because the store was unavailable; it then counts as vanished only from now on."""
-
 
 class LogPosition:
     """Positions in one log; -1 where nothing is known.  Times are monotonic."""
 
-    def __init__(self) -> None:
+    def __init__(self, gap_ms: float = math.inf) -> None:
+        """`gap_ms` is described at `Freshness`."""
         self.version = -1
         self._as_of = -1
         self._has_last_change = True
         self._history_floor = -1
-        self.freshness = Freshness()
+        self.freshness = Freshness(gap_ms)
 
     @property
     def as_of(self) -> int:
@@ -107,10 +106,3 @@
     def confirm_current(self, version: int, as_of_ms: float) -> None:
         """Record that the store held nothing newer than a version at a time."""
         self.freshness.confirm((version,), as_of_ms, (self.as_of,))
-
-    def earliest_removal_ms(self, now_ms: float) -> float:
-        """Return the earliest time at which an entry found missing now may have vanished."""
-        confirmed_ms = self.freshness.as_of_ms
-        if confirmed_ms is None or now_ms - confirmed_ms > CONFIRMED_LIMIT_MS:
-            return now_ms
-        return confirmed_ms
--- a/cloverhook/gateway/registry.py
+++ b/cloverhook/gateway/registry.py
@@ -23,7 +23,7 @@
 
 from cloverhook.checking import Flag, Integer, Items, MapOf, Number, Table
 from cloverhook.gateway.backend_server import SERVER_SCHEMA, BackendServer, ServerRecord
-from cloverhook.gateway.grace_periods import GracePeriods
+from cloverhook.gateway.grace_periods import OUTAGE_SHARE, GracePeriods
 from cloverhook.gateway.log_position import LogPosition
 from cloverhook.gateway.versions import era_of
 
@@ -59,7 +59,7 @@
     """Backend servers by name, by incarnation and by service."""
 
     def __init__(self, drain_ms: float = DRAIN_MS) -> None:
-        self.position = LogPosition()
+        self.position = LogPosition(OUTAGE_SHARE * drain_ms)
         self._grace_periods = GracePeriods(drain_ms)
         self._servers: dict[str, BackendServer] = {}
         self._offsets: dict[str, int] = {}
@@ -120,23 +120,18 @@
         now_ms: float,
         store_was_unavailable: bool,
         from_snapshot: bool = False,
-        from_long_poll: bool = True,
     ) -> bool:
         """Apply a record; return whether anything but its offset has changed.
 
         `from_snapshot` says that the record is part of a full snapshot, which does not show when it
-        was written.  `from_long_poll` says that it arrived while a call waited for changes; any
-        other record may have been written at any time since the store was last read.
-        `store_was_unavailable` says that the store was so until recently.
+        was written.  `store_was_unavailable` says that the store was so until recently.
         """
         name, after = record.name, record.server
         known = max(self._offsets.get(name, -1), self._tombstones.get(name, -1))
         if record.offset <= known and not self._is_later_start(after):
             return False
         if after is None or self._lacks_its_start(after):
-            certain = from_long_poll or store_was_unavailable
-            since_ms = now_ms if certain else self.position.earliest_removal_ms(now_ms)
-            return self._remove(name, record.offset, since_ms, store_was_unavailable)
+            return self._remove(name, record.offset, now_ms, store_was_unavailable)
         before = self._servers.get(name)
         if self._had_left(record, after, from_snapshot):
             return False
@@ -232,9 +227,8 @@
             and name in self._servers
             and not self._left_before(name, offset)
         ]
-        since_ms = now_ms if store_was_unavailable else self.position.earliest_removal_ms(now_ms)
         return tuple(
-            name for name in missing if self._remove(name, offset, since_ms, store_was_unavailable)
+            name for name in missing if self._remove(name, offset, now_ms, store_was_unavailable)
         )
 
     def apply_snapshot(
@@ -327,7 +321,9 @@
             return False
         names = {row["server"]["name"] for row in document["servers"]}
         last_sequences = document.get("last_sequences", {})
-        known_as_of = self.as_of
+        known_as_of, listed_ms = self.as_of, self.position.freshness.as_of_ms
+        if era_of(document["version"]) > era_of(known_as_of):
+            listed_ms = None  # The restored store may lack entries that are written again soon.
         with self._index_once():
             for name, offset in document["gone"].items():
                 if offset > self._offsets.get(name, -1) and name not in names:
@@ -346,7 +342,7 @@
                     self._tombstones[name] = gone
                     self._last_sequences[name] = server.sequence
                     self._changed_at[name] = document["version"]
-                    self._grace_periods.adopt(name, left_ms, now_ms)
+                    self._grace_periods.adopt(name, left_ms, now_ms, listed_ms)
         if document["whole"]:
             self.remove_missing(names, as_of, now_ms, False)
             self.position.record_full_state(known_as_of, document.get("history_floor", as_of))
@@ -354,7 +350,7 @@
         self._index()
         return True
 
-    def _remove(self, name: str, offset: int, since_ms: float, store_was_unavailable: bool) -> bool:
+    def _remove(self, name: str, offset: int, now_ms: float, store_was_unavailable: bool) -> bool:
         self._tombstones[name] = max(offset, self._tombstones.get(name, -1))
         while len(self._tombstones) > TOMBSTONES_LIMIT:
             oldest = next(iter(self._tombstones))
@@ -372,12 +368,13 @@
             self._drop(name)
             return True
         entries = self._by_service.get(server.service, ())
+        listed_ms = self.position.freshness.as_of_ms
         if self._grace_periods.start(
-            name, server.service, len(entries), since_ms, store_was_unavailable
+            name, server.service, len(entries), now_ms, listed_ms, store_was_unavailable
         ):
             names = (other.name for other in entries)
             self._grace_periods.extend(
-                (x for x in names if not self._left_before(x, offset)), since_ms
+                (x for x in names if not self._left_before(x, offset)), now_ms
             )
         return True
 
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -32,10 +32,6 @@
 that leaves serves for longer.  A vanished entry stays in use for most of that time, so that little
 is left for a pause."""
 RETRY_MS = (100.0, 200.0, 400.0, 600.0)
-EXISTING_RECORD_MS = 100.0
-"""A record that arrives sooner than this after a call existed before it; a later one is new."""
-OUTAGE_MS = 400.0
-"""A store that has not answered for this long was unavailable: entries may expire meanwhile."""
 
 
 class StoreFollower:
@@ -180,7 +176,6 @@
                     offsets_to_versions(found, era),
                     as_of_ms,
                     whole=offset is None,
-                    arrived_while_waiting=took_ms > EXISTING_RECORD_MS,
                 )
                 self._offsets[feed], self._eras[feed] = found.end_offset, era
                 self._read_as_of_ms[feed] = as_of_ms
@@ -265,14 +260,7 @@
             return POLL_GAP_MS
         return max(POLL_GAP_MS, POLL_GAP_DRAIN_RATIO * self._gateway_state.drain_ms)
 
-    def _apply(
-        self,
-        feed: Feed,
-        found: FeedSlice,
-        as_of_ms: float,
-        whole: bool,
-        arrived_while_waiting: bool = False,
-    ) -> None:
+    def _apply(self, feed: Feed, found: FeedSlice, as_of_ms: float, whole: bool) -> None:
         """Apply an answer, which holds everything that was written before `as_of_ms`."""
         now_ms = monotonic_ms()
         gateway_state = self._gateway_state
@@ -304,9 +292,7 @@
         touched = [
             record.name
             for record in found.servers
-            if gateway_state.apply_server_record(
-                record, now_ms, from_long_poll=arrived_while_waiting
-            )
+            if gateway_state.apply_server_record(record, now_ms)
         ]
         gateway_state.registry.position.advance_to(found.end_offset - 1)
         gateway_state.registry.position.confirm_current(found.end_offset - 1, as_of_ms)
@@ -337,10 +323,7 @@
     def _record_answer(self, feed: Feed) -> None:
         since_ms = self._failing_since_ms.pop(feed, None)
         if since_ms is not None:
-            now_ms = monotonic_ms()
-            if now_ms - since_ms > OUTAGE_MS:
-                self._gateway_state.record_store_recovery(now_ms)
-            away_ms = round(now_ms - since_ms)
+            away_ms = round(monotonic_ms() - since_ms)
             self._log.note(EventKind.STORE, feed=feed.value, state="regained", away_ms=away_ms)
         self._answered[feed] = True
         self._counters.add("store_calls", feed=feed.value, answered="yes")
--- a/features/registry_replay.py
+++ b/features/registry_replay.py
@@ -142,7 +142,7 @@
         touched = [
             item.name
             for item in self.log[registry.as_of + 1 :]
-            if vm.gateway_state.apply_server_record(item, self.now_ms, from_long_poll=False)
+            if vm.gateway_state.apply_server_record(item, self.now_ms)
         ]
         registry.position.advance_to(len(self.log) - 1)
         registry.position.confirm_current(registry.as_of, self.now_ms)
