Reject a request instead of handling it by a configuration that is overdue

What callers saw: a 404 for a route that had been added, from a VM that had not received the newer configuration.

Cause: a VM handled requests by the configuration that it had, even where it knew of a newer one. Now it answers 503 with a time to retry after (outdated) for a route that it does not know while a newer configuration is known, and for any request once the newer one is overdue: that is, where the one in force was last known to be the newest longer ago than the bound less 0.1 s. While the store does not answer there may be no way to the newer one, and requests are served as before.

--- a/cloverhook/errors.py
+++ b/cloverhook/errors.py
@@ -55,6 +55,7 @@
     HEADERS_TOO_LARGE = "headers-too-large"
     OVERLOADED = "overloaded"
     NO_BACKEND_SERVER = "no-backend-server"
+    OUTDATED = "outdated"
     UNREACHABLE = "unreachable"
     EVACUATED = "evacuated"
     DRAINING = "draining"
@@ -98,6 +99,7 @@
     ErrorKind.HEADERS_TOO_LARGE: Answer(431, Outcome.NOT_RUN),
     ErrorKind.OVERLOADED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.NO_BACKEND_SERVER: Answer(503, Outcome.NOT_RUN, retry_after=True),
+    ErrorKind.OUTDATED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.UNREACHABLE: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.EVACUATED: Answer(503, Outcome.NOT_RUN, retry_after=True),
     ErrorKind.DRAINING: Answer(503, Outcome.NOT_RUN, retry_after=True),
--- a/cloverhook/explain.py
+++ b/cloverhook/explain.py
@@ -49,6 +49,7 @@
     "overloaded": "no backend server had free capacity in time, so it was rejected; it has not run",
     "refused": "every backend server that was tried rejected it; it has not run",
     "no-backend-server": "no backend server is reachable, or none is registered; it has not run",
+    "outdated": "its gateway knew of a newer configuration and did not have it; it has not run",
     "unreachable": "no gateway reached any of its service's backend servers; it has not run",
     "evacuated": "its service's backend servers are all in evacuated data centres; it has not run",
     "draining": "its service's backend servers are all about to stop; it has not run",
--- /dev/null
+++ b/cloverhook/gateway/config_gate.py
@@ -0,0 +1,49 @@
+"""Decides whether requests may be handled by the configuration in force.
+
+Layer: coordination.  A VM that knows of a newer configuration and has not put it in force yet may
+still be within the time that this may take.  Afterwards it handles no request by the old one: a
+rejection is better for a caller than a route that the operator has changed.  While the store
+doesn't answer there may be no way to the newer one, and requests are served as before.
+"""
+
+from collections.abc import Callable
+
+from cloverhook.gateway.gateway_state import GatewayState
+
+__all__ = ["ConfigGate"]
+
+MARGIN_MS = 100.0
+"""The gate closes this long before the bound, as a request may have waited to be read."""
+UNKNOWN_ROUTE_SHARE = 2.0
+"""For this many times the bound, a route that isn't known may be one of the newer configuration."""
+
+
+class ConfigGate:
+    """The age limit of the configuration on which a VM acts."""
+
+    def __init__(
+        self,
+        gateway_state: GatewayState,
+        bound_ms: float,
+        behind_ms: Callable[[float], float],
+        store_has_failed: Callable[[], bool],
+    ) -> None:
+        """`behind_ms` returns for how long a newer configuration has been known, given the time.
+
+        `store_has_failed` returns whether this VM's last attempt to ask the store has failed.
+        """
+        self._gateway_state = gateway_state
+        self._bound_ms = bound_ms
+        self._behind_ms = behind_ms
+        self._store_has_failed = store_has_failed
+
+    def is_open(self, now_ms: float) -> bool:
+        """Return whether requests may be handled by the configuration in force."""
+        if not self._behind_ms(now_ms):
+            return True
+        age_ms = self._gateway_state.config_freshness.age_ms(now_ms)
+        return age_ms <= self._bound_ms - MARGIN_MS or self._store_has_failed()
+
+    def may_lack_routes(self, now_ms: float) -> bool:
+        """Return whether a newer configuration may have a route that isn't known here."""
+        return 0.0 < self._behind_ms(now_ms) <= UNKNOWN_ROUTE_SHARE * self._bound_ms
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -21,6 +21,7 @@
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
 from cloverhook.gateway.choice import WorkEstimates
 from cloverhook.gateway.cold_limit import ColdLimit, ColdRateBound
+from cloverhook.gateway.config_gate import ConfigGate
 from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.crash_detection import CrashDetector
 from cloverhook.gateway.discovery import Discovery
@@ -47,6 +48,7 @@
 from cloverhook.gateway.routes import IngressLimits
 from cloverhook.gateway.server_load import LoadReport
 from cloverhook.gateway.settings import GatewaySettings
+from cloverhook.gateway.state_fetch import StatePart
 from cloverhook.gateway.store import Feed, MemberRecord, Store
 from cloverhook.gateway.store_follower import StoreFollower
 from cloverhook.gateway.store_refresher import StoreRefresher
@@ -219,6 +221,12 @@
             self._links.is_down,
             self._peering.link_updates.peer_links.without_link,
         )
+        config_gate = ConfigGate(
+            self._gateway_state,
+            bounds_ms[Feed.CONFIG],
+            lambda now_ms: self._peering.state_fetch.behind_ms(StatePart.CONFIG, now_ms),
+            lambda: schedule.has_failed(Feed.CONFIG),
+        )
         report = RequestReport(self._gateway_state, self._log, self._counters)
         proxying = Proxying(
             settings.vm,
@@ -245,6 +253,7 @@
             self._links,
             CrashDetector(self._pool, self._links, self._peering.link_updates.peer_links),
             proxying,
+            config_gate,
             report,
         )
         proxied_forwarder = ProxiedForwarder(
--- a/cloverhook/gateway/final_answer.py
+++ b/cloverhook/gateway/final_answer.py
@@ -29,7 +29,10 @@
 again: callers that all return at that moment would be too many for it."""
 UNREACHABLE_RETRY_AFTER_MS = (200.0, 500.0)
 """The same while no endpoint is reached: by then the links have been checked again."""
+OUTDATED_RETRY_AFTER_MS = (100.0, 300.0)
+"""The same while a newer configuration is on its way to this VM."""
 RETRY_AFTER_BY_KIND_MS = {
+    ErrorKind.OUTDATED: OUTDATED_RETRY_AFTER_MS,
     ErrorKind.UNREACHABLE: UNREACHABLE_RETRY_AFTER_MS,
     ErrorKind.BACKING_OFF: BACKOFF_RETRY_AFTER_MS,
     ErrorKind.EVACUATED: NO_ENDPOINT_RETRY_AFTER_MS,
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -19,6 +19,7 @@
 from cloverhook.gateway.call_headers import CallHeaders, find
 from cloverhook.gateway.calls import CallerAnswer, CallerRequest
 from cloverhook.gateway.choice import CapacityRequirement, Choice, WorkEstimates
+from cloverhook.gateway.config_gate import ConfigGate
 from cloverhook.gateway.crash_detection import CrashDetector
 from cloverhook.gateway.final_answer import error_answer, final_error_kind
 from cloverhook.gateway.gateway_state import GatewayState
@@ -83,6 +84,7 @@
         links: Links,
         crashes: CrashDetector,
         proxying: Proxying,
+        config_gate: ConfigGate,
         report: RequestReport,
     ) -> None:
         self._gateway_state = gateway_state
@@ -100,6 +102,7 @@
         self._links = links
         self._crashes = crashes
         self._proxying = proxying
+        self._config_gate = config_gate
         self._report = report
         self._estimates = estimates
         self.admission = Admission(
@@ -143,7 +146,13 @@
         if config is None:
             kind, reason = ErrorKind.NO_BACKEND_SERVER, "no configuration received yet"
             return self._reject_unrouted(request, request_id, kind, reason)
+        if not self._config_gate.is_open(monotonic_ms()):
+            kind, reason = ErrorKind.OUTDATED, "a newer configuration is overdue here"
+            return self._reject_unrouted(request, request_id, kind, reason)
         route = config.find(request.host, request.path)
+        if route is None and self._config_gate.may_lack_routes(monotonic_ms()):
+            kind, reason = ErrorKind.OUTDATED, "a newer configuration may have its route"
+            return self._reject_unrouted(request, request_id, kind, reason)
         if route is None:
             kind, reason = ErrorKind.UNKNOWN_HOST, "no route matches the host and path"
             return self._reject_unrouted(request, request_id, kind, reason)
--- a/features/gateway_freshness.feature
+++ b/features/gateway_freshness.feature
@@ -20,3 +20,24 @@
       | 4        | one, and the only reader had lost the store for 600 ms just before |
       | 4        | half of a service, and one of a large fleet gets no message  |
     Then no gateway uses one later than 2000 ms after it has vanished
+
+  Scenario Outline: A gateway acts on a configuration although it knows that a newer one is overdue
+    Given a gateway that has known of a newer configuration for <behind> ms, confirmed <age> ms ago
+    And its last call to the store <call>
+    Then it handles requests by its configuration: <handles>
+    And it answers 404 for a route that it does not know: <answers>
+
+    Examples:
+      | behind | age  | call         | handles | answers |
+      | 0      | 200  | was answered | yes     | yes     |
+      | 0      | 9000 | failed       | yes     | yes     |
+      | 100    | 800  | was answered | yes     | no      |
+      | 1900   | 1950 | was answered | no      | no      |
+      | 1900   | 1950 | failed       | yes     | no      |
+      | 9000   | 9000 | failed       | yes     | yes     |
+
+  Scenario: A caller gets 404 for a new route from a gateway that waits for the new configuration
+    Given 2 gateways and 1 backend servers
+    When a new route is published, and one gateway gets no copy of the configuration yet
+    Then that one answers 503 with a time to retry after for the new route, and serves the others
+    And explain names an outdated configuration as the cause
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -2,9 +2,17 @@
 
 import asyncio
 
-from behave import then, when
+from behave import given, then, when
 
+from cloverhook.clock import monotonic_ms
+from cloverhook.errors import MessageError
+from cloverhook.explain import explain_request, read_lines
+from cloverhook.gateway.config_gate import ConfigGate
 from cloverhook.gateway.config_sender import WAIT_S
+from cloverhook.gateway.event_log import EventLog
+from cloverhook.gateway.gateway_state import GatewayState
+from cloverhook.gateway.peer_link import FETCH_TIMEOUT_S
+from cloverhook.gateway.state_fetch import StatePart
 from cloverhook.gateway.transfer_queue import Refer
 from features import gateway_fleet as fleet
 from features.freshness_fleet import FreshnessFleet, StorePath
@@ -15,6 +23,10 @@
 REGAINED_S = 0.5
 SUCCESSOR_S = 1.3
 ROUTES = 1_800
+BOUND_MS = 2_000.0
+NOW_MS = 100_000.0
+NEW_PATH = "/new/"
+CONFIG = StatePart.CONFIG
 
 
 @when("changes are made in fleets with a bound of {bound_ms:d} ms while this goes on")
@@ -46,6 +58,78 @@
     assert not late, "\n".join(late)
 
 
+@given(
+    "a gateway that has known of a newer configuration for {behind:d} ms, confirmed {age:d} ms ago"
+)
+def step_behind(context, behind, age):
+    gateway_state = GatewayState()
+    gateway_state.confirm_config(gateway_state.config_versions, NOW_MS - age)
+    context.call_failed = False
+    context.gate = ConfigGate(
+        gateway_state, BOUND_MS, lambda now_ms: float(behind), lambda: context.call_failed
+    )
+
+
+@given("its last call to the store {outcome}")
+def step_call(context, outcome):
+    context.call_failed = outcome == "failed"
+
+
+@then("it handles requests by its configuration: {handles}")
+def step_handles(context, handles):
+    assert context.gate.is_open(NOW_MS) is (handles == "yes")
+
+
+@then("it answers 404 for a route that it does not know: {answers}")
+def step_answers(context, answers):
+    is_unknown = context.gate.is_open(NOW_MS) and not context.gate.may_lack_routes(NOW_MS)
+    assert is_unknown is (answers == "yes")
+
+
+@when("a new route is published, and one gateway gets no copy of the configuration yet")
+def step_published(context):
+    async def publish():
+        reader = next(item for item, _ in context.gateways if item._follower.reading)
+        context.waiting = next(item for item in context.gateways if item[0] is not reader)
+        gateway, settings = context.waiting
+        await fleet.until(lambda: gateway._gateway_state.config_freshness.as_of_ms is not None)
+        gateway._follower.stop("the test has it wait")
+        gateway._members.should_read_store = lambda reading, now_ms: False
+        gateway._refresher.start_due = lambda now_ms: None
+        gateway._peering.link.fetch = hang
+        context.store.put_config(fleet.config(2, fleet.route("new", NEW_PATH, True)))
+        await fleet.until(lambda: gateway._peering.state_fetch.behind_ms(CONFIG, monotonic_ms()))
+        gateway._log.flush = lambda: None  # Keep the lines for the last step.
+        context.answer = await fleet.call(settings.caller_address, NEW_PATH, request_id="new-1")
+        context.served = await fleet.call(settings.caller_address, request_id="old-1")
+
+    run(context, publish())
+
+
+async def hang(address, request):
+    """Receive no state from a peer."""
+    await asyncio.sleep(FETCH_TIMEOUT_S)
+    raise MessageError("no state")
+
+
+@then("that one answers 503 with a time to retry after for the new route, and serves the others")
+def step_rejected(context):
+    assert context.answer.status == 503, context.answer
+    assert float(context.answer.headers["retry-after"]) > 0, context.answer
+    assert context.served.status == 200, context.served
+
+
+@then("explain names an outdated configuration as the cause")
+def step_explained(context):
+    log = bytearray()
+    context.waiting[0]._log._write = lambda data: log.extend(data) or len(data)
+    EventLog.flush(context.waiting[0]._log)
+    lines = read_lines(log.decode().splitlines())
+    explanation = explain_request("new-1", lines)
+    assert explanation.cause.startswith("outdated (503)"), explanation.cause
+    assert explanation.lines[-1].fields["config_confirmed_age_ms"] >= 0
+
+
 async def play_changes(gateways, trouble, bound_ms):
     """Make changes during a trouble; return how late each gateway had them, by change."""
     silent_members = LARGE_FLEET_VMS if "large fleet" in trouble else 0
