cloverhookd: Report the true age of the configuration, and give up a silent read after 3 s

What operators saw: an age of 0 ms while a read of the log had no answer; the daemon counted as current until the read failed, after 4 s. Now the age counts from when the daemon is known to have had every record: the start of a read, or the end of its wait where nothing came. A read is given up 1 s after its wait (2 s before), and gets more time after a failure; so a change is in force within 5 s although a read is silent, with 1.7 s to spare instead of 0.7.

Metric cloverhook_config_age_ms, the age in the status and in the warning.

--- a/cloverhook/daemon.py
+++ b/cloverhook/daemon.py
@@ -281,6 +281,7 @@
         return [
             Sample(Metric.WAITING, self._dispatcher.queued_count()),
             Sample(Metric.OFFSET, self._follower.state.next_offset),
+            Sample(Metric.CONFIG_AGE, self._follower.age_ms()),
             Sample(Metric.DRAINING, int(self._draining)),
             Sample(Metric.PASSED_ON, self._proxying.passed_on),
         ]
--- a/cloverhook/follower.py
+++ b/cloverhook/follower.py
@@ -4,6 +4,7 @@
 platform on their behalf.  Records and states from peers are applied to the same replica.
 """
 
+import asyncio
 import random
 import time
 from collections.abc import Callable, Mapping
@@ -21,6 +22,9 @@
 __all__ = ["Follower"]
 
 READ_WAIT_MS = 2_000
+READ_TIMEOUT_MS = 1_000
+"""A read that has no answer this long after its wait is given up; after a failure it gets as much
+time more, for a platform that is slow.  A change has to be in force within 5 s."""
 FIRST_RETRY_MS = 250
 MAX_RETRY_MS = 5_000
 PAUSE_MS = 15_000
@@ -48,7 +52,7 @@
         self._snapshots = SnapshotPolicy(self._source, limits)
         self._replica = Replica(on_folded, on_adopted)
         self._failures = 0
-        self._caught_up_ms = clock_ms()
+        self._complete_as_of_ms = clock_ms()
         self._last_poll_ms = clock_ms()
 
     @property
@@ -62,8 +66,11 @@
         return self._failures > 0 or not self._replica.at_end
 
     def age_ms(self) -> float:
-        """Return the time since this daemon last had every record of the log; 0 if it has them."""
-        return max(0.0, self._clock_ms() - self._caught_up_ms) if self.behind else 0.0
+        """Return the time since this daemon is known to have had every record of the log.
+
+        A read that waits shows nothing until it ends, so the age grows to the time of a read.
+        """
+        return max(0.0, self._clock_ms() - self._complete_as_of_ms)
 
     def retry_ms(self) -> float:
         """Return the delay after a failed poll: exponential backoff with jitter."""
@@ -89,18 +96,25 @@
         self._check_for_pause()
         planned = self._replica.next_read()
         wait_ms = READ_WAIT_MS if planned.wait else 0
+        timeout_ms = wait_ms + READ_TIMEOUT_MS * (1 + self._failures)
+        called_ms = self._clock_ms()
         try:
-            read = await self._platform.read(CONFIG_STREAM, planned.offset, wait_ms)
-        except PlatformError as error:
+            async with asyncio.timeout(timeout_ms / 1000):
+                read = await self._platform.read(CONFIG_STREAM, planned.offset, wait_ms)
+        except (PlatformError, TimeoutError) as error:
             self._failures += 1
             self._replica.record_read_failure()
-            logging.warning("follower: the log can't be read: %s.", error)
+            logging.warning(
+                "follower: the log can't be read, the state is %d ms old: %r.", self.age_ms(), error
+            )
             return False
         self._failures = 0
         if self._replica.next_read() == planned:
             self._replica.apply_read(read)
         if self._replica.at_end:
-            self._caught_up_ms = self._clock_ms()
+            waited_in_vain = not read.records and self._clock_ms() - called_ms >= wait_ms
+            as_of_ms = called_ms + wait_ms if waited_in_vain else called_ms
+            self._complete_as_of_ms = max(self._complete_as_of_ms, as_of_ms)
         return True
 
     def _check_for_pause(self) -> None:
--- a/cloverhook/metrics.py
+++ b/cloverhook/metrics.py
@@ -160,6 +160,12 @@
     LOG_AGE = MetricSpec(
         "cloverhook_log_age_ms", GAUGE, "Time since the platform's log last answered.", "ms"
     )
+    CONFIG_AGE = MetricSpec(
+        "cloverhook_config_age_ms",
+        GAUGE,
+        "Time since this daemon is known to have had every record of the platform's log.",
+        "ms",
+    )
     OFFSET = MetricSpec(
         "cloverhook_config_offset", GAUGE, "The offset of the next record to read.", "records"
     )
--- a/features/following.feature
+++ b/features/following.feature
@@ -106,3 +106,9 @@
   Scenario: Records that do not join onto what was folded are left
     When a change on version 3 reaches the log
     Then a follower folds it from a peer only at its own position
+
+  Scenario: A change is not in force in time as a read of the log stays without an answer
+    Given a log and 1 followers
+    And the operator has published version 3 of a brand
+    When the follower's next read gets no answer, and version 4 is published meanwhile
+    Then the follower has version 4 within 5 s, and its age was never below the time without an answer
--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -6,9 +6,11 @@
 from behave import given, then, when
 
 from cloverhook import porcelain
+from cloverhook.clock import monotonic_ms
 from cloverhook.errors import PlatformSilentError
 from cloverhook.fleet import Preset
 from cloverhook.follower import Follower
+from cloverhook.platform_api import MemoryPlatform
 from cloverhook.porcelain import Operator, Settlement
 from cloverhook.records import CONFIG_STREAM, Change, Publish, SwitchPreset, encode_record
 from cloverhook_emulator.faulty_platform import FaultyPlatform, PlatformFaults
@@ -18,6 +20,8 @@
 ANN = Operator("ann", {})
 STEP_MS = 250
 POLLS = 8
+SILENT_S = 60
+AGE_SLACK_MS = 100
 
 
 class NonBlockingLog(FaultyPlatform):
@@ -372,3 +376,55 @@
     assert follower.state.version_of(BRAND) == 3
     assert follower.fold_records(position, late) == 1
     assert follower.state.version_of(BRAND) == 4
+
+
+class SilentRead(MemoryPlatform):
+    """A platform whose next read that may wait gets no answer."""
+
+    is_silent = False
+
+    async def read(self, stream, from_offset, wait_ms=0):
+        """Read, or leave the caller without an answer."""
+        if self.is_silent and wait_ms:
+            self.is_silent = False
+            await asyncio.sleep(SILENT_S)
+        return await super().read(stream, from_offset, wait_ms)
+
+
+@when("the follower's next read gets no answer, and version 4 is published meanwhile")
+def step_silent_read(context):
+    async def follow():
+        platform = SilentRead()
+        platform.streams.update({name: list(items) for name, items in context.log.streams.items()})
+        follower = Follower(platform, lambda record, result: None)
+        await follower.poll()
+        platform.is_silent = True
+        silent_since_ms = monotonic_ms()
+        following = asyncio.ensure_future(follow_log(follower))
+        await asyncio.sleep(0.1)
+        await porcelain.publish(platform, DOCUMENT, ANN)
+        published_ms = monotonic_ms()
+        context.ages_ms = []
+        while follower.state.version_of(BRAND) < 4:
+            await asyncio.sleep(0.02)
+            context.ages_ms.append((monotonic_ms() - silent_since_ms, follower.age_ms()))
+        context.took_ms = monotonic_ms() - published_ms
+        following.cancel()
+
+    run(context, follow())
+
+
+async def follow_log(follower):
+    """Poll as the daemon does."""
+    while True:
+        if not await follower.poll():
+            await asyncio.sleep(follower.retry_ms() / 1000)
+
+
+@then(
+    "the follower has version 4 within 5 s, and its age was never below the time without an answer"
+)
+def step_in_force(context):
+    assert context.took_ms <= 5_000, context.took_ms
+    ages_ms = context.ages_ms[:-1]  # The last one is of the time after the answer.
+    assert all(age_ms >= silent_ms - AGE_SLACK_MS for silent_ms, age_ms in ages_ms), ages_ms[-3:]
