soak: Check that gateways in touch act on no state older than the bound

From seed 5000 on, each version of the configuration adds a route that only it has, backend servers leave with and without saying so, and kills, pauses, planned stops, cut links and trouble of the store overlap. A gateway process that has run undisturbed for 3 s, while the store has answered for 3 s, may use a backend server that has left, or answer 404 for the newest route, for 2 s at most. Seeds below 5000 draw the same faults as before.

--- a/features/gateway_soak.feature
+++ b/features/gateway_soak.feature
@@ -17,6 +17,8 @@
       | 3004 |
       | 3007 |
       | 4001 |
+      | 5000 |
+      | 5002 |
 
     Examples: Seeds that have failed; docs/FINDINGS.md says why
       | seed | seen                                            |
--- a/features/gateway_soak.py
+++ b/features/gateway_soak.py
@@ -25,6 +25,7 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook_emulator.log_store_server import LogStoreServer
 from features import gateway_fleet as fleet
+from features.soak_freshness import CONTACT_MS, FreshnessChecks
 from features.soak_links import LinkChecks, LinkCut, Owner, owner_of
 from features.soak_notices import NoticeChecks
 
@@ -44,6 +45,7 @@
 FIRST_SEED_WITH_ERAS = 2_000
 FIRST_SEED_WITH_NOTICES = 3_000
 FIRST_SEED_WITH_LINKS = 4_000
+FIRST_SEED_WITH_FRESHNESS = 5_000
 """Seeds below these numbers keep the same choice of faults, so that a seed that once failed still
 reproduces its failure."""
 BORN_MS = 1_760_000_000_000
@@ -119,6 +121,7 @@
     planned_stops: list = field(default_factory=list)
     notices: NoticeChecks = field(default_factory=NoticeChecks)
     links: LinkChecks = field(default_factory=LinkChecks)
+    freshness: FreshnessChecks | None = None
     disturbed: set = field(default_factory=set)
     version: int = 0
     number: int = 0
@@ -128,6 +131,7 @@
         self.source = random.Random(self.seed)
         self.notices.stalls.start()
         self.stack.callback(self.notices.stalls.stop)
+        self.freshness = FreshnessChecks(self.notices.stalls)
         self.store_address = fleet.free_address()
         await self.store.listen(self.store_address)
         self.stack.callback(self.store.close)
@@ -140,6 +144,9 @@
         self.stack.push_async_callback(self.end_all)
         await self.wait_until_served()
         callers = [asyncio.ensure_future(self.caller(index)) for index in range(CALLERS)]
+        if self.seed >= FIRST_SEED_WITH_FRESHNESS:
+            callers.append(asyncio.ensure_future(self.route_caller()))
+            await asyncio.sleep(CONTACT_MS / 1000)
         for _ in range(STEPS):
             await self.fault()
             await asyncio.sleep(self.source.uniform(0.1, 0.6))
@@ -182,6 +189,7 @@
         log.close()
         gateway.disturbed = gateway.stopping = False
         gateway.start_count += 1
+        self.freshness.record_process(gateway.identity)
 
     async def end_all(self):
         """Kill the processes that the soak has started, by its own process objects."""
@@ -239,6 +247,7 @@
             self.notices.record_arrival(
                 (backend.incarnation, backend.born_ms), sender, call.sent_ms, backoff_ms
             )
+            self.freshness.record_arrival(backend.incarnation, sender, call.sent_ms)
 
     def put(self, backend, state="ready"):
         """Write a backend server's entry to the store."""
@@ -274,6 +283,7 @@
             for name, prefix, kind, priority in (
                 ("read", fleet.SAFE, "safe", 2),
                 ("write", fleet.UNSAFE, "unsafe", 1),
+                *self._added_routes(),
             )
         ]
         document = {
@@ -289,9 +299,35 @@
         }
         topic = TOPICS[next(feed for feed in TOPICS if feed.value == "config")]
         self.store.put(topic, "config", json.dumps(document).encode())
+        self.freshness.record_config(self.version)
+
+    def _added_routes(self):
+        """Return the route that only the newest version of the configuration has."""
+        if self.seed < FIRST_SEED_WITH_FRESHNESS:
+            return ()
+        return ((f"v{self.version}", f"/v{self.version}/", "safe", 2),)
 
     # Callers.
 
+    async def route_caller(self):
+        """Request the newest version's route continuously, each time from a random gateway."""
+        source = random.Random(f"{self.seed}-routes")
+        count = 0
+        while True:
+            await asyncio.sleep(0.02)
+            version, gateway = self.freshness.overdue_version(), source.choice(self.gateways)
+            if version is None or not gateway.alive or gateway.stopping:
+                continue
+            count += 1
+            identity, sent_ms = gateway.identity, monotonic_ms()
+            lines = (f"{HEADERS.request_id.decode()}: route-{count}",)
+            address = gateway.addresses["caller_address"]
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(2):
+                    answer = await fleet.call(address, f"/v{version}/", lines=lines)
+                if answer.status == 404 and version == self.freshness.overdue_version():
+                    self.freshness.record_unknown_route(identity, version, sent_ms)
+
     async def caller(self, index):
         """Send calls continuously, and request the addresses again before every fifth one."""
         addresses, count = [], 0
@@ -366,6 +402,12 @@
             kinds += 2 * (self.backend_says_leaving, self.backend_backs_off)
         if self.seed >= FIRST_SEED_WITH_LINKS:
             kinds += 6 * (self.links_cut,)
+        if self.seed >= FIRST_SEED_WITH_FRESHNESS:
+            kinds = (
+                *(2 * (self.kill, self.pause, self.stop_planned, self.change_config)),
+                *(2 * (self.backend_drains, self.backend_leaves_unsaid, self.links_cut)),
+                *(self.store_forgets, self.backend_vanishes, self.store_trouble),
+            )
         kind = self.source.choice(kinds)
         self.faults.append(kind.__name__)
         await kind()
@@ -399,6 +441,9 @@
     def _resume(self, process):
         if process.returncode is None:
             process.send_signal(signal.SIGCONT)
+            for gateway in self.gateways:
+                if gateway.process is process:
+                    self.freshness.record_process(gateway.identity)
 
     async def stop_planned(self):
         """Start a planned shutdown of a gateway; a new process starts once the old has ended."""
@@ -429,6 +474,7 @@
 
     async def store_trouble(self):
         """Make the store reject requests, not answer them or answer slowly for a while."""
+        self.freshness.record_store_trouble()
         self.store.error_status = self.source.choice((0, 429, 503))
         self.store.silent = self.source.random() < 0.3
         self.store.delay_ms = self.source.choice((0, 300))
@@ -437,6 +483,7 @@
 
     def _repair_store(self):
         self.store.error_status, self.store.silent, self.store.delay_ms = 0, False, 0
+        self.freshness.record_store_calm()
 
     async def store_forgets(self):
         """Make the store lose its history."""
@@ -448,6 +495,7 @@
 
         The configuration and the backend servers' entries are written again afterwards.
         """
+        self.freshness.record_store_trouble()
         away_s = self.source.uniform(0.1, 1.0)
         lost = {topic: self.source.randrange(12) for topic in self.store.topics}
         self.store.error_status = 503
@@ -473,6 +521,16 @@
         backend = self.backends.pop(0)
         await self.add_backend()
         self.put(backend, "draining")
+        self.freshness.record_left(backend.incarnation)
+        self.stopped_backends.append(backend)
+
+    async def backend_leaves_unsaid(self):
+        """Add a backend server, and remove the entry of the oldest one, which goes on serving."""
+        backend = self.backends.pop(0)
+        await self.add_backend()
+        topic = TOPICS[next(feed for feed in TOPICS if feed.value == "servers")]
+        self.store.put(topic, backend.incarnation)
+        self.freshness.record_left(backend.incarnation)
         self.stopped_backends.append(backend)
 
     async def backend_says_leaving(self):
@@ -610,6 +668,7 @@
         ]
         found += self.notices.violations()
         found += self.links.violations(self.calls, self.disturbed)
+        found += self.freshness.violations()
         for call in self.calls:
             found += self._call_violations(call, runs.get(call.request_id, 0))
         return found
