Have a few VMs of a large data centre request a configuration from another one

What callers saw: a VM answered 404 by an older configuration. Now the four that rank first in a large data centre request it at once and announce it to the others, which request it from these; who has heard of nothing after 300 ms requests it from the holder as before. Backend servers and evacuations, which are small, are requested at once by all.

--- a/cloverhook/gateway/state_fetch.py
+++ b/cloverhook/gateway/state_fetch.py
@@ -25,12 +25,16 @@
 from cloverhook.gateway.members import KnownVersions, Member, Members
 from cloverhook.gateway.peer_messages import is_registry_document
 from cloverhook.gateway.registry import Registry
+from cloverhook.gateway.rendezvous_hash import rendezvous_rank
 from cloverhook.gateway.routes import GatewayConfig
 
 __all__ = ["StatePart", "StateFetcher", "build_state_reply"]
 
 NEIGHBOUR_FIRST_MS = 300.0
 """How long a neighbour may take to fetch a state from a remote data centre and to announce it."""
+REMOTE_FETCHERS = 4
+"""How many VMs of a large data centre request a configuration from another one at once.  They
+announce it to the others; if all requested it, the VM that has it would do nothing else."""
 REQUEST_SPREAD_MS = 50.0
 """In a large data centre the requests of its VMs are spread over this time."""
 CHANGES_SHARE = 0.5
@@ -119,24 +123,42 @@
         Without `immediately`, neighbours are given time to fetch it first.  It is set if none of
         them can be expected to do so; then only a large data centre adds a short random delay.
         """
-        wait_ms = 0.0 if immediately else NEIGHBOUR_FIRST_MS
-        if immediately and self._members.in_large_data_center():
-            wait_ms = random.uniform(0.0, REQUEST_SPREAD_MS)
-        if not wait_ms:
-            self._fetch_if_behind(vm)
-            return
         loop = asyncio.get_running_loop()
-        loop.call_later(wait_ms / 1000, self._fetch_if_behind, vm)
-
-    def _fetch_if_behind(self, vm: str) -> None:
-        """Fetch newer parts of a peer's state, from it or from a neighbour that has them by now."""
+        for part in StatePart:
+            wait_ms = self._wait_ms(part, vm, immediately)
+            if wait_ms:
+                loop.call_later(wait_ms / 1000, self._fetch_if_behind, part, vm)
+            else:
+                self._fetch_if_behind(part, vm)
+
+    def _wait_ms(self, part: StatePart, vm: str, immediately: bool) -> float:
+        """Return how long to wait before a part of a peer's state is fetched."""
+        if not immediately:
+            return NEIGHBOUR_FIRST_MS
+        if not self._members.in_large_data_center():
+            return 0.0
+        if part is StatePart.CONFIG and self._is_left_to_neighbours(vm):
+            return NEIGHBOUR_FIRST_MS
+        return random.uniform(0.0, REQUEST_SPREAD_MS)
+
+    def _is_left_to_neighbours(self, vm: str) -> bool:
+        """Return whether other VMs of this data centre fetch the configuration of a remote VM."""
         member = self._members.get(vm)
-        if member is None:
+        if member is None or member.data_center == self._members.data_center:
+            return False
+        now_ms = monotonic_ms()
+        neighbours = (
+            item.peer_address for item in self._members.local_members() if item.is_alive(now_ms)
+        )
+        return rendezvous_rank("fetch", self._own_address, neighbours) >= REMOTE_FETCHERS
+
+    def _fetch_if_behind(self, part: StatePart, vm: str) -> None:
+        """Fetch a newer part of a peer's state, from it or from a neighbour that has it by now."""
+        member, task = self._members.get(vm), self._tasks.get(part)
+        if member is None or (task is not None and not task.done()):
             return
-        for part in StatePart:
-            task = self._tasks.get(part)
-            if (task is None or task.done()) and self._lacks(part, member):
-                self._tasks[part] = asyncio.create_task(self._fetch_part(part, member))
+        if self._lacks(part, member):
+            self._tasks[part] = asyncio.create_task(self._fetch_part(part, member))
 
     async def _fetch_part(self, part: StatePart, member: Member) -> None:
         """Fetch a part; after each success, repeat this while a live VM has a newer version."""
--- a/features/steps/gateway_broadcast_steps.py
+++ b/features/steps/gateway_broadcast_steps.py
@@ -277,6 +277,61 @@
     ), requested_addresses
 
 
+@given("{count:d} VMs of one data centre that know a VM of another one")
+def step_far_holder(context, count):
+    names = [f"10.1.0.{number}" for number in range(count)]
+    context.peerings = [peering_of(name, names) for name in names]
+    context.requests = []
+
+    def recording_fetch(name):
+        async def fetch(address, request):
+            part = "config" if "config" in request else "servers"
+            context.requests.append((monotonic_ms(), name, part))
+            raise MessageError("no answer")
+
+        return fetch
+
+    for name, peering in zip(names, context.peerings, strict=True):
+        peering._members.record_heartbeat(heartbeat("vm-far", REMOTE), monotonic_ms())
+        peering.link.fetch = recording_fetch(name)
+
+
+@when("that VM announces a configuration and backend servers")
+def step_announced(context):
+    newer = replace(heartbeat("vm-far", REMOTE), config_version=7, registry_version=9)
+
+    async def announce():
+        context.announced_ms = monotonic_ms()
+        for peering in context.peerings:
+            peering._on_heartbeat(newer, monotonic_ms(), relayed=True)
+        await fleet.until(lambda: len(requesters(context, "config")) == len(context.peerings))
+
+    run(context, announce())
+
+
+def requesters(context, part):
+    """Return the time of the first request of each VM for a part of the state."""
+    found = {}
+    for at_ms, name, requested in context.requests:
+        if requested == part:
+            found.setdefault(name, at_ms)
+    return found
+
+
+@then("no more than {count:d} of them request the configuration from it within {time_ms:d} ms")
+def step_few_request(context, count, time_ms):
+    end_ms = context.announced_ms + time_ms
+    soon = [name for name, at_ms in requesters(context, "config").items() if at_ms <= end_ms]
+    assert 1 <= len(soon) <= count, soon
+
+
+@then("all request it in the end if nobody announces it here, and the backend servers at once")
+def step_all_request(context):
+    config, servers = requesters(context, "config"), requesters(context, "servers")
+    assert len(config) == len(servers) == len(context.peerings)
+    assert max(servers.values()) < max(config.values())
+
+
 @given("a VM that measures {count:d} backend servers, with 2 neighbours and a VM elsewhere")
 def step_measurer(context, count):
     context.wire = RecordingLink()
