Take an endpoint that is full for full, not for one whose link is lost

Cause: endpoints that are full leave connections and probes without an answer there. A VM took that for a lost link, gave the endpoint up, checked it on new connections, and told the others; fewer endpoints took the load, more of them were full, and in the end whole services were presumed lost and requests were sent by way of other VMs.

Change: an unanswered connection or probe is no lost link while the endpoint's latest report, at most 3 s old, shows all slots in use and another endpoint of its service has answered within 500 ms. For 500 ms the endpoint is used only where no other one has capacity. Refused and broken connections count as before.

Two of the seven new rows of gateway_links.feature fail without the change.

--- a/cloverhook/gateway/links.py
+++ b/cloverhook/gateway/links.py
@@ -69,6 +69,11 @@
 """A link is checked if a request has been without an answer for this many times the expected time,
 and for `SILENCE_MS` at least, and its service has sent nothing meanwhile."""
 SILENCE_CHECK_INTERVAL_MS = 500.0
+FULL_CONTACT_MS = 500.0
+"""An endpoint that is full may leave connections and probes without an answer.  If others of its
+service have answered within this time, its link is not taken for lost."""
+FULL_DOUBT_MS = 500.0
+"""For this long such an endpoint is used only where no other one has capacity."""
 LONG_AGO_MS = -1e12
 
 
@@ -91,6 +96,10 @@
         return cls.REFUSED if error.refused else cls.TIMED_OUT
 
 
+SILENT_FAILURES = (LinkFailure.TIMED_OUT, LinkFailure.PROBE_UNANSWERED)
+"""A link that has brought nothing back; the other kinds show that something has come."""
+
+
 @dataclass(frozen=True, slots=True)
 class LinkChange:
     """A link has failed, or works again after `lasted_ms`; then `failure` is None."""
@@ -269,6 +278,10 @@
     def record_failure(self, server: BackendServer, failure: LinkFailure, now_ms: float) -> None:
         """Record that this VM could not reach an endpoint."""
         link, lost = self._down.get(server.incarnation), self._lost.get(server.service)
+        if link is None and self._is_only_full(server, failure, now_ms):
+            load = self._load_table.get_or_create(server.incarnation)
+            load.doubt_until(now_ms + FULL_DOUBT_MS)
+            return
         if lost is not None:
             lost.works_since_ms = None
         if link is not None:
@@ -284,6 +297,15 @@
         if server.service not in self._lost:
             self._update_suspicion(server, len(row), now_ms)
 
+    def _is_only_full(self, server: BackendServer, failure: LinkFailure, now_ms: float) -> bool:
+        """Return whether an endpoint is more likely full than out of reach."""
+        if failure not in SILENT_FAILURES:
+            return False
+        if now_ms - self.service_contact_ms(server.service) > FULL_CONTACT_MS:
+            return False
+        load = self._load_table.get_or_create(server.incarnation)
+        return load.was_full(server.slots, now_ms)
+
     def record_contact(self, server: BackendServer, now_ms: float) -> None:
         """Record that an endpoint has answered this VM."""
         incarnation, service = server.incarnation, server.service
--- a/cloverhook/gateway/server_load.py
+++ b/cloverhook/gateway/server_load.py
@@ -26,6 +26,8 @@
 lost."""
 COUNT_LIFETIME_MS = 700.0
 """A peer repeats its counts four times a second; the counts of a peer that has stopped expire."""
+FULL_LIFETIME_MS = 3_000.0
+"""An endpoint that was full, and answers nothing, may be so for the time of a few requests."""
 FAILURE_SMOOTHING = 0.25
 FAILURE_HALF_LIFE_MS = 2_000.0
 UNREACHABLE_MS = 1_500.0
@@ -130,6 +132,16 @@
         """Return whether any VM has received a load report of the endpoint since then."""
         return self._latest_report_ms > at_ms
 
+    def was_full(self, slots: int, now_ms: float) -> bool:
+        """Return whether all slots were in use by the latest report, which may be a little old.
+
+        An endpoint that is full may answer no probe, so there may be no newer report.  Requests in
+        flight don't count: they may be stuck in a link that is lost.
+        """
+        report = self._latest_report
+        is_recent = self.age_ms(now_ms) <= FULL_LIFETIME_MS
+        return is_recent and report is not None and report.running + report.waiting >= slots
+
     def set_peer_in_flight(self, vm: str, count: int, now_ms: float) -> None:
         """Set how many requests another VM has in flight there."""
         before, _ = self._peer_counts.get(vm, (0, 0.0))
--- a/features/gateway_links.feature
+++ b/features/gateway_links.feature
@@ -126,6 +126,23 @@
       | 20  |
       | 44  |
 
+  Scenario Outline: An endpoint that is full and answers nothing is taken for one whose link is lost
+    Given a VM with links to 6 endpoints of a service
+    And the endpoint i-0 has reported <running> requests on its 4 slots <ago> ms ago
+    And another endpoint has answered <contact> ms ago
+    When the link to i-0 fails: <failure>
+    Then the link to i-0 is <state>
+
+    Examples:
+      | running | ago  | contact | failure          | state |
+      | 4       | 200  | 50      | timed-out        | up    |
+      | 6       | 2000 | 50      | probe-unanswered | up    |
+      | 3       | 200  | 50      | timed-out        | down  |
+      | 4       | 200  | 600     | timed-out        | down  |
+      | 4       | 4000 | 50      | probe-unanswered | down  |
+      | 4       | 200  | 50      | refused          | down  |
+      | 4       | 200  | 50      | broken-off       | down  |
+
   Scenario: An endpoint that registers while all links are lost is checked before requests rely on it
     Given a VM with links to 6 endpoints of a service
     When these links change: i-0 refused at 0, i-1 refused at 9, i-2 refused at 10, i-3 refused at 10, i-4 refused at 10, i-5 refused at 10
--- a/features/steps/link_decision_steps.py
+++ b/features/steps/link_decision_steps.py
@@ -248,3 +248,24 @@
     step_waits(context)
     context.links.record_contact(server(context, "i-1"), 100.0)
     assert not context.links.due_checks(900.0)
+
+
+@given("the endpoint i-0 has reported {running:d} requests on its 4 slots {ago:d} ms ago")
+def step_reported_full(context, running, ago):
+    load = context.load_table.get_or_create("i-0")
+    load.update_from_probe(LoadReport(running, 0, 1.0), -float(ago))
+
+
+@given("another endpoint has answered {ago:d} ms ago")
+def step_other_answered(context, ago):
+    context.links.record_contact(server(context, "i-1"), -float(ago))
+
+
+@when("the link to i-0 fails: {failure}")
+def step_fails(context, failure):
+    context.links.record_failure(server(context, "i-0"), LinkFailure(failure), 0.0)
+
+
+@then("the link to i-0 is {state:w}")
+def step_state(context, state):
+    assert context.links.is_down("i-0") is (state == "down")
