--- a/cloverhook/gateway/grace_periods.py
+++ b/cloverhook/gateway/grace_periods.py
@@ -66,25 +66,24 @@
         `listed_ms` is the latest time as of which the entry is known to have been listed.  Returns
         whether it has more likely expired because of the store than left.
         """
-        limit_ms = self._limit_ms(now_ms, listed_ms, store_was_unavailable)
-        expired = self._is_mass_expiry(service, service_size, now_ms) or store_was_unavailable
+        is_outage = store_was_unavailable or self._is_outage(now_ms, listed_ms)
+        limit_ms = self._limit_ms(now_ms, None if is_outage else listed_ms)
+        expired = self._is_mass_expiry(service, service_size, now_ms) or is_outage
         self._limits[name] = now_ms, limit_ms
         self._until_ms[name] = (
             limit_ms if expired else min(now_ms + GRACE_SHARE * self._drain_ms, limit_ms)
         )
         return expired
 
-    def _limit_ms(
-        self, now_ms: float, listed_ms: float | None, store_was_unavailable: bool = False
-    ) -> float:
+    def _limit_ms(self, now_ms: float, listed_ms: float | None) -> float:
         """Return the time after which an entry that has vanished must be out of use."""
-        if store_was_unavailable or self._is_outage(now_ms, listed_ms):
+        if listed_ms is None or self._is_outage(now_ms, listed_ms):
             return now_ms + OUTAGE_GRACE_MS
         return listed_ms + self._drain_ms - HOLD_MARGIN_MS
 
     def _is_outage(self, now_ms: float, listed_ms: float | None) -> bool:
         """Return whether an entry was last known to be listed so long ago that the store failed."""
-        return listed_ms is None or now_ms - listed_ms > OUTAGE_SHARE * self._drain_ms
+        return listed_ms is not None and now_ms - listed_ms > OUTAGE_SHARE * self._drain_ms
 
     def extend(self, names: Iterable[str], now_ms: float) -> None:
         """Extend the grace periods of entries that vanished together with one that expires now.
--- a/features/gateway_freshness.feature
+++ b/features/gateway_freshness.feature
@@ -41,3 +41,20 @@
     When a new route is published, and one gateway gets no copy of the configuration yet
     Then that one answers 503 with a time to retry after for the new route, and serves the others
     And explain names an outdated configuration as the cause
+
+  Scenario Outline: Messages count as delayed, or delays as none, because two clocks drift apart
+    Given a VM that gets a message each 300 ms for an hour from one whose clock runs <ppm> ppm faster
+    Then no message counts as delayed by more than 70 ms
+    And one that waited for 500 ms counts as delayed by 430 to 570 ms
+
+    Examples:
+      | ppm  |
+      | 0    |
+      | 500  |
+      | -500 |
+
+  Scenario: An entry that expired during an outage is dropped before it can be back
+    Given a VM that has known nothing of the store for 4500 ms
+    When it learns that one of 8 backend servers has vanished
+    Then it uses that one for 2400 ms
+    And one that vanishes 2500 ms later for 1500 ms
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -7,9 +7,11 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
 from cloverhook.explain import explain_request, read_lines
+from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.config_gate import ConfigGate
 from cloverhook.gateway.config_sender import WAIT_S
 from cloverhook.gateway.event_log import EventLog
+from cloverhook.gateway.freshness import MessageDelays
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.peer_link import FETCH_TIMEOUT_S
 from cloverhook.gateway.state_fetch import StatePart
@@ -205,3 +207,70 @@
     finally:
         await known.close()
     return known.late_ms
+
+
+@given(
+    "a VM that gets a message each {every:d} ms for an hour from one whose clock runs {ppm:d} ppm"
+    " faster"
+)
+def step_drift(context, every, ppm):
+    context.delays, context.rate = MessageDelays(), 1 + ppm / 1_000_000
+    arrivals_ms = range(0, 3_600_000, every)
+    found = [context.delays.observe("vm-1", at * context.rate, at) for at in arrivals_ms]
+    context.longest_ms = max(delay_ms for delay_ms in found if delay_ms is not None)
+
+
+@then("no message counts as delayed by more than {limit:d} ms")
+def step_no_delay(context, limit):
+    assert context.longest_ms <= limit, context.longest_ms
+
+
+@then("one that waited for {waited:d} ms counts as delayed by {least:d} to {most:d} ms")
+def step_delay(context, waited, least, most):
+    delay_ms = context.delays.observe("vm-1", 3_600_000 * context.rate, 3_600_000 + waited)
+    assert least <= delay_ms <= most, delay_ms
+
+
+@given("a VM that has known nothing of the store for {time_ms:d} ms")
+def step_outage(context, time_ms):
+    context.gateway_state = GatewayState()
+    context.now_ms = float(time_ms)
+    entries = (BackendServer(f"i-{n}", fleet.SERVICE, f"10.0.0.{n}:1", "papine") for n in range(8))
+    records = tuple(ServerRecord(item.name, n, item) for n, item in enumerate(entries))
+    context.gateway_state.apply_server_list(records, len(records), 0.0)
+
+
+def remove_server(context, name, offset):
+    """Apply the removal of an entry, and the confirmation that comes with it."""
+    state, now_ms = context.gateway_state, context.now_ms
+    state.apply_server_record(ServerRecord(name, offset, None), now_ms)
+    state.registry.position.confirm_current(offset, now_ms)
+
+
+@when("it learns that one of 8 backend servers has vanished")
+def step_one_vanished(context):
+    remove_server(context, "i-0", 8)
+
+
+@then("it uses that one for {held_ms:d} ms")
+def step_held(context, held_ms):
+    check_held(context, "i-0", held_ms)
+
+
+@then("one that vanishes {later_ms:d} ms later for {held_ms:d} ms")
+def step_held_later(context, later_ms, held_ms):
+    position = context.gateway_state.registry.position
+    for _ in range(5):
+        context.now_ms += later_ms / 5
+        position.confirm_current(8, context.now_ms)
+    remove_server(context, "i-1", 9)
+    check_held(context, "i-1", held_ms)
+
+
+def check_held(context, name, held_ms):
+    """Check for how long an entry that has just vanished stays in use."""
+    state = context.gateway_state
+    state.expire(context.now_ms + held_ms - 1)
+    assert state.registry.get(name) is not None, name
+    state.expire(context.now_ms + held_ms)
+    assert state.registry.get(name) is None, name
