Answer 404 only by a configuration that was confirmed within the bound

Change: a VM whose configuration has not been confirmed within the bound, whatever the reason, also while its calls to the store fail, answers 503 (outdated) instead of 404: nothing shows that the route does not exist. Requests with a route are handled as before.

Evidence: the new rows of gateway_freshness.feature (confirmed 1,901 ms and 9,000 ms ago, bound 2,000 ms) fail without the change.

--- a/cloverhook/gateway/config_gate.py
+++ b/cloverhook/gateway/config_gate.py
@@ -41,9 +41,19 @@
         """Return whether requests may be handled by the configuration in force."""
         if not self._behind_ms(now_ms):
             return True
-        age_ms = self._gateway_state.config_freshness.age_ms(now_ms)
-        return age_ms <= self._bound_ms - MARGIN_MS or self._store_has_failed()
+        return self._is_confirmed(now_ms) or self._store_has_failed()
 
     def may_lack_routes(self, now_ms: float) -> bool:
-        """Return whether a newer configuration may have a route that isn't known here."""
+        """Return whether a newer configuration may have a route that isn't known here.
+
+        That is so while a newer one is known, and while this one has not been confirmed in time,
+        whatever the reason: then nothing shows that the route does not exist.
+        """
+        if not self._is_confirmed(now_ms):
+            return True
         return 0.0 < self._behind_ms(now_ms) <= UNKNOWN_ROUTE_SHARE * self._bound_ms
+
+    def _is_confirmed(self, now_ms: float) -> bool:
+        """Return whether the configuration was the newest within the bound."""
+        age_ms = self._gateway_state.config_freshness.age_ms(now_ms)
+        return age_ms <= self._bound_ms - MARGIN_MS
--- a/features/gateway_freshness.feature
+++ b/features/gateway_freshness.feature
@@ -30,11 +30,14 @@
     Examples:
       | behind | age  | call         | handles | answers |
       | 0      | 200  | was answered | yes     | yes     |
-      | 0      | 9000 | failed       | yes     | yes     |
+      | 0      | 1900 | was answered | yes     | yes     |
+      | 0      | 1901 | was answered | yes     | no      |
+      | 0      | 9000 | failed       | yes     | no      |
       | 100    | 800  | was answered | yes     | no      |
       | 1900   | 1950 | was answered | no      | no      |
       | 1900   | 1950 | failed       | yes     | no      |
-      | 9000   | 9000 | failed       | yes     | yes     |
+      | 9000   | 9000 | failed       | yes     | no      |
+      | 9000   | 200  | was answered | yes     | yes     |
 
   Scenario: A caller gets 404 for a new route from a gateway that waits for the new configuration
     Given 2 gateways and 1 backend servers
