--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -144,7 +144,7 @@
             store,
             self._gateway_state,
             self._on_change,
-            self._peering.confirm_soon,
+            self._peering.confirmations.send_soon,
             self._log,
             self._counters,
         )
@@ -159,7 +159,7 @@
             self._follower,
             self._gateway_state,
             self._peering.state_fetch,
-            lambda: self._peering.send_confirmation(monotonic_ms(), to_remote=False),
+            lambda: self._peering.confirmations.send(monotonic_ms(), to_remote=False),
             self._log,
             self._counters,
         )
--- a/cloverhook/gateway/peering.py
+++ b/cloverhook/gateway/peering.py
@@ -25,7 +25,6 @@
 from cloverhook.gateway.drain_updates import DrainUpdates
 from cloverhook.gateway.event_log import EventKind, EventLog
 from cloverhook.gateway.failure_updates import FailureUpdates
-from cloverhook.gateway.freshness import Freshness, MessageDelays
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.heartbeat_intervals import HeartbeatIntervals
 from cloverhook.gateway.link_updates import LinkUpdates
@@ -54,7 +53,6 @@
     decode,
     encode,
 )
-from cloverhook.gateway.peer_rows import AGE_LIMIT_MS
 from cloverhook.gateway.quarantine_updates import QuarantineUpdates
 from cloverhook.gateway.rate_limit_updates import RateLimitUpdates
 from cloverhook.gateway.rate_limits import RateLimits
@@ -62,6 +60,7 @@
 from cloverhook.gateway.server_load import LoadReport
 from cloverhook.gateway.state_fetch import StateFetcher, build_state_reply
 from cloverhook.gateway.store import MemberRecord
+from cloverhook.gateway.store_confirmations import StoreConfirmations
 from cloverhook.gateway.transfer_queue import Refer, Requester
 
 __all__ = ["Peering"]
@@ -169,6 +168,7 @@
             counters,
         )
         self.drain_updates = DrainUpdates(identity.vm, self.broadcast, gateway_state, log, counters)
+        self.confirmations = StoreConfirmations(identity, self.broadcast, gateway_state)
         self.backoff_updates = BackoffUpdates(
             identity.vm, self.broadcast, gateway_state, log, counters
         )
@@ -182,8 +182,6 @@
         self._relay_count = 1
         self._has_update = False
         self._contact_due_ms = 0.0
-        self._delays = MessageDelays()
-        self._confirmation_due = False
         self.state_fetch = StateFetcher(
             gateway_state,
             members,
@@ -228,9 +226,7 @@
             self._send_discovery_requests(now_ms)
         self.count_updates.resend_all(now_ms)
         is_local_due = now_ms >= self._local_heartbeat_due_ms
-        if self._confirmation_due or (self.reading and is_local_due):
-            self._confirmation_due = False
-            self.send_confirmation(now_ms, to_remote=True)
+        self.confirmations.send_if_due(now_ms, self.reading and is_local_due)
         if is_local_due:
             every_ms = self._heartbeat_intervals.local_interval_ms(self.reading, now_ms)
             self._local_heartbeat_due_ms = now_ms + every_ms
@@ -257,29 +253,6 @@
         if self._members.in_large_data_center():
             self._relay_count = CHANGE_RELAY_COUNT
 
-    def confirm_soon(self) -> None:
-        """Send at the next tick as of when this VM has everything in the store."""
-        self._confirmation_due = True
-
-    def send_confirmation(self, now_ms: float, to_remote: bool) -> None:
-        """Send as of when this VM has everything in the store, to its neighbours at least."""
-        gateway_state = self._gateway_state
-        position = gateway_state.registry.position
-        known_change = position.advertised_version
-        message = StoreConfirmation(
-            self._identity.vm,
-            self._identity.incarnation,
-            now_ms,
-            *gateway_state.config_versions,
-            _age_ms(gateway_state.config_freshness, now_ms),
-            known_change if known_change >= 0 else position.as_of,
-            _age_ms(position.freshness, now_ms),
-        )
-        data = encode(message)
-        self.broadcast.send_local(data, now_ms)
-        if to_remote:
-            self.broadcast.send_remote(data, now_ms)
-
     def broadcast_registry_changes(self, base_version: int, changed_names: tuple[str, ...]) -> None:
         """Send registry changes to all VMs, or a heartbeat if they do not fit into a datagram.
 
@@ -444,7 +417,8 @@
             case DrainNoticeUpdate():
                 self.drain_updates.received(message, now_ms)
             case StoreConfirmation():
-                self._on_store_confirmation(message, now_ms)
+                self.state_fetch.is_behind(message)
+                self.confirmations.received(message, now_ms)
             case ServerChanges():
                 self._on_server_changes(message, now_ms, relayed)
             case Relay():
@@ -501,26 +475,6 @@
             heartbeat.config_version, heartbeat.evacuation_version, heartbeat.config_as_of
         )
 
-    def _on_store_confirmation(self, message: StoreConfirmation, now_ms: float) -> None:
-        """Take over as of when the store held nothing newer than the sender's versions.
-
-        The time for which the message was under way counts too.
-        """
-        sender = f"{message.vm} {message.incarnation}"
-        delay_ms = self._delays.observe(sender, message.sent_ms, now_ms)
-        self.state_fetch.is_behind(message)
-        if delay_ms is None:
-            return
-        sent_ms = now_ms - delay_ms
-        gateway_state = self._gateway_state
-        if message.config_age_ms >= 0:
-            versions = message.config_version, message.evacuation_version
-            gateway_state.confirm_config(versions, sent_ms - message.config_age_ms)
-        if message.registry_age_ms >= 0:
-            gateway_state.registry.position.confirm_current(
-                message.registry_version, sent_ms - message.registry_age_ms
-            )
-
     def _on_server_changes(self, changes: ServerChanges, now_ms: float, relayed: bool) -> None:
         registry = self._gateway_state.registry
         if changes.base_version > registry.as_of:
@@ -584,9 +538,3 @@
 
     def _on_invalid_message(self, sender: str, error: MessageError) -> None:
         self._log.note(EventKind.MEMBER, member=sender, state="garbage", error=str(error))
-
-
-def _age_ms(freshness: Freshness, now_ms: float) -> float:
-    """Return the age of a state in a message: -1 where it isn't known."""
-    age_ms = freshness.age_ms(now_ms)
-    return -1 if age_ms > AGE_LIMIT_MS else round(age_ms, 1)
--- a/features/gateway_broadcast.feature
+++ b/features/gateway_broadcast.feature
@@ -137,7 +137,7 @@
     Given 44 VMs of one data centre that know a VM of another one
     When that VM announces a configuration and backend servers
     Then no more than 4 of them request the configuration from it within 250 ms
-    And all request it in the end if nobody announces it here, and the backend servers at once
+    And all request it in the end if no neighbour announces it, and the backend servers at once
 
   Scenario: A state is fetched from whoever has it by then
     Given 41 VMs of one data centre
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -17,9 +17,9 @@
 from cloverhook.errors import MessageError, PlatformError
 from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.event_log import EventKind
-from cloverhook.gateway.freshness import MessageDelays
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.links import Links
+from cloverhook.gateway.message_delays import MessageDelays
 from cloverhook.gateway.peer_links import PeerLinks
 from cloverhook.gateway.peer_messages import (
     MESSAGE_TYPES,
--- a/features/steps/gateway_broadcast_steps.py
+++ b/features/steps/gateway_broadcast_steps.py
@@ -325,7 +325,7 @@
     assert 1 <= len(soon) <= count, soon
 
 
-@then("all request it in the end if nobody announces it here, and the backend servers at once")
+@then("all request it in the end if no neighbour announces it, and the backend servers at once")
 def step_all_request(context):
     config, servers = requesters(context, "config"), requesters(context, "servers")
     assert len(config) == len(servers) == len(context.peerings)
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -11,8 +11,8 @@
 from cloverhook.gateway.config_gate import ConfigGate
 from cloverhook.gateway.config_sender import WAIT_S
 from cloverhook.gateway.event_log import EventLog
-from cloverhook.gateway.freshness import MessageDelays
 from cloverhook.gateway.gateway_state import GatewayState
+from cloverhook.gateway.message_delays import MessageDelays
 from cloverhook.gateway.peer_link import FETCH_TIMEOUT_S
 from cloverhook.gateway.state_fetch import StatePart
 from cloverhook.gateway.transfer_queue import Refer
