Take a state for current only after an answer that reaches the end of the log

What callers could see: a gateway that is far behind, by more than an answer of the store holds (1,024 KB, such as one configuration of 7,200 routes), counted as current after the first part of what it lacked, and confirmed that to others; a 404 by an older configuration would have followed. Found on reading the change for how it holds at that size.

Change: an answer says whether the log went on when it was made; only one that reaches its end moves the moment as of which a state is complete, and a refresh reads on until then.

Evidence: the new scenarios fail without the change, as nothing tells such an answer.

--- a/cloverhook/gateway/store.py
+++ b/cloverhook/gateway/store.py
@@ -51,7 +51,8 @@
     `era` counts how often the store has been restored from an older copy, after which it assigns
     the same offsets again; it is None where the answer doesn't contain it.
     `unreadable` names the invalid records, with the reason.  An invalid record of a backend server
-    is among `servers` too, as a record without a server.
+    is among `servers` too, as a record without a server.  `is_complete` is False if the log went on
+    after `end_offset` when the answer was made, as an answer is limited in size.
     """
 
     configs: tuple[GatewayConfig, ...]
@@ -60,6 +61,7 @@
     unreadable: tuple[str, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
     era: int | None = None
+    is_complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -178,8 +178,9 @@
                     whole=offset is None,
                 )
                 self._offsets[feed], self._eras[feed] = found.end_offset, era
-                self._read_as_of_ms[feed] = as_of_ms
-                self._on_confirmed()
+                if found.is_complete:
+                    self._read_as_of_ms[feed] = as_of_ms
+                    self._on_confirmed()
             await asyncio.sleep(self._poll_gap_ms(feed) / 1000)
 
     def _wait_ms(self, feed: Feed, now_ms: float) -> int:
@@ -194,7 +195,7 @@
         return max(0, min(WAIT_MS, round(self._read_as_of_ms[feed] + WAIT_MS - now_ms)))
 
     async def refresh(self, feed: Feed) -> None:
-        """Read what is new in a feed by a single call, whether this VM follows the store or not.
+        """Read what is new in a feed, without waiting, whether this VM follows the store or not.
 
         Raises `PlatformError` if there is no answer.
         """
@@ -211,11 +212,14 @@
                 is_whole = True
                 continue
             era = self._era_of(feed, found)
-            if is_whole or era == era_of(as_of):
-                break
-            is_whole = True  # The offset belongs to another record now.
-        if era >= self._gateway_state.store_era:
-            self._apply(feed, offsets_to_versions(found, era), called_ms, whole=is_whole)
+            if not is_whole and era != era_of(as_of):
+                is_whole = True  # The offset belongs to another record now.
+                continue
+            if era >= self._gateway_state.store_era:
+                self._apply(feed, offsets_to_versions(found, era), called_ms, whole=is_whole)
+            if found.is_complete:
+                return
+            as_of, is_whole = version_of(era, found.end_offset - 1), False
 
     def _known_as_of(self, feed: Feed) -> int:
         """Return the position up to which a feed is known, by own reading or a peer's report."""
@@ -261,7 +265,7 @@
         return max(POLL_GAP_MS, POLL_GAP_DRAIN_RATIO * self._gateway_state.drain_ms)
 
     def _apply(self, feed: Feed, found: FeedSlice, as_of_ms: float, whole: bool) -> None:
-        """Apply an answer, which holds everything that was written before `as_of_ms`."""
+        """Apply an answer; a complete one holds everything that was written before `as_of_ms`."""
         now_ms = monotonic_ms()
         gateway_state = self._gateway_state
         base_version = gateway_state.registry.version
@@ -270,7 +274,8 @@
         if feed is Feed.CONFIG:
             changed = self._apply_config(found, now_ms) | self._apply_evacuations(found, whole)
             gateway_state.config_as_of = max(gateway_state.config_as_of, found.end_offset - 1)
-            gateway_state.confirm_config(gateway_state.config_versions, as_of_ms)
+            if found.is_complete:
+                gateway_state.confirm_config(gateway_state.config_versions, as_of_ms)
             if changed:
                 self._on_change((), base_version)
             return
@@ -295,7 +300,8 @@
             if gateway_state.apply_server_record(record, now_ms)
         ]
         gateway_state.registry.position.advance_to(found.end_offset - 1)
-        gateway_state.registry.position.confirm_current(found.end_offset - 1, as_of_ms)
+        if found.is_complete:
+            gateway_state.registry.position.confirm_current(found.end_offset - 1, as_of_ms)
         if touched:
             self._on_change(tuple(touched), base_version)
 
--- a/features/gateway_freshness.feature
+++ b/features/gateway_freshness.feature
@@ -61,3 +61,19 @@
     When it learns that one of 8 backend servers has vanished
     Then it uses that one for 2400 ms
     And one that vanishes 2500 ms later for 1500 ms
+
+  Scenario: An answer that ends before the log does confirms a state that is not the newest
+    Given a store whose answers hold one record each, and 3 backend servers that a gateway does not know
+    When the gateway applies the first answer
+    Then its state is not confirmed by that
+    When it refreshes its state
+    Then it knows 3 backend servers, and its state is confirmed
+
+  Scenario Outline: The adapter says whether an answer reaches the end of the log
+    Given an answer of the store with 2 records of a log that ends at <end>
+    Then it is read up to 2, and complete: <complete>
+
+    Examples:
+      | end | complete |
+      | 2   | yes      |
+      | 5   | no       |
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -1,25 +1,38 @@
 """Steps for how old the state may be on which gateways act."""
 
 import asyncio
+import sys
+from dataclasses import replace
+from pathlib import Path
 
 from behave import given, then, when
 
+import features
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError
 from cloverhook.explain import explain_request, read_lines
 from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.config_gate import ConfigGate
 from cloverhook.gateway.config_sender import WAIT_S
+from cloverhook.gateway.counters import Counters
 from cloverhook.gateway.event_log import EventLog
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.message_delays import MessageDelays
 from cloverhook.gateway.peer_link import FETCH_TIMEOUT_S
 from cloverhook.gateway.state_fetch import StatePart
+from cloverhook.gateway.store import Feed, MemoryStore
+from cloverhook.gateway.store_follower import StoreFollower, offsets_to_versions
 from cloverhook.gateway.transfer_queue import Refer
+from cloverhook.gateway.versions import version_of
 from features import gateway_fleet as fleet
 from features.freshness_fleet import FreshnessFleet, StorePath
 from features.shared import run
 
+ROOT = Path(features.__file__).resolve().parent.parent
+sys.path.append(str(ROOT / "platform"))
+
+from cloverhook_platform.store_client import LENGTH, POSITIONS, HttpStore, Reply  # noqa: E402
+
 LARGE_FLEET_VMS = 120
 LOST_S = 0.6
 REGAINED_S = 0.5
@@ -29,6 +42,7 @@
 NOW_MS = 100_000.0
 NEW_PATH = "/new/"
 CONFIG = StatePart.CONFIG
+ERA = 1
 
 
 @when("changes are made in fleets with a bound of {bound_ms:d} ms while this goes on")
@@ -274,3 +288,78 @@
     assert state.registry.get(name) is not None, name
     state.expire(context.now_ms + held_ms)
     assert state.registry.get(name) is None, name
+
+
+class OneRecordStore(MemoryStore):
+    """A store whose answers to a read of changes hold one record of a backend server each."""
+
+    async def changes(self, feed, from_offset, wait_ms):
+        """Return the first record from an offset on."""
+        found = await super().changes(feed, from_offset, wait_ms)
+        first = found.servers[:1]
+        end_offset = first[0].offset + 1 if first else found.end_offset
+        is_complete = end_offset >= found.end_offset
+        return replace(found, servers=first, end_offset=end_offset, is_complete=is_complete)
+
+
+@given(
+    "a store whose answers hold one record each, and {count:d} backend servers that a gateway does"
+    " not know"
+)
+def step_one_record(context, count):
+    context.store = OneRecordStore()
+    for number in range(count):
+        name = f"i-{number}"
+        context.store.put_server(BackendServer(name, fleet.SERVICE, f"10.0.0.{number}:1", "papine"))
+    context.gateway_state = GatewayState()
+    context.gateway_state.registry.position.advance_to(version_of(ERA, -1))
+    context.follower = StoreFollower(
+        context.store,
+        context.gateway_state,
+        lambda names, base_version: None,
+        lambda: None,
+        EventLog("vm-1", len),
+        Counters(),
+    )
+
+
+@when("the gateway applies the first answer")
+def step_first_answer(context):
+    found = run(context, context.store.changes(Feed.SERVERS, 0, 0))
+    context.follower._apply(Feed.SERVERS, offsets_to_versions(found, ERA), 50.0, whole=False)
+
+
+@then("its state is not confirmed by that")
+def step_not_confirmed(context):
+    assert len(context.gateway_state.registry) == 1
+    assert context.gateway_state.registry.position.freshness.as_of_ms is None
+
+
+@when("it refreshes its state")
+def step_refresh(context):
+    run(context, context.follower.refresh(Feed.SERVERS))
+
+
+@then("it knows {count:d} backend servers, and its state is confirmed")
+def step_confirmed(context, count):
+    assert len(context.gateway_state.registry) == count
+    assert context.gateway_state.registry.position.freshness.as_of_ms is not None
+
+
+@given("an answer of the store with {count:d} records of a log that ends at {end:d}")
+def step_answer(context, count, end):
+    record = bytes([1]) + b"k" + b"{}"
+    records = count * (LENGTH.pack(len(record)) + record)
+
+    async def answer(method, target, body, timeout_ms):
+        return Reply(200, POSITIONS.pack(end, 0) + records, ERA)
+
+    store = HttpStore("127.0.0.1:1")
+    store._call = answer
+    context.found = run(context, store.changes(Feed.SERVERS, 0, 0))
+
+
+@then("it is read up to {read_to:d}, and complete: {complete:w}")
+def step_complete(context, read_to, complete):
+    assert context.found.end_offset == read_to
+    assert context.found.is_complete is (complete == "yes")
