--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -1,9 +1,9 @@
 """Stand-ins for the scripts of the review: the store, endpoints, clients and gateway processes.
 
 The gateways are the project's own program, started with the command of the deploy file.  The store
-is the project's stand-in.  Endpoints and clients are written here after the pages: an endpoint answers
-421 if another instance is expected, echoes the request identifier, adds its stamp, and answers its
-health path with its identifier and load.
+is the project's stand-in.  Endpoints and clients are written here after the pages: an endpoint
+answers 421 if another instance is expected, echoes the request identifier, adds its stamp, and
+answers its health path with its identifier and load.
 """
 
 import asyncio
