--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -103,7 +103,6 @@
     slots: int = 4
     work_s: float = 0.02
     healthy: bool = True
-    slowdown_percent: int = 100
     address: str = ""
     running: int = 0
     ran: list[str] = field(default_factory=list)
@@ -118,7 +117,7 @@
         self.server = await asyncio.start_server(self._serve, host, int(port), limit=2**20)
         return self
 
-    def entry(self, state: str = "ready") -> bytes:
+    def entry(self) -> bytes:
         """Return the value of its record in the store."""
         self.seq += 1
         return json.dumps(
@@ -128,7 +127,7 @@
                 "zone": "papine",
                 "version": "v1",
                 "slots": self.slots,
-                "state": state,
+                "state": "ready",
                 "warmupLeft": 0,
                 "seq": self.seq,
             }
@@ -137,14 +136,11 @@
     def head(self, status: int, length: int | None, *lines: str) -> bytes:
         """Return the head of an answer."""
         rows = [f"HTTP/1.1 {status} X", *lines]
-        rows.append(f"X-Cloverhook-Server-Load: {self.running},0,{self.slots},{self._slowdown()}")
+        rows.append(f"X-Cloverhook-Server-Load: {self.running},0,{self.slots},100")
         if length is not None:
             rows.append(f"Content-Length: {length}")
         return ("\r\n".join(rows) + "\r\n\r\n").encode()
 
-    def _slowdown(self) -> int:
-        return self.slowdown_percent
-
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while await self._serve_one(reader, writer):
@@ -408,7 +404,6 @@
         self.store = LogStoreServer()
         self.endpoints: list[Endpoint] = []
         self.gateways: list[Gateway] = []
-        self.silent_endpoints: set[str] = set()
         self._document = document or config()
         self._temporary = tempfile.TemporaryDirectory()
         self._tasks: list[asyncio.Task[None]] = []
@@ -439,21 +434,11 @@
             await gateway.end()
         self._temporary.cleanup()
 
-    def logs(self) -> list[dict[str, object]]:
-        """Return the log lines of the gateways."""
-        found = []
-        for gateway in self.gateways:
-            for line in gateway.log_path.read_text().splitlines():
-                with contextlib.suppress(ValueError):
-                    found.append(json.loads(line))
-        return found
-
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             for endpoint in self.endpoints:
-                if endpoint.name not in self.silent_endpoints:
-                    self.store.put("keyed.servers", endpoint.name, endpoint.entry())
+                self.store.put("keyed.servers", endpoint.name, endpoint.entry())
 
 
 def run(play: Callable[[], Awaitable[bool]]) -> int:
