--- a/review/1/play.py
+++ b/review/1/play.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"
 sys.path.append(str(FOLDER.parent))
 
 import stand_ins  # noqa: E402
@@ -63,7 +64,7 @@
 
 async def play() -> bool:
     """Return whether no request that has run was answered with a promise that it has not."""
-    deployment = stand_ins.Deployment(FOLDER)
+    deployment = stand_ins.Deployment(RECORD)
     record = deployment.record
     endpoints = [stand_ins.Endpoint(f"i-{index}", record) for index in range(ENDPOINTS)]
     garbler = Garbler()
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"
 sys.path.append(str(FOLDER.parent))
 
 import stand_ins  # noqa: E402
@@ -43,7 +44,7 @@
 
 async def play() -> bool:
     """Return whether each request that was passed on got a complete answer."""
-    deployment = stand_ins.Deployment(FOLDER, document())
+    deployment = stand_ins.Deployment(RECORD, document())
     record = deployment.record
     endpoints = [stand_ins.Endpoint(f"i-{index}", record, work_s=WORK_S) for index in range(8)]
     answers: dict[str, stand_ins.Answer] = {}
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -60,11 +60,11 @@
 
 
 class Record:
-    """The file `record.txt` of a case, with the time since the start of each event."""
+    """The record of a case: what was sent, answered and run, with the time since the start."""
 
-    def __init__(self, folder: Path) -> None:
-        """Open the file in the folder of the case."""
-        self._file = (folder / "record.txt").open("w")
+    def __init__(self, path: Path) -> None:
+        """Open the file anew."""
+        self._file = path.open("w")
         self._start_s = time.monotonic()
 
     def note(self, event: str, **fields: object) -> None:
@@ -398,9 +398,9 @@
 class Deployment:
     """A store, endpoints and gateways, which end with it."""
 
-    def __init__(self, folder: Path, document: bytes | None = None) -> None:
-        """Prepare a deployment whose record lies in the folder of the case."""
-        self.record = Record(folder)
+    def __init__(self, record_path: Path, document: bytes | None = None) -> None:
+        """Prepare a deployment with the file that its record is written to."""
+        self.record = Record(record_path)
         self.store = LogStoreServer()
         self.endpoints: list[Endpoint] = []
         self.gateways: list[Gateway] = []
