Log and count responses that don't name the request for which they are read

The logs didn't show which response of an endpoint was read as the response to a request, so these could not be told apart:

The gateway's own 503 after an attempt that it took for not sent. 2. A 503 of the endpoint for another request on the connection. 3. The 503 of the endpoint's health path, read as the response to the request.

The line unmatched-response and the counter cloverhook_gateway_unmatched_responses now tell which exchange read a response without the right identifier, and whether it was taken. No decision changes.

--- a/cloverhook/explain.py
+++ b/cloverhook/explain.py
@@ -31,6 +31,7 @@
     DRAINING_KIND,
     "backoff",
     "invalid-header",
+    "unmatched-response",
     ACCOUNT_KIND,
     "member",
     "reader",
--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -32,6 +32,7 @@
 from cloverhook.gateway.links import LinkFailure, Links
 from cloverhook.gateway.load_probe import probe_load
 from cloverhook.gateway.notice_recorder import NoticeRecorder
+from cloverhook.gateway.response_matching import ResponseMatcher
 from cloverhook.gateway.server_load import SLOW_FACTOR, LoadTable, ServerLoad
 from cloverhook.upstream_connection import AnswerHead, RequestHead, UpstreamConnection
 
@@ -119,6 +120,7 @@
         idempotent: bool,
         headers: CallHeaders,
         notices: NoticeRecorder,
+        matcher: ResponseMatcher,
         links: Links,
         crashes: CrashDetector,
         probe_path: str | None = None,
@@ -131,6 +133,7 @@
         another VM may have found that the request crashes endpoints.
         """
         self._notices = notices
+        self._matcher = matcher
         self._links = links
         self._crashes = crashes
         self._reason_not_to_send = reason_not_to_send
@@ -226,7 +229,7 @@
         server = self.choice.server
         try:
             async with asyncio.timeout(LOAD_PROBE_TIMEOUT_MS / 1000):
-                result = await probe_load(connection, server, path, self._headers)
+                result = await probe_load(connection, server, path, self._headers, self._matcher)
         except TimeoutError as error:
             connection.close()
             self._record_link_failure(pool, LinkFailure.PROBE_UNANSWERED)
@@ -274,8 +277,9 @@
         if request.has_body:
             headers.append((b"content-length", b"%d" % len(request.body)))
         head = RequestHead(request.method, request.target, headers, request.has_body)
+        matches = self._matcher.for_request(self.choice.server, self._request_id)
         self.sent = True
-        return await connection.send(head, request.body, matches_request=self._is_response_to_this)
+        return await connection.send(head, request.body, matches_request=matches)
 
     def _record_notice(self, head: AnswerHead) -> EndpointNotice:
         """Record what the endpoint states about itself, unless another incarnation has answered."""
@@ -285,16 +289,6 @@
         self._notices.record_response(self.choice.server, notice)
         return notice
 
-    def _is_response_to_this(self, head: AnswerHead) -> bool:
-        """Return whether a response belongs to this request.
-
-        One without a request identifier does if its status means a rejection or a failure.
-        """
-        named = find(head.headers, self._headers.request_id)
-        if named is None:
-            return head.status >= FAILURE_STATUS_MIN or head.status == MISDIRECTED_REQUEST
-        return named == self._request_id
-
     async def _read_response(
         self,
         head: AnswerHead,
--- a/cloverhook/gateway/counters.py
+++ b/cloverhook/gateway/counters.py
@@ -21,6 +21,8 @@
     "backoffs": "endpoints that have asked this gateway for a time without requests",
     "backoffs_requested": "rejected requests with such a time",
     "invalid_headers": "headers of endpoints that were ignored because of an invalid value",
+    "unmatched_responses": "responses that don't name the request for which they were read, by "
+    "exchange and by whether they were taken for its response",
     "requests_suspected": "keys of requests that crashed endpoints and were not answered since",
     "requests_quarantined": "keys of requests not sent for a time, because endpoints crash on them",
     "repeats_denied": "retries not made because the retry budget was used up, by service",
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -45,6 +45,7 @@
 from cloverhook.gateway.quarantine_persistence import QuarantinePersistence
 from cloverhook.gateway.refresh_schedule import RefreshSchedule
 from cloverhook.gateway.request_report import RequestReport
+from cloverhook.gateway.response_matching import ResponseMatcher
 from cloverhook.gateway.retry_budget import RetryBudget
 from cloverhook.gateway.routes import IngressLimits
 from cloverhook.gateway.server_load import LoadReport
@@ -182,8 +183,14 @@
             self._log,
             self._counters,
         )
+        matcher = ResponseMatcher(headers, self._log, self._counters)
         self._prober = Prober(
-            headers, self._on_load_report, notices.record_probe, self._links, self._reports_load
+            headers,
+            self._on_load_report,
+            notices.record_probe,
+            self._links,
+            matcher,
+            self._reports_load,
         )
         self._link_checks = LinkChecks(
             self._gateway_state,
@@ -264,6 +271,7 @@
             quarantine_updates,
             self._peering.rate_limit_updates,
             notices,
+            matcher,
             self._links,
             CrashDetector(self._pool, self._links, self._peering.link_updates.peer_links),
             proxying,
--- a/cloverhook/gateway/event_log.py
+++ b/cloverhook/gateway/event_log.py
@@ -58,6 +58,7 @@
     DRAINING = "draining", 30
     BACKOFF = "backoff", 30
     INVALID_HEADER = "invalid-header", 5
+    UNMATCHED_RESPONSE = "unmatched-response", 20
     PAUSED = "paused", 5
     ATTEMPT = "attempt", 60
     ANSWER = "answer", 30
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -35,6 +35,7 @@
 from cloverhook.gateway.request_queue import QueuedRequest, RequestQueue, waits_late
 from cloverhook.gateway.request_report import RequestReport
 from cloverhook.gateway.request_state import ProxiedAttempt, RequestState
+from cloverhook.gateway.response_matching import ResponseMatcher
 from cloverhook.gateway.retry_budget import RetryBudget
 from cloverhook.gateway.routes import Route
 from cloverhook.gateway.server_load import SLOW_FACTOR
@@ -88,6 +89,7 @@
         quarantine_updates: QuarantineUpdates,
         rate_limit_updates: RateLimitUpdates,
         notices: NoticeRecorder,
+        matcher: ResponseMatcher,
         links: Links,
         crashes: CrashDetector,
         proxying: Proxying,
@@ -112,6 +114,7 @@
         self._quarantine_updates = quarantine_updates
         self._rate_limit_updates = rate_limit_updates
         self._notices = notices
+        self._matcher = matcher
         self._links = links
         self._crashes = crashes
         self._proxying = proxying
@@ -480,6 +483,7 @@
             state.route.idempotent,
             self._headers,
             self._notices,
+            self._matcher,
             self._links,
             self._crashes,
             self._load_probe_path(state),
--- a/cloverhook/gateway/load_probe.py
+++ b/cloverhook/gateway/load_probe.py
@@ -8,6 +8,7 @@
 from cloverhook.gateway.backend_server import BackendServer
 from cloverhook.gateway.call_headers import CallHeaders, find, parse_cold_ms, parse_load
 from cloverhook.gateway.endpoint_notice import EndpointNotice
+from cloverhook.gateway.response_matching import ResponseMatcher
 from cloverhook.gateway.server_load import LoadReport
 from cloverhook.upstream_connection import AnswerHead, RequestHead, UpstreamConnection
 
@@ -31,11 +32,16 @@
 
 
 async def probe_load(
-    connection: UpstreamConnection, server: BackendServer, path: str, names: CallHeaders
+    connection: UpstreamConnection,
+    server: BackendServer,
+    path: str,
+    names: CallHeaders,
+    matcher: ResponseMatcher,
 ) -> ProbeResult:
     """Send a probe and return what its response says.  Raises `UpstreamError`."""
     host = [(b"host", server.address.encode())]
-    head = await connection.send(RequestHead(b"GET", path.encode(), host))
+    probe = RequestHead(b"GET", path.encode(), host)
+    head = await connection.send(probe, matches_request=matcher.for_probe(server))
     more = True
     while more:
         _, more = await connection.read()
--- a/cloverhook/gateway/prober.py
+++ b/cloverhook/gateway/prober.py
@@ -17,6 +17,7 @@
 from cloverhook.gateway.endpoint_notice import EndpointNotice
 from cloverhook.gateway.links import LinkFailure, Links
 from cloverhook.gateway.load_probe import UNREACHABLE_REPORT, probe_load
+from cloverhook.gateway.response_matching import ResponseMatcher
 from cloverhook.gateway.server_load import LoadReport
 from cloverhook.gateway.timeouts import within
 from cloverhook.upstream_connection import UpstreamConnection
@@ -43,6 +44,7 @@
         on_load_report: Callable[[BackendServer, LoadReport, float], None],
         on_notice: Callable[[BackendServer, EndpointNotice], None],
         links: Links,
+        matcher: ResponseMatcher,
         reports_load: Callable[[BackendServer], bool] = lambda server: True,
     ) -> None:
         """`reports_load` returns whether the endpoints of one's service report their load."""
@@ -50,6 +52,7 @@
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._headers = headers
         self._links = links
+        self._matcher = matcher
         self._on_load_report = on_load_report
         self._on_notice = on_notice
         self._pool = BackendPool(IDLE_LIMIT)
@@ -157,7 +160,7 @@
     ) -> LoadReport | None:
         result = None
         try:
-            result = await probe_load(connection, server, path, self._headers)
+            result = await probe_load(connection, server, path, self._headers, self._matcher)
         finally:
             if result is None or connection.usable is False:
                 connection.close()
--- /dev/null
+++ b/cloverhook/gateway/response_matching.py
@@ -0,0 +1,65 @@
+"""Tells to which exchange of a connection a response belongs.
+
+Layer: transport.  An endpoint may send a response a second time, in place of the next one on the
+connection.  The order of the responses therefore doesn't show what each of them answers; the
+request identifier does, which an endpoint repeats in the response to a request.
+"""
+
+from collections.abc import Callable
+
+from cloverhook.gateway.backend_server import BackendServer
+from cloverhook.gateway.call_headers import CallHeaders, find
+from cloverhook.gateway.counters import Counters
+from cloverhook.gateway.event_log import EventKind, EventLog
+from cloverhook.upstream_connection import AnswerHead
+
+__all__ = ["ResponseMatcher"]
+
+FAILURE_STATUS_MIN = 500
+MISDIRECTED_REQUEST = 421
+
+
+class ResponseMatcher:
+    """Decides which responses belong to an exchange, and records those in doubt."""
+
+    def __init__(self, names: CallHeaders, log: EventLog, counters: Counters) -> None:
+        self._names = names
+        self._log = log
+        self._counters = counters
+
+    def for_request(self, server: BackendServer, request_id: bytes) -> Callable[[AnswerHead], bool]:
+        """Return the check whether a response belongs to a request."""
+
+        def matches(head: AnswerHead) -> bool:
+            named = find(head.headers, self._names.request_id)
+            if named == request_id:
+                return True
+            taken = named is None and (
+                head.status >= FAILURE_STATUS_MIN or head.status == MISDIRECTED_REQUEST
+            )
+            self._record(server, head, "request", taken)
+            return taken
+
+        return matches
+
+    def for_probe(self, server: BackendServer) -> Callable[[AnswerHead], bool]:
+        """Return the check whether a response belongs to a probe."""
+
+        def matches(head: AnswerHead) -> bool:
+            if find(head.headers, self._names.request_id) is not None:
+                self._record(server, head, "probe", taken=True)
+            return True
+
+        return matches
+
+    def _record(self, server: BackendServer, head: AnswerHead, exchange: str, taken: bool) -> None:
+        self._counters.add("unmatched_responses", exchange=exchange, taken=str(taken).lower())
+        self._log.note(
+            EventKind.UNMATCHED_RESPONSE,
+            server=server.incarnation,
+            exchange=exchange,
+            status=head.status,
+            id=(find(head.headers, self._names.request_id) or b"").decode("latin-1"),
+            named=(find(head.headers, self._names.incarnation) or b"").decode("latin-1"),
+            taken=taken,
+        )
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -21,6 +21,7 @@
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.links import Links
 from cloverhook.gateway.notice_recorder import NoticeRecorder
+from cloverhook.gateway.response_matching import ResponseMatcher
 from cloverhook.gateway.server_load import LoadTable
 from cloverhook.gateway.store import MemoryStore
 from features import gateway_fleet as fleet
@@ -202,6 +203,7 @@
             True,
             fleet.NAMES,
             Mock(spec=NoticeRecorder),
+            Mock(spec=ResponseMatcher),
             Mock(spec=Links),
             Mock(spec=CrashDetector),
             None,
