Don't read a failure that names no request as the response to a request

A status of 500 or more without an identifier was passed on as the response, so a 503 promised that a request had not run which its endpoint then ran; a caller could also get a failure meant for another exchange.

Change: a response that names the endpoint and no request is that to a probe and is skipped. A failure that names neither ends the exchange as an invalid response: a request that may run once is answered 502, which promises nothing, and another one is retried. Waiting for a second response instead would hold requests until their deadline where a failure comes without an identifier. A 421 without an identifier counts as before: it answers only requests, and the process behind a connection doesn't change.

Rows that failed before the change: 503 and 500 of the health path (503 and 500 where the endpoint's own 200 is expected), 503 and 500 that name neither (503 and 500 where 502 is expected). The scenario of a read passed before too.

--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -279,7 +279,11 @@
         head = RequestHead(request.method, request.target, headers, request.has_body)
         matches = self._matcher.for_request(self.choice.server, self._request_id)
         self.sent = True
-        return await connection.send(head, request.body, matches_request=matches)
+        response = await connection.send(head, request.body, matches_request=matches)
+        if response.status != MISDIRECTED_REQUEST and self._matcher.is_unidentified(response):
+            connection.close()
+            raise UpstreamError("the response names no request", sent=True, bad_answer=True)
+        return response
 
     def _record_notice(self, head: AnswerHead) -> EndpointNotice:
         """Record what the endpoint states about itself, unless another incarnation has answered."""
--- a/cloverhook/gateway/response_matching.py
+++ b/cloverhook/gateway/response_matching.py
@@ -2,7 +2,8 @@
 
 Layer: transport.  An endpoint may send a response a second time, in place of the next one on the
 connection.  The order of the responses therefore doesn't show what each of them answers; the
-request identifier does, which an endpoint repeats in the response to a request.
+request identifier does, which an endpoint repeats in the response to a request.  The response to a
+probe names the endpoint instead.
 """
 
 from collections.abc import Callable
@@ -20,7 +21,7 @@
 
 
 class ResponseMatcher:
-    """Decides which responses belong to an exchange, and records those in doubt."""
+    """Decides which responses belong to an exchange, and records the others."""
 
     def __init__(self, names: CallHeaders, log: EventLog, counters: Counters) -> None:
         self._names = names
@@ -28,15 +29,18 @@
         self._counters = counters
 
     def for_request(self, server: BackendServer, request_id: bytes) -> Callable[[AnswerHead], bool]:
-        """Return the check whether a response belongs to a request."""
+        """Return the check whether a response ends the exchange of a request.
+
+        An unidentified failure does: it may be the response, and waiting for another one could take
+        until the deadline.  `is_unidentified` tells that it must not be read as the response.
+        """
 
         def matches(head: AnswerHead) -> bool:
-            named = find(head.headers, self._names.request_id)
-            if named == request_id:
+            if find(head.headers, self._names.request_id) == request_id:
+                return True
+            if self._is_misdirected(head):
                 return True
-            taken = named is None and (
-                head.status >= FAILURE_STATUS_MIN or head.status == MISDIRECTED_REQUEST
-            )
+            taken = self.is_unidentified(head) and head.status >= FAILURE_STATUS_MIN
             self._record(server, head, "request", taken)
             return taken
 
@@ -53,6 +57,22 @@
 
         return matches
 
+    def is_unidentified(self, head: AnswerHead) -> bool:
+        """Return whether a response names neither a request nor, like one to a probe, the endpoint.
+
+        It doesn't show that any particular request has ended, or has not run.
+        """
+        names = self._names
+        return not (find(head.headers, names.request_id) or find(head.headers, names.incarnation))
+
+    def _is_misdirected(self, head: AnswerHead) -> bool:
+        """Return whether an endpoint says that it is not the one that the request is for.
+
+        This answers only requests, and holds for all of them on a connection.
+        """
+        named = find(head.headers, self._names.request_id)
+        return named is None and head.status == MISDIRECTED_REQUEST
+
     def _record(self, server: BackendServer, head: AnswerHead, exchange: str, taken: bool) -> None:
         self._counters.add("unmatched_responses", exchange=exchange, taken=str(taken).lower())
         self._log.note(
--- a/features/gateway_responses.feature
+++ b/features/gateway_responses.feature
@@ -9,3 +9,26 @@
     When a caller writes twice, so that a load probe precedes the second write
     Then both writes are answered 200 and ran once each
     And the response that came twice is counted and logged as not taken for the probe
+
+  Scenario Outline: A failure that names no request doesn't promise that a request has not run
+    # Guards against a failure that the endpoint sent for something else, such as a probe, read as
+    # the response to a request that runs.
+    Given a gateway without scheduled probes, whose log is kept, and 1 backend servers
+    And it sends a <status> <source> ahead of its response to a request
+    When a caller writes
+    Then the answer is <answer>
+    And the request ran 1 times
+
+    Examples:
+      | status | source                      | answer |
+      | 503    | of its health path          | 200    |
+      | 500    | of its health path          | 200    |
+      | 503    | that names neither of them  | 502    |
+      | 500    | that names neither of them  | 502    |
+
+  Scenario: A request that may be repeated is sent elsewhere after a failure that names no request
+    # Guards against a failure of something else that is passed on to a caller.
+    Given a gateway without scheduled probes, whose log is kept, and 2 backend servers
+    And the first to be asked sends a 503 that names neither of them ahead of its response to a request
+    When a caller reads
+    Then the answer is 200, whole and its own
--- a/features/steps/gateway_response_steps.py
+++ b/features/steps/gateway_response_steps.py
@@ -61,6 +61,34 @@
     backend.before_probe_response = repeat
 
 
+def send_ahead(context, status, names_endpoint):
+    """Have the first endpoint that gets a request send another response ahead of its own."""
+    asked = []
+
+    def send(backend, _):
+        if not asked:
+            asked.append(backend)
+            (writer,) = backend.writers
+            backend._write(writer, status, b"", incarnation=names_endpoint)
+
+    for backend in context.backends:
+        backend.on_request = send
+
+
+@given("it sends a {status:d} of its health path ahead of its response to a request")
+def step_probe_response_ahead(context, status):
+    send_ahead(context, status, names_endpoint=True)
+
+
+@given("it sends a {status:d} that names neither of them ahead of its response to a request")
+@given(
+    "the first to be asked sends a {status:d} that names neither of them ahead of its response to "
+    "a request"
+)
+def step_unnamed_response_ahead(context, status):
+    send_ahead(context, status, names_endpoint=False)
+
+
 @when("a caller writes twice, so that a load probe precedes the second write")
 def step_write_twice(context):
     async def write_twice():
