Close the connection of an attempt whose complete response can't be used

After a complete response without a receipt, or a cancellation just as the response ended, the connection was neither closed nor returned to the pool. It counted as open until the endpoint closed it; with enough of them, "all connections are in use" or the endpoint's own limit is reached.

--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -159,7 +159,7 @@
         started_ms = monotonic_ms()
         self.progress_at_start_ms = load.expected_progress_ms(started_ms)
         connection: UpstreamConnection | None = None
-        still_in_use = False
+        kept = False
         try:
             left_ms = self._deadline_ms - started_ms
             connection = await pool.acquire(server, limit, self._idempotent, left_ms)
@@ -189,9 +189,9 @@
                 )
             if not result.failed:
                 self._notices.record_success(server, notice, sent_ms)
-            still_in_use = result.answer is not None and result.answer.remaining_body is not None
-            if not still_in_use:
+            if result.answer is None or result.answer.remaining_body is None:
                 pool.release(server, connection, head)
+            kept = True
         except UpstreamError as error:
             self.broken = True
             if isinstance(error, ConnectError):
@@ -209,7 +209,7 @@
             crashed = may_have_crashed and await self._crashes.has_crashed(server)
             result = replace(result, server_failed=self.sent and not stale, crashed=crashed)
         finally:
-            if connection is not None and not still_in_use and not connection.usable:
+            if connection is not None and not kept and self._declined is None:
                 connection.close()
         if self._declined is not None:
             pool.release(server, connection, self._declined)
--- a/features/gateway_responses.feature
+++ b/features/gateway_responses.feature
@@ -32,3 +32,11 @@
     And the first to be asked sends a 503 that names neither of them ahead of its response to a request
     When a caller reads
     Then the answer is 200, whole and its own
+
+  Scenario: The connection of a response that can't be used is closed
+    # Guards against connections that nobody uses or closes, until an endpoint accepts no more.
+    Given a gateway without scheduled probes, whose log is kept, and 1 backend servers
+    And the first backend server to be asked does no-receipt
+    When a caller writes
+    Then the answer is 502
+    And the gateway has no connection open but those kept for use
--- a/features/steps/gateway_response_steps.py
+++ b/features/steps/gateway_response_steps.py
@@ -113,3 +113,10 @@
     lines = [json.loads(line) for line in context.log_lines if b"unmatched-response" in line]
     (line,) = [item for item in lines if item["exchange"] == "probe"]
     assert (line["id"], line["server"], line["taken"]) == ("w-1", "i-0", False), line
+
+
+@then("the gateway has no connection open but those kept for use")
+def step_no_other_connection(context):
+    pool = gateway_of(context)._pool
+    idle = sum(len(connections) for connections in pool._idle.values())
+    assert pool.open_count == idle, (pool.open_count, idle)
