Don't pass on a 503 or 429 for a request that may have run

Only the header that marks a response as not run states that; an endpoint may answer 503 or 429 after it has begun to work. Such a status was passed on, and callers conclude from it (as from 408 and 421) that the request has not run, and send it again.

Change: without the statement, such a response ends the attempt as invalid, and the caller of a request that may run once is answered 502, which promises nothing.

Rows that failed before the change: a 503 and a 429 of an endpoint that has run the request reached the caller (502 expected).

--- a/cloverhook/gateway/attempt.py
+++ b/cloverhook/gateway/attempt.py
@@ -43,6 +43,8 @@
 GATEWAY_TIMEOUT = 504
 """The status for a request whose deadline has passed, which isn't counted as a failure of the
 endpoint: the caller may have set too short a deadline."""
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+"""Statuses from which a caller concludes that its request has not run."""
 STALE_RESET_MS = 20.0
 """A reset this soon after the send shows that the peer had already dropped the idle connection."""
 LOAD_MAX_AGE_MS = 15.0
@@ -317,6 +319,9 @@
                 head.status,
                 refused_with_free_slot=head.status != MISDIRECTED_REQUEST and self._has_room(head),
             )
+        if head.status in NOT_RUN_STATUSES and not self._idempotent:
+            reason = f"status {head.status} without the statement that the request did not run"
+            raise UpstreamError(reason, sent=True, bad_answer=True)
         if head.status < 300 and find(head.headers, names.receipt) is None:
             raise UpstreamError("successful response without a receipt", sent=True, bad_answer=True)
         remaining_body = None
--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -32,6 +32,8 @@
 UNSAFE = "/write/"
 RECEIPT = "stamp"
 SLOTS = 4
+STATUSES = {"error": 500, "unavailable-ran": 503, "too-many-ran": 429}
+"""The status of the response to a request that has run; 200 for other outcomes."""
 WAIT_S = 20
 NAMES = CallHeaders()
 FIRST_LOCK_PORT = 9_900
@@ -263,7 +265,7 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
                 writer.transport.abort()
             return False
-        status = {"error": 500, "no-receipt": 200}.get(outcome, 200)
+        status = STATUSES.get(outcome, 200)
         receipt = outcome != "no-receipt"
         self._write(writer, status, self.make_body(self, request_id), request_id, receipt=receipt)
         return True
--- a/features/gateway_responses.feature
+++ b/features/gateway_responses.feature
@@ -40,3 +40,17 @@
     When a caller writes
     Then the answer is 502
     And the gateway has no connection open but those kept for use
+
+  Scenario Outline: A rejection that doesn't state that the request has not run is not passed on
+    # Guards against a status that promises that the request has not run, although it may have.
+    Given a gateway without scheduled probes, whose log is kept, and 1 backend servers
+    And the first backend server to be asked does <what>
+    When a caller writes
+    Then the answer is <answer>
+    And the request ran <runs> times
+
+    Examples:
+      | what            | answer | runs |
+      | unavailable-ran | 502    | 1    |
+      | too-many-ran    | 502    | 1    |
+      | reject          | 503    | 0    |
