Log the requests that the end of a planned stop breaks off

The log had only "stopped" with in_flight=5, which can't tell apart:

Requests accepted after SIGTERM that need longer than the stop goes on. 2. Requests accepted before SIGTERM that are very long. 3. Attempts or retries begun late in the stop for requests that arrived early. 4. An end of the process before the planned end.

A line broken-off now names each request, its age, the time that it had left and where it was, and the counter cloverhook_gateway_broken_off counts them by service.

--- a/cloverhook/gateway/counters.py
+++ b/cloverhook/gateway/counters.py
@@ -21,6 +21,7 @@
     "backoffs": "endpoints that have asked this gateway for a time without requests",
     "backoffs_requested": "rejected requests with such a time",
     "invalid_headers": "headers of endpoints that were ignored because of an invalid value",
+    "broken_off": "requests in progress that the end of a planned stop broke off, by service",
     "unmatched_responses": "responses that don't name the request for which they were read, by "
     "exchange and by whether they were taken for its response",
     "requests_suspected": "keys of requests that crashed endpoints and were not answered since",
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -328,6 +328,7 @@
     async def run_until_stopped(self) -> None:
         """Serve until a planned stop has ended, and then release all resources."""
         await self._stopped.wait()
+        self._forwarder.record_broken_off()
         for task in self._tasks:
             task.cancel()
         self._follower.stop("stopping")
--- a/cloverhook/gateway/event_log.py
+++ b/cloverhook/gateway/event_log.py
@@ -38,6 +38,7 @@
     STARTED = "started", 5
     STOPPING = "stopping", 5
     STOPPED = "stopped", 5
+    BROKEN_OFF = "broken-off", 30
     RELOADED = "reloaded", 5
     READY = "ready", 5
     STORE = "store", 10
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -129,6 +129,7 @@
         )
         self._round_robin = WeightedRoundRobin()
         self._running: dict[str, set[RequestState]] = {}
+        self._in_progress: set[RequestState] = set()
 
     def slowdown_changed(self, incarnation: str) -> None:
         """Recheck for hedging the requests sent to a backend server just before it became slow."""
@@ -147,6 +148,12 @@
         for state in self._running.get(incarnation, ()):
             state.request_recheck()
 
+    def record_broken_off(self) -> None:
+        """Record the requests in progress, which end with this process."""
+        now_ms = monotonic_ms()
+        for state in self._in_progress:
+            self._report.record_broken_off(state, now_ms)
+
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Return the response to a request; an exception is logged and gives an internal error."""
         try:
@@ -200,12 +207,14 @@
     async def forward(self, state: RequestState) -> CallerAnswer:
         """Forward a request that has a route, and return the response; log and count its end."""
         self._retry_budget.count_request(state.service, monotonic_ms())
+        self._in_progress.add(state)
         try:
             answer = await self._forward(state)
         except asyncio.CancelledError:
             self._report.record_end(state, error_answer(ErrorKind.CALLER_GONE))
             raise
         finally:
+            self._in_progress.discard(state)
             for task, attempt in state.tasks.items():
                 task.cancel()
                 if isinstance(attempt, Attempt):
--- a/cloverhook/gateway/request_report.py
+++ b/cloverhook/gateway/request_report.py
@@ -147,6 +147,22 @@
             **self._confirmed_ages(now_ms),
         )
 
+    def record_broken_off(self, state: RequestState, now_ms: float) -> None:
+        """Count and log a request that is still in progress when a planned stop ends."""
+        self._counters.add("broken_off", service=state.service)
+        servers = [item.choice.server.incarnation for item in state.attempts if item.sent]
+        self._log.note(
+            EventKind.BROKEN_OFF,
+            id=_text(state.request_id),
+            route=state.route.name,
+            service=state.service,
+            proxied_for=state.proxied_for,
+            servers=servers,
+            proxies=[item.vm for item in state.proxied if item.sent],
+            age_ms=round(now_ms - state.request.arrived_ms),
+            left_ms=round(state.deadline_ms - now_ms),
+        )
+
     def log_starved_accounts(self, now_ms: float) -> None:
         """Log the accounts that have become starved, or are served again."""
         for change in self._starvation.check(now_ms):
