Begin no request late in a planned stop that its end may break off

Cause: a stopping gateway accepts callers for 0.55 of the stop, as they keep its address for a while, and breaks off what is in progress 0.8 s before its end. Nothing compared the time that is left with the time that a request may take.

Change: a request begins, or is sent once more, only if its deadline comes before that end; so nothing that begins after SIGTERM can be broken off, whatever its endpoint does. Others get 503 stopping at once, with a Retry-After of 5 to 30 ms, as another gateway can serve them at once. The check stands where a request arrives (callers' and other gateways' ones), where it enters the queue, before each send, retry, hedged attempt and proxied attempt; what waits in the queue at SIGTERM is checked then. The times and the decision are in planned_stop, without input or output.

Weighed: how long requests of the route usually take. It would refuse fewer requests of routes with timeouts of more than 5 s (of a stop of 6 s), but a response later than usual would be broken off.

--- a/cloverhook/gateway/admission.py
+++ b/cloverhook/gateway/admission.py
@@ -54,6 +54,14 @@
                 self._release(future.result())
             raise
 
+    def reject(self, is_unfit: Callable[[QueuedRequest], bool]) -> None:
+        """Reject the queued requests for which `is_unfit` returns True."""
+        for queued, future in tuple(self._futures.items()):
+            if is_unfit(queued) and not future.done():
+                self._queue.remove(queued)
+                del self._futures[queued]
+                future.set_result(None)
+
     def admit_ready(self, service: str) -> None:
         """Start or reject the queued requests of a service that are due for a decision."""
         while (decision := self._queue.next(service, monotonic_ms())) is not None:
--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -37,6 +37,7 @@
 from cloverhook.gateway.notice_recorder import NoticeRecorder
 from cloverhook.gateway.peer_messages import Identity
 from cloverhook.gateway.peering import Peering
+from cloverhook.gateway.planned_stop import PlannedStop
 from cloverhook.gateway.probe_schedule import GROUP_SIZE, STARTUP_DELAY_MS, ProbeSchedule
 from cloverhook.gateway.prober import Prober
 from cloverhook.gateway.proxied_forwarding import ProxiedForwarder
@@ -65,12 +66,6 @@
 SWEEP_MS = 1_000.0
 FIRST_START_MS = 6_000.0
 """When a whole fleet starts, one VM reads the store for all within this time."""
-ACCEPT_FRACTION = 0.55
-"""The fraction of a planned stop during which callers that still use an older directory response
-are accepted."""
-SHUTDOWN_RESERVE_MS = 800.0
-"""Requests that still run this long before the end of a planned stop are abandoned: a slow VM
-needs this time to exit."""
 
 DirectoryHandler = Callable[[CallerRequest, list[str], float], CallerAnswer]
 
@@ -177,6 +172,7 @@
             self._counters,
         )
         self._pool = BackendPool()
+        self._planned_stop = PlannedStop()
         notices = NoticeRecorder(
             self._peering.drain_updates,
             self._peering.backoff_updates,
@@ -277,6 +273,7 @@
             proxying,
             config_gate,
             self._peering.allotment_updates,
+            self._planned_stop,
             report,
         )
         proxied_forwarder = ProxiedForwarder(
@@ -345,6 +342,7 @@
         """Begin a planned stop; a second call has no effect."""
         if not self._stopping:
             self._stopping = self._announcer.leaving = True
+            self._planned_stop.begin(monotonic_ms(), self._settings.stop_s * 1000)
             self._log.note(EventKind.STOPPING, in_flight=self._caller_ingress.in_flight())
             self._tasks.append(asyncio.create_task(self._shut_down()))
 
@@ -366,23 +364,20 @@
     async def _shut_down(self) -> None:
         """Send callers to other VMs, serve those that still come, and stop once all are answered.
 
-        The listener stays open for `ACCEPT_FRACTION` of the planned stop.  Requests that still run
-        `SHUTDOWN_RESERVE_MS` before its end are abandoned.
+        `PlannedStop` has the times, and decides which requests may still begin.
         """
-        stop_ms = self._settings.stop_s * 1000
-        started_ms = monotonic_ms()
+        stop = self._planned_stop
+        self._forwarder.admission.reject(lambda queued: not stop.allows(queued.deadline_ms))
         self._caller_ingress.start_draining()
         self._proxy_server.accepting = False
         self._peering.leaving = True
         self._peering.ready = False
         self._peering.send_heartbeat()
-        accept_ms = started_ms + stop_ms * ACCEPT_FRACTION
-        while monotonic_ms() < accept_ms:
+        while monotonic_ms() < stop.accepts_until_ms:
             await asyncio.sleep(TICK_MS / 1000)
         self._caller_ingress.close_listener()
         self._caller_ingress.close_idle()
-        end_ms = started_ms + stop_ms - SHUTDOWN_RESERVE_MS
-        while self._is_unfinished() and monotonic_ms() < end_ms:
+        while self._is_unfinished() and monotonic_ms() < stop.end_ms:
             await asyncio.sleep(TICK_MS / 1000)
             self._caller_ingress.close_idle()
         self._peering.allotment_updates.send_end(monotonic_ms())
--- a/cloverhook/gateway/final_answer.py
+++ b/cloverhook/gateway/final_answer.py
@@ -31,7 +31,10 @@
 """The same while no endpoint is reached: by then the links have been checked again."""
 OUTDATED_RETRY_AFTER_MS = (100.0, 300.0)
 """The same while a newer configuration is on its way to this VM."""
+STOPPING_RETRY_AFTER_MS = (5.0, 30.0)
+"""The same while this gateway stops: another one can serve the request at once."""
 RETRY_AFTER_BY_KIND_MS = {
+    ErrorKind.STOPPING: STOPPING_RETRY_AFTER_MS,
     ErrorKind.OUTDATED: OUTDATED_RETRY_AFTER_MS,
     ErrorKind.UNREACHABLE: UNREACHABLE_RETRY_AFTER_MS,
     ErrorKind.BACKING_OFF: BACKOFF_RETRY_AFTER_MS,
@@ -44,15 +47,22 @@
 
 
 def final_error_kind(
-    state: RequestState, late: bool, known: bool, unavailable: ErrorKind | None
+    state: RequestState,
+    late: bool,
+    known: bool,
+    unavailable: ErrorKind | None,
+    stopping: bool = False,
 ) -> ErrorKind:
     """Return why a request ends without a response from a backend server.
 
     `late` means that its deadline has passed, `known` that its service has any endpoints, and
-    `unavailable` is why none of them takes requests of this VM at present, if that is so.
+    `unavailable` is why none of them takes requests of this VM at present, if that is so, and
+    `stopping` that this gateway stops before the deadline.
     """
     if state.possible_executions:
         return ErrorKind.DEADLINE_IN_RUN if late else ErrorKind.CONNECTION_CUT
+    if stopping:
+        return ErrorKind.STOPPING
     if state.quarantine_left_ms > 0.0:
         return ErrorKind.QUARANTINED
     if unavailable is ErrorKind.BACKING_OFF:
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -29,6 +29,7 @@
 from cloverhook.gateway.gateway_state import GatewayState
 from cloverhook.gateway.links import Links
 from cloverhook.gateway.notice_recorder import NoticeRecorder
+from cloverhook.gateway.planned_stop import PlannedStop
 from cloverhook.gateway.proxying import Proxying
 from cloverhook.gateway.quarantine_updates import QuarantineUpdates
 from cloverhook.gateway.rate_limit_updates import RateLimitUpdates
@@ -95,6 +96,7 @@
         proxying: Proxying,
         config_gate: ConfigGate,
         allotment_updates: AllotmentUpdates,
+        planned_stop: PlannedStop,
         report: RequestReport,
     ) -> None:
         """`vms` returns the size of the fleet, `dispatchers` how many VMs have requests in flight.
@@ -120,6 +122,7 @@
         self._proxying = proxying
         self._config_gate = config_gate
         self._allotment_updates = allotment_updates
+        self._planned_stop = planned_stop
         self._report = report
         self._estimates = estimates
         self.admission = Admission(
@@ -249,6 +252,8 @@
 
     async def _start_first(self, state: RequestState) -> bool:
         """Start the first attempt of a request; return False if it is rejected."""
+        if not self._ends_before_stop(state):
+            return False
         if await self._try_proxy(state):
             return True
         if not await self._passes_quarantine(state):
@@ -294,6 +299,8 @@
         """
         if not self._is_out_of_reach(state) or not self._proxying.may_start(state):
             return False
+        if not self._ends_before_stop(state):
+            return False
         vm = await self._proxying.choose(state)
         now_ms = monotonic_ms()
         if vm is None:
@@ -310,6 +317,10 @@
         state.proxied.append(proxied)
         return True
 
+    def _ends_before_stop(self, state: RequestState) -> bool:
+        """Return whether the deadline of a request comes before the end of a planned stop."""
+        return self._planned_stop.allows(state.deadline_ms)
+
     def _is_out_of_reach(self, state: RequestState) -> bool:
         """Return whether this VM reaches none of the endpoints for a request."""
         eligibility = self._balancer.eligibility
@@ -434,6 +445,8 @@
             queued_request.weight = 1.0 if account is None else account.rate_per_s or 1.0
             queued_request.over_share_is_last = account is None or account.priority is None
         added_ms = monotonic_ms()
+        if not self._ends_before_stop(state):
+            return None  # The stop has begun while the request was in quarantine.
         choice = await self.admission.wait(queued_request)
         if queued_request.waits_late:
             self._report.record_queue_wait(state, monotonic_ms() - added_ms)
@@ -511,6 +524,8 @@
         reason = self._balancer.eligibility.reason_not_to_send(server, monotonic_ms())
         if reason:
             return reason
+        if not self._ends_before_stop(state):
+            return "the planned stop ends before the request's deadline"
         if not self._quarantine_updates.try_begin_send(state.keys):
             return "endpoints crashed while they ran requests with this content"
         known = self._quarantine_updates.quarantine.crash_counts(state.keys)
@@ -544,6 +559,8 @@
         """Return whether the request may be retried after a failure."""
         if len(state.attempts) >= ATTEMPTS_LIMIT or state.tasks:
             return False
+        if not self._ends_before_stop(state):
+            return False
         if state.possible_executions == 0:
             return True
         return state.route.idempotent and state.possible_executions < state.attempts_allowed
@@ -564,6 +581,7 @@
             and len(state.tasks) == 1
             and len(state.attempts) < ATTEMPTS_LIMIT
             and state.possible_executions < state.attempts_allowed
+            and self._ends_before_stop(state)
             and not any(self._quarantine_updates.quarantine.crash_counts(state.keys))
         )
 
@@ -596,7 +614,8 @@
         eligibility, regions = self._balancer.eligibility, state.route.regions
         now_ms = monotonic_ms()
         unavailable = eligibility.why_unavailable(state.service, now_ms, regions=regions)
-        kind = final_error_kind(state, late, known, unavailable)
+        stopping = not self._ends_before_stop(state)
+        kind = final_error_kind(state, late, known, unavailable, stopping)
         unavailable_ms = state.quarantine_left_ms
         if kind is ErrorKind.OVERLOADED:
             unavailable_ms = state.queue_left_ms
