Begin idempotent requests early in a planned stop if they are expected to end in it

The commit before rejected each request whose deadline comes after the end of the stop, also where most of the stop is left: "A planned stop cuts nothing" was red with it (a read with a timeout of 2 s that takes 0.4 s, in a stop of 2 s, got 503, and so did one that waited for a slot at SIGTERM).

Now an idempotent request also begins within the first 0.3 of the stop, 3 s at most, if twice its expected time fits into what is left. One that takes much longer than expected may still be broken off, and its caller can send it again; a request that may run once never is.

--- a/cloverhook/gateway/daemon.py
+++ b/cloverhook/gateway/daemon.py
@@ -367,7 +367,7 @@
         `PlannedStop` has the times, and decides which requests may still begin.
         """
         stop = self._planned_stop
-        self._forwarder.admission.reject(lambda queued: not stop.allows(queued.deadline_ms))
+        self._forwarder.begin_stop()
         self._caller_ingress.start_draining()
         self._proxy_server.accepting = False
         self._peering.leaving = True
--- a/cloverhook/gateway/final_answer.py
+++ b/cloverhook/gateway/final_answer.py
@@ -57,7 +57,7 @@
 
     `late` means that its deadline has passed, `known` that its service has any endpoints, and
     `unavailable` is why none of them takes requests of this VM at present, if that is so, and
-    `stopping` that this gateway stops before the deadline.
+    `stopping` that a planned stop leaves too little time for the request.
     """
     if state.possible_executions:
         return ErrorKind.DEADLINE_IN_RUN if late else ErrorKind.CONNECTION_CUT
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -151,6 +152,15 @@
         for state in self._running.get(incarnation, ()):
             state.request_recheck()
 
+    def begin_stop(self) -> None:
+        """Reject the queued requests for which a planned stop leaves too little time."""
+        now_ms = monotonic_ms()
+        self.admission.reject(
+            lambda queued: not self._planned_stop.allows(
+                now_ms, queued.deadline_ms, queued.work_ms if queued.retryable else math.inf
+            )
+        )
+
     def record_broken_off(self) -> None:
         """Record the requests in progress, which end with this process."""
         now_ms = monotonic_ms()
@@ -252,7 +262,7 @@
 
     async def _start_first(self, state: RequestState) -> bool:
         """Start the first attempt of a request; return False if it is rejected."""
-        if not self._ends_before_stop(state):
+        if not self._fits_planned_stop(state):
             return False
         if await self._try_proxy(state):
             return True
@@ -299,7 +309,7 @@
         """
         if not self._is_out_of_reach(state) or not self._proxying.may_start(state):
             return False
-        if not self._ends_before_stop(state):
+        if not self._fits_planned_stop(state):
             return False
         vm = await self._proxying.choose(state)
         now_ms = monotonic_ms()
@@ -317,9 +327,13 @@
         state.proxied.append(proxied)
         return True
 
-    def _ends_before_stop(self, state: RequestState) -> bool:
-        """Return whether the deadline of a request comes before the end of a planned stop."""
-        return self._planned_stop.allows(state.deadline_ms)
+    def _fits_planned_stop(self, state: RequestState) -> bool:
+        """Return whether a planned stop, if one has begun, leaves enough time for a request."""
+        route = state.route
+        work_ms = self._estimates.work_ms(route.name, route.aim_ms)
+        return self._planned_stop.allows(
+            monotonic_ms(), state.deadline_ms, work_ms if route.idempotent else math.inf
+        )
 
     def _is_out_of_reach(self, state: RequestState) -> bool:
         """Return whether this VM reaches none of the endpoints for a request."""
@@ -445,7 +459,7 @@
             queued_request.weight = 1.0 if account is None else account.rate_per_s or 1.0
             queued_request.over_share_is_last = account is None or account.priority is None
         added_ms = monotonic_ms()
-        if not self._ends_before_stop(state):
+        if not self._fits_planned_stop(state):
             return None  # The stop has begun while the request was in quarantine.
         choice = await self.admission.wait(queued_request)
         if queued_request.waits_late:
@@ -524,8 +538,8 @@
         reason = self._balancer.eligibility.reason_not_to_send(server, monotonic_ms())
         if reason:
             return reason
-        if not self._ends_before_stop(state):
-            return "the planned stop ends before the request's deadline"
+        if not self._fits_planned_stop(state):
+            return "the planned stop leaves too little time for the request"
         if not self._quarantine_updates.try_begin_send(state.keys):
             return "endpoints crashed while they ran requests with this content"
         known = self._quarantine_updates.quarantine.crash_counts(state.keys)
@@ -559,7 +573,7 @@
         """Return whether the request may be retried after a failure."""
         if len(state.attempts) >= ATTEMPTS_LIMIT or state.tasks:
             return False
-        if not self._ends_before_stop(state):
+        if not self._fits_planned_stop(state):
             return False
         if state.possible_executions == 0:
             return True
@@ -581,7 +595,7 @@
             and len(state.tasks) == 1
             and len(state.attempts) < ATTEMPTS_LIMIT
             and state.possible_executions < state.attempts_allowed
-            and self._ends_before_stop(state)
+            and self._fits_planned_stop(state)
             and not any(self._quarantine_updates.quarantine.crash_counts(state.keys))
         )
 
@@ -614,7 +628,7 @@
         eligibility, regions = self._balancer.eligibility, state.route.regions
         now_ms = monotonic_ms()
         unavailable = eligibility.why_unavailable(state.service, now_ms, regions=regions)
-        stopping = not self._ends_before_stop(state)
+        stopping = not self._fits_planned_stop(state)
         kind = final_error_kind(state, late, known, unavailable, stopping)
         unavailable_ms = state.quarantine_left_ms
         if kind is ErrorKind.OVERLOADED:
--- a/features/gateway_stop.feature
+++ b/features/gateway_stop.feature
@@ -13,11 +13,12 @@
     Then the answer is <status>, and <runs> requests have run
 
     Examples:
-      | method | limit | status | runs |
-      | read   | 60    | 503    | 0    |
-      | write  | 60    | 503    | 0    |
-      | read   | 20    | 200    | 1    |
-      | write  | 20    | 200    | 1    |
+      | method     | limit | status | runs |
+      | read       | 60    | 503    | 0    |
+      | write      | 60    | 503    | 0    |
+      | read       | 20    | 200    | 1    |
+      | write      | 20    | 200    | 1    |
+      | short read | 60    | 200    | 1    |
 
   Scenario: A request that waits for a slot and may be broken off is rejected as the stop begins
     # Guards against a wait in the queue that ends too late for the request, or not at all.
@@ -44,16 +45,24 @@
     Then the write is answered 503 and has not run
 
   Scenario Outline: What a planned stop accepts
-    # Guards against a stop that ends before the deadline of a request that it has accepted.
+    # Guards against a stop that ends before the deadline of a request that it has accepted late, and
+    # against rejections early in a stop of requests that end long before it does.
     Given a planned stop of <stop> s that has begun
-    Then a request <after> s later with a timeout of <timeout> s is <decision>
+    Then a <kind> that is expected to take <work> s, sent <after> s later with a timeout of <timeout> s, is <decision>
 
     Examples:
-      | stop | after | timeout | decision |
-      | 6    | 0     | 5       | accepted |
-      | 6    | 0.2   | 5       | rejected |
-      | 6    | 3.2   | 1.5     | accepted |
-      | 6    | 3.2   | 2       | rejected |
-      | 10   | 3     | 6       | accepted |
-      | 10   | 5.4   | 3       | accepted |
-      | 10   | 5.4   | 4       | rejected |
+      | stop | kind  | work | after | timeout | decision |
+      | 6    | write | 0.4  | 0     | 5       | accepted |
+      | 6    | write | 0.4  | 0.2   | 5       | rejected |
+      | 6    | write | 2    | 3.2   | 1.5     | accepted |
+      | 6    | write | 0.4  | 3.2   | 2       | rejected |
+      | 6    | read  | 0.4  | 0.2   | 5       | accepted |
+      | 6    | read  | 0.4  | 1.7   | 5       | accepted |
+      | 6    | read  | 2    | 1.7   | 5       | rejected |
+      | 6    | read  | 0.4  | 1.9   | 5       | rejected |
+      | 6    | read  | 0.4  | 3.1   | 5       | rejected |
+      | 10   | read  | 0.4  | 2.9   | 9       | accepted |
+      | 10   | read  | 0.4  | 3.1   | 9       | rejected |
+      | 10   | write | 0.4  | 3     | 6       | accepted |
+      | 10   | write | 0.4  | 5.4   | 4       | rejected |
+      | 30   | read  | 0.4  | 3.1   | 60      | rejected |
--- a/features/steps/gateway_stop_steps.py
+++ b/features/steps/gateway_stop_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 
 from behave import given, then, when
 
@@ -15,6 +16,14 @@
 LONG_TIMEOUT_MS = 60_000
 
 
+CALLS = {
+    "read": ("GET", "/long-read/"),
+    "write": ("POST", "/long-write/"),
+    "short read": ("GET", "/short-read/"),
+}
+"""The method and path of each kind of call."""
+
+
 def gateway_of(context):
     """Return the first gateway."""
     return context.gateways[0][0]
@@ -35,7 +44,10 @@
 
 
 async def start(context, stop_s, count, **fields):
-    """Start a gateway whose log is kept, and backend servers; routes have a long timeout."""
+    """Start a gateway whose log is kept, and backend servers.
+
+    All further routes have a long timeout, and all but `short-read` a long objective.
+    """
     context.log_lines = []
 
     def keep(data):
@@ -45,6 +57,7 @@
     await fleet.start_fleet(context, count, stop_s=stop_s, write_log=keep, **fields)
     times = {"timeout_ms": LONG_TIMEOUT_MS, "aim_ms": LONG_TIMEOUT_MS}
     routes = (
+        fleet.route("short-read", "/short-read/", True, timeout_ms=LONG_TIMEOUT_MS),
         fleet.route("long-read", "/long-read/", True, **times),
         fleet.route("long-write", "/long-write/", False, **times),
     )
@@ -83,7 +96,7 @@
 def step_request_in_stop(context, kind, limit_s):
     async def send():
         gateway_of(context).begin_shutdown()
-        method, path = {"read": ("GET", "/long-read/"), "write": ("POST", "/long-write/")}[kind]
+        method, path = CALLS[kind]
         context.answer = await call(context, "late", path, method, limit_s * 1000)
 
     run(context, send())
@@ -196,7 +209,12 @@
     context.planned_stop.begin(0.0, stop_s * 1000)
 
 
-@then("a request {after_s:g} s later with a timeout of {timeout_s:g} s is {decision}")
-def step_decision(context, after_s, timeout_s, decision):
-    allowed = context.planned_stop.allows(1000 * (after_s + timeout_s))
+@then(
+    "a {kind} that is expected to take {work_s:g} s, sent {after_s:g} s later with a timeout of "
+    "{timeout_s:g} s, is {decision}"
+)
+def step_decision(context, kind, work_s, after_s, timeout_s, decision):
+    now_ms = 1000 * after_s
+    expected_ms = 1000 * work_s if kind == "read" else math.inf
+    allowed = context.planned_stop.allows(now_ms, now_ms + 1000 * timeout_s, expected_ms)
     assert allowed == (decision == "accepted")
