Read the body of a request that offers an upgrade

Hypotheses: the reader ends the request at its head, or the attempt drops the body as it writes a length of 0. Evidence: the request that the reader hands over has has_body set and body b""; httptools ends a request at the end of its head where both headers are there, and raises HttpParserUpgrade.

Change: the reader parses the head again without the offer, with a new parser, and reads the body that the head announces; RFC 9110 (7.8) lets a server ignore the offer. The connection closes after the response, as before: its caller may expect another protocol. A CONNECT request is still rejected.

--- a/cloverhook/gateway/request_reader.py
+++ b/cloverhook/gateway/request_reader.py
@@ -50,6 +50,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._rejection: ErrorKind | None = None
         self._ended = False
+        self._offers_upgrade = False
         self.in_message = False
         self.has_dropped_input = False
         self._reset_message()
@@ -95,10 +96,27 @@
     def _feed_piece(self, piece: bytes) -> None:
         try:
             self._parser.feed_data(piece)
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError) as error:
+        except httptools.HttpParserUpgrade as error:
+            (end,) = error.args
+            if not self._ended:
+                self._parse_without_upgrade(piece[end:])
+        except httptools.HttpParserError as error:
             if not self._ended:
                 raise RequestRejectedError(self._rejection or ErrorKind.BAD_REQUEST) from error
 
+    def _parse_without_upgrade(self, rest: bytes) -> None:
+        """Parse a request that offers an upgrade again, without the offer.
+
+        The parser ends such a request at the end of its head and takes the body for the protocol
+        that was offered.  A server that doesn't accept the offer reads the body.
+        """
+        method, version = self._parser.get_method(), self._parser.get_http_version()
+        lines = [b"%b %b HTTP/%b" % (method, self._url, version.encode())]
+        lines += (b"%b: %b" % pair for pair in self._headers if pair[0] != b"upgrade")
+        self._parser = httptools.HttpRequestParser(self)
+        self._offers_upgrade = True
+        self._feed_piece(b"\r\n".join(lines) + HEAD_END + rest)
+
     # Methods that the parser calls.
 
     def on_message_begin(self) -> None:
@@ -141,7 +159,8 @@
         for name, value in self._headers:
             if name == b"expect" and value.lower() == b"100-continue":
                 self.expects_continue = True
-        self._on_head()
+        if not self._parser.should_upgrade():
+            self._on_head()
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, up to the size limit."""
@@ -151,7 +170,11 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        """Hand over the complete request."""
+        """Hand over the complete request, unless it has to be parsed without its upgrade first."""
+        if self._parser.should_upgrade():
+            if self._parser.get_method() == b"CONNECT":
+                self._abort_parsing(ErrorKind.BAD_REQUEST)
+            return
         self.in_message = False
         target = self._url
         if not target.startswith(b"/"):
@@ -170,8 +193,8 @@
             self._caller,
         )
         self._body = []
-        # Upgrades are not supported: what follows such a request may be in any protocol.
-        keep_alive = self._parser.should_keep_alive() and not self._parser.should_upgrade()
+        # A caller that expects the upgrade may send anything behind its request.
+        keep_alive = self._parser.should_keep_alive() and not self._offers_upgrade
         self._ended = not keep_alive
         self._on_request(request, keep_alive)
 
