Soak: endpoints that repeat responses, and what planned stops break off

From seed 8000 on, endpoints report themselves unhealthy and send their last response again in place of that to a probe, requests take up to 0.9 s, planned stops are more frequent, and a request that may run once, is sent after the stop began and runs must be answered.

--- a/features/gateway_fleet.py
+++ b/features/gateway_fleet.py
@@ -112,7 +112,8 @@
     those to probes included, have the header lines `notice_lines`.  The answer `paused` ends only
     when `resume` is set.  A connection that `accepts` returns False for gets no answer.  `on_run`
     is called with the identifier of each request that runs, and `make_body` for the body of its
-    answer.  `before_probe_response` is awaited before the response to each probe.
+    answer.  `before_probe_response` is awaited before the response to each probe;
+    `last_ids` has the identifier of the request answered last on each connection.
     """
 
     incarnation: str
@@ -146,6 +147,7 @@
     )
     accepts: Callable[[asyncio.StreamWriter], bool] = lambda writer: True
     writers: dict = field(default_factory=dict)
+    last_ids: dict = field(default_factory=dict)
 
     async def start(self, context):
         """Listen on a free port until the scenario ends."""
@@ -192,6 +194,7 @@
                 writer.close()
         finally:
             del self.writers[writer]
+            self.last_ids.pop(writer, None)
 
     async def _serve_one(self, reader, writer):
         data = await reader.readuntil(b"\r\n\r\n")
@@ -268,6 +271,7 @@
         status = STATUSES.get(outcome, 200)
         receipt = outcome != "no-receipt"
         self._write(writer, status, self.make_body(self, request_id), request_id, receipt=receipt)
+        self.last_ids[writer] = request_id
         return True
 
     def _write(self, writer, status, body, request_id=b"", **fields):
--- a/features/gateway_soak.feature
+++ b/features/gateway_soak.feature
@@ -20,6 +20,8 @@
       | 5000 |
       | 5002 |
       | 6000 |
+      | 8002 |
+      | 8007 |
 
     Examples: Seeds that have failed; docs/FINDINGS.md says why
       | seed | seen                                            |
--- a/features/gateway_soak.py
+++ b/features/gateway_soak.py
@@ -6,8 +6,10 @@
 and restarted by signals; the store does not answer, rejects requests or loses its history; backend
 servers fail, drain, vanish or pass their address to another incarnation; configurations follow each
 other.  Seeds from 6000 on have client accounts whose keys change, pipelined requests and large
-answers, those from 7000 on accounts with rates.  The checks hold at any speed of the machine, so a
-busy machine does not change the result.
+answers, those from 7000 on accounts with rates.  From 8000 on there are no accounts; requests take
+longer, endpoints send responses again in place of those to probes, and planned stops must break off
+no request that may run once.  The checks hold at any speed of the machine, so a busy machine does
+not change the result.
 """
 
 import asyncio
@@ -39,6 +41,7 @@
 from features.soak_freshness import CONTACT_MS, FreshnessChecks
 from features.soak_links import LinkChecks, LinkCut, Owner, owner_of
 from features.soak_notices import NoticeChecks
+from features.soak_stops import StopChecks
 
 ROOT = Path(features.__file__).resolve().parent.parent
 sys.path.append(str(ROOT / "platform"))
@@ -60,8 +63,11 @@
 FIRST_SEED_WITH_FRESHNESS = 5_000
 FIRST_SEED_WITH_ACCOUNTS = 6_000
 FIRST_SEED_WITH_RATES = 7_000
+FIRST_SEED_WITH_REPEATS = 8_000
 """Seeds below these numbers keep the same choice of faults, so that a seed that once failed still
 reproduces its failure."""
+LONG_WORK_MS = 900.0
+REPEAT_GAP_S = 0.006
 BORN_MS = 1_760_000_000_000
 INVALID_ENTRIES = (b"{}", b"\xff\x00", b"[" * 5_000, b'{"service": 7}', b"null")
 FAILING = ("reject", "reset", "error", "silent", "half", "foreign", "unframed-reset")
@@ -137,6 +143,7 @@
     notices: NoticeChecks = field(default_factory=NoticeChecks)
     links: LinkChecks = field(default_factory=LinkChecks)
     freshness: FreshnessChecks | None = None
+    stops: StopChecks = field(default_factory=StopChecks)
     accounts: AccountChecks | None = None
     """Is None for seeds without client accounts."""
     disturbed: set = field(default_factory=set)
@@ -149,7 +156,7 @@
         self.notices.stalls.start()
         self.stack.callback(self.notices.stalls.stop)
         self.freshness = FreshnessChecks(self.notices.stalls)
-        if self.seed >= FIRST_SEED_WITH_ACCOUNTS:
+        if FIRST_SEED_WITH_ACCOUNTS <= self.seed < FIRST_SEED_WITH_REPEATS:
             self.accounts = AccountChecks(Accounts(self.seed >= FIRST_SEED_WITH_RATES))
         self.store_address = fleet.free_address()
         await self.store.listen(self.store_address)
@@ -229,6 +236,8 @@
         self.backends.append(backend)
         self.put(backend)
         self._observe(backend)
+        if self.seed >= FIRST_SEED_WITH_REPEATS:
+            backend.work_ms = self.source.uniform(0.0, LONG_WORK_MS)
         return backend
 
     def _observe(self, backend):
@@ -466,6 +475,8 @@
             )
         if self.accounts is not None:
             kinds += 4 * (self.keys_change,)
+        if self.seed >= FIRST_SEED_WITH_REPEATS:
+            kinds += 6 * (self.stop_planned, self.backend_repeats_responses)
         kind = self.source.choice(kinds)
         self.faults.append(kind.__name__)
         await kind()
@@ -511,13 +522,17 @@
             self.disturbed.add(gateway.name)
             handled = handles_stop(gateway.process.pid)
             gateway.process.send_signal(signal.SIGTERM)
+            self.stops.record_stop(gateway.identity)
             work = self._replace(gateway, gateway.process, handled)
             self.planned_stops.append(asyncio.ensure_future(work))
 
     async def _replace(self, gateway, process, handled):
+        identity = gateway.identity
         code = await process.wait()
         disturbed = gateway.disturbed
         await self.start(gateway)
+        if disturbed:
+            self.stops.excuse(identity)
         if disturbed or not code or (code == -signal.SIGTERM and not handled):
             return ""  # A process without a handler serves no requests yet, so none was cut off.
         return (
@@ -612,6 +627,21 @@
         if backend.default == "reject":
             backend.default, backend.notice_lines = "ok", ()
 
+    async def backend_repeats_responses(self):
+        """Let a backend server report itself unhealthy, and repeat responses ahead of its reports.
+
+        Each time it sends the last response on the connection again, in place of that to a probe.
+        """
+        backend = self.source.choice(self.backends)
+        backend.unhealthy = True
+
+        async def repeat(writer):
+            if writer in backend.last_ids:
+                backend._write(writer, 200, b"again", backend.last_ids.pop(writer))
+                await asyncio.sleep(REPEAT_GAP_S)
+
+        backend.before_probe_response = repeat
+
     async def backend_vanishes(self):
         """Remove an entry and write it again, as if it had expired in between."""
         backend = self.source.choice(self.backends)
@@ -735,6 +765,7 @@
         ]
         found += self.links.violations(entitled, self.disturbed)
         found += self.freshness.violations()
+        found += self.stops.violations(self.calls, runs)
         if self.accounts is not None:
             found += self.accounts.violations(self.calls)
             found += leaked_keys(self.folder)
--- a/features/steps/gateway_response_steps.py
+++ b/features/steps/gateway_response_steps.py
@@ -55,7 +55,7 @@
     context.stack.enter_context(patch.object(attempt, "LOAD_PROBE_TIMEOUT_MS", PROBE_TIMEOUT_MS))
 
     async def repeat(writer):
-        backend._write(writer, 200, b"again", backend.ran[-1])
+        backend._write(writer, 200, b"again", backend.last_ids[writer])
         await fleet.until(lambda: unmatched_count(context, "probe") or is_request_sent(context))
 
     backend.before_probe_response = repeat
