Reject a request whose head or framing has no end

The caller's side of the fault before: on the code before, a header's value or name without end was read until the header timeout of 3 s (408), and blank lines, a chunk's extension and a trailer's value for as long as the caller sent. The process keeps an incomplete field whole.

Change: what is received and isn't body counts as it arrives, against maxHeaderBytes and 2 KB, and the caller gets 431. Complete headers are still counted by the limit itself.

A head of 32,000 bytes in 400 headers and a body of 50,000 chunks of one byte are still read.

Not bounded by this: slow framing, which needs a time limit, and the memory of many bodies together.

--- a/cloverhook/gateway/request_reader.py
+++ b/cloverhook/gateway/request_reader.py
@@ -1,6 +1,7 @@
 """Reads the requests of one connection of a caller, within the configured limits.
 
-Layer: transport.
+Layer: transport.  The parser keeps a header until it is complete, and skips other framing.  What is
+not body is therefore counted as it arrives, beside the limit on complete headers.
 """
 
 from collections.abc import Callable
@@ -17,6 +18,11 @@
 
 HEADER_FRAMING_BYTES = 4
 HEAD_END = b"\r\n\r\n"
+REQUEST_LINE_BYTES = 2_048
+"""The size that a request's first line may have beside the headers, with the framing of the request
+before it that is parsed with it."""
+FRAMING_BYTES_PER_PART = 32
+"""The size of the framing of each part of a body: a chunk's size has 16 digits at most."""
 CHUNKED_PIECE_BYTES = 1_024
 """A chunked body is parsed in pieces of this size, because its end isn't known in advance: the
 requests behind it must not all be parsed at once."""
@@ -51,6 +57,7 @@
         self._rejection: ErrorKind | None = None
         self._ended = False
         self._offers_upgrade = False
+        self._expected_bytes = 0
         self.in_message = False
         self.has_dropped_input = False
         self._reset_message()
@@ -94,8 +101,10 @@
         return len(data) if found < 0 else found + len(HEAD_END)
 
     def _feed_piece(self, piece: bytes) -> None:
+        self._expected_bytes = 0
         try:
             self._parser.feed_data(piece)
+            self._count_framing_bytes(len(piece) - self._expected_bytes)
         except httptools.HttpParserUpgrade as error:
             (end,) = error.args
             if not self._ended:
@@ -165,6 +174,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, up to the size limit."""
         self._body_bytes += len(body)
+        self._expected_bytes += len(body) + FRAMING_BYTES_PER_PART
         if self._body_bytes > self._limits().body_bytes:
             self._abort_parsing(ErrorKind.BODY_TOO_LARGE)
         self._body.append(body)
@@ -206,6 +216,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._header_bytes = 0
+        self._framing_bytes = 0
         self._content_length: int | None = None
         self._has_body = False
         self._head_complete = False
@@ -216,6 +227,12 @@
         if self._header_bytes > self._limits().header_bytes:
             self._abort_parsing(ErrorKind.HEADERS_TOO_LARGE)
 
+    def _count_framing_bytes(self, size_bytes: int) -> None:
+        self._framing_bytes = max(0, self._framing_bytes + size_bytes)
+        limit_bytes = self._limits().header_bytes + REQUEST_LINE_BYTES
+        if self._framing_bytes > limit_bytes and not self._ended:
+            self._abort_parsing(ErrorKind.HEADERS_TOO_LARGE)
+
     def _abort_parsing(self, kind: ErrorKind) -> None:
         self._rejection = kind
         raise RequestRejectedError(kind)
--- a/features/gateway_reading.feature
+++ b/features/gateway_reading.feature
@@ -23,3 +23,31 @@
     When a caller sends a CONNECT request
     Then the answer is 400
     And no backend server has seen anything
+
+  Scenario Outline: A request without end is rejected at once
+    # Guards against a process that grows for as long as a caller sends what is never complete.
+    Given a gateway and 1 backend servers
+    When a caller sends <part> without end
+    Then it is answered 431, and less than 600000 bytes have been parsed
+    And no backend server has seen anything
+
+    Examples:
+      | part                     |
+      | a header's value         |
+      | a header's name          |
+      | a request target         |
+      | blank lines              |
+      | the extension of a chunk |
+      | a trailer's value        |
+      | trailers                 |
+
+  Scenario Outline: A head that just keeps to its limit, and a body in many small chunks, are read
+    # Guards against a bound on framing that rejects sound requests.
+    Given a gateway and 1 backend servers
+    When a caller writes with <what>
+    Then the answer is 200
+
+    Examples:
+      | what                                   |
+      | headers of 32000 bytes in 400 of them  |
+      | a body of 50000 chunks of 1 byte       |
