Explain requests that a planned stop breaks off, and name the fields of unmatched responses

cloverhook explain reads the line broken-off; before, it said that the log lines don't contain the request's end. The line unmatched-response had the other request's identifier as id, so that it was left out of the state changes; it is named_request now, beside named_server.

--- a/cloverhook/explain.py
+++ b/cloverhook/explain.py
@@ -12,7 +12,8 @@
 
 __all__ = ["LogLine", "Explanation", "read_lines", "explain_request"]
 
-REQUEST_KINDS = ("attempt", "answer", "sample")
+BROKEN_OFF_KIND = "broken-off"
+REQUEST_KINDS = ("attempt", "answer", "sample", BROKEN_OFF_KIND)
 ANSWER_KINDS = ("answer", "sample")
 QUARANTINE_KIND = "quarantine"
 DRAINING_KIND = "draining"
@@ -204,6 +205,8 @@
 
 def _cause(own: list[LogLine]) -> str:
     answer = _end(own)
+    if answer.kind == BROKEN_OFF_KIND:
+        return "broken-off: it was still in progress when the planned stop of its gateway ended"
     if answer.kind not in ANSWER_KINDS:
         return "the log lines do not contain its end"
     name = answer.fields.get("cause", "")
--- a/cloverhook/gateway/final_answer.py
+++ b/cloverhook/gateway/final_answer.py
@@ -56,8 +56,8 @@
     """Return why a request ends without a response from a backend server.
 
     `late` means that its deadline has passed, `known` that its service has any endpoints, and
-    `unavailable` is why none of them takes requests of this VM at present, if that is so, and
-    `stopping` that a planned stop leaves too little time for the request.
+    `stopping` that a planned stop leaves too little time for it.  `unavailable` is why none of the
+    endpoints takes requests of this VM at present, if that is so.
     """
     if state.possible_executions:
         return ErrorKind.DEADLINE_IN_RUN if late else ErrorKind.CONNECTION_CUT
--- a/cloverhook/gateway/forwarding.py
+++ b/cloverhook/gateway/forwarding.py
@@ -297,6 +297,8 @@
         may_send = self._may_retry(state) or self._proxying.may_start(state)
         if not may_send or not self._links.is_suspected(state.service, monotonic_ms()):
             return False
+        if not self._fits_planned_stop(state):
+            return False
         while self._links.is_suspected(state.service, monotonic_ms()):
             await asyncio.sleep(LINK_CHECKS_POLL_MS / 1000)
         return await self._try_proxy(state) or await self._try_retry_here(state)
@@ -460,7 +462,7 @@
             queued_request.over_share_is_last = account is None or account.priority is None
         added_ms = monotonic_ms()
         if not self._fits_planned_stop(state):
-            return None  # The stop has begun while the request was in quarantine.
+            return None  # The stop may have begun while the request was in quarantine.
         choice = await self.admission.wait(queued_request)
         if queued_request.waits_late:
             self._report.record_queue_wait(state, monotonic_ms() - added_ms)
--- a/cloverhook/gateway/response_matching.py
+++ b/cloverhook/gateway/response_matching.py
@@ -62,8 +62,8 @@
 
         It doesn't show that any particular request has ended, or has not run.
         """
-        names = self._names
-        return not (find(head.headers, names.request_id) or find(head.headers, names.incarnation))
+        names = (self._names.request_id, self._names.incarnation)
+        return all(find(head.headers, name) is None for name in names)
 
     def _is_misdirected(self, head: AnswerHead) -> bool:
         """Return whether an endpoint says that it is not the one that the request is for.
@@ -80,7 +80,7 @@
             server=server.incarnation,
             exchange=exchange,
             status=head.status,
-            id=(find(head.headers, self._names.request_id) or b"").decode("latin-1"),
-            named=(find(head.headers, self._names.incarnation) or b"").decode("latin-1"),
+            named_request=(find(head.headers, self._names.request_id) or b"").decode("latin-1"),
+            named_server=(find(head.headers, self._names.incarnation) or b"").decode("latin-1"),
             taken=taken,
         )
--- a/features/gateway_stop.feature
+++ b/features/gateway_stop.feature
@@ -5,6 +5,7 @@
     Given a gateway whose planned stop takes 1.2 s, and 1 backend servers that stay silent
     When a caller reads with a limit of 60 s, and the gateway is told to stop meanwhile
     Then the log names that request as broken off, with the endpoint and the time that it had left
+    And explain says that it was broken off
 
   Scenario Outline: A request that the stop may break off is rejected at once, and others are served
     # Guards against requests that are accepted late in a planned stop and broken off at its end.
--- a/features/steps/gateway_response_steps.py
+++ b/features/steps/gateway_response_steps.py
@@ -115,7 +115,7 @@
     gateway_of(context)._log.flush()
     lines = [json.loads(line) for line in context.log_lines if b"unmatched-response" in line]
     (line,) = [item for item in lines if item["exchange"] == "probe"]
-    assert (line["id"], line["server"], line["taken"]) == ("w-1", "i-0", False), line
+    assert (line["named_request"], line["server"], line["taken"]) == ("w-1", "i-0", False), line
 
 
 @then("the gateway has no connection open but those kept for use")
--- a/features/steps/gateway_stop_steps.py
+++ b/features/steps/gateway_stop_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from cloverhook.clock import monotonic_ms
+from cloverhook.explain import explain_request, read_lines
 from cloverhook.gateway import attempt
 from cloverhook.gateway.planned_stop import PlannedStop
 from cloverhook.gateway.server_load import LoadReport
@@ -92,6 +93,12 @@
     assert 0 < line["left_ms"] <= LONG_TIMEOUT_MS - line["age_ms"], line
 
 
+@then("explain says that it was broken off")
+def step_explained(context):
+    lines = read_lines(line.decode() for line in context.log_lines)
+    assert explain_request("r-long", lines).cause.startswith("broken-off"), lines
+
+
 @when("the gateway is told to stop, and then a caller sends a {kind} with a limit of {limit_s:d} s")
 def step_request_in_stop(context, kind, limit_s):
     async def send():
