Wait until the strong gateway knows all weak ones before its share is checked

The step before waits until each gateway gives the strong one and a weak one to callers, which two known weak ones are enough for; the metrics were then read once, whether or not the third one was known.

--- a/features/steps/uneven_vms_steps.py
+++ b/features/steps/uneven_vms_steps.py
@@ -318,9 +318,16 @@
 
 @then("the metrics of the strong one say that it gets {share:g} of the callers")
 def step_metrics(context, share):
-    answer = run(context, context.gateways[0][0]._serve_metrics(None))
-    lines = answer.body.decode().splitlines()
-    assert f"{PREFIX}vm_share {share:g}" in lines and f"{PREFIX}serving 1" in lines, lines
+    expected = {f"{PREFIX}vm_share {share:g}", f"{PREFIX}serving 1"}
+
+    async def wait():
+        while True:
+            answer = await context.gateways[0][0]._serve_metrics(None)
+            if expected <= set(answer.body.decode().splitlines()):
+                return
+            await asyncio.sleep(0.05)
+
+    run(context, asyncio.wait_for(wait(), fleet.WAIT_S))
 
 
 @when("the strong one dies")
