--- a/features/gateway_stop.feature
+++ b/features/gateway_stop.feature
@@ -3,14 +3,14 @@
   Scenario: The log names the requests that the end of a planned stop breaks off
     # Guards against requests that end without a line in the log.
     Given a gateway whose planned stop takes 1.2 s, and 1 backend servers that stay silent
-    When a caller reads with a limit of 60 s, and the gateway is told to stop meanwhile
+    When a caller reads with a limit of 60 s, and the gateway begins a planned stop meanwhile
     Then the log names that request as broken off, with the endpoint and the time that it had left
     And explain says that it was broken off
 
   Scenario Outline: A request that the stop may break off is rejected at once, and others are served
     # Guards against requests that are accepted late in a planned stop and broken off at its end.
     Given a gateway whose planned stop takes 30 s, and 2 backend servers that answer
-    When the gateway is told to stop, and then a caller sends a <method> with a limit of <limit> s
+    When the gateway begins a planned stop, and then a caller sends a <method> with a limit of <limit> s
     Then the answer is <status>, and <runs> requests have run
 
     Examples:
@@ -25,13 +25,13 @@
     # Guards against a wait in the queue that ends too late for the request, or not at all.
     Given a gateway whose planned stop takes 30 s, and 1 backend servers that stay silent
     And its slots are in use, and reads with limits of 60 s and 20 s wait for one
-    When the gateway is told to stop
+    When the gateway begins a planned stop
     Then the read with a limit of 60 s is answered 503, has not run, and the other one still waits
 
   Scenario Outline: No attempt begins that the stop may break off
     # Guards against a retry or hedged attempt, or a request sent on, late in a planned stop.
     Given a gateway whose planned stop takes 30 s, and 2 backend servers that stay silent
-    When a caller sends a read with a limit of 60 s, the gateway is told to stop, and <what>
+    When a caller sends a read with a limit of 60 s, the gateway begins a planned stop, and <what>
     Then <runs> requests have run, and the answer is <status>
 
     Examples:
--- a/features/steps/gateway_stop_steps.py
+++ b/features/steps/gateway_stop_steps.py
@@ -74,7 +74,7 @@
         backend.default = {"stay silent": "silent", "answer": "ok"}[act]
 
 
-@when("a caller reads with a limit of 60 s, and the gateway is told to stop meanwhile")
+@when("a caller reads with a limit of 60 s, and the gateway begins a planned stop meanwhile")
 def step_broken_off(context):
     async def stop():
         task = call(context, "r-long", "/long-read/")
@@ -99,7 +99,10 @@
     assert explain_request("r-long", lines).cause.startswith("broken-off"), lines
 
 
-@when("the gateway is told to stop, and then a caller sends a {kind} with a limit of {limit_s:d} s")
+@when(
+    "the gateway begins a planned stop, and then a caller sends a {kind} with a limit of "
+    "{limit_s:d} s"
+)
 def step_request_in_stop(context, kind, limit_s):
     async def send():
         gateway_of(context).begin_shutdown()
@@ -135,7 +138,7 @@
     run(context, fill())
 
 
-@when("the gateway is told to stop")
+@when("the gateway begins a planned stop")
 def step_stop(context):
     async def stop():
         gateway_of(context).begin_shutdown()
@@ -155,7 +158,7 @@
         task.cancel()
 
 
-@when("a caller sends a read with a limit of 60 s, the gateway is told to stop, and {what}")
+@when("a caller sends a read with a limit of 60 s, the gateway begins a planned stop, and {what}")
 def step_trouble_in_stop(context, what):
     async def send():
         context.task = call(context, "r-1", "/long-read/")
