--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,9 @@
-"""Case 5: an answer whose body has no end is passed on for as long as the client waits.
+"""Case 5: a route whose endpoints were slow for seconds is refused for good afterwards.
 
-Clients send safe requests whose route has a time-out of 1 s; they would wait for 4 s themselves.
-Of the three endpoints one goes wrong after a while: it answers with a good head and then sends
-bytes without end, until its caller closes.  Broken if more than a quarter of the requests that last
-longer than the time-out, and eight or more, have no final answer half a second after it.
+A configuration adds a route to a service of its own, whose endpoints don't tell their load.  The
+route is served.  Then all endpoints of that service work five times as long for 6.5 s, and are as
+fast as before from then on.  Broken if in the calm time that follows the route that was added later
+is served less than a quarter as often as the first route.
 """
 
 import asyncio
@@ -15,71 +15,79 @@
 
 import stand_ins_2 as stand_ins
 
-TIMEOUT_S = 1.0
-CLIENT_WAITS_MS = 4_000
-WORK_MS = 120.0
+WORK_MS, AIM_S, TIMEOUT_S = 120.0, 0.3, 1.0
+SLOW, SLOW_S = 5.0, 6.5
+SOUND_S = 5.0
+"""For how long the route is served before its endpoints turn slow."""
+CALM_S, JUDGED_S = 5.0, 30.0
+"""After the slow time, and longer than `contact`; then the time that is judged."""
 CALLERS = 8
-JUNK = b"?" * 16_384
-JUNK_GAP_S = 0.005
-COUNT, SHARE, SLACK_MS = 8, 0.25, 500.0
-
-
-async def endless_answer(
-    endpoint: stand_ins.Endpoint, message: stand_ins.Message, writer: asyncio.StreamWriter
-) -> None:
-    """Answer with bytes without end, until the caller closes the connection."""
-    request_id = message.headers["x-cloverhook-request-id"]
-    head = {**endpoint.signed(request_id), "Transfer-Encoding": "chunked"}
-    lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in head.items()), "", ""]
-    writer.write("\r\n".join(lines).encode())
-    while not writer.transport.is_closing():
-        writer.write(b"%x\r\n%b\r\n" % (len(JUNK), JUNK))
-        await writer.drain()
-        await asyncio.sleep(JUNK_GAP_S)
+COUNT, SHARE = 20, 0.25
 
 
 async def ask_again(
-    world: stand_ins.World, address: str, number: int, answers: list[stand_ins.Answer]
+    world: stand_ins.World, name: str, number: int, answers: list[stand_ins.Answer]
 ) -> None:
-    """Send one request after the other."""
-    client = stand_ins.Client(address, world.record)
+    """Send requests of one route to one machine, one after the other."""
+    client = stand_ins.Client(world.gateways[number % 2].caller_address, world.record)
     for turn in itertools.count():
-        answers.append(await client.ask(f"browse-{number}-{turn}", "/browse/x", CLIENT_WAITS_MS))
-        await asyncio.sleep(0.1)
+        request_id = f"{name}-{number}-{turn}"
+        answers.append(await client.ask(request_id, f"/{name}/x", int(1_000 * TIMEOUT_S)))
+        await asyncio.sleep(0.3)
+
+
+def served(answers: list[stand_ins.Answer], since_ms: float) -> tuple[int, int]:
+    """Return how many requests were sent since a time, and how many of them were served."""
+    sent = [item for item in answers if item.sent_ms >= since_ms]
+    return len(sent), sum(item.status == 200 for item in sent)
 
 
 async def case(world: stand_ins.World) -> int:
     """Play the case."""
-    browse = stand_ins.route("browse", "bookdesk", "safe", TIMEOUT_S, 0.3)
-    await stand_ins.put_config(world.store, 1, [browse])
-    endpoints = await world.add_endpoints("bookdesk", 3, 4, WORK_MS)
+    first = stand_ins.route("browse", "bookdesk", "safe", TIMEOUT_S, AIM_S)
+    later = stand_ins.route("lookup", "clubroll", "safe", TIMEOUT_S, AIM_S)
+    await stand_ins.put_config(world.store, 1, [first])
+    await world.add_endpoints("bookdesk", 6, 4, WORK_MS)
+    endpoints = await world.add_endpoints("clubroll", 6, 4, WORK_MS)
+    for endpoint in endpoints:
+        endpoint.load = dict  # Only some services tell their load.
     if not await world.add_gateways(2):
         return stand_ins.CANT_RUN
-    await asyncio.sleep(4.0)  # The machines have been in touch for longer than `contact`.
-    answers: list[stand_ins.Answer] = []
+    answers: dict[str, list[stand_ins.Answer]] = {"browse": [], "lookup": []}
     tasks = [
-        asyncio.create_task(
-            ask_again(world, world.gateways[number % 2].caller_address, number, answers)
-        )
+        asyncio.create_task(ask_again(world, "browse", number, answers["browse"]))
+        for number in range(CALLERS)
+    ]
+    await asyncio.sleep(4.0)
+    await stand_ins.put_config(world.store, 2, [first, later])
+    await asyncio.sleep(2.5)  # `configApply` is 2 s.
+    tasks += [
+        asyncio.create_task(ask_again(world, "lookup", number, answers["lookup"]))
         for number in range(CALLERS)
     ]
-    await asyncio.sleep(3.0)
+    await asyncio.sleep(SOUND_S)
+    before = served(answers["lookup"], 0.0)
     if stand_ins.trouble():
-        faulty = endpoints[0]
-        faulty.answer = lambda message, writer, run: endless_answer(faulty, message, writer)
-    await asyncio.sleep(25.0)
+        world.record.write("slow", times=SLOW)
+        for endpoint in endpoints:
+            endpoint.work_ms = SLOW * WORK_MS
+    await asyncio.sleep(SLOW_S)
+    for endpoint in endpoints:
+        endpoint.work_ms = WORK_MS
+    world.record.write("sound again")
+    await asyncio.sleep(CALM_S)
+    since_ms = stand_ins.now_ms()
+    await asyncio.sleep(JUDGED_S)
     for task in tasks:
         task.cancel()
-    lasted = [item for item in answers if item.ended_ms - item.sent_ms > 1_000 * TIMEOUT_S]
-    late = [x for x in lasted if x.ended_ms - x.sent_ms > 1_000 * TIMEOUT_S + SLACK_MS]
-    served = sum(item.status == 200 for item in answers)
-    world.record.write("result", answers=len(answers), lasted=len(lasted), unanswered=len(late))
-    print(f"{len(answers)} requests, {served} served; {len(lasted)} lasted beyond the time-out,")
-    print(f"{len(late)} of them without a final answer half a second later")
-    if not served:
+    results = {name: served(items, since_ms) for name, items in answers.items()}
+    shares = {name: good / max(1, sent) for name, (sent, good) in results.items()}
+    world.record.write("result", before=before, **results)
+    print(f"served of sent: lookup before {before[1]} of {before[0]};", end=" ")
+    print("; ".join(f"{name} in the calm {good} of {n}" for name, (n, good) in results.items()))
+    if not before[1] or not results["browse"][1] or results["lookup"][0] < COUNT:
         return stand_ins.CANT_RUN
-    broken = len(late) >= COUNT and len(late) > SHARE * len(lasted)
-    return stand_ins.BROKEN if broken else stand_ins.HELD
+    return stand_ins.BROKEN if shares["lookup"] < SHARE * shares["browse"] else stand_ins.HELD
 
 
 stand_ins.play(case, __file__)
