--- a/cloverhook/gateway/freshness.py
+++ b/cloverhook/gateway/freshness.py
@@ -30,20 +30,23 @@
 
     Times are monotonic.  Versions are those of the feed's parts, always in the same order.
     The last gap, a longer time without a confirmation than `gap_ms`, was from `lost_ms` to
-    `regained_ms`.
+    `regained_ms`.  `source` names who has confirmed that moment: the store, or a VM.
     """
 
     def __init__(self, gap_ms: float = math.inf) -> None:
         self.as_of_ms: float | None = None
+        self.source = ""
         self.lost_ms = self.regained_ms = -math.inf
         self._gap_ms = gap_ms
-        self._pending: deque[tuple[Versions, float]] = deque(maxlen=PENDING_LIMIT)
+        self._pending: deque[tuple[Versions, float, str]] = deque(maxlen=PENDING_LIMIT)
 
     def age_ms(self, now_ms: float) -> float:
         """Return how old the state may be; infinite where that isn't known."""
         return math.inf if self.as_of_ms is None else now_ms - self.as_of_ms
 
-    def confirm(self, versions: Versions, as_of_ms: float, known: Versions) -> None:
+    def confirm(
+        self, versions: Versions, as_of_ms: float, known: Versions, source: str = ""
+    ) -> None:
         """Record that nothing newer than `versions` was written before a time.
 
         `known` holds the versions that this VM has.
@@ -51,11 +54,11 @@
         if self.as_of_ms is not None and as_of_ms <= self.as_of_ms:
             return
         if not _covers(known, versions):
-            self._pending.append((versions, as_of_ms))
+            self._pending.append((versions, as_of_ms, source))
             return
         if self.as_of_ms is not None and as_of_ms - self.as_of_ms > self._gap_ms:
             self.lost_ms, self.regained_ms = self.as_of_ms, as_of_ms
-        self.as_of_ms = as_of_ms
+        self.as_of_ms, self.source = as_of_ms, source
 
     def regained_after_outage_ms(self, pauses: Iterable[tuple[float, float]]) -> float:
         """Return when the last gap ended, or minus infinity if `pauses` of the process explain it.
@@ -73,10 +76,11 @@
 
     def advance(self, known: Versions) -> None:
         """Apply the reports that have waited for the versions that this VM has now."""
-        for versions, as_of_ms in tuple(self._pending):
+        for pending in tuple(self._pending):
+            versions, as_of_ms, source = pending
             if _covers(known, versions):
-                self.confirm(versions, as_of_ms, known)
-                self._pending.remove((versions, as_of_ms))
+                self.confirm(versions, as_of_ms, known, source)
+                self._pending.remove(pending)
 
 
 class Lag:
--- a/cloverhook/gateway/gateway_state.py
+++ b/cloverhook/gateway/gateway_state.py
@@ -66,9 +66,9 @@
         """The versions of the parts of the configuration feed: configuration and evacuations."""
         return self.config_version, self.evacuations.version
 
-    def confirm_config(self, versions: tuple[int, int], as_of_ms: float) -> None:
+    def confirm_config(self, versions: tuple[int, int], as_of_ms: float, source: str = "") -> None:
         """Record that the store's configuration feed held nothing newer at a time."""
-        self.config_freshness.confirm(versions, as_of_ms, self.config_versions)
+        self.config_freshness.confirm(versions, as_of_ms, self.config_versions, source)
 
     @property
     def store_era(self) -> int:
--- a/cloverhook/gateway/log_position.py
+++ b/cloverhook/gateway/log_position.py
@@ -103,6 +103,6 @@
         """Record that changes up to a position are no longer known individually."""
         self._history_floor = max(self._history_floor, position)
 
-    def confirm_current(self, version: int, as_of_ms: float) -> None:
+    def confirm_current(self, version: int, as_of_ms: float, source: str = "") -> None:
         """Record that the store held nothing newer than a version at a time."""
-        self.freshness.confirm((version,), as_of_ms, (self.as_of,))
+        self.freshness.confirm((version,), as_of_ms, (self.as_of,), source)
--- a/cloverhook/gateway/request_report.py
+++ b/cloverhook/gateway/request_report.py
@@ -190,14 +190,16 @@
         if result is not None:
             self._starvation.record_end(account.name, result.is_served, now_ms)
 
-    def _confirmed_ages(self, now_ms: float) -> dict[str, int]:
-        """Return as log fields how long ago the state was known to be the newest."""
+    def _confirmed_ages(self, now_ms: float) -> dict[str, int | str]:
+        """Return as log fields how long ago the state was known to be the newest, and by whom."""
         state = self._gateway_state
-        ages_ms = {
-            "config_confirmed_age_ms": state.config_freshness.age_ms(now_ms),
-            "registry_confirmed_age_ms": state.registry.position.freshness.age_ms(now_ms),
+        config, registry = state.config_freshness, state.registry.position.freshness
+        return {
+            "config_confirmed_age_ms": round(min(config.age_ms(now_ms), now_ms)),
+            "config_confirmed_by": config.source,
+            "registry_confirmed_age_ms": round(min(registry.age_ms(now_ms), now_ms)),
+            "registry_confirmed_by": registry.source,
         }
-        return {name: round(min(age_ms, now_ms)) for name, age_ms in ages_ms.items()}
 
     def _log_proxied(self, state: RequestState, proxied: ProxiedAttempt, request_id: str) -> None:
         result = next((item for item in state.results if item.proxy == proxied.vm), None)
--- a/cloverhook/gateway/store_confirmations.py
+++ b/cloverhook/gateway/store_confirmations.py
@@ -69,10 +69,10 @@
         gateway_state = self._gateway_state
         if message.config_age_ms >= 0:
             versions = message.config_version, message.evacuation_version
-            gateway_state.confirm_config(versions, sent_ms - message.config_age_ms)
+            gateway_state.confirm_config(versions, sent_ms - message.config_age_ms, message.vm)
         if message.registry_age_ms >= 0:
             gateway_state.registry.position.confirm_current(
-                message.registry_version, sent_ms - message.registry_age_ms
+                message.registry_version, sent_ms - message.registry_age_ms, message.vm
             )
 
 
--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -32,6 +32,8 @@
 that leaves serves for longer.  A vanished entry stays in use for most of that time, so that little
 is left for a pause."""
 RETRY_MS = (100.0, 200.0, 400.0, 600.0)
+STORE = "store"
+"""The source of what this VM has read itself, in log lines."""
 
 
 class StoreFollower:
@@ -275,7 +277,7 @@
             changed = self._apply_config(found, now_ms) | self._apply_evacuations(found, whole)
             gateway_state.config_as_of = max(gateway_state.config_as_of, found.end_offset - 1)
             if found.is_complete:
-                gateway_state.confirm_config(gateway_state.config_versions, as_of_ms)
+                gateway_state.confirm_config(gateway_state.config_versions, as_of_ms, STORE)
             if changed:
                 self._on_change((), base_version)
             return
@@ -301,7 +303,7 @@
         ]
         gateway_state.registry.position.advance_to(found.end_offset - 1)
         if found.is_complete:
-            gateway_state.registry.position.confirm_current(found.end_offset - 1, as_of_ms)
+            gateway_state.registry.position.confirm_current(found.end_offset - 1, as_of_ms, STORE)
         if touched:
             self._on_change(tuple(touched), base_version)
 
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -143,7 +143,10 @@
     lines = read_lines(log.decode().splitlines())
     explanation = explain_request("new-1", lines)
     assert explanation.cause.startswith("outdated (503)"), explanation.cause
-    assert explanation.lines[-1].fields["config_confirmed_age_ms"] >= 0
+    fields = explanation.lines[-1].fields
+    assert fields["config_confirmed_age_ms"] >= 0, fields
+    others = {item._settings.vm for item, _ in context.gateways if item is not context.waiting[0]}
+    assert fields["config_confirmed_by"] in {"store", *others}, fields
 
 
 async def play_changes(gateways, trouble, bound_ms):
