Test that fails: a gateway on a slow link takes its state for younger than it is

All datagrams to a gateway take 1.5 s from its start on, so it takes none of them for delayed. Those sent after a change are lost.

--- a/features/freshness_fleet.py
+++ b/features/freshness_fleet.py
@@ -121,9 +121,7 @@
             lambda: all(len(item._members) == gateways - 1 for item in self.gateways.values())
         )
         for gateway in self.gateways.values():
-            for number in range(silent_members):
-                member = heartbeat(f"10.9.0.{number}", fleet.DATA_CENTER)
-                gateway._members.record_heartbeat(member, monotonic_ms())
+            self.add_silent_members(gateway, silent_members)
         self.stalls.start()
         return self
 
@@ -137,6 +135,31 @@
         self.gateways[name] = gateway
         return gateway
 
+    async def start_slow_gateway(self, name, delay_ms, silent_members, **fields):
+        """Start a gateway of a large fleet; each datagram to it takes `delay_ms` from the start on.
+
+        Returns a function that loses the datagrams that are sent to it from then on; those under
+        way still arrive.
+        """
+        loop, lost = asyncio.get_running_loop(), []
+        gateway = await self.start_gateway(name, **fields)
+        port = gateway._peering.link._port
+        deliver = port._on_datagram
+
+        def delay(data, sender):
+            if not lost:
+                loop.call_later(delay_ms / 1000, deliver, data, sender)
+
+        port._on_datagram = delay
+        self.add_silent_members(gateway, silent_members)
+        return lambda: lost.append(True)
+
+    def add_silent_members(self, gateway, count):
+        """Make a gateway one of a large fleet, whose other members send no further messages."""
+        for number in range(count):
+            member = heartbeat(f"10.9.0.{number}", fleet.DATA_CENTER)
+            gateway._members.record_heartbeat(member, monotonic_ms())
+
     async def close(self):
         """Stop everything."""
         self.stalls.stop()
--- a/features/gateway_freshness.feature
+++ b/features/gateway_freshness.feature
@@ -12,6 +12,15 @@
       | 4        | a configuration of 1800 routes, while no neighbour hands it out     |
     Then every gateway that reaches the store has them within 2000 ms
 
+  Scenario: A gateway that starts on a slow link takes its state for younger than it is
+    # Guards against 404 for a new route, and the use of a server that has left, past the bound: if
+    # all messages of a process are slow, none of them shows it.
+    Given a fleet with a bound of 2000 ms, and a gateway to which all datagrams take 1500 ms from its start on
+    And that gateway gets the state of the store from the others
+    When changes are made, and it gets no datagram that is sent afterwards
+    Then every gateway that reaches the store has them within 2000 ms
+    And no request for the new route that is sent later than 2000 ms after the change gets 404
+
   Scenario: A vanished backend server is used past the bound because its entry is held too long
     When backend servers vanish in fleets with a bound of 2000 ms in these ways
       | gateways | how                                                          |
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -34,6 +34,9 @@
 from cloverhook_platform.store_client import LENGTH, POSITIONS, HttpStore, Reply  # noqa: E402
 
 LARGE_FLEET_VMS = 120
+SLOW_VM = "vm-slow"
+FOLLOWING_S = 5.0
+CALL_GAP_S = 0.05
 LOST_S = 0.6
 REGAINED_S = 0.5
 SUCCESSOR_S = 1.3
@@ -86,6 +89,71 @@
     )
 
 
+@given(
+    "a fleet with a bound of {bound_ms:d} ms, and a gateway to which all datagrams take"
+    " {delay_ms:d} ms from its start on"
+)
+def step_slow_link(context, bound_ms, delay_ms):
+    async def start():
+        fields = {"drain_s": bound_ms / 1000, "config_apply_s": bound_ms / 1000}
+        context.known = await FreshnessFleet.start(3, LARGE_FLEET_VMS, **fields)
+        context.stack.push_async_callback(context.known.close)
+        context.lose_datagrams = await context.known.start_slow_gateway(
+            SLOW_VM, delay_ms, LARGE_FLEET_VMS, **fields
+        )
+
+    run(context, start())
+
+
+@given("that gateway gets the state of the store from the others")
+def step_follows_others(context):
+    async def follow():
+        gateway = context.known.gateways[SLOW_VM]
+        await fleet.until(gateway._is_ready)
+        await fleet.until(lambda: len(context.known.readers()) == 2)
+        await asyncio.sleep(FOLLOWING_S)
+        assert SLOW_VM not in context.known.readers()
+
+    run(context, follow())
+
+
+@when("changes are made, and it gets no datagram that is sent afterwards")
+def step_changes_unheard(context):
+    async def change():
+        context.known.add_silent_members(context.known.gateways[SLOW_VM], LARGE_FLEET_VMS)
+        context.lose_datagrams()
+        calls = asyncio.ensure_future(record_unknown_route(context))
+        await asyncio.gather(
+            context.known.publish(2, fleet.route("new", NEW_PATH, True)),
+            context.known.drain(context.known.backends[0]),
+        )
+        calls.cancel()
+
+    run(context, change())
+    context.late = {"slow from the start": context.known.late_ms}
+
+
+async def record_unknown_route(context):
+    """Ask the slow gateway for the new route until cancelled; record when it answered 404."""
+    address = context.known.gateways[SLOW_VM]._settings.caller_address
+    changed_ms, context.unknown_ms = monotonic_ms(), []
+    while True:
+        sent_ms = monotonic_ms()
+        answer = await fleet.call(address, NEW_PATH, request_id=f"new-{sent_ms:.0f}")
+        if answer.status == 404:
+            lost_ms = context.known.stalls.lost_ms(changed_ms, sent_ms)
+            context.unknown_ms.append(sent_ms - changed_ms - lost_ms)
+        await asyncio.sleep(CALL_GAP_S)
+
+
+@then(
+    "no request for the new route that is sent later than {bound_ms:d} ms after the change gets 404"
+)
+def step_no_late_404(context, bound_ms):
+    late_ms = [round(sent_ms) for sent_ms in context.unknown_ms if sent_ms > bound_ms]
+    assert not late_ms, late_ms
+
+
 @given("its last call to the store {outcome}")
 def step_call(context, outcome):
     context.call_failed = outcome == "failed"
