Don't take an answer without records for the end of a log that goes on

An answer to a read of changes that held no record, of a log that ends later, moved the position to that end and confirmed the state: the gateway, and all that follow it, would never read the records between and take themselves for current.

The same holds for an answer of a log that ends before the position: a copy that lags shows nothing.

--- a/cloverhook/gateway/store_follower.py
+++ b/cloverhook/gateway/store_follower.py
@@ -199,7 +199,7 @@
     async def refresh(self, feed: Feed) -> None:
         """Read what is new in a feed, without waiting, whether this VM follows the store or not.
 
-        Raises `PlatformError` if there is no answer.
+        Raises `PlatformError` if there is no answer, or if one lacks records that the log has.
         """
         as_of = self._known_as_of(feed)
         is_whole = as_of < 0
@@ -221,7 +221,10 @@
                 self._apply(feed, offsets_to_versions(found, era), called_ms, whole=is_whole)
             if found.is_complete:
                 return
-            as_of, is_whole = version_of(era, found.end_offset - 1), False
+            read_to = version_of(era, found.end_offset - 1)
+            if not is_whole and read_to <= as_of:
+                raise PlatformError(f"{feed.value}: the answer lacks records that the log has")
+            as_of, is_whole = read_to, False
 
     def _known_as_of(self, feed: Feed) -> int:
         """Return the position up to which a feed is known, by own reading or a peer's report."""
--- a/features/gateway_freshness.feature
+++ b/features/gateway_freshness.feature
@@ -91,11 +91,19 @@
     When it refreshes its state
     Then it knows 3 backend servers, and its state is confirmed
 
+  Scenario: An answer without the records that the log has confirms a state that is not the newest
+    Given a store whose answers hold no record, and 3 backend servers that a gateway does not know
+    When the gateway refreshes its state, that fails
+    Then it knows 0 backend servers, and its state is not confirmed
+
   Scenario Outline: The adapter says whether an answer reaches the end of the log
-    Given an answer of the store with 2 records of a log that ends at <end>
-    Then it is read up to 2, and complete: <complete>
+    Given an answer to a read from <from> with <count> records of a log that ends at <end>
+    Then it is read up to <read to>, and complete: <complete>
 
     Examples:
-      | end | complete |
-      | 2   | yes      |
-      | 5   | no       |
+      | from | count | end | read to | complete |
+      | 0    | 2     | 2   | 2       | yes      |
+      | 0    | 2     | 5   | 2       | no       |
+      | 5    | 0     | 5   | 5       | yes      |
+      | 4    | 0     | 5   | 4       | no       |
+      | 7    | 0     | 5   | 7       | no       |
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -10,7 +10,7 @@
 
 import features
 from cloverhook.clock import monotonic_ms
-from cloverhook.errors import MessageError
+from cloverhook.errors import MessageError, PlatformError
 from cloverhook.explain import explain_request, read_lines
 from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.config_gate import ConfigGate
@@ -21,7 +21,7 @@
 from cloverhook.gateway.peer_clocks import PeerClocks
 from cloverhook.gateway.peer_link import FETCH_TIMEOUT_S
 from cloverhook.gateway.state_fetch import StatePart
-from cloverhook.gateway.store import Feed, MemoryStore
+from cloverhook.gateway.store import Feed, HistoryLostError, MemoryStore
 from cloverhook.gateway.store_follower import StoreFollower, offsets_to_versions
 from cloverhook.gateway.transfer_queue import Refer
 from cloverhook.gateway.versions import version_of
@@ -38,6 +38,7 @@
 SLOW_VM = "vm-slow"
 FOLLOWING_S = 5.0
 CALL_GAP_S = 0.05
+REFRESH_LIMIT_S = 5.0
 LOST_S = 0.6
 REGAINED_S = 0.5
 SUCCESSOR_S = 1.3
@@ -404,12 +405,34 @@
         return replace(found, servers=first, end_offset=end_offset, is_complete=is_complete)
 
 
+class NoRecordStore(MemoryStore):
+    """A store whose answers to a read of changes leave out all records."""
+
+    async def changes(self, feed, from_offset, wait_ms):
+        """Return no record, of a log that goes on."""
+        found = await super().changes(feed, from_offset, wait_ms)
+        return replace(found, servers=(), end_offset=from_offset, is_complete=False)
+
+
+@given(
+    "a store whose answers hold no record, and {count:d} backend servers that a gateway does not"
+    " know"
+)
+def step_no_record(context, count):
+    follow(context, NoRecordStore(), count)
+
+
 @given(
     "a store whose answers hold one record each, and {count:d} backend servers that a gateway does"
     " not know"
 )
 def step_one_record(context, count):
-    context.store = OneRecordStore()
+    follow(context, OneRecordStore(), count)
+
+
+def follow(context, store, count):
+    """Set up the following of a store that has backend servers."""
+    context.store = store
     for number in range(count):
         name = f"i-{number}"
         context.store.put_server(BackendServer(name, fleet.SERVICE, f"10.0.0.{number}:1", "papine"))
@@ -442,26 +465,66 @@
     run(context, context.follower.refresh(Feed.SERVERS))
 
 
+@when("the gateway refreshes its state, that fails")
+def step_refresh_fails(context):
+    async def refresh():
+        async with asyncio.timeout(REFRESH_LIMIT_S):
+            await context.follower.refresh(Feed.SERVERS)
+
+    try:
+        run(context, refresh())
+    except PlatformError:
+        return
+    raise AssertionError("the refresh has succeeded")
+
+
+@then("it knows {count:d} backend servers, and its state is not confirmed")
+def step_known_unconfirmed(context, count):
+    assert len(context.gateway_state.registry) == count
+    assert context.gateway_state.registry.position.freshness.as_of_ms is None
+
+
 @then("it knows {count:d} backend servers, and its state is confirmed")
 def step_confirmed(context, count):
     assert len(context.gateway_state.registry) == count
     assert context.gateway_state.registry.position.freshness.as_of_ms is not None
 
 
-@given("an answer of the store with {count:d} records of a log that ends at {end:d}")
-def step_answer(context, count, end):
+@given("an answer to a read from {start:d} with {count:d} records of a log that ends at {end:d}")
+def step_answer(context, start, count, end):
+    context.found = run(context, store_with(end, 0, count).changes(Feed.SERVERS, start, 0))
+
+
+@given(
+    "an answer to a read from {start:d} with {count:d} records of a log that begins at {first:d}"
+)
+def step_answer_begins(context, start, count, first):
+    context.work = store_with(first + count, first, count).changes(Feed.SERVERS, start, 0)
+
+
+def store_with(end, first, count):
+    """Return an adapter that gets an answer with so many records, and these limits of the log."""
     record = bytes([1]) + b"k" + b"{}"
     records = count * (LENGTH.pack(len(record)) + record)
 
     async def answer(method, target, body, timeout_ms):
-        return Reply(200, POSITIONS.pack(end, 0) + records, ERA)
+        return Reply(200, POSITIONS.pack(end, first) + records, ERA)
 
     store = HttpStore("127.0.0.1:1")
     store._call = answer
-    context.found = run(context, store.changes(Feed.SERVERS, 0, 0))
+    return store
 
 
 @then("it is read up to {read_to:d}, and complete: {complete:w}")
 def step_complete(context, read_to, complete):
     assert context.found.end_offset == read_to
     assert context.found.is_complete is (complete == "yes")
+
+
+@then("the history from there on is lost")
+def step_history_lost(context):
+    try:
+        found = run(context, context.work)
+    except HistoryLostError:
+        return
+    raise AssertionError(found)
