Take an answer that begins after the position read from for lost history

Records are numbered from the position that was asked for. Where an answer leaves out deleted ones, the later ones got earlier positions, and the gateway read on from a wrong one. The users' store answers 410 then; this keeps another answer from counting as a current state.

--- a/features/gateway_freshness.feature
+++ b/features/gateway_freshness.feature
@@ -107,3 +107,7 @@
       | 5    | 0     | 5   | 5       | yes      |
       | 4    | 0     | 5   | 4       | no       |
       | 7    | 0     | 5   | 7       | no       |
+
+  Scenario: An answer that leaves out deleted records gives the later ones earlier positions
+    Given an answer to a read from 3 with 1 records of a log that begins at 5
+    Then the history from there on is lost
