Drop what is known of a clock that a message contradicts

While a machine is suspended its monotonic clock stops, and the other one's goes on. Messages then seem to be sent later than they were, until the next request: state seemed younger than it was. A message that would have arrived before it was sent shows that, and the process is asked again.

--- a/cloverhook/gateway/peer_clocks.py
+++ b/cloverhook/gateway/peer_clocks.py
@@ -53,12 +53,18 @@
     ) -> float | None:
         """Return the earliest own time at which a message may have been sent.
 
-        Returns None as long as the process has answered no request.
+        Returns None as long as the process has answered no request.  A message that arrives before
+        it may have been sent shows that one of the clocks has stopped for a while, so that earlier
+        answers bound nothing.
         """
         peer = self._peer(vm, incarnation, now_ms)
         if peer is None or peer.offset_ms is None:
             return None
-        return min(now_ms, sent_ms + peer.least_offset_ms(now_ms))
+        earliest_ms = sent_ms + peer.least_offset_ms(now_ms)
+        if earliest_ms > now_ms:
+            self._peers[vm] = _Peer(incarnation, due_ms=now_ms)
+            return None
+        return earliest_ms
 
     def is_request_due(self, vm: str, incarnation: int, now_ms: float) -> bool:
         """Return whether a process from which a message has arrived should be asked now."""
--- a/features/peer_clocks.feature
+++ b/features/peer_clocks.feature
@@ -32,6 +32,13 @@
     Then the state is never taken for younger than it is
     And a late message of the earlier process confirms nothing
 
+  Scenario: The own clock stops for a while, so that earlier answers bound nothing any more
+    # Guards against state that seems younger by the time for which a machine was suspended.
+    Given a process whose clock is 70000 ms ahead of the own one
+    When it confirms its state 5 times, 0 to 0 ms old, and each message takes 1500 to 1500 ms
+    And the own clock stops for 4000 ms
+    Then the state is never taken for younger than it is
+
   Scenario: An answer to no request, or to one of an earlier process, shows nothing
     Given a process that was asked for its time at 1000 ms
     Then an answer to a request of 999 ms is ignored
--- a/features/steps/peer_clock_steps.py
+++ b/features/steps/peer_clock_steps.py
@@ -143,6 +143,12 @@
     context.delays_ms = (delay, delay)
 
 
+@when("the own clock stops for {stopped:d} ms")
+def step_stops(context, stopped):
+    play(context)
+    context.replay.ahead_ms += stopped
+
+
 def play(context):
     """Send the confirmations, unless that was done."""
     replay, source = context.replay, context.replay.random
