Count the time for which a machine is suspended in the age of its state

The steady clock stops while a machine is suspended. A gateway that wakes took what it had been told before for younger than it was, by that time, and told it to others so; so did cloverhookd of its log. CLOCK_BOOTTIME goes on.

--- a/cloverhook/clock.py
+++ b/cloverhook/clock.py
@@ -12,8 +12,11 @@
 
 
 def monotonic_ms() -> float:
-    """Return milliseconds on a clock that never goes back."""
-    return time.monotonic() * 1000
+    """Return milliseconds on a clock that never goes back.
+
+    It counts the time for which the machine was suspended too: what was known before is older then.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
 
 
 def wall_ms() -> float:
--- a/cloverhook/follower.py
+++ b/cloverhook/follower.py
@@ -6,12 +6,12 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable, Mapping
 from typing import Any
 
 from absl import logging
 
+from cloverhook.clock import monotonic_ms
 from cloverhook.errors import PlatformError
 from cloverhook.platform_api import Platform
 from cloverhook.records import CONFIG_STREAM, encode_record
@@ -30,10 +30,6 @@
 PAUSE_MS = 15_000
 
 
-def _monotonic_ms() -> float:
-    return time.monotonic() * 1000
-
-
 class Follower:
     """This daemon's replica of the state in force, kept current with the log."""
 
@@ -41,7 +37,7 @@
         self,
         platform: Platform,
         on_folded: OnFolded,
-        clock_ms: Callable[[], float] = _monotonic_ms,
+        clock_ms: Callable[[], float] = monotonic_ms,
         source: random.Random | None = None,
         limits: SnapshotLimits | None = None,
         on_adopted: OnAdopted = lambda state: None,
--- a/features/gateway_freshness.feature
+++ b/features/gateway_freshness.feature
@@ -65,6 +65,12 @@
       | 500  |
       | -500 |
 
+  Scenario: A machine that was suspended takes its state for younger than it is
+    # Guards against ages that leave out the time for which the steady clock did not run.
+    Given a gateway, and a daemon of cloverhookd, that have just read the newest state
+    When their machine is suspended for 4000 ms
+    Then the state of both counts as 4000 ms old
+
   Scenario: A process that was paused doesn't take a backend server that has left for one that expired
     # Guards against an endpoint that is used past the drain time, because the VM that did not run
     # takes the gap in its confirmations for an outage of the store.
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -3,8 +3,11 @@
 import asyncio
 import random
 import sys
+import time
 from dataclasses import replace
+from inspect import signature
 from pathlib import Path
+from unittest import mock
 
 from behave import given, then, when
 
@@ -12,6 +15,7 @@
 from cloverhook.clock import monotonic_ms
 from cloverhook.errors import MessageError, PlatformError
 from cloverhook.explain import explain_request, read_lines
+from cloverhook.follower import Follower
 from cloverhook.gateway.backend_server import BackendServer, ServerRecord
 from cloverhook.gateway.config_gate import ConfigGate
 from cloverhook.gateway.config_sender import WAIT_S
@@ -39,6 +43,7 @@
 FOLLOWING_S = 5.0
 CALL_GAP_S = 0.05
 REFRESH_LIMIT_S = 5.0
+SUSPENSION_SLACK_MS = 1_000.0
 LOST_S = 0.6
 REGAINED_S = 0.5
 SUCCESSOR_S = 1.3
@@ -331,6 +336,38 @@
     assert least <= delay_ms <= most, delay_ms
 
 
+@given("a gateway, and a daemon of cloverhookd, that have just read the newest state")
+def step_just_read(context):
+    context.gateway_state = GatewayState()
+    context.gateway_state.confirm_config(context.gateway_state.config_versions, monotonic_ms())
+    context.daemon_read_ms = follower_clock_ms()
+
+
+def follower_clock_ms():
+    """Return the time on the clock by which a daemon of cloverhookd measures the age of its log."""
+    return signature(Follower).parameters["clock_ms"].default()
+
+
+@when("their machine is suspended for {suspended:d} ms")
+def step_suspended(context, suspended):
+    read_clock = time.clock_gettime
+    patch = mock.patch(
+        "time.clock_gettime",
+        lambda clock: read_clock(clock) + suspended / 1000 * (clock == time.CLOCK_BOOTTIME),
+    )
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@then("the state of both counts as {age:d} ms old")
+def step_both_ages(context, age):
+    ages_ms = (
+        context.gateway_state.config_freshness.age_ms(monotonic_ms()),
+        follower_clock_ms() - context.daemon_read_ms,
+    )
+    assert all(age <= age_ms < age + SUSPENSION_SLACK_MS for age_ms in ages_ms), ages_ms
+
+
 @given("a VM that has known nothing of the store for {time_ms:d} ms")
 def step_outage(context, time_ms):
     context.gateway_state = GatewayState()
