Test a reader that takes over while a link is full

The second way in which all messages of a process are slow from the first one on: the sender is new.

slow from the start: configuration 2 at vm-slow after 2534 ms (2393 ms) slow from the start: i-0 at vm-slow after 2534 ms (2393 ms)

--- a/features/freshness_fleet.py
+++ b/features/freshness_fleet.py
@@ -88,6 +88,24 @@
         raise PlatformSilentError("no answer")
 
 
+class SlowWay:
+    """The way that datagrams to a gateway take: each arrives after `delay_ms`.
+
+    With `loses`, those that are sent from then on are lost; those under way still arrive.
+    """
+
+    def __init__(self, port, delay_ms):
+        self.delay_ms = delay_ms
+        self.loses = False
+        self._deliver = port._on_datagram
+        port._on_datagram = self._delay
+
+    def _delay(self, data, sender):
+        if not self.loses:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.delay_ms / 1000, self._deliver, data, sender)
+
+
 class FreshnessFleet:
     """Gateways, their ways to one store, and backend servers; `close` ends them.
 
@@ -136,23 +154,10 @@
         return gateway
 
     async def start_slow_gateway(self, name, delay_ms, silent_members, **fields):
-        """Start a gateway of a large fleet; each datagram to it takes `delay_ms` from the start on.
-
-        Returns a function that loses the datagrams that are sent to it from then on; those under
-        way still arrive.
-        """
-        loop, lost = asyncio.get_running_loop(), []
+        """Start a gateway of a large fleet; return the way that datagrams to it take."""
         gateway = await self.start_gateway(name, **fields)
-        port = gateway._peering.link._port
-        deliver = port._on_datagram
-
-        def delay(data, sender):
-            if not lost:
-                loop.call_later(delay_ms / 1000, deliver, data, sender)
-
-        port._on_datagram = delay
         self.add_silent_members(gateway, silent_members)
-        return lambda: lost.append(True)
+        return SlowWay(gateway._peering.link._port, delay_ms)
 
     def add_silent_members(self, gateway, count):
         """Make a gateway one of a large fleet, whose other members send no further messages."""
--- a/features/gateway_freshness.feature
+++ b/features/gateway_freshness.feature
@@ -21,6 +21,17 @@
     Then every gateway that reaches the store has them within 2000 ms
     And no request for the new route that is sent later than 2000 ms after the change gets 404
 
+  Scenario: A reader that takes over while a link is full is believed to be as current as it seems
+    # Guards against the same where the sender is new: those that begin to read the store send the
+    # first confirmations of their lives while messages are slow.
+    Given a fleet with a bound of 2000 ms, and a gateway to which all datagrams take 0 ms from its start on
+    And that gateway gets the state of the store from the others
+    When datagrams to it begin to take 1500 ms, and both readers end
+    And that gateway gets the state of the store from the others
+    And changes are made, and it gets no datagram that is sent afterwards
+    Then every gateway that reaches the store has them within 2000 ms
+    And no request for the new route that is sent later than 2000 ms after the change gets 404
+
   Scenario: A vanished backend server is used past the bound because its entry is held too long
     When backend servers vanish in fleets with a bound of 2000 ms in these ways
       | gateways | how                                                          |
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -39,6 +39,7 @@
 from cloverhook_platform.store_client import LENGTH, POSITIONS, HttpStore, Reply  # noqa: E402
 
 LARGE_FLEET_VMS = 120
+GATEWAYS = 5
 SLOW_VM = "vm-slow"
 FOLLOWING_S = 5.0
 CALL_GAP_S = 0.05
@@ -104,16 +105,28 @@
 def step_slow_link(context, bound_ms, delay_ms):
     async def start():
         fields = {"drain_s": bound_ms / 1000, "config_apply_s": bound_ms / 1000}
-        context.known = await FreshnessFleet.start(3, LARGE_FLEET_VMS, **fields)
+        context.known = await FreshnessFleet.start(GATEWAYS, LARGE_FLEET_VMS, **fields)
         context.stack.push_async_callback(context.known.close)
-        context.lose_datagrams = await context.known.start_slow_gateway(
+        context.way = await context.known.start_slow_gateway(
             SLOW_VM, delay_ms, LARGE_FLEET_VMS, **fields
         )
 
     run(context, start())
 
 
+@when("datagrams to it begin to take {delay_ms:d} ms, and both readers end")
+def step_readers_end(context, delay_ms):
+    async def end():
+        context.known.add_silent_members(context.known.gateways[SLOW_VM], LARGE_FLEET_VMS)
+        context.way.delay_ms = delay_ms
+        for name in context.known.readers():
+            await context.known.end(name)
+
+    run(context, end())
+
+
 @given("that gateway gets the state of the store from the others")
+@when("that gateway gets the state of the store from the others")
 def step_follows_others(context):
     async def follow():
         gateway = context.known.gateways[SLOW_VM]
@@ -129,7 +142,7 @@
 def step_changes_unheard(context):
     async def change():
         context.known.add_silent_members(context.known.gateways[SLOW_VM], LARGE_FLEET_VMS)
-        context.lose_datagrams()
+        context.way.loses = True
         calls = asyncio.ensure_future(record_unknown_route(context))
         await asyncio.gather(
             context.known.publish(2, fleet.route("new", NEW_PATH, True)),
