--- a/features/freshness_fleet.py
+++ b/features/freshness_fleet.py
@@ -35,11 +35,12 @@
 
 
 class StoreClient:
-    """The store as one gateway reaches it."""
+    """The store as one gateway reaches it; each answer takes `delay_ms` on the way back."""
 
     def __init__(self, store):
         self._store = store
         self.path = StorePath.OPEN
+        self.delay_ms = 0.0
         self.calls = 0
 
     async def newest(self, feed):
@@ -77,6 +78,7 @@
                 while not call.done() and self.path is StorePath.OPEN:
                     await asyncio.wait((call,), timeout=0.01)
                 if call.done():
+                    await asyncio.sleep(self.delay_ms / 1000)
                     return call.result()
             finally:
                 call.cancel()
--- a/features/gateway_freshness.feature
+++ b/features/gateway_freshness.feature
@@ -21,6 +21,14 @@
     Then every gateway that reaches the store has them within 2000 ms
     And no request for the new route that is sent later than 2000 ms after the change gets 404
 
+  Scenario: A gateway whose reads of the store take a second answers 404 while the first of them is under way
+    # Guards against 404 past the bound where the call that would show the new route is slow too.
+    Given a fleet with a bound of 2000 ms, and a gateway to which all datagrams take 1500 ms from its start on
+    And that gateway gets the state of the store from the others
+    And its reads of the store take 1000 ms
+    When changes are made, and it gets no datagram that is sent afterwards
+    Then no request for the new route that is sent later than 2000 ms after the change gets 404
+
   Scenario: A reader that takes over while a link is full is believed to be as current as it seems
     # Guards against the same where the sender is new: those that begin to read the store send the
     # first confirmations of their lives while messages are slow.
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -138,6 +138,11 @@
     run(context, follow())
 
 
+@given("its reads of the store take {delay_ms:d} ms")
+def step_slow_reads(context, delay_ms):
+    context.known.paths[SLOW_VM].delay_ms = delay_ms
+
+
 @when("changes are made, and it gets no datagram that is sent afterwards")
 def step_changes_unheard(context):
     async def change():
