--- a/cloverhook/gateway/store_confirmations.py
+++ b/cloverhook/gateway/store_confirmations.py
@@ -25,8 +25,7 @@
 __all__ = ["StoreConfirmations"]
 
 WAITING_LIMIT = 32
-"""How many confirmations may wait for an answer of their sender; more senders are only there when
-many VMs read the store by themselves."""
+"""How many confirmations may wait for an answer of their sender; usually two VMs send any."""
 
 
 class StoreConfirmations:
@@ -90,9 +89,9 @@
         if sent_ms is not None:
             self._counters.observe("confirmation_delay", now_ms - sent_ms)
             self._apply(message, sent_ms)
-        self._request_time_if_due(message, now_ms)
-        if sent_ms is None and (message.vm in self._waiting or len(self._waiting) < WAITING_LIMIT):
+        elif message.vm in self._waiting or len(self._waiting) < WAITING_LIMIT:
             self._waiting[message.vm] = message
+        self._request_time_if_due(message, now_ms)
 
     def answer(self, request: ClockRequest, address: str, now_ms: float) -> None:
         """Answer a request for the time on the own clock."""
@@ -112,14 +111,14 @@
             self.received(waiting, now_ms)
 
     def _request_time_if_due(self, message: StoreConfirmation, now_ms: float) -> None:
-        member = self._members.get(message.vm)
-        if member is None:
-            return
-        if self._clocks.is_request_due(message.vm, message.incarnation, now_ms):
+        """Ask the sender of a message for the time on its clock, unless its address isn't known."""
+        vm, incarnation = message.vm, message.incarnation
+        member = self._members.get(vm)
+        if member is not None and self._clocks.is_request_due(vm, incarnation, now_ms):
+            self._clocks.record_request(vm, incarnation, now_ms)
             own = self._identity
-            self._clocks.record_request(message.vm, message.incarnation, now_ms)
-            request = encode(ClockRequest(own.vm, own.incarnation, now_ms))
-            self._broadcast.send_to((member,), request)
+            request = ClockRequest(own.vm, own.incarnation, now_ms)
+            self._broadcast.send_to((member,), encode(request))
 
     def _apply(self, message: StoreConfirmation, sent_ms: float) -> None:
         gateway_state = self._gateway_state
