Believe a process whose number is lower than that of the one before it

A process's number comes from the time of day, which may be set back before it starts. The messages of such a reader confirmed nothing, and all gateways would have read the store for themselves. What is known of a clock now belongs to the process that has sent the latest message.

Failed before: 'A process that starts after its time of day was set back is never believed'.

--- a/cloverhook/gateway/peer_clocks.py
+++ b/cloverhook/gateway/peer_clocks.py
@@ -42,7 +42,8 @@
     """How the clocks of other processes compare to the own one.
 
     Times are in milliseconds on the clocks of the two processes; `incarnation` is that of the other
-    process.  One that has started later takes the place of the earlier one of its VM.
+    process.  Only the process of a VM that has sent the latest message is known: incarnations come
+    from the time of day, so they don't show which process has started later.
     """
 
     def __init__(self, source: random.Random) -> None:
@@ -59,7 +60,7 @@
         answers bound nothing.
         """
         peer = self._peer(vm, incarnation, now_ms)
-        if peer is None or peer.offset_ms is None:
+        if peer.offset_ms is None:
             return None
         earliest_ms = sent_ms + peer.least_offset_ms(now_ms)
         if earliest_ms > now_ms:
@@ -75,10 +76,9 @@
     def record_request(self, vm: str, incarnation: int, now_ms: float) -> None:
         """Record that a process was asked for its time."""
         peer = self._peer(vm, incarnation, now_ms)
-        if peer is not None:
-            peer.requests_ms.append(now_ms)
-            peer.due_ms = now_ms + min(RENEWAL_MS, RETRY_MS * 2**peer.retries)
-            peer.retries = min(peer.retries + 1, RETRIES_LIMIT)
+        peer.requests_ms.append(now_ms)
+        peer.due_ms = now_ms + min(RENEWAL_MS, RETRY_MS * 2**peer.retries)
+        peer.retries = min(peer.retries + 1, RETRIES_LIMIT)
 
     def record_answer(
         self, vm: str, incarnation: int, requested_ms: float, answered_ms: float, now_ms: float
@@ -99,15 +99,15 @@
             peer.due_ms = now_ms + RENEWAL_MS * self._random.uniform(0.5, 1.0)
         return True
 
-    def _peer(self, vm: str, incarnation: int, now_ms: float) -> "_Peer | None":
-        """Return what is known of a process, or None if a later process of its VM is known."""
+    def _peer(self, vm: str, incarnation: int, now_ms: float) -> "_Peer":
+        """Return what is known of a process, in place of another one of its VM."""
         peer = self._peers.pop(vm, None)
-        if peer is None or peer.incarnation < incarnation:
+        if peer is None or peer.incarnation != incarnation:
             peer = _Peer(incarnation, due_ms=now_ms)
         while len(self._peers) >= PEERS_LIMIT:
             del self._peers[next(iter(self._peers))]
         self._peers[vm] = peer  # At the end, so that the VM without messages for longest is first.
-        return peer if peer.incarnation == incarnation else None
+        return peer
 
 
 @dataclass(slots=True)
--- a/features/peer_clocks.feature
+++ b/features/peer_clocks.feature
@@ -31,6 +31,16 @@
     And its VM starts a process whose clock is 0 ms ahead of the own one, with messages of 800 ms
     Then the state is never taken for younger than it is
     And a late message of the earlier process confirms nothing
+    And it is confirmed by the process that runs
+
+  Scenario: A process that starts after its time of day was set back is never believed
+    # Guards against gateways that all read the store because they take the reader for an earlier
+    # process: its number comes from the time of day.
+    Given a process whose clock is 70000 ms ahead of the own one
+    When it confirms its state 5 times, 0 to 0 ms old, and each message takes 1 to 1 ms
+    And its VM starts a process whose number is lower
+    Then the state is never taken for younger than it is
+    And it is confirmed by the process that runs
 
   Scenario: The own clock stops for a while, so that earlier answers bound nothing any more
     # Guards against state that seems younger by the time for which a machine was suspended.
